--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,179 @@
+// Package engine carries jobs out: it owns the queue, the slots and the tasks in flight of one process.
+//
+// One goroutine runs all decisions. Callers, lanes and controllers post events to it; it runs the scheduler, hands
+// starts to the lanes and answers each job exactly once.
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// Done receives the answer of a job. It is called once, from the engine's goroutine, and must not block.
+type Done func(a *api.Answer)
+
+// Options configures an Engine.
+type Options struct {
+	Scheduler sched.Scheduler
+	Dialer    platform.Dialer
+	Clock     clockwork.Clock
+	Log       logrus.FieldLogger
+	// MayStart is asked ahead of every round of starts. It is false after the process was paused, until its view of
+	// the system is current again.
+	MayStart func(now time.Time) bool
+	// Admit decides on a new job. It runs in the engine's goroutine with the estimate of that moment.
+	Admit func(now time.Time, j *Job, e sched.Estimate) *api.Answer
+	// Observe is told of each event that a measure counts. It may be nil.
+	Observe Observer
+	Timing  Timing
+}
+
+// Observer counts what the measures of the documentation need.
+type Observer interface {
+	Started(team, service string, wait time.Duration)
+	Ended(team, service string, outcome platform.Outcome, run time.Duration)
+	Answered(j *Job, a *api.Answer, took time.Duration)
+	Wasted(kind string)
+}
+
+// Timing holds the intervals of the engine's housekeeping.
+type Timing struct {
+	Tick           time.Duration // expiry of deadlines, batches of stops
+	RenewBusy      time.Duration // lease renewal of a worker with tasks older than this
+	RenewIdle      time.Duration // lease renewal of other workers
+	Lease          time.Duration // lease of a task
+	SuspectAfter   time.Duration // no answer to renewals
+	CallGrace      time.Duration // how long a call may lag behind the worker's own report of the task's end
+	ControlTimeout time.Duration // one renewal, fetch or stop
+}
+
+// DefaultTiming returns the intervals of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick: 5 * time.Millisecond, RenewBusy: time.Second, RenewIdle: 2 * time.Second, Lease: 5 * time.Second,
+		SuspectAfter: 3 * time.Second, CallGrace: 250 * time.Millisecond, ControlTimeout: time.Second,
+	}
+}
+
+// Engine runs jobs. Its methods are safe for concurrent use.
+type Engine struct {
+	opts    Options
+	log     logrus.FieldLogger
+	inbox   inbox
+	closed  chan struct{}
+	stopped chan struct{}
+
+	// Below: owned by the loop.
+	jobs       map[sched.JobID]*Job
+	byIdentity map[string]*Job
+	workers    map[string]*worker
+	nextJob    sched.JobID
+	stops      map[string][]string // tasks to stop by worker, sent each tick
+	draining   bool
+	lastTick   time.Time
+}
+
+// New returns an engine. Run starts it.
+func New(opts Options) *Engine {
+	if opts.Timing == (Timing{}) {
+		opts.Timing = DefaultTiming()
+	}
+	if opts.MayStart == nil {
+		opts.MayStart = func(time.Time) bool { return true }
+	}
+	if opts.Observe == nil {
+		opts.Observe = nopObserver{}
+	}
+	e := &Engine{
+		opts: opts, log: opts.Log, closed: make(chan struct{}), stopped: make(chan struct{}),
+		jobs: map[sched.JobID]*Job{}, byIdentity: map[string]*Job{}, workers: map[string]*worker{}, stops: map[string][]string{},
+	}
+	e.inbox.wake = make(chan struct{}, 1)
+	return e
+}
+
+// Run processes events until ctx ends.
+func (e *Engine) Run(ctx context.Context) {
+	defer close(e.stopped)
+	ticker := e.opts.Clock.NewTicker(e.opts.Timing.Tick)
+	defer ticker.Stop()
+	var batch []event
+	for {
+		select {
+		case <-ctx.Done():
+			e.closeAll()
+			return
+		case <-ticker.Chan():
+			e.tick(e.opts.Clock.Now())
+		case <-e.inbox.wake:
+		}
+		batch = e.inbox.take(batch[:0])
+		now := e.opts.Clock.Now()
+		for i := range batch {
+			batch[i](now)
+			batch[i] = nil
+		}
+		e.start(now)
+	}
+}
+
+func (e *Engine) closeAll() {
+	close(e.closed)
+	for _, w := range e.workers {
+		w.close()
+	}
+}
+
+// post hands an event to the loop.
+func (e *Engine) post(ev event) { e.inbox.put(ev) }
+
+// call runs f in the loop and waits for it. It returns false when the engine has stopped.
+func (e *Engine) call(f event) bool {
+	done := make(chan struct{})
+	e.post(func(now time.Time) {
+		f(now)
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-e.stopped:
+		return false
+	}
+}
+
+// tick runs the periodic work.
+func (e *Engine) tick(now time.Time) {
+	e.lastTick = now
+	e.expire(now)
+	e.renewDue(now)
+	e.flushStops()
+}
+
+// start hands queued tasks to free slots.
+func (e *Engine) start(now time.Time) {
+	if !e.opts.MayStart(now) {
+		return
+	}
+	for {
+		a, ok := e.opts.Scheduler.Next(now)
+		if !ok {
+			return
+		}
+		e.startOne(now, a)
+	}
+}
+
+type nopObserver struct{}
+
+func (nopObserver) Started(string, string, time.Duration)                 {}
+func (nopObserver) Ended(string, string, platform.Outcome, time.Duration) {}
+func (nopObserver) Answered(*Job, *api.Answer, time.Duration)             {}
+func (nopObserver) Wasted(string)                                         {}
--- /dev/null
+++ b/internal/engine/job.go
@@ -0,0 +1,179 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// phase is the progress of one task.
+type phase uint8
+
+const (
+	queued  phase = iota
+	running       // a byte may have reached a worker
+	ran           // ended, with an output or a failure
+	dropped       // never started and never will be
+	lost          // started, fate unknown
+)
+
+// Job is a submission in progress. Fields are owned by the engine's loop after Submit.
+type Job struct {
+	Identity   string
+	Team       string
+	Service    string
+	Idempotent bool
+	Arrived    time.Time
+	Deadline   time.Time
+	Payloads   []string
+	Shape      sched.Job // Tasks, Team, Service, Deadline; the engine sets ID
+
+	done    Done
+	phases  []phase
+	outputs []string
+	where   []sched.Assignment // of running tasks
+	left    int                // tasks without an end
+}
+
+// TaskID returns the name of a task at endpoints.
+func (j *Job) TaskID(i int) string { return j.Identity + "/" + strconv.Itoa(i) }
+
+// Submit queues a job. done gets its answer: a refusal at once, or the outcome later.
+func (e *Engine) Submit(j *Job, done Done) {
+	j.done = done
+	e.post(func(now time.Time) { e.submit(now, j) })
+}
+
+func (e *Engine) submit(now time.Time, j *Job) {
+	if refusal := e.admit(now, j); refusal != nil {
+		refusal.Identity = j.Identity
+		j.done(refusal)
+		return
+	}
+	e.nextJob++
+	j.Shape.ID = e.nextJob
+	n := len(j.Payloads)
+	j.phases = make([]phase, n)
+	j.outputs = make([]string, n)
+	j.where = make([]sched.Assignment, n)
+	j.left = n
+	e.jobs[j.Shape.ID] = j
+	e.byIdentity[j.Identity] = j
+	e.opts.Scheduler.Submit(now, &j.Shape)
+}
+
+func (e *Engine) admit(now time.Time, j *Job) *api.Answer {
+	if e.draining {
+		return api.NewAnswer(result.Draining, "the instance is stopping")
+	}
+	if !now.Before(j.Deadline) {
+		return api.NewAnswer(result.DeadlineExpired, "the deadline passed before the job was queued")
+	}
+	if e.opts.Admit == nil {
+		return nil
+	}
+	return e.opts.Admit(now, j, e.opts.Scheduler.Estimate(now, &j.Shape))
+}
+
+// Cancel ends a job early. Started tasks are stopped and reported as such; done of Submit gets the answer.
+func (e *Engine) Cancel(identity string) {
+	e.post(func(now time.Time) {
+		if j := e.byIdentity[identity]; j != nil {
+			e.fail(now, j, result.Cancelled, "cancelled by the caller")
+		}
+	})
+}
+
+// Drain refuses further jobs.
+func (e *Engine) Drain() {
+	e.post(func(time.Time) { e.draining = true })
+}
+
+// expire fails the jobs whose deadline has passed.
+func (e *Engine) expire(now time.Time) {
+	for _, id := range e.opts.Scheduler.Expire(now) {
+		if j := e.jobs[id]; j != nil {
+			e.fail(now, j, result.DeadlineExceeded, "the deadline passed")
+		}
+	}
+}
+
+// taskEnded records the end of a task that ran.
+func (e *Engine) taskEnded(now time.Time, j *Job, i int, r *platform.RunResult) {
+	j.left--
+	switch r.Outcome {
+	case platform.Succeeded:
+		j.phases[i] = ran
+		j.outputs[i] = r.Output
+	case platform.Failed:
+		j.phases[i] = ran
+		e.fail(now, j, result.TaskFailed, "task "+strconv.Itoa(i)+" failed: "+r.Output)
+		return
+	default:
+		j.phases[i] = lost
+		e.fail(now, j, result.WorkerLost, "the worker of task "+strconv.Itoa(i)+" was lost: "+r.Output)
+		return
+	}
+	if j.left == 0 {
+		e.complete(now, j)
+	}
+}
+
+func (e *Engine) complete(now time.Time, j *Job) {
+	a := api.NewAnswer(result.Complete, "")
+	a.Identity = j.Identity
+	a.Outputs = j.outputs
+	a.Tasks = &api.Counts{Ran: len(j.phases)}
+	e.finish(now, j, a)
+}
+
+// fail answers a job that cannot complete any more: queued tasks are dropped, running ones are stopped.
+func (e *Engine) fail(now time.Time, j *Job, code result.Code, message string) {
+	for _, i := range e.opts.Scheduler.Cancel(now, j.Shape.ID) {
+		j.phases[i] = dropped
+	}
+	counts := &api.Counts{}
+	for i, p := range j.phases {
+		switch p {
+		case ran:
+			counts.Ran++
+		case queued, dropped:
+			counts.NotRun++
+		case lost:
+			counts.MayHaveRun++
+		case running:
+			counts.MayHaveRun++
+			name := j.where[i].Worker
+			e.stops[name] = append(e.stops[name], j.TaskID(i))
+		}
+	}
+	a := api.NewAnswer(notStarted(code, counts), message)
+	a.Identity = j.Identity
+	a.Tasks = counts
+	e.finish(now, j, a)
+}
+
+// notStarted returns the code that says "not run" in place of code when no task of the job has started.
+func notStarted(code result.Code, c *api.Counts) result.Code {
+	if c.Ran+c.MayHaveRun > 0 {
+		return code
+	}
+	switch code {
+	case result.Cancelled:
+		return result.CancelledNotRun
+	case result.DeadlineExceeded:
+		return result.DeadlineExpired
+	}
+	return code
+}
+
+func (e *Engine) finish(now time.Time, j *Job, a *api.Answer) {
+	delete(e.jobs, j.Shape.ID)
+	delete(e.byIdentity, j.Identity)
+	e.opts.Observe.Answered(j, a, now.Sub(j.Arrived))
+	j.done(a)
+}
--- /dev/null
+++ b/internal/engine/lease.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// maxFetches bounds the tries to learn the fate of one task; with time-outs of 1 s it stays below the lease.
+const maxFetches = 3
+
+// renewDue starts the renewal of leases for each worker whose interval has passed.
+func (e *Engine) renewDue(now time.Time) {
+	for _, w := range e.workers {
+		if w.renewing || now.Sub(w.triedAt) < e.renewInterval(now, w) {
+			continue
+		}
+		w.renewing, w.triedAt = true, now
+		go e.renew(w, w.tasks())
+	}
+}
+
+func (e *Engine) renewInterval(now time.Time, w *worker) time.Duration {
+	if w.state == sched.WorkerSuspect {
+		return e.opts.Timing.RenewBusy / 2
+	}
+	for _, f := range w.flights {
+		if f != nil && now.Sub(f.started) >= e.opts.Timing.RenewBusy {
+			return e.opts.Timing.RenewBusy
+		}
+	}
+	return e.opts.Timing.RenewIdle
+}
+
+// tasks returns the names of the tasks in flight.
+func (w *worker) tasks() []string {
+	var out []string
+	for _, f := range w.flights {
+		if f != nil {
+			out = append(out, f.task)
+		}
+	}
+	return out
+}
+
+func (e *Engine) renew(w *worker, tasks []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
+	defer cancel()
+	status, err := w.endpoint.Renew(ctx, tasks)
+	e.post(func(now time.Time) {
+		w.renewing = false
+		if e.workers[w.instance.Name] != w {
+			return
+		}
+		if err != nil {
+			e.renewFailed(now, w, err)
+			return
+		}
+		e.renewed(now, w, &status)
+	})
+}
+
+func (e *Engine) renewFailed(now time.Time, w *worker, err error) {
+	silent := now.Sub(w.renewedAt)
+	if silent >= e.opts.Timing.SuspectAfter {
+		e.setState(now, w, sched.WorkerSuspect, err.Error())
+	}
+	if silent >= e.opts.Timing.Lease {
+		e.loseAll(now, w, "no answer from the worker for the time of its lease")
+	}
+}
+
+// renewed takes in the worker's report of itself and of its tasks.
+func (e *Engine) renewed(now time.Time, w *worker, s *platform.EndpointStatus) {
+	restarted := w.incarnation != 0 && s.Incarnation != w.incarnation
+	w.renewedAt, w.status, w.incarnation = now, *s, s.Incarnation
+	switch {
+	case s.Leaving || w.instance.State == platform.StateLeaving:
+		e.setState(now, w, sched.WorkerLeaving, "report of the worker")
+	default:
+		e.setState(now, w, sched.WorkerReady, "report of the worker")
+	}
+	states := make(map[string]platform.TaskStatus, len(s.Tasks))
+	for _, t := range s.Tasks {
+		states[t.Task] = t
+	}
+	for _, f := range w.flights {
+		if f == nil {
+			continue
+		}
+		if st, ok := states[f.task]; ok {
+			e.compare(now, w, f, st, restarted)
+		}
+	}
+}
+
+// compare sets the worker's report of a task against the call that is still open for it.
+func (e *Engine) compare(now time.Time, w *worker, f *flight, st platform.TaskStatus, restarted bool) {
+	if st.State == platform.TaskRunning {
+		f.reported = time.Time{}
+		return
+	}
+	if restarted && st.State == platform.TaskUnknown {
+		e.giveUp(now, f, "the worker has restarted")
+		return
+	}
+	if f.reported.IsZero() {
+		f.reported = now
+		// The answer may be on its way; looking again after the grace avoids a fetch for most tasks.
+		time.AfterFunc(e.opts.Timing.CallGrace, func() {
+			e.post(func(now time.Time) { e.recheck(now, w, f) })
+		})
+	}
+}
+
+func (e *Engine) recheck(now time.Time, w *worker, f *flight) {
+	if !f.settled && !f.reported.IsZero() && e.workers[w.instance.Name] == w {
+		e.resolve(now, f, "the connection is silent")
+	}
+}
+
+// resolve asks the worker over a new connection what became of a task whose call brought no answer. It returns false
+// when there is nobody to ask.
+func (e *Engine) resolve(now time.Time, f *flight, reason string) bool {
+	w := e.workers[f.assigned.Worker]
+	if w == nil {
+		return false
+	}
+	if f.fetching {
+		return true
+	}
+	f.fetching = true
+	e.opts.Observe.Wasted("fetch")
+	e.log.WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
+		defer cancel()
+		st, err := w.endpoint.Fetch(ctx, f.task)
+		e.post(func(now time.Time) { e.fetched(now, w, f, st, err, reason) })
+	}()
+	return true
+}
+
+// fetched settles a task by the worker's own record of it.
+func (e *Engine) fetched(now time.Time, w *worker, f *flight, st platform.TaskStatus, err error, reason string) {
+	f.fetching = false
+	if f.settled {
+		return
+	}
+	r := platform.RunResult{Outcome: platform.Lost, Output: reason}
+	switch {
+	case err != nil:
+		e.fetchFailed(now, w, f, reason)
+		return
+	case st.State == platform.TaskRunning:
+		// The call is gone but the task runs on: renewals go on reporting it, and its end is fetched.
+		f.reported = time.Time{}
+		return
+	case st.State == platform.TaskDone:
+		r = platform.RunResult{Outcome: platform.Succeeded, Output: st.Output}
+	case st.State == platform.TaskFailed:
+		r = platform.RunResult{Outcome: platform.Failed, Output: st.Output}
+	}
+	w.endpoint.Abandon(f.assigned.Lane)
+	e.settle(now, f, &r)
+}
+
+// fetchFailed tries again a few times: the worker may be slow, but an answer must come in bounded time.
+func (e *Engine) fetchFailed(now time.Time, w *worker, f *flight, reason string) {
+	f.misses++
+	if f.misses >= maxFetches || e.workers[w.instance.Name] != w {
+		e.giveUp(now, f, reason)
+		return
+	}
+	time.AfterFunc(e.opts.Timing.CallGrace, func() {
+		e.post(func(now time.Time) {
+			if !f.settled && !e.resolve(now, f, reason) {
+				e.giveUp(now, f, reason)
+			}
+		})
+	})
+}
+
+// giveUp settles a task as lost.
+func (e *Engine) giveUp(now time.Time, f *flight, reason string) {
+	if f.settled {
+		return
+	}
+	if w := e.workers[f.assigned.Worker]; w != nil {
+		w.endpoint.Abandon(f.assigned.Lane)
+	}
+	e.settle(now, f, &platform.RunResult{Outcome: platform.Lost, Output: reason})
+}
+
+// loseAll gives up all tasks on a worker.
+func (e *Engine) loseAll(now time.Time, w *worker, reason string) {
+	for _, f := range w.flights {
+		if f != nil {
+			e.giveUp(now, f, reason)
+		}
+	}
+}
+
+// flushStops sends the stops that have come together since the last tick, one message per worker.
+func (e *Engine) flushStops() {
+	for name, tasks := range e.stops {
+		delete(e.stops, name)
+		w := e.workers[name]
+		if w == nil {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
+			defer cancel()
+			if _, err := w.endpoint.Stop(ctx, tasks); err != nil {
+				e.log.WithError(err).WithField("worker", name).Warn("tasks could not be stopped")
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,215 @@
+// Package registry keeps a record of every identity that was submitted to its home, so that a resubmission attaches to
+// the first submission or gets its answer and never starts anything.
+package registry
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+// Reply receives the answer of a request. It is called once and must not block.
+type Reply func(a *api.Answer)
+
+// Digest identifies the content of a submission.
+type Digest [16]byte
+
+// Options configures a Registry.
+type Options struct {
+	// RecordTTL is how long a record is kept. It must be at least the validity of an identity, so that a valid
+	// identity without a record was never submitted.
+	RecordTTL time.Duration
+	// AnswerTTL is how long the outputs of a finished job are kept; the outcome is kept for RecordTTL.
+	AnswerTTL time.Duration
+}
+
+type record struct {
+	seq      uint64
+	digest   Digest
+	created  time.Time
+	finished time.Time
+	answer   *api.Answer // nil while the job is open
+	waiters  []Reply
+	hasBody  bool // the answer still holds its outputs
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	opts Options
+
+	mu       sync.Mutex
+	records  map[uint64]*record
+	byAge    *list.List // records by creation, oldest first
+	byFinish *list.List // finished records that hold outputs, oldest first
+	open     int
+}
+
+// New returns an empty registry.
+func New(opts Options) *Registry {
+	return &Registry{opts: opts, records: map[uint64]*record{}, byAge: list.New(), byFinish: list.New()}
+}
+
+// Claim is the result of opening a record.
+type Claim int
+
+// The results of Open.
+const (
+	First    Claim = iota // the caller of Open must carry the submission out and call Finish or Withdraw
+	Attached              // the reply gets the answer of the first submission
+	Reused                // another body was submitted under the identity
+)
+
+// Open claims an identity for a submission. reply is kept and answered by Finish, or answered at once when the job has
+// ended. A nil reply attaches nobody.
+func (r *Registry) Open(now time.Time, seq uint64, d Digest, reply Reply) Claim {
+	r.mu.Lock()
+	rec := r.records[seq]
+	if rec == nil {
+		rec = &record{seq: seq, digest: d, created: now}
+		rec.attach(reply)
+		r.records[seq] = rec
+		r.byAge.PushBack(rec)
+		r.open++
+		r.mu.Unlock()
+		return First
+	}
+	if rec.digest != d {
+		r.mu.Unlock()
+		return Reused
+	}
+	answer := rec.answer
+	if answer == nil {
+		rec.attach(reply)
+	}
+	r.mu.Unlock()
+	if answer != nil && reply != nil {
+		reply(answer)
+	}
+	return Attached
+}
+
+// Watch attaches reply to the record of an identity. ok is false when there is none. With wait false an open job gets
+// result.Running at once.
+func (r *Registry) Watch(seq uint64, wait bool, reply Reply) (ok bool) {
+	r.mu.Lock()
+	rec := r.records[seq]
+	if rec == nil {
+		r.mu.Unlock()
+		return false
+	}
+	answer := rec.answer
+	if answer == nil && wait {
+		rec.attach(reply)
+		r.mu.Unlock()
+		return true
+	}
+	r.mu.Unlock()
+	if answer == nil {
+		answer = api.NewAnswer(result.Running, "")
+	}
+	reply(answer)
+	return true
+}
+
+// Finish sets the answer of an open record and gives it to all who wait.
+func (r *Registry) Finish(now time.Time, seq uint64, a *api.Answer) {
+	r.mu.Lock()
+	rec := r.records[seq]
+	if rec == nil || rec.answer != nil {
+		r.mu.Unlock()
+		return
+	}
+	rec.answer = a
+	rec.finished = now
+	rec.hasBody = len(a.Outputs) > 0
+	if rec.hasBody {
+		r.byFinish.PushBack(rec)
+	}
+	waiters := rec.close()
+	r.open--
+	r.mu.Unlock()
+	answer(waiters, a)
+}
+
+// Withdraw removes an open record whose submission was refused before anything ran, so that it may be submitted again.
+// All who wait get the refusal.
+func (r *Registry) Withdraw(seq uint64, a *api.Answer) {
+	r.mu.Lock()
+	rec := r.records[seq]
+	if rec == nil || rec.answer != nil {
+		r.mu.Unlock()
+		return
+	}
+	delete(r.records, seq)
+	waiters := rec.close()
+	r.open--
+	r.mu.Unlock()
+	answer(waiters, a)
+}
+
+// Expire drops outputs and records that have passed their time.
+func (r *Registry) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for e := r.byFinish.Front(); e != nil; e = r.byFinish.Front() {
+		rec := e.Value.(*record)
+		if now.Sub(rec.finished) < r.opts.AnswerTTL {
+			break
+		}
+		dropped := api.NewAnswer(result.AnswerDropped, "the job completed and its answer is no longer kept")
+		dropped.Identity, dropped.Tasks = rec.answer.Identity, rec.answer.Tasks
+		rec.answer, rec.hasBody = dropped, false
+		r.byFinish.Remove(e)
+	}
+	for e := r.byAge.Front(); e != nil; e = r.byAge.Front() {
+		rec := e.Value.(*record)
+		if now.Sub(rec.created) <= r.opts.RecordTTL {
+			break
+		}
+		// A job still open keeps its record; it is bounded by its deadline.
+		if rec.answer == nil && r.records[rec.seq] == rec {
+			r.byAge.MoveToBack(e)
+			rec.created = now
+			continue
+		}
+		if r.records[rec.seq] == rec {
+			delete(r.records, rec.seq)
+		}
+		r.byAge.Remove(e)
+	}
+}
+
+// Stats counts records.
+type Stats struct {
+	Records int `json:"records"`
+	Open    int `json:"open"`
+	Answers int `json:"answers_with_outputs"`
+}
+
+// Stats returns the number of records by kind.
+func (r *Registry) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Stats{Records: len(r.records), Open: r.open, Answers: r.byFinish.Len()}
+}
+
+func (rec *record) attach(reply Reply) {
+	if reply != nil {
+		rec.waiters = append(rec.waiters, reply)
+	}
+}
+
+func (rec *record) close() []Reply {
+	waiters := rec.waiters
+	rec.waiters = nil
+	return waiters
+}
+
+func answer(waiters []Reply, a *api.Answer) {
+	for _, w := range waiters {
+		w(a)
+	}
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -41,6 +41,11 @@
 	WorkerSuspect
 )
 
+// String returns the state's name.
+func (s WorkerState) String() string {
+	return [...]string{"ready", "leaving", "suspect"}[s]
+}
+
 // Worker is a worker whose slots this instance assigns.
 type Worker struct {
 	Name  string
@@ -92,6 +97,8 @@
 	Next(now time.Time) (a Assignment, ok bool)
 	// Finish frees the slot of an assignment and learns from its outcome.
 	Finish(now time.Time, a Assignment, o Outcome)
+	// Expire returns the jobs whose deadline has passed, each once. The caller cancels them.
+	Expire(now time.Time) []JobID
 	// Stats returns a summary for dumps and heartbeats.
 	Stats() Stats
 }
--- /dev/null
+++ b/internal/server/conn.go
@@ -0,0 +1,123 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+var (
+	headerEnd     = []byte("\r\n\r\n")
+	continueBytes = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+)
+
+// chunked marks a request whose length is known only at its end.
+const chunked = -1
+
+// conn is the state of one caller's connection. Fields without atomics belong to its event loop.
+type conn struct {
+	server *Server
+	raw    gnet.Conn
+	busy   atomic.Bool  // a request is with the handler
+	gone   atomic.Bool  // the connection is closed
+	since  atomic.Int64 // arrival of the first byte of an incomplete request, Unix ns; 0 when there is none
+	need   int          // bytes of the request in progress; 0 until its header is read
+	told   bool         // 100 Continue was sent for the request in progress
+}
+
+// read takes one request from the buffer if it is complete and hands it to the handler.
+func (c *conn) read(limits Limits) gnet.Action {
+	buf, err := c.raw.Peek(-1)
+	if err != nil || len(buf) == 0 {
+		return gnet.None
+	}
+	if c.since.Load() == 0 {
+		c.since.Store(time.Now().UnixNano())
+	}
+	if c.need == 0 {
+		if code, msg := c.readHeader(buf, limits); code != result.Complete {
+			return c.refuse(code, msg)
+		}
+	}
+	if c.need == 0 || (c.need > 0 && len(buf) < c.need) {
+		return gnet.None
+	}
+	return c.readRequest(buf, limits)
+}
+
+// readHeader sets c.need once the header is complete.
+func (c *conn) readHeader(buf []byte, limits Limits) (result.Code, string) {
+	end := bytes.Index(buf, headerEnd)
+	if end < 0 && len(buf) <= limits.HeaderBytes {
+		return result.Complete, ""
+	}
+	if end < 0 || end > limits.HeaderBytes {
+		return result.HeaderTooLarge, "the header exceeds the limit"
+	}
+	end += len(headerEnd)
+	var h fasthttp.RequestHeader
+	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(buf[:end]), end+1)); err != nil {
+		return result.MalformedHTTP, "the request header is malformed"
+	}
+	n := h.ContentLength()
+	if n > limits.BodyBytes {
+		return result.BodyTooLarge, "the body exceeds the limit"
+	}
+	if n == -1 {
+		c.need = chunked
+	} else {
+		c.need = end + max(n, 0)
+	}
+	if len(h.Peek("Expect")) > 0 && !c.told {
+		c.told = true
+		c.raw.Write(continueBytes)
+	}
+	return result.Complete, ""
+}
+
+// readRequest parses the request at the head of the buffer and starts the handler.
+func (c *conn) readRequest(buf []byte, limits Limits) gnet.Action {
+	raw := buf
+	if c.need > 0 {
+		raw = buf[:c.need]
+	}
+	src := bytes.NewReader(raw)
+	br := bufio.NewReaderSize(src, min(len(raw), limits.HeaderBytes)+1)
+	req := fasthttp.AcquireRequest()
+	err := req.ReadLimitBody(br, limits.BodyBytes)
+	if err == nil && req.MayContinue() {
+		err = req.ContinueReadBody(br, limits.BodyBytes)
+	}
+	if err != nil {
+		fasthttp.ReleaseRequest(req)
+		if c.need == chunked && incomplete(err) && len(buf) <= 2*limits.BodyBytes {
+			return gnet.None
+		}
+		return c.refuse(result.MalformedHTTP, "the request is malformed")
+	}
+	c.raw.Discard(len(raw) - src.Len() - br.Buffered())
+	c.need, c.told = 0, false
+	c.since.Store(0)
+	c.busy.Store(true)
+	c.server.active.Add(1)
+	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now()})
+	return gnet.None
+}
+
+func incomplete(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// refuse answers a request that could not be read and closes the connection, since its end is not known.
+func (c *conn) refuse(code result.Code, message string) gnet.Action {
+	c.raw.Write(c.server.refusal(code, message))
+	return gnet.Close
+}
--- /dev/null
+++ b/internal/server/exchange.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Request *fasthttp.Request // valid until Reply
+	Arrived time.Time
+	conn    *conn
+	replied bool
+}
+
+// Gone reports whether the caller has closed the connection.
+func (x *Exchange) Gone() bool { return x.conn.gone.Load() }
+
+// Reply sends a JSON body. retryAfter above 0 adds a Retry-After header, rounded up to seconds.
+func (x *Exchange) Reply(status int, body []byte, retryAfter time.Duration) {
+	if x.replied {
+		panic("server: second reply to one request")
+	}
+	x.replied = true
+	c := x.conn
+	last := x.Request.ConnectionClose() || c.server.closing.Load()
+	var b bytes.Buffer
+	b.Grow(len(body) + 160)
+	writeResponse(&b, status, body, retryAfter, last)
+	fasthttp.ReleaseRequest(x.Request)
+	x.Request = nil
+	err := c.raw.AsyncWrite(b.Bytes(), func(raw gnet.Conn, err error) error {
+		c.server.active.Add(-1)
+		if err != nil || last {
+			return raw.Close()
+		}
+		return c.next(raw)
+	})
+	if err != nil {
+		c.server.active.Add(-1)
+	}
+}
+
+// next goes on with a request that arrived while the one before was in progress.
+func (c *conn) next(raw gnet.Conn) error {
+	c.busy.Store(false)
+	if raw.InboundBuffered() > 0 {
+		return raw.Wake(nil)
+	}
+	return nil
+}
+
+func writeResponse(b *bytes.Buffer, status int, body []byte, retryAfter time.Duration, last bool) {
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(strconv.Itoa(status))
+	b.WriteByte(' ')
+	b.WriteString(fasthttp.StatusMessage(status))
+	b.WriteString("\r\nContent-Type: application/json\r\nContent-Length: ")
+	b.WriteString(strconv.Itoa(len(body)))
+	if retryAfter > 0 {
+		b.WriteString("\r\nRetry-After: ")
+		b.WriteString(strconv.FormatInt(int64((retryAfter+time.Second-1)/time.Second), 10))
+	}
+	if last {
+		b.WriteString("\r\nConnection: close")
+	}
+	b.WriteString("\r\n\r\n")
+	b.Write(body)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,199 @@
+// Package server serves HTTP/1.1 to callers: gnet's event loops move the bytes, fasthttp's types parse and write the
+// messages. A connection has one request in progress; further requests on it wait in its buffer, so that answers
+// leave in the order of the requests.
+package server
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+// Limits bounds what a connection may ask of the process.
+type Limits struct {
+	HeaderBytes    int
+	BodyBytes      int
+	Connections    int
+	RequestTimeout time.Duration // from the first byte of a request to its last
+}
+
+// DefaultLimits returns the limits for a small entry instance.
+func DefaultLimits() Limits {
+	return Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, Connections: 20000, RequestTimeout: 10 * time.Second}
+}
+
+// Handler answers requests. Serve must call x.Reply exactly once, at any time and from any goroutine.
+type Handler interface {
+	Serve(x *Exchange)
+}
+
+// HandlerFunc adapts a function to Handler.
+type HandlerFunc func(x *Exchange)
+
+// Serve calls f.
+func (f HandlerFunc) Serve(x *Exchange) { f(x) }
+
+// Refuser writes the body of a refusal that the server makes itself.
+type Refuser func(code result.Code, message string) []byte
+
+// Options configures a Server.
+type Options struct {
+	Address string // host:port; port 0 takes a free one
+	Loops   int    // event loops; 0 takes one for each processor
+	Limits  func() Limits
+	Handler Handler
+	Refuse  Refuser
+}
+
+// Server is a running listener.
+type Server struct {
+	gnet.BuiltinEventEngine
+	opts    Options
+	engine  gnet.Engine
+	address string
+	booted  chan struct{}
+	stopped chan error
+	closing atomic.Bool
+	active  atomic.Int64 // requests handed to the handler and not answered
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+const tick = time.Second
+
+// Start listens and serves until Stop.
+func Start(opts Options) (*Server, error) {
+	s := &Server{opts: opts, booted: make(chan struct{}), stopped: make(chan error, 1), conns: map[*conn]struct{}{}}
+	if s.opts.Limits == nil {
+		s.opts.Limits = DefaultLimits
+	}
+	go func() {
+		s.stopped <- gnet.Run(s, "tcp://"+opts.Address,
+			gnet.WithMulticore(opts.Loops == 0), gnet.WithNumEventLoop(opts.Loops), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithTicker(true), gnet.WithReuseAddr(true), gnet.WithLogLevel(logging.ErrorLevel))
+	}()
+	select {
+	case <-s.booted:
+		return s, nil
+	case err := <-s.stopped:
+		return nil, merry.Prependf(err, "listen for callers on %s", opts.Address)
+	}
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.address }
+
+// Active returns the number of requests that are not answered yet.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Drain makes each further answer close its connection, so that callers move to other instances.
+func (s *Server) Drain() { s.closing.Store(true) }
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop(ctx context.Context) error {
+	return s.engine.Stop(ctx)
+}
+
+// OnBoot implements gnet.EventHandler.
+func (s *Server) OnBoot(eng gnet.Engine) gnet.Action {
+	s.engine = eng
+	s.address = s.opts.Address
+	if fd, err := eng.Dup(); err == nil {
+		if bound, ok := boundAddress(fd); ok {
+			s.address = bound
+		}
+		syscall.Close(fd)
+	}
+	close(s.booted)
+	return gnet.None
+}
+
+func boundAddress(fd int) (string, bool) {
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		return "", false
+	}
+	switch a := sa.(type) {
+	case *syscall.SockaddrInet4:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String(), true
+	case *syscall.SockaddrInet6:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String(), true
+	}
+	return "", false
+}
+
+// OnOpen implements gnet.EventHandler.
+func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	cn := &conn{server: s, raw: c}
+	c.SetContext(cn)
+	limits := s.opts.Limits()
+	s.mu.Lock()
+	s.conns[cn] = struct{}{}
+	n := len(s.conns)
+	s.mu.Unlock()
+	if n > limits.Connections {
+		return s.refusal(result.TooManyConnections, "the instance has its maximum of connections"), gnet.Close
+	}
+	return nil, gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if cn, ok := c.Context().(*conn); ok {
+		cn.gone.Store(true)
+		s.mu.Lock()
+		delete(s.conns, cn)
+		s.mu.Unlock()
+	}
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	cn := c.Context().(*conn)
+	if cn.busy.Load() {
+		// A caller that sends more than one further request ahead would fill the buffer without bound.
+		if limits := s.opts.Limits(); c.InboundBuffered() > limits.HeaderBytes+limits.BodyBytes {
+			return gnet.Close
+		}
+		return gnet.None
+	}
+	return cn.read(s.opts.Limits())
+}
+
+// OnTick implements gnet.EventHandler. It closes connections whose request does not arrive in time.
+func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	deadline := time.Now().Add(-s.opts.Limits().RequestTimeout).UnixNano()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cn := range s.conns {
+		if since := cn.since.Load(); since != 0 && since < deadline {
+			cn.raw.Close()
+		}
+	}
+	return tick, gnet.None
+}
+
+func (s *Server) refusal(code result.Code, message string) []byte {
+	var b bytes.Buffer
+	writeResponse(&b, code.Info().Status, s.opts.Refuse(code, message), 0, true)
+	return b.Bytes()
+}
