Engine: timers on the loop's clock, tests with a fake endpoint; server tests

Cause: recovery timers ran on the wall clock, so that tests of silent connections depended on the machine's speed. Change: delayed work is a list that each tick runs; Spawn makes side work waitable.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,8 @@
 	// Observe is told of each event that a measure counts. It may be nil.
 	Observe Observer
 	Timing  Timing
+	// Spawn runs f beside the loop; nil starts a goroutine. Tests wait for what was spawned.
+	Spawn func(f func())
 }
 
 // Observer counts what the measures of the documentation need.
@@ -76,8 +78,8 @@
 	workers    map[string]*worker
 	nextJob    sched.JobID
 	stops      map[string][]string // tasks to stop by worker, sent each tick
+	timers     []timer
 	draining   bool
-	lastTick   time.Time
 }
 
 // New returns an engine. Run starts it.
@@ -91,6 +93,9 @@
 	if opts.Observe == nil {
 		opts.Observe = nopObserver{}
 	}
+	if opts.Spawn == nil {
+		opts.Spawn = func(f func()) { go f() }
+	}
 	e := &Engine{
 		opts: opts, log: opts.Log, closed: make(chan struct{}), stopped: make(chan struct{}),
 		jobs: map[sched.JobID]*Job{}, byIdentity: map[string]*Job{}, workers: map[string]*worker{}, stops: map[string][]string{},
@@ -151,12 +156,35 @@
 
 // tick runs the periodic work.
 func (e *Engine) tick(now time.Time) {
-	e.lastTick = now
+	e.runTimers(now)
 	e.expire(now)
 	e.renewDue(now)
 	e.flushStops()
 }
 
+// timer is work for a later tick.
+type timer struct {
+	due time.Time
+	run event
+}
+
+// after runs f at the first tick after d.
+func (e *Engine) after(now time.Time, d time.Duration, f event) {
+	e.timers = append(e.timers, timer{now.Add(d), f})
+}
+
+func (e *Engine) runTimers(now time.Time) {
+	pending := e.timers
+	e.timers = nil
+	for _, t := range pending {
+		if now.Before(t.due) {
+			e.timers = append(e.timers, t)
+			continue
+		}
+		t.run(now)
+	}
+}
+
 // start hands queued tasks to free slots.
 func (e *Engine) start(now time.Time) {
 	if !e.opts.MayStart(now) {
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,138 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+func succeed(output string) platform.RunResult {
+	return platform.RunResult{Outcome: platform.Succeeded, Output: output}
+}
+
+// Guards against partial or mixed-up answers when tasks end out of order.
+func TestAnswerIsWholeAndInOrder(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1", "w2")
+	h.submit("a", 4, time.Minute)
+	for range 4 {
+		select {
+		case <-h.workers["w1"].begun:
+		case <-h.workers["w2"].begun:
+		}
+	}
+	for _, task := range []string{"a/3", "a/1", "a/0"} {
+		h.workers["w1"].end(task, succeed(task))
+		h.workers["w2"].end(task, succeed(task))
+	}
+	h.engine.call(func(time.Time) {})
+	is.Equal(len(h.answers), 0) // no answer before the last task
+	h.workers["w1"].end("a/2", succeed("a/2"))
+	h.workers["w2"].end("a/2", succeed("a/2"))
+	a := <-h.answers
+	is.Equal(a.Code, result.Complete)
+	is.Equal(a.Outputs, []string{"a/0", "a/1", "a/2", "a/3"})
+}
+
+// Guards against a lost task after a refusal before the start, and against a second start of one that did start.
+func TestOnlyARefusedTaskIsRetried(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.submit("a", 1, time.Minute)
+	is.Equal(<-h.workers["w1"].begun, "a/0")
+	h.workers["w1"].end("a/0", platform.RunResult{Outcome: platform.Refused})
+	is.Equal(<-h.workers["w1"].begun, "a/0")
+	h.workers["w1"].end("a/0", platform.RunResult{Outcome: platform.Lost})
+	a := h.until()
+	is.Equal(a.Code, result.WorkerLost)
+	is.Equal(a.Execution, result.MayHaveRun)
+	is.Equal(len(a.Outputs), 0)
+	is.Equal(h.workers["w1"].starts["a/0"], 2) // one refused, one started
+}
+
+// Guards against a wrong or missing answer when an open connection goes silent while new ones work.
+func TestSilentConnectionIsResolvedByFetch(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.submit("a", 1, time.Minute)
+	<-h.workers["w1"].begun
+	h.workers["w1"].set(func() {
+		h.workers["w1"].fetch["a/0"] = platform.TaskStatus{Task: "a/0", State: platform.TaskDone, Output: "kept"}
+	})
+	before := h.clock.Now()
+	a := h.until()
+	is.Equal(a.Code, result.Complete)
+	is.Equal(a.Outputs, []string{"kept"})
+	is.True(h.clock.Since(before) <= 4*time.Second)
+}
+
+// Guards against waiting for ever on a worker that is gone, and against claiming that its tasks did not run.
+func TestDeadWorkerLosesItsTasksOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.submit("a", 1, time.Minute)
+	<-h.workers["w1"].begun
+	h.workers["w1"].set(func() { h.workers["w1"].renew = errors.New("no route") })
+	a := h.until()
+	is.Equal(a.Code, result.WorkerLost)
+	is.Equal(a.Tasks.MayHaveRun, 1)
+	is.Equal(h.engine.State().Workers[0].State, "suspect")
+}
+
+// Guards against a start after the caller was told that the work did not run.
+func TestExpiredInQueueNeverStarts(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.submit("a", 3, time.Second)
+	a := h.until()
+	is.Equal(a.Code, result.DeadlineExpired)
+	is.Equal(a.Execution, result.NotRun)
+	h.workers["late"] = newFakeEndpoint()
+	h.engine.SetWorker(platform.Instance{Name: "late", Address: "late", Slots: 8, State: platform.StateLive}, 8)
+	h.advance(time.Second)
+	is.Equal(len(h.workers["late"].begun), 0)
+}
+
+// Guards against a cancellation that reports a started task as not run.
+func TestCancelTellsStartedFromQueued(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.submit("a", 5, time.Minute)
+	<-h.workers["w1"].begun
+	<-h.workers["w1"].begun
+	h.engine.Cancel("a")
+	a := <-h.answers
+	is.Equal(a.Code, result.Cancelled)
+	is.Equal(a.Tasks.MayHaveRun, 2)
+	is.Equal(a.Tasks.NotRun, 3)
+	for len(h.stopped()) < 2 {
+		h.advance(50 * time.Millisecond)
+	}
+	is.Equal(len(h.workers["w1"].starts), 2)
+}
+
+func (h *harness) stopped() []string {
+	w := h.workers["w1"]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.stopped...)
+}
+
+// Guards against new work on a worker that says it is leaving while the instance list still calls it live.
+func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.workers["w1"].set(func() { h.workers["w1"].status.Leaving = true })
+	for h.engine.State().Workers[0].State != "leaving" {
+		h.advance(50 * time.Millisecond)
+	}
+	h.submit("a", 1, time.Second)
+	a := h.until()
+	is.Equal(a.Code, result.DeadlineExpired)
+	is.Equal(len(h.workers["w1"].begun), 0)
+}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -32,6 +32,8 @@
 	Payloads   []string
 	Shape      sched.Job // Tasks, Team, Service, Deadline; the engine sets ID
 
+	OnQueued func() // called in the engine's loop when the job is admitted; may be nil
+
 	done    Done
 	phases  []phase
 	outputs []string
@@ -64,6 +66,9 @@
 	e.jobs[j.Shape.ID] = j
 	e.byIdentity[j.Identity] = j
 	e.opts.Scheduler.Submit(now, &j.Shape)
+	if j.OnQueued != nil {
+		j.OnQueued()
+	}
 }
 
 func (e *Engine) admit(now time.Time, j *Job) *api.Answer {
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -18,7 +18,8 @@
 			continue
 		}
 		w.renewing, w.triedAt = true, now
-		go e.renew(w, w.tasks())
+		tasks := w.tasks()
+		e.opts.Spawn(func() { e.renew(w, tasks) })
 	}
 }
 
@@ -109,9 +110,7 @@
 	if f.reported.IsZero() {
 		f.reported = now
 		// The answer may be on its way; looking again after the grace avoids a fetch for most tasks.
-		time.AfterFunc(e.opts.Timing.CallGrace, func() {
-			e.post(func(now time.Time) { e.recheck(now, w, f) })
-		})
+		e.after(now, e.opts.Timing.CallGrace, func(now time.Time) { e.recheck(now, w, f) })
 	}
 }
 
@@ -134,12 +133,12 @@
 	f.fetching = true
 	e.opts.Observe.Wasted("fetch")
 	e.log.WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
-	go func() {
+	e.opts.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 		defer cancel()
 		st, err := w.endpoint.Fetch(ctx, f.task)
 		e.post(func(now time.Time) { e.fetched(now, w, f, st, err, reason) })
-	}()
+	})
 	return true
 }
 
@@ -174,12 +173,10 @@
 		e.giveUp(now, f, reason)
 		return
 	}
-	time.AfterFunc(e.opts.Timing.CallGrace, func() {
-		e.post(func(now time.Time) {
-			if !f.settled && !e.resolve(now, f, reason) {
-				e.giveUp(now, f, reason)
-			}
-		})
+	e.after(now, e.opts.Timing.CallGrace, func(now time.Time) {
+		if !f.settled && !e.resolve(now, f, reason) {
+			e.giveUp(now, f, reason)
+		}
 	})
 }
 
@@ -211,12 +208,12 @@
 		if w == nil {
 			continue
 		}
-		go func() {
+		e.opts.Spawn(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 			defer cancel()
 			if _, err := w.endpoint.Stop(ctx, tasks); err != nil {
 				e.log.WithError(err).WithField("worker", name).Warn("tasks could not be stopped")
 			}
-		}()
+		})
 	}
 }
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -53,8 +53,8 @@
 
 func (f Filter) submit(r *filter.Request) {
 	seq, id := r.ID.Seq, r.Identity
+	r.Job.OnQueued = r.OnAccepted
 	f.Engine.Submit(r.Job, func(a *api.Answer) { f.done(seq, id, a) })
-	r.Accepted()
 }
 
 // done closes the record of a job. A refusal before the queue gives the identity back.
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -49,7 +49,7 @@
 	Submit    *api.Submit
 	Job       *engine.Job
 
-	// OnAccepted answers a submission that does not wait, once the engine has it. It may be nil.
+	// OnAccepted answers a submission that does not wait, once the engine has queued it. It may be nil.
 	OnAccepted func()
 
 	answered atomic.Bool
@@ -86,13 +86,6 @@
 	}
 }
 
-// Accepted is called once the engine has the job.
-func (r *Request) Accepted() {
-	if r.OnAccepted != nil {
-		r.OnAccepted()
-	}
-}
-
 // Refuse answers with an error.
 func (r *Request) Refuse(err *api.Error) { r.Answer(err.Answer()) }
 
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+func startServer(t *testing.T, h Handler) *Server {
+	s, err := Start(Options{
+		Address: "127.0.0.1:0", Loops: 2, Handler: h,
+		Limits: func() Limits {
+			return Limits{HeaderBytes: 1024, BodyBytes: 2048, Connections: 3, RequestTimeout: time.Hour}
+		},
+		Refuse: func(c result.Code, m string) []byte { return fmt.Appendf(nil, `{"code":%d}`, c) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Stop(context.Background()) })
+	return s
+}
+
+func echo(x *Exchange) {
+	body := append([]byte(nil), x.Request.Body()...)
+	go x.Reply(200, body, 0)
+}
+
+// send writes raw bytes and returns the status and body of the first response.
+func send(t *testing.T, s *Server, raw string) (int, string) {
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte(raw))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// Guards against input that stops the process or gets another code than documented.
+func TestBadInputIsRefusedByCode(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, HandlerFunc(echo))
+	for raw, want := range map[string]result.Code{
+		"NONSENSE\r\n\r\n": result.MalformedHTTP,
+		"GET / HTTP/1.1\r\nContent-Length: -5\r\n\r\n":                                           result.MalformedHTTP,
+		"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 2000) + "\r\n\r\n":                         result.HeaderTooLarge,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9999\r\n\r\n":                             result.BodyTooLarge,
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":                 result.MalformedHTTP,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 7\r\n\r\nab\r\n\r\n": result.MalformedHTTP,
+	} {
+		status, body := send(t, s, raw)
+		is.Equal(body, fmt.Sprintf(`{"code":%d}`, want))
+		is.Equal(status, want.Info().Status)
+	}
+	status, body := send(t, s, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok")
+	is.Equal(status, 200) // the process goes on
+	is.Equal(body, "ok")
+}
+
+// Guards against answers that reach the wrong request when a caller sends several ahead, split at any byte.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, HandlerFunc(echo))
+	c, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	defer c.Close()
+	var raw string
+	for i := range 20 {
+		raw += fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n%02d", i)
+	}
+	raw += "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n2\r\n1\r\n0\r\n0\r\n\r\n"
+	go func() {
+		for i := 0; i < len(raw); i += 7 {
+			c.Write([]byte(raw[i:min(i+7, len(raw))]))
+		}
+	}()
+	br := bufio.NewReader(c)
+	for i := range 21 {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		body, _ := io.ReadAll(resp.Body)
+		is.Equal(string(body), fmt.Sprintf("%02d", i))
+	}
+}
+
+// Guards against curl and other clients that wait for 100 Continue before a large body.
+func TestExpectContinue(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, HandlerFunc(echo))
+	c, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	defer c.Close()
+	c.Write([]byte("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"))
+	br := bufio.NewReader(c)
+	line, err := br.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	br.ReadString('\n')
+	c.Write([]byte("hi"))
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	body, _ := io.ReadAll(resp.Body)
+	is.Equal(string(body), "hi")
+}
+
+// Guards against a connection limit that stops answering instead of refusing.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, HandlerFunc(echo))
+	for range 3 {
+		c, err := net.Dial("tcp", s.Address())
+		is.NoErr(err)
+		defer c.Close()
+		c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+	}
+	status, body := send(t, s, "")
+	is.Equal(status, 503)
+	is.Equal(body, `{"code":308}`)
+}
+
+// Guards against cutting off a request during a planned stop.
+func TestDrainAnswersAndCloses(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan *Exchange, 1)
+	s := startServer(t, HandlerFunc(func(x *Exchange) { hold <- x }))
+	done := make(chan string)
+	go func() {
+		_, body := send(t, s, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		done <- body
+	}()
+	x := <-hold
+	is.Equal(s.Active(), int64(1))
+	s.Drain()
+	x.Reply(200, []byte("late"), 0)
+	is.Equal(<-done, "late")
+}
