--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	checker       = newChecker()
+)
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
+	mustRegister(v, "name", namePattern)
+	mustRegister(v, "digest", digestPattern)
+	return v
+}
+
+func mustRegister(v *validator.Validate, tag string, p *regexp.Regexp) {
+	err := v.RegisterValidation(tag, func(f validator.FieldLevel) bool { return p.MatchString(f.Field().String()) })
+	if err != nil {
+		panic(err) // only an empty tag or a nil function is refused
+	}
+}
+
+// Validate checks every bound and the relations between fields. The error is Problems and lists every fault.
+func (c *Config) Validate() error {
+	problems := CheckBounds(c)
+	problems = append(problems, c.relations()...)
+	return problems.or()
+}
+
+// CheckBounds checks the validate tags of a struct.
+func CheckBounds(s any) Problems {
+	var list validator.ValidationErrors
+	if !errors.As(checker.Struct(s), &list) {
+		return nil
+	}
+	var problems Problems
+	for _, e := range list {
+		_, path, _ := strings.Cut(e.Namespace(), ".")
+		value := ""
+		if e.Kind() != reflect.Slice {
+			value = shown(path, e.Value())
+		}
+		problems = append(problems, Problem{Code: result.OutOfRange, Path: path, Value: value, Bound: boundText(e)})
+	}
+	return problems
+}
+
+func boundText(e validator.FieldError) string {
+	unit := ""
+	if e.Kind() == reflect.Slice {
+		unit = fmt.Sprintf(" entries, has %d", reflect.ValueOf(e.Value()).Len())
+	}
+	return ruleText(e.Tag(), e.Param()) + unit
+}
+
+func ruleText(rule, param string) string {
+	switch rule {
+	case "min":
+		return "must be at least " + param
+	case "max":
+		return "must be at most " + param
+	case "oneof":
+		return "must be one of: " + strings.ReplaceAll(param, " ", ", ")
+	case "name":
+		return "must be 1 to 64 lower-case letters, digits, - or _, and start with a letter or a digit"
+	case "digest":
+		return "must be 64 lower-case hexadecimal digits"
+	}
+	return strings.TrimSpace("must meet " + rule + " " + param)
+}
+
+// relations checks what a single field cannot tell.
+func (c *Config) relations() Problems {
+	r := relation{names: map[string]bool{}, digests: map[string]string{}}
+	for i := range c.Services {
+		r.service(fmt.Sprintf("services[%d]", i), &c.Services[i])
+	}
+	for i := range c.Teams {
+		r.team(fmt.Sprintf("teams[%d]", i), &c.Teams[i])
+	}
+	for i := range c.Operators {
+		path := fmt.Sprintf("operators[%d]", i)
+		r.unique(path, "operator", c.Operators[i].Name)
+		r.token(path, c.Operators[i].TokenDigest)
+	}
+	if c.Limits.QueuedTasks < c.Limits.TasksPerJob {
+		r.add("limits.queued_tasks", c.Limits.QueuedTasks, fmt.Sprintf("must be at least tasks_per_job, which is %d", c.Limits.TasksPerJob))
+	}
+	if c.Retention.AnswerRetention > c.Retention.IdentityValidity {
+		r.add("retention.answer_retention", c.Retention.AnswerRetention, fmt.Sprintf("must be at most identity_validity, which is %s", c.Retention.IdentityValidity))
+	}
+	return r.problems
+}
+
+type relation struct {
+	problems Problems
+	names    map[string]bool   // kind and name
+	digests  map[string]string // path of the first use
+}
+
+func (r *relation) add(path string, value any, bound string) {
+	r.problems = append(r.problems, Problem{Code: result.OutOfRange, Path: path, Value: shown(path, value), Bound: bound})
+}
+
+func (r *relation) unique(path, kind, name string) {
+	key := kind + " " + name
+	if r.names[key] {
+		r.add(path+".name", name, "must be unique")
+	}
+	r.names[key] = true
+}
+
+func (r *relation) token(path, digest string) {
+	if first, used := r.digests[digest]; used {
+		r.add(path+".token_digest", digest, "must be unique, is the same as "+first+".token_digest")
+		return
+	}
+	r.digests[digest] = path
+}
+
+func (r *relation) service(path string, s *Service) {
+	r.unique(path, "service", s.Name)
+	if s.ExpectedRunTime > s.MaxRunTime {
+		r.add(path+".expected_run_time", s.ExpectedRunTime, fmt.Sprintf("must be at most max_run_time, which is %s", s.MaxRunTime))
+	}
+	if s.DefaultDeadline < s.ExpectedRunTime {
+		r.add(path+".default_deadline", s.DefaultDeadline, fmt.Sprintf("must be at least expected_run_time, which is %s", s.ExpectedRunTime))
+	}
+}
+
+func (r *relation) team(path string, t *Team) {
+	r.unique(path, "team", t.Name)
+	for i := range t.Callers {
+		at := fmt.Sprintf("%s.callers[%d]", path, i)
+		r.unique(at, "caller of "+t.Name, t.Callers[i].Name)
+		r.token(at, t.Callers[i].TokenDigest)
+	}
+	if t.HardLimit == nil {
+		return
+	}
+	r.notBelow(path+".hard_limit.cores", t.HardLimit.Cores, t.Quota.Cores)
+	r.notBelow(path+".hard_limit.memory_mb", float64(t.HardLimit.MemoryMB), float64(t.Quota.MemoryMB))
+	r.notBelow(path+".hard_limit.accelerators", float64(t.HardLimit.Accelerators), float64(t.Quota.Accelerators))
+}
+
+func (r *relation) notBelow(path string, v, low float64) {
+	if v < low {
+		r.add(path, v, fmt.Sprintf("must be at least the team's quota, which is %g", low))
+	}
+}
