ops: operators' listener with typed requests and roles

Operators need health, metrics, dumps, configuration and control of one instance. Viewers read and operators write; each change writes one audit line. Backends are small interfaces, so the engine and the configuration controller stay free of HTTP. Result codes 600 to 605 are added for operators' requests. A test asks every route without a token, with a team's token, with a viewer's token and with a body over the bound.

--- /dev/null
+++ b/internal/ops/server_test.go
@@ -0,0 +1,248 @@
+package ops
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+// parts fakes every backend.
+type parts struct {
+	published []Publication
+	outcome   error
+	draining  bool
+	fault     []opsapi.Fault
+}
+
+func (p *parts) Current() (opsapi.Config, error) {
+	return opsapi.Config{Version: 7, Document: "schema: 1\n"}, nil
+}
+func (p *parts) History(context.Context, int) ([]opsapi.Config, error) {
+	return []opsapi.Config{{Version: 7}}, nil
+}
+func (p *parts) Validate(doc []byte) []opsapi.Problem {
+	if bytes.HasPrefix(doc, []byte("schema:")) {
+		return nil
+	}
+	return []opsapi.Problem{{Path: "teams[0].tokens[0]", Value: string(doc), Message: "must be a digest"}}
+}
+func (p *parts) Publish(_ context.Context, pub Publication) (int64, error) {
+	p.published = append(p.published, pub)
+	return 8, p.outcome
+}
+func (p *parts) Load(context.Context) (opsapi.Load, error)        { return opsapi.Load{Queued: 5}, nil }
+func (p *parts) Workers(context.Context) ([]opsapi.Worker, error) { panic("broken part") }
+func (p *parts) Teams(context.Context) ([]opsapi.Team, error) {
+	return nil, errors.New("internal detail")
+}
+func (p *parts) Job(_ context.Context, id string) (opsapi.Job, error) {
+	if id != "known" {
+		return opsapi.Job{}, fmt.Errorf("engine: %w", ErrNoSuch)
+	}
+	return opsapi.Job{Identity: id}, nil
+}
+func (p *parts) Cancel(ctx context.Context, id string) (opsapi.Job, error) { return p.Job(ctx, id) }
+func (p *parts) Members() []opsapi.Member                                  { return []opsapi.Member{{Instance: "e1", Self: true}} }
+func (p *parts) Drain() opsapi.Drain                                       { p.draining = true; return opsapi.Drain{Draining: true} }
+func (p *parts) Draining() bool                                            { return p.draining }
+func (p *parts) Active() []opsapi.Fault                                    { return p.fault }
+func (p *parts) Inject(f opsapi.Fault) error                               { p.fault = append(p.fault, f); return nil }
+func (p *parts) Clear()                                                    { p.fault = nil }
+
+type door struct {
+	t      *testing.T
+	is     *is.I
+	client http.Client
+	parts  parts
+	log    bytes.Buffer
+	dumps  Dumps
+	tokens map[string]string
+}
+
+func newDoor(t *testing.T, faults bool) *door {
+	d := &door{t: t, is: is.New(t), tokens: map[string]string{}}
+	entry := func(name string, p secure.Principal) []secure.Entry {
+		token := secure.NewToken().Reveal()
+		d.tokens[name] = token
+		return []secure.Entry{{Digest: secure.DigestOf([]byte(token)), Principal: p}}
+	}
+	var tokens secure.Tokens
+	staff := entry("operator", secure.Principal{Name: "ines", Role: secure.RoleOperator})
+	staff = append(staff, entry("viewer", secure.Principal{Name: "vito", Role: secure.RoleViewer})...)
+	d.is.NoErr(tokens.SetStaff(staff))
+	d.is.NoErr(tokens.SetCallers(entry("caller", secure.Principal{Role: secure.RoleCaller, Team: "survey"})))
+	log := logrus.New()
+	log.SetOutput(&d.log)
+	log.AddHook(secure.LogHook{})
+	o := Options{Instance: "e1", Tokens: &tokens, Config: &d.parts, Engine: &d.parts, Members: &d.parts,
+		Drainer: &d.parts, Dumps: &d.dumps, Vars: metric.New(), Log: log}
+	if faults {
+		o.Faults = &d.parts
+	}
+	s, l := New(o), fasthttputil.NewInmemoryListener()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Shutdown(context.Background()) })
+	d.client.Transport = &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return l.Dial() },
+	}
+	return d
+}
+
+// do sends a request and returns its status with its body.
+func (d *door) do(token, method, path, body string) (int, string) {
+	d.t.Helper()
+	req, _ := http.NewRequest(method, "http://ops"+path, strings.NewReader(body))
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+d.tokens[token])
+	}
+	resp, err := d.client.Do(req)
+	d.is.NoErr(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	d.is.NoErr(err)
+	return resp.StatusCode, string(text)
+}
+
+// refused checks that a request gets the code with its status.
+func (d *door) refused(code result.Code, token, method, path, body string) opsapi.Error {
+	d.t.Helper()
+	status, text := d.do(token, method, path, body)
+	var e opsapi.Error
+	d.is.NoErr(json.Unmarshal([]byte(text), &e))
+	if e.Code != code || status != code.Info().Status {
+		d.t.Fatalf("%s %s as %q: status %d, %s; want %v", method, path, token, status, text, code)
+	}
+	return e
+}
+
+// Guards every operation against a missing token, a team's token and, for writes, a viewer's token.
+func TestEveryDoorChecksTheRole(t *testing.T) {
+	d := newDoor(t, true)
+	for _, r := range routes {
+		path := r.path
+		if strings.HasSuffix(path, "/") {
+			path += "known"
+		}
+		if r.role == secure.RoleNone {
+			status, _ := d.do("", r.method, path, "")
+			d.is.Equal(status, http.StatusOK)
+			continue
+		}
+		d.refused(result.Unauthenticated, "", r.method, path, "")
+		d.refused(result.Unauthenticated, "stranger", r.method, path, "")
+		d.refused(result.Forbidden, "caller", r.method, path, "")
+		if r.role == secure.RoleOperator {
+			d.refused(result.Forbidden, "viewer", r.method, path, "")
+		}
+		d.refused(result.BodyTooLarge, "operator", r.method, path, strings.Repeat("x", r.maxBody+1))
+	}
+	d.is.Equal(len(d.parts.published), 0)
+	d.is.True(!d.parts.draining)
+}
+
+// Guards against a publication that replaces the wrong version, and against an outcome that is guessed.
+func TestPublish(t *testing.T) {
+	d := newDoor(t, false)
+	status, text := d.do("operator", "PUT", "/v1/config?replaces=7&nonce=n1", "schema: 1\n")
+	d.is.Equal(status, http.StatusOK)
+	d.is.Equal(text, `{"version":8,"nonce":"n1"}`)
+	got := d.parts.published[0]
+	d.is.Equal(fmt.Sprint(string(got.Document), got.Replaces, got.Nonce, got.Author), "schema: 1\n7n1ines")
+	d.refused(result.OutOfRange, "operator", "PUT", "/v1/config", "schema: 1\n")
+	d.refused(result.OutOfRange, "operator", "PUT", "/v1/config?replaces=x", "schema: 1\n")
+	bad := d.refused(result.ConfigInvalid, "operator", "PUT", "/v1/config?replaces=7", d.tokens["caller"])
+	d.is.Equal(bad.Problems[0].Path, "teams[0].tokens[0]")
+	d.is.Equal(bad.Problems[0].Value, secure.Redacted)
+	d.refused(result.ConfigInvalid, "viewer", "POST", "/v1/config/validate", "x")
+	d.is.Equal(len(d.parts.published), 1)
+	for outcome, code := range map[error]result.Code{
+		ErrConflict: result.ConfigConflict, ErrUnresolved: result.ConfigUnresolved,
+		ErrUnavailable: result.ConfigUnavailable, context.DeadlineExceeded: result.ConfigUnresolved,
+	} {
+		d.parts.outcome = outcome
+		d.refused(code, "operator", "PUT", "/v1/config?replaces=6", "schema: 1\n")
+	}
+}
+
+// Guards against a failing part that ends the process or shows internals, and against wrong answers to odd requests.
+func TestFailingPartsAndOddRequests(t *testing.T) {
+	d := newDoor(t, false)
+	d.refused(result.Internal, "viewer", "GET", "/v1/workers", "")
+	e := d.refused(result.Internal, "viewer", "GET", "/v1/teams", "")
+	d.is.True(!strings.Contains(e.Message, "detail"))
+	d.refused(result.NoSuchObject, "viewer", "GET", "/v1/jobs/other", "")
+	d.refused(result.IdentityMalformed, "viewer", "GET", "/v1/jobs/"+strings.Repeat("x", 300), "")
+	d.refused(result.UnknownPath, "viewer", "GET", "/v2", "")
+	d.refused(result.MethodNotAllowed, "viewer", "POST", "/v1/status", "")
+	d.refused(result.UnknownPath, "operator", "POST", "/v1/faults", `{"name":"pause"}`) // disabled
+	d.refused(result.OutOfRange, "operator", "PUT", "/v1/loglevel", `{"level":"panic"}`)
+	d.refused(result.MalformedBody, "operator", "PUT", "/v1/loglevel", `{"levle":"debug"}`)
+	status, text := d.do("operator", "PUT", "/v1/loglevel", `{"level":"debug"}`)
+	d.is.Equal(fmt.Sprintf("%d %s", status, text), `200 {"level":"debug"}`)
+	d.is.True(strings.Contains(d.log.String(), "event=ops_change"))
+}
+
+// Guards against an instance that is stopping and still looks ready, or does not tell operators.
+func TestDrainIsVisible(t *testing.T) {
+	d := newDoor(t, false)
+	status, _ := d.do("operator", "POST", "/v1/drain", "")
+	d.is.Equal(status, http.StatusOK)
+	status, text := d.do("", "GET", "/readyz", "")
+	d.is.Equal(fmt.Sprintf("%d %s", status, text), `503 {"ready":false,"reasons":["draining"]}`)
+	var st opsapi.Status
+	_, text = d.do("viewer", "GET", "/v1/status", "")
+	d.is.NoErr(json.Unmarshal([]byte(text), &st))
+	d.is.True(st.Draining && !st.Ready && st.Queued == 5 && st.ConfigVersion == 7 && len(st.Members) == 1)
+}
+
+// Guards against secrets in dumps, variables and logs, and against one broken dumper that hides the others.
+func TestDumpsAreRedactedAndIndependent(t *testing.T) {
+	d := newDoor(t, false)
+	d.dumps.Register("engine", DumpFunc(func() any { return map[string]any{"token": "hidden1", "note": "Bearer hidden2hidden2"} }))
+	d.dumps.Register("broken", DumpFunc(func() any { panic("at " + d.tokens["caller"]) }))
+	d.dumps.Register("typed", DumpFunc(func() any { return struct{ Key secure.Secret }{"hidden3"} }))
+	_, all := d.do("viewer", "GET", "/v1/dump", "")
+	_, one := d.do("viewer", "GET", "/v1/dump/engine", "")
+	_, vars := d.do("viewer", "GET", "/debug/vars", "")
+	d.refused(result.NoSuchObject, "viewer", "GET", "/v1/dump/none", "")
+	var lines bytes.Buffer
+	d.dumps.WriteTo(&lines)
+	d.is.True(strings.Contains(all, `"broken":{"problem":"dumper panicked`) && strings.Contains(all, `"engine":{"note"`))
+	d.is.True(strings.Contains(vars, `"wasted_messages"`) && !strings.Contains(vars, "cmdline"))
+	d.is.Equal(strings.Count(lines.String(), "dump="), 3)
+	shown := all + one + vars + lines.String() + d.log.String()
+	for _, secret := range []string{"hidden1", "hidden2", "hidden3", d.tokens["caller"], d.tokens["viewer"]} {
+		d.is.True(!strings.Contains(shown, secret))
+	}
+}
+
+// Guards against a dump that never answers because one part hangs.
+func TestHangingDumperIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	var dumps Dumps
+	dumps.timeout = time.Millisecond
+	dumps.Register("stuck", DumpFunc(func() any { <-release; return nil }))
+	text, ok := dumps.One("stuck")
+	is.True(ok)
+	is.True(strings.Contains(string(text), "no answer within"))
+}
--- /dev/null
+++ b/internal/ops/state.go
@@ -0,0 +1,215 @@
+package ops
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+func (s *Server) health(c *call) error {
+	writeJSON(c.http, http.StatusOK, map[string]bool{"live": true})
+	return nil
+}
+
+func (s *Server) readiness() opsapi.Readiness {
+	reasons := s.o.Ready()
+	if s.o.Drainer.Draining() {
+		reasons = append(reasons, "draining")
+	}
+	return opsapi.Readiness{Ready: len(reasons) == 0, Reasons: reasons}
+}
+
+func (s *Server) ready(c *call) error {
+	r := s.readiness()
+	status := http.StatusOK
+	if !r.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(c.http, status, r)
+	return nil
+}
+
+// vars writes all published variables. The command line is left out, because it may hold secrets.
+func (s *Server) vars(c *call) error {
+	all := map[string]json.RawMessage{}
+	expvar.Do(func(kv expvar.KeyValue) {
+		if kv.Key != "cmdline" {
+			all[kv.Key] = json.RawMessage(kv.Value.String())
+		}
+	})
+	if s.o.Vars != nil {
+		all[opsapi.VarsKey] = json.RawMessage(s.o.Vars.String())
+	}
+	text, err := json.Marshal(all)
+	if err != nil {
+		return err
+	}
+	return writeRedacted(c, text)
+}
+
+func writeRedacted(c *call, text []byte) error {
+	clean, err := secure.Redact(text)
+	if err != nil {
+		return err
+	}
+	writeText(c.http, http.StatusOK, clean)
+	return nil
+}
+
+func (s *Server) dumpAll(c *call) error {
+	writeText(c.http, http.StatusOK, s.o.Dumps.All())
+	return nil
+}
+
+func (s *Server) dumpOne(c *call) error {
+	text, ok := s.o.Dumps.One(c.arg)
+	if !ok {
+		return opsapi.NewError(result.NoSuchObject, fmt.Sprintf("there is no dump %q, known are %q", c.arg, s.o.Dumps.Names()))
+	}
+	writeText(c.http, http.StatusOK, text)
+	return nil
+}
+
+func (s *Server) status(c *call) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	load, err := s.o.Engine.Load(ctx)
+	if err != nil {
+		return err
+	}
+	r := s.readiness()
+	st := opsapi.Status{
+		Zone: s.o.Zone, Instance: s.o.Instance, Incarnation: s.o.Incarnation,
+		UptimeMS: s.o.Uptime().Milliseconds(),
+		Ready:    r.Ready, Reasons: r.Reasons, Draining: s.o.Drainer.Draining(),
+		Load: load, Members: s.o.Members.Members(),
+	}
+	if current, err := s.o.Config.Current(); err == nil {
+		st.ConfigVersion = current.Version
+	}
+	writeJSON(c.http, http.StatusOK, st)
+	return nil
+}
+
+func (s *Server) workers(c *call) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	list, err := s.o.Engine.Workers(ctx)
+	if err != nil {
+		return err
+	}
+	writeJSON(c.http, http.StatusOK, opsapi.Workers{Workers: list})
+	return nil
+}
+
+func (s *Server) teams(c *call) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	list, err := s.o.Engine.Teams(ctx)
+	if err != nil {
+		return err
+	}
+	writeJSON(c.http, http.StatusOK, opsapi.Teams{Teams: list})
+	return nil
+}
+
+func (s *Server) job(c *call) error {
+	return s.withJob(c, s.o.Engine.Job)
+}
+
+func (s *Server) cancel(c *call) error {
+	return s.withJob(c, s.o.Engine.Cancel)
+}
+
+func (s *Server) withJob(c *call, do func(context.Context, string) (opsapi.Job, error)) error {
+	if len(c.arg) > api.MaxIdentityBytes {
+		return opsapi.NewError(result.IdentityMalformed, fmt.Sprintf("identity has %d bytes, at most %d", len(c.arg), api.MaxIdentityBytes))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	job, err := do(ctx, c.arg)
+	if err != nil {
+		return err
+	}
+	writeJSON(c.http, http.StatusOK, job)
+	return nil
+}
+
+func (s *Server) drain(c *call) error {
+	writeJSON(c.http, http.StatusOK, s.o.Drainer.Drain())
+	return nil
+}
+
+func (s *Server) logLevel(c *call) error {
+	writeJSON(c.http, http.StatusOK, opsapi.LogLevel{Level: s.o.Log.GetLevel().String()})
+	return nil
+}
+
+func (s *Server) setLogLevel(c *call) error {
+	var want opsapi.LogLevel
+	if err := decode(c, &want); err != nil {
+		return err
+	}
+	level, err := logrus.ParseLevel(want.Level)
+	if err != nil {
+		return opsapi.NewError(result.OutOfRange, fmt.Sprintf("level is %q, must be error, warning, info, debug or trace", want.Level))
+	}
+	if level < logrus.ErrorLevel {
+		return opsapi.NewError(result.OutOfRange, fmt.Sprintf("level %q would hide errors, must be error or more", want.Level))
+	}
+	s.o.Log.SetLevel(level)
+	return s.logLevel(c)
+}
+
+func (s *Server) faults(c *call) error {
+	if s.o.Faults == nil {
+		return errFaultsOff()
+	}
+	writeJSON(c.http, http.StatusOK, opsapi.Faults{Active: s.o.Faults.Active()})
+	return nil
+}
+
+func errFaultsOff() error {
+	return opsapi.NewError(result.UnknownPath, "faults are disabled by the settings")
+}
+
+func (s *Server) inject(c *call) error {
+	if s.o.Faults == nil {
+		return errFaultsOff()
+	}
+	var f opsapi.Fault
+	if err := decode(c, &f); err != nil {
+		return err
+	}
+	if err := s.o.Faults.Inject(f); err != nil {
+		return opsapi.NewError(result.OutOfRange, err.Error())
+	}
+	return s.faults(c)
+}
+
+func (s *Server) clearFaults(c *call) error {
+	if s.o.Faults == nil {
+		return errFaultsOff()
+	}
+	s.o.Faults.Clear()
+	return s.faults(c)
+}
+
+func decode(c *call, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(c.http.PostBody()))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return opsapi.NewError(result.MalformedBody, "the body is not valid: "+err.Error())
+	}
+	return nil
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -76,6 +76,16 @@
 	NoWorker         Code = 409
 )
 
+// Codes of operators' requests. They make no claim about jobs; NotRun means that nothing was changed.
+const (
+	ConfigInvalid     Code = 600
+	ConfigConflict    Code = 601
+	ConfigUnresolved  Code = 602
+	ConfigUnavailable Code = 603
+	NoSuchObject      Code = 604
+	Timeout           Code = 605
+)
+
 // Internal reports a fault of the dispatcher itself.
 const Internal Code = 500
 
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -62,5 +62,12 @@
 	AnswerDropped:    {"answer_dropped", 410, Ran, true, "the job completed and its answer is no longer kept", newIdentity},
 	NoWorker:         {"no_worker", 503, NotRun, true, "no worker could take the job before its deadline", newIdentity},
 
+	ConfigInvalid:     {"config_invalid", 422, NotRun, false, "the configuration document has errors; nothing was published", "correct every listed problem and publish again"},
+	ConfigConflict:    {"config_conflict", 409, NotRun, false, "another version was published since the one that the request replaces", "read the current version, apply the change to it and publish again"},
+	ConfigUnresolved:  {"config_unresolved", 503, MayHaveRun, false, "the log's answer was lost; the document may have been published", "look for the nonce in GET /v1/config/history before publishing again"},
+	ConfigUnavailable: {"config_unavailable", 503, NotRun, false, "the log service refuses or the instance has no configuration; nothing was published", "try again when the log service is back"},
+	NoSuchObject:      {"no_such_object", 404, NotRun, false, "there is no worker, job, dump or version of this name here", "check the name and the instance"},
+	Timeout:           {"timeout", 504, MayHaveRun, false, "a part of the instance did not answer in time", "look at the state before repeating a change"},
+
 	Internal: {"internal", 500, MayHaveRun, false, "a fault of the dispatcher", checkFirst},
 }
