--- /dev/null
+++ b/internal/daemon/signals.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Signals says what a program does on each signal. Nil functions ignore their signal.
+type Signals struct {
+	Log *logrus.Logger
+	// Drain begins the planned stop, on the first SIGTERM or SIGINT. It must return soon.
+	Drain func()
+	// Kill ends the program at once, on the second SIGTERM or SIGINT.
+	Kill func()
+	// Reload reads keys, certificates and token files again, on SIGHUP. After an error the old ones stay in use.
+	Reload func() error
+	// Dump writes the state of every part to Output, on SIGUSR1.
+	Dump io.WriterTo
+	// Output takes the dump; nil means standard error.
+	Output io.Writer
+}
+
+// Run handles the process's signals until ctx ends.
+func (s *Signals) Run(ctx context.Context) {
+	// 8 signals may wait: a dump takes up to some seconds and a signal that finds no room is dropped.
+	incoming := make(chan os.Signal, 8)
+	signal.Notify(incoming, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(incoming)
+	s.handle(ctx, incoming)
+}
+
+func (s *Signals) handle(ctx context.Context, incoming <-chan os.Signal) {
+	stopping := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case sig := <-incoming:
+			s.Log.WithFields(logrus.Fields{"event": "signal", "signal": sig.String()}).Info("signal received")
+			stopping = s.act(sig, stopping)
+		}
+	}
+}
+
+// act carries out one signal and returns whether the program is stopping.
+func (s *Signals) act(sig os.Signal, stopping bool) bool {
+	switch sig {
+	case syscall.SIGHUP:
+		s.reload()
+	case syscall.SIGUSR1:
+		s.dump()
+	default:
+		s.stop(stopping)
+		return true
+	}
+	return stopping
+}
+
+func (s *Signals) stop(again bool) {
+	if again {
+		if s.Kill != nil {
+			s.Kill()
+		}
+		return
+	}
+	if s.Drain != nil {
+		s.Drain()
+	}
+}
+
+func (s *Signals) reload() {
+	if s.Reload == nil {
+		return
+	}
+	if err := s.Reload(); err != nil {
+		s.Log.WithField("event", "reload_failed").WithError(err).Error("the old keys stay in use")
+		return
+	}
+	s.Log.WithField("event", "reloaded").Info("keys were read again")
+}
+
+func (s *Signals) dump() {
+	if s.Dump == nil {
+		return
+	}
+	out := s.Output
+	if out == nil {
+		out = os.Stderr
+	}
+	if _, err := s.Dump.WriteTo(out); err != nil {
+		s.Log.WithField("event", "dump_failed").WithError(err).Error("state was not written")
+	}
+}
