Add a learning fair scheduler: first version

Cause: the baseline believes declared values and has one queue. Change: package estimate (quantile sketches per team and service, worker speed) and package sched/fair (dominant-resource fairness between teams, remaining work with ageing within a team, short reserve, worker index by load, quarantine, deadlines, slots for peers). sched.Admit decides on admission.

--- /dev/null
+++ b/internal/estimate/speed.go
@@ -0,0 +1,51 @@
+package estimate
+
+import "math"
+
+const (
+	speedStep    = 0.1 // weight of one sample in a worker's speed
+	speedClip    = 1.0 // largest pull of one sample, in natural log units; bounds the effect of a straggler
+	speedSamples = 8   // samples from which a worker's speed is used
+	maxFactor    = 32.0
+)
+
+// Speed is the learned slowness of one worker.
+type Speed struct {
+	log float64 // log of the run time over the estimate, smoothed
+	n   int
+}
+
+// Speed returns the speed of a worker. The pointer stays valid until Forget.
+func (e *Estimator) Speed(worker string) *Speed {
+	s := e.speeds[worker]
+	if s == nil {
+		s = &Speed{}
+		e.speeds[worker] = s
+	}
+	return s
+}
+
+// Forget drops what is known of a worker.
+func (e *Estimator) Forget(worker string) {
+	if s := e.speeds[worker]; s != nil {
+		e.logSum -= s.log
+		delete(e.speeds, worker)
+	}
+}
+
+func (e *Estimator) learnSpeed(w *Speed, x float64) {
+	step := speedStep * math.Max(-speedClip, math.Min(speedClip, x-w.log))
+	w.log += step
+	w.n++
+	e.logSum += step
+}
+
+// Factor is how many times longer tasks run on the worker than on the average one. A change that affects all workers
+// leaves it at 1, so that such a change moves the estimates of the services instead.
+func (e *Estimator) Factor(w *Speed) float64 {
+	if w.n < speedSamples {
+		return 1
+	}
+	f := math.Exp(w.log - e.logSum/float64(len(e.speeds)))
+	return math.Max(1/maxFactor, math.Min(maxFactor, f))
+}
--- /dev/null
+++ b/internal/sched/admit.go
@@ -0,0 +1,89 @@
+package sched
+
+import "time"
+
+// Bounds limits what is admitted. Zero values mean no limit, except for the hints, which have defaults.
+type Bounds struct {
+	MaxQueued int           // tasks in the queue
+	MaxWait   time.Duration // expected wait, whatever the deadline
+	MinHint   time.Duration // shortest retry hint; default 100 ms
+	MaxHint   time.Duration // longest retry hint; default 10 s
+}
+
+// Reason tells why a job is refused.
+type Reason int
+
+// The reasons for a refusal.
+const (
+	Admitted    Reason = iota
+	NoFit              // no worker is large enough for one of the tasks
+	NoSlots            // there are no usable workers at present
+	QueueFull          // the queue bound is exceeded
+	TooLate            // the expected end is after the deadline
+	WaitTooLong        // the expected wait exceeds the bound
+)
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	return [...]string{"admitted", "no fit", "no slots", "queue full", "too late", "wait too long"}[r]
+}
+
+// Verdict is the decision on a job.
+type Verdict struct {
+	Reason Reason
+	Retry  time.Duration // when to come back; 0 if coming back cannot help
+}
+
+// OK reports whether the job is admitted.
+func (v Verdict) OK() bool { return v.Reason == Admitted }
+
+const (
+	defaultMinHint = 100 * time.Millisecond
+	defaultMaxHint = 10 * time.Second
+)
+
+// Admit decides on a job of the given number of tasks. A zero deadline means none. random returns values in [0,1); it
+// spreads the retry hints over a factor of 3, so that refused callers do not return at the same moment.
+func Admit(now time.Time, e Estimate, tasks int, deadline time.Time, b Bounds, random func() float64) Verdict {
+	if !e.Feasible {
+		return Verdict{Reason: NoFit}
+	}
+	reason, excess := judge(now, e, tasks, deadline, b)
+	if reason == Admitted {
+		return Verdict{}
+	}
+	return Verdict{Reason: reason, Retry: b.hint(excess, random)}
+}
+
+// judge returns the reason and by how much the job is too early.
+func judge(now time.Time, e Estimate, tasks int, deadline time.Time, b Bounds) (Reason, time.Duration) {
+	if e.Slots <= 0 {
+		return NoSlots, time.Second
+	}
+	if b.MaxQueued > 0 && e.Queued > 0 && e.Queued+tasks > b.MaxQueued {
+		over := e.Queued + tasks - b.MaxQueued
+		return QueueFull, time.Duration(float64(e.Drain) * min(1, float64(over)/float64(e.Queued)))
+	}
+	if b.MaxWait > 0 && e.Wait > b.MaxWait {
+		return WaitTooLong, e.Wait - b.MaxWait
+	}
+	if !deadline.IsZero() {
+		late := e.Wait + e.Run - deadline.Sub(now)
+		if late > 0 {
+			return TooLate, min(late, e.Drain)
+		}
+	}
+	return Admitted, 0
+}
+
+func (b Bounds) hint(excess time.Duration, random func() float64) time.Duration {
+	shortest, longest := b.MinHint, b.MaxHint
+	if shortest <= 0 {
+		shortest = defaultMinHint
+	}
+	if longest <= 0 {
+		longest = defaultMaxHint
+	}
+	base := max(shortest, min(excess, longest/3))
+	return base + time.Duration(2*random()*float64(base))
+}
--- /dev/null
+++ b/internal/sched/fair/queue.go
@@ -0,0 +1,365 @@
+package fair
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/estimate"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// Ranking is what the order of jobs may depend on. Times are in seconds.
+type Ranking struct {
+	Arrival  float64
+	Work     float64 // expected run time of the queued tasks, summed
+	TaskTime float64 // expected run time of one task
+	Slots    float64 // usable slots
+}
+
+// Rank returns the rank of a job; the lowest goes first. It must not depend on the current time: ageing is expressed
+// by adding the arrival time.
+type Rank func(Ranking) float64
+
+// ByRemainingWork orders jobs by the time that all slots together need for the rest of the job, minus ageing times the
+// time since its arrival. A job is overtaken only by jobs that arrive within its own remaining time over ageing.
+func ByRemainingWork(ageing float64) Rank {
+	return func(r Ranking) float64 { return r.Arrival + r.Work/(r.Slots*ageing) }
+}
+
+// States of a task.
+const (
+	queued = iota
+	started
+	over
+)
+
+type job struct {
+	id        sched.JobID
+	seq       uint64
+	team      *team
+	service   *service
+	arrival   float64
+	deadline  float64
+	tasks     []sched.Task
+	state     []uint8
+	groups    []*group // queued tasks, by shape
+	queued    int
+	left      int // tasks that are not over
+	work      float64
+	counted   float64 // work that is entered in the team's sums
+	slice     int     // where it is entered
+	key       float64
+	heapIndex int // in deadlines
+	listIndex int // in service.jobs
+	cancelled bool
+}
+
+// group holds the queued tasks of a job that are in one queue.
+type group struct {
+	job   *job
+	queue *queue
+	tasks []int
+	work  float64
+	pos   int // in the queue's heap
+}
+
+// service is the set of queued jobs whose keys depend on one estimate.
+type service struct {
+	class *estimate.Class
+	jobs  []*job
+	mean  float64 // estimate that the keys were computed with
+	size  sched.Size
+}
+
+// queue holds the jobs of a team that have queued tasks of one shape and of one kind, short or long.
+type queue struct {
+	team  *team
+	shape *shape
+	long  bool // tasks that may not use the short reserve
+	heap  []item
+	pos   int // in team.queues, -1 while empty
+}
+
+type item struct {
+	key float64
+	g   *group
+}
+
+func (a item) less(b item) bool {
+	if a.key != b.key {
+		return a.key < b.key
+	}
+	return a.g.job.seq < b.g.job.seq
+}
+
+func (q *queue) set(i int, it item) {
+	q.heap[i] = it
+	it.g.pos = i
+}
+
+func (q *queue) add(g *group) {
+	q.heap = append(q.heap, item{})
+	q.up(len(q.heap)-1, item{g.job.key, g})
+}
+
+func (q *queue) fix(g *group) {
+	it := item{g.job.key, g}
+	if i := g.pos; i > 0 && it.less(q.heap[(i-1)/2]) {
+		q.up(i, it)
+		return
+	}
+	q.down(g.pos, it)
+}
+
+func (q *queue) remove(g *group) {
+	i, last := g.pos, len(q.heap)-1
+	moved := q.heap[last]
+	q.heap[last] = item{}
+	q.heap = q.heap[:last]
+	if i < last {
+		q.set(i, moved)
+		q.fix(moved.g)
+	}
+}
+
+func (q *queue) up(i int, it item) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !it.less(q.heap[parent]) {
+			break
+		}
+		q.set(i, q.heap[parent])
+		i = parent
+	}
+	q.set(i, it)
+}
+
+func (q *queue) down(i int, it item) {
+	for {
+		child := 2*i + 1
+		if child >= len(q.heap) {
+			break
+		}
+		if r := child + 1; r < len(q.heap) && q.heap[r].less(q.heap[child]) {
+			child = r
+		}
+		if !q.heap[child].less(it) {
+			break
+		}
+		q.set(i, q.heap[child])
+		i = child
+	}
+	q.set(i, it)
+}
+
+func (s *Scheduler) service(team, name string) *service {
+	c := s.estimates.Class(team, name)
+	v := s.services[c]
+	if v == nil {
+		v = &service{class: c}
+		s.services[c] = v
+		s.serviceList = append(s.serviceList, v)
+	}
+	return v
+}
+
+// Submit implements sched.Scheduler.
+func (s *Scheduler) Submit(now time.Time, j *sched.Job) {
+	t := s.clock(now)
+	s.seq++
+	n := &job{
+		id:        j.ID,
+		seq:       s.seq,
+		team:      s.team(j.Team),
+		service:   s.service(j.Team, j.Service),
+		arrival:   t,
+		deadline:  math.Inf(1),
+		tasks:     j.Tasks,
+		state:     make([]uint8, len(j.Tasks)),
+		left:      len(j.Tasks),
+		heapIndex: -1,
+		listIndex: -1,
+	}
+	if !j.Deadline.IsZero() {
+		n.deadline = s.clock(j.Deadline)
+	}
+	if len(j.Tasks) == 0 {
+		return
+	}
+	s.jobs[j.ID] = n
+	all := make([]int, len(j.Tasks))
+	for i := range all {
+		all[i] = i
+	}
+	s.push(n, all)
+}
+
+// push queues tasks of a job.
+func (s *Scheduler) push(j *job, tasks []int) {
+	if j.queued == 0 {
+		s.enlist(j)
+	}
+	for _, i := range tasks {
+		j.state[i] = queued
+		s.file(j, i)
+	}
+	j.queued += len(tasks)
+	s.addQueued(j.team, len(tasks))
+	s.rekey(j)
+}
+
+// enlist enters a job without queued tasks in the lists of jobs that have some.
+func (s *Scheduler) enlist(j *job) {
+	s.deadlines.add(j)
+	j.listIndex = len(j.service.jobs)
+	j.service.jobs = append(j.service.jobs, j)
+	if len(j.service.jobs) == 1 {
+		j.service.mean = j.service.class.Expect(0).Mean
+		j.service.size = j.service.class.Size(sched.Size{})
+	}
+}
+
+// delist is the opposite of enlist.
+func (s *Scheduler) delist(j *job) {
+	s.deadlines.remove(j)
+	list := j.service.jobs
+	last := list[len(list)-1]
+	list[j.listIndex] = last
+	last.listIndex = j.listIndex
+	list[len(list)-1] = nil
+	j.service.jobs = list[:len(list)-1]
+	j.listIndex = -1
+}
+
+// file puts a task into the group of its shape. The caller recomputes the job's key.
+func (s *Scheduler) file(j *job, task int) {
+	spec := j.tasks[task]
+	mean := j.service.class.Expect(spec.Declared).Mean
+	shape := s.shape(j.service.class, spec.Size)
+	q := j.team.queue(queueKey{shape, mean >= s.longAfter})
+	i := slices.IndexFunc(j.groups, func(g *group) bool { return g.queue == q })
+	if i < 0 {
+		i = len(j.groups)
+		g := &group{job: j, queue: q}
+		j.groups = append(j.groups, g)
+		shape.users++
+		g.queue.add(g)
+		if len(g.queue.heap) == 1 {
+			j.team.open(g.queue)
+		}
+	}
+	g := j.groups[i]
+	g.tasks = append(g.tasks, task)
+	g.work += mean * s.slotsOf(shape.size)
+}
+
+// pop takes the next task out of a group.
+func (s *Scheduler) pop(g *group) int {
+	j := g.job
+	last := len(g.tasks) - 1
+	task := g.tasks[last]
+	g.work -= g.work / float64(len(g.tasks))
+	g.tasks = g.tasks[:last]
+	j.state[task] = started
+	j.queued--
+	s.addQueued(j.team, -1)
+	if last == 0 {
+		s.closeGroup(g)
+	}
+	s.rekey(j)
+	if j.queued == 0 {
+		s.delist(j)
+	}
+	return task
+}
+
+func (s *Scheduler) closeGroup(g *group) {
+	j := g.job
+	g.queue.remove(g)
+	if len(g.queue.heap) == 0 {
+		j.team.close(g.queue)
+	}
+	g.queue.shape.users--
+	i := slices.Index(j.groups, g)
+	j.groups = slices.Delete(j.groups, i, i+1)
+	j.team.dirty = true
+}
+
+// rekey recomputes the job's remaining work and its place in the order.
+func (s *Scheduler) rekey(j *job) {
+	j.work = 0
+	for _, g := range j.groups {
+		j.work += g.work
+	}
+	if j.queued > 0 {
+		j.key = s.opts.Rank(Ranking{
+			Arrival:  j.arrival,
+			Work:     j.work,
+			TaskTime: j.work / float64(j.queued),
+			Slots:    max(1, s.ageSlots),
+		})
+	}
+	for _, g := range j.groups {
+		g.queue.fix(g)
+	}
+	j.team.dirty = true
+	j.team.enter(j)
+}
+
+// drop removes all queued tasks of a job and returns them in ascending order.
+func (s *Scheduler) drop(j *job) []int {
+	if j.queued == 0 {
+		return nil
+	}
+	out := make([]int, 0, j.queued)
+	for len(j.groups) > 0 {
+		g := j.groups[0]
+		out = append(out, g.tasks...)
+		s.closeGroup(g)
+	}
+	for _, i := range out {
+		j.state[i] = over
+	}
+	s.addQueued(j.team, -len(out))
+	j.queued = 0
+	s.rekey(j)
+	s.delist(j)
+	slices.Sort(out)
+	s.settle(j, len(out))
+	return out
+}
+
+// Cancel implements sched.Scheduler.
+func (s *Scheduler) Cancel(now time.Time, id sched.JobID) []int {
+	j := s.jobs[id]
+	if j == nil {
+		return nil
+	}
+	j.cancelled = true
+	return s.drop(j)
+}
+
+// settle counts tasks of a job as over and forgets the job with its last one.
+func (s *Scheduler) settle(j *job, n int) {
+	j.left -= n
+	if j.left <= 0 {
+		delete(s.jobs, j.id)
+	}
+}
+
+// refile recomputes the shapes, work and keys of a job after a change of its estimates.
+func (s *Scheduler) refile(j *job) {
+	tasks := make([]int, 0, j.queued)
+	for len(j.groups) > 0 {
+		g := j.groups[0]
+		tasks = append(tasks, g.tasks...)
+		s.closeGroup(g)
+	}
+	slices.Sort(tasks)
+	slices.Reverse(tasks)
+	for _, i := range tasks {
+		s.file(j, i)
+	}
+	s.rekey(j)
+}
--- /dev/null
+++ b/internal/sched/fair/share.go
@@ -0,0 +1,153 @@
+package fair
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// Backlog implements sched.Sharer.
+func (s *Scheduler) Backlog(now time.Time) sched.Backlog {
+	t := s.clock(now)
+	s.tick(t)
+	b := sched.Backlog{Queued: s.queued}
+	if s.queued == 0 {
+		return b
+	}
+	work := 0.0
+	var first *item
+	for _, o := range s.active {
+		work += o.ahead.total
+		for _, q := range o.queues {
+			if it := &q.heap[0]; first == nil || it.less(*first) {
+				first = it
+			}
+		}
+	}
+	b.Work = seconds(work)
+	b.Wait = seconds(work / max(1, float64(s.slots-s.stuck)))
+	b.Best = first.key - t
+	b.Size = first.g.queue.shape.size
+	return b
+}
+
+// Reserve implements sched.Sharer.
+func (s *Scheduler) Reserve(now time.Time, n int, size sched.Size) []sched.Assignment {
+	t := s.clock(now)
+	s.tick(t)
+	var out []sched.Assignment
+	sh := &shape{size: size}
+	for len(out) < n && s.free > 0 {
+		w := s.pickReserved(sh)
+		if w == nil {
+			break
+		}
+		s.seq++
+		lane := w.take(run{task: int(s.seq), size: size})
+		s.running++
+		s.reindex(w)
+		out = append(out, sched.Assignment{Task: int(s.seq), Worker: w.Name, Lane: lane})
+	}
+	return out
+}
+
+func (s *Scheduler) pickReserved(sh *shape) *worker {
+	if sh.size.Accelerators == 0 {
+		if w, _ := s.plain.pick(sh, len(s.workers)); w != nil {
+			return w
+		}
+	}
+	w, _ := s.special.pick(sh, len(s.workers))
+	return w
+}
+
+// reserved returns the run of a reserved slot.
+func (s *Scheduler) reserved(a sched.Assignment) (*worker, *run) {
+	w := s.workers[a.Worker]
+	if w == nil || a.Job != 0 || a.Lane >= len(w.lanes) {
+		return nil, nil
+	}
+	r := &w.lanes[a.Lane]
+	if !r.busy || r.job != nil || r.task != a.Task {
+		return nil, nil
+	}
+	return w, r
+}
+
+// Attach implements sched.Sharer.
+func (s *Scheduler) Attach(now time.Time, a sched.Assignment, f sched.Foreign) bool {
+	t := s.clock(now)
+	w, r := s.reserved(a)
+	if r == nil || r.team != nil {
+		return false
+	}
+	v := s.service(f.Team, f.Service)
+	size := s.shape(v.class, f.Task.Size).size
+	w.used = sum(w.used, r.size, -1)
+	if !w.holds(size) {
+		w.used = sum(w.used, r.size, 1)
+		return false
+	}
+	w.used = sum(w.used, size, 1)
+	expect := v.class.Expect(f.Task.Declared)
+	r.size = size
+	r.team = s.team(f.Team)
+	r.service = v
+	r.declared = f.Task.Declared
+	r.long = expect.Mean >= s.longAfter
+	s.charge(r.team, size)
+	if r.long {
+		s.setLong(s.long + 1)
+	}
+	s.overruns.watch(t, w, a.Lane, expect.P90)
+	s.reindex(w)
+	return true
+}
+
+// Release implements sched.Sharer.
+func (s *Scheduler) Release(_ time.Time, a sched.Assignment) {
+	if _, r := s.reserved(a); r != nil {
+		s.vacate(a)
+	}
+}
+
+// Take implements sched.Sharer.
+func (s *Scheduler) Take(now time.Time, n int) []sched.Assignment {
+	t := s.clock(now)
+	s.tick(t)
+	var out []sched.Assignment
+	for len(out) < n && s.queued > 0 {
+		q := s.mostUrgent()
+		if q == nil {
+			break
+		}
+		g := q.heap[0].g
+		j := g.job
+		task := s.pop(g)
+		s.charge(j.team, q.shape.size)
+		s.taken[taskKey{j.id, task}] = q.shape.size
+		out = append(out, sched.Assignment{Job: j.id, Task: task})
+	}
+	return out
+}
+
+// mostUrgent returns the queue whose first task is next if any worker may be used.
+func (s *Scheduler) mostUrgent() *queue {
+	var best *queue
+	var first precedence
+	for _, t := range s.active {
+		for _, q := range t.queues {
+			if t.hasLimit && !t.under(&t.limit, q.shape.size) {
+				continue
+			}
+			kept := t.best
+			t.best = q
+			p := s.precedence(t)
+			t.best = kept
+			if best == nil || p.less(first) {
+				best, first = q, p
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/sched/fair/team.go
@@ -0,0 +1,286 @@
+package fair
+
+import (
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// Dimensions of a vector.
+const (
+	dimSlots = iota
+	dimCores
+	dimMemory
+	dimAccelerators
+	dims
+)
+
+// vector is an amount of each resource. Slots count as a resource, so that tasks of unknown size are charged too.
+type vector [dims]float64
+
+func vectorOf(slots float64, z sched.Size) vector {
+	return vector{slots, z.Cores, float64(z.MemoryMB), float64(z.Accelerators)}
+}
+
+func (v *vector) add(z sched.Size, sign float64) {
+	v[dimSlots] += sign
+	v[dimCores] += sign * z.Cores
+	v[dimMemory] += sign * float64(z.MemoryMB)
+	v[dimAccelerators] += sign * float64(z.Accelerators)
+}
+
+type team struct {
+	name      string
+	weight    float64
+	quota     vector
+	limit     vector
+	hasQuota  bool
+	hasLimit  bool
+	usage     vector
+	elsewhere vector // use on other instances' slots
+	running   int
+	queued    int
+	activePos int // in Scheduler.active, -1 without queued tasks
+	queues    []*queue
+	byKey     map[queueKey]*queue
+	ahead     ahead
+	best      *queue // cached choice
+	epoch     uint64
+	dirty     bool
+}
+
+func (s *Scheduler) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name, weight: 1, activePos: -1, byKey: map[queueKey]*queue{}}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// SetTeams replaces the weights, quotas and limits of all teams. Teams that are not named get weight 1, no quota and no
+// limit.
+func (s *Scheduler) SetTeams(list []sched.Team) {
+	for _, t := range s.teams {
+		s.configure(t, sched.Team{})
+	}
+	for _, c := range list {
+		s.configure(s.team(c.Name), c)
+	}
+	s.epoch++
+}
+
+func (s *Scheduler) configure(t *team, c sched.Team) {
+	weight := c.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	if t.activePos >= 0 {
+		s.activeWeight += weight - t.weight
+	}
+	t.weight = weight
+	t.quota = vectorOf(0, c.Quota)
+	t.limit = vectorOf(0, c.Limit)
+	t.hasQuota = c.Quota != sched.Size{}
+	t.hasLimit = c.Limit != sched.Size{}
+}
+
+// SetElsewhere replaces what the teams use on other instances' slots of the zone, as summed from their reports.
+func (s *Scheduler) SetElsewhere(use map[string]sched.Size) {
+	for name, t := range s.teams {
+		t.elsewhere = vectorOf(0, use[name])
+		t.dirty = true
+	}
+}
+
+type queueKey struct {
+	shape *shape
+	long  bool
+}
+
+func (t *team) queue(k queueKey) *queue {
+	q := t.byKey[k]
+	if q == nil {
+		q = &queue{team: t, shape: k.shape, long: k.long, pos: -1}
+		t.byKey[k] = q
+	}
+	return q
+}
+
+func (t *team) open(q *queue) {
+	q.pos = len(t.queues)
+	t.queues = append(t.queues, q)
+}
+
+func (t *team) close(q *queue) {
+	last := t.queues[len(t.queues)-1]
+	t.queues[q.pos] = last
+	last.pos = q.pos
+	t.queues = t.queues[:len(t.queues)-1]
+	q.pos = -1
+}
+
+func (s *Scheduler) addQueued(t *team, n int) {
+	s.queued += n
+	t.queued += n
+	if t.queued > 0 && t.activePos < 0 {
+		t.activePos = len(s.active)
+		s.active = append(s.active, t)
+		s.activeWeight += t.weight
+	}
+	if t.queued == 0 && t.activePos >= 0 {
+		last := s.active[len(s.active)-1]
+		s.active[t.activePos] = last
+		last.activePos = t.activePos
+		s.active = s.active[:len(s.active)-1]
+		s.activeWeight -= t.weight
+		t.activePos = -1
+	}
+}
+
+func (s *Scheduler) charge(t *team, z sched.Size) {
+	t.running++
+	t.usage.add(z, 1)
+	t.dirty = t.dirty || t.hasLimit
+}
+
+func (s *Scheduler) uncharge(t *team, z sched.Size) {
+	t.running--
+	t.usage.add(z, -1)
+	if t.running == 0 {
+		t.usage = vector{} // drops the rounding errors of the sums
+	}
+	t.dirty = t.dirty || t.hasLimit
+}
+
+// Levels of precedence between teams.
+const (
+	withinQuota = iota // gets the next free slot
+	withinShare        // uses less than its weighted share of what is there
+	borrowing
+)
+
+// precedence is a team's place in the order of teams; the lowest goes first.
+type precedence struct {
+	level int
+	value float64
+	tie   float64
+}
+
+func (a precedence) less(b precedence) bool {
+	if a.level != b.level {
+		return a.level < b.level
+	}
+	if a.value != b.value {
+		return a.value < b.value
+	}
+	return a.tie < b.tie
+}
+
+// choose returns the queue whose first task is next, or nil if no queued task may start.
+func (s *Scheduler) choose() *queue {
+	var best *team
+	var first precedence
+	for _, t := range s.active {
+		if t.dirty || t.epoch != s.epoch {
+			s.refresh(t)
+		}
+		if t.best == nil {
+			continue
+		}
+		p := s.precedence(t)
+		if best == nil || p.less(first) || (!first.less(p) && t.name < best.name) {
+			best, first = t, p
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.best
+}
+
+// refresh recomputes the team's most urgent queue among those that may start a task.
+func (s *Scheduler) refresh(t *team) {
+	t.dirty, t.epoch, t.best = false, s.epoch, nil
+	for _, q := range t.queues {
+		if !s.eligible(q) {
+			continue
+		}
+		if t.best == nil || q.heap[0].less(t.best.heap[0]) {
+			t.best = q
+		}
+	}
+}
+
+func (s *Scheduler) eligible(q *queue) bool {
+	if q.shape.listed && len(q.shape.list) == 0 {
+		return false
+	}
+	return s.allowed(q)
+}
+
+// allowed reports whether the short reserve and the team's limit let a task of the queue start.
+func (s *Scheduler) allowed(q *queue) bool {
+	if q.long && !s.longAllowed() {
+		return false
+	}
+	if t := q.team; t.hasLimit && !t.under(&t.limit, q.shape.size) {
+		return false
+	}
+	return true
+}
+
+// under reports whether the team's use plus more stays within the set dimensions of a bound.
+func (t *team) under(bound *vector, more sched.Size) bool {
+	v := vectorOf(0, more)
+	for d := dimCores; d < dims; d++ {
+		if bound[d] > 0 && t.usage[d]+t.elsewhere[d]+v[d] > bound[d]+1e-9 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) precedence(t *team) precedence {
+	key := t.best.heap[0].key
+	if t.hasQuota && t.under(&t.quota, t.best.shape.size) {
+		return precedence{withinQuota, key, 0}
+	}
+	share := s.share(t) / t.weight
+	if share*s.activeWeight < 1 {
+		return precedence{withinShare, key, 0}
+	}
+	return precedence{borrowing, share, key}
+}
+
+// share is the team's dominant share: the largest share of any resource that it uses.
+func (s *Scheduler) share(t *team) float64 {
+	share := 0.0
+	for d, have := range s.capacity {
+		if have > 0 {
+			share = max(share, (t.usage[d]+t.elsewhere[d])/have)
+		}
+	}
+	return share
+}
+
+// setLong records the number of running long tasks.
+func (s *Scheduler) setLong(n int) {
+	before := s.longAllowed()
+	s.long = n
+	if s.longAllowed() != before {
+		s.epoch++
+	}
+}
+
+// longAllowed reports whether another long task may start outside the short reserve.
+func (s *Scheduler) longAllowed() bool {
+	if s.opts.ShortReserve <= 0 {
+		return true
+	}
+	return s.long < max(1, int(float64(s.slots)*(1-s.opts.ShortReserve)))
+}
+
+// removeShape forgets the team's queue of a shape, which must be empty.
+func (t *team) removeShape(sh *shape) {
+	delete(t.byKey, queueKey{sh, false})
+	delete(t.byKey, queueKey{sh, true})
+}
--- a/internal/sched/naive/naive.go
+++ b/internal/sched/naive/naive.go
@@ -72,9 +72,10 @@
 // Estimate implements sched.Scheduler.
 func (s *Scheduler) Estimate(_ time.Time, j *sched.Job) sched.Estimate {
 	st := s.Stats()
-	e := sched.Estimate{Feasible: s.feasible(j), Queued: st.Queued, FreeSlots: st.FreeSlots}
+	e := sched.Estimate{Feasible: s.feasible(j), Queued: st.Queued, Slots: st.Slots, FreeSlots: st.FreeSlots}
 	if st.Slots > 0 && st.Queued >= st.FreeSlots {
 		e.Wait = defaultRunTime * time.Duration(st.Queued) / time.Duration(st.Slots)
+		e.Drain = e.Wait
 	}
 	for _, t := range j.Tasks {
 		e.Run = max(e.Run, t.Declared, defaultRunTime)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -70,7 +70,9 @@
 	Wait      time.Duration // until its first task starts
 	Run       time.Duration // from then on until its last task ends
 	Feasible  bool          // some worker is large enough for each task
-	Queued    int           // tasks ahead in the queue
+	Queued    int           // tasks in the queue
+	Drain     time.Duration // until all queued work has started
+	Slots     int           // usable slots
 	FreeSlots int
 }
 
@@ -104,3 +106,59 @@
 	FreeSlots int `json:"free_slots"`
 	Workers   int `json:"workers"`
 }
+
+// Team is a customer's share of the resources. Zero values mean weight 1, no quota and no limit.
+type Team struct {
+	Name   string
+	Weight float64
+	Quota  Size // resources that the team gets back with the next free slot; unused quota is lent to others
+	Limit  Size // resources that the team never exceeds; a zero dimension has no limit
+}
+
+// Expired is a job whose deadline passed while some of its tasks were queued.
+type Expired struct {
+	Job   JobID
+	Tasks []int // the tasks that will never start
+}
+
+// Expirer is implemented by schedulers that drop queued tasks whose deadline has passed.
+type Expirer interface {
+	// Expire returns the jobs whose deadline passed since the last call. Their queued tasks never start, even if
+	// Expire is not called.
+	Expire(now time.Time) []Expired
+	// NextDeadline returns the earliest deadline of a queued job. ok is false if there is none.
+	NextDeadline() (at time.Time, ok bool)
+}
+
+// Foreign describes a peer's task that runs on a slot of this instance.
+type Foreign struct {
+	Team    string
+	Service string
+	Task    Task
+}
+
+// Backlog is a summary of the queue that instances exchange to compare the urgency of their work.
+type Backlog struct {
+	Queued int           // tasks
+	Work   time.Duration // expected run time of all queued tasks
+	Wait   time.Duration // expected time until all of them have started
+	Best   float64       // rank of the best queued task in seconds, lower is more urgent; relative to now
+	Size   Size          // size of the best queued task
+}
+
+// Sharer is implemented by schedulers that lend slots to and hand tasks to other instances.
+type Sharer interface {
+	// Backlog summarises the queue.
+	Backlog(now time.Time) Backlog
+	// Reserve takes up to n free slots, each on a worker with room for size, out of use for a peer's tasks. The
+	// assignments carry job 0. Each must be ended by Release or Finish.
+	Reserve(now time.Time, n int, size Size) []Assignment
+	// Attach records the peer's task that is about to run on a reserved slot, so that its team and worker are
+	// charged. It returns false, and changes nothing, if the task does not fit the worker.
+	Attach(now time.Time, a Assignment, f Foreign) bool
+	// Release returns a reserved slot on which nothing ran.
+	Release(now time.Time, a Assignment)
+	// Take removes up to n of the best queued tasks in order to hand them to a peer. They count as started, on no
+	// worker, until Finish or Requeue is called.
+	Take(now time.Time, n int) []Assignment
+}
