Engine: slot sharing between instances, deadlines in a heap

Cause: an instance with a backlog could not use free slots of its zone's peers, and deadlines of jobs without queued tasks were not seen. Change: demand reports, grants with expiry, delegated tasks on reserved slots; a worker and a peer are both targets of flights, so that leases, fetches and stops work the same for both; deadlines are the engine's own heap.

--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -85,7 +85,7 @@
 func (w *worker) dump(now time.Time) WorkerDump {
 	return WorkerDump{
 		Name: w.instance.Name, Zone: w.instance.Zone, Rack: w.instance.Rack, Address: w.instance.Address,
-		State: w.state.String(), Slots: w.slots, InFlight: len(w.tasks()),
+		State: w.state.String(), Slots: w.slots, InFlight: len(w.flights),
 		RenewedMS: now.Sub(w.renewedAt).Milliseconds(), Report: w.status,
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,10 @@
 	// Observe is told of each event that a measure counts. It may be nil.
 	Observe Observer
 	Timing  Timing
+	// Sharing sends grants and backlog reports to peers; nil keeps all slots for the own queue. It needs a Scheduler
+	// that implements sched.Sharer.
+	Sharing Sharing
+	Lending Lending
 	// Spawn runs f beside the loop; nil starts a goroutine. Tests wait for what was spawned.
 	Spawn func(f func())
 }
@@ -43,6 +47,8 @@
 	Ended(team, service string, outcome platform.Outcome, run time.Duration)
 	Answered(j *Job, a *api.Answer, took time.Duration)
 	Wasted(kind string)
+	Delegated(tasks int)
+	Lent(team, service string)
 }
 
 // Timing holds the intervals of the engine's housekeeping.
@@ -77,9 +83,20 @@
 	byIdentity map[string]*Job
 	workers    map[string]*worker
 	nextJob    sched.JobID
-	stops      map[string][]string // tasks to stop by worker, sent each tick
+	stops      map[*worker][]string // tasks to stop, sent each tick
 	timers     []timer
-	draining   bool
+	deadlines  deadlines
+
+	sharer       sched.Sharer // nil without sharing
+	demand       map[string]*Demand
+	grants       map[uint64]*grant
+	nextGrant    uint64
+	foreign      map[string]*foreignState
+	foreignEnded []string // in the order of their ends
+	reported     int      // tasks in the last backlog report
+	reportedAt   time.Time
+
+	draining bool
 }
 
 // New returns an engine. Run starts it.
@@ -98,7 +115,14 @@
 	}
 	e := &Engine{
 		opts: opts, log: opts.Log, closed: make(chan struct{}), stopped: make(chan struct{}),
-		jobs: map[sched.JobID]*Job{}, byIdentity: map[string]*Job{}, workers: map[string]*worker{}, stops: map[string][]string{},
+		jobs: map[sched.JobID]*Job{}, byIdentity: map[string]*Job{}, workers: map[string]*worker{}, stops: map[*worker][]string{},
+		demand: map[string]*Demand{}, grants: map[uint64]*grant{}, foreign: map[string]*foreignState{},
+	}
+	if e.opts.Sharing != nil {
+		e.sharer, _ = opts.Scheduler.(sched.Sharer)
+	}
+	if e.opts.Lending == (Lending{}) {
+		e.opts.Lending = DefaultLending()
 	}
 	e.inbox.wake = make(chan struct{}, 1)
 	return e
@@ -125,14 +149,17 @@
 			batch[i](now)
 			batch[i] = nil
 		}
+		e.lendFirst(now)
 		e.start(now)
+		e.lendRest(now)
+		e.report(now)
 	}
 }
 
 func (e *Engine) closeAll() {
 	close(e.closed)
 	for _, w := range e.workers {
-		w.close()
+		w.target.close()
 	}
 }
 
@@ -158,6 +185,7 @@
 func (e *Engine) tick(now time.Time) {
 	e.runTimers(now)
 	e.expire(now)
+	e.expireGrants(now)
 	e.renewDue(now)
 	e.flushStops()
 }
@@ -204,4 +232,6 @@
 func (nopObserver) Started(string, string, time.Duration)                 {}
 func (nopObserver) Ended(string, string, platform.Outcome, time.Duration) {}
 func (nopObserver) Answered(*Job, *api.Answer, time.Duration)             {}
+func (nopObserver) Delegated(int)                                         {}
+func (nopObserver) Lent(string, string)                                   {}
 func (nopObserver) Wasted(string)                                         {}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"container/heap"
 	"strconv"
 	"time"
 
@@ -37,8 +38,8 @@
 	done    Done
 	phases  []phase
 	outputs []string
-	where   []sched.Assignment // of running tasks
-	left    int                // tasks without an end
+	where   []*worker // of running tasks
+	left    int       // tasks without an end
 }
 
 // TaskID returns the name of a task at endpoints.
@@ -61,10 +62,11 @@
 	n := len(j.Payloads)
 	j.phases = make([]phase, n)
 	j.outputs = make([]string, n)
-	j.where = make([]sched.Assignment, n)
+	j.where = make([]*worker, n)
 	j.left = n
 	e.jobs[j.Shape.ID] = j
 	e.byIdentity[j.Identity] = j
+	heap.Push(&e.deadlines, j)
 	e.opts.Scheduler.Submit(now, &j.Shape)
 	if j.OnQueued != nil {
 		j.OnQueued()
@@ -100,13 +102,41 @@
 
 // expire fails the jobs whose deadline has passed.
 func (e *Engine) expire(now time.Time) {
-	for _, id := range e.opts.Scheduler.Expire(now) {
-		if j := e.jobs[id]; j != nil {
+	if x, ok := e.opts.Scheduler.(sched.Expirer); ok {
+		x.Expire(now) // its result repeats what the loop below finds
+	}
+	for len(e.deadlines) > 0 && !now.Before(e.deadlines[0].Deadline) {
+		j := heap.Pop(&e.deadlines).(*Job)
+		if e.jobs[j.Shape.ID] == j {
 			e.fail(now, j, result.DeadlineExceeded, "the deadline passed")
 		}
 	}
 }
 
+// deadlines is a heap of jobs. Jobs that have ended stay in it until their deadline.
+type deadlines []*Job
+
+// Len implements heap.Interface.
+func (d deadlines) Len() int { return len(d) }
+
+// Less implements heap.Interface.
+func (d deadlines) Less(a, b int) bool { return d[a].Deadline.Before(d[b].Deadline) }
+
+// Swap implements heap.Interface.
+func (d deadlines) Swap(a, b int) { d[a], d[b] = d[b], d[a] }
+
+// Push implements heap.Interface.
+func (d *deadlines) Push(x any) { *d = append(*d, x.(*Job)) }
+
+// Pop implements heap.Interface.
+func (d *deadlines) Pop() any {
+	last := len(*d) - 1
+	j := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	return j
+}
+
 // taskEnded records the end of a task that ran.
 func (e *Engine) taskEnded(now time.Time, j *Job, i int, r *platform.RunResult) {
 	j.left--
@@ -152,8 +182,7 @@
 			counts.MayHaveRun++
 		case running:
 			counts.MayHaveRun++
-			name := j.where[i].Worker
-			e.stops[name] = append(e.stops[name], j.TaskID(i))
+			e.stops[j.where[i]] = append(e.stops[j.where[i]], j.TaskID(i))
 		}
 	}
 	a := api.NewAnswer(notStarted(code, counts), message)
@@ -181,4 +210,6 @@
 	delete(e.byIdentity, j.Identity)
 	e.opts.Observe.Answered(j, a, now.Sub(j.Arrived))
 	j.done(a)
+	// The job stays in the deadline heap; what is large in it must not.
+	j.Payloads, j.outputs, j.phases, j.where = nil, nil, nil, nil
 }
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -27,8 +27,8 @@
 	if w.state == sched.WorkerSuspect {
 		return e.opts.Timing.RenewBusy / 2
 	}
-	for _, f := range w.flights {
-		if f != nil && now.Sub(f.started) >= e.opts.Timing.RenewBusy {
+	for f := range w.flights {
+		if now.Sub(f.started) >= e.opts.Timing.RenewBusy {
 			return e.opts.Timing.RenewBusy
 		}
 	}
@@ -38,10 +38,8 @@
 // tasks returns the names of the tasks in flight.
 func (w *worker) tasks() []string {
 	var out []string
-	for _, f := range w.flights {
-		if f != nil {
-			out = append(out, f.task)
-		}
+	for f := range w.flights {
+		out = append(out, f.task)
 	}
 	return out
 }
@@ -49,7 +47,7 @@
 func (e *Engine) renew(w *worker, tasks []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 	defer cancel()
-	status, err := w.endpoint.Renew(ctx, tasks)
+	status, err := w.target.renew(ctx, tasks)
 	e.post(func(now time.Time) {
 		w.renewing = false
 		if e.workers[w.instance.Name] != w {
@@ -87,10 +85,7 @@
 	for _, t := range s.Tasks {
 		states[t.Task] = t
 	}
-	for _, f := range w.flights {
-		if f == nil {
-			continue
-		}
+	for f := range w.flights {
 		if st, ok := states[f.task]; ok {
 			e.compare(now, w, f, st, restarted)
 		}
@@ -123,8 +118,8 @@
 // resolve asks the worker over a new connection what became of a task whose call brought no answer. It returns false
 // when there is nobody to ask.
 func (e *Engine) resolve(now time.Time, f *flight, reason string) bool {
-	w := e.workers[f.assigned.Worker]
-	if w == nil {
+	w := f.at
+	if e.workers[w.instance.Name] != w {
 		return false
 	}
 	if f.fetching {
@@ -136,7 +131,7 @@
 	e.opts.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 		defer cancel()
-		st, err := w.endpoint.Fetch(ctx, f.task)
+		st, err := w.target.fetch(ctx, f.task)
 		e.post(func(now time.Time) { e.fetched(now, w, f, st, err, reason) })
 	})
 	return true
@@ -162,7 +157,7 @@
 	case st.State == platform.TaskFailed:
 		r = platform.RunResult{Outcome: platform.Failed, Output: st.Output}
 	}
-	w.endpoint.Abandon(f.assigned.Lane)
+	w.target.abandon(f)
 	e.settle(now, f, &r)
 }
 
@@ -185,34 +180,29 @@
 	if f.settled {
 		return
 	}
-	if w := e.workers[f.assigned.Worker]; w != nil {
-		w.endpoint.Abandon(f.assigned.Lane)
-	}
+	f.at.target.abandon(f)
 	e.settle(now, f, &platform.RunResult{Outcome: platform.Lost, Output: reason})
 }
 
 // loseAll gives up all tasks on a worker.
 func (e *Engine) loseAll(now time.Time, w *worker, reason string) {
-	for _, f := range w.flights {
-		if f != nil {
-			e.giveUp(now, f, reason)
-		}
+	for f := range w.flights {
+		e.giveUp(now, f, reason)
 	}
 }
 
 // flushStops sends the stops that have come together since the last tick, one message per worker.
 func (e *Engine) flushStops() {
-	for name, tasks := range e.stops {
-		delete(e.stops, name)
-		w := e.workers[name]
-		if w == nil {
+	for w, tasks := range e.stops {
+		delete(e.stops, w)
+		if e.workers[w.instance.Name] != w {
 			continue
 		}
 		e.opts.Spawn(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 			defer cancel()
-			if _, err := w.endpoint.Stop(ctx, tasks); err != nil {
-				e.log.WithError(err).WithField("worker", name).Warn("tasks could not be stopped")
+			if err := w.target.stop(ctx, tasks); err != nil {
+				e.log.WithError(err).WithField("worker", w.instance.Name).Warn("tasks could not be stopped")
 			}
 		})
 	}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -8,12 +8,14 @@
 	"github.com/savorypass/savorypass/internal/sched"
 )
 
-// flight is a task at a worker.
+// flight is a task in progress at a worker, or at a peer that runs it on one of its own workers.
 type flight struct {
-	job      *Job
+	job      *Job     // nil for a task of a peer
+	foreign  *foreign // nil for a task of a job of this instance
 	index    int
 	task     string
 	assigned sched.Assignment
+	at       *worker
 	started  time.Time
 	reported time.Time // the worker reported the task's end while the call was still open; zero before
 	fetching bool
@@ -22,12 +24,17 @@
 	revoked  atomic.Bool // set with settled; a lane that has not begun the call skips it
 }
 
-// worker is a worker whose slots this instance assigns.
+func (f *flight) end() {
+	f.settled = true
+	f.revoked.Store(true)
+}
+
+// worker is a worker whose slots this instance assigns, or a peer that lends slots of its workers.
 type worker struct {
 	instance    platform.Instance
-	endpoint    platform.Endpoint
-	lanes       []chan *start
-	flights     []*flight // by lane
+	target      target
+	peer        bool
+	flights     map[*flight]struct{}
 	state       sched.WorkerState
 	slots       int
 	renewing    bool
@@ -37,12 +44,6 @@
 	status      platform.EndpointStatus
 }
 
-// start is the work of a lane.
-type start struct {
-	flight *flight
-	req    platform.RunRequest
-}
-
 // SetWorker adds a worker or changes the number of its slots that this instance may use.
 func (e *Engine) SetWorker(inst platform.Instance, slots int) {
 	e.post(func(now time.Time) { e.setWorker(now, inst, slots) })
@@ -55,7 +56,10 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{endpoint: e.opts.Dialer.Dial(inst.Address, inst.Slots), renewedAt: now}
+		w = &worker{
+			target:    newLanes(e, e.opts.Dialer.Dial(inst.Address, inst.Slots), inst.Slots),
+			renewedAt: now, flights: map[*flight]struct{}{},
+		}
 		e.workers[inst.Name] = w
 	}
 	w.instance, w.slots = inst, slots
@@ -64,12 +68,6 @@
 	} else if w.state == sched.WorkerLeaving && !w.status.Leaving {
 		w.state = sched.WorkerReady
 	}
-	for len(w.lanes) < inst.Slots {
-		ch := make(chan *start, 1)
-		w.lanes = append(w.lanes, ch)
-		w.flights = append(w.flights, nil)
-		go e.runLane(w.endpoint, len(w.lanes)-1, ch)
-	}
 	e.publish(now, w)
 }
 
@@ -93,14 +91,7 @@
 	e.loseAll(now, w, "the worker left")
 	e.opts.Scheduler.RemoveWorker(name)
 	delete(e.workers, name)
-	w.close()
-}
-
-func (w *worker) close() {
-	for _, ch := range w.lanes {
-		close(ch)
-	}
-	w.endpoint.Close()
+	w.target.close()
 }
 
 // setState changes whether the worker gets new tasks.
@@ -113,51 +104,46 @@
 	e.publish(now, w)
 }
 
-// runLane carries one slot's calls.
-func (e *Engine) runLane(ep platform.Endpoint, lane int, work <-chan *start) {
-	for s := range work {
-		f := s.flight
-		if f.revoked.Load() {
-			continue
-		}
-		res := ep.Run(lane, &s.req)
-		e.post(func(now time.Time) { e.callEnded(now, f, &res) })
-	}
-}
-
 // startOne hands a task to its lane. From here on the task counts as started.
 func (e *Engine) startOne(now time.Time, a sched.Assignment) {
 	j, w := e.jobs[a.Job], e.workers[a.Worker]
-	f := &flight{job: j, index: a.Task, task: j.TaskID(a.Task), assigned: a, started: now}
-	j.phases[a.Task] = running
-	j.where[a.Task] = a
-	w.flights[a.Lane] = f
-	e.opts.Observe.Started(j.Team, j.Service, now.Sub(j.Arrived))
-	s := &start{flight: f, req: platform.RunRequest{
-		Task: f.task, Service: j.Service, Size: j.Shape.Tasks[a.Task].Size, Lease: e.opts.Timing.Lease,
-		Payload: j.Payloads[a.Task],
-	}}
-	select {
-	case w.lanes[a.Lane] <- s:
-	default:
+	f := e.launch(now, j, w, a)
+	if !w.target.run(f, e.request(f)) {
 		// The lane still hangs in an earlier call, which was given up; the loop must not wait for it.
 		e.setState(now, w, sched.WorkerSuspect, "a lane does not return from its call")
 		e.notStarted(now, f)
 	}
 }
 
-// callEnded handles the return of a lane's call.
+// launch marks a task as started at a worker or peer.
+func (e *Engine) launch(now time.Time, j *Job, w *worker, a sched.Assignment) *flight {
+	f := &flight{job: j, index: a.Task, task: j.TaskID(a.Task), assigned: a, at: w, started: now}
+	j.phases[a.Task] = running
+	j.where[a.Task] = w
+	w.flights[f] = struct{}{}
+	e.opts.Observe.Started(j.Team, j.Service, now.Sub(j.Arrived))
+	return f
+}
+
+func (e *Engine) request(f *flight) *platform.RunRequest {
+	j := f.job
+	return &platform.RunRequest{
+		Task: f.task, Service: j.Service, Size: j.Shape.Tasks[f.index].Size, Lease: e.opts.Timing.Lease,
+		Payload: j.Payloads[f.index],
+	}
+}
+
+// callEnded handles the return of a call.
 func (e *Engine) callEnded(now time.Time, f *flight, r *platform.RunResult) {
 	if f.settled {
 		e.opts.Observe.Wasted("late_answer")
 		return
 	}
-	w := e.workers[f.assigned.Worker]
-	if r.Leaving && w != nil {
-		e.setState(now, w, sched.WorkerLeaving, "answer of the endpoint")
+	if r.Leaving {
+		e.setState(now, f.at, sched.WorkerLeaving, "answer of the endpoint")
 	}
-	if r.Outcome == platform.Unreached && w != nil {
-		e.setState(now, w, sched.WorkerSuspect, r.Output)
+	if r.Outcome == platform.Unreached && !f.at.peer {
+		e.setState(now, f.at, sched.WorkerSuspect, r.Output)
 	}
 	if r.Outcome == platform.Refused || r.Outcome == platform.Unreached {
 		e.notStarted(now, f)
@@ -171,9 +157,13 @@
 
 // notStarted returns a task to the queue that provably did not start.
 func (e *Engine) notStarted(now time.Time, f *flight) {
-	f.end()
-	e.release(f)
+	e.land(f)
 	e.opts.Observe.Wasted("refused_start")
+	if f.foreign != nil {
+		e.sharer.Release(now, f.assigned)
+		f.foreign.ended(&platform.RunResult{Outcome: platform.Refused, Output: "the worker refused the task"})
+		return
+	}
 	if e.jobs[f.job.Shape.ID] != f.job {
 		e.opts.Scheduler.Finish(now, f.assigned, sched.Outcome{Kind: platform.Refused})
 		return
@@ -184,26 +174,22 @@
 
 // settle records the outcome of a task and frees its slot.
 func (e *Engine) settle(now time.Time, f *flight, r *platform.RunResult) {
-	f.end()
-	e.release(f)
+	e.land(f)
 	if r.RunTime == 0 {
 		r.RunTime = now.Sub(f.started)
 	}
 	e.opts.Scheduler.Finish(now, f.assigned, sched.Outcome{Kind: r.Outcome, RunTime: r.RunTime})
+	if f.foreign != nil {
+		f.foreign.ended(r)
+		return
+	}
 	e.opts.Observe.Ended(f.job.Team, f.job.Service, r.Outcome, r.RunTime)
 	if e.jobs[f.job.Shape.ID] == f.job {
 		e.taskEnded(now, f.job, f.index, r)
 	}
 }
 
-func (f *flight) end() {
-	f.settled = true
-	f.revoked.Store(true)
-}
-
-func (e *Engine) release(f *flight) {
-	w := e.workers[f.assigned.Worker]
-	if w != nil && w.flights[f.assigned.Lane] == f {
-		w.flights[f.assigned.Lane] = nil
-	}
+func (e *Engine) land(f *flight) {
+	f.end()
+	delete(f.at.flights, f)
 }
--- /dev/null
+++ b/internal/entry/guard.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/filter"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+// maxLimited bounds the callers whose request rates are kept.
+const maxLimited = 10000
+
+// tokens adapts secure.Tokens to the authentication filter.
+type tokens struct{ *secure.Tokens }
+
+// Caller implements authn.Tokens.
+func (t tokens) Caller(token string) (filter.Principal, bool) {
+	p, ok := t.Lookup([]byte(token))
+	if !ok || p.Role != secure.RoleCaller {
+		return filter.Principal{}, false
+	}
+	return filter.Principal{Team: p.Team, Name: p.Name}, true
+}
+
+// limiter applies the configured request rates of callers and teams.
+type limiter struct {
+	buckets  *secure.Limiter
+	snapshot func() *snapshot
+}
+
+// Allow implements admit.Limiter.
+func (l limiter) Allow(p filter.Principal, now time.Time) (time.Duration, bool) {
+	s := l.snapshot()
+	if s == nil {
+		return 0, true
+	}
+	perCaller := s.config.Limits.RequestsPerSecondPerCaller
+	own := secure.Limit{PerSecond: perCaller, Burst: max(1, int(perCaller))}
+	if ok, wait := l.buckets.Allow(now, p.Team+"/"+p.Name, own); !ok {
+		return wait, false
+	}
+	team := s.teams[p.Team]
+	if team == nil || team.RateLimit == nil {
+		return 0, true
+	}
+	shared := secure.Limit{PerSecond: team.RateLimit.RequestsPerSecond, Burst: team.RateLimit.Burst}
+	ok, wait := l.buckets.Allow(now, p.Team, shared)
+	return wait, ok
+}
+
+// gate tells whether the instance takes new work.
+type gate struct{ e *Entry }
+
+// Check implements admit.Gate.
+func (g gate) Check() (result.Code, string) {
+	if g.e.draining.Load() {
+		return result.Draining, "the instance is stopping"
+	}
+	if reasons := g.e.notReady(); len(reasons) > 0 {
+		return result.NotReady, reasons[0]
+	}
+	return result.Complete, ""
+}
--- a/internal/sched/naive/naive.go
+++ b/internal/sched/naive/naive.go
@@ -30,7 +30,6 @@
 	workers map[string]*worker
 	jobs    map[sched.JobID]*sched.Job
 	left    map[sched.JobID]int // tasks that have not ended
-	expired map[sched.JobID]bool
 	running int
 }
 
@@ -42,7 +41,6 @@
 		workers: map[string]*worker{},
 		jobs:    map[sched.JobID]*sched.Job{},
 		left:    map[sched.JobID]int{},
-		expired: map[sched.JobID]bool{},
 	}
 }
 
@@ -175,24 +173,10 @@
 	s.left[id] -= n
 	if s.left[id] <= 0 {
 		delete(s.left, id)
-		delete(s.expired, id)
 		delete(s.jobs, id)
 	}
 }
 
-// Expire implements sched.Scheduler.
-func (s *Scheduler) Expire(now time.Time) []sched.JobID {
-	var expired []sched.JobID
-	for id, j := range s.jobs {
-		if !j.Deadline.IsZero() && !now.Before(j.Deadline) && !s.expired[id] {
-			s.expired[id] = true
-			expired = append(expired, id)
-		}
-	}
-	slices.Sort(expired)
-	return expired
-}
-
 // Stats implements sched.Scheduler.
 func (s *Scheduler) Stats() sched.Stats {
 	st := sched.Stats{Queued: len(s.queue), Running: s.running, Workers: len(s.workers)}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -99,8 +99,6 @@
 	Next(now time.Time) (a Assignment, ok bool)
 	// Finish frees the slot of an assignment and learns from its outcome.
 	Finish(now time.Time, a Assignment, o Outcome)
-	// Expire returns the jobs whose deadline has passed, each once. The caller cancels them.
-	Expire(now time.Time) []JobID
 	// Stats returns a summary for dumps and heartbeats.
 	Stats() Stats
 }
