--- /dev/null
+++ b/internal/platform/httpx/client.go
@@ -0,0 +1,172 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxIdleConns bounds the idle connections of a client.
+const maxIdleConns = 2
+
+// client makes calls that are not tied to a slot. After an error it closes every idle connection, because what
+// silenced one of them may have silenced all; the next call opens a new one.
+type client struct {
+	address string
+	opts    Options
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+type call struct {
+	method string
+	path   string
+	body   []byte
+	fresh  bool // use a new connection
+}
+
+type reply struct {
+	status int
+	body   []byte
+}
+
+// callError is an error of a call without a response.
+type callError struct {
+	wrote bool // a byte may have reached the server
+	cause error
+}
+
+// Error returns the cause.
+func (e *callError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *callError) Unwrap() error { return e.cause }
+
+func newClient(address string, opts Options) *client {
+	return &client{address: address, opts: opts}
+}
+
+// do makes one call. Every error is a *callError.
+func (c *client) do(ctx context.Context, k call) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	cn, err := c.acquire(ctx, k.fresh)
+	if err != nil {
+		return reply{}, &callError{cause: withContext(ctx, err)}
+	}
+	var resp fasthttp.Response
+	wrote, err := exchangeContext(ctx, cn, c.encode(k), &resp, c.opts.MaxResponseBytes)
+	if err != nil {
+		cn.Close()
+		c.closeIdle()
+		return reply{}, &callError{wrote: wrote, cause: withContext(ctx, err)}
+	}
+	c.release(cn, &resp)
+	return reply{status: resp.StatusCode(), body: resp.Body()}, nil
+}
+
+// exchangeContext ends the exchange when the context is done.
+func exchangeContext(ctx context.Context, cn *conn, request []byte, resp *fasthttp.Response, maxBody int) (bool, error) {
+	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
+	wrote, err := cn.exchange(request, resp, maxBody)
+	if !stop() && err == nil {
+		// The deadline has been set or is being set, so the connection cannot be used again.
+		resp.SetConnectionClose()
+	}
+	return wrote, err
+}
+
+// withContext adds the context's error, so that callers can test for a time-out.
+func withContext(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil && !errors.Is(err, cause) {
+		return errors.Join(cause, err)
+	}
+	return err
+}
+
+func (c *client) encode(k call) []byte {
+	var h fasthttp.RequestHeader
+	h.SetMethod(k.method)
+	h.SetRequestURI(k.path)
+	h.SetHost(c.address)
+	if c.opts.Zone != "" {
+		h.Set(HeaderZone, c.opts.Zone)
+	}
+	if k.method != fasthttp.MethodGet {
+		h.SetContentType("application/json")
+		h.SetContentLength(len(k.body))
+	}
+	return append(h.AppendBytes(nil), k.body...)
+}
+
+func (c *client) acquire(ctx context.Context, fresh bool) (*conn, error) {
+	if cn, err := c.takeIdle(fresh); cn != nil || err != nil {
+		return cn, err
+	}
+	return dial(ctx, c.address, c.opts.DialTimeout)
+}
+
+func (c *client) takeIdle(fresh bool) (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errClosed
+	}
+	for !fresh && len(c.idle) > 0 {
+		last := len(c.idle) - 1
+		cn := c.idle[last]
+		c.idle = c.idle[:last]
+		if cn.usable(c.opts.IdleTimeout) {
+			return cn, nil
+		}
+		cn.Close()
+	}
+	return nil, nil
+}
+
+func (c *client) release(cn *conn, resp *fasthttp.Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || resp.ConnectionClose() || len(c.idle) >= maxIdleConns {
+		cn.Close()
+		return
+	}
+	cn.idleSince = time.Now()
+	c.idle = append(c.idle, cn)
+}
+
+func (c *client) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cn := range c.idle {
+		cn.Close()
+	}
+	c.idle = nil
+}
+
+func (c *client) sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idle[:0]
+	for _, cn := range c.idle {
+		if time.Since(cn.idleSince) < c.opts.IdleTimeout {
+			kept = append(kept, cn)
+			continue
+		}
+		cn.Close()
+	}
+	clear(c.idle[len(kept):])
+	c.idle = kept
+}
+
+func (c *client) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.closeIdle()
+}
--- /dev/null
+++ b/internal/platform/httpx/endpoint.go
@@ -0,0 +1,141 @@
+package httpx
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// Dialer opens endpoints over HTTP/1.1. It implements platform.Dialer.
+type Dialer struct {
+	opts Options
+}
+
+// NewDialer returns a dialer.
+func NewDialer(opts Options) *Dialer {
+	return &Dialer{opts: opts.withDefaults()}
+}
+
+// Dial returns the endpoint at an address of the form host:port. Connections are opened by the first calls.
+func (d *Dialer) Dial(address string, lanes int) platform.Endpoint {
+	e := &endpoint{
+		address: address,
+		opts:    d.opts,
+		lanes:   make([]lane, lanes),
+		control: newClient(address, d.opts),
+		done:    make(chan struct{}),
+	}
+	for i := range e.lanes {
+		e.lanes[i].init(address)
+	}
+	go e.sweep()
+	return e
+}
+
+type endpoint struct {
+	address string
+	opts    Options
+	lanes   []lane
+	control *client
+	done    chan struct{}
+	once    sync.Once
+}
+
+// Run starts a task on the lane's connection.
+func (e *endpoint) Run(lane int, req *platform.RunRequest) platform.RunResult {
+	if lane < 0 || lane >= len(e.lanes) {
+		return platform.RunResult{Outcome: platform.Unreached, Output: errNoLane.Error()}
+	}
+	return e.lanes[lane].run(e.address, &e.opts, req)
+}
+
+// Abandon closes the lane's connection. A call that has written nothing yet returns Unreached, any other one Lost.
+func (e *endpoint) Abandon(lane int) {
+	if lane >= 0 && lane < len(e.lanes) {
+		e.lanes[lane].abandon()
+	}
+}
+
+type taskList struct {
+	Tasks []string `json:"tasks"`
+}
+
+// Renew extends the leases of tasks.
+func (e *endpoint) Renew(ctx context.Context, tasks []string) (platform.EndpointStatus, error) {
+	return e.postTasks(ctx, "/leases", tasks)
+}
+
+// Stop stops tasks.
+func (e *endpoint) Stop(ctx context.Context, tasks []string) (platform.EndpointStatus, error) {
+	return e.postTasks(ctx, "/stop", tasks)
+}
+
+func (e *endpoint) postTasks(ctx context.Context, path string, tasks []string) (platform.EndpointStatus, error) {
+	var status platform.EndpointStatus
+	if tasks == nil {
+		tasks = []string{}
+	}
+	body, err := json.Marshal(taskList{Tasks: tasks})
+	if err != nil {
+		return status, err
+	}
+	r, err := e.control.do(ctx, call{method: fasthttp.MethodPost, path: path, body: body})
+	if err != nil {
+		return status, fmt.Errorf("endpoint %s: %s: %w", e.address, path, err)
+	}
+	return status, e.decode(r, path, &status)
+}
+
+// Fetch returns the state of a task over a new connection.
+func (e *endpoint) Fetch(ctx context.Context, task string) (platform.TaskStatus, error) {
+	var status platform.TaskStatus
+	path := "/tasks/" + url.PathEscape(task)
+	r, err := e.control.do(ctx, call{method: fasthttp.MethodGet, path: path, fresh: true})
+	if err != nil {
+		return status, fmt.Errorf("endpoint %s: %s: %w", e.address, path, err)
+	}
+	return status, e.decode(r, path, &status)
+}
+
+func (e *endpoint) decode(r reply, path string, into any) error {
+	if r.status != fasthttp.StatusOK {
+		return fmt.Errorf("endpoint %s: %s: status %d: %s", e.address, path, r.status, r.body)
+	}
+	if err := json.Unmarshal(r.body, into); err != nil {
+		return fmt.Errorf("endpoint %s: %s: %w", e.address, path, err)
+	}
+	return nil
+}
+
+// Close releases all connections. Calls in progress return.
+func (e *endpoint) Close() {
+	e.once.Do(func() { close(e.done) })
+	for i := range e.lanes {
+		e.lanes[i].close()
+	}
+	e.control.close()
+}
+
+// sweep closes idle connections, so that they do not count against the worker's connection limit.
+func (e *endpoint) sweep() {
+	t := time.NewTicker(e.opts.IdleTimeout / 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.done:
+			return
+		case <-t.C:
+		}
+		for i := range e.lanes {
+			e.lanes[i].sweep(e.opts.IdleTimeout)
+		}
+		e.control.sweep()
+	}
+}
--- /dev/null
+++ b/internal/platform/httpx/lane.go
@@ -0,0 +1,210 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// maxKeptBytes bounds the buffers that a lane keeps between calls. A few large payloads must not raise the memory of
+// every lane for good.
+const maxKeptBytes = 64 << 10
+
+var (
+	errAbandoned = errors.New("lane was abandoned")
+	errClosed    = errors.New("endpoint is closed")
+	errNoLane    = errors.New("endpoint has no such lane")
+)
+
+// lane is one slot's connection with the buffers of its calls.
+type lane struct {
+	mu        sync.Mutex
+	conn      *conn
+	busy      bool
+	abandoned bool
+	closed    bool
+
+	// The fields below belong to the call in progress.
+	header fasthttp.RequestHeader
+	resp   fasthttp.Response
+	buf    []byte
+	num    [32]byte
+}
+
+func (l *lane) init(address string) {
+	l.header.SetMethod(fasthttp.MethodPost)
+	l.header.SetRequestURI("/run")
+	l.header.SetHost(address)
+	l.header.SetContentType("application/octet-stream")
+	l.resp.Header.SetNoDefaultContentType(true)
+}
+
+// begin returns the lane's connection, or nil when the call must open one.
+func (l *lane) begin(idleTimeout time.Duration) (*conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errClosed
+	}
+	l.abandoned = false
+	l.busy = true
+	if l.conn != nil && !l.conn.usable(idleTimeout) {
+		l.drop()
+	}
+	return l.conn, nil
+}
+
+// attach makes a new connection the lane's own, unless the lane was abandoned while the connection was opened.
+func (l *lane) attach(c *conn) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.abandoned {
+		c.Close()
+		return errAbandoned
+	}
+	l.conn = c
+	return nil
+}
+
+// end finishes the call on c, which may be nil.
+func (l *lane) end(c *conn, reuse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy = false
+	if c == nil || l.conn != c {
+		return
+	}
+	if !reuse {
+		l.drop()
+		return
+	}
+	c.idleSince = time.Now()
+}
+
+func (l *lane) abandon() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.abandoned = true
+	l.drop()
+}
+
+func (l *lane) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.drop()
+}
+
+// sweep closes the connection when it has been idle for too long.
+func (l *lane) sweep(idleTimeout time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.busy && l.conn != nil && time.Since(l.conn.idleSince) >= idleTimeout {
+		l.drop()
+	}
+}
+
+// drop closes the connection. The caller holds mu.
+func (l *lane) drop() {
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// connect returns the lane's connection and opens it if needed.
+func (l *lane) connect(address string, o *Options) (*conn, error) {
+	c, err := l.begin(o.IdleTimeout)
+	if c != nil || err != nil {
+		return c, err
+	}
+	c, err = dial(context.Background(), address, o.DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return c, l.attach(c)
+}
+
+func (l *lane) run(address string, o *Options, req *platform.RunRequest) platform.RunResult {
+	c, err := l.connect(address, o)
+	if err != nil {
+		l.end(nil, false)
+		return platform.RunResult{Outcome: platform.Unreached, Output: err.Error()}
+	}
+	request := l.encode(req)
+	start := time.Now()
+	wrote, err := c.exchange(request, &l.resp, o.MaxResponseBytes)
+	res := l.result(wrote, err)
+	res.RunTime = time.Since(start)
+	reuse := err == nil && !l.resp.ConnectionClose()
+	l.trim()
+	l.end(c, reuse)
+	return res
+}
+
+// encode writes the request to the lane's buffer, so that one write carries it.
+func (l *lane) encode(req *platform.RunRequest) []byte {
+	h := &l.header
+	h.Set(HeaderTask, req.Task)
+	h.Set(HeaderService, req.Service)
+	h.SetBytesV(HeaderLease, strconv.AppendInt(l.num[:0], req.Lease.Milliseconds(), 10))
+	h.SetBytesV(HeaderCores, strconv.AppendFloat(l.num[:0], req.Size.Cores, 'g', -1, 64))
+	h.SetBytesV(HeaderMemory, strconv.AppendInt(l.num[:0], req.Size.MemoryMB, 10))
+	h.SetBytesV(HeaderAccelerators, strconv.AppendInt(l.num[:0], int64(req.Size.Accelerators), 10))
+	h.SetContentLength(len(req.Payload))
+	l.buf = h.AppendBytes(l.buf[:0])
+	l.buf = append(l.buf, req.Payload...)
+	return l.buf
+}
+
+// result maps the end of an exchange to an outcome.
+func (l *lane) result(wrote bool, err error) platform.RunResult {
+	if err != nil && !wrote {
+		return platform.RunResult{Outcome: platform.Unreached, Output: err.Error()}
+	}
+	if err != nil {
+		return platform.RunResult{Outcome: platform.Lost, Output: lostReason(err)}
+	}
+	res := platform.RunResult{Outcome: platform.Lost, Output: string(l.resp.Body()), Leaving: l.flag(HeaderLeaving)}
+	switch l.resp.StatusCode() {
+	case fasthttp.StatusOK:
+		res.Outcome = platform.Succeeded
+	case fasthttp.StatusInternalServerError:
+		res.Outcome = platform.Failed
+	case fasthttp.StatusServiceUnavailable:
+		if l.flag(HeaderNotStarted) {
+			res.Outcome = platform.Refused
+		}
+	}
+	if res.Outcome == platform.Lost {
+		res.Output = "unexpected status " + strconv.Itoa(l.resp.StatusCode())
+	}
+	return res
+}
+
+func lostReason(err error) string {
+	if errors.Is(err, net.ErrClosed) {
+		return errAbandoned.Error()
+	}
+	return err.Error()
+}
+
+func (l *lane) flag(name string) bool {
+	return string(l.resp.Header.Peek(name)) == "1"
+}
+
+func (l *lane) trim() {
+	if cap(l.buf) > maxKeptBytes {
+		l.buf = nil
+	}
+	if len(l.resp.Body()) > maxKeptBytes {
+		l.resp.ResetBody()
+	}
+}
