--- /dev/null
+++ b/internal/standin/instances/server.go
@@ -0,0 +1,167 @@
+package instances
+
+import (
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/standin"
+)
+
+// Fault is the set of faults in force. Each POST /fault replaces the whole set.
+type Fault struct {
+	standin.GateFault
+	Clear  bool `json:"clear,omitempty"`  // no faults; the other fields are ignored
+	Freeze bool `json:"freeze,omitempty"` // readers keep seeing what they see now
+}
+
+// Ref names one incarnation of an instance.
+type Ref struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Dump is the state of the stand-in.
+type Dump struct {
+	Address   string              `json:"address"`
+	Fault     Fault               `json:"fault"`
+	Seen      []platform.Instance `json:"seen"`      // by readers
+	Instances []platform.Instance `json:"instances"` // without lag
+}
+
+// Server is a running instance list.
+type Server struct {
+	opts  Options
+	state *state
+	gate  *standin.Gate
+	http  *standin.Server
+}
+
+// Start starts the stand-in.
+func Start(o Options) (*Server, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	s := &Server{opts: o, state: newState(o.Lag, o.Expiry), gate: standin.NewGate(o.Clock)}
+	// The server may call the handler before Listen returns, so handlers wait for the assignment below.
+	ready := make(chan struct{})
+	h, err := standin.Listen(standin.ServerOptions{Listen: o.Listen, Clock: o.Clock, Handler: func(ctx *fasthttp.RequestCtx) {
+		<-ready
+		s.handle(ctx)
+	}})
+	if err != nil {
+		return nil, err
+	}
+	s.http = h
+	close(ready)
+	logrus.WithField("address", h.Address()).Info("instance list listening")
+	return s, nil
+}
+
+// Address returns the bound address.
+func (s *Server) Address() string { return s.http.Address() }
+
+// Close stops the stand-in at once.
+func (s *Server) Close() { s.http.Close() }
+
+// Stop stops the stand-in.
+func (s *Server) Stop() { s.Close() }
+
+// SetFault replaces the faults in force.
+func (s *Server) SetFault(f Fault) error {
+	if f.Clear {
+		f = Fault{}
+	}
+	if err := f.Check(); err != nil {
+		return err
+	}
+	s.state.freeze(s.opts.Clock.Now(), f.Freeze)
+	s.gate.Set(f.GateFault)
+	logrus.WithField("fault", fmt.Sprintf("%+v", f)).Info("faults set")
+	return nil
+}
+
+// Dump returns the state.
+func (s *Server) Dump() Dump {
+	now := s.opts.Clock.Now()
+	s.state.mu.Lock()
+	frozen := s.state.frozen
+	s.state.mu.Unlock()
+	return Dump{
+		Address:   s.Address(),
+		Fault:     Fault{GateFault: s.gate.Fault(), Freeze: frozen},
+		Seen:      s.state.list(now),
+		Instances: s.state.truth(now),
+	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); path {
+	case "/dump":
+		standin.WriteJSON(ctx, fasthttp.StatusOK, s.Dump())
+	case "/fault":
+		s.handleFault(ctx)
+	case "/instances":
+		if s.gate.Pass(ctx, s.http.Closed()) {
+			standin.WriteJSON(ctx, fasthttp.StatusOK, s.state.list(s.opts.Clock.Now()))
+		}
+	case "/register":
+		s.handleRegister(ctx)
+	case "/renew", "/leave", "/remove":
+		s.handleChange(ctx, path)
+	default:
+		ctx.Error("unknown path", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) handleFault(ctx *fasthttp.RequestCtx) {
+	var f Fault
+	if !standin.ReadJSON(ctx, &f) {
+		return
+	}
+	if err := s.SetFault(f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	standin.WriteJSON(ctx, fasthttp.StatusOK, f)
+}
+
+func (s *Server) handleRegister(ctx *fasthttp.RequestCtx) {
+	var in platform.Instance
+	if !s.gate.Pass(ctx, s.http.Closed()) || !standin.ReadJSON(ctx, &in) {
+		return
+	}
+	if in.Name == "" || in.Zone == "" || in.Address == "" {
+		ctx.Error("name, zone and address must not be empty", fasthttp.StatusBadRequest)
+		return
+	}
+	if in.State == "" {
+		in.State = platform.StateLive
+	}
+	s.state.register(s.opts.Clock.Now(), in)
+	standin.WriteJSON(ctx, fasthttp.StatusOK, in)
+}
+
+func (s *Server) handleChange(ctx *fasthttp.RequestCtx, path string) {
+	var r Ref
+	if !s.gate.Pass(ctx, s.http.Closed()) || !standin.ReadJSON(ctx, &r) {
+		return
+	}
+	now := s.opts.Clock.Now()
+	var err error
+	switch path {
+	case "/renew":
+		err = s.state.renew(now, r.Name, r.Incarnation)
+	case "/leave":
+		err = s.state.leave(now, r.Name, r.Incarnation)
+	case "/remove":
+		err = s.state.remove(now, r.Name, r.Incarnation)
+	}
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusNotFound)
+		return
+	}
+	standin.WriteJSON(ctx, fasthttp.StatusOK, r)
+}
--- /dev/null
+++ b/internal/standin/json.go
@@ -0,0 +1,13 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// DecodeStrict decodes JSON and refuses unknown fields.
+func DecodeStrict(body []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	return dec.Decode(into)
+}
--- /dev/null
+++ b/internal/standin/main.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+)
+
+// Process is a started stand-in.
+type Process interface {
+	// Stop ends the process in the planned way.
+	Stop()
+}
+
+// Main parses settings from flags and environment variables, starts a process and stops it on SIGTERM or SIGINT.
+// It returns the exit status.
+func Main(name string, settings any, start func() (Process, error)) int {
+	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", settings); err != nil {
+		return fail(err)
+	}
+	rest, err := parser.Parse()
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected arguments: %s", strings.Join(rest, " "))
+	}
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return 0
+	}
+	if err != nil {
+		return fail(err)
+	}
+	return run(start)
+}
+
+func run(start func() (Process, error)) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	p, err := start()
+	if err != nil {
+		return fail(err)
+	}
+	s := <-signals
+	logrus.WithField("signal", s).Info("stopping")
+	p.Stop()
+	logrus.Info("stopped")
+	return 0
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	return 2
+}
+
+// Problems collects what is wrong with settings.
+type Problems []string
+
+// Addf adds a problem if the condition holds.
+func (p *Problems) Addf(condition bool, format string, args ...any) {
+	if condition {
+		*p = append(*p, fmt.Sprintf(format, args...))
+	}
+}
+
+// Address adds a problem if the setting is not of the form host:port.
+func (p *Problems) Address(setting, value string) {
+	_, _, err := net.SplitHostPort(value)
+	p.Addf(err != nil, "%s is %q, must be host:port", setting, value)
+}
+
+// Err returns all problems as one error, or nil.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return errors.New("invalid settings:\n  " + strings.Join(p, "\n  "))
+}
