Add the stand-in for workers

Cause: tests need workers that start whatever they get, keep honest start records and fail on command.

--- /dev/null
+++ b/internal/standin/worker/history.go
@@ -0,0 +1,43 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// sample is the usage from a time on.
+type sample struct {
+	since time.Time
+	used  platform.Size
+}
+
+// history keeps usage as far back as the lag reaches.
+type history struct {
+	lag     time.Duration
+	samples []sample
+}
+
+func (h *history) add(now time.Time, used platform.Size) {
+	h.prune(now)
+	h.samples = append(h.samples, sample{since: now, used: used})
+}
+
+// at returns the usage of lag ago.
+func (h *history) at(now time.Time) platform.Size {
+	h.prune(now)
+	if len(h.samples) == 0 || h.samples[0].since.After(now.Add(-h.lag)) {
+		return platform.Size{}
+	}
+	return h.samples[0].used
+}
+
+// prune drops the samples before the one that was in force lag ago.
+func (h *history) prune(now time.Time) {
+	seen := now.Add(-h.lag)
+	n := 0
+	for n+1 < len(h.samples) && !h.samples[n+1].since.After(seen) {
+		n++
+	}
+	h.samples = h.samples[n:]
+}
