--- /dev/null
+++ b/internal/standin/logservice/options.go
@@ -0,0 +1,47 @@
+// Package logservice is a stand-in for the platform's log service.
+package logservice
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/savorypass/savorypass/internal/standin"
+)
+
+// Options configure the stand-in. DefaultOptions gives the defaults.
+type Options struct {
+	Listen         string        `long:"listen" env:"SAVORY_LOG_LISTEN" description:"address host:port; port 0 takes a free port"`
+	RetentionAge   time.Duration `long:"retention-age" env:"SAVORY_LOG_RETENTION_AGE" description:"age from which records are dropped"`
+	RetentionCount int           `long:"retention-count" env:"SAVORY_LOG_RETENTION_COUNT" description:"records that a stream keeps"`
+	Rate           float64       `long:"rate" env:"SAVORY_LOG_RATE" description:"appends per second over all streams"`
+	Burst          int           `long:"burst" env:"SAVORY_LOG_BURST" description:"appends that may exceed the rate at once"`
+	MaxRecord      int           `long:"max-record" env:"SAVORY_LOG_MAX_RECORD" description:"size of a record in bytes"`
+
+	Clock clockwork.Clock `no-flag:"true"`
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		Listen:         "127.0.0.1:0",
+		RetentionAge:   time.Hour,
+		RetentionCount: 10_000,
+		Rate:           300,
+		Burst:          30,
+		MaxRecord:      1 << 20,
+		Clock:          clockwork.NewRealClock(),
+	}
+}
+
+// Check lists all problems of the settings.
+func (o *Options) Check() error {
+	var p standin.Problems
+	p.Address("listen", o.Listen)
+	p.Addf(o.RetentionAge <= 0, "retention-age is %s, must be above 0", o.RetentionAge)
+	p.Addf(o.RetentionCount < 1, "retention-count is %d, must be at least 1", o.RetentionCount)
+	p.Addf(o.Rate <= 0, "rate is %g, must be above 0", o.Rate)
+	p.Addf(o.Burst < 1, "burst is %d, must be at least 1", o.Burst)
+	p.Addf(o.MaxRecord < 1, "max-record is %d, must be at least 1", o.MaxRecord)
+	return p.Err()
+}
