Add the peer transport over QUIC and its TLS material

Entry instances exchange requests, answers and notifications over one QUIC connection per pair of processes. Mutual TLS 1.3 checks chain and the savory://ZONE/INSTANCE name on both sides; material is replaceable while running.

A stream per call costs a stream set-up and two more frames per call, so each side keeps two long-lived streams (small and large frames) and collects frames that wait into one write.

A call that fails tells whether a byte can have been sent: frames count as sent from the moment that they are passed to the stream. The keep-alive of 0.4 s and the idle time-out of 1.5 s find a silent connection within 2 s.

--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,360 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+const readBufferBytes = 32 << 10
+
+const (
+	codeClosed    quic.ApplicationErrorCode = 0
+	codeProtocol  quic.ApplicationErrorCode = 1
+	codeDuplicate quic.ApplicationErrorCode = 2
+	codeCut       quic.ApplicationErrorCode = 3
+)
+
+// reply is the end of a call.
+type reply struct {
+	body []byte
+	err  error
+}
+
+// call is a request that waits for its answer.
+type call struct {
+	done  chan reply // holds one reply
+	class class
+	start uint64 // position of the frame in its stream
+	lost  bool   // the frame was dropped by a cut, which counts as sent
+}
+
+// conn is an established connection to a peer.
+type conn struct {
+	node    *Node
+	quic    *quic.Conn
+	from    From
+	dialed  bool
+	process uint64 // random number of the peer's process
+	out     [classes]*writer
+	in      [classes]*quic.ReceiveStream
+
+	serving atomic.Int64
+	cut     atomic.Bool
+	byes    chan struct{}
+
+	mu     sync.Mutex
+	calls  map[uint32]*call
+	nextID uint32
+	closed bool
+}
+
+// setup opens this side's streams and waits for the peer's. A peer that has refused this side's certificate opens
+// none, so after setup both sides have accepted each other.
+func (n *Node) setup(ctx context.Context, q *quic.Conn, dialed bool) (*conn, error) {
+	name, err := secure.PeerName(q.ConnectionState().TLS)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{
+		node:   n,
+		quic:   q,
+		from:   From{Name: name, Addr: q.RemoteAddr().String()},
+		dialed: dialed,
+		byes:   make(chan struct{}, classes),
+		calls:  make(map[uint32]*call),
+	}
+	if err := c.openStreams(ctx); err != nil {
+		return nil, err
+	}
+	return c, c.acceptStreams(ctx)
+}
+
+func (c *conn) openStreams(ctx context.Context) error {
+	for i := range c.out {
+		s, err := c.quic.OpenUniStreamSync(ctx)
+		if err != nil {
+			return err
+		}
+		if class(i) == classSmall {
+			s.SetPriority(1, true)
+		}
+		if _, err := s.Write(appendHello(nil, class(i), c.node.process)); err != nil {
+			return err
+		}
+		c.out[i] = newWriter(s, c.node.opts.MaxPending)
+	}
+	return nil
+}
+
+func (c *conn) acceptStreams(ctx context.Context) error {
+	for range c.in {
+		s, err := c.quic.AcceptUniStream(ctx)
+		if err != nil {
+			return err
+		}
+		if deadline, ok := ctx.Deadline(); ok {
+			s.SetReadDeadline(deadline)
+		}
+		cl, process, err := readHello(s)
+		if err != nil {
+			return err
+		}
+		s.SetReadDeadline(time.Time{})
+		if c.in[cl] != nil {
+			return errors.New("the peer opened two streams of one class")
+		}
+		c.in[cl], c.process = s, process
+	}
+	return nil
+}
+
+func (c *conn) start() {
+	for i := range c.out {
+		c.node.tasks.Go(func() { c.end(c.out[i].run()) })
+		c.node.tasks.Go(func() { c.end(c.read(c.in[i])) })
+	}
+}
+
+func (c *conn) alive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed
+}
+
+// busy reports whether a call in either direction is in progress.
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && len(c.calls)+int(c.serving.Load()) > 0
+}
+
+// end closes the connection after an error and settles its calls. A nil error is a stop of this side's writer,
+// which only follows an end.
+func (c *conn) end(err error) {
+	if err == nil {
+		return
+	}
+	code := codeProtocol
+	if errors.Is(err, errDuplicate) {
+		code = codeDuplicate
+	}
+	if errors.Is(err, errClosed) {
+		code = codeClosed
+	}
+	if errors.Is(err, errCut) {
+		code = codeCut
+	}
+	calls := c.retire()
+	if calls == nil {
+		return
+	}
+	c.quic.CloseWithError(code, err.Error())
+	var taken [classes]uint64
+	for i, w := range c.out {
+		taken[i] = w.close()
+	}
+	for _, w := range calls {
+		w.done <- reply{err: w.fate(taken, err)}
+	}
+	c.node.dropped(c, err)
+}
+
+// retire marks the connection closed and returns its calls, or nil if it was closed before.
+func (c *conn) retire() map[uint32]*call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	calls := c.calls
+	c.calls = nil
+	return calls
+}
+
+func (w *call) fate(taken [classes]uint64, cause error) error {
+	if !w.lost && w.start >= taken[w.class] {
+		return fmt.Errorf("%w: %w", ErrUnreached, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrLost, cause)
+}
+
+// call sends a request and waits for its answer.
+func (c *conn) call(ctx context.Context, m Method, body []byte) ([]byte, error) {
+	w := callPool.Get().(*call)
+	id, err := c.send(w, m, body)
+	if err != nil {
+		callPool.Put(w)
+		return nil, err
+	}
+	select {
+	case r := <-w.done:
+		callPool.Put(w)
+		return r.body, r.err
+	case <-ctx.Done():
+		c.forget(id)
+		return nil, fmt.Errorf("%w: %w", ErrLost, context.Cause(ctx))
+	}
+}
+
+var callPool = sync.Pool{New: func() any { return &call{done: make(chan reply, 1)} }}
+
+func (c *conn) send(w *call, m Method, body []byte) (uint32, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, fmt.Errorf("%w: connection closed", ErrUnreached)
+	}
+	if len(c.calls) >= c.node.opts.MaxInFlight {
+		return 0, fmt.Errorf("%w: %d calls are in flight", ErrUnreached, len(c.calls))
+	}
+	id := c.freeID()
+	w.class, w.start, w.lost = classOf(len(body)), 0, c.cut.Load()
+	if !w.lost {
+		start, err := c.out[w.class].add(header{uint32(len(body)), kindRequest, m, id}, body)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrUnreached, err)
+		}
+		w.start = start
+	}
+	c.calls[id] = w
+	return id, nil
+}
+
+// freeID skips the numbers of calls that have been waiting since the counter last wrapped around.
+func (c *conn) freeID() uint32 {
+	for {
+		c.nextID++
+		if _, used := c.calls[c.nextID]; !used {
+			return c.nextID
+		}
+	}
+}
+
+func (c *conn) forget(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.calls, id)
+}
+
+// post sends a frame that has no answer.
+func (c *conn) post(h header, body []byte) error {
+	if c.cut.Load() {
+		return nil
+	}
+	h.length = uint32(len(body))
+	if _, err := c.out[classOf(len(body))].add(h, body); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreached, err)
+	}
+	return nil
+}
+
+func (c *conn) read(s *quic.ReceiveStream) error {
+	r := bufio.NewReaderSize(s, readBufferBytes)
+	var scratch [headerBytes]byte
+	for {
+		h, body, err := readFrame(r, &scratch, c.node.opts.MaxMessage)
+		if err != nil {
+			return err
+		}
+		if c.cut.Load() {
+			continue
+		}
+		c.dispatch(h, body)
+	}
+}
+
+func (c *conn) dispatch(h header, body []byte) {
+	switch h.kind {
+	case kindRequest, kindNotify:
+		c.serve(h, body)
+	case kindResponse:
+		c.settle(h.id, reply{body: body})
+	case kindFailure:
+		c.settle(h.id, reply{err: &RemoteError{Message: string(body)}})
+	case kindRefusal:
+		c.settle(h.id, reply{err: fmt.Errorf("%w: %s", ErrRefused, body)})
+	case kindBye:
+		c.node.unlink(c)
+		c.out[h.id%classes].add(header{kind: kindByeAck}, nil)
+	case kindByeAck:
+		select {
+		case c.byes <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (c *conn) settle(id uint32, r reply) {
+	c.mu.Lock()
+	w, ok := c.calls[id]
+	delete(c.calls, id)
+	c.mu.Unlock()
+	if ok {
+		w.done <- r
+	}
+}
+
+func (c *conn) serve(h header, body []byte) {
+	e, reason := c.admit(h)
+	if reason != "" {
+		c.answer(h, header{kind: kindRefusal, id: h.id}, []byte(reason))
+		return
+	}
+	c.serving.Add(1)
+	if e.inline {
+		c.run(e.handler, h, body)
+		return
+	}
+	go c.run(e.handler, h, body)
+}
+
+func (c *conn) admit(h header) (e *entry, refusal string) {
+	if h.method < methodBound {
+		e = c.node.handlers[h.method].Load()
+	}
+	switch {
+	case e == nil:
+		return nil, "no handler for " + h.method.String()
+	case c.node.closing.Load() && h.kind == kindRequest:
+		return nil, "stopping"
+	case c.serving.Load() >= int64(c.node.opts.MaxInFlight):
+		return nil, "too many requests in progress"
+	}
+	return e, ""
+}
+
+func (c *conn) run(handler Handler, h header, body []byte) {
+	defer c.serving.Add(-1)
+	out, err := handler(c.quic.Context(), c.from, body)
+	if err != nil {
+		c.answer(h, header{kind: kindFailure, id: h.id}, []byte(err.Error()))
+		return
+	}
+	if len(out) > c.node.opts.MaxMessage {
+		c.answer(h, header{kind: kindFailure, id: h.id}, []byte("the answer exceeds the message bound"))
+		return
+	}
+	c.answer(h, header{kind: kindResponse, id: h.id}, out)
+}
+
+// answer sends the end of a request. If it cannot be queued, the caller must learn that the answer is lost, so the
+// connection is ended.
+func (c *conn) answer(request, h header, body []byte) {
+	if request.kind != kindRequest {
+		return
+	}
+	h.method = request.method
+	if err := c.post(h, body); err != nil {
+		c.end(err)
+	}
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+// kind tells what a frame is.
+type kind uint8
+
+const (
+	kindRequest  kind = 1
+	kindResponse kind = 2
+	kindFailure  kind = 3 // the handler returned an error; the body is its text
+	kindRefusal  kind = 4 // the request did not reach a handler; the body is the reason
+	kindNotify   kind = 5
+	kindBye      kind = 6 // the sender closes the connection when the bye is acknowledged
+	kindByeAck   kind = 7
+)
+
+const (
+	headerBytes = 10 // body length 4, kind 1, method 1, request number 4
+	helloBytes  = 10 // wire version 1, class 1, process number 8
+	wireVersion = 1
+)
+
+type header struct {
+	length uint32
+	kind   kind
+	method Method
+	id     uint32
+}
+
+func appendHeader(b []byte, h header) []byte {
+	b = binary.BigEndian.AppendUint32(b, h.length)
+	b = append(b, byte(h.kind), byte(h.method))
+	return binary.BigEndian.AppendUint32(b, h.id)
+}
+
+func readFrame(r io.Reader, scratch *[headerBytes]byte, maxMessage int) (header, []byte, error) {
+	if _, err := io.ReadFull(r, scratch[:]); err != nil {
+		return header{}, nil, err
+	}
+	h := header{
+		length: binary.BigEndian.Uint32(scratch[:]),
+		kind:   kind(scratch[4]),
+		method: Method(scratch[5]),
+		id:     binary.BigEndian.Uint32(scratch[6:]),
+	}
+	if int64(h.length) > int64(maxMessage) {
+		return h, nil, fmt.Errorf("frame of %d bytes exceeds the bound of %d", h.length, maxMessage)
+	}
+	body := make([]byte, h.length)
+	_, err := io.ReadFull(r, body)
+	return h, body, err
+}
+
+// class separates small and large frames, each of which has its own stream.
+type class uint8
+
+const (
+	classSmall class = 0
+	classLarge class = 1
+	classes          = 2
+
+	smallFrameBytes = 16 << 10 // a larger frame would delay heartbeats behind it by several packets
+)
+
+func classOf(bodyBytes int) class {
+	if bodyBytes > smallFrameBytes {
+		return classLarge
+	}
+	return classSmall
+}
+
+func appendHello(b []byte, c class, process uint64) []byte {
+	b = append(b, wireVersion, byte(c))
+	return binary.BigEndian.AppendUint64(b, process)
+}
+
+func readHello(r io.Reader) (class, uint64, error) {
+	var raw [helloBytes]byte
+	if _, err := io.ReadFull(r, raw[:]); err != nil {
+		return 0, 0, err
+	}
+	if raw[0] != wireVersion || raw[1] >= classes {
+		return 0, 0, fmt.Errorf("the peer speaks wire version %d, this process %d", raw[0], wireVersion)
+	}
+	return class(raw[1]), binary.BigEndian.Uint64(raw[2:]), nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,288 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+func newCA(tb testing.TB) *secure.DevCA {
+	ca, err := secure.NewDevCA(time.Now())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return ca
+}
+
+func newTLS(tb testing.TB, ca *secure.DevCA, zone, instance string) *secure.TLS {
+	s, err := ca.Issue(secure.Name{Zone: zone, Instance: instance})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	t, err := secure.LoadTLS(s)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return t
+}
+
+func newNode(tb testing.TB, ca *secure.DevCA, zone, instance string) *Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n, err := New(Options{Listen: "127.0.0.1:0", TLS: newTLS(tb, ca, zone, instance), Log: log, EnableFaults: true})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	n.Handle(Forward, func(_ context.Context, from From, body []byte) ([]byte, error) {
+		return fmt.Appendf(nil, "%s/%s:%s", from.Zone, from.Instance, body), nil
+	})
+	tb.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.Close(ctx)
+	})
+	return n
+}
+
+// Guards against answers that reach the wrong call, frames mixed up across the two streams, and senders that are
+// not the ones in the certificate, while both sides dial at once.
+func TestCallsInBothDirections(t *testing.T) {
+	is := is.New(t)
+	ca := newCA(t)
+	a, b := newNode(t, ca, "blackstone", "e1"), newNode(t, ca, "farmington", "e2")
+	ctx := context.Background()
+	var wg sync.WaitGroup
+	for i := range 200 {
+		body := make([]byte, 1+i*500) // 1 B to 100 KB: both classes of frames
+		copy(body, fmt.Sprint(i))
+		wg.Go(func() {
+			out, err := a.Call(ctx, b.Addr(), Forward, body)
+			is.NoErr(err)
+			is.Equal(string(out), "blackstone/e1:"+string(body))
+		})
+		wg.Go(func() {
+			out, err := b.Call(ctx, a.Addr(), Forward, body)
+			is.NoErr(err)
+			is.Equal(string(out), "farmington/e2:"+string(body))
+		})
+	}
+	wg.Wait()
+	b.Handle(Delegate, func(context.Context, From, []byte) ([]byte, error) { return nil, errors.New("no slot") })
+	_, err := a.Call(ctx, b.Addr(), Delegate, nil)
+	var remote *RemoteError
+	is.True(errors.As(err, &remote) && remote.Message == "no slot")
+	_, err = a.Call(ctx, b.Addr(), ConfigFetch, nil) // no handler
+	is.True(errors.Is(err, ErrRefused) && NotProcessed(err))
+}
+
+// Guards against a peer without a certificate of this CA being heard, and against calling such a loss "may have run".
+func TestForeignCAIsRefused(t *testing.T) {
+	is := is.New(t)
+	a, foreign := newNode(t, newCA(t), "blackstone", "e1"), newNode(t, newCA(t), "blackstone", "e2")
+	_, err := foreign.Call(context.Background(), a.Addr(), Forward, []byte("x"))
+	is.True(NotProcessed(err))
+	_, err = a.Call(context.Background(), foreign.Addr(), Forward, []byte("x"))
+	is.True(NotProcessed(err))
+	is.Equal(len(a.open()), 0)
+	// a client that skips its own check of the server is still refused by the server
+	lax := newNode(t, newCA(t), "blackstone", "e3")
+	conf := lax.opts.TLS.Client()
+	conf.VerifyConnection = nil
+	q, err := lax.transport.Dial(context.Background(), a.socket.LocalAddr(), conf, lax.quicConfig())
+	if err == nil {
+		_, err = lax.setup(context.Background(), q, true)
+	}
+	is.True(err != nil)
+	is.Equal(len(a.open()), 0)
+}
+
+// Guards against a replaced certificate or CA that a running process goes on ignoring.
+func TestMaterialIsReplacedWhileRunning(t *testing.T) {
+	is := is.New(t)
+	old, renewed := newCA(t), newCA(t)
+	a, b := newNode(t, old, "blackstone", "e1"), newNode(t, old, "blackstone", "e2")
+	ctx := context.Background()
+	_, err := a.Call(ctx, b.Addr(), Forward, nil)
+	is.NoErr(err)
+	s, err := renewed.Issue(secure.Name{Zone: "blackstone", Instance: "e1"})
+	is.NoErr(err)
+	is.NoErr(a.opts.TLS.Reload(s))
+	_, err = a.Call(ctx, b.Addr(), Forward, nil)
+	is.NoErr(err) // the established connection stays
+	for _, c := range a.open() {
+		c.end(errClosed)
+	}
+	_, err = a.Call(ctx, b.Addr(), Forward, nil)
+	is.True(errors.Is(err, ErrUnreached)) // b does not know the new CA yet
+	s, err = renewed.Issue(secure.Name{Zone: "blackstone", Instance: "e2"})
+	is.NoErr(err)
+	is.NoErr(b.opts.TLS.Reload(s))
+	for err = ErrUnreached; errors.Is(err, ErrUnreached); { // until the back-off has passed
+		_, err = a.Call(ctx, b.Addr(), Forward, nil)
+	}
+	is.NoErr(err)
+	wrong, err := renewed.Issue(secure.Name{Zone: "blackstone", Instance: "e9"})
+	is.NoErr(err)
+	is.True(b.opts.TLS.Reload(wrong) != nil) // another instance's certificate
+}
+
+// lossy passes packets between a client and a server until it is silenced.
+type lossy struct {
+	net.PacketConn
+	server net.Addr
+	silent chan struct{}
+}
+
+func newLossy(tb testing.TB, server net.Addr) *lossy {
+	front, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	l := &lossy{PacketConn: front, server: server, silent: make(chan struct{})}
+	tb.Cleanup(func() { front.Close() })
+	go l.run()
+	return l
+}
+
+func (l *lossy) run() {
+	buf := make([]byte, 64<<10)
+	var client net.Addr
+	for {
+		n, from, err := l.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		to := l.server
+		if from.String() == l.server.String() {
+			to = client
+		} else {
+			client = from
+		}
+		select {
+		case <-l.silent:
+		default:
+			l.WriteTo(buf[:n], to)
+		}
+	}
+}
+
+// Guards against calls that hang on, or are reported as not run after, a connection that went silent, and against
+// a connection that is not replaced. The real bound is checked by the time-outs: idle time-out plus keep-alive.
+func TestSilentConnectionIsFoundAndReplaced(t *testing.T) {
+	is := is.New(t)
+	is.True(DefaultIdleTimeout+DefaultKeepAlive < 2*time.Second)
+	ca := newCA(t)
+	a, b := newNode(t, ca, "blackstone", "e1"), newNode(t, ca, "blackstone", "e2")
+	l := newLossy(t, b.socket.LocalAddr())
+	started := make(chan struct{})
+	b.Handle(Delegate, func(ctx context.Context, _ From, _ []byte) ([]byte, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, nil
+	})
+	addr := l.LocalAddr().String()
+	failed := make(chan error)
+	go func() {
+		_, err := a.Call(context.Background(), addr, Delegate, nil)
+		failed <- err
+	}()
+	<-started
+	close(l.silent)
+	is.True(errors.Is(<-failed, ErrLost))
+	_, err := a.Call(context.Background(), addr, Forward, nil) // still silent: the new connection never comes up
+	is.True(errors.Is(err, ErrUnreached))
+	_, err = a.Call(context.Background(), b.Addr(), Forward, nil)
+	is.NoErr(err)
+}
+
+// Guards against a cut that lets a message through or does not end.
+func TestCut(t *testing.T) {
+	is := is.New(t)
+	ca := newCA(t)
+	a, b := newNode(t, ca, "blackstone", "e1"), newNode(t, ca, "farmington", "e2")
+	ctx := context.Background()
+	_, err := a.Call(ctx, b.Addr(), Forward, nil)
+	is.NoErr(err)
+	cut, err := ParseCut("farmington")
+	is.NoErr(err)
+	is.NoErr(a.SetCut(cut))
+	_, err = a.Call(ctx, b.Addr(), Forward, nil)
+	is.True(errors.Is(err, ErrLost))
+	_, err = b.Call(ctx, a.Addr(), Forward, nil)
+	is.True(err != nil)
+	is.NoErr(a.SetCut(nil))
+	for err = ErrUnreached; errors.Is(err, ErrUnreached); {
+		_, err = a.Call(ctx, b.Addr(), Forward, nil)
+	}
+	is.NoErr(err)
+}
+
+// Guards against a planned stop that cuts off a request in progress or loses its answer.
+func TestCloseDeliversAnswers(t *testing.T) {
+	is := is.New(t)
+	ca := newCA(t)
+	a, b := newNode(t, ca, "blackstone", "e1"), newNode(t, ca, "blackstone", "e2")
+	started, finish := make(chan struct{}), make(chan struct{})
+	b.Handle(Delegate, func(context.Context, From, []byte) ([]byte, error) {
+		close(started)
+		<-finish
+		return make([]byte, 1<<20), nil
+	})
+	answered := make(chan error, 1)
+	go func() {
+		_, err := a.Call(context.Background(), b.Addr(), Delegate, nil)
+		answered <- err
+	}()
+	<-started
+	closed := make(chan error, 1)
+	go func() { closed <- b.Close(context.Background()) }()
+	for !b.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := a.Call(context.Background(), b.Addr(), Forward, nil)
+	is.True(NotProcessed(err))
+	close(finish)
+	is.NoErr(<-answered)
+	is.NoErr(<-closed)
+}
+
+// BenchmarkCall measures calls over loopback by the number in flight and the size of the body.
+func BenchmarkCall(b *testing.B) {
+	ca := newCA(b)
+	x, y := newNode(b, ca, "blackstone", "e1"), newNode(b, ca, "blackstone", "e2")
+	y.HandleInline(Backlog, func(_ context.Context, _ From, body []byte) ([]byte, error) { return body, nil })
+	for _, size := range []int{64, 1024} {
+		for _, inFlight := range []int{1, 16, 256, 2048} {
+			b.Run(fmt.Sprintf("size=%d/inflight=%d", size, inFlight), func(b *testing.B) {
+				benchCalls(b, x, y.Addr(), size, inFlight)
+			})
+		}
+	}
+}
+
+func benchCalls(b *testing.B, n *Node, addr string, size, inFlight int) {
+	body := make([]byte, size)
+	var wg sync.WaitGroup
+	b.ReportAllocs()
+	for i := range inFlight {
+		wg.Go(func() {
+			for range b.N/inFlight + min(1, max(0, b.N%inFlight-i)) {
+				if _, err := n.Call(context.Background(), addr, Backlog, body); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+}
