--- /dev/null
+++ b/internal/entry/admission.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/engine"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+var refusalCodes = map[sched.Reason]result.Code{
+	sched.NoFit:       result.NeverFits,
+	sched.NoSlots:     result.NotReady,
+	sched.QueueFull:   result.QueueFull,
+	sched.TooLate:     result.DeadlineUnreachable,
+	sched.WaitTooLong: result.QueueFull,
+}
+
+// admitJob decides on a new job with the scheduler's estimate of this moment.
+func (e *Entry) admitJob(now time.Time, j *engine.Job, est sched.Estimate) *api.Answer {
+	s := e.current.Load()
+	if s == nil {
+		return api.NewAnswer(result.NotReady, "the instance has no configuration yet")
+	}
+	bounds := sched.Bounds{MaxQueued: s.config.Limits.QueuedTasks, MaxWait: s.config.Admission.MaxWait}
+	est.Wait = time.Duration(float64(est.Wait) * s.config.Admission.SafetyFactor)
+	v := sched.Admit(now, est, len(j.Payloads), j.Deadline, bounds, rand.Float64)
+	if v.OK() {
+		return nil
+	}
+	a := api.NewAnswer(refusalCodes[v.Reason], "not admitted: "+v.Reason.String())
+	a.RetryAfterMS = v.Retry.Milliseconds()
+	return a
+}
--- /dev/null
+++ b/internal/entry/observe.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/engine"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// observer counts the engine's events.
+type observer struct{ set *metric.Set }
+
+// Started implements engine.Observer.
+func (o observer) Started(_, _ string, wait time.Duration) {
+	o.set.Starts.Add(1)
+	o.set.QueueWait.Observe(milliseconds(wait))
+}
+
+// Ended implements engine.Observer.
+func (observer) Ended(string, string, platform.Outcome, time.Duration) {}
+
+// Answered implements engine.Observer.
+func (o observer) Answered(_ *engine.Job, a *api.Answer, _ time.Duration) { o.set.Answers.Add(a.Code) }
+
+// Wasted implements engine.Observer.
+func (o observer) Wasted(kind string) { o.set.Wasted.Add(metric.Kind(kind), 1) }
+
+// Delegated implements engine.Observer.
+func (o observer) Delegated(n int) { o.set.Delegations.Add(metric.Sent, int64(n)) }
+
+// Lent implements engine.Observer.
+func (o observer) Lent(_, _ string) { o.set.Delegations.Add(metric.Received, 1) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/ops/opsapi/opsapi.go
+++ b/internal/ops/opsapi/opsapi.go
@@ -68,6 +68,13 @@
 	Message string `json:"message"`
 }
 
+// Health answers PathHealth. The platform reads it to keep its instance list.
+type Health struct {
+	Live        bool   `json:"live"`
+	Incarnation uint64 `json:"incarnation"`
+	Draining    bool   `json:"draining"`
+}
+
 // Readiness answers PathReady. The instance is ready when there are no reasons.
 type Readiness struct {
 	Ready   bool     `json:"ready"`
--- a/internal/ops/state.go
+++ b/internal/ops/state.go
@@ -17,7 +17,7 @@
 )
 
 func (s *Server) health(c *call) error {
-	writeJSON(c.http, http.StatusOK, map[string]bool{"live": true})
+	writeJSON(c.http, http.StatusOK, opsapi.Health{Live: true, Incarnation: s.o.Incarnation, Draining: s.o.Drainer.Draining()})
 	return nil
 }
 
--- a/internal/standin/instances/options.go
+++ b/internal/standin/instances/options.go
@@ -11,10 +11,11 @@
 
 // Options configure the stand-in. DefaultOptions gives the defaults.
 type Options struct {
-	Listen string          `long:"listen" env:"SAVORY_INSTANCES_LISTEN" description:"address host:port; port 0 takes a free port"`
-	Lag    time.Duration   `long:"lag" env:"SAVORY_INSTANCES_LAG" description:"readers see the state of that long ago"`
-	Expiry time.Duration   `long:"expiry" env:"SAVORY_INSTANCES_EXPIRY" description:"an instance that is not renewed for that long is removed"`
-	Clock  clockwork.Clock `no-flag:"true"`
+	Listen  string          `long:"listen" env:"SAVORY_INSTANCES_LISTEN" description:"address host:port; port 0 takes a free port"`
+	Lag     time.Duration   `long:"lag" env:"SAVORY_INSTANCES_LAG" description:"readers see the state of that long ago"`
+	Expiry  time.Duration   `long:"expiry" env:"SAVORY_INSTANCES_EXPIRY" description:"an instance that is not renewed for that long is removed"`
+	Entries []string        `long:"entry" env:"SAVORY_INSTANCES_ENTRIES" env-delim:";" description:"entry instance to watch: ZONE/NAME,PEERS,OPERATORS,CALLERS with three addresses"`
+	Clock   clockwork.Clock `no-flag:"true"`
 }
 
 // DefaultOptions returns the defaults.
@@ -33,5 +34,9 @@
 	p.Address("listen", o.Listen)
 	p.Addf(o.Lag < 0, "lag is %s, must be at least 0", o.Lag)
 	p.Addf(o.Expiry <= 0, "expiry is %s, must be above 0", o.Expiry)
+	for _, e := range o.Entries {
+		_, err := ParseEntry(e)
+		p.Addf(err != nil, "%v", err)
+	}
 	return p.Err()
 }
--- a/internal/standin/instances/server.go
+++ b/internal/standin/instances/server.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +38,7 @@
 	state *state
 	gate  *standin.Gate
 	http  *standin.Server
+	stop  context.CancelFunc
 }
 
 // Start starts the stand-in.
@@ -56,6 +58,12 @@
 	}
 	s.http = h
 	close(ready)
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	for _, text := range o.Entries {
+		e, _ := ParseEntry(text) // checked above
+		go s.watch(ctx, e)
+	}
 	logrus.WithField("address", h.Address()).Info("instance list listening")
 	return s, nil
 }
@@ -64,7 +72,10 @@
 func (s *Server) Address() string { return s.http.Address() }
 
 // Close stops the stand-in at once.
-func (s *Server) Close() { s.http.Close() }
+func (s *Server) Close() {
+	s.stop()
+	s.http.Close()
+}
 
 // Stop stops the stand-in.
 func (s *Server) Stop() { s.Close() }
