--- /dev/null
+++ b/cmd/savoryctl/main.go
@@ -0,0 +1,12 @@
+// Savoryctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/savorypass/savorypass/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], ctl.ProcessEnv()))
+}
--- /dev/null
+++ b/internal/ctl/state.go
@@ -0,0 +1,152 @@
+package ctl
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
+)
+
+type statusCommand struct{ app *app }
+
+// Execute shows every entry instance.
+func (c *statusCommand) Execute([]string) error {
+	views, err := c.app.instances()
+	if err != nil {
+		return err
+	}
+	err = c.app.show(views, func() *table { return statusTable(views) })
+	if err != nil {
+		return err
+	}
+	return c.app.incomplete(views)
+}
+
+func statusTable(views []instanceView) *table {
+	t := newTable("ZONE", "INSTANCE", "STATE", "READY", "CONFIG", "JOBS", "QUEUED", "RUNNING", "FREE", "SLOTS", "WORKERS", "UPTIME")
+	for _, v := range views {
+		if v.Status == nil {
+			t.add(v.Zone, v.Instance, v.State, "?", v.ConfigVersion, "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?")
+			continue
+		}
+		s := v.Status
+		t.add(v.Zone, v.Instance, stateOf(s), readiness(s), s.ConfigVersion, s.Jobs, s.Queued, s.Running,
+			s.Workers.FreeSlots, s.Workers.Slots, s.Workers.Owned, millis(s.UptimeMS))
+	}
+	return t
+}
+
+func stateOf(s *opsapi.Status) string {
+	if s.Draining {
+		return "draining"
+	}
+	return string(opsapi.MemberLive)
+}
+
+func readiness(s *opsapi.Status) string {
+	if s.Ready {
+		return "yes"
+	}
+	return "no " + cell(s.Reasons)
+}
+
+type workersCommand struct {
+	app   *app
+	State string `long:"state" choice:"ready" choice:"leaving" choice:"suspect" choice:"held_off" description:"show only workers in this state"`
+}
+
+// Execute shows the workers of all instances.
+func (c *workersCommand) Execute([]string) error {
+	views, answers, err := gather[opsapi.Workers](c.app, opsapi.PathWorkers)
+	if err != nil {
+		return err
+	}
+	list := []opsapi.Worker{}
+	for _, v := range views {
+		list = append(list, answers[v.Instance].Workers...)
+	}
+	list = slices.DeleteFunc(list, func(w opsapi.Worker) bool { return c.State != "" && string(w.State) != c.State })
+	slices.SortFunc(list, func(x, y opsapi.Worker) int {
+		return cmp.Or(cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Name, y.Name), cmp.Compare(x.Owner, y.Owner))
+	})
+	err = c.app.show(opsapi.Workers{Workers: list}, func() *table { return workersTable(list) })
+	if err != nil {
+		return err
+	}
+	return c.app.incomplete(views)
+}
+
+func workersTable(list []opsapi.Worker) *table {
+	t := newTable("ZONE", "WORKER", "RACK", "OWNER", "STATE", "RUNNING", "SLOTS", "CORES", "MEMORY_MB", "ACCELERATORS", "FAILURES", "HELD_OFF")
+	for _, w := range list {
+		t.add(w.Zone, w.Name, w.Rack, w.Owner, w.State, w.Running, w.Slots, w.Cores, w.MemoryMB, w.Accelerators,
+			w.Failures, millis(w.HeldOffMS))
+	}
+	return t
+}
+
+type teamsCommand struct{ app *app }
+
+// Execute shows the teams, summed over all instances.
+func (c *teamsCommand) Execute([]string) error {
+	views, answers, err := gather[opsapi.Teams](c.app, opsapi.PathTeams)
+	if err != nil {
+		return err
+	}
+	list := mergeTeams(views, answers)
+	err = c.app.show(opsapi.Teams{Teams: list}, func() *table { return teamsTable(list) })
+	if err != nil {
+		return err
+	}
+	return c.app.incomplete(views)
+}
+
+func teamsTable(list []opsapi.Team) *table {
+	t := newTable("TEAM", "WEIGHT", "QUEUED", "RUNNING", "REFUSED", "CORES", "OF", "MEMORY_MB", "OF", "ACCELERATORS", "OF")
+	for _, m := range list {
+		t.add(m.Name, m.Weight, m.Queued, m.Running, m.Refused, m.Usage.Cores, m.Quota.Cores,
+			m.Usage.MemoryMB, m.Quota.MemoryMB, m.Usage.Accelerators, m.Quota.Accelerators)
+	}
+	return t
+}
+
+// mergeTeams sums the work over instances. Usage is already a sum over an availability zone at each of its instances,
+// so the largest value of each zone is taken and the zones are summed.
+func mergeTeams(views []instanceView, answers map[string]opsapi.Teams) []opsapi.Team {
+	merged := map[string]*opsapi.Team{}
+	usage := map[[2]string]opsapi.Usage{} // by team and zone
+	for _, v := range views {
+		for _, m := range answers[v.Instance].Teams {
+			sum, ok := merged[m.Name]
+			if !ok {
+				sum = &opsapi.Team{Name: m.Name, Weight: m.Weight, Quota: m.Quota}
+				merged[m.Name] = sum
+			}
+			sum.Queued += m.Queued
+			sum.Running += m.Running
+			sum.Refused += m.Refused
+			at := [2]string{m.Name, v.Zone}
+			usage[at] = largest(usage[at], m.Usage)
+		}
+	}
+	for at, u := range usage {
+		sum := &merged[at[0]].Usage
+		sum.Cores += u.Cores
+		sum.MemoryMB += u.MemoryMB
+		sum.Accelerators += u.Accelerators
+	}
+	list := make([]opsapi.Team, 0, len(merged))
+	for _, m := range merged {
+		list = append(list, *m)
+	}
+	slices.SortFunc(list, func(x, y opsapi.Team) int { return cmp.Compare(x.Name, y.Name) })
+	return list
+}
+
+func largest(x, y opsapi.Usage) opsapi.Usage {
+	return opsapi.Usage{
+		Cores:        max(x.Cores, y.Cores),
+		MemoryMB:     max(x.MemoryMB, y.MemoryMB),
+		Accelerators: max(x.Accelerators, y.Accelerators),
+	}
+}
