ctl: tests of every command against real operators' listeners

Each command's main use and commonest mistakes run against the operators' listener with fake backends. A breaker in between drops answers, so that lost answers to publish, cancel and submit are exercised. Empty addresses from an empty environment variable counted as an instance and gave exit code 3 instead of 2; they are dropped now, and control characters in outputs are quoted in tables.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,10 +87,16 @@
 	if err != nil {
 		return err
 	}
+	a.Endpoints = named(a.Endpoints)
 	a.client = newClient(token, conf, a.Timeout)
 	return command.Execute(args)
 }
 
+// named drops empty addresses, which an empty environment variable gives.
+func named(addresses []string) []string {
+	return slices.DeleteFunc(addresses, func(s string) bool { return strings.TrimSpace(s) == "" })
+}
+
 // readToken takes the token from a file or the environment, never from an argument that other users can see.
 func (a *app) readToken() (secure.Secret, error) {
 	if a.TokenFile == "" {
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,235 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/identity"
+	"github.com/savorypass/savorypass/internal/ops"
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+// closedAddress returns an address where nothing listens.
+func closedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against views that leave out instances without saying so.
+func TestViewsCoverAllInstances(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	c.as(secure.RoleViewer)
+	for _, args := range [][]string{{"status"}, {"workers"}, {"top", "--once"}} {
+		out, _ := c.run(ExitOK, "", args...)
+		c.has(out, "e1", "e2")
+	}
+	out, _ := c.run(ExitOK, "", "teams", "-o", "json")
+	c.has(out, `"queued": 4`, `"cores": 5`) // work is summed, an availability zone's usage is not
+	out, _ = c.run(ExitOK, "", "top", "--once", "-o", "json")
+	c.has(out, `"starts": 42`)
+	out, _ = c.run(ExitOK, "", "workers", "--state", "suspect")
+	c.is.True(!strings.Contains(out, "w-e1"))
+	c.nodes = append(c.nodes, &node{name: "e3", address: closedAddress(t)})
+	out, notes := c.run(ExitPartly, "", "status")
+	c.has(out, "e3")
+	c.has(notes, "no answer from e3", "incomplete")
+	out, _ = c.run(ExitPartly, "", "-e", closedAddress(t), "-e", c.nodes[0].address, "workers")
+	c.has(out, "w-e2") // the second endpoint answers
+}
+
+// Guards against exit codes that scripts cannot rely on.
+func TestCommonMistakes(t *testing.T) {
+	c := newCluster(t, "e1")
+	c.run(ExitUnreachable, "", "-e", closedAddress(t), "status")
+	c.run(ExitUsage, "", "workers", "--state", "lost")
+	c.run(ExitUsage, "", "status", "extra")
+	c.run(ExitUsage, "", "config", "publish", "no-such-file")
+	c.run(ExitUsage, "", "config", "publish", c.file("  \n"))
+	c.run(ExitUsage, "", "config", "history", "--max", "0")
+	c.run(ExitUsage, "", "jobs", "show", "17")
+	c.run(ExitUsage, "", "jobs", "cancel")
+	c.run(ExitUsage, "", "drain", "--instance", "e9", "--yes")
+	c.run(ExitUsage, "", "top", "--interval", "1ms")
+	c.run(ExitUsage, "", "submit", c.file("{}")) // no address
+	c.run(ExitUsage, "", "--cert", "x", "status")
+	_, notes := c.run(ExitFailed, "", "dump", "nothing")
+	c.has(notes, "no_such_object", "engine")
+	out, _ := c.run(ExitOK, "", "config", "publish", "--help")
+	c.has(out, "Examples:")
+	out, _ = c.run(ExitOK, "", "completion")
+	c.has(out, "complete -o default -F _savoryctl savoryctl")
+	t.Setenv("SAVORY_TOKEN", "")
+	c.run(ExitUsage, "", "status")
+	c.run(ExitUsage, "", "--token-file", c.file("two words"), "status")
+	c.run(ExitOK, "", "--token-file", c.file(c.token[secure.RoleViewer]+"\n"), "status")
+	t.Setenv("SAVORY_TOKEN", "stranger")
+	c.run(ExitRefused, "", "status")
+	t.Setenv("SAVORY_ENDPOINTS", "")
+	c.run(ExitUsage, "", "status")
+}
+
+// Guards the reading commands and a publication from the question to its being in force everywhere.
+func TestConfigCommands(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	file := c.file("schema: 1\nteams: [counter]\n")
+	out, _ := c.run(ExitOK, "", "config", "get")
+	c.is.Equal(out, "schema: 1\nteams: []\n")
+	out, _ = c.run(ExitOK, "", "config", "diff", file)
+	c.has(out, "-teams: []", "+teams: [counter]")
+	c.run(ExitFailed, "", "config", "diff", "--exit-code", file)
+	c.run(ExitOK, "", "config", "validate", file)
+	_, notes := c.run(ExitFailed, "", "config", "validate", c.file("tasks: 161"))
+	c.has(notes, "limits.tasks", "1 to 160")
+	c.run(ExitRefused, "", "config", "publish", "--yes", c.file("tasks: 161"))
+	c.run(ExitFailed, "n\n", "config", "publish", file)
+	c.run(ExitUsage, "", "config", "publish", file) // nobody to ask
+	c.run(ExitConflict, "", "config", "publish", "--yes", "--replaces", "7", file)
+	c.is.Equal(len(c.log), 1) // so far nothing was published
+	out, notes = c.run(ExitOK, "y\n", "config", "publish", file)
+	c.has(notes, "+teams: [counter]", "successor of version 1", "in force on 2 of 2")
+	c.has(out, "e1 e2")
+	out, _ = c.run(ExitOK, "", "config", "history", "-o", "json")
+	c.has(out, `"version": 2`, `"author": "vito"`)
+	_, notes = c.run(ExitOK, "", "config", "publish", "--yes", file)
+	c.has(notes, "nothing to publish")
+	c.nodes[1].stuck = 2
+	_, notes = c.run(ExitPartly, "", "config", "publish", "--yes", c.file("schema: 1\n"))
+	c.has(notes, "in force on 1 of 2 instances, waiting for e2", "not in force on e2")
+	c.as(secure.RoleViewer)
+	c.run(ExitRefused, "", "config", "publish", "--yes", file)
+}
+
+// Guards against a guess about a publication whose answer was lost: it took effect, or another one did, or it is open.
+func TestLostAnswerOfAPublication(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	address := c.breaker(c.nodes[0].address, http.MethodPut, opsapi.PathConfig, 1)
+	_, notes := c.run(ExitOK, "", "-e", address, "config", "publish", "--yes", c.file("schema: 1 # a\n"))
+	c.has(notes, "the answer was lost", "published as version 2")
+	c.nodes[0].outcome = ops.ErrUnresolved
+	c.run(ExitOK, "", "config", "publish", "--yes", c.file("schema: 1 # b\n"))
+	c.is.Equal(c.log[0].Version, int64(3)) // each was published once
+
+	r := publishReport{Replaces: 2, Nonce: "mine"}
+	cmd := configPublishCommand{app: &app{Env: Env{Err: &strings.Builder{}, Now: func() time.Time { return c.now }}}}
+	cmd.app.Sleep = func(d time.Duration) { c.now = c.now.Add(d) }
+	cmd.app.settings = settings{Endpoints: []string{c.nodes[0].address}, Timeout: time.Minute}
+	cmd.app.client = newClient(secure.Secret(c.token[secure.RoleViewer]), nil, time.Minute)
+	_, err := cmd.resolve(&r)
+	c.is.Equal(exitCode(err), ExitConflict) // version 3 has another nonce
+	r.Replaces = 3
+	_, err = cmd.resolve(&r)
+	c.is.Equal(exitCode(err), ExitFailed)
+	c.has(err.Error(), "unknown whether")
+	c.run(ExitUnreachable, "", "-e", closedAddress(t), "config", "publish", "--yes", c.file("schema: 2\n"))
+}
+
+// Guards against a job that is looked up at an instance that does not know it.
+func TestJobsAreAskedAtTheirHome(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	issue := func(instance string, incarnation uint64) string {
+		home := identity.Home{Zone: "salt-store", Instance: instance, Incarnation: incarnation}
+		return identity.NewIssuer(home, time.Minute, func() time.Duration { return 0 }).Issue("counter")
+	}
+	id := issue("e2", 2)
+	c.nodes[1].jobs[id] = opsapi.Job{Identity: id, Team: "counter", Name: "running"}
+	out, _ := c.run(ExitOK, "", "jobs", "show", id)
+	c.has(out, "running", "counter")
+	address := c.breaker(c.nodes[1].address, http.MethodDelete, opsapi.PathJobs+"/"+id, 1)
+	c.nodes[1].address = address
+	c.run(ExitOK, "", "jobs", "cancel", "-o", "json", id) // a lost answer to a cancel is asked for again
+	c.run(ExitFailed, "", "jobs", "show", issue("e2", 2))
+	_, notes := c.run(ExitFailed, "", "jobs", "show", issue("e2", 1))
+	c.has(notes, "was replaced")
+	c.run(ExitFailed, "", "jobs", "show", issue("e7", 1))
+	c.as(secure.RoleViewer)
+	c.run(ExitRefused, "", "jobs", "cancel", id)
+}
+
+// Guards against a stop of another instance than the one that is meant, and against secrets in dumps.
+func TestDumpAndDrain(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	out, _ := c.run(ExitOK, "", "dump", "--instance", "e2")
+	c.has(out, "engine.jobs[1]", "[redacted]")
+	out, _ = c.run(ExitOK, "", "-o", "json", "dump", "engine")
+	c.is.True(json.Valid([]byte(out)) && !strings.Contains(out, "hidden"))
+	c.run(ExitUsage, "", "-e", c.nodes[0].address, "-e", c.nodes[1].address, "drain", "--yes")
+	c.run(ExitFailed, "no\n", "drain", "--instance", "e2")
+	c.is.True(!c.nodes[1].draining)
+	_, notes := c.run(ExitOK, "yes\n", "drain", "--instance", "e2")
+	c.has(notes, "Stop e2 in salt-store")
+	c.is.True(c.nodes[1].draining && !c.nodes[0].draining)
+}
+
+// callers is a fake of the callers' interface. Each identity's job starts at most once; answers are given in order.
+type callers struct {
+	starts  map[string]int
+	answers []*api.Answer
+}
+
+func (f *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathIdentities {
+		json.NewEncoder(w).Encode(api.Identities{Identities: []string{fmt.Sprint("id", len(f.starts))}})
+		return
+	}
+	var job api.Submit
+	json.NewDecoder(r.Body).Decode(&job)
+	f.starts[job.Identity]++
+	a := f.answers[0]
+	if len(f.answers) > 1 {
+		f.answers = f.answers[1:]
+	}
+	w.WriteHeader(a.Code.Info().Status)
+	json.NewEncoder(w).Encode(a)
+}
+
+// Guards against a submit that changes its identity after a broken connection, or hides a failure from scripts.
+func TestSubmit(t *testing.T) {
+	c := newCluster(t, "e1")
+	f := &callers{starts: map[string]int{}}
+	s := httptest.NewServer(f)
+	defer s.Close()
+	address := strings.TrimPrefix(s.URL, "http://")
+	job := c.file(`{"service":"quote","tasks":[{"payload":"a"}]}`)
+	complete := api.NewAnswer(result.Complete, "")
+	complete.Outputs = []string{"12 JOD\x1b"}
+
+	t.Setenv("SAVORY_CALLERS", c.breaker(address, http.MethodPost, pathSubmit, 2))
+	f.answers = []*api.Answer{complete}
+	out, notes := c.run(ExitOK, "", "submit", job)
+	c.has(out, `"12 JOD\x1b"`) // no control characters reach the terminal
+	c.has(notes, "identity id0", "connection broke")
+	c.is.Equal(f.starts, map[string]int{"id0": 3}) // two broken connections, one identity
+
+	t.Setenv("SAVORY_CALLERS", address)
+	f.answers = []*api.Answer{api.NewAnswer(result.HomeUnreachable, ""), api.NewAnswer(result.Running, ""), complete}
+	c.run(ExitOK, "", "submit", "--identity", "mine", "-o", "json", job)
+	c.is.Equal(f.starts["mine"], 3)
+	f.answers = []*api.Answer{api.NewAnswer(result.QueueFull, ""), complete}
+	_, notes = c.run(ExitRefused, "", "submit", job)
+	c.has(notes, "queue_full (not run)", "advice:")
+	f.answers = []*api.Answer{api.NewAnswer(result.QueueFull, ""), complete}
+	c.run(ExitOK, "", "submit", "--retry", job)
+	f.answers = []*api.Answer{api.NewAnswer(result.WorkerLost, "w7")}
+	out, notes = c.run(ExitFailed, "", "submit", job)
+	c.has(notes, "worker_lost (may have run): w7")
+	c.is.Equal(out, "")
+	f.answers = []*api.Answer{api.NewAnswer(result.Running, "")}
+	_, notes = c.run(ExitFailed, "", "submit", "--wait", "3s", job)
+	c.has(notes, "the job may have run", "submit --identity")
+	c.run(ExitUsage, "", "submit", c.file(`{"service":"quote","tasks":[]}`))
+	c.run(ExitUsage, "", "submit", c.file(`{"servcie":"quote"}`))
+	c.run(ExitUnreachable, "", "submit", "--to", closedAddress(t), job)
+}
--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
 	"github.com/savorypass/savorypass/internal/secure"
@@ -29,12 +31,16 @@
 	t.rows = append(t.rows, row)
 }
 
+// cell quotes text that would break the table or send control characters to the terminal.
 func cell(v any) string {
 	text := fmt.Sprint(v)
 	if text == "" {
 		return "-"
 	}
-	return strings.ReplaceAll(text, "\t", " ")
+	if strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(text)
+	}
+	return text
 }
 
 // show prints a value as JSON, or the table that stands for it.
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -35,7 +35,7 @@
 
 // Execute submits a job and prints its answer.
 func (c *submitCommand) Execute([]string) error {
-	if len(c.To) == 0 {
+	if c.To = named(c.To); len(c.To) == 0 {
 		return usagef("no address to submit to: set SAVORY_CALLERS or --to")
 	}
 	job, err := c.read()
