--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -45,6 +45,7 @@
 	mu      sync.Mutex
 	fault   GateFault
 	changed chan struct{}
+	held    int
 }
 
 // NewGate returns a gate without faults.
@@ -68,6 +69,29 @@
 	return g.fault
 }
 
+// Held returns the number of calls that hang now.
+func (g *Gate) Held() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
+
+// hold keeps a call until the faults change.
+func (g *Gate) hold(changed, closed <-chan struct{}) {
+	g.addHeld(1)
+	defer g.addHeld(-1)
+	select {
+	case <-changed:
+	case <-closed:
+	}
+}
+
+func (g *Gate) addHeld(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held += n
+}
+
 // Pass applies the faults to a call. It returns false when it has settled the call itself.
 func (g *Gate) Pass(ctx *fasthttp.RequestCtx, closed <-chan struct{}) bool {
 	zone := string(ctx.Request.Header.Peek(httpx.HeaderZone))
@@ -76,7 +100,7 @@
 	g.mu.Unlock()
 	switch {
 	case f.Outage == OutageHang || slices.Contains(f.CutZones, zone):
-		wait(changed, closed)
+		g.hold(changed, closed)
 		Drop(ctx)
 		return false
 	case f.Outage == OutageDrop:
@@ -101,10 +125,3 @@
 		return false
 	}
 }
-
-func wait(a, b <-chan struct{}) {
-	select {
-	case <-a:
-	case <-b:
-	}
-}
--- a/internal/standin/instances/server.go
+++ b/internal/standin/instances/server.go
@@ -27,6 +27,7 @@
 type Dump struct {
 	Address   string              `json:"address"`
 	Fault     Fault               `json:"fault"`
+	Held      int                 `json:"held"`      // calls that hang now
 	Seen      []platform.Instance `json:"seen"`      // by readers
 	Instances []platform.Instance `json:"instances"` // without lag
 }
@@ -92,6 +93,7 @@
 	return Dump{
 		Address:   s.Address(),
 		Fault:     Fault{GateFault: s.gate.Fault(), Freeze: frozen},
+		Held:      s.gate.Held(),
 		Seen:      s.state.list(now),
 		Instances: s.state.truth(now),
 	}
--- a/internal/standin/logservice/server.go
+++ b/internal/standin/logservice/server.go
@@ -40,6 +40,7 @@
 type Dump struct {
 	Address string                    `json:"address"`
 	Fault   Fault                     `json:"fault"`
+	Held    int                       `json:"held"` // calls that hang now
 	Counts  Counts                    `json:"counts"`
 	Streams map[string]platform.Batch `json:"streams"`
 }
@@ -118,6 +119,7 @@
 	return Dump{
 		Address: s.Address(),
 		Fault:   Fault{GateFault: s.gate.Fault(), LoseAnswers: s.loseAnswers},
+		Held:    s.gate.Held(),
 		Counts:  s.counts,
 		Streams: s.streams.bounds(s.opts.Clock.Now()),
 	}
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -20,20 +20,22 @@
 	Stop()
 }
 
+// Settings are the options of a program.
+type Settings interface {
+	// Check lists all problems of the settings.
+	Check() error
+}
+
 // Main parses settings from flags and environment variables, starts a process and stops it on SIGTERM or SIGINT.
 // It returns the exit status.
-func Main(name string, settings any, start func() (Process, error)) int {
+func Main(name string, settings Settings, start func() (Process, error)) int {
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Settings", "", settings); err != nil {
 		return fail(err)
 	}
-	rest, err := parser.Parse()
-	if err == nil && len(rest) > 0 {
-		err = fmt.Errorf("unexpected arguments: %s", strings.Join(rest, " "))
-	}
-	var fe *flags.Error
-	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+	err := parse(parser, settings, os.Args[1:])
+	if isHelp(err) {
 		fmt.Println(err)
 		return 0
 	}
@@ -43,6 +45,43 @@
 	return run(start)
 }
 
+// parse reads and checks the settings. go-flags stops at the first malformed value, so malformed environment variables
+// are found beforehand.
+func parse(parser *flags.Parser, settings Settings, args []string) error {
+	malformed := dropMalformed(parser)
+	rest, err := parser.ParseArgs(args)
+	if isHelp(err) {
+		return err
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected arguments: %s", strings.Join(rest, " "))
+	}
+	return errors.Join(malformed, err, settings.Check())
+}
+
+func isHelp(err error) bool {
+	var fe *flags.Error
+	return errors.As(err, &fe) && fe.Type == flags.ErrHelp
+}
+
+// dropMalformed removes malformed variables from the environment and returns what is wrong with them.
+func dropMalformed(parser *flags.Parser) error {
+	var errs []error
+	for _, group := range parser.Groups() {
+		for _, option := range group.Options() {
+			value, ok := os.LookupEnv(option.EnvDefaultKey)
+			if !ok || option.EnvDefaultDelim != "" {
+				continue
+			}
+			if err := option.Set(&value); err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", option.EnvDefaultKey, err))
+				os.Unsetenv(option.EnvDefaultKey)
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
 func run(start func() (Process, error)) int {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
