--- /dev/null
+++ b/internal/result/page_test.go
@@ -0,0 +1,16 @@
+package result
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a documentation page that lags behind the codes.
+func TestPageIsCurrent(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/result-codes.md")
+	is.NoErr(err)
+	is.True(string(page) == Page()) // run go generate ./internal/result
+}
