--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -18,20 +19,33 @@
 	Slots     int                     `json:"slots"`
 	InFlight  int                     `json:"in_flight"`
 	RenewedMS int64                   `json:"renewed_ms_ago"`
+	Size      sched.Size              `json:"size"`
 	Report    platform.EndpointStatus `json:"report"`
 }
 
 // JobDump is the state of one open job.
 type JobDump struct {
-	Identity   string `json:"identity"`
-	Team       string `json:"team"`
-	Service    string `json:"service"`
-	Tasks      int    `json:"tasks"`
-	Queued     int    `json:"queued"`
-	Running    int    `json:"running"`
-	Ended      int    `json:"ended"`
-	AgeMS      int64  `json:"age_ms"`
-	DeadlineMS int64  `json:"deadline_in_ms"`
+	Identity   string   `json:"identity"`
+	Team       string   `json:"team"`
+	Service    string   `json:"service"`
+	Tasks      int      `json:"tasks"`
+	Queued     int      `json:"queued"`
+	Running    int      `json:"running"`
+	Ended      int      `json:"ended"`
+	Delegated  int      `json:"delegated"`
+	Workers    []string `json:"workers"` // that run its tasks
+	AgeMS      int64    `json:"age_ms"`
+	DeadlineMS int64    `json:"deadline_in_ms"`
+}
+
+// TeamDump is the load of one team.
+type TeamDump struct {
+	Name     string     `json:"name"`
+	Jobs     int        `json:"jobs"`
+	Queued   int        `json:"queued"`
+	Running  int        `json:"running"`
+	OldestMS int64      `json:"oldest_ms"`
+	Usage    sched.Size `json:"usage"`
 }
 
 // Dump is the engine's state.
@@ -40,6 +54,7 @@
 	Jobs      int          `json:"jobs"`
 	Scheduler sched.Stats  `json:"scheduler"`
 	Workers   []WorkerDump `json:"workers"`
+	Teams     []TeamDump   `json:"teams"`
 	OpenJobs  []JobDump    `json:"open_jobs"` // at most maxDumpedJobs, oldest first
 }
 
@@ -56,10 +71,16 @@
 		for _, w := range e.workers {
 			d.Workers = append(d.Workers, w.dump(now))
 		}
+		teams := map[string]*TeamDump{}
 		for _, j := range e.jobs {
 			d.OpenJobs = append(d.OpenJobs, j.dump(now))
+			j.addTo(now, teams)
+		}
+		for _, t := range teams {
+			d.Teams = append(d.Teams, *t)
 		}
 	})
+	sort.Slice(d.Teams, func(i, k int) bool { return d.Teams[i].Name < d.Teams[k].Name })
 	sort.Slice(d.Workers, func(i, k int) bool { return d.Workers[i].Name < d.Workers[k].Name })
 	sort.Slice(d.OpenJobs, func(i, k int) bool { return d.OpenJobs[i].AgeMS > d.OpenJobs[k].AgeMS })
 	d.OpenJobs = d.OpenJobs[:min(len(d.OpenJobs), maxDumpedJobs)]
@@ -86,7 +107,7 @@
 	return WorkerDump{
 		Name: w.instance.Name, Zone: w.instance.Zone, Rack: w.instance.Rack, Address: w.instance.Address,
 		State: w.state.String(), Slots: w.slots, InFlight: len(w.flights),
-		RenewedMS: now.Sub(w.renewedAt).Milliseconds(), Report: w.status,
+		Size: w.instance.Size, RenewedMS: now.Sub(w.renewedAt).Milliseconds(), Report: w.status,
 	}
 }
 
@@ -95,15 +116,48 @@
 		Identity: j.Identity, Team: j.Team, Service: j.Service, Tasks: len(j.phases),
 		AgeMS: now.Sub(j.Arrived).Milliseconds(), DeadlineMS: j.Deadline.Sub(now).Milliseconds(),
 	}
-	for _, p := range j.phases {
+	for i, p := range j.phases {
 		switch p {
 		case queued:
 			d.Queued++
 		case running:
-			d.Running++
+			d.count(j.where[i])
 		default:
 			d.Ended++
 		}
 	}
 	return d
 }
+
+func (d *JobDump) count(w *worker) {
+	d.Running++
+	if w.peer {
+		d.Delegated++
+	}
+	if !slices.Contains(d.Workers, w.instance.Name) {
+		d.Workers = append(d.Workers, w.instance.Name)
+	}
+}
+
+// addTo adds a job to the load of its team. Running tasks count with their declared sizes.
+func (j *Job) addTo(now time.Time, teams map[string]*TeamDump) {
+	t := teams[j.Team]
+	if t == nil {
+		t = &TeamDump{Name: j.Team}
+		teams[j.Team] = t
+	}
+	t.Jobs++
+	t.OldestMS = max(t.OldestMS, now.Sub(j.Arrived).Milliseconds())
+	for i, p := range j.phases {
+		switch p {
+		case queued:
+			t.Queued++
+		case running:
+			t.Running++
+			size := j.Shape.Tasks[i].Size
+			t.Usage.Cores += size.Cores
+			t.Usage.MemoryMB += size.MemoryMB
+			t.Usage.Accelerators += size.Accelerators
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/backend_config.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/savorypass/savorypass/internal/config"
+	"github.com/savorypass/savorypass/internal/ops"
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
+)
+
+// configBackend shows the configuration's controller to operators.
+type configBackend struct{ c *config.Controller }
+
+// Current implements ops.Config.
+func (b configBackend) Current() (opsapi.Config, error) {
+	u := b.c.Current()
+	if u.Config == nil {
+		return opsapi.Config{}, ops.ErrUnavailable
+	}
+	return opsapi.Config{
+		Version: int64(u.State.Version), Schema: u.State.Schema, Author: u.State.Author, Digest: u.State.Digest,
+		Document: u.State.Document,
+	}, nil
+}
+
+// History implements ops.Config.
+func (b configBackend) History(_ context.Context, limit int) ([]opsapi.Config, error) {
+	kept := b.c.History()
+	var out []opsapi.Config
+	for i := len(kept) - 1; i >= 0 && len(out) < limit; i-- {
+		v := kept[i]
+		out = append(out, opsapi.Config{Version: int64(v.Version), Author: v.Author, Digest: v.Digest, Published: v.InForce})
+	}
+	return out, nil
+}
+
+// Validate implements ops.Config.
+func (b configBackend) Validate(document []byte) []opsapi.Problem {
+	_, err := config.Decode(document)
+	if err == nil {
+		return nil
+	}
+	var ps config.Problems
+	if !errors.As(err, &ps) {
+		return []opsapi.Problem{{Message: err.Error()}}
+	}
+	return problems(ps)
+}
+
+func problems(ps config.Problems) []opsapi.Problem {
+	out := make([]opsapi.Problem, len(ps))
+	for i, p := range ps {
+		out[i] = opsapi.Problem{Path: p.Path, Value: fmt.Sprint(p.Value), Bound: p.Bound, Message: p.Error()}
+	}
+	return out
+}
+
+// Publish implements ops.Config.
+func (b configBackend) Publish(ctx context.Context, p ops.Publication) (int64, error) {
+	out := b.c.Publish(ctx, config.Publication{
+		Author: p.Author, Document: p.Document, Replaces: uint64(p.Replaces), Nonce: p.Nonce,
+	})
+	switch out.Ending {
+	case config.Won:
+		return int64(out.Version), nil
+	case config.LostTo:
+		return 0, ops.ErrConflict
+	case config.Unknown:
+		return 0, ops.ErrUnresolved
+	}
+	if len(out.Problems) > 0 {
+		return 0, &ops.InvalidError{Problems: problems(out.Problems)}
+	}
+	return 0, fmt.Errorf("%w: %s", ops.ErrUnavailable, out.Reason)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -216,6 +217,17 @@
 	}
 }
 
+// Dumps returns the state of all parts, for a dump on request.
+func (e *Entry) Dumps() *ops.Dumps { return e.dumps }
+
+// Reload reads the TLS material again.
+func (e *Entry) Reload() error { return nil }
+
+// address returns the host and port of an HTTP URL.
+func address(url string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(url, "http://"), "/")
+}
+
 // Fetch implements config.Peer.
 func (e *Entry) Fetch(context.Context, string) (config.Snapshot, error) {
 	return config.Snapshot{}, errors.New("no peers")
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -15,7 +15,7 @@
 // Started implements engine.Observer.
 func (o observer) Started(_, _ string, wait time.Duration) {
 	o.set.Starts.Add(1)
-	o.set.QueueWait.Observe(milliseconds(wait))
+	o.set.QueueWait.AddDuration(wait)
 }
 
 // Ended implements engine.Observer.
@@ -32,5 +32,3 @@
 
 // Lent implements engine.Observer.
 func (o observer) Lent(_, _ string) { o.set.Delegations.Add(metric.Received, 1) }
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/peer/message/message_test.go
+++ b/internal/peer/message/message_test.go
@@ -12,9 +12,12 @@
 
 var samples = []Message{
 	&Heartbeat{Incarnation: 1 << 60, Seq: 3, Version: 41, Schema: 1, FreeSlots: 9, Backlog: 160, ExpectedWait: 70 * time.Millisecond, Draining: true, Settled: true, AckSeq: 7, Members: 1<<64 - 1, Slots: 56},
-	&Forward{Kind: ForwardSubmit, Team: "survey", Identity: "1.blackstone.e1.z.AAAA", Body: []byte(`{"service":"washout"}`), Wait: 5 * time.Second},
+	&Forward{Kind: ForwardSubmit, Team: "survey", Identity: "1.blackstone.e1.z.AAAA", Body: []byte(`{"service":"washout"}`), Wait: 5 * time.Second, Caller: "inspectors"},
 	&Answer{Body: []byte{0, 1, 2}},
-	&Backlog{Count: 160, BestRank: -0.25},
+	&Backlog{Count: 160, BestRank: -0.25, Size: platform.Size{Cores: 2}},
+	&DelegateStatus{Tasks: []string{"i/0"}},
+	&DelegateStates{Tasks: []TaskState{{Task: "i/0", State: platform.TaskDone, Output: "o"}}},
+	&DelegateStop{Tasks: []string{"i/0", "i/1"}},
 	&Grant{ID: 7, Slots: 8, Expiry: 50 * time.Millisecond},
 	&GrantReturn{ID: 7, Slots: 3},
 	&Delegate{Grant: 7, Tasks: []DelegatedTask{{Task: "i/0", Team: "survey", Service: "washout", Size: platform.Size{Cores: .5, MemoryMB: 100, Accelerators: 1}, Payload: "p", Expected: time.Second, Deadline: time.Minute}, {Task: "i/1"}}},
@@ -54,7 +57,7 @@
 func TestVersionsWithMoreAndFewerFields(t *testing.T) {
 	is := is.New(t)
 	var old older
-	is.NoErr(Decode(Encode(samples[15]), &old))
+	is.NoErr(Decode(Encode(&ConfigDocument{Version: 13, Document: []byte("schema: 1")}), &old))
 	is.Equal(old.Version, uint64(13))
 	var doc ConfigDocument
 	is.NoErr(Decode(Encode(&old), &doc))
--- a/internal/peer/message/messages.go
+++ b/internal/peer/message/messages.go
@@ -55,6 +55,7 @@
 	Identity string
 	Body     []byte        // of a submission, as it came from the caller
 	Wait     time.Duration // how long the caller waits for a final answer
+	Caller   string        // name of the caller within the team
 }
 
 func (m *Forward) visit(c *codec) {
@@ -63,6 +64,7 @@
 	c.text(&m.Identity)
 	c.bytes(&m.Body)
 	c.duration(&m.Wait)
+	c.text(&m.Caller)
 }
 
 // Answer is the home's answer to a Forward, encoded by the api package's types.
@@ -75,12 +77,16 @@
 // Backlog reports tasks that a home cannot place on its own slots.
 type Backlog struct {
 	Count    int
-	BestRank float64 // smaller is more urgent
+	BestRank float64       // smaller is more urgent
+	Size     platform.Size // of the best task
 }
 
 func (m *Backlog) visit(c *codec) {
 	c.int(&m.Count)
 	c.float(&m.BestRank)
+	c.float(&m.Size.Cores)
+	c.long(&m.Size.MemoryMB)
+	c.int(&m.Size.Accelerators)
 }
 
 // Grant offers free slots to a home. The home reckons the expiry from its arrival, less than the owner's, so that an
@@ -131,7 +137,7 @@
 	c.duration(&t.Deadline)
 }
 
-// Delegate hands the start of tasks to an owner. Grant is 0 for a delegation to another zone.
+// Delegate hands the start of tasks to an owner, under a grant of the owner.
 type Delegate struct {
 	Grant uint64
 	Tasks []DelegatedTask
@@ -175,6 +181,40 @@
 
 func (m *DelegateResults) visit(c *codec) { list(c, &m.Results, (*TaskResult).visit) }
 
+// DelegateStatus asks for the states of delegated tasks.
+type DelegateStatus struct {
+	Tasks []string
+}
+
+func (m *DelegateStatus) visit(c *codec) { list(c, &m.Tasks, visitText) }
+
+// TaskState is what an owner knows of a delegated task.
+type TaskState struct {
+	Task   string
+	State  platform.TaskState
+	Output string
+}
+
+func (t *TaskState) visit(c *codec) {
+	c.text(&t.Task)
+	c.text((*string)(&t.State))
+	c.text(&t.Output)
+}
+
+// DelegateStates answers a DelegateStatus, in the order of its tasks.
+type DelegateStates struct {
+	Tasks []TaskState
+}
+
+func (m *DelegateStates) visit(c *codec) { list(c, &m.Tasks, (*TaskState).visit) }
+
+// DelegateStop stops delegated tasks.
+type DelegateStop struct {
+	Tasks []string
+}
+
+func (m *DelegateStop) visit(c *codec) { list(c, &m.Tasks, visitText) }
+
 // Copy is a finished answer.
 type Copy struct {
 	Identity string
--- a/internal/peer/method.go
+++ b/internal/peer/method.go
@@ -20,6 +20,8 @@
 	Handover       Method = 10 // notify: message.Handover
 	ConfigFetch    Method = 11 // call: message.ConfigFetch, answered by message.ConfigDocument
 	TeamUsage      Method = 12 // notify: message.TeamUsage
+	DelegateStatus Method = 14 // call: message.DelegateStatus, answered by message.DelegateStates
+	DelegateStop   Method = 15 // notify: message.DelegateStop
 	Claim          Method = 13 // call: message.Claim, answered by message.Handover
 
 	methodBound = 32 // table size; a number at or above it is refused
@@ -28,7 +30,8 @@
 var methodNames = map[Method]string{
 	Heartbeat: "heartbeat", Forward: "forward", Backlog: "backlog", Grant: "grant", GrantReturn: "grant_return",
 	Delegate: "delegate", DelegateResult: "delegate_result", Copies: "copies", CopyLookup: "copy_lookup",
-	Handover: "handover", ConfigFetch: "config_fetch", TeamUsage: "team_usage", Claim: "claim",
+	Handover: "handover", ConfigFetch: "config_fetch", TeamUsage: "team_usage",
+	DelegateStatus: "delegate_status", DelegateStop: "delegate_stop", Claim: "claim",
 }
 
 // String returns the method's name.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -114,6 +114,12 @@
 	return true
 }
 
+// Answer returns the answer of a record; an open job gives result.Running.
+func (r *Registry) Answer(seq uint64) (a *api.Answer, ok bool) {
+	ok = r.Watch(seq, false, func(found *api.Answer) { a = found })
+	return a, ok
+}
+
 // Finish sets the answer of an open record and gives it to all who wait.
 func (r *Registry) Finish(now time.Time, seq uint64, a *api.Answer) {
 	r.mu.Lock()
