ops, ctl: redact readiness reasons, test endpoints with TLS

A reason may hold the text of an error, and /readyz is open without a token, so reasons are redacted like messages. The TLS path of savoryctl was not exercised: a test checks that an untrusted instance never gets the token.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"net"
 	"net/http"
@@ -173,6 +174,22 @@
 	c.is.True(c.nodes[1].draining && !c.nodes[0].draining)
 }
 
+// Guards against a token that is sent over TLS to an instance whose certificate is not trusted.
+func TestEndpointsWithTLS(t *testing.T) {
+	c := newCluster(t, "e1")
+	served := 0
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served++
+		json.NewEncoder(w).Encode(opsapi.Config{Version: 9})
+	}))
+	defer s.Close()
+	ca := c.file(string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})))
+	c.run(ExitUnreachable, "", "-e", s.URL, "config", "get")
+	c.is.Equal(served, 0)
+	_, notes := c.run(ExitOK, "", "-e", s.URL, "--ca", ca, "config", "get")
+	c.has(notes, "version 9")
+}
+
 // callers is a fake of the callers' interface. Each identity's job starts at most once; answers are given in order.
 type callers struct {
 	starts  map[string]int
--- a/internal/ops/server_test.go
+++ b/internal/ops/server_test.go
@@ -74,6 +74,8 @@
 	log    bytes.Buffer
 	dumps  Dumps
 	tokens map[string]string
+
+	reasons []string
 }
 
 func newDoor(t *testing.T, faults bool) *door {
@@ -91,7 +93,8 @@
 	log := logrus.New()
 	log.SetOutput(&d.log)
 	log.AddHook(secure.LogHook{})
-	o := Options{Instance: "e1", Tokens: &tokens, Config: &d.parts, Engine: &d.parts, Members: &d.parts,
+	ready := func() []string { return d.reasons }
+	o := Options{Ready: ready, Instance: "e1", Tokens: &tokens, Config: &d.parts, Engine: &d.parts, Members: &d.parts,
 		Drainer: &d.parts, Dumps: &d.dumps, Vars: metric.New(), Log: log}
 	if faults {
 		o.Faults = &d.parts
@@ -205,8 +208,9 @@
 	d := newDoor(t, false)
 	status, _ := d.do("operator", "POST", "/v1/drain", "")
 	d.is.Equal(status, http.StatusOK)
+	d.reasons = []string{"no log for Bearer hidden4hidden4"}
 	status, text := d.do("", "GET", "/readyz", "")
-	d.is.Equal(fmt.Sprintf("%d %s", status, text), `503 {"ready":false,"reasons":["draining"]}`)
+	d.is.Equal(fmt.Sprintf("%d %s", status, text), `503 {"ready":false,"reasons":["no log for [redacted]","draining"]}`)
 	var st opsapi.Status
 	_, text = d.do("viewer", "GET", "/v1/status", "")
 	d.is.NoErr(json.Unmarshal([]byte(text), &st))
--- a/internal/ops/state.go
+++ b/internal/ops/state.go
@@ -21,8 +21,12 @@
 	return nil
 }
 
+// readiness removes secrets, since a reason may hold the text of an error.
 func (s *Server) readiness() opsapi.Readiness {
-	reasons := s.o.Ready()
+	var reasons []string
+	for _, reason := range s.o.Ready() {
+		reasons = append(reasons, secure.RedactText(reason))
+	}
 	if s.o.Drainer.Draining() {
 		reasons = append(reasons, "draining")
 	}
