config: add the controller

The controller polls the log, folds it, shares the writing of checkpoints by rendezvous on the version, publishes and settles lost answers by following the log from the publication's base, and takes over a peer's higher state while the log is down. Restore gives a new base when the retention has dropped records that no live instance has folded; without it nobody could publish any more.

--- /dev/null
+++ b/internal/config/controller_test.go
@@ -0,0 +1,300 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// fakeLog is a log in memory with faults.
+type fakeLog struct {
+	mu       sync.Mutex
+	clock    clockwork.Clock
+	records  []platform.Record
+	first    int64
+	down     bool
+	loseNext string // "effect": the next append is carried out and its answer lost; "all": it is lost altogether
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	lose := l.loseNext
+	l.loseNext = ""
+	if lose == "all" {
+		return 0, platform.ErrUnknown
+	}
+	offset := int64(len(l.records))
+	l.records = append(l.records, platform.Record{Offset: offset, Time: l.clock.Now(), Data: data})
+	if lose == "effect" {
+		return 0, platform.ErrUnknown
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from int64, max int) (platform.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := platform.Batch{First: l.first, Next: int64(len(l.records))}
+	switch {
+	case l.down:
+		return platform.Batch{}, platform.ErrUnavailable
+	case from < l.first:
+		return b, platform.ErrTruncated
+	case from < b.Next:
+		b.Records = append(b.Records, l.records[from:min(from+int64(max), b.Next)]...)
+	}
+	return b, nil
+}
+
+func (l *fakeLog) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *fakeLog) dropAll() { l.set(func() { l.first = int64(len(l.records)) }) }
+
+// peers answers with the states of controllers by name.
+type peers map[string]*Controller
+
+func (p peers) Fetch(_ context.Context, peer string) (Snapshot, error) {
+	if c := p[peer]; c != nil {
+		return c.Snapshot(), nil
+	}
+	return Snapshot{}, errors.New("unreachable")
+}
+
+func quiet(o Options) *Controller {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	o.Logger = l
+	return New(o)
+}
+
+type world struct {
+	is    *is.I
+	ctx   context.Context
+	clock *clockwork.FakeClock
+	log   *fakeLog
+	peers peers
+}
+
+func newWorld(t *testing.T) *world {
+	clock := clockwork.NewFakeClock()
+	return &world{is: is.New(t), ctx: t.Context(), clock: clock, log: &fakeLog{clock: clock}, peers: peers{}}
+}
+
+func (w *world) instance(name string) *Controller {
+	c := quiet(Options{Log: w.log, Peer: w.peers, Name: name, Clock: w.clock, Live: func() []string { return []string{"a", "b", "c"} }})
+	w.peers[name] = c
+	return c
+}
+
+func (w *world) publish(c *Controller, mark int) Outcome {
+	return c.Publish(w.ctx, Publication{Author: fmt.Sprint("author", mark), Document: validDoc(mark), Replaces: c.Version()})
+}
+
+// Guards against an outage of the log that takes the configuration away or blocks its spreading.
+func TestLogOutage(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.instance("a"), w.instance("b")
+	w.is.Equal(w.publish(a, 1), Outcome{Ending: Won, Version: 1, Author: "author1"})
+	w.log.set(func() { w.log.down = true })
+	w.is.True(a.poll(w.ctx) != nil)
+	w.is.NoErr(a.Ready())
+	w.is.Equal(w.publish(a, 2).Ending, NotAccepted)
+	w.is.Equal(a.Version(), uint64(1))
+	w.is.True(b.poll(w.ctx) != nil)
+	w.is.True(b.Ready() != nil) // nothing yet
+	b.Observe("a", 1)
+	b.fetch(w.ctx)
+	w.is.Equal(b.Snapshot(), a.Snapshot())
+	w.log.set(func() { w.log.down = false })
+	w.is.Equal(w.publish(b, 2).Version, uint64(2))
+	text, err := b.Diff(1, 2)
+	w.is.NoErr(err)
+	w.is.True(strings.Contains(text, "-    max_run_time: 11s\n+    max_run_time: 12s"))
+}
+
+// Guards against a publication that is reported as failed although it won, and against one that applies twice.
+func TestLostAnswers(t *testing.T) {
+	w := newWorld(t)
+	a := w.instance("a")
+	w.log.loseNext = "effect"
+	w.is.Equal(w.publish(a, 1).Ending, Won)
+	w.is.Equal(len(w.log.records), 1)
+
+	a.opts.PublishTimeout = 24 * time.Hour // the clock may move on while the publication is not waiting for it
+	w.log.loseNext = "all"
+	done := make(chan Outcome)
+	go func() { done <- w.publish(a, 2) }()
+	w.is.Equal(w.advanceUntil(done), Outcome{Ending: Won, Version: 2, Author: "author2"})
+	w.log.records = append(w.log.records, platform.Record{Offset: 2, Data: w.log.records[1].Data}) // it arrives late
+	w.is.NoErr(a.poll(w.ctx))
+	w.is.Equal(a.Version(), uint64(2))
+}
+
+// advanceUntil moves the clock whenever something waits for it, until an outcome arrives.
+func (w *world) advanceUntil(done chan Outcome) Outcome {
+	for {
+		step, cancel := context.WithTimeout(w.ctx, 10*time.Millisecond)
+		_ = w.clock.BlockUntilContext(step, 2) // the deadline and the pause
+		cancel()
+		select {
+		case out := <-done:
+			return out
+		default:
+			w.clock.Advance(defaultPollInterval)
+		}
+	}
+}
+
+// Guards against an unknown outcome that is reported as a refusal: the record may still win.
+func TestOutcomeUnknown(t *testing.T) {
+	w := newWorld(t)
+	a := w.instance("a")
+	w.log.loseNext = "effect"
+	log := &cutOff{fakeLog: w.log}
+	a.opts.Log = log
+	done := make(chan Outcome)
+	go func() { done <- w.publish(a, 1) }()
+	w.is.Equal(w.advanceUntil(done).Ending, Unknown)
+	a.opts.Log = w.log
+	w.is.NoErr(a.poll(w.ctx))
+	w.is.Equal(a.Version(), uint64(1)) // it had won
+}
+
+// cutOff is a log that cannot be read any more after the first append.
+type cutOff struct{ *fakeLog }
+
+func (l *cutOff) Read(ctx context.Context, stream string, from int64, max int) (platform.Batch, error) {
+	b, err := l.fakeLog.Read(ctx, stream, from, max)
+	if b.Next > 0 {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return b, err
+}
+
+// Guards against two operators who both believe that they have won.
+func TestRacingOperators(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.instance("a"), w.instance("b")
+	for round := range 20 {
+		w.is.NoErr(a.poll(w.ctx))
+		w.is.NoErr(b.poll(w.ctx))
+		base := a.Version()
+		outs := make([]Outcome, 2)
+		var wg sync.WaitGroup
+		for i, c := range []*Controller{a, b} {
+			wg.Go(func() {
+				outs[i] = c.Publish(w.ctx, Publication{Author: fmt.Sprint("op", i), Document: validDoc(2*round + i), Replaces: base})
+			})
+		}
+		wg.Wait()
+		win, lose := outs[0], outs[1]
+		if win.Ending != Won {
+			win, lose = lose, win
+		}
+		w.is.Equal(win.Ending, Won)
+		w.is.Equal(lose, Outcome{Ending: LostTo, Version: base + 1, Author: win.Author})
+	}
+	w.is.NoErr(a.poll(w.ctx))
+	w.is.NoErr(b.poll(w.ctx))
+	w.is.Equal(a.Snapshot(), b.Snapshot())
+}
+
+// Guards against an instance that accepts a record although the records before it are gone: the others refused it.
+func TestRetentionDropsEverything(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.instance("a"), w.instance("b")
+	w.publish(a, 1)
+	w.is.NoErr(b.poll(w.ctx))
+	w.publish(a, 2)
+	w.log.dropAll()
+	stale := encoded(publishRecord(1, "stale", validDoc(9)))
+	_, err := w.log.Append(w.ctx, Stream, stale)
+	w.is.NoErr(err)
+	w.is.Equal(w.publish(a, 3).Version, uint64(3))
+	w.is.NoErr(b.poll(w.ctx))
+	w.is.Equal(b.Version(), uint64(1))
+	w.is.Equal(w.publish(b, 4).Ending, NotAccepted)
+	b.Observe("a", 3)
+	b.fetch(w.ctx)
+	w.is.NoErr(b.poll(w.ctx))
+	w.is.Equal(b.Snapshot(), a.Snapshot())
+
+	// The whole system is gone and so are the records: an operator gives a new base.
+	w.log.dropAll()
+	d := w.instance("d")
+	w.is.Equal(w.publish(d, 5).Ending, NotAccepted)
+	w.is.Equal(d.Restore(w.ctx, "ann", validDoc(5)).Ending, Won)
+	w.is.Equal(w.publish(d, 6).Ending, Won)
+}
+
+// Guards against a new instance that waits for the log, a peer that reverts a version, and versions out of order.
+func TestNewInstanceStartsFromPeer(t *testing.T) {
+	w := newWorld(t)
+	old, a := w.instance("old"), w.instance("a")
+	w.publish(old, 1)
+	w.is.NoErr(a.poll(w.ctx))
+	w.publish(a, 2)
+	w.log.set(func() { w.log.down = true })
+
+	n := w.instance("n")
+	got := make(chan uint64, 10)
+	n.Subscribe(func(u Update) { got <- u.State.Version })
+	ctx, cancel := context.WithCancel(w.ctx)
+	ended := make(chan error)
+	go func() { ended <- n.Run(ctx) }()
+	n.Observe("old", 1)
+	w.is.Equal(<-got, uint64(1))
+	n.Observe("a", 2)
+	w.is.Equal(<-got, uint64(2))
+	n.Observe("old", 9) // a heartbeat that claims more than the peer has
+	w.is.True(!n.fetchFrom(w.ctx, "old"))
+	w.is.Equal(n.Snapshot(), a.Snapshot())
+	cancel()
+	w.is.True(errors.Is(<-ended, context.Canceled))
+	w.is.Equal(len(got), 0)
+}
+
+// Guards against a base that the retention drops before a checkpoint holds it, also while the chosen instance is down.
+func TestCheckpoints(t *testing.T) {
+	w := newWorld(t)
+	all := []*Controller{w.instance("a"), w.instance("b"), w.instance("c")}
+	w.publish(all[0], 1)
+	for _, skipped := range []int{-1, 0, 1} { // the instance of this rank is down
+		for range 6 {
+			for _, c := range all {
+				w.is.NoErr(c.poll(w.ctx))
+				if c.checkpointRank(1) != skipped {
+					c.writeCheckpoint(w.ctx)
+				}
+			}
+			w.clock.Advance(defaultRetention / 16)
+		}
+		last := w.log.records[len(w.log.records)-1]
+		w.is.True(w.clock.Since(last.Time) <= defaultRetention/2)
+	}
+	w.is.True(len(w.log.records) <= 7) // one publication and at most one checkpoint per quarter
+	w.log.set(func() { w.log.first = int64(len(w.log.records)) - 1 })
+	n := w.instance("n")
+	w.is.NoErr(n.poll(w.ctx))
+	w.is.Equal(n.Snapshot().Digest, all[0].Snapshot().Digest)
+	w.is.Equal(w.publish(n, 2).Version, uint64(2))
+}
--- /dev/null
+++ b/internal/config/publish.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+// Publication is a request to replace the current version.
+type Publication struct {
+	Author   string `json:"author"`
+	Document []byte `json:"document"`
+	Replaces uint64 `json:"replaces"` // the version that the document was made from
+}
+
+// Ending tells how a publication ended.
+type Ending string
+
+// The endings of a publication.
+const (
+	Won         Ending = "won"          // the document is the version Outcome.Version
+	LostTo      Ending = "lost"         // another author has replaced the base: Outcome.Version, Outcome.Author
+	NotAccepted Ending = "not accepted" // the document was not appended or is invalid; Outcome.Reason says why
+	Unknown     Ending = "unknown"      // the append may have taken effect; it has not been found in the log in time
+)
+
+// Outcome is the result of a publication.
+type Outcome struct {
+	Ending   Ending   `json:"ending"`
+	Version  uint64   `json:"version,omitempty"`
+	Author   string   `json:"author,omitempty"`
+	Reason   string   `json:"reason,omitempty"`
+	Problems Problems `json:"problems,omitempty"`
+}
+
+func notAccepted(format string, args ...any) Outcome {
+	return Outcome{Ending: NotAccepted, Reason: fmt.Sprintf(format, args...)}
+}
+
+func refused(ps Problems) Outcome {
+	return Outcome{Ending: NotAccepted, Reason: "the document is invalid", Problems: ps}
+}
+
+// Publish validates a document, appends it and waits until its fate is known or the time is up. An outcome other than
+// Unknown is final: Won and LostTo hold on every instance, and after NotAccepted the document never comes into force.
+func (c *Controller) Publish(ctx context.Context, p Publication) Outcome {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.opts.Clock, c.opts.PublishTimeout)
+	defer cancel()
+	cfg, err := Decode(p.Document)
+	if err != nil {
+		return refused(asProblems(err))
+	}
+	if support := c.opts.SchemaSupport(); cfg.Schema > support {
+		return notAccepted("schema %d is above schema %d, the highest that all live instances read", cfg.Schema, support)
+	}
+	base, out := c.base(ctx, p.Replaces)
+	if out != nil {
+		return *out
+	}
+	r := Record{
+		Kind: KindPublish, Schema: cfg.Schema, Version: p.Replaces + 1, Replaces: p.Replaces, Nonce: rand.Text(),
+		Author: p.Author, Document: string(p.Document), Digest: DocumentDigest(p.Document),
+	}
+	if err := r.check(); err != nil {
+		return notAccepted("%v", err)
+	}
+	return c.settle(ctx, base, r)
+}
+
+func asProblems(err error) Problems {
+	var ps Problems
+	if errors.As(err, &ps) {
+		return ps
+	}
+	return Problems{{Code: result.MalformedBody, Bound: err.Error()}}
+}
+
+// base reads the log and returns the state to publish on, or the outcome if there is none.
+func (c *Controller) base(ctx context.Context, replaces uint64) (State, *Outcome) {
+	if err := c.poll(ctx); err != nil {
+		out := notAccepted("the log cannot be read: %v", err)
+		return State{}, &out
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out Outcome
+	switch {
+	case c.newer > 0:
+		out = notAccepted("the current version has schema %d, this instance reads up to %d", c.newer, SchemaVersion)
+	case c.behind():
+		out = notAccepted("records of the log are missing on this instance; publish at another one")
+	case replaces < c.state.Version:
+		out = Outcome{Ending: LostTo, Version: c.state.Version, Author: c.state.Author}
+	case replaces > c.state.Version:
+		out = notAccepted("version %d does not exist, the current one is %d", replaces, c.state.Version)
+	default:
+		return c.state, nil
+	}
+	return State{}, &out
+}
+
+// settle appends a record and follows the log from its base until the record's fate is known. The record may be
+// appended more than once: at most one of the copies can win, because all of them replace the same version.
+func (c *Controller) settle(ctx context.Context, base State, r Record) Outcome {
+	data, err := r.Encode()
+	if err != nil {
+		return refused(asProblems(err))
+	}
+	f := follower{c: c, state: base, cursor: base.Next, mine: r}
+	effect := false // an append may have taken effect
+	for {
+		_, err := c.append(ctx, data)
+		if errors.Is(err, platform.ErrUnavailable) && !effect {
+			return notAccepted("the log is unavailable: %v", err)
+		}
+		effect = true
+		for acked := err == nil; ; {
+			if out, ok := f.follow(ctx); ok {
+				_ = c.poll(ctx) // brings the version into force here; the regular poll does so otherwise
+				return out
+			}
+			if !c.pause(ctx) {
+				return Outcome{Ending: Unknown, Reason: "the record was not found in the log in time"}
+			}
+			if !acked {
+				break // append again
+			}
+		}
+	}
+}
+
+func (c *Controller) append(ctx context.Context, data []byte) (int64, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.opts.Clock, c.opts.ReadTimeout)
+	defer cancel()
+	return c.opts.Log.Append(ctx, Stream, data)
+}
+
+// pause waits for one poll interval and reports whether there is time left.
+func (c *Controller) pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.opts.Clock.After(c.opts.PollInterval):
+		return true
+	}
+}
+
+// follower folds the log on its own from the base of a publication, independent of states adopted from peers.
+type follower struct {
+	c      *Controller
+	state  State
+	cursor int64
+	mine   Record
+}
+
+// follow reads to the end of the log. ok is false while the fate of the record is open.
+func (f *follower) follow(ctx context.Context) (out Outcome, ok bool) {
+	for {
+		batch, err := f.c.readLog(ctx, f.cursor)
+		if err != nil {
+			return Outcome{}, false
+		}
+		for _, raw := range batch.Records {
+			if out, ok := f.judge(raw); ok {
+				return out, true
+			}
+			f.cursor = raw.Offset + 1
+		}
+		if f.cursor >= batch.Next {
+			return Outcome{}, false
+		}
+	}
+}
+
+func (f *follower) judge(raw platform.Record) (Outcome, bool) {
+	next, verdict := f.state.Apply(raw)
+	f.state = next
+	if verdict != Accepted {
+		return Outcome{}, false
+	}
+	// The version has moved on from the base, which settles every copy of the record.
+	r, err := DecodeRecord(raw.Data)
+	if err == nil && r.Nonce == f.mine.Nonce {
+		return Outcome{Ending: Won, Version: next.Version, Author: next.Author}, true
+	}
+	return Outcome{Ending: LostTo, Version: next.Version, Author: next.Author}, true
+}
