--- /dev/null
+++ b/internal/engine/worker.go
@@ -0,0 +1,195 @@
+package engine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// flight is a task in progress at a worker, or at a peer that runs it on one of its own workers.
+type flight struct {
+	job      *Job     // nil for a task of a peer
+	foreign  *foreign // nil for a task of a job of this instance
+	index    int
+	task     string
+	assigned sched.Assignment
+	at       *worker
+	started  time.Time
+	reported time.Time // the worker reported the task's end while the call was still open; zero before
+	fetching bool
+	misses   int         // fetches in a row without an answer
+	settled  bool        // the outcome is known; a late end of the call is ignored
+	revoked  atomic.Bool // set with settled; a lane that has not begun the call skips it
+}
+
+func (f *flight) end() {
+	f.settled = true
+	f.revoked.Store(true)
+}
+
+// worker is a worker whose slots this instance assigns, or a peer that lends slots of its workers.
+type worker struct {
+	instance    platform.Instance
+	target      target
+	peer        bool
+	flights     map[*flight]struct{}
+	state       sched.WorkerState
+	slots       int
+	renewing    bool
+	renewedAt   time.Time // last answer to a renewal
+	triedAt     time.Time
+	incarnation uint64
+	status      platform.EndpointStatus
+}
+
+// SetWorker adds a worker or changes the number of its slots that this instance may use.
+func (e *Engine) SetWorker(inst platform.Instance, slots int) {
+	e.post(func(now time.Time) { e.setWorker(now, inst, slots) })
+}
+
+func (e *Engine) setWorker(now time.Time, inst platform.Instance, slots int) {
+	w := e.workers[inst.Name]
+	if w != nil && w.instance.Address != inst.Address {
+		e.dropWorker(now, inst.Name)
+		w = nil
+	}
+	if w == nil {
+		w = &worker{
+			target:    newLanes(e, e.opts.Dialer.Dial(inst.Address, inst.Slots), inst.Slots),
+			renewedAt: now, flights: map[*flight]struct{}{},
+		}
+		e.workers[inst.Name] = w
+	}
+	w.instance, w.slots = inst, slots
+	if inst.State == platform.StateLeaving {
+		w.state = sched.WorkerLeaving
+	} else if w.state == sched.WorkerLeaving && !w.status.Leaving {
+		w.state = sched.WorkerReady
+	}
+	e.publish(now, w)
+}
+
+// publish tells the scheduler what it may use of a worker.
+func (e *Engine) publish(now time.Time, w *worker) {
+	e.opts.Scheduler.SetWorker(now, sched.Worker{
+		Name: w.instance.Name, Rack: w.instance.Rack, Slots: w.slots, Size: w.instance.Size, State: w.state,
+	})
+}
+
+// DropWorker forgets a worker; tasks on it count as lost.
+func (e *Engine) DropWorker(name string) {
+	e.post(func(now time.Time) { e.dropWorker(now, name) })
+}
+
+func (e *Engine) dropWorker(now time.Time, name string) {
+	w := e.workers[name]
+	if w == nil {
+		return
+	}
+	e.loseAll(now, w, "the worker left")
+	e.opts.Scheduler.RemoveWorker(name)
+	delete(e.workers, name)
+	w.target.close()
+}
+
+// setState changes whether the worker gets new tasks.
+func (e *Engine) setState(now time.Time, w *worker, s sched.WorkerState, reason string) {
+	if w.state == s {
+		return
+	}
+	e.log.WithField("worker", w.instance.Name).WithField("state", s.String()).WithField("reason", reason).Info("worker state changed")
+	w.state = s
+	e.publish(now, w)
+}
+
+// startOne hands a task to its lane. From here on the task counts as started.
+func (e *Engine) startOne(now time.Time, a sched.Assignment) {
+	j, w := e.jobs[a.Job], e.workers[a.Worker]
+	f := e.launch(now, j, w, a)
+	if !w.target.run(f, e.request(f)) {
+		// The lane still hangs in an earlier call, which was given up; the loop must not wait for it.
+		e.setState(now, w, sched.WorkerSuspect, "a lane does not return from its call")
+		e.notStarted(now, f)
+	}
+}
+
+// launch marks a task as started at a worker or peer.
+func (e *Engine) launch(now time.Time, j *Job, w *worker, a sched.Assignment) *flight {
+	f := &flight{job: j, index: a.Task, task: j.TaskID(a.Task), assigned: a, at: w, started: now}
+	j.phases[a.Task] = running
+	j.where[a.Task] = w
+	w.flights[f] = struct{}{}
+	e.opts.Observe.Started(j.Team, j.Service, now.Sub(j.Arrived))
+	return f
+}
+
+func (e *Engine) request(f *flight) *platform.RunRequest {
+	j := f.job
+	return &platform.RunRequest{
+		Task: f.task, Service: j.Service, Size: j.Shape.Tasks[f.index].Size, Lease: e.opts.Timing.Lease,
+		Payload: j.Payloads[f.index],
+	}
+}
+
+// callEnded handles the return of a call.
+func (e *Engine) callEnded(now time.Time, f *flight, r *platform.RunResult) {
+	if f.settled {
+		e.opts.Observe.Wasted("late_answer")
+		return
+	}
+	if r.Leaving {
+		e.setState(now, f.at, sched.WorkerLeaving, "answer of the endpoint")
+	}
+	if r.Outcome == platform.Unreached && !f.at.peer {
+		e.setState(now, f.at, sched.WorkerSuspect, r.Output)
+	}
+	if r.Outcome == platform.Refused || r.Outcome == platform.Unreached {
+		e.notStarted(now, f)
+		return
+	}
+	if r.Outcome == platform.Lost && e.resolve(now, f, r.Output) {
+		return
+	}
+	e.settle(now, f, r)
+}
+
+// notStarted returns a task to the queue that provably did not start.
+func (e *Engine) notStarted(now time.Time, f *flight) {
+	e.land(f)
+	e.opts.Observe.Wasted("refused_start")
+	if f.foreign != nil {
+		e.sharer.Release(now, f.assigned)
+		f.foreign.ended(&platform.RunResult{Outcome: platform.Refused, Output: "the worker refused the task"})
+		return
+	}
+	if e.jobs[f.job.Shape.ID] != f.job {
+		e.opts.Scheduler.Finish(now, f.assigned, sched.Outcome{Kind: platform.Refused})
+		return
+	}
+	f.job.phases[f.index] = queued
+	e.opts.Scheduler.Requeue(now, f.assigned)
+}
+
+// settle records the outcome of a task and frees its slot.
+func (e *Engine) settle(now time.Time, f *flight, r *platform.RunResult) {
+	e.land(f)
+	if r.RunTime == 0 {
+		r.RunTime = now.Sub(f.started)
+	}
+	e.opts.Scheduler.Finish(now, f.assigned, sched.Outcome{Kind: r.Outcome, RunTime: r.RunTime})
+	if f.foreign != nil {
+		f.foreign.ended(r)
+		return
+	}
+	e.opts.Observe.Ended(f.job.Team, f.job.Service, r.Outcome, r.RunTime)
+	if e.jobs[f.job.Shape.ID] == f.job {
+		e.taskEnded(now, f.job, f.index, r)
+	}
+}
+
+func (e *Engine) land(f *flight) {
+	f.end()
+	delete(f.at.flights, f)
+}
