Add the membership controller

Heartbeats are sent 4 times a second within the zone and once a second elsewhere; silence makes a peer suspect and then dead. The time-outs of 1 s and 2 s hold within the zone. Peers elsewhere are heard once a second, so the same figures would call them suspect between any two heartbeats; they get 2.5 s and 4 s.

A home is known to be dead when a newer incarnation was seen, or when lists that were readable throughout have lacked it for 5 s since it was last heard. After a pause, dispatching stays stopped until each live peer of the zone has acknowledged a new heartbeat and a list read that began after the pause has ended, at most 3 s. Silence of peers during the own pause does not count against them.

--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,252 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"io"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/identity"
+	"github.com/savorypass/savorypass/internal/peer"
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+// world holds controllers that share a clock, an instance list and a network without delay.
+type world struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	nodes map[string]*node // by address
+	cut   func(from, to string) bool
+
+	mu      sync.Mutex
+	list    []platform.Instance
+	listErr error
+}
+
+type node struct {
+	*Controller
+	w      *world
+	name   secure.Name
+	addr   string
+	paused bool
+	events []EventKind
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, clock: clockwork.NewFakeClock(), nodes: map[string]*node{}, cut: func(_, _ string) bool { return false }}
+}
+
+func (w *world) Instances(context.Context) ([]platform.Instance, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.list, w.listErr
+}
+
+func (w *world) setList(err error, nodes ...*node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list, w.listErr = nil, err
+	for _, n := range nodes {
+		w.list = append(w.list, platform.Instance{Name: n.name.Instance, Zone: n.name.Zone, Kind: platform.KindEntry, Address: n.addr, Incarnation: n.opts.Self.Incarnation})
+	}
+}
+
+// add starts an incarnation. An earlier one at the same address is gone.
+func (w *world) add(zone, instance string, incarnation uint64) *node {
+	n := &node{w: w, name: secure.Name{Zone: zone, Instance: instance}, addr: zone + "/" + instance}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	home := identity.Home{Zone: zone, Instance: instance, Incarnation: incarnation}
+	n.Controller = New(Options{Self: home, List: w, Transport: n, Clock: w.clock, Log: log})
+	n.Subscribe(func(e Event) { n.events = append(n.events, e.Kind) })
+	w.nodes[n.addr] = n
+	return n
+}
+
+func (n *node) Notify(addr string, _ peer.Method, body []byte) error {
+	to := n.w.nodes[addr]
+	if to == nil || to.paused || n.w.cut(n.addr, addr) {
+		return peer.ErrUnreached
+	}
+	to.HandleHeartbeat(context.Background(), peer.From{Name: n.name, Addr: n.addr}, body)
+	return nil
+}
+
+// run advances the clock tick by tick.
+func (w *world) run(d time.Duration) {
+	for ; d > 0; d -= TickInterval {
+		w.clock.Advance(TickInterval)
+		for _, n := range w.nodes {
+			if n.paused {
+				continue
+			}
+			n.tick(context.Background(), w.clock.Now())
+			for n.reading.Load() {
+				runtime.Gosched()
+			}
+		}
+	}
+}
+
+func (n *node) status(instance *node) Status {
+	for _, m := range n.View().Members {
+		if m.Instance == instance.name.Instance && m.Zone == instance.name.Zone {
+			return m.Status
+		}
+	}
+	return "unknown"
+}
+
+func (n *node) home(of *node) HomeStatus {
+	s, _ := n.Home(of.opts.Self)
+	return s
+}
+
+func (w *world) trio() (a, b, far *node) {
+	a, b, far = w.add("blackstone", "e1", 10), w.add("blackstone", "e2", 20), w.add("farmington", "e3", 30)
+	w.setList(nil, a, b, far)
+	w.run(SettleTime + time.Second)
+	return a, b, far
+}
+
+// Guards against a cut peer that goes on owning workers, and against a home being called dead while it is only cut
+// off: another instance would then answer for work that is still running.
+func TestCut(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a, b, far := w.trio()
+	is.Equal(a.status(b), Alive)
+	is.Equal(far.status(a), Alive)
+	is.Equal(a.home(b), HomeLive)
+	w.cut = func(from, to string) bool { return from == b.addr || to == b.addr }
+	w.run(ZoneSuspectAfter)
+	is.Equal(a.status(b), Suspect)
+	is.Equal(a.home(b), HomeLive)
+	w.run(ZoneDeadAfter - ZoneSuspectAfter)
+	is.Equal(a.status(b), Dead)
+	is.Equal(b.status(a), Dead)
+	w.run(time.Minute)
+	is.Equal(a.home(b), HomeUnreachable)
+	is.Equal(far.home(b), HomeUnreachable)
+	is.True(b.Check(w.clock.Now())) // the cut-off instance goes on serving
+	returns := a.View().Returns
+	w.cut = func(_, _ string) bool { return false }
+	w.run(OtherInterval)
+	is.Equal(a.home(b), HomeLive)
+	is.Equal(a.View().Returns, returns+1)
+}
+
+// Guards against a home being called dead on the word of a list that lags, was not readable, or is old.
+func TestKnownDead(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a, b, far := w.trio()
+	old := b.opts.Self
+	delete(w.nodes, b.addr)
+	w.setList(nil, a, far)
+	w.run(AbsentAfter - ListInterval)
+	is.Equal(a.home(b), HomeUnreachable)
+	w.setList(errors.New("down"), a, far)
+	w.run(10 * time.Second)
+	is.Equal(a.home(b), HomeUnreachable) // absent, but the list was not readable
+	w.setList(nil, a, far)
+	w.run(AbsentAfter - ListInterval)
+	is.Equal(a.home(b), HomeUnreachable)
+	w.run(2 * ListInterval)
+	is.Equal(a.home(b), HomeDead)
+	w.add("blackstone", "e2", 21)
+	w.run(ZoneInterval)
+	w.setList(nil, a, b, far) // the list lags and names the old incarnation
+	w.run(2 * ListInterval)
+	s, _ := far.Home(old)
+	is.Equal(s, HomeDead)
+	s, _ = a.Home(identity.Home{Zone: "blackstone", Instance: "e2", Incarnation: 21})
+	is.Equal(s, HomeLive)
+	is.Equal(a.status(w.nodes[b.addr]), Alive)
+}
+
+// Guards against a live home that the list lacks being called dead when its heartbeats stop.
+func TestUnlistedHomeIsNotDeadAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a, b, far := w.trio()
+	w.setList(nil, a, far)
+	w.run(time.Minute)
+	is.Equal(a.home(b), HomeLive)
+	w.cut = func(_, _ string) bool { return true }
+	w.run(ZoneDeadAfter)
+	is.Equal(a.home(b), HomeUnreachable)
+}
+
+// Guards against dispatching right after a pause, when peers may have taken the workers over, against giving up
+// peers because of the own pause, and against a cut-off instance that never serves again.
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a, b, _ := w.trio()
+	pause := func() {
+		a.paused = true
+		w.run(10 * time.Second)
+		a.paused = false
+		is.Equal(b.status(a), Dead)
+		is.True(!a.Check(w.clock.Now())) // before the first tick
+	}
+	pause()
+	returns := a.View().Returns
+	w.run(TickInterval)
+	is.True(!a.Check(w.clock.Now()))
+	is.Equal(a.status(b), Alive)
+	w.run(2 * ZoneInterval)
+	is.True(a.Check(w.clock.Now()))
+	is.Equal(a.View().Returns, returns+1)
+	w.setList(errors.New("down"))
+	pause()
+	w.run(ResumeBound - TickInterval)
+	is.True(!a.Check(w.clock.Now())) // peers answer, the platform does not
+	w.run(2 * TickInterval)
+	is.True(a.Check(w.clock.Now()))
+	w.cut = func(_, _ string) bool { return true }
+	pause()
+	w.run(ResumeBound + TickInterval)
+	is.True(a.Check(w.clock.Now()))
+	is.Equal(a.status(b), Dead)
+}
+
+// Guards against a new instance that owns workers before it knows its peers, and against an old life of an instance
+// that goes on after its replacement.
+func TestSettlingAndReplacement(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a, b, far := w.trio()
+	is.True(a.View().Settled && b.View().Settled)
+	w.list = nil
+	c := w.add("blackstone", "e4", 40)
+	w.setList(nil, a, b, far, c)
+	w.run(SettleTime - TickInterval)
+	is.True(!c.View().Settled)
+	is.Equal(a.status(c), Alive)
+	w.run(ZoneInterval)
+	is.True(c.View().Settled)
+	newer := w.add("blackstone", "e4", 41)
+	w.setList(nil, a, b, far, newer)
+	w.nodes["old"] = c // still running elsewhere
+	w.run(2 * ListInterval)
+	is.True(!c.Check(w.clock.Now()))
+	is.True(c.View().Superseded)
+	is.Equal(a.home(c), HomeDead)
+}
+
+func BenchmarkCheck(b *testing.B) {
+	c := New(Options{})
+	for b.Loop() {
+		c.Check(time.Now())
+	}
+}
--- /dev/null
+++ b/internal/member/pause.go
@@ -0,0 +1,103 @@
+package member
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// gate answers whether the process may dispatch. open is all that Check reads besides the last tick, so a check
+// before each dispatch costs two atomic loads.
+type gate struct {
+	origin   time.Time
+	lastTick atomic.Int64 // since origin, monotonic
+	paused   atomic.Bool
+	stopped  atomic.Bool // superseded, for good
+
+	// Below: guarded by the controller's lock.
+	pausedAt   time.Time // when the pause was noticed
+	firstRound uint64    // first heartbeat round after the pause; 0: none yet
+}
+
+func (g *gate) start(now time.Time) { g.origin = now }
+
+// tick records that the process is running and reports whether it was paused before.
+func (g *gate) tick(now time.Time) (paused bool) {
+	at := int64(now.Sub(g.origin))
+	gap := at - g.lastTick.Load()
+	if gap > int64(PauseGap) {
+		g.paused.Store(true) // before the tick, so that no check passes in between
+		paused = true
+	}
+	g.lastTick.Store(at)
+	return paused
+}
+
+func (g *gate) check(now time.Time) bool {
+	if int64(now.Sub(g.origin))-g.lastTick.Load() > int64(PauseGap) {
+		g.paused.Store(true)
+		return false
+	}
+	return !g.paused.Load() && !g.stopped.Load()
+}
+
+func (g *gate) stop() { g.stopped.Store(true) }
+
+func (g *gate) round(seq uint64) {
+	if g.paused.Load() && g.firstRound == 0 && !g.pausedAt.IsZero() {
+		g.firstRound = seq
+	}
+}
+
+// Check reports whether the process may dispatch now. It is false from the first call after a pause until a
+// heartbeat round and a read of the instance list have completed. now must carry a monotonic reading.
+func (c *Controller) Check(now time.Time) bool { return c.gate.check(now) }
+
+// Paused reports whether the process recovers from a pause or is stopped for good by a newer incarnation.
+func (c *Controller) Paused() bool { return !c.gate.check(c.opts.Clock.Now()) }
+
+func (c *Controller) pauseLocked(now time.Time) {
+	c.gate.pausedAt = now
+	c.gate.firstRound = 0
+	c.nextZone, c.nextFar, c.listed.next = now, now, now
+	for _, r := range c.members {
+		if r.Live() {
+			r.heard = now // silence during this process's own pause says nothing about the peer
+		}
+	}
+	c.pending = append(c.pending, Event{Kind: Paused})
+}
+
+// resumeLocked ends a pause when its conditions are met or its bound has passed. Peers declare a paused instance
+// dead, so what it owned may have passed to others: the generation in the view changes.
+func (c *Controller) resumeLocked(now time.Time) {
+	if !c.gate.paused.Load() {
+		return
+	}
+	if c.gate.pausedAt.IsZero() { // a check noticed a gap that ended before this tick
+		c.pauseLocked(now)
+		return
+	}
+	complete := !c.listed.lastStarted.Before(c.gate.pausedAt) && c.roundCompleteLocked()
+	if !complete && now.Sub(c.gate.pausedAt) < ResumeBound {
+		return
+	}
+	c.gate.pausedAt = time.Time{}
+	c.gate.firstRound = 0
+	c.returns++
+	c.gate.paused.Store(false)
+	c.pending = append(c.pending, Event{Kind: Resumed})
+}
+
+// roundCompleteLocked reports whether each peer of the zone that counts as live has answered a heartbeat that was
+// sent after the pause.
+func (c *Controller) roundCompleteLocked() bool {
+	if c.gate.firstRound == 0 {
+		return false
+	}
+	for k, r := range c.members {
+		if k.zone == c.opts.Self.Zone && r.Live() && r.acked < c.gate.firstRound {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/member/view.go
@@ -0,0 +1,92 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/identity"
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// View is a snapshot of what the controller knows.
+type View struct {
+	Self       identity.Home       `json:"self"`
+	Draining   bool                `json:"draining"`
+	Settled    bool                `json:"settled"`
+	Superseded bool                `json:"superseded"`
+	Paused     bool                `json:"paused"`
+	Members    []Member            `json:"members"` // without this instance; sorted by zone and name
+	Instances  []platform.Instance `json:"instances"`
+	ListAge    time.Duration       `json:"list_age_ns"` // since the last read; -1: none yet
+	ListError  string              `json:"list_error,omitempty"`
+	// Returns counts the events after which this instance and a peer of its zone may both have owned a worker: a
+	// peer's return from the dead and this process's own pauses.
+	Returns uint64 `json:"returns"`
+}
+
+// View returns a snapshot.
+func (c *Controller) View() View {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := View{
+		Self:       c.opts.Self,
+		Draining:   c.draining,
+		Settled:    c.settled,
+		Superseded: c.newer,
+		Paused:     c.gate.paused.Load(),
+		Instances:  c.list,
+		ListAge:    -1,
+		Returns:    c.returns,
+	}
+	if !c.listed.last.IsZero() {
+		v.ListAge = now.Sub(c.listed.last)
+	}
+	if c.listed.lastErr != nil {
+		v.ListError = c.listed.lastErr.Error()
+	}
+	for _, r := range c.members {
+		m := r.Member
+		if !r.heard.IsZero() {
+			m.Silent = now.Sub(r.heard)
+		}
+		v.Members = append(v.Members, m)
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Instance, b.Instance))
+	})
+	return v
+}
+
+// Dump returns the view for operators.
+func (c *Controller) Dump() any { return c.View() }
+
+// Live returns the members that can be called.
+func (v View) Live() []Member {
+	var live []Member
+	for _, m := range v.Members {
+		if m.Live() {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// Newest returns the live member with the highest configuration version above a version, or ok false.
+func (v View) Newest(version uint64) (newest Member, ok bool) {
+	for _, m := range v.Live() {
+		if m.Version > max(version, newest.Version) {
+			newest, ok = m, true
+		}
+	}
+	return newest, ok
+}
+
+// LowestSchema returns the lowest configuration schema that all live members support, own being this instance's.
+func (v View) LowestSchema(own int) int {
+	for _, m := range v.Live() {
+		own = min(own, m.Schema)
+	}
+	return own
+}
--- a/internal/peer/message/message_test.go
+++ b/internal/peer/message/message_test.go
@@ -11,7 +11,7 @@
 )
 
 var samples = []Message{
-	&Heartbeat{Incarnation: 1 << 60, Seq: 3, Version: 41, Schema: 1, FreeSlots: 9, Backlog: 160, ExpectedWait: 70 * time.Millisecond, Draining: true, Settled: true, AckSeq: 7, Members: 1<<64 - 1, Slots: 56},
+	&Heartbeat{Incarnation: 1 << 60, Seq: 3, Version: 41, Schema: 1, FreeSlots: 9, Backlog: 160, ExpectedWait: 70 * time.Millisecond, Draining: true, Settled: true, Slots: 56, Acks: []Ack{{"e2", 1 << 60, 7}, {"e3", 1 << 60, 1 << 30}}},
 	&Forward{Kind: ForwardSubmit, Team: "survey", Identity: "1.blackstone.e1.z.AAAA", Body: []byte(`{"service":"washout"}`), Wait: 5 * time.Second},
 	&Answer{Body: []byte{0, 1, 2}},
 	&Backlog{Count: 160, BestRank: -0.25},
--- a/internal/peer/message/messages.go
+++ b/internal/peer/message/messages.go
@@ -17,10 +17,22 @@
 	Backlog      int           // tasks that wait
 	ExpectedWait time.Duration // of a task submitted now
 	Draining     bool
-	Settled      bool   // the instance owns workers; false until its settling time has passed
-	AckSeq       uint64 // highest Seq heard from the receiver's incarnation
-	Members      uint64 // hash of the live members of the zone in the sender's view
-	Slots        int    // slots that the instance assigns
+	Settled      bool  // the instance owns workers; false until its settling time has passed
+	Slots        int   // slots that the instance assigns
+	Acks         []Ack // for the live peers of the sender's zone
+}
+
+// Ack says which heartbeat of a peer the sender has heard last.
+type Ack struct {
+	Instance    string
+	Incarnation uint64
+	Seq         uint64
+}
+
+func (a *Ack) visit(c *codec) {
+	c.text(&a.Instance)
+	c.uint(&a.Incarnation)
+	c.uint(&a.Seq)
 }
 
 func (m *Heartbeat) visit(c *codec) {
@@ -33,9 +45,8 @@
 	c.duration(&m.ExpectedWait)
 	c.bool(&m.Draining)
 	c.bool(&m.Settled)
-	c.uint(&m.AckSeq)
-	c.uint(&m.Members)
 	c.int(&m.Slots)
+	list(c, &m.Acks, (*Ack).visit)
 }
 
 // ForwardKind tells what a forwarded request asks of the home.
