--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/platform"
@@ -52,7 +53,8 @@
 	declared [buckets]*series
 	cores    *series
 	memory   *series
-	failures float64 // moving share of tasks that fail
+	size     platform.Size // 90th percentile of the use, rounded up
+	failures float64       // moving share of tasks that fail
 }
 
 // Class returns the estimates of a service of a team. The pointer stays valid.
@@ -96,7 +98,7 @@
 		if c.all != nil && c.all.n >= bucketSamples {
 			e.learnSpeed(w, math.Log(seconds/c.Expect(declared).P50))
 		}
-		seconds /= e.Factor(w)
+		seconds /= w.Factor()
 	}
 	if c.all == nil {
 		c.all = newSeries(now)
@@ -121,14 +123,13 @@
 	}
 	c.cores.add(now, used.Cores)
 	c.memory.add(now, float64(used.MemoryMB))
+	if c.cores.pending == 0 || c.memory.pending == 0 {
+		c.size = RoundUp(platform.Size{Cores: c.cores.p90, MemoryMB: int64(math.Ceil(c.memory.p90))})
+	}
 }
 
 func bucket(declared time.Duration) int {
-	ms := declared.Seconds() * 1000
-	if ms <= 1 {
-		return 0
-	}
-	return min(buckets-1, int(math.Log2(ms)/2))
+	return min(buckets-1, bits.Len64(uint64(declared/time.Millisecond))/2)
 }
 
 // Expect returns the expected run time of a task. Tasks with similar declared values share an estimate once enough
@@ -174,11 +175,9 @@
 	if c.cores == nil || c.cores.n < sizeSamples {
 		return declared
 	}
-	return platform.Size{
-		Cores:        ceilStep(c.cores.p90),
-		MemoryMB:     int64(ceilStep(c.memory.p90)),
-		Accelerators: declared.Accelerators,
-	}
+	learned := c.size
+	learned.Accelerators = declared.Accelerators
+	return learned
 }
 
 // ceilStep rounds up to one of four steps per octave. Few distinct sizes keep the number of queues small.
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -11,15 +11,16 @@
 
 // Speed is the learned slowness of one worker.
 type Speed struct {
-	log float64 // log of the run time over the estimate, smoothed
-	n   int
+	log    float64 // log of the run time over the estimate, smoothed
+	n      int
+	factor float64 // as of the last sample
 }
 
 // Speed returns the speed of a worker. The pointer stays valid until Forget.
 func (e *Estimator) Speed(worker string) *Speed {
 	s := e.speeds[worker]
 	if s == nil {
-		s = &Speed{}
+		s = &Speed{factor: 1}
 		e.speeds[worker] = s
 	}
 	return s
@@ -38,14 +39,12 @@
 	w.log += step
 	w.n++
 	e.logSum += step
+	if w.n >= speedSamples {
+		f := math.Exp(w.log - e.logSum/float64(len(e.speeds)))
+		w.factor = math.Max(1/maxFactor, math.Min(maxFactor, f))
+	}
 }
 
 // Factor is how many times longer tasks run on the worker than on the average one. A change that affects all workers
 // leaves it at 1, so that such a change moves the estimates of the services instead.
-func (e *Estimator) Factor(w *Speed) float64 {
-	if w.n < speedSamples {
-		return 1
-	}
-	f := math.Exp(w.log - e.logSum/float64(len(e.speeds)))
-	return math.Max(1/maxFactor, math.Min(maxFactor, f))
-}
+func (w *Speed) Factor() float64 { return w.factor }
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -5,7 +5,8 @@
 // Bounds limits what is admitted. Zero values mean no limit, except for the hints, which have defaults.
 type Bounds struct {
 	MaxQueued int           // tasks in the queue
-	MaxWait   time.Duration // expected wait, whatever the deadline
+	MaxWait   time.Duration // expected wait of the job, whatever its deadline
+	MaxDrain  time.Duration // time that the queued work may take to start; bounds how long a burst is felt after its end
 	MinHint   time.Duration // shortest retry hint; default 100 ms
 	MaxHint   time.Duration // longest retry hint; default 10 s
 }
@@ -21,11 +22,12 @@
 	QueueFull          // the queue bound is exceeded
 	TooLate            // the expected end is after the deadline
 	WaitTooLong        // the expected wait exceeds the bound
+	Backlogged         // the queued work exceeds the bound
 )
 
 // String returns the reason's name.
 func (r Reason) String() string {
-	return [...]string{"admitted", "no fit", "no slots", "queue full", "too late", "wait too long"}[r]
+	return [...]string{"admitted", "no fit", "no slots", "queue full", "too late", "wait too long", "backlogged"}[r]
 }
 
 // Verdict is the decision on a job.
@@ -67,6 +69,9 @@
 	if b.MaxWait > 0 && e.Wait > b.MaxWait {
 		return WaitTooLong, e.Wait - b.MaxWait
 	}
+	if b.MaxDrain > 0 && e.Drain > b.MaxDrain {
+		return Backlogged, e.Drain - b.MaxDrain
+	}
 	if !deadline.IsZero() {
 		late := e.Wait + e.Run - deadline.Sub(now)
 		if late > 0 {
--- a/internal/sched/fair/index.go
+++ b/internal/sched/fair/index.go
@@ -1,10 +1,6 @@
 package fair
 
-import (
-	"math/bits"
-
-	"github.com/savorypass/savorypass/internal/estimate"
-)
+import "math/bits"
 
 const (
 	loadLevels     = 16
@@ -25,7 +21,7 @@
 }
 
 // rank is the worker's level.
-func (w *worker) rank(e *estimate.Estimator) int {
+func (w *worker) rank() int {
 	load := float64(w.running) / float64(w.Slots)
 	if w.Size.Cores > 0 {
 		load = max(load, w.used.Cores/w.Size.Cores)
@@ -37,7 +33,7 @@
 	if w.health.suspicious() {
 		level += failurePenalty
 	}
-	if e.Factor(w.speed) > slowFactor {
+	if w.speed.Factor() > slowFactor {
 		level += slowPenalty
 	}
 	return level
--- a/internal/sched/fair/queue.go
+++ b/internal/sched/fair/queue.go
@@ -202,8 +202,8 @@
 	}
 	for _, i := range tasks {
 		j.state[i] = queued
-		s.file(j, i)
 	}
+	s.file(j, tasks)
 	j.queued += len(tasks)
 	s.addQueued(j.team, len(tasks))
 	s.rekey(j)
@@ -232,26 +232,40 @@
 	j.listIndex = -1
 }
 
-// file puts a task into the group of its shape. The caller recomputes the job's key.
-func (s *Scheduler) file(j *job, task int) {
-	spec := j.tasks[task]
+// file puts queued tasks into the groups of their queues. The caller recomputes the job's key.
+func (s *Scheduler) file(j *job, tasks []int) {
+	var g *group
+	var spec sched.Task
+	work := 0.0
+	for _, i := range tasks {
+		if g == nil || j.tasks[i] != spec {
+			spec = j.tasks[i]
+			g, work = s.groupOf(j, spec)
+		}
+		g.tasks = append(g.tasks, i)
+		g.work += work
+	}
+}
+
+// groupOf returns the group for a task of the job, and the task's expected work.
+func (s *Scheduler) groupOf(j *job, spec sched.Task) (*group, float64) {
 	mean := j.service.class.Expect(spec.Declared).Mean
 	shape := s.shape(j.service.class, spec.Size)
+	work := mean * s.slotsOf(shape.size)
 	q := j.team.queue(queueKey{shape, mean >= s.longAfter})
-	i := slices.IndexFunc(j.groups, func(g *group) bool { return g.queue == q })
-	if i < 0 {
-		i = len(j.groups)
-		g := &group{job: j, queue: q}
-		j.groups = append(j.groups, g)
-		shape.users++
-		g.queue.add(g)
-		if len(g.queue.heap) == 1 {
-			j.team.open(g.queue)
+	for _, g := range j.groups {
+		if g.queue == q {
+			return g, work
 		}
 	}
-	g := j.groups[i]
-	g.tasks = append(g.tasks, task)
-	g.work += mean * s.slotsOf(shape.size)
+	g := &group{job: j, queue: q}
+	j.groups = append(j.groups, g)
+	shape.users++
+	q.add(g)
+	if len(q.heap) == 1 {
+		j.team.open(q)
+	}
+	return g, work
 }
 
 // pop takes the next task out of a group.
@@ -358,8 +372,6 @@
 	}
 	slices.Sort(tasks)
 	slices.Reverse(tasks)
-	for _, i := range tasks {
-		s.file(j, i)
-	}
+	s.file(j, tasks)
 	s.rekey(j)
 }
--- a/internal/sched/fair/team.go
+++ b/internal/sched/fair/team.go
@@ -36,6 +36,7 @@
 	hasLimit  bool
 	usage     vector
 	elsewhere vector // use on other instances' slots
+	share     float64
 	running   int
 	queued    int
 	activePos int // in Scheduler.active, -1 without queued tasks
@@ -87,6 +88,7 @@
 func (s *Scheduler) SetElsewhere(use map[string]sched.Size) {
 	for name, t := range s.teams {
 		t.elsewhere = vectorOf(0, use[name])
+		s.updateShare(t)
 		t.dirty = true
 	}
 }
@@ -139,6 +141,7 @@
 func (s *Scheduler) charge(t *team, z sched.Size) {
 	t.running++
 	t.usage.add(z, 1)
+	s.updateShare(t)
 	t.dirty = t.dirty || t.hasLimit
 }
 
@@ -148,6 +151,7 @@
 	if t.running == 0 {
 		t.usage = vector{} // drops the rounding errors of the sums
 	}
+	s.updateShare(t)
 	t.dirty = t.dirty || t.hasLimit
 }
 
@@ -244,22 +248,21 @@
 	if t.hasQuota && t.under(&t.quota, t.best.shape.size) {
 		return precedence{withinQuota, key, 0}
 	}
-	share := s.share(t) / t.weight
+	share := t.share / t.weight
 	if share*s.activeWeight < 1 {
 		return precedence{withinShare, key, 0}
 	}
 	return precedence{borrowing, share, key}
 }
 
-// share is the team's dominant share: the largest share of any resource that it uses.
-func (s *Scheduler) share(t *team) float64 {
-	share := 0.0
+// updateShare recomputes the team's dominant share: the largest share of any resource that it uses.
+func (s *Scheduler) updateShare(t *team) {
+	t.share = 0
 	for d, have := range s.capacity {
 		if have > 0 {
-			share = max(share, (t.usage[d]+t.elsewhere[d])/have)
+			t.share = max(t.share, (t.usage[d]+t.elsewhere[d])/have)
 		}
 	}
-	return share
 }
 
 // setLong records the number of running long tasks.
--- a/internal/sched/fair/worker.go
+++ b/internal/sched/fair/worker.go
@@ -188,6 +188,9 @@
 	for d := range v {
 		s.capacity[d] += sign * v[d]
 	}
+	for _, t := range s.teams {
+		s.updateShare(t)
+	}
 }
 
 // RemoveWorker implements sched.Scheduler.
@@ -256,8 +259,8 @@
 	s.free += room - w.room
 	w.room = room
 	level := -1
-	if room > 0 && (w.hold == nil) {
-		level = w.rank(s.estimates)
+	if room > 0 && w.hold == nil {
+		level = w.rank()
 	}
 	if level != w.level {
 		s.unindex(w)
