Configuration: keep the publication's nonce in state, checkpoints and history

Cause: the command line resolves a lost answer by the nonce, which the controller made itself and did not show. Change: a publication may bring its nonce; state, checkpoint and history carry it. Conclusion: the differential test compares the nonce as well.

--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -34,7 +34,8 @@
 		r, err := DecodeRecord(data)
 		if err == nil && r.Kind == KindPublish && r.Replaces == s.Version {
 			if _, err := Decode([]byte(r.Document)); err == nil {
-				s.Version, s.Schema, s.Author, s.Document, s.Digest = r.Version, r.Schema, r.Author, r.Document, r.Digest
+				s.Version, s.Schema, s.Author, s.Nonce = r.Version, r.Schema, r.Author, r.Nonce
+				s.Document, s.Digest = r.Document, r.Digest
 			}
 		}
 		states = append(states, s)
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -17,6 +17,14 @@
 	Author   string `json:"author"`
 	Document []byte `json:"document"`
 	Replaces uint64 `json:"replaces"` // the version that the document was made from
+	Nonce    string `json:"nonce"`    // finds the publication again after a lost answer; made here if empty
+}
+
+func (p *Publication) nonce() string {
+	if p.Nonce != "" {
+		return p.Nonce
+	}
+	return rand.Text()
 }
 
 // Ending tells how a publication ended.
@@ -64,7 +72,7 @@
 		return *out
 	}
 	r := Record{
-		Kind: KindPublish, Schema: cfg.Schema, Version: p.Replaces + 1, Replaces: p.Replaces, Nonce: rand.Text(),
+		Kind: KindPublish, Schema: cfg.Schema, Version: p.Replaces + 1, Replaces: p.Replaces, Nonce: p.nonce(),
 		Author: p.Author, Document: string(p.Document), Digest: DocumentDigest(p.Document),
 	}
 	if err := r.check(); err != nil {
--- a/internal/entry/backend_config.go
+++ b/internal/entry/backend_config.go
@@ -20,7 +20,7 @@
 		return opsapi.Config{}, ops.ErrUnavailable
 	}
 	return opsapi.Config{
-		Version: int64(u.State.Version), Schema: u.State.Schema, Author: u.State.Author, Digest: u.State.Digest,
+		Version: int64(u.State.Version), Schema: u.State.Schema, Author: u.State.Author, Nonce: u.State.Nonce, Digest: u.State.Digest,
 		Document: u.State.Document,
 	}, nil
 }
@@ -31,7 +31,7 @@
 	var out []opsapi.Config
 	for i := len(kept) - 1; i >= 0 && len(out) < limit; i-- {
 		v := kept[i]
-		out = append(out, opsapi.Config{Version: int64(v.Version), Author: v.Author, Digest: v.Digest, Published: v.InForce})
+		out = append(out, opsapi.Config{Version: int64(v.Version), Author: v.Author, Nonce: v.Nonce, Digest: v.Digest, Published: v.InForce})
 	}
 	return out, nil
 }
@@ -52,7 +52,7 @@
 func problems(ps config.Problems) []opsapi.Problem {
 	out := make([]opsapi.Problem, len(ps))
 	for i, p := range ps {
-		out[i] = opsapi.Problem{Path: p.Path, Value: fmt.Sprint(p.Value), Bound: p.Bound, Message: p.Error()}
+		out[i] = opsapi.Problem{Path: p.Path, Value: p.Value, Bound: p.Bound, Message: p.String()}
 	}
 	return out
 }
