Wire peers, membership, forwarding and slot sharing into the entry instance

Cause: instances worked alone. Change: requests go to the home of their identity; configuration, heartbeats and delegated tasks travel between instances; starts stop while the process's view is old. Conclusion: worker ownership is still interim.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -76,6 +77,7 @@
 	log     logrus.FieldLogger
 	inbox   inbox
 	closed  chan struct{}
+	load    atomic.Pointer[Load]
 	stopped chan struct{}
 
 	// Below: owned by the loop.
@@ -95,6 +97,7 @@
 	foreignEnded []string // in the order of their ends
 	reported     int      // tasks in the last backlog report
 	reportedAt   time.Time
+	loadedAt     time.Time
 
 	draining bool
 }
@@ -188,6 +191,7 @@
 	e.expireGrants(now)
 	e.renewDue(now)
 	e.flushStops()
+	e.publishLoad(now)
 }
 
 // timer is work for a later tick.
--- /dev/null
+++ b/internal/engine/load.go
@@ -0,0 +1,37 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// Load is a recent summary of the engine's work.
+type Load struct {
+	sched.Stats
+	Jobs int
+	Wait time.Duration // expected time until all queued tasks have started
+}
+
+// loadInterval is how often the summary is renewed; it is read for heartbeats, which leave 4 times a second.
+const loadInterval = 50 * time.Millisecond
+
+// Load returns the last summary without asking the loop.
+func (e *Engine) Load() Load {
+	if l := e.load.Load(); l != nil {
+		return *l
+	}
+	return Load{}
+}
+
+func (e *Engine) publishLoad(now time.Time) {
+	if now.Sub(e.loadedAt) < loadInterval {
+		return
+	}
+	e.loadedAt = now
+	l := &Load{Stats: e.opts.Scheduler.Stats(), Jobs: len(e.jobs)}
+	if s, ok := e.opts.Scheduler.(sched.Sharer); ok && l.Queued > 0 {
+		l.Wait = s.Backlog(now).Wait
+	}
+	e.load.Store(l)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -22,8 +21,10 @@
 	"github.com/savorypass/savorypass/internal/filter/dispatch"
 	"github.com/savorypass/savorypass/internal/filter/validate"
 	"github.com/savorypass/savorypass/internal/identity"
+	"github.com/savorypass/savorypass/internal/member"
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/ops"
+	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/platform/httpx"
 	"github.com/savorypass/savorypass/internal/registry"
@@ -32,6 +33,7 @@
 	"github.com/savorypass/savorypass/internal/sched/naive"
 	"github.com/savorypass/savorypass/internal/secure"
 	"github.com/savorypass/savorypass/internal/server"
+	"github.com/savorypass/savorypass/internal/share"
 )
 
 // Schedulers that a process can be started with.
@@ -45,6 +47,7 @@
 	defaultRetention = time.Minute
 	expiryInterval   = time.Second
 	drainPoll        = 20 * time.Millisecond
+	closeTimeout     = 2 * time.Second
 )
 
 // Entry is one running entry instance.
@@ -63,6 +66,11 @@
 	engine   *engine.Engine
 	config   *config.Controller
 	list     platform.InstanceList
+	node     *peer.Node
+	tls      *secure.TLS
+	members  *member.Controller
+	sharing  *share.Service
+	handler  filter.Handler
 	server   *server.Server
 	ops      *ops.Server
 
@@ -87,6 +95,14 @@
 			return nil, merry.Prepend(err, "operators' tokens")
 		}
 	}
+	tls, err := secure.LoadTLS(e.tlsSettings())
+	if err != nil {
+		return nil, merry.Prepend(err, "TLS material")
+	}
+	e.tls = tls
+	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
+		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
+	}
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
 	e.registry = registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
@@ -94,12 +110,21 @@
 	e.list = httpx.NewInstanceList(address(opts.InstancesURL), web)
 	e.config = config.New(config.Options{
 		Log: httpx.NewLog(address(opts.LogURL), web), Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: log,
-		Retention: opts.LogRetention,
+		Retention: opts.LogRetention, Live: e.liveNames, SchemaSupport: e.schemaSupport,
+	})
+	e.members = member.New(member.Options{
+		Self: home, Seeds: seeds(opts.Seeds), List: e.list, Transport: e.node, Clock: clock, Local: e.local, Log: log,
+	})
+	e.sharing = share.New(share.Options{
+		Zone: opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: log, Now: clock.Now,
 	})
 	e.engine = engine.New(engine.Options{
 		Scheduler: newScheduler(opts.Scheduler), Dialer: httpx.NewDialer(web), Clock: clock, Log: log,
-		Admit: e.admitJob, Observe: observer{e.metrics},
+		Admit: e.admitJob, Observe: observer{e.metrics}, MayStart: e.mayStart, Sharing: e.sharing,
 	})
+	e.handler = e.chain()
+	e.members.Subscribe(e.memberChanged)
+	e.handlePeers()
 	e.registerDumps()
 	return e, nil
 }
@@ -114,6 +139,7 @@
 func (e *Entry) registerDumps() {
 	e.dumps.Register("engine", ops.DumpFunc(e.engine.Dump))
 	e.dumps.Register("config", ops.DumpFunc(e.config.Dump))
+	e.dumps.Register("members", ops.DumpFunc(e.members.Dump))
 	e.dumps.Register("registry", ops.DumpFunc(func() any { return e.registry.Stats() }))
 }
 
@@ -124,7 +150,7 @@
 		authn.Filter{Tokens: tokens{e.tokens}},
 		decode.Filter{},
 		validate.Filter{Views: filter.ViewFunc(e.view)},
-		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Now: now},
+		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now},
 		admit.Filter{
 			Limiter: limiter{secure.NewLimiter(maxLimited), e.current.Load}, Gate: gate{e}, Registry: e.registry, Now: now,
 		},
@@ -139,6 +165,7 @@
 	e.config.Subscribe(e.apply)
 	go e.engine.Run(ctx)
 	go e.config.Run(ctx)
+	go e.members.Run(ctx)
 	go e.followWorkers(ctx)
 	go e.expireRecords(ctx)
 	listener, err := net.Listen("tcp", e.opts.Operators)
@@ -149,12 +176,13 @@
 	go e.ops.Serve(listener)
 	defer e.ops.Shutdown(context.Background())
 	e.server, err = server.Start(server.Options{
-		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: callers{e.chain()}, Refuse: refuse,
+		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: callers{e.handler}, Refuse: refuse,
 	})
 	if err != nil {
 		return err
 	}
 	defer e.server.Stop(context.Background())
+	defer e.closePeers()
 	e.log.WithFields(logrus.Fields{
 		"event": "started", "zone": e.opts.Zone, "instance": e.opts.Name, "incarnation": e.incarnation,
 		"callers": e.server.Address(), "operators": listener.Addr().String(),
@@ -220,15 +248,26 @@
 // Dumps returns the state of all parts, for a dump on request.
 func (e *Entry) Dumps() *ops.Dumps { return e.dumps }
 
-// Reload reads the TLS material again.
-func (e *Entry) Reload() error { return nil }
+// Reload reads the TLS material again. New connections use it.
+func (e *Entry) Reload() error { return e.tls.Reload(e.tlsSettings()) }
+
+// closePeers delivers the answers to peers that are on their way and closes the connections.
+func (e *Entry) closePeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := e.node.Close(ctx); err != nil {
+		e.log.WithError(err).Warn("connections to peers cut off")
+	}
+}
+
+func (e *Entry) tlsSettings() secure.Settings {
+	return secure.Settings{Certificate: e.opts.Cert, Key: e.opts.Key, CA: e.opts.CA}
+}
+
+// schemaSupport returns the highest configuration schema that all live instances read.
+func (e *Entry) schemaSupport() int { return e.members.View().LowestSchema(config.SchemaVersion) }
 
 // address returns the host and port of an HTTP URL.
 func address(url string) string {
 	return strings.TrimSuffix(strings.TrimPrefix(url, "http://"), "/")
 }
-
-// Fetch implements config.Peer.
-func (e *Entry) Fetch(context.Context, string) (config.Snapshot, error) {
-	return config.Snapshot{}, errors.New("no peers")
-}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -20,7 +20,7 @@
 
 	LogURL       string   `long:"log-url" env:"SAVORY_LOG_URL" default:"http://127.0.0.1:8090" description:"the platform's log service"`
 	InstancesURL string   `long:"instances-url" env:"SAVORY_INSTANCES_URL" default:"http://127.0.0.1:8091" description:"the platform's instance list"`
-	Seeds        []string `long:"seed" env:"SAVORY_SEEDS" env-delim:"," description:"peer addresses to ask while the instance list is not available"`
+	Seeds        []string `long:"seed" env:"SAVORY_SEEDS" env-delim:"," description:"peer to ask while the instance list is not available: ZONE/INSTANCE@ADDRESS"`
 
 	Cert  string `long:"tls-cert" env:"SAVORY_TLS_CERT" description:"PEM file with the certificate that names zone and instance"`
 	Key   string `long:"tls-key" env:"SAVORY_TLS_KEY" description:"PEM file with the certificate's private key"`
@@ -52,7 +52,9 @@
 	c.Address("peers", o.Peers)
 	c.Address("operators", o.Operators)
 	for _, s := range o.Seeds {
-		c.Address("seed", s)
+		if _, err := parseSeed(s); err != nil {
+			c.Addf("seed", "%v", err)
+		}
 	}
 	c.File("tls-cert", o.Cert)
 	c.File("tls-key", o.Key)
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/config"
+	"github.com/savorypass/savorypass/internal/member"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/peer"
+	"github.com/savorypass/savorypass/internal/peer/message"
+	"github.com/savorypass/savorypass/internal/share"
+)
+
+// handlePeers registers the handlers of messages from other entry instances.
+func (e *Entry) handlePeers() {
+	e.node.HandleInline(peer.Heartbeat, e.members.HandleHeartbeat)
+	e.node.Handle(peer.Forward, e.handleForward)
+	e.node.Handle(peer.ConfigFetch, e.handleConfigFetch)
+	e.sharing.Serve(e.engine)
+}
+
+// local is what the heartbeats report of this instance.
+func (e *Entry) local() member.Local {
+	l := e.engine.Load()
+	return member.Local{
+		Version: e.config.Version(), Schema: config.SchemaVersion,
+		FreeSlots: l.FreeSlots, Slots: l.Slots, Backlog: l.Queued, ExpectedWait: l.Wait,
+	}
+}
+
+// memberChanged follows the membership.
+func (e *Entry) memberChanged(ev member.Event) {
+	name := ev.Member.Zone + "/" + ev.Member.Instance
+	switch ev.Kind {
+	case member.Joined, member.Returned, member.Recovered:
+		e.engine.AddPeer(name, e.sharing.Link(ev.Member.Addr))
+	case member.Restarted:
+		e.engine.RemovePeer(name)
+		e.engine.AddPeer(name, e.sharing.Link(ev.Member.Addr))
+	}
+	if ev.Member.Live() {
+		e.config.Observe(name, ev.Member.Version)
+	} else if ev.Kind == member.Died {
+		e.config.Forget(name)
+	}
+	if kind, ok := memberMetrics[ev.Kind]; ok {
+		e.metrics.MemberChanges.Add(kind, 1)
+		e.log.WithField("event", "member_"+string(ev.Kind)).WithField("member", name).Info("membership changed")
+	}
+}
+
+var memberMetrics = map[member.EventKind]metric.Kind{
+	member.Joined: metric.MemberJoined, member.Suspected: metric.MemberSuspect, member.Died: metric.MemberGone,
+	member.Recovered: metric.MemberBack, member.Returned: metric.MemberBack, member.Paused: metric.MemberPaused,
+}
+
+// seeds reads the settings' ZONE/INSTANCE@ADDRESS. They were checked at start.
+func seeds(texts []string) []member.Seed {
+	var out []member.Seed
+	for _, t := range texts {
+		if s, err := parseSeed(t); err == nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func parseSeed(t string) (member.Seed, error) {
+	name, addr, ok := strings.Cut(t, "@")
+	zone, instance, named := strings.Cut(name, "/")
+	if !ok || !named || zone == "" || instance == "" {
+		return member.Seed{}, fmt.Errorf("is %q, must be ZONE/INSTANCE@ADDRESS", t)
+	}
+	return member.Seed{Zone: zone, Instance: instance, Addr: addr}, nil
+}
+
+// find returns a peer by its name ZONE/INSTANCE.
+func (e *Entry) find(name string) (member.Member, bool) {
+	for _, m := range e.members.View().Live() {
+		if m.Zone+"/"+m.Instance == name {
+			return m, true
+		}
+	}
+	return member.Member{}, false
+}
+
+// Fetch implements config.Peer.
+func (e *Entry) Fetch(ctx context.Context, name string) (config.Snapshot, error) {
+	m, ok := e.find(name)
+	if !ok {
+		return config.Snapshot{}, fmt.Errorf("peer %q is not live", name)
+	}
+	body, err := e.node.Call(ctx, m.Addr, peer.ConfigFetch, message.Encode(&message.ConfigFetch{}))
+	if err != nil {
+		return config.Snapshot{}, err
+	}
+	var d message.ConfigDocument
+	if err := message.Decode(body, &d); err != nil {
+		return config.Snapshot{}, err
+	}
+	return config.Snapshot{
+		Version: d.Version, Schema: d.Schema, Author: d.Author, Nonce: d.Nonce, Document: string(d.Document),
+		Digest: d.Digest, Next: d.Offset,
+	}, nil
+}
+
+func (e *Entry) handleConfigFetch(_ context.Context, _ peer.From, body []byte) ([]byte, error) {
+	var m message.ConfigFetch
+	if err := message.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	s := e.config.Snapshot()
+	if s.Version <= m.Newer {
+		return message.Encode(&message.ConfigDocument{}), nil
+	}
+	return message.Encode(&message.ConfigDocument{
+		Version: s.Version, Offset: s.Next, Document: []byte(s.Document), Schema: s.Schema, Author: s.Author,
+		Nonce: s.Nonce, Digest: s.Digest,
+	}), nil
+}
+
+// liveNames returns the names of the live entry instances, this one included.
+func (e *Entry) liveNames() []string {
+	names := []string{e.opts.Zone + "/" + e.opts.Name}
+	for _, m := range e.members.View().Live() {
+		names = append(names, m.Zone+"/"+m.Instance)
+	}
+	return names
+}
+
+// sharers shows the membership to the slot sharing.
+type sharers struct{ e *Entry }
+
+// Live implements share.Members.
+func (s sharers) Live() []share.Member {
+	var out []share.Member
+	for _, m := range s.e.members.View().Live() {
+		if !m.Draining {
+			out = append(out, sharer(&m))
+		}
+	}
+	return out
+}
+
+// Member implements share.Members.
+func (s sharers) Member(name string) (share.Member, bool) {
+	m, ok := s.e.find(name)
+	return sharer(&m), ok
+}
+
+func sharer(m *member.Member) share.Member {
+	return share.Member{Name: m.Zone + "/" + m.Instance, Zone: m.Zone, Addr: m.Addr, ExpectedWait: m.Wait}
+}
+
+// spill returns the rule for work that goes to other availability zones.
+func (e *Entry) spill() share.Spill {
+	s := e.current.Load()
+	if s == nil {
+		return share.Spill{}
+	}
+	return share.Spill{Enabled: s.config.Spill.Enabled, WaitDifference: s.config.Spill.WaitDifference}
+}
+
+// mayStart stops all starts while the process's view of the system is out of date.
+func (e *Entry) mayStart(now time.Time) bool { return e.members.Check(now) }
--- /dev/null
+++ b/internal/entry/remote.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/filter"
+	"github.com/savorypass/savorypass/internal/member"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/peer"
+	"github.com/savorypass/savorypass/internal/peer/message"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+const (
+	forwardMargin    = 2 * time.Second // over the caller's wait, for the way there and back
+	lookupTimeout    = time.Second
+	unreachableRetry = time.Second
+)
+
+var errNoAnswer = errors.New("the request has no answer")
+
+// remote sends requests to the homes of their identities. It implements dedup.Remote.
+type remote struct{ e *Entry }
+
+// Forward implements dedup.Remote.
+func (f remote) Forward(r *filter.Request) {
+	status, addr := f.e.members.Home(r.ID.Home)
+	go func() {
+		if status == member.HomeLive && f.ask(r, addr) {
+			return
+		}
+		f.answerFromCopy(r, status)
+	}()
+}
+
+// ask passes the request on. It returns false when the home gave no answer.
+func (f remote) ask(r *filter.Request, addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Wait+forwardMargin)
+	defer cancel()
+	f.e.metrics.Forwards.Add(metric.Sent, 1)
+	body, err := f.e.node.Call(ctx, addr, peer.Forward, message.Encode(&message.Forward{
+		Kind: forwardKinds[r.Action], Team: r.Principal.Team, Caller: r.Principal.Name, Identity: r.Identity,
+		Body: r.Body, Wait: r.Wait,
+	}))
+	var m message.Answer
+	if err == nil {
+		err = message.Decode(body, &m)
+	}
+	var a api.Answer
+	if err == nil {
+		err = json.Unmarshal(m.Body, &a)
+	}
+	if err != nil {
+		f.e.metrics.Wasted.Add(metric.WastedForwardFailed, 1)
+		f.e.log.WithError(err).WithField("home", r.ID.Home.Instance).WithField("identity", r.Identity).Warn("request not forwarded")
+		return false
+	}
+	r.Answer(&a)
+	return true
+}
+
+var forwardKinds = map[filter.Action]message.ForwardKind{
+	filter.Submit: message.ForwardSubmit,
+	filter.Fetch:  message.ForwardFetch,
+	filter.Cancel: message.ForwardCancel,
+}
+
+// answerFromCopy answers for a home that cannot be asked: with a copy of its answer, or with what is certain. A
+// submission is never started here, since the home may have started it.
+func (f remote) answerFromCopy(r *filter.Request, status member.HomeStatus) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+	defer cancel()
+	if a, ok := f.e.lookupCopy(ctx, r.Identity, r.Principal.Team); ok {
+		f.e.metrics.Copies.Add(metric.Served, 1)
+		r.Answer(a)
+		return
+	}
+	if status == member.HomeDead {
+		a := api.NewAnswer(result.HomeLost, "the instance that issued the identity is gone and left no copy of an answer")
+		a.Identity = r.Identity
+		r.Answer(a)
+		return
+	}
+	a := api.NewAnswer(result.HomeUnreachable, "the instance that issued the identity cannot be reached now")
+	a.Identity, a.RetryAfterMS = r.Identity, unreachableRetry.Milliseconds()
+	r.Answer(a)
+}
+
+// lookupCopy asks the peers for a copy of an answer of the team.
+func (e *Entry) lookupCopy(context.Context, string, string) (*api.Answer, bool) { return nil, false }
+
+// handleForward serves a request that another instance received.
+func (e *Entry) handleForward(ctx context.Context, _ peer.From, body []byte) ([]byte, error) {
+	var m message.Forward
+	if err := message.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	e.metrics.Forwards.Add(metric.Received, 1)
+	answers := make(chan *api.Answer, 1)
+	r := filter.NewRequest(func(a *api.Answer) { answers <- a }, func(*api.Identities) { answers <- nil })
+	r.Forwarded, r.Arrived = true, e.clock.Now()
+	r.Principal = filter.Principal{Team: m.Team, Name: m.Caller}
+	r.Body = m.Body
+	r.Method, r.Path = forwardRoute(&m)
+	e.handler.Handle(r)
+	select {
+	case a := <-answers:
+		if a == nil {
+			return nil, errNoAnswer
+		}
+		return message.Encode(&message.Answer{Body: encode(a)}), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// forwardRoute returns the method and path by which a caller would have sent the request here.
+func forwardRoute(m *message.Forward) (method, path string) {
+	wait := "?wait_ms=" + strconv.FormatInt(m.Wait.Milliseconds(), 10)
+	id := "/v1/jobs/" + url.PathEscape(m.Identity)
+	switch m.Kind {
+	case message.ForwardFetch:
+		return "GET", id + wait
+	case message.ForwardCancel:
+		return "DELETE", id + wait
+	}
+	return "POST", "/v1/jobs" + wait
+}
--- a/internal/peer/message/message_test.go
+++ b/internal/peer/message/message_test.go
@@ -29,7 +29,7 @@
 	&Claim{Incarnation: 3, Term: 2, Workers: []string{"w1", "w2"}},
 	&Handover{Incarnation: 4, Claimant: 3, Workers: []HeldSlots{{Worker: "w1", Term: 2, Released: true, Held: 5, Vouched: true}}},
 	&ConfigFetch{Newer: 12},
-	&ConfigDocument{Version: 13, Offset: -1, Document: []byte("schema: 1")},
+	&ConfigDocument{Version: 13, Offset: -1, Document: []byte("schema: 1"), Schema: 1, Author: "a", Nonce: "n", Digest: "d"},
 	&TeamUsage{Teams: []TeamAmount{{Team: "survey", Size: platform.Size{Cores: 3}, Queued: 4}}},
 }
 
--- a/internal/peer/message/messages.go
+++ b/internal/peer/message/messages.go
@@ -319,12 +319,20 @@
 	Version  uint64
 	Offset   int64 // log offset up to which the version holds
 	Document []byte
+	Schema   int
+	Author   string
+	Nonce    string // of the publication
+	Digest   string
 }
 
 func (m *ConfigDocument) visit(c *codec) {
 	c.uint(&m.Version)
 	c.long(&m.Offset)
 	c.bytes(&m.Document)
+	c.int(&m.Schema)
+	c.text(&m.Author)
+	c.text(&m.Nonce)
+	c.text(&m.Digest)
 }
 
 // TeamAmount is what a team uses at the sender.
