config: keep the nonce of the current version

An operator whose publication ended as unknown repeats it with its nonce. The state and the history carry the nonce, so that the repetition is answered as won when the first attempt had taken effect, and not as lost to oneself.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -311,7 +311,7 @@
 // enter makes the configuration of the new state the current one. c.mu is held.
 func (c *Controller) enter(before State) {
 	c.newer = 0
-	if c.state.Version == before.Version && c.state.Digest == before.Digest {
+	if c.state.Version == before.Version && c.state.Nonce == before.Nonce {
 		return
 	}
 	cfg, err := Decode([]byte(c.state.Document))
--- a/internal/config/controller_test.go
+++ b/internal/config/controller_test.go
@@ -138,6 +138,11 @@
 	w.log.loseNext = "effect"
 	w.is.Equal(w.publish(a, 1).Ending, Won)
 	w.is.Equal(len(w.log.records), 1)
+	again := Publication{Author: "author1", Document: validDoc(1), Nonce: a.Snapshot().Nonce}
+	w.is.Equal(a.Publish(w.ctx, again).Ending, Won)
+	again.Nonce = "another"
+	w.is.Equal(a.Publish(w.ctx, again).Ending, LostTo)
+	w.is.Equal(len(w.log.records), 1)
 
 	a.opts.PublishTimeout = 24 * time.Hour // the clock may move on while the publication is not waiting for it
 	w.log.loseNext = "all"
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -12,6 +12,7 @@
 	Version  uint64 `json:"version"` // 0: no configuration yet
 	Schema   int    `json:"schema"`
 	Author   string `json:"author"`
+	Nonce    string `json:"nonce"` // of the record that published the version
 	Document string `json:"document"`
 	Digest   string `json:"digest"`
 	Next     int64  `json:"next"` // offset of the first record that is not folded
@@ -101,7 +102,7 @@
 
 // state returns the state that the record describes, as of next.
 func (r Record) state(next int64) State {
-	return State{Version: r.Version, Schema: r.Schema, Author: r.Author, Document: r.Document, Digest: r.Digest, Next: next}
+	return State{Version: r.Version, Schema: r.Schema, Author: r.Author, Nonce: r.Nonce, Document: r.Document, Digest: r.Digest, Next: next}
 }
 
 // Adopt takes over a peer's state if it is newer: its version is higher, or it is the same version with more records
@@ -110,7 +111,7 @@
 	if p.Version < s.Version || p.Version == 0 || !readableSchema(p.Schema) {
 		return s, false
 	}
-	if p.Version == s.Version && (p.Next <= s.Next || p.Digest != s.Digest) {
+	if p.Version == s.Version && (p.Next <= s.Next || p.Nonce != s.Nonce) {
 		return s, false
 	}
 	if p.Next < 0 || p.checkpointRecord().check() != nil || p.checkpointRecord().checkDocument() != nil {
@@ -122,7 +123,7 @@
 // checkpointRecord returns the record that makes the state the base of a starting instance.
 func (s State) checkpointRecord() Record {
 	return Record{
-		Kind: KindCheckpoint, Schema: s.Schema, Version: s.Version, Author: s.Author,
+		Kind: KindCheckpoint, Schema: s.Schema, Version: s.Version, Author: s.Author, Nonce: s.Nonce,
 		AsOf: s.Next, Document: s.Document, Digest: s.Digest,
 	}
 }
--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -34,7 +34,7 @@
 		r, err := DecodeRecord(data)
 		if err == nil && r.Kind == KindPublish && r.Replaces == s.Version {
 			if _, err := Decode([]byte(r.Document)); err == nil {
-				s.Version, s.Schema, s.Author, s.Document, s.Digest = r.Version, r.Schema, r.Author, r.Document, r.Digest
+				s = r.state(s.Next)
 			}
 		}
 		states = append(states, s)
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -12,6 +12,7 @@
 	Version  uint64    `json:"version"`
 	Author   string    `json:"author"`
 	Digest   string    `json:"digest"`
+	Nonce    string    `json:"nonce"`
 	InForce  time.Time `json:"in_force"` // on this instance
 	Document string    `json:"-"`
 }
@@ -19,7 +20,7 @@
 // remember adds the current state to the history. c.mu is held.
 func (c *Controller) remember() {
 	s := c.state
-	c.history = append(c.history, Version{s.Version, s.Author, s.Digest, c.opts.Clock.Now(), s.Document})
+	c.history = append(c.history, Version{s.Version, s.Author, s.Digest, s.Nonce, c.opts.Clock.Now(), s.Document})
 	if extra := len(c.history) - c.opts.History; extra > 0 {
 		c.history = append([]Version(nil), c.history[extra:]...)
 	}
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -17,6 +17,9 @@
 	Author   string `json:"author"`
 	Document []byte `json:"document"`
 	Replaces uint64 `json:"replaces"` // the version that the document was made from
+	// Nonce names the publication. A publication whose outcome is unknown may be repeated with the same nonce, at any
+	// instance: it comes into force at most once. Publish chooses one if it is empty.
+	Nonce string `json:"nonce,omitempty"`
 }
 
 // Ending tells how a publication ended.
@@ -59,12 +62,15 @@
 	if support := c.opts.SchemaSupport(); cfg.Schema > support {
 		return notAccepted("schema %d is above schema %d, the highest that all live instances read", cfg.Schema, support)
 	}
-	base, out := c.base(ctx, p.Replaces)
+	base, out := c.base(ctx, p)
 	if out != nil {
 		return *out
 	}
+	if p.Nonce == "" {
+		p.Nonce = rand.Text()
+	}
 	r := Record{
-		Kind: KindPublish, Schema: cfg.Schema, Version: p.Replaces + 1, Replaces: p.Replaces, Nonce: rand.Text(),
+		Kind: KindPublish, Schema: cfg.Schema, Version: p.Replaces + 1, Replaces: p.Replaces, Nonce: p.Nonce,
 		Author: p.Author, Document: string(p.Document), Digest: DocumentDigest(p.Document),
 	}
 	if err := r.check(); err != nil {
@@ -82,7 +88,7 @@
 }
 
 // base reads the log and returns the state to publish on, or the outcome if there is none.
-func (c *Controller) base(ctx context.Context, replaces uint64) (State, *Outcome) {
+func (c *Controller) base(ctx context.Context, p Publication) (State, *Outcome) {
 	if err := c.poll(ctx); err != nil {
 		out := notAccepted("the log cannot be read: %v", err)
 		return State{}, &out
@@ -95,16 +101,33 @@
 		out = notAccepted("the current version has schema %d, this instance reads up to %d", c.newer, SchemaVersion)
 	case c.behind():
 		out = notAccepted("records of the log are missing on this instance; publish at another one")
-	case replaces < c.state.Version:
-		out = Outcome{Ending: LostTo, Version: c.state.Version, Author: c.state.Author}
-	case replaces > c.state.Version:
-		out = notAccepted("version %d does not exist, the current one is %d", replaces, c.state.Version)
+	case p.Replaces < c.state.Version:
+		out = c.replaced(p)
+	case p.Replaces > c.state.Version:
+		out = notAccepted("version %d does not exist, the current one is %d", p.Replaces, c.state.Version)
 	default:
 		return c.state, nil
 	}
 	return State{}, &out
 }
 
+// replaced returns the outcome of a publication whose base is not the current version any more. It has won if it is a
+// repetition of the publication that replaced the base. c.mu is held.
+func (c *Controller) replaced(p Publication) Outcome {
+	for _, v := range c.history {
+		if v.Version == p.Replaces+1 && v.Nonce == p.Nonce && p.Nonce != "" {
+			return Outcome{Ending: Won, Version: v.Version, Author: v.Author}
+		}
+		if v.Version == p.Replaces+1 {
+			return Outcome{Ending: LostTo, Version: v.Version, Author: v.Author}
+		}
+	}
+	if p.Nonce != "" {
+		return Outcome{Ending: Unknown, Reason: fmt.Sprintf("version %d is not in the history of this instance", p.Replaces+1)}
+	}
+	return Outcome{Ending: LostTo, Version: c.state.Version, Author: c.state.Author}
+}
+
 // settle appends a record and follows the log from its base until the record's fate is known. The record may be
 // appended more than once: at most one of the copies can win, because all of them replace the same version.
 func (c *Controller) settle(ctx context.Context, base State, r Record) Outcome {
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -35,7 +35,7 @@
 	Schema   int    `json:"schema"`
 	Version  uint64 `json:"version"`
 	Replaces uint64 `json:"replaces,omitempty"` // publish: the version that it was made from
-	Nonce    string `json:"nonce,omitempty"`    // publish: chosen by the publisher, to find the record again
+	Nonce    string `json:"nonce,omitempty"`    // chosen by the publisher, to find the record again
 	Author   string `json:"author"`             // who published the document
 	AsOf     int64  `json:"as_of,omitempty"`    // checkpoint: records below this offset are included
 	Document string `json:"document"`
--- a/internal/config/restore.go
+++ b/internal/config/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -23,6 +24,7 @@
 	if !ok {
 		return notAccepted("this instance has folded the whole log; publish instead")
 	}
+	r.Nonce = rand.Text()
 	r.Schema, r.Author, r.Document, r.Digest = cfg.Schema, author, string(document), DocumentDigest(document)
 	if err := r.check(); err != nil {
 		return notAccepted("%v", err)
@@ -38,7 +40,7 @@
 		return Outcome{Ending: Unknown, Reason: err.Error()}
 	}
 	s := c.Current().State
-	if s.Version == r.Version && s.Digest == r.Digest {
+	if s.Version == r.Version && s.Nonce == r.Nonce {
 		return Outcome{Ending: Won, Version: s.Version, Author: s.Author}
 	}
 	return Outcome{Ending: LostTo, Version: s.Version, Author: s.Author}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -58,6 +58,15 @@
 	return problems
 }
 
+// CheckValue checks a value against the rules of a validate tag and returns the bound that it breaks, or "".
+func CheckValue(v any, rules string) string {
+	var list validator.ValidationErrors
+	if rules == "" || !errors.As(checker.Var(v, rules), &list) {
+		return ""
+	}
+	return boundText(list[0])
+}
+
 func boundText(e validator.FieldError) string {
 	unit := ""
 	if e.Kind() == reflect.Slice {
