--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -12,7 +12,7 @@
 	Version  uint64 `json:"version"` // 0: no configuration yet
 	Schema   int    `json:"schema"`
 	Author   string `json:"author"`
-	Nonce    string `json:"nonce"` // of the publication
+	Nonce    string `json:"nonce"` // of the record that published the version
 	Document string `json:"document"`
 	Digest   string `json:"digest"`
 	Next     int64  `json:"next"` // offset of the first record that is not folded
@@ -111,7 +111,7 @@
 	if p.Version < s.Version || p.Version == 0 || !readableSchema(p.Schema) {
 		return s, false
 	}
-	if p.Version == s.Version && (p.Next <= s.Next || p.Digest != s.Digest) {
+	if p.Version == s.Version && (p.Next <= s.Next || p.Nonce != s.Nonce) {
 		return s, false
 	}
 	if p.Next < 0 || p.checkpointRecord().check() != nil || p.checkpointRecord().checkDocument() != nil {
