--- /dev/null
+++ b/cmd/savory-bench/main.go
@@ -0,0 +1,12 @@
+// Savory-bench measures the dispatcher on one machine.
+package main
+
+import (
+	"os"
+
+	"github.com/savorypass/savorypass/internal/bench"
+)
+
+func main() {
+	os.Exit(bench.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/bench/client.go
@@ -0,0 +1,229 @@
+package bench
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/api"
+)
+
+const (
+	identityBlock = 64
+	// strayShare of the identities is used over another connection than the one that they came from, as by callers
+	// whose processes share a block.
+	strayShare  = 0.1
+	dialTimeout = 2 * time.Second
+	// answerTimeout is above the longest deadline of a job, so that a silent dispatcher shows as an error.
+	answerTimeout = 3 * time.Minute
+)
+
+// conn is one connection to an entry instance. It carries one request at a time.
+type conn struct {
+	net.Conn
+	br   *bufio.Reader
+	resp fasthttp.Response
+	buf  []byte
+	ids  []string
+}
+
+func dial(address string) (*conn, error) {
+	c, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, br: bufio.NewReaderSize(c, 4<<10)}, nil
+}
+
+// exchange sends a request in one write and reads the response. The body is valid until the next call.
+func (c *conn) exchange(method, path, header string, body ...[]byte) (int, []byte, error) {
+	n := 0
+	for _, part := range body {
+		n += len(part)
+	}
+	b := append(c.buf[:0], method...)
+	b = append(b, ' ')
+	b = append(b, path...)
+	b = append(b, " HTTP/1.1\r\nHost: savory\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	b = append(b, "\r\n"...)
+	b = append(b, header...)
+	b = append(b, "\r\n"...)
+	for _, part := range body {
+		b = append(b, part...)
+	}
+	c.buf = b
+	c.SetDeadline(time.Now().Add(answerTimeout))
+	if _, err := c.Write(b); err != nil {
+		return 0, nil, err
+	}
+	if err := c.resp.Read(c.br); err != nil {
+		return 0, nil, err
+	}
+	return c.resp.StatusCode(), c.resp.Body(), nil
+}
+
+// caller is one client of a team with its connections. Each new connection goes to an entry instance at random, as a
+// load balancer would place it.
+type caller struct {
+	header  string // with the token
+	entries []Address
+
+	mu     sync.Mutex
+	random *rand.Rand
+	idle   []*conn
+	spare  []string // identities that are used over other connections
+	opened int
+}
+
+func newCaller(token string, entries []Address, seed uint64) *caller {
+	return &caller{
+		header:  "Authorization: Bearer " + token + "\r\nContent-Type: application/json\r\n",
+		entries: entries,
+		random:  rand.New(rand.NewPCG(seed, 3)),
+	}
+}
+
+// take returns an idle connection or opens one.
+func (c *caller) take() (*conn, error) {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 {
+		cn := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return cn, nil
+	}
+	e := c.entries[c.random.IntN(len(c.entries))]
+	c.opened++
+	c.mu.Unlock()
+	return dial(e.Callers)
+}
+
+// put gives a connection back, after a new block of identities was fetched if it has none left.
+func (c *caller) put(cn *conn) {
+	if len(cn.ids) == 0 && c.refill(cn) != nil {
+		cn.Close()
+		return
+	}
+	c.mu.Lock()
+	c.idle = append(c.idle, cn)
+	c.mu.Unlock()
+}
+
+// refill fetches a block of identities over the connection.
+func (c *caller) refill(cn *conn) error {
+	status, body, err := cn.exchange("POST", "/v1/identities", c.header, []byte(`{"count":`+strconv.Itoa(identityBlock)+`}`))
+	if err != nil {
+		return err
+	}
+	var got api.Identities
+	if err := json.Unmarshal(body, &got); err != nil || len(got.Identities) == 0 {
+		return fmt.Errorf("no identities: status %d: %.200s", status, body)
+	}
+	stray := int(strayShare * float64(len(got.Identities)))
+	cn.ids = got.Identities[stray:]
+	c.mu.Lock()
+	c.spare = append(c.spare, got.Identities[:stray]...)
+	c.mu.Unlock()
+	return nil
+}
+
+// identity returns an identity for a submission over the connection.
+func (c *caller) identity(cn *conn) (string, error) {
+	c.mu.Lock()
+	if n := len(c.spare); n > 0 && c.random.Float64() < strayShare {
+		id := c.spare[n-1]
+		c.spare = c.spare[:n-1]
+		c.mu.Unlock()
+		return id, nil
+	}
+	c.mu.Unlock()
+	if len(cn.ids) == 0 {
+		if err := c.refill(cn); err != nil {
+			return "", err
+		}
+	}
+	id := cn.ids[len(cn.ids)-1]
+	cn.ids = cn.ids[:len(cn.ids)-1]
+	return id, nil
+}
+
+// warm opens idle connections with identities, so that a run does not begin with a rush of them.
+func (c *caller) warm(n int) error {
+	c.mu.Lock()
+	n -= len(c.idle)
+	c.mu.Unlock()
+	conns := make([]*conn, 0, max(0, n))
+	for range n {
+		c.mu.Lock()
+		e := c.entries[c.random.IntN(len(c.entries))]
+		c.opened++
+		c.mu.Unlock()
+		cn, err := dial(e.Callers)
+		if err != nil {
+			return err
+		}
+		conns = append(conns, cn)
+	}
+	for _, cn := range conns {
+		c.put(cn)
+	}
+	return nil
+}
+
+func (c *caller) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cn := range c.idle {
+		cn.Close()
+	}
+	c.idle = nil
+}
+
+// answer is what the tool reads of an api.Answer.
+type answer struct {
+	Identity     string      `json:"identity"`
+	Code         int         `json:"code"`
+	Final        bool        `json:"final"`
+	Execution    string      `json:"execution"`
+	Message      string      `json:"message"`
+	RetryAfterMS int64       `json:"retry_after_ms"`
+	Tasks        *api.Counts `json:"tasks"`
+	Outputs      []string    `json:"outputs"`
+}
+
+// request sends one request over any connection of the caller.
+func (c *caller) request(method, path string, body ...[]byte) (*answer, error) {
+	cn, err := c.take()
+	if err != nil {
+		return nil, err
+	}
+	return c.requestOn(cn, method, path, body...)
+}
+
+func (c *caller) requestOn(cn *conn, method, path string, body ...[]byte) (*answer, error) {
+	status, text, err := cn.exchange(method, path, c.header, body...)
+	if err != nil {
+		cn.Close()
+		return nil, err
+	}
+	a := &answer{}
+	err = json.Unmarshal(text, a)
+	if err != nil {
+		err = fmt.Errorf("status %d: %w: %.200s", status, err, text)
+	}
+	closing := cn.resp.ConnectionClose()
+	if closing {
+		cn.Close()
+		return a, err
+	}
+	c.put(cn)
+	return a, err
+}
--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,279 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+const (
+	clusterFile = "cluster.json"
+	procsFile   = "procs"
+	pidsFile    = "pids"
+	configFile  = "config.yaml"
+	host        = "127.0.0.1"
+
+	// Ports of a cluster, counted from its first one.
+	portLog       = 0
+	portInstances = 1
+	portEntries   = 10 // three of each entry instance
+	portWorkers   = 200
+
+	workersPerProcess = 300 // one process with all 1,200 workers of the target would exceed the limit of open files
+	rackSize          = 8
+)
+
+// quickServices and longService are the services of the generated jobs. plainService is the one of jobs that are not
+// part of the mix.
+var quickServices = []string{"quick80", "quick150", "quick300", "quick500"}
+
+const (
+	longService  = "survey"
+	plainService = "plain"
+)
+
+// Address is one entry instance.
+type Address struct {
+	Zone      string `json:"zone"`
+	Name      string `json:"name"`
+	Callers   string `json:"callers"`
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
+}
+
+// Team holds the tokens of one team's callers.
+type Team struct {
+	Name   string   `json:"name"`
+	Tokens []string `json:"tokens"`
+}
+
+// Cluster describes the processes of one cluster, for the commands that measure it.
+type Cluster struct {
+	Name      string    `json:"name"`
+	Scheduler string    `json:"scheduler"`
+	Log       string    `json:"log"`
+	Instances string    `json:"instances"`
+	Entries   []Address `json:"entries"`
+	Workers   []string  `json:"workers"` // addresses
+	Slots     int       `json:"slots"`   // of all workers
+	Teams     []Team    `json:"teams"`
+	Operator  string    `json:"operator"` // token
+
+	dir string
+}
+
+// Plan is what a cluster is made from.
+type Plan struct {
+	Dir       string   `long:"dir" required:"true" description:"directory for the files of the cluster"`
+	Bin       string   `long:"bin" default:"bin" description:"directory with the programs"`
+	Name      string   `long:"name" default:"fair" description:"name of the cluster in tables"`
+	Scheduler string   `long:"scheduler" default:"fair" description:"fair or naive"`
+	Port      int      `long:"port" default:"20000" description:"first port"`
+	Zones     []string `long:"zone" description:"availability zones; the default is zone-a, zone-b and zone-c"`
+	Entries   int      `long:"entries" default:"6" description:"entry instances, assigned to the zones in turn"`
+	Workers   int      `long:"workers" default:"50" description:"workers, assigned to the zones in turn"`
+	Slots     int      `long:"slots" default:"8" description:"slots per worker"`
+	Teams     int      `long:"teams" default:"8" description:"teams"`
+	Callers   int      `long:"callers" default:"2" description:"callers of each team"`
+	MaxWait   string   `long:"max-wait" default:"1500ms" description:"admission.max_wait of the configuration"`
+	Keep      int      `long:"keep-starts" default:"20000" description:"start records that each worker keeps"`
+}
+
+type process struct {
+	name string
+	args []string
+}
+
+// Prepare writes the files of a cluster: its description, certificates, tokens, the configuration document, and the
+// processes to start, one a line with a name, a tab and the command.
+func Prepare(p Plan) error {
+	if len(p.Zones) == 0 {
+		p.Zones = []string{"zone-a", "zone-b", "zone-c"}
+	}
+	if err := os.MkdirAll(p.Dir, 0o755); err != nil {
+		return err
+	}
+	c := p.cluster()
+	for _, step := range []func(*Cluster) error{p.writeTLS, p.writeTokens, p.writeConfig, p.writeProcs, p.writeCluster} {
+		if err := step(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Plan) address(offset int) string { return host + ":" + strconv.Itoa(p.Port+offset) }
+
+func (p *Plan) zone(i int) string { return p.Zones[i%len(p.Zones)] }
+
+func (p *Plan) path(name string) string { return filepath.Join(p.Dir, name) }
+
+func (p *Plan) cluster() *Cluster {
+	c := &Cluster{
+		Name: p.Name, Scheduler: p.Scheduler, Log: p.address(portLog), Instances: p.address(portInstances),
+		Slots: p.Workers * p.Slots, Operator: secure.NewToken().Reveal(),
+	}
+	for i := range p.Entries {
+		c.Entries = append(c.Entries, Address{
+			Zone: p.zone(i), Name: fmt.Sprintf("entry-%d", i),
+			Callers:   p.address(portEntries + 3*i),
+			Peers:     p.address(portEntries + 3*i + 1),
+			Operators: p.address(portEntries + 3*i + 2),
+		})
+	}
+	for i := range p.Workers {
+		c.Workers = append(c.Workers, p.address(portWorkers+i))
+	}
+	for t := range p.Teams {
+		team := Team{Name: fmt.Sprintf("team-%d", t)}
+		for range p.Callers {
+			team.Tokens = append(team.Tokens, secure.NewToken().Reveal())
+		}
+		c.Teams = append(c.Teams, team)
+	}
+	return c
+}
+
+func (p *Plan) writeTLS(c *Cluster) error {
+	ca, err := secure.NewDevCA(time.Now())
+	if err != nil {
+		return err
+	}
+	for _, e := range c.Entries {
+		s, err := ca.Issue(secure.Name{Zone: e.Zone, Instance: e.Name})
+		if err != nil {
+			return err
+		}
+		for suffix, text := range map[string]string{".crt": s.Certificate, ".key": s.Key} {
+			if err := os.WriteFile(p.path(e.Name+suffix), []byte(text), 0o600); err != nil {
+				return err
+			}
+		}
+	}
+	return os.WriteFile(p.path("ca.crt"), []byte(ca.CertificatePEM()), 0o600)
+}
+
+func (p *Plan) writeTokens(c *Cluster) error {
+	line := fmt.Sprintf("operator bench %s\n", secure.DigestOf([]byte(c.Operator)))
+	return os.WriteFile(p.path("staff"), []byte(line), 0o600)
+}
+
+func (p *Plan) writeConfig(c *Cluster) error {
+	return os.WriteFile(p.path(configFile), document(c, p.MaxWait, 0), 0o600)
+}
+
+// document returns a configuration. Documents with different marks differ in meaning only by one unimportant bound.
+func document(c *Cluster, maxWait string, mark int) []byte {
+	var b strings.Builder
+	b.WriteString("schema: 1\nservices:\n")
+	for _, s := range append([]string{longService, plainService}, quickServices...) {
+		fmt.Fprintf(&b, "  - {name: %s, idempotent: true, max_run_time: 5m, default_deadline: 1m}\n", s)
+	}
+	b.WriteString("teams:\n")
+	for _, t := range c.Teams {
+		fmt.Fprintf(&b, "  - name: %s\n    callers:\n", t.Name)
+		for i, token := range t.Tokens {
+			fmt.Fprintf(&b, "      - {name: caller-%d, token_digest: %s}\n", i, secure.DigestOf([]byte(token)))
+		}
+	}
+	fmt.Fprintf(&b, "limits: {connections_per_caller: 100000, requests_per_second_per_caller: 1000000, queued_tasks: %d}\n", 200_000+mark)
+	fmt.Fprintf(&b, "admission: {max_wait: %s}\n", maxWait)
+	return []byte(b.String())
+}
+
+func (p *Plan) writeProcs(c *Cluster) error {
+	var b strings.Builder
+	for _, x := range p.processes(c) {
+		fmt.Fprintf(&b, "%s\t%s\n", x.name, strings.Join(x.args, " "))
+	}
+	return os.WriteFile(p.path(procsFile), []byte(b.String()), 0o644)
+}
+
+func (p *Plan) processes(c *Cluster) []process {
+	bin := func(name string) string { return filepath.Join(p.Bin, name) }
+	list := []string{bin("savory-instances"), "--listen", c.Instances}
+	for _, e := range c.Entries {
+		list = append(list, "--entry", fmt.Sprintf("%s/%s,%s,%s,%s", e.Zone, e.Name, e.Peers, e.Operators, e.Callers))
+	}
+	out := []process{
+		{"log", []string{bin("savory-log"), "--listen", c.Log}},
+		{"instances", list},
+	}
+	out = append(out, p.workerProcesses(c, bin("savory-worker"))...)
+	for _, e := range c.Entries {
+		out = append(out, process{e.Name, []string{
+			bin("savoryd"), "--name", e.Name, "--zone", e.Zone, "--callers", e.Callers, "--peers", e.Peers,
+			"--operators", e.Operators, "--log-url", "http://" + c.Log, "--instances-url", "http://" + c.Instances,
+			"--tls-cert", p.path(e.Name + ".crt"), "--tls-key", p.path(e.Name + ".key"), "--tls-ca", p.path("ca.crt"),
+			"--staff-tokens", p.path("staff"), "--scheduler", p.Scheduler, "--event-loops", "2", "--log-level", "warning",
+			"--drain-timeout", "1s",
+		}})
+	}
+	return out
+}
+
+// workerProcesses gives each process workers of a single zone, so that its racks belong to one zone.
+func (p *Plan) workerProcesses(c *Cluster, program string) []process {
+	var out []process
+	next := 0
+	for z, zone := range p.Zones {
+		left := p.Workers / len(p.Zones)
+		if z < p.Workers%len(p.Zones) {
+			left++
+		}
+		for left > 0 {
+			n := min(left, workersPerProcess)
+			name := fmt.Sprintf("worker-%s-%d", zone, len(out))
+			out = append(out, process{name, []string{
+				program, "--listen", c.Workers[next], "--count", strconv.Itoa(n), "--name", name, "--zone", zone,
+				"--rack-size", strconv.Itoa(rackSize), "--slots", strconv.Itoa(p.Slots), "--instances", c.Instances,
+				"--retention", "1s", "--keep-starts", strconv.Itoa(p.Keep), "--drain", "0s",
+			}})
+			next += n
+			left -= n
+		}
+	}
+	return out
+}
+
+func (p *Plan) writeCluster(c *Cluster) error {
+	text, err := json.MarshalIndent(c, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.path(clusterFile), text, 0o600)
+}
+
+// Open reads the description of a cluster.
+func Open(dir string) (*Cluster, error) {
+	text, err := os.ReadFile(filepath.Join(dir, clusterFile))
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{dir: dir}
+	return c, json.Unmarshal(text, c)
+}
+
+// PIDs returns the process ids by name, as the script wrote them: one process a line with name and id.
+func (c *Cluster) PIDs() (map[string]int, error) {
+	text, err := os.ReadFile(filepath.Join(c.dir, pidsFile))
+	if err != nil {
+		return nil, err
+	}
+	pids := map[string]int{}
+	for line := range strings.Lines(string(text)) {
+		var name string
+		var pid int
+		if _, err := fmt.Sscan(line, &name, &pid); err != nil {
+			return nil, fmt.Errorf("%s: line %q: %w", pidsFile, line, err)
+		}
+		pids[name] = pid
+	}
+	return pids, nil
+}
--- /dev/null
+++ b/internal/bench/command.go
@@ -0,0 +1,226 @@
+// Package bench measures the dispatcher against real processes on loopback: an open-loop load generator, the
+// comparison with an ideal and with the naive scheduler, and the cost of control at several sizes.
+package bench
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of savory-bench.
+const (
+	exitOK     = 0
+	exitFailed = 1 // a measurement could not be made
+	exitUsage  = 2
+	exitMissed = 3 // every measurement was made and a bound is missed
+)
+
+var errMissed = errors.New("a bound is missed")
+
+// Main runs a command and returns the exit code.
+func Main(args []string) int {
+	p := flags.NewNamedParser("savory-bench", flags.HelpFlag|flags.PassDoubleDash)
+	commands := []struct {
+		name, short string
+		data        flags.Commander
+	}{
+		{"prepare", "write the files of a cluster and the list of its processes", &prepareCommand{}},
+		{"ready", "publish the first configuration and wait until the cluster is ready", &readyCommand{}},
+		{"run", "run the experiments that compare two clusters", &runCommand{}},
+		{"rate", "measure the starts per second and core of a cluster", &rateCommand{}},
+		{"table", "print the rows of a run", &tableCommand{}},
+		{"measure", "measure the cost of control of a cluster of one size", &measureCommand{}},
+		{"slopes", "print the cost of control over the measured sizes", &slopesCommand{}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitUsage
+		}
+	}
+	_, err := p.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return exitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	case errors.Is(err, errMissed):
+		return exitMissed
+	}
+	fmt.Fprintln(os.Stderr, "savory-bench:", err)
+	return exitFailed
+}
+
+type prepareCommand struct{ Plan }
+
+// Execute implements flags.Commander.
+func (c *prepareCommand) Execute([]string) error { return Prepare(c.Plan) }
+
+type dirOption struct {
+	Dir string `long:"dir" required:"true" description:"directory of the cluster"`
+}
+
+type outOptions struct {
+	Out   string `long:"out" default:"out" description:"directory for results"`
+	Short bool   `long:"short" description:"short run, for trials"`
+	Seed  uint64 `long:"seed" default:"1" description:"seed of the arrivals"`
+}
+
+func (o *outOptions) run() *Run {
+	r := &Run{Out: o.Out, Seed: o.Seed, Extent: FullExtent, Say: progress(os.Stderr)}
+	if o.Short {
+		r.Extent = ShortExtent
+	}
+	return r
+}
+
+// progress prints lines with the time since the start.
+func progress(w io.Writer) func(string, ...any) {
+	begin := time.Now()
+	return func(format string, args ...any) {
+		fmt.Fprintf(w, "%7.1f s  %s\n", time.Since(begin).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+type readyCommand struct{ dirOption }
+
+// Execute implements flags.Commander.
+func (c *readyCommand) Execute([]string) error {
+	cluster, err := Open(c.Dir)
+	if err != nil {
+		return err
+	}
+	return cluster.Ready()
+}
+
+type runCommand struct {
+	outOptions
+	Fair  string   `long:"fair" required:"true" description:"directory of the cluster to measure"`
+	Naive string   `long:"naive" required:"true" description:"directory of the cluster to compare with"`
+	Only  []string `long:"only" description:"run only these experiments: overhead, response, crest, configuration"`
+}
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) (err error) {
+	r := c.run()
+	if r.Fair, err = Open(c.Fair); err != nil {
+		return err
+	}
+	if r.Naive, err = Open(c.Naive); err != nil {
+		return err
+	}
+	return r.experiments(c.Only)
+}
+
+// experiments runs the experiments in order. One that fails does not keep the others from running.
+func (r *Run) experiments(only []string) error {
+	list := []struct {
+		name string
+		run  func() error
+	}{
+		{"overhead", r.Overhead}, // first, because it measures the network that the others allow for
+		{"response", r.Responses},
+		{"crest", r.Crest},
+		{"configuration", r.Configuration},
+	}
+	errs := []error{r.owners()}
+	for _, x := range list {
+		if len(only) > 0 && !slices.Contains(only, x.name) {
+			continue
+		}
+		r.Say("%s begins", x.name)
+		if err := x.run(); err != nil {
+			r.Say("%s failed: %v", x.name, err)
+			errs = append(errs, r.failed(x.name, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// owners records how many slots the entry instances own together, over those that the workers have.
+func (r *Run) owners() error {
+	for _, c := range r.clusters() {
+		v, err := c.sumVars()
+		if err != nil {
+			return err
+		}
+		sum, err := c.ownedSlots()
+		if err != nil {
+			return err
+		}
+		r.Say("%s: %d slots owned, %d exist; metric slots says %d", c.Name, sum, c.Slots, v.Slots)
+		row := Row{Measure: "owned slots", Case: c.Name, Unit: "of existing", Value: some(float64(sum) / float64(c.Slots)), Most: some(1)}
+		if err := record(r.Out, row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failed records that an experiment gave no figures, so that its rows are not merely absent from the table.
+func (r *Run) failed(name string, cause error) error {
+	err := record(r.Out, Row{Measure: name, Case: "experiment failed", Most: some(0), Note: fmt.Sprintf("%.160v", cause)})
+	return errors.Join(fmt.Errorf("%s: %w", name, cause), err)
+}
+
+type rateCommand struct {
+	outOptions
+	dirOption
+}
+
+// Execute implements flags.Commander.
+func (c *rateCommand) Execute([]string) error {
+	cluster, err := Open(c.Dir)
+	if err != nil {
+		return err
+	}
+	r := c.run()
+	if err := r.Rate(cluster); err != nil {
+		return r.failed("rate", err)
+	}
+	return nil
+}
+
+type tableCommand struct{ outOptions }
+
+// Execute implements flags.Commander.
+func (c *tableCommand) Execute([]string) error {
+	missed, err := Table(os.Stdout, c.Out)
+	if err == nil && missed > 0 {
+		return errMissed
+	}
+	return err
+}
+
+type measureCommand struct {
+	outOptions
+	dirOption
+	Vary   string        `long:"vary" required:"true" choice:"workers" choice:"teams" choice:"tasks" choice:"instances" description:"dimension of which this is one size"`
+	Tasks  int           `long:"tasks" default:"400" description:"tasks per second under load"`
+	Length time.Duration `long:"length" default:"6s" description:"length of each of the two measurements"`
+}
+
+// Execute implements flags.Commander.
+func (c *measureCommand) Execute([]string) error {
+	cluster, err := Open(c.Dir)
+	if err != nil {
+		return err
+	}
+	return MeasureSize(cluster, SizeOptions{Vary: c.Vary, Tasks: c.Tasks, Length: c.Length, Out: c.Out})
+}
+
+type slopesCommand struct{ outOptions }
+
+// Execute implements flags.Commander.
+func (c *slopesCommand) Execute([]string) error { return Slopes(os.Stdout, c.Out) }
--- /dev/null
+++ b/internal/bench/configuration.go
@@ -0,0 +1,99 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	versionPoll    = 10 * time.Millisecond
+	versionTimeout = 30 * time.Second
+	versionGap     = 130 * time.Millisecond // not a divisor of the log's polling interval, so that all of its phases occur
+
+	mostHealthyLag = 1000.0 // ms
+	mostCutLag     = 11_000.0
+)
+
+// Configuration measures the time from the beginning of a publication until the version is in force on every entry
+// instance: with everything healthy, and while one zone cannot reach the log.
+func (r *Run) Configuration() error {
+	healthy, err := r.publishMany(r.Extent.Versions)
+	if err != nil {
+		return err
+	}
+	zone := r.Fair.Entries[len(r.Fair.Entries)-1].Zone
+	if err := r.Fair.cutFromLog(zone); err != nil {
+		return err
+	}
+	cut, err := r.publishMany(r.Extent.Cuts)
+	if restored := r.Fair.cutFromLog(""); err == nil {
+		err = restored
+	}
+	if err != nil {
+		return err
+	}
+	r.Say("configuration: healthy %v, with %s cut from the log %v", healthy, zone, cut)
+	const measure = "configuration in force"
+	n := func(v []time.Duration) string {
+		return fmt.Sprintf("%d versions, %d instances", len(v), len(r.Fair.Entries))
+	}
+	return record(r.Out,
+		Row{Measure: measure, Case: "healthy p50", Unit: "ms", Value: some(millis(healthy, 0.5)), Note: n(healthy)},
+		Row{Measure: measure, Case: "healthy p99", Unit: "ms", Value: some(millis(healthy, 0.99)), Most: some(mostHealthyLag)},
+		Row{Measure: measure, Case: "one zone cut from the log, slowest", Unit: "ms", Value: some(millis(cut, 1)), Most: some(mostCutLag), Note: n(cut)},
+	)
+}
+
+// millis returns a quantile, rounded up to the next value, in milliseconds.
+func millis(v []time.Duration, q float64) float64 {
+	if len(v) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(v)
+	i := int(math.Ceil(q*float64(len(v)))) - 1
+	return float64(v[max(0, i)].Microseconds()) / 1000
+}
+
+func (r *Run) publishMany(n int) ([]time.Duration, error) {
+	var out []time.Duration
+	for range n {
+		d, err := r.publishOnce()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, d)
+		time.Sleep(versionGap)
+	}
+	return out, nil
+}
+
+// publishOnce publishes at the first instance, whose zone is never cut.
+func (r *Run) publishOnce() (time.Duration, error) {
+	c := r.Fair
+	current, err := c.version(c.Entries[0])
+	if err != nil {
+		return 0, err
+	}
+	begin := time.Now()
+	version, err := c.publish(c.Entries[0], document(c, "1500ms", int(current)), current)
+	if err != nil {
+		return 0, err
+	}
+	ends := make([]time.Duration, len(c.Entries))
+	err = c.eachEntry(func(i int, e Address) error {
+		for {
+			v, err := c.version(e)
+			ends[i] = time.Since(begin)
+			switch {
+			case err == nil && v >= version:
+				return nil
+			case ends[i] > versionTimeout:
+				return fmt.Errorf("version %d is not in force on %s after %v: %w", version, e.Name, versionTimeout, err)
+			}
+			time.Sleep(versionPoll)
+		}
+	})
+	return slices.Max(ends), err
+}
--- /dev/null
+++ b/internal/bench/crest.go
@@ -0,0 +1,235 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+const (
+	crestLow      = 0.3
+	crestHigh     = 3.0
+	crestLength   = 10 * time.Second
+	crestDeadline = 30 * time.Second // above the longest task, so that every job could be answered in time
+	crestBin      = 250 * time.Millisecond
+	queuePoll     = 100 * time.Millisecond
+	queueRest     = 0.05 // share of the slots up to which a queue counts as empty
+
+	leastGoodput = 95.0 // percent
+	mostRefusal  = 250.0
+	mostRecovery = 2.0
+)
+
+// crestResult is what one cluster did.
+type crestResult struct {
+	goodput  float64 // percent of the capacity during the crest
+	bins     []float64
+	refusals []time.Duration
+	queue    []level
+	recovery float64 // seconds after the crest's end
+	sample   *Sample
+}
+
+// level is the number of queued tasks at a time after the start of the run.
+type level struct {
+	at     time.Duration
+	queued int64
+}
+
+// Crest measures a step from low load to three times the capacity and back. Refused callers do not come back, so that
+// the demand after the crest is the low load again.
+func (r *Run) Crest() error {
+	low := r.Extent.Crest
+	jobs := Generate(Workload{
+		Seed: r.Seed + 1, Slots: r.Fair.Slots, Teams: len(r.Fair.Teams), Callers: len(r.Fair.Teams[0].Tokens),
+		Segments: []Segment{{low, crestLow}, {crestLength, crestHigh}, {low, crestLow}},
+		Heavy:    true, Deadline: crestDeadline,
+	})
+	results := map[*Cluster]*crestResult{}
+	for _, c := range r.clusters() {
+		x, err := crestOf(c, jobs, low, r.network)
+		if err != nil {
+			return err
+		}
+		results[c] = x
+		r.Say("crest, %s: goodput %.1f%%, %d refusals; %s", c.Name, x.goodput, len(x.refusals), x.sample.describe())
+		if err := record(r.Out, auditRow("crest", c, x.sample)); err != nil {
+			return err
+		}
+	}
+	fair, naive := results[r.Fair], results[r.Naive]
+	if err := saveCrest(filepath.Join(r.Out, "crest"), fair, naive); err != nil {
+		return err
+	}
+	return record(r.Out, crestRows(fair, naive)...)
+}
+
+func crestRows(fair, naive *crestResult) []Row {
+	const measure = "service at the crest"
+	return []Row{
+		{Measure: measure, Case: "goodput", Unit: "% of capacity", Value: &fair.goodput, Naive: &naive.goodput, Least: some(leastGoodput)},
+		{Measure: measure, Case: "refusal p99", Unit: "ms", Value: refusalAt(fair, 0.99), Naive: refusalAt(naive, 0.99)},
+		{Measure: measure, Case: "slowest refusal", Unit: "ms", Value: refusalAt(fair, 1), Naive: refusalAt(naive, 1), Most: some(mostRefusal),
+			Note: fmt.Sprintf("%d refusals", len(fair.refusals))},
+		{Measure: measure, Case: "refusals that were not true", Unit: "tasks", Value: some(float64(fair.sample.Untrue)),
+			Naive: some(float64(naive.sample.Untrue)), Most: some(0)},
+		{Measure: measure, Case: "back to normal after", Unit: "s", Value: &fair.recovery, Naive: &naive.recovery, Most: some(mostRecovery)},
+	}
+}
+
+// refusalAt returns a quantile of the refusals' times in milliseconds. Without refusals there is none.
+func refusalAt(x *crestResult, q float64) *float64 {
+	if len(x.refusals) == 0 {
+		return some(0)
+	}
+	slices.Sort(x.refusals)
+	i := int(math.Ceil(q*float64(len(x.refusals)))) - 1
+	return some(float64(x.refusals[max(0, i)].Microseconds()) / 1000)
+}
+
+func crestOf(c *Cluster, jobs []*Job, low time.Duration, network time.Duration) (*crestResult, error) {
+	l, err := StartLoad(c, jobs, LoadOptions{})
+	if err != nil {
+		return nil, err
+	}
+	x := &crestResult{}
+	stop := make(chan struct{})
+	var polling sync.WaitGroup
+	polling.Go(func() { x.queue = c.followQueue(l.Begin, stop) })
+	l.Arrived()
+	time.Sleep(time.Second) // the queue after the last arrival belongs to the picture
+	close(stop)
+	polling.Wait()
+	l.Finish()
+	starts, err := c.starts()
+	if err != nil {
+		return nil, err
+	}
+	all := window{0, 2*low + crestLength}
+	x.sample = sampleOf(l, all, starts, network)
+	for _, r := range l.Records {
+		x.refusals = append(x.refusals, r.refusals()...)
+	}
+	x.bins = goodput(l, starts, all.to, c.Slots)
+	crest := window{low, low + crestLength}
+	x.goodput = meanBetween(x.bins, crest) * 100
+	x.recovery = recovery(l, x.queue, crest, c.Slots).Seconds()
+	return x, nil
+}
+
+// refusals returns the times of the refusals from the intended arrival on. Without retries there is at most one.
+func (r *Record) refusals() []time.Duration {
+	out := make([]time.Duration, len(r.Refused))
+	for i, d := range r.Refused {
+		out[i] = d + r.Lag
+	}
+	return out
+}
+
+// followQueue polls the queued tasks until stop is closed.
+func (c *Cluster) followQueue(begin time.Time, stop chan struct{}) []level {
+	var out []level
+	ticker := time.NewTicker(queuePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return out
+		case <-ticker.C:
+		}
+		if v, err := c.sumVars(); err == nil {
+			out = append(out, level{time.Since(begin), v.Queued})
+		}
+	}
+}
+
+// goodput returns for each bin the share of the slots that were busy with tasks of jobs that got a complete answer
+// within their deadline.
+func goodput(l *Load, starts map[string][]start, length time.Duration, slots int) []float64 {
+	bins := make([]float64, int(length/crestBin))
+	for _, r := range l.Records {
+		if !r.Completed() || r.Response > r.Job.Deadline {
+			continue
+		}
+		for t, run := range r.Job.Run {
+			for _, s := range starts[taskName(r, t)] {
+				spread(bins, s.at.Sub(l.Begin), run)
+			}
+		}
+	}
+	for i := range bins {
+		bins[i] /= float64(slots) * float64(crestBin)
+	}
+	return bins
+}
+
+// spread adds the time of one run to the bins that it covers.
+func spread(bins []float64, from, run time.Duration) {
+	to := from + run
+	for i := max(0, int(from/crestBin)); i < len(bins); i++ {
+		low, high := time.Duration(i)*crestBin, time.Duration(i+1)*crestBin
+		if low >= to {
+			return
+		}
+		bins[i] += float64(min(to, high) - max(from, low))
+	}
+}
+
+func meanBetween(bins []float64, w window) float64 {
+	sum, n := 0.0, 0
+	for i, v := range bins {
+		if w.has(time.Duration(i) * crestBin) {
+			sum += v
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
+// recovery returns the time from the crest's end until service is as before the crest: the queue is at most what it
+// was before, or a small share of the slots, and no job that arrived later was refused.
+func recovery(l *Load, queue []level, crest window, slots int) time.Duration {
+	normal := int64(queueRest * float64(slots))
+	for _, q := range queue {
+		if q.at < crest.from {
+			normal = max(normal, q.queued)
+		}
+	}
+	var last time.Duration
+	for _, q := range queue {
+		if q.at >= crest.to && q.queued > normal {
+			last = max(last, q.at-crest.to)
+		}
+	}
+	for _, r := range l.Records {
+		if r.Job.At >= crest.to && (len(r.Refused) > 0 || r.Code == result.DeadlineExceeded) {
+			last = max(last, r.Job.At-crest.to)
+		}
+	}
+	return last
+}
+
+func saveCrest(name string, fair, naive *crestResult) error {
+	lines := [][]string{{"s", "savorypass", "naive"}}
+	var a, b []point
+	for i := range fair.bins {
+		at := (time.Duration(i) * crestBin).Seconds()
+		a = append(a, point{at, fair.bins[i] * 100})
+		b = append(b, point{at, naive.bins[i] * 100})
+		lines = append(lines, []string{f64(at), f64(fair.bins[i] * 100), f64(naive.bins[i] * 100)})
+	}
+	if err := writeCSV(name+".csv", lines); err != nil {
+		return err
+	}
+	return savePlot(name+".png", chart{
+		title: "Goodput at the crest", x: "time, s", y: "goodput, % of capacity", lines: []line{{"savorypass", a}, {"naive", b}},
+	})
+}
+
+func f64(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) }
--- /dev/null
+++ b/internal/bench/ideal.go
@@ -0,0 +1,195 @@
+package bench
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Order is an order of service of the ideal scheduler.
+type Order int
+
+// The orders of the ideal scheduler.
+const (
+	FirstCome         Order = iota
+	ShortestRemaining       // the job with the least work that is not started goes first
+)
+
+// IdealTimes are the ends of one job's tasks after its arrival. The end of a task that was cancelled is negative.
+type IdealTimes struct {
+	Tasks []time.Duration
+	Job   time.Duration // end of the last task; negative for a cancelled job
+}
+
+// Ideal serves the jobs from one queue over all slots, knows the true run times, and has no cost. Slots of remote
+// availability zones count as local, so the 3 ms of the way there and back are left out, which favours the ideal.
+// Within a job the longest task goes first.
+func Ideal(jobs []*Job, slots int, order Order) []IdealTimes {
+	s := &idealRun{order: order, free: slots, out: make([]IdealTimes, len(jobs)), jobs: make([]*idealJob, len(jobs))}
+	for i, j := range jobs {
+		s.out[i] = IdealTimes{Tasks: slices.Repeat([]time.Duration{-1}, len(j.Run)), Job: -1}
+		s.push(idealEvent{at: j.At, kind: arrival, job: i})
+		s.jobs[i] = newIdealJob(j, i, order)
+		if j.Cancel > 0 {
+			s.push(idealEvent{at: j.At + j.Cancel, kind: cancellation, job: i})
+		}
+	}
+	for len(s.events) > 0 {
+		s.step(heap.Pop(&s.events).(idealEvent))
+	}
+	return s.out
+}
+
+type eventKind int
+
+// Events at the same time take effect in this order.
+const (
+	taskEnd eventKind = iota
+	cancellation
+	arrival
+)
+
+type idealEvent struct {
+	at   time.Duration
+	kind eventKind
+	job  int
+	task int
+}
+
+type idealJob struct {
+	*Job
+	index     int
+	key       time.Duration
+	waiting   []int // the longest last
+	running   int
+	left      int
+	cancelled bool
+}
+
+func newIdealJob(j *Job, index int, order Order) *idealJob {
+	x := &idealJob{Job: j, index: index, key: j.At, left: len(j.Run)}
+	if order == ShortestRemaining {
+		x.key = j.Work()
+	}
+	for t := range j.Run {
+		x.waiting = append(x.waiting, t)
+	}
+	slices.SortFunc(x.waiting, func(a, b int) int { return cmp.Compare(j.Run[a], j.Run[b]) })
+	return x
+}
+
+type idealRun struct {
+	order  Order
+	free   int
+	jobs   []*idealJob
+	queue  idealQueue
+	events idealEvents
+	out    []IdealTimes
+}
+
+func (s *idealRun) push(e idealEvent) { heap.Push(&s.events, e) }
+
+func (s *idealRun) step(e idealEvent) {
+	j := s.jobs[e.job]
+	switch {
+	case e.kind == arrival:
+		heap.Push(&s.queue, j)
+	case j.cancelled:
+	case e.kind == cancellation:
+		s.cancel(j)
+	default:
+		s.end(j, e)
+	}
+	s.dispatch(e.at)
+}
+
+func (s *idealRun) end(j *idealJob, e idealEvent) {
+	s.free++
+	j.running--
+	j.left--
+	s.out[j.index].Tasks[e.task] = e.at - j.At
+	if j.left == 0 {
+		s.out[j.index].Job = e.at - j.At
+	}
+}
+
+// cancel stops the running tasks at once. The queue drops the job when it comes to its head.
+func (s *idealRun) cancel(j *idealJob) {
+	if j.left == 0 {
+		return
+	}
+	j.cancelled = true
+	s.free += j.running
+}
+
+func (s *idealRun) dispatch(now time.Duration) {
+	for s.free > 0 && len(s.queue) > 0 {
+		j := s.queue[0]
+		if j.cancelled {
+			heap.Pop(&s.queue)
+			continue
+		}
+		last := len(j.waiting) - 1
+		t := j.waiting[last]
+		j.waiting = j.waiting[:last]
+		if s.order == ShortestRemaining {
+			j.key -= j.Run[t]
+		}
+		if last == 0 {
+			heap.Pop(&s.queue)
+		}
+		s.free--
+		j.running++
+		s.push(idealEvent{at: now + j.Run[t], kind: taskEnd, job: j.index, task: t})
+	}
+}
+
+type idealQueue []*idealJob
+
+// Len implements heap.Interface.
+func (q idealQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q idealQueue) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(q[a].key, q[b].key), cmp.Compare(q[a].index, q[b].index)) < 0
+}
+
+// Swap implements heap.Interface.
+func (q idealQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+
+// Push implements heap.Interface.
+func (q *idealQueue) Push(x any) { *q = append(*q, x.(*idealJob)) }
+
+// Pop implements heap.Interface.
+func (q *idealQueue) Pop() any {
+	last := len(*q) - 1
+	x := (*q)[last]
+	*q = (*q)[:last]
+	return x
+}
+
+type idealEvents []idealEvent
+
+// Len implements heap.Interface.
+func (e idealEvents) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e idealEvents) Less(a, b int) bool {
+	x, y := &e[a], &e[b]
+	return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.kind, y.kind), cmp.Compare(x.job, y.job), cmp.Compare(x.task, y.task)) < 0
+}
+
+// Swap implements heap.Interface.
+func (e idealEvents) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+
+// Push implements heap.Interface.
+func (e *idealEvents) Push(x any) { *e = append(*e, x.(idealEvent)) }
+
+// Pop implements heap.Interface.
+func (e *idealEvents) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,296 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+const (
+	waitMS      = 150_000 // above the longest deadline of a job
+	leastRetry  = 20 * time.Millisecond
+	warmPerTeam = 12                     // idle connections of each caller before a run
+	leadTime    = 200 * time.Millisecond // from the start of a run to its first arrival
+)
+
+var submitPath = "/v1/jobs?wait_ms=" + strconv.Itoa(waitMS)
+
+// Record is what a caller saw of one job.
+type Record struct {
+	Job      *Job
+	Index    int
+	Identity string
+	Lag      time.Duration // of the tool itself: from the intended arrival to the first byte's write
+	Response time.Duration // from the intended arrival to the final answer; 0 without one
+	Code     result.Code
+	Refused  []time.Duration // of each refusal, from the submission that it answers
+	Err      error
+	Wrong    string // a broken promise that the caller can see
+
+	mu    sync.Mutex
+	known chan struct{} // closed when Identity is set
+}
+
+// Completed reports whether the job has a complete answer.
+func (r *Record) Completed() bool { return r.Err == nil && r.Response > 0 && r.Code == result.Complete }
+
+// GivenUp reports whether the last thing that the caller heard was a refusal.
+func (r *Record) GivenUp() bool { return r.Err == nil && r.Response == 0 }
+
+// LoadOptions configure a Load.
+type LoadOptions struct {
+	Retries int // times that a refused job is submitted again, when the dispatcher said
+}
+
+// Load is an open loop: jobs are submitted at their intended arrivals, whatever became of those before.
+type Load struct {
+	cluster *Cluster
+	opts    LoadOptions
+	callers [][]*caller
+	Records []*Record
+	Begin   time.Time // intended arrivals count from here
+	End     time.Time // last intended arrival
+	done    sync.WaitGroup
+	tails   [][]byte
+}
+
+// StartLoad begins to submit jobs. Arrived blocks until the last one was submitted, Finish until all have ended.
+func StartLoad(c *Cluster, jobs []*Job, o LoadOptions) (*Load, error) {
+	l := &Load{cluster: c, opts: o, callers: c.connect()}
+	for _, team := range l.callers {
+		for _, x := range team {
+			if err := x.warm(warmPerTeam); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for i, j := range jobs {
+		l.Records = append(l.Records, &Record{Job: j, Index: i, known: make(chan struct{})})
+		l.tails = append(l.tails, tail(c, j, i))
+	}
+	l.Begin = time.Now().Add(leadTime)
+	l.End = l.Begin
+	if n := len(jobs); n > 0 {
+		l.End = l.Begin.Add(jobs[n-1].At)
+	}
+	l.done.Go(l.dispatch)
+	return l, nil
+}
+
+// connect makes the callers of all teams.
+func (c *Cluster) connect() [][]*caller {
+	out := make([][]*caller, len(c.Teams))
+	for t, team := range c.Teams {
+		for i, token := range team.Tokens {
+			out[t] = append(out[t], newCaller(token, c.Entries, uint64(t*100+i)))
+		}
+	}
+	return out
+}
+
+// tail is the body of a submission after its identity.
+func tail(c *Cluster, j *Job, index int) []byte {
+	b := fmt.Appendf(nil, `","service":%q,"idempotent":true,"deadline_ms":%d,"tasks":[`, j.Service, j.Deadline.Milliseconds())
+	for t := range j.Run {
+		if t > 0 {
+			b = append(b, ',')
+		}
+		b = fmt.Appendf(b, `{"payload":"{\"run_ms\":%d,\"output\":\"%s\"}","run_time_ms":%d,"cores":1,"memory_mb":512}`,
+			j.Run[t].Milliseconds(), output(index, t), j.Declared[t].Milliseconds())
+	}
+	return append(b, "]}"...)
+}
+
+// output is the output that a task is made to return, so that an answer of another job or task shows.
+func output(job, task int) string { return strconv.Itoa(job) + "." + strconv.Itoa(task) }
+
+func (l *Load) dispatch() {
+	for i, r := range l.Records {
+		if wait := l.Begin.Add(r.Job.At).Sub(time.Now()); wait > 0 {
+			time.Sleep(wait)
+		}
+		l.done.Go(func() { l.serve(r, l.tails[i]) })
+		l.tails[i] = nil
+	}
+}
+
+// Arrived blocks until the last job was submitted.
+func (l *Load) Arrived() { time.Sleep(l.End.Sub(time.Now())) }
+
+// Finish blocks until every job has ended and closes the connections.
+func (l *Load) Finish() {
+	l.done.Wait()
+	for _, team := range l.callers {
+		for _, c := range team {
+			c.close()
+		}
+	}
+}
+
+// serve submits one job and waits for its answer.
+func (l *Load) serve(r *Record, tail []byte) {
+	at := l.Begin.Add(r.Job.At)
+	c := l.callers[r.Job.Team][r.Job.Caller]
+	var aside sync.WaitGroup
+	if r.Job.Cancel > 0 {
+		aside.Go(func() { l.cancel(c, r) })
+	}
+	var second *answer
+	if r.Job.Resubmit > 0 {
+		aside.Go(func() { second = l.resubmit(c, r, tail) })
+	}
+	r.Lag = time.Now().Sub(at)
+	first := l.submit(c, r, tail)
+	if first != nil && first.Final {
+		r.Response = time.Now().Sub(at)
+	}
+	select {
+	case <-r.known:
+	default:
+		close(r.known) // without an identity; the goroutines above give up
+	}
+	aside.Wait()
+	r.check(first, second)
+}
+
+// submit submits until an answer is final or the tries are used up, and returns the last answer.
+func (l *Load) submit(c *caller, r *Record, tail []byte) *answer {
+	for try := 0; ; try++ {
+		began := time.Now()
+		a, err := l.send(c, r, tail)
+		if err != nil {
+			r.note(err, "submission")
+			return nil
+		}
+		r.Code = result.Code(a.Code)
+		if a.Final {
+			return a
+		}
+		if a.Execution == string(result.NotRun) {
+			r.Refused = append(r.Refused, time.Now().Sub(began))
+			if try >= l.opts.Retries {
+				return a
+			}
+		}
+		time.Sleep(max(leastRetry, time.Duration(a.RetryAfterMS)*time.Millisecond))
+	}
+}
+
+func (l *Load) send(c *caller, r *Record, tail []byte) (*answer, error) {
+	cn, err := c.take()
+	if err != nil {
+		return nil, err
+	}
+	if r.Identity == "" {
+		id, err := c.identity(cn)
+		if err != nil {
+			cn.Close()
+			return nil, err
+		}
+		r.Identity = id
+		close(r.known)
+	}
+	return c.requestOn(cn, "POST", submitPath, []byte(`{"identity":"`), []byte(r.Identity), tail)
+}
+
+// later waits for a time after the intended arrival and for the identity, and reports whether there is one.
+func (l *Load) later(r *Record, after time.Duration) bool {
+	time.Sleep(l.Begin.Add(r.Job.At + after).Sub(time.Now()))
+	<-r.known
+	return r.Identity != ""
+}
+
+func (l *Load) cancel(c *caller, r *Record) {
+	if l.later(r, r.Job.Cancel) {
+		_, err := c.request("DELETE", "/v1/jobs/"+r.Identity)
+		r.note(err, "cancellation")
+	}
+}
+
+func (l *Load) resubmit(c *caller, r *Record, tail []byte) *answer {
+	if !l.later(r, r.Job.Resubmit) {
+		return nil
+	}
+	a, err := c.request("POST", submitPath, []byte(`{"identity":"`), []byte(r.Identity), tail)
+	r.note(err, "resubmission")
+	return a
+}
+
+func (r *Record) note(err error, what string) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Err == nil {
+		r.Err = fmt.Errorf("%s: %w", what, err)
+	}
+}
+
+// check compares the answers with what was promised.
+func (r *Record) check(first, second *answer) {
+	switch {
+	case first != nil && first.Code == int(result.Complete) && !r.ownOutputs(first.Outputs):
+		r.Wrong = "incomplete or foreign outputs"
+	case first != nil && first.Code != int(result.Complete) && len(first.Outputs) > 0:
+		r.Wrong = "outputs without a complete answer"
+	case first != nil && second != nil && first.Final && second.Final && first.Code != second.Code:
+		r.Wrong = fmt.Sprintf("resubmission answered %v after %v", result.Code(second.Code), result.Code(first.Code))
+	case first != nil && second != nil && first.Final && second.Final && !slices.Equal(first.Outputs, second.Outputs):
+		r.Wrong = "resubmission with other outputs"
+	}
+}
+
+func (r *Record) ownOutputs(outputs []string) bool {
+	if len(outputs) != len(r.Job.Run) {
+		return false
+	}
+	for t, o := range outputs {
+		if o != output(r.Index, t) {
+			return false
+		}
+	}
+	return true
+}
+
+// Histograms hold times in microseconds, and ratios times 1,000.
+const (
+	histogramMax    = 1 << 36
+	histogramDigits = 3
+	ratioUnit       = 1000
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+func addRatio(h *hdrhistogram.Histogram, ratio float64) {
+	h.RecordValue(min(histogramMax, max(1, int64(ratio*ratioUnit))))
+}
+
+func addTime(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(histogramMax, max(1, d.Microseconds())))
+}
+
+func ratioAt(h *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(h.ValueAtPercentile(percent)) / ratioUnit
+}
+
+func millisAt(h *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(h.ValueAtPercentile(percent)) / 1000
+}
+
+// lag returns the distribution of the tool's own delays.
+func (l *Load) lag() *hdrhistogram.Histogram {
+	h := newHistogram()
+	for _, r := range l.Records {
+		addTime(h, r.Lag)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/bench/measure.go
@@ -0,0 +1,73 @@
+package bench
+
+import (
+	"os"
+	"strings"
+	"time"
+)
+
+// The roles of processes.
+const (
+	roleEntry     = "entry instance"
+	roleWorker    = "worker stand-in"
+	roleLog       = "log stand-in"
+	roleInstances = "instance list stand-in"
+	roleTool      = "savory-bench"
+)
+
+// state is the usage of a cluster's processes by role and the sum of its metrics, at one time.
+type state struct {
+	at    time.Time
+	took  time.Duration // of a difference
+	roles map[string]Usage
+	vars  Vars
+}
+
+func roleOf(process string) string {
+	switch {
+	case strings.HasPrefix(process, "entry"):
+		return roleEntry
+	case strings.HasPrefix(process, "worker"):
+		return roleWorker
+	case process == "log":
+		return roleLog
+	}
+	return roleInstances
+}
+
+func (c *Cluster) measure() (state, error) {
+	s := state{roles: map[string]Usage{}}
+	pids, err := c.PIDs()
+	if err != nil {
+		return s, err
+	}
+	pids[roleTool] = os.Getpid()
+	if s.vars, err = c.sumVars(); err != nil {
+		return s, err
+	}
+	s.at = time.Now()
+	for name, pid := range pids {
+		u, err := UsageOf(pid)
+		if err != nil {
+			return s, err
+		}
+		role := name
+		if name != roleTool {
+			role = roleOf(name)
+		}
+		s.roles[role] = s.roles[role].plus(u)
+	}
+	return s, nil
+}
+
+// minus returns what was used between two states. Levels are those of the later one.
+func (s state) minus(b state) state {
+	d := state{at: s.at, took: s.at.Sub(b.at), roles: map[string]Usage{}, vars: s.vars}
+	for role, u := range s.roles {
+		d.roles[role] = u.minus(b.roles[role])
+	}
+	d.vars.Starts -= b.vars.Starts
+	add(d.vars.ControlBytes, b.vars.ControlBytes, -1)
+	add(d.vars.Wasted, b.vars.Wasted, -1)
+	return d
+}
--- /dev/null
+++ b/internal/bench/operator.go
@@ -0,0 +1,263 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
+	"github.com/savorypass/savorypass/internal/standin"
+	"github.com/savorypass/savorypass/internal/standin/logservice"
+	"github.com/savorypass/savorypass/internal/standin/worker"
+)
+
+const (
+	operatorTimeout = 20 * time.Second
+	readyTimeout    = 60 * time.Second
+	readyPoll       = 100 * time.Millisecond
+	overlapTimeout  = 10 * time.Second // owners settle within 2 s of the last change of members
+)
+
+var errOverlap = errors.New("workers have more than one owner")
+
+var operators = fasthttp.Client{Name: "savory-bench", MaxConnsPerHost: 16, MaxResponseBodySize: 256 << 20}
+
+// Vars are the metrics that the measurements use; docs/metrics.md describes them.
+type Vars struct {
+	Starts        int64            `json:"starts"`
+	Wasted        map[string]int64 `json:"wasted_messages"`
+	Refusals      map[string]int64 `json:"refusals"`
+	Answers       map[string]int64 `json:"answers"`
+	Delegations   map[string]int64 `json:"delegations"`
+	Forwards      map[string]int64 `json:"forwards"`
+	ControlBytes  map[string]int64 `json:"control_bytes"`
+	Queued        int64            `json:"queued"`
+	Running       int64            `json:"running"`
+	Slots         int64            `json:"slots"`
+	ConfigVersion int64            `json:"config_version"`
+}
+
+func total(counters map[string]int64) int64 {
+	var sum int64
+	for _, v := range counters {
+		sum += v
+	}
+	return sum
+}
+
+// call makes one request with the operator's token and decodes the answer.
+func (c *Cluster) call(method, address, path string, body []byte, into any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.Set("Authorization", "Bearer "+c.Operator)
+	req.SetBody(body)
+	if err := operators.DoTimeout(req, resp, operatorTimeout); err != nil {
+		return fmt.Errorf("%s %s: %w", address, path, err)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return fmt.Errorf("%s %s: status %d: %s", address, path, resp.StatusCode(), resp.Body())
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(resp.Body(), into)
+}
+
+// vars reads the metrics of every entry instance.
+func (c *Cluster) vars() ([]Vars, error) {
+	out := make([]Vars, len(c.Entries))
+	err := c.eachEntry(func(i int, e Address) error {
+		var all struct {
+			Savory Vars `json:"savory"`
+		}
+		err := c.call(http.MethodGet, e.Operators, opsapi.PathVars, nil, &all)
+		out[i] = all.Savory
+		return err
+	})
+	return out, err
+}
+
+// eachEntry calls f for all entry instances at once and returns the first error.
+func (c *Cluster) eachEntry(f func(i int, e Address) error) error {
+	errs := make([]error, len(c.Entries))
+	var wg sync.WaitGroup
+	for i, e := range c.Entries {
+		wg.Go(func() { errs[i] = f(i, e) })
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sumVars adds up the metrics of all entry instances.
+func (c *Cluster) sumVars() (Vars, error) {
+	list, err := c.vars()
+	sum := Vars{Wasted: map[string]int64{}, ControlBytes: map[string]int64{}, Forwards: map[string]int64{}, Delegations: map[string]int64{}}
+	for _, v := range list {
+		sum.Starts += v.Starts
+		sum.Queued += v.Queued
+		sum.Running += v.Running
+		sum.Slots += v.Slots
+		add(sum.Wasted, v.Wasted, 1)
+		add(sum.ControlBytes, v.ControlBytes, 1)
+		add(sum.Forwards, v.Forwards, 1)
+		add(sum.Delegations, v.Delegations, 1)
+	}
+	return sum, err
+}
+
+func add(to, from map[string]int64, sign int64) {
+	for k, v := range from {
+		to[k] += sign * v
+	}
+}
+
+// publish publishes a document at an entry instance and returns its version.
+func (c *Cluster) publish(e Address, doc []byte, replaces int64) (int64, error) {
+	var done opsapi.Published
+	path := fmt.Sprintf("%s?%s=%d", opsapi.PathConfig, opsapi.ArgReplaces, replaces)
+	err := c.call(http.MethodPut, e.Operators, path, doc, &done)
+	return done.Version, err
+}
+
+func (c *Cluster) version(e Address) (int64, error) {
+	var current opsapi.Config
+	err := c.call(http.MethodGet, e.Operators, opsapi.PathConfig, nil, &current)
+	return current.Version, err
+}
+
+// Ready publishes the first configuration if there is none, and waits until every entry instance is ready and every
+// slot has an owner.
+//
+// An instance that has just started may own workers that its peers own too. Where that does not end, the cluster is
+// measured as it is, and the table says so.
+func (c *Cluster) Ready() error {
+	doc, err := os.ReadFile(filepath.Join(c.dir, configFile))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	begin := time.Now()
+	for {
+		err := c.ready(doc)
+		if err == nil || errors.Is(err, errOverlap) && time.Since(begin) > overlapTimeout {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("cluster %s is not ready after %v: %w", c.Name, readyTimeout, err)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (c *Cluster) ready(doc []byte) error {
+	if v, err := c.version(c.Entries[0]); err != nil || v == 0 {
+		c.publish(c.Entries[0], doc, 0) // fails until the instance has read the log; the next attempt tells
+	}
+	sum, err := c.ownedSlots()
+	switch {
+	case err != nil:
+		return err
+	case sum > c.Slots:
+		return fmt.Errorf("%w: the owners have %d slots, the workers %d", errOverlap, sum, c.Slots)
+	case sum < c.Slots:
+		return fmt.Errorf("the owners have %d slots, the workers %d", sum, c.Slots)
+	}
+	return nil
+}
+
+// ownedSlots returns the sum of the slots of all entry instances, or an error when one of them is not ready or does
+// not know all of its peers.
+func (c *Cluster) ownedSlots() (int, error) {
+	slots := make([]int, len(c.Entries))
+	err := c.eachEntry(func(i int, e Address) error {
+		var s opsapi.Status
+		if err := c.call(http.MethodGet, e.Operators, opsapi.PathStatus, nil, &s); err != nil {
+			return err
+		}
+		if !s.Ready {
+			return fmt.Errorf("%s: %v", e.Name, s.Reasons)
+		}
+		if n := live(s.Members); n < len(c.Entries) {
+			return fmt.Errorf("%s: knows %d of %d live members", e.Name, n, len(c.Entries))
+		}
+		slots[i] = s.Workers.Slots
+		return nil
+	})
+	sum := 0
+	for _, n := range slots {
+		sum += n
+	}
+	return sum, err
+}
+
+func live(members []opsapi.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.State == opsapi.MemberLive {
+			n++
+		}
+	}
+	return n
+}
+
+// cutFromLog makes the log service unreachable for the entry instances of a zone; "" ends that.
+func (c *Cluster) cutFromLog(zone string) error {
+	f := logservice.Fault{Clear: true}
+	if zone != "" {
+		f = logservice.Fault{GateFault: standin.GateFault{CutZones: []string{zone}}}
+	}
+	body, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	return c.call(http.MethodPost, c.Log, "/fault", body, nil)
+}
+
+// start is one start of a task, as its worker recorded it.
+type start struct {
+	worker int
+	at     time.Time
+}
+
+// starts reads the start records of all workers by task.
+func (c *Cluster) starts() (map[string][]start, error) {
+	lists := make([]worker.Starts, len(c.Workers))
+	errs := make([]error, len(c.Workers))
+	var wg sync.WaitGroup
+	for i, address := range c.Workers {
+		wg.Go(func() { errs[i] = c.call(http.MethodGet, address, "/starts?min=1", nil, &lists[i]) })
+	}
+	wg.Wait()
+	out := map[string][]start{}
+	for i, l := range lists {
+		if errs[i] != nil {
+			return nil, errs[i]
+		}
+		for task, s := range l.Tasks {
+			for _, a := range s.Arrivals {
+				if a.Started {
+					out[task] = append(out[task], start{i, a.Time})
+				}
+			}
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/bench/proc.go
@@ -0,0 +1,80 @@
+package bench
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ticksPerSecond is the unit of CPU times in /proc, which Linux fixes at 100 on all architectures that Go supports.
+const ticksPerSecond = 100
+
+// Usage is what a process has used since its start, and its resident memory now.
+type Usage struct {
+	CPU      time.Duration // user and system
+	Resident int64         // bytes
+	Bytes    int64         // of read and write calls, which carry all TCP traffic; UDP is not in it
+}
+
+func (u Usage) minus(v Usage) Usage {
+	return Usage{CPU: u.CPU - v.CPU, Resident: u.Resident, Bytes: u.Bytes - v.Bytes}
+}
+
+func (u Usage) plus(v Usage) Usage {
+	return Usage{CPU: u.CPU + v.CPU, Resident: u.Resident + v.Resident, Bytes: u.Bytes + v.Bytes}
+}
+
+// UsageOf reads the usage of a process.
+func UsageOf(pid int) (Usage, error) {
+	dir := fmt.Sprintf("/proc/%d/", pid)
+	stat, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		return Usage{}, err
+	}
+	u, err := parseStat(stat)
+	if err != nil {
+		return Usage{}, err
+	}
+	io, err := os.ReadFile(dir + "io")
+	if err != nil {
+		return Usage{}, err
+	}
+	u.Bytes = parseIO(io)
+	return u, nil
+}
+
+// parseStat reads the fields after the command, which may hold spaces and ends at the last parenthesis.
+func parseStat(stat []byte) (Usage, error) {
+	const user, system, resident = 11, 12, 21 // of the fields after the command
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(fields) <= resident {
+		return Usage{}, fmt.Errorf("stat has %d fields after the command", len(fields))
+	}
+	var n [3]int64
+	for i, f := range []int{user, system, resident} {
+		v, err := strconv.ParseInt(fields[f], 10, 64)
+		if err != nil {
+			return Usage{}, fmt.Errorf("stat: field %d: %w", f, err)
+		}
+		n[i] = v
+	}
+	return Usage{
+		CPU:      time.Duration(n[0]+n[1]) * time.Second / ticksPerSecond,
+		Resident: n[2] * int64(os.Getpagesize()),
+	}, nil
+}
+
+func parseIO(text []byte) int64 {
+	var sum int64
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name == "rchar" || name == "wchar" {
+			n, _ := strconv.ParseInt(value, 10, 64)
+			sum += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/bench/response.go
@@ -0,0 +1,285 @@
+package bench
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	responseDeadline = 2 * time.Minute // far above any response, so that it shapes nothing
+	responseRetries  = 50
+
+	mostAt80     = 1.3
+	mostAt95     = 2.0
+	mostWasted   = 0.05
+	mostBlocking = 1.5
+)
+
+// Extent is how long the parts of a run take.
+type Extent struct {
+	Warm     time.Duration // at the start of each load, not measured
+	Measured time.Duration
+	Loads    []float64
+	Crest    time.Duration // low load before and after the crest, each
+	Versions int           // configuration versions that are published with a healthy log
+	Cuts     int           // versions that are published while a zone is cut from the log
+	Pairs    int           // direct and dispatched calls of the overhead
+	Rate     time.Duration // at each size
+}
+
+// Extents of a full and a short run.
+var (
+	FullExtent = Extent{
+		Warm: 5 * time.Second, Measured: 25 * time.Second, Loads: []float64{0.5, 0.8, 0.95}, Crest: 8 * time.Second,
+		Versions: 30, Cuts: 4, Pairs: 400, Rate: 6 * time.Second,
+	}
+	ShortExtent = Extent{
+		Warm: 2 * time.Second, Measured: 8 * time.Second, Loads: []float64{0.8}, Crest: 4 * time.Second,
+		Versions: 6, Cuts: 1, Pairs: 100, Rate: 3 * time.Second,
+	}
+)
+
+// Run holds what the experiments share.
+type Run struct {
+	Fair   *Cluster
+	Naive  *Cluster
+	Out    string
+	Seed   uint64
+	Extent Extent
+	Say    func(format string, args ...any) // progress
+
+	network time.Duration
+}
+
+// clusters returns both clusters, in the order in which a run uses them.
+func (r *Run) clusters() []*Cluster { return []*Cluster{r.Fair, r.Naive} }
+
+func (r *Run) workload(load float64, heavy bool) Workload {
+	return Workload{
+		Seed: r.Seed, Slots: r.Fair.Slots, Teams: len(r.Fair.Teams), Callers: len(r.Fair.Teams[0].Tokens),
+		Segments: []Segment{{r.Extent.Warm, load}, {r.Extent.Measured, load}},
+		Heavy:    heavy, Bursts: true, Unrest: true, Deadline: responseDeadline,
+	}
+}
+
+func (r *Run) window() window { return window{r.Extent.Warm, r.Extent.Warm + r.Extent.Measured} }
+
+// phase is the same arrivals at both clusters.
+type phase struct {
+	name  string
+	load  float64
+	heavy bool
+	jobs  []*Job
+
+	loads   map[*Cluster]*Load
+	before  map[*Cluster]Vars
+	after   map[*Cluster]Vars
+	samples map[*Cluster]*Sample
+	ideal   []*Sample
+}
+
+// Responses measures the responses at several loads, the wasted messages, and the effect of long work on short tasks.
+func (r *Run) Responses() error {
+	phases, err := r.phases()
+	if err != nil {
+		return err
+	}
+	var rows []Row
+	for _, p := range phases {
+		if p.heavy {
+			rows = append(rows, r.responseRows(p)...)
+		}
+	}
+	for _, p := range phases {
+		if p.heavy && p.load == 0.8 {
+			rows = append(rows, r.wastedRows(p)...)
+		}
+	}
+	rows = append(rows, r.blockingRow(phases))
+	if err := r.saveResponses(phases); err != nil {
+		return err
+	}
+	return record(r.Out, rows...)
+}
+
+// phases runs all loads, in turn at the two clusters. While one cluster ends its stragglers, the other is at work; a
+// cluster begins its next load only when it has ended the one before.
+func (r *Run) phases() ([]*phase, error) {
+	var phases []*phase
+	for _, load := range r.Extent.Loads {
+		phases = append(phases, &phase{name: fmt.Sprintf("%.0f%%", load*100), load: load, heavy: true})
+	}
+	phases = append(phases, &phase{name: "80% without long work", load: 0.8})
+	last := map[*Cluster]*phase{}
+	for _, p := range phases {
+		p.jobs = Generate(r.workload(p.load, p.heavy))
+		p.loads, p.before, p.after, p.samples = map[*Cluster]*Load{}, map[*Cluster]Vars{}, map[*Cluster]Vars{}, map[*Cluster]*Sample{}
+		p.ideal = idealOf(p.jobs, r.Fair.Slots, r.window())
+		for _, c := range r.clusters() {
+			if err := r.finish(last[c], c); err != nil {
+				return nil, err
+			}
+			if err := p.start(c); err != nil {
+				return nil, err
+			}
+			last[c] = p
+		}
+	}
+	for _, c := range r.clusters() {
+		if err := r.finish(last[c], c); err != nil {
+			return nil, err
+		}
+	}
+	return phases, nil
+}
+
+// start submits the phase's jobs and returns after the last one.
+func (p *phase) start(c *Cluster) (err error) {
+	if p.before[c], err = c.sumVars(); err != nil {
+		return err
+	}
+	if p.loads[c], err = StartLoad(c, p.jobs, LoadOptions{Retries: responseRetries}); err != nil {
+		return err
+	}
+	p.loads[c].Arrived()
+	p.after[c], err = c.sumVars()
+	return err
+}
+
+func (r *Run) finish(p *phase, c *Cluster) error {
+	if p == nil {
+		return nil
+	}
+	p.loads[c].Finish()
+	starts, err := c.starts()
+	if err != nil {
+		return err
+	}
+	s := sampleOf(p.loads[c], r.window(), starts, r.network)
+	p.samples[c] = s
+	r.Say("response %s, %s: %s", p.name, c.Name, s.describe())
+	return record(r.Out, auditRow("response "+p.name, c, s))
+}
+
+// auditRow counts broken promises in a run.
+func auditRow(what string, c *Cluster, s *Sample) Row {
+	broken := s.Wrong + s.Repeated + s.Untrue
+	return Row{
+		Measure: "broken promises", Case: what + ", " + c.Name, Unit: "count", Value: some(float64(broken)), Most: some(0),
+		Note: fmt.Sprintf("%d jobs, %d failed; tool lag p99 %.2f ms", s.Submitted, s.Failed, millisAt(s.Lag, 99)),
+	}
+}
+
+func (r *Run) responseRows(p *phase) []Row {
+	var rows []Row
+	kinds := []struct {
+		name string
+		of   func(*Sample) *hdrhistogram.Histogram
+	}{{"jobs", jobsOf}, {"tasks", tasksOf}}
+	for _, k := range kinds {
+		for _, percent := range []float64{50, 99} {
+			rows = append(rows, Row{
+				Measure: "response / own time", Case: fmt.Sprintf("%s %s p%.0f", p.name, k.name, percent), Unit: "ratio",
+				Value: some(ratioAt(k.of(p.samples[r.Fair]), percent)), Naive: some(ratioAt(k.of(p.samples[r.Naive]), percent)),
+				Ideal: some(best(p.ideal, k.of, percent)),
+			})
+		}
+		row := Row{Measure: "p99 over the ideal's", Case: p.name + " " + k.name, Unit: "ratio", Most: mostOver(p.load)}
+		ideal := best(p.ideal, k.of, 99)
+		row.Value = some(ratioAt(k.of(p.samples[r.Fair]), 99) / ideal)
+		row.Naive = some(ratioAt(k.of(p.samples[r.Naive]), 99) / ideal)
+		row.Note = lost(p.samples[r.Fair])
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// lost names the jobs that have no response and are therefore missing from the percentiles.
+func lost(s *Sample) string {
+	if s.Completed == s.Submitted {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d jobs without a complete answer", s.Submitted-s.Completed, s.Submitted)
+}
+
+func mostOver(load float64) *float64 {
+	switch load {
+	case 0.8:
+		return some(mostAt80)
+	case 0.95:
+		return some(mostAt95)
+	}
+	return nil
+}
+
+// wastedRows counts messages that led to no answer, per started task.
+func (r *Run) wastedRows(p *phase) []Row {
+	counts := func(c *Cluster) (map[string]int64, float64) {
+		wasted := map[string]int64{}
+		add(wasted, p.after[c].Wasted, 1)
+		add(wasted, p.before[c].Wasted, -1)
+		return wasted, float64(max(1, p.after[c].Starts-p.before[c].Starts))
+	}
+	fair, starts := counts(r.Fair)
+	naive, naiveStarts := counts(r.Naive)
+	rows := []Row{{
+		Measure: "wasted messages", Case: p.name + " all kinds", Unit: "per start", Most: some(mostWasted),
+		Value: some(float64(total(fair)) / starts), Naive: some(float64(total(naive)) / naiveStarts),
+		Note: fmt.Sprintf("%.0f starts", starts),
+	}}
+	var kinds []string
+	for k := range fair {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	for _, k := range kinds {
+		rows = append(rows, Row{
+			Measure: "wasted messages", Case: p.name + " " + k, Unit: "per start",
+			Value: some(float64(fair[k]) / starts), Naive: some(float64(naive[k]) / naiveStarts),
+		})
+	}
+	return rows
+}
+
+// blockingRow compares the response of short tasks with and without long work at the same load.
+func (r *Run) blockingRow(phases []*phase) Row {
+	var with, without *phase
+	for _, p := range phases {
+		switch {
+		case !p.heavy:
+			without = p
+		case p.load == 0.8:
+			with = p
+		}
+	}
+	factor := func(c *Cluster) *float64 {
+		over := func(p *phase) float64 { return ratioAt(p.samples[c].Short, 99) / best(p.ideal, shortOf, 99) }
+		return some(over(with) / over(without))
+	}
+	return Row{
+		Measure: "head-of-line blocking", Case: "short tasks p99, 80%", Unit: "ratio", Most: some(mostBlocking),
+		Value: factor(r.Fair), Naive: factor(r.Naive),
+	}
+}
+
+// saveResponses writes the distributions of the jobs' ratios as CSV and as a plot for each load.
+func (r *Run) saveResponses(phases []*phase) error {
+	for _, p := range phases {
+		if !p.heavy {
+			continue
+		}
+		curves := []curve{
+			{"savorypass", p.samples[r.Fair].JobRatios}, {"naive", p.samples[r.Naive].JobRatios},
+			{"ideal, first come", p.ideal[0].JobRatios}, {"ideal, shortest remaining", p.ideal[1].JobRatios},
+		}
+		name := filepath.Join(r.Out, fmt.Sprintf("response-%.0f", p.load*100))
+		if err := saveCurves(name, "Jobs at "+p.name+" load", curves); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/table.go
@@ -0,0 +1,166 @@
+package bench
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+)
+
+const rowsFile = "rows.jsonl"
+
+// Row is one line of the table. A nil value was not measured.
+type Row struct {
+	Measure string   `json:"measure"`
+	Case    string   `json:"case"`
+	Unit    string   `json:"unit"`
+	Value   *float64 `json:"value"`           // savorypass
+	Ideal   *float64 `json:"ideal,omitempty"` // the ideal scheduler on the same arrivals
+	Naive   *float64 `json:"naive,omitempty"` // the naive dispatcher under the same seed
+	Most    *float64 `json:"most,omitempty"`  // upper bound of Value
+	Least   *float64 `json:"least,omitempty"` // lower bound of Value
+	Note    string   `json:"note,omitempty"`
+}
+
+// The verdicts of a row.
+const (
+	verdictMet     = "met"
+	verdictMissed  = "MISS"
+	verdictNoValue = "NOT MEASURED"
+	verdictNoBound = ""
+)
+
+// Verdict compares the value with its bound.
+func (r *Row) Verdict() string {
+	switch {
+	case r.Most == nil && r.Least == nil:
+		return verdictNoBound
+	case r.Value == nil:
+		return verdictNoValue
+	case r.Most != nil && !(*r.Value <= *r.Most), r.Least != nil && !(*r.Value >= *r.Least):
+		return verdictMissed // a value that is not a number misses too
+	}
+	return verdictMet
+}
+
+// bound returns the bound as text.
+func (r *Row) bound() string {
+	switch {
+	case r.Most != nil:
+		return "<= " + number(r.Most)
+	case r.Least != nil:
+		return ">= " + number(r.Least)
+	}
+	return ""
+}
+
+// number shows a value with three significant digits, and whole numbers in full.
+func number(v *float64) string {
+	switch {
+	case v == nil:
+		return "-"
+	case *v >= 1000 || *v <= -1000:
+		return strconv.FormatFloat(*v, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(*v, 'g', 3, 64)
+}
+
+func some(v float64) *float64 { return &v }
+
+// record appends rows to the rows of a run.
+func record(out string, rows ...Row) error {
+	f, err := os.OpenFile(filepath.Join(out, rowsFile), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	enc := json.NewEncoder(f)
+	for i := range rows {
+		if err := enc.Encode(&rows[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readLines decodes a file with one JSON value a line.
+func readLines[T any](path string) ([]T, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var list []T
+	dec := json.NewDecoder(f)
+	for {
+		var v T
+		switch err := dec.Decode(&v); err {
+		case nil:
+			list = append(list, v)
+		case io.EOF:
+			return list, nil
+		default:
+			return list, fmt.Errorf("%s: %w", path, err)
+		}
+	}
+}
+
+// Table prints the rows of a run and writes them as CSV. It returns the number of rows that miss their bound.
+func Table(w io.Writer, out string) (int, error) {
+	rows, err := readLines[Row](filepath.Join(out, rowsFile))
+	if err != nil {
+		return 0, err
+	}
+	missed := printRows(w, rows)
+	return missed, writeRows(filepath.Join(out, "table.csv"), rows)
+}
+
+func printRows(w io.Writer, rows []Row) int {
+	missed := 0
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "MEASURE\tCASE\tVALUE\tIDEAL\tNAIVE\tUNIT\tBOUND\tVERDICT\tNOTE")
+	for i := range rows {
+		r := &rows[i]
+		verdict := r.Verdict()
+		if verdict == verdictMissed || verdict == verdictNoValue {
+			missed++
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Measure, r.Case, number(r.Value), number(r.Ideal),
+			number(r.Naive), r.Unit, r.bound(), verdict, r.Note)
+	}
+	t.Flush()
+	fmt.Fprintf(w, "%d rows, %d miss their bound\n", len(rows), missed)
+	return missed
+}
+
+func writeRows(path string, rows []Row) error {
+	lines := [][]string{{"measure", "case", "value", "ideal", "naive", "unit", "bound", "verdict", "note"}}
+	for i := range rows {
+		r := &rows[i]
+		lines = append(lines, []string{r.Measure, r.Case, plain(r.Value), plain(r.Ideal), plain(r.Naive), r.Unit, r.bound(),
+			r.Verdict(), r.Note})
+	}
+	return writeCSV(path, lines)
+}
+
+func plain(v *float64) string {
+	if v == nil {
+		return ""
+	}
+	return strconv.FormatFloat(*v, 'g', -1, 64)
+}
+
+func writeCSV(path string, lines [][]string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	w := csv.NewWriter(f)
+	w.WriteAll(lines)
+	return w.Error()
+}
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,129 @@
+#!/usr/bin/env bash
+# Starts clusters of stand-ins and entry instances on loopback, measures them with savory-bench, and ends every process
+# that it started by its id.
+#
+#   scripts/bench.sh [bench|slopes]
+#
+# SHORT=1 makes a short run. OUT names the directory for results, BIN the one with the programs.
+set -uo pipefail
+
+OUT=${OUT:-out}
+BIN=${BIN:-bin}
+SHORT=${SHORT:-}
+MODE=${1:-bench}
+CLUSTERS=$OUT/clusters
+short_flag=${SHORT:+--short}
+started=()
+
+# start DIR starts the processes that prepare has listed and writes their ids.
+start() {
+	local dir=$1 name command
+	: >"$dir/pids"
+	while IFS=$'\t' read -r name command; do
+		$command >"$dir/$name.log" 2>&1 </dev/null &
+		echo "$name $!" >>"$dir/pids"
+	done <"$dir/procs"
+	started+=("$dir")
+}
+
+# stop DIR ends the processes of a cluster: at first as planned, after 2 s at once.
+stop() {
+	local dir=$1 name pid
+	[ -f "$dir/pids" ] || return 0
+	while read -r name pid; do kill "$pid" 2>/dev/null; done <"$dir/pids"
+	for _ in $(seq 20); do
+		running "$dir" || break
+		sleep 0.1
+	done
+	while read -r name pid; do kill -KILL "$pid" 2>/dev/null; done <"$dir/pids"
+	while read -r name pid; do wait "$pid" 2>/dev/null; done <"$dir/pids"
+	rm -f "$dir/pids"
+}
+
+running() {
+	local name pid
+	while read -r name pid; do
+		kill -0 "$pid" 2>/dev/null && return 0
+	done <"$1/pids"
+	return 1
+}
+
+stop_all() {
+	local dir
+	for dir in "${started[@]}"; do stop "$dir"; done
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+bench() { "$BIN/savory-bench" "$@"; }
+
+# cluster DIR ARGUMENTS... prepares and starts a cluster and waits until it is ready.
+cluster() {
+	local dir=$1
+	shift
+	bench prepare --dir "$dir" --bin "$BIN" "$@" || return
+	start "$dir"
+	bench ready --dir "$dir"
+}
+
+run_bench() {
+	rm -f "$OUT/rows.jsonl"
+	cluster "$CLUSTERS/fair" --name fair --scheduler fair --port 20000 || return
+	cluster "$CLUSTERS/naive" --name naive --scheduler naive --port 24000 || return
+	bench run --fair "$CLUSTERS/fair" --naive "$CLUSTERS/naive" --out "$OUT" $short_flag ${ONLY:+--only "$ONLY"}
+	stop "$CLUSTERS/fair"
+	stop "$CLUSTERS/naive"
+	[ -n "${ONLY:-}" ] || rates
+	bench table --out "$OUT"
+}
+
+rates() {
+	local sizes="1:50 1:200 2:200 4:200 1:1200" size
+	[ -n "$SHORT" ] && sizes="1:50 2:200"
+	for size in $sizes; do
+		rate "${size%:*}" "${size#*:}"
+	done
+}
+
+# rate ENTRIES WORKERS
+rate() {
+	local dir=$CLUSTERS/rate-$1-$2
+	cluster "$dir" --zone zone-a --entries "$1" --workers "$2" --port 26000 --keep-starts 1 &&
+		bench rate --dir "$dir" --out "$OUT" $short_flag
+	stop "$dir"
+}
+
+# The size from which each dimension is varied.
+base_workers=50
+base_teams=8
+base_tasks=400
+base_instances=3
+
+run_slopes() {
+	local n
+	rm -f "$OUT/sizes.jsonl"
+	for n in 25 50 100 200 400; do size workers "$n" $base_teams $base_tasks $base_instances || return; done
+	for n in 4 12 24 43; do size teams $base_workers "$n" $base_tasks $base_instances || return; done
+	for n in 200 400 800 1600; do size tasks $base_workers $base_teams "$n" $base_instances || return; done
+	for n in 2 4 6 8; do size instances $base_workers $base_teams $base_tasks "$n" || return; done
+	bench slopes --out "$OUT"
+}
+
+# size DIMENSION WORKERS TEAMS TASKS INSTANCES
+size() {
+	local dir=$CLUSTERS/size-$1-$2-$3-$4-$5 length=6s
+	[ -n "$SHORT" ] && length=2s
+	cluster "$dir" --zone zone-a --zone zone-b --entries "$5" --workers "$2" --teams "$3" --port 26000 --keep-starts 1 || return
+	bench measure --dir "$dir" --vary "$1" --tasks "$4" --length "$length" --out "$OUT" || return
+	stop "$dir"
+}
+
+mkdir -p "$OUT"
+case $MODE in
+bench) run_bench ;;
+slopes) run_slopes ;;
+*)
+	echo "usage: scripts/bench.sh [bench|slopes]" >&2
+	exit 2
+	;;
+esac
