setup: add the questionnaire, the examples and the configuration's reference

A first configuration should follow from what a deployment knows about itself: who submits what, how urgent it is, and what a late, a lost and a doubled request costs. savory-setup asks for that, on a terminal or from a file, and writes a configuration whose values carry the answers that they came from.

Certificates of the development authority also name 127.0.0.1.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -123,6 +124,13 @@
 	f.Add([]byte("schema: 1\nservices: [{name: a}]\nteams: [{name: b, callers: [{name: c, token_digest: d}]}]"))
 	f.Add([]byte("schema: 99999999999999999999\nlimits:\n  body_bytes: -0x10\norder: {short_reserve: .nan}"))
 	f.Add([]byte("a: &a [*a]\n---\n? b\n: |\n  x"))
+	for _, name := range []string{"halloway", "petra"} {
+		doc, err := os.ReadFile("../../examples/" + name + "/config.yaml")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(doc)
+	}
 	f.Add([]byte("\xff\xfe\x00:\t- {"))
 	f.Fuzz(func(t *testing.T, doc []byte) {
 		c, err := Decode(doc)
--- /dev/null
+++ b/internal/config/reference.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+//go:generate go run ../../cmd/savory-setup reference --out ../../docs/configuration.md
+
+const referenceHead = `# Configuration
+
+This page is generated from the schema in internal/config: ` + "`go generate ./internal/config`" + ` rewrites it.
+
+The configuration is one YAML document of schema version %d with at most %d bytes. Operators publish it through the
+operators' port of any entry instance; ` + "`savory-setup`" + ` writes a first one from a questionnaire. Unknown keys, duplicate
+keys, anchors, aliases and tags are refused. Every fault is reported with its path, line, value and bound, all of them
+at once. Durations are written with their unit, such as 250ms, 30s or 10m. A key with a default may be left out.
+`
+
+// Reference returns docs/configuration.md.
+func Reference() []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, referenceHead, SchemaVersion, MaxDocumentBytes)
+	def := reflect.ValueOf(*Default())
+	section(&b, "", def)
+	b.WriteString(referenceRelations)
+	return []byte(b.String())
+}
+
+const referenceRelations = `
+## Relations between keys
+
+- Names of services, teams and operators are unique, each among themselves; names of callers are unique within a team.
+- A token digest occurs once in the document.
+- ` + "`expected_run_time`" + ` is at most ` + "`max_run_time`" + ` and at most ` + "`default_deadline`" + `.
+- Each part of ` + "`hard_limit`" + ` is at least that of ` + "`quota`" + `.
+- ` + "`limits.queued_tasks`" + ` is at least ` + "`limits.tasks_per_job`" + `.
+- ` + "`retention.answer_retention`" + ` is at most ` + "`retention.identity_validity`" + `.
+`
+
+type nested struct {
+	path  string
+	value reflect.Value
+}
+
+// section writes the table of one object and then those of the objects in it.
+func section(b *strings.Builder, path string, v reflect.Value) {
+	title := "Top level"
+	if path != "" {
+		title = "`" + path + "`"
+	}
+	fmt.Fprintf(b, "\n## %s\n\n| key | type | bound | default | meaning |\n|---|---|---|---|---|\n", title)
+	var inner []nested
+	for i := range v.NumField() {
+		f, fv := v.Type().Field(i), v.Field(i)
+		key := f.Tag.Get("yaml")
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", key, typeName(f.Type), bounds(f), defaultText(f, fv), f.Tag.Get("doc"))
+		if n, ok := object(join(path, key), fv); ok {
+			inner = append(inner, n)
+		}
+	}
+	for _, n := range inner {
+		section(b, n.path, n.value)
+	}
+}
+
+// object returns the object that a field holds or lists, with its defaults.
+func object(path string, v reflect.Value) (nested, bool) {
+	switch {
+	case v.Kind() == reflect.Struct:
+		return nested{path, v}, true
+	case v.Kind() == reflect.Slice:
+		return nested{path + "[]", fresh(v.Type().Elem()).Elem()}, true
+	case v.Kind() == reflect.Pointer:
+		return nested{path, fresh(v.Type().Elem()).Elem()}, true
+	}
+	return nested{}, false
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[time.Duration]():
+		return "duration"
+	case t.Kind() == reflect.Struct, t.Kind() == reflect.Pointer:
+		return "object"
+	case t.Kind() == reflect.Slice:
+		return "list"
+	case t.Kind() == reflect.String:
+		return "text"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Float64:
+		return "number"
+	}
+	return "whole number"
+}
+
+func bounds(f reflect.StructField) string {
+	var rules []string
+	for _, rule := range strings.Split(f.Tag.Get("validate"), ",") {
+		name, param, _ := strings.Cut(rule, "=")
+		if name == "" || name == "dive" {
+			continue
+		}
+		text := strings.TrimPrefix(ruleText(name, param), "must be ")
+		if f.Type.Kind() == reflect.Slice {
+			text += " entries"
+		}
+		rules = append(rules, text)
+	}
+	return strings.Join(rules, ", ")
+}
+
+func defaultText(f reflect.StructField, v reflect.Value) string {
+	rules := f.Tag.Get("validate")
+	switch {
+	case v.Kind() == reflect.Struct || v.Kind() == reflect.Pointer:
+		return ""
+	case v.Kind() == reflect.Slice:
+		if strings.Contains(rules, "min=1") {
+			return "required"
+		}
+		return "none"
+	case v.Kind() == reflect.String && v.String() == "", f.Name == "Schema":
+		return "required"
+	case v.Type() == reflect.TypeFor[time.Duration]():
+		return ShortDuration(time.Duration(v.Int()))
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// ShortDuration formats a duration without the zero parts that time.Duration prints, as in 10m0s.
+func ShortDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
--- a/internal/secure/tls_devca.go
+++ b/internal/secure/tls_devca.go
@@ -9,6 +9,7 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	"net"
 	"net/url"
 	"time"
 )
@@ -73,6 +74,7 @@
 		NotAfter:     ca.now.Add(DevCertificateValidity),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)}, // for tools that check the address; peers check the URI
 		URIs:         []*url.URL{{Scheme: nameScheme, Host: n.Zone, Path: "/" + n.Instance}},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, tmpl, ca.certificate, &key.PublicKey, ca.key)
