--- a/internal/sched/experiment/burst.go
+++ b/internal/sched/experiment/burst.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	burstFrom   = 30.0 // seconds; the estimates are warm by then
-	burstLength = 10.0
-	burstEnd    = 60.0
-	lowLoad     = 0.3
-	highLoad    = 3.0
+	burstFrom    = 30.0 // seconds; the estimates are warm by then
+	burstLength  = 10.0
+	burstEnd     = 60.0
+	burstRetries = 3
+	lowLoad      = 0.3
+	highLoad     = 3.0
 )
 
-var burstBounds = sched.Bounds{MaxDrain: time.Second}
+var burstBounds = sched.Bounds{MaxDrain: 700 * time.Millisecond}
 
 func burstLoad(at float64) float64 {
 	if at >= burstFrom && at < burstFrom+burstLength {
@@ -43,10 +44,12 @@
 		lowLoad*100, highLoad*100, burstLength, burstBounds.MaxDrain)
 	fmt.Fprintf(w, "%-24s %8s %8s %9s %8s %8s %10s %16s\n", "", "retries", "goodput", "of doable", "refused", "late",
 		"recovery s", "answer/estimate")
-	for _, p := range chosen {
-		for _, retries := range []int{0, 3} {
-			r := burstOf(o, p, retries)
-			fmt.Fprintf(w, "%-24s %8d %7.1f%% %8.1f%% %7.1f%% %7.2f%% %10.2f  p50 %.2f p90 %.2f\n", p.name, retries,
+	results := eachOf(chosen, func(p policy) [2]burstResult {
+		return [2]burstResult{burstOf(o, p, 0), burstOf(o, p, burstRetries)}
+	})
+	for i, p := range chosen {
+		for n, r := range results[i] {
+			fmt.Fprintf(w, "%-24s %8d %7.1f%% %8.1f%% %7.1f%% %7.2f%% %10.2f  p50 %.2f p90 %.2f\n", p.name, n*burstRetries,
 				r.goodput*100, r.avoidable*100, r.refused*100, r.late*100, r.recovery, r.errorP50, r.errorP90)
 		}
 	}
@@ -76,7 +79,7 @@
 	var useful, hopeless, arrived, refused, admitted, late float64
 	for i, j := range m.jobs {
 		o := &m.out[i]
-		inBurst := j.at >= burstFrom && j.at < burstFrom+burstLength
+		inBurst := o.at >= burstFrom && o.at < burstFrom+burstLength
 		if inBurst {
 			arrived++
 		}
@@ -87,7 +90,7 @@
 			continue
 		}
 		doable := j.slowest <= j.deadline
-		inTime := o.end > 0 && o.end-j.at <= j.deadline
+		inTime := o.end > 0 && o.end-o.at <= j.deadline
 		if inTime {
 			useful += m.slotTime(i)
 		}
@@ -100,7 +103,7 @@
 				late++
 			}
 			if inTime {
-				*errors = append(*errors, (o.end-j.at)/(o.expect.Wait+o.expect.Run).Seconds())
+				*errors = append(*errors, (o.end-o.at)/(o.expect.Wait+o.expect.Run).Seconds())
 			}
 		}
 	}
--- a/internal/sched/experiment/experiment.go
+++ b/internal/sched/experiment/experiment.go
@@ -6,7 +6,9 @@
 	"cmp"
 	"fmt"
 	"io"
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/sched"
@@ -21,6 +23,16 @@
 	Only    string  // run only the policy of this name
 }
 
+func (o Options) withDefaults() Options {
+	if o.Seeds <= 0 {
+		o.Seeds = 3
+	}
+	if o.Seconds <= 0 {
+		o.Seconds = 200
+	}
+	return o
+}
+
 // policy is a named way to serve.
 type policy struct {
 	name string
@@ -58,12 +70,7 @@
 
 // Run prints the comparison.
 func Run(w io.Writer, o Options) error {
-	if o.Seeds <= 0 {
-		o.Seeds = 3
-	}
-	if o.Seconds <= 0 {
-		o.Seconds = 200
-	}
+	o = o.withDefaults()
 	chosen := policies()
 	if o.Only != "" {
 		chosen = slices.DeleteFunc(chosen, func(p policy) bool { return p.name != o.Only })
@@ -71,15 +78,37 @@
 	fmt.Fprintf(w, "%d workers x %d slots, %d seeds x %.0f s, response over the ideal's at the same percentile\n\n",
 		workers, slotsPerWorker, o.Seeds, o.Seconds)
 	for _, load := range []float64{0.5, 0.8, 0.95} {
-		compareAt(w, o, chosen, load)
+		compareAt(w, o, chosen, fmt.Sprintf("load %.0f%%", load*100), steady(load))
+	}
+	for _, load := range []float64{0.8, 0.95} {
+		title := fmt.Sprintf("load %.0f%%, swinging by %.0f%% within %.0f s", load*100, swing*100, swingPeriod)
+		compareAt(w, o, chosen, title, swinging(load))
 	}
 	headOfLine(w, o, chosen)
 	burst(w, o, chosen)
 	return nil
 }
 
-// sample holds response times of tasks and jobs.
-type sample struct{ tasks, jobs, short []float64 }
+const (
+	parallel    = 4 // simulations at the same time
+	swing       = 0.5
+	swingPeriod = 4.0 // seconds
+)
+
+func steady(load float64) func(float64) float64 { return func(float64) float64 { return load } }
+
+// swinging alternates between more and less than the load.
+func swinging(load float64) func(float64) float64 {
+	return func(at float64) float64 {
+		if math.Mod(at, swingPeriod) < swingPeriod/2 {
+			return load * (1 + swing)
+		}
+		return load * (1 - swing)
+	}
+}
+
+// sample holds response times of tasks and jobs in seconds, and the jobs' response over their longest task.
+type sample struct{ tasks, jobs, short, stretch []float64 }
 
 // measure collects the response times after a warm-up of a tenth of the time.
 func (m *simulation) measure(from, to float64) sample {
@@ -90,6 +119,7 @@
 		}
 		o := &m.out[i]
 		out.jobs = append(out.jobs, o.end-j.at)
+		out.stretch = append(out.stretch, (o.end-j.at)/j.slowest)
 		for t, start := range o.starts {
 			response := start + j.run[t] - j.at
 			out.tasks = append(out.tasks, response)
@@ -101,17 +131,26 @@
 	return out
 }
 
+func (s *sample) sort() {
+	for _, v := range [][]float64{s.tasks, s.jobs, s.short, s.stretch} {
+		slices.Sort(v)
+	}
+}
+
 func (s *sample) merge(x sample) {
 	s.tasks = append(s.tasks, x.tasks...)
 	s.jobs = append(s.jobs, x.jobs...)
 	s.short = append(s.short, x.short...)
+	s.stretch = append(s.stretch, x.stretch...)
 }
 
 func percentile(v []float64, p float64) float64 {
 	if len(v) == 0 {
 		return 0
 	}
-	slices.Sort(v)
+	if !slices.IsSorted(v) {
+		slices.Sort(v)
+	}
 	return v[min(len(v)-1, int(p*float64(len(v))))]
 }
 
@@ -125,28 +164,47 @@
 }
 
 // idealOf returns the response times of both ideal schedulers.
-func idealOf(o Options, m mix, load float64) [2]sample {
+func idealOf(o Options, m mix, load func(float64) float64) [2]sample {
 	var out [2]sample
 	for seed := range o.Seeds {
 		for i, shortest := range []bool{false, true} {
-			jobs := generate(uint64(seed), m, o.Seconds, func(float64) float64 { return load })
+			jobs := generate(uint64(seed), m, o.Seconds, load)
 			r := simulate(&ideal{jobs: jobs, shortest: shortest}, jobs, nil)
 			out[i].merge(r.measure(o.Seconds/10, o.Seconds))
 		}
 	}
+	out[0].sort()
+	out[1].sort()
 	return out
 }
 
-func measured(o Options, p policy, m mix, load float64) sample {
+func measured(o Options, p policy, m mix, load func(float64) float64) sample {
 	var out sample
 	for seed := range o.Seeds {
-		jobs := generate(uint64(seed), m, o.Seconds, func(float64) float64 { return load })
+		jobs := generate(uint64(seed), m, o.Seconds, load)
 		for _, j := range jobs {
 			j.spec.Deadline = time.Time{}
 		}
 		r := simulate(p.make(), jobs, nil)
 		out.merge(r.measure(o.Seconds/10, o.Seconds))
 	}
+	out.sort()
+	return out
+}
+
+// eachOf calls f for each policy, some at the same time, and returns the results in order.
+func eachOf[T any](chosen []policy, f func(policy) T) []T {
+	out := make([]T, len(chosen))
+	var wait sync.WaitGroup
+	tokens := make(chan struct{}, parallel)
+	for i, p := range chosen {
+		wait.Go(func() {
+			tokens <- struct{}{}
+			out[i] = f(p)
+			<-tokens
+		})
+	}
+	wait.Wait()
 	return out
 }
 
@@ -155,35 +213,65 @@
 	return min(percentile(of(&d[0]), p), percentile(of(&d[1]), p))
 }
 
-func tasksOf(s *sample) []float64 { return s.tasks }
-func jobsOf(s *sample) []float64  { return s.jobs }
-func shortOf(s *sample) []float64 { return s.short }
+func tasksOf(s *sample) []float64   { return s.tasks }
+func jobsOf(s *sample) []float64    { return s.jobs }
+func shortOf(s *sample) []float64   { return s.short }
+func stretchOf(s *sample) []float64 { return s.stretch }
 
-func compareAt(w io.Writer, o Options, chosen []policy, load float64) {
+func compareAt(w io.Writer, o Options, chosen []policy, title string, load func(float64) float64) {
+	columns := []struct {
+		name string
+		of   func(*sample) []float64
+		p    float64
+	}{
+		{"tasks p50", tasksOf, 0.5}, {"tasks p99", tasksOf, 0.99},
+		{"jobs p50", jobsOf, 0.5}, {"jobs p99", jobsOf, 0.99},
+		{"stretch p90", stretchOf, 0.9}, {"stretch p99", stretchOf, 0.99},
+	}
 	d := idealOf(o, mix{heavy: true}, load)
-	fmt.Fprintf(w, "load %.0f%%: ideal tasks p50 %.3f s p99 %.3f s, jobs p50 %.3f s p99 %.3f s\n", load*100,
-		better(d, tasksOf, 0.5), better(d, tasksOf, 0.99), better(d, jobsOf, 0.5), better(d, jobsOf, 0.99))
-	fmt.Fprintf(w, "%-24s %10s %10s %10s %10s\n", "response / ideal", "tasks p50", "tasks p99", "jobs p50", "jobs p99")
-	for _, p := range chosen {
-		s := measured(o, p, mix{heavy: true}, load)
-		fmt.Fprintf(w, "%-24s %10.2f %10.2f %10.2f %10.2f\n", p.name,
-			percentile(s.tasks, 0.5)/better(d, tasksOf, 0.5), percentile(s.tasks, 0.99)/better(d, tasksOf, 0.99),
-			percentile(s.jobs, 0.5)/better(d, jobsOf, 0.5), percentile(s.jobs, 0.99)/better(d, jobsOf, 0.99))
+	fmt.Fprintf(w, "%s\n%-24s", title, "")
+	for _, c := range columns {
+		fmt.Fprintf(w, " %11s", c.name)
 	}
-	fmt.Fprintln(w)
+	fmt.Fprintf(w, "\n%-24s", "ideal, s or ratio")
+	for _, c := range columns {
+		fmt.Fprintf(w, " %11.3f", better(d, c.of, c.p))
+	}
+	samples := eachOf(chosen, func(p policy) sample { return measured(o, p, mix{heavy: true}, load) })
+	for i, p := range chosen {
+		s := samples[i]
+		fmt.Fprintf(w, "\n%-24s", p.name)
+		for _, c := range columns {
+			fmt.Fprintf(w, " %11.2f", percentile(c.of(&s), c.p)/better(d, c.of, c.p))
+		}
+	}
+	fmt.Fprint(w, "\n\n")
 }
 
 // headOfLine compares short tasks with and without long work and stragglers at the same load.
 func headOfLine(w io.Writer, o Options, chosen []policy) {
-	const load = 0.8
-	with, without := idealOf(o, mix{heavy: true}, load), idealOf(o, mix{}, load)
-	fmt.Fprintf(w, "head of line, short tasks at %.0f%% load: p99 over the ideal's with long work, without, ratio\n", load*100)
-	for _, p := range chosen {
-		a, b := measured(o, p, mix{heavy: true}, load), measured(o, p, mix{}, load)
-		x := percentile(a.short, 0.99) / better(with, shortOf, 0.99)
-		y := percentile(b.short, 0.99) / better(without, shortOf, 0.99)
-		fmt.Fprintf(w, "%-24s %10.2f %10.2f %10.2f   p99 %.3f s and %.3f s\n", p.name, x, y, x/y,
-			percentile(a.short, 0.99), percentile(b.short, 0.99))
+	load := steady(0.8)
+	mixes := []mix{{heavy: true}, {batches: true}, {heavy: true, batches: true}}
+	fmt.Fprintln(w, "head of line: p99 of short tasks over the ideal's with long work, over the same without, at 80% load")
+	fmt.Fprintf(w, "%-24s %16s %16s %16s\n", "", "mixed in", "in batches", "both")
+	without := idealOf(o, mix{}, load)
+	with := make([][2]sample, len(mixes))
+	for i, x := range mixes {
+		with[i] = idealOf(o, x, load)
+	}
+	rows := eachOf(chosen, func(p policy) string {
+		base := measured(o, p, mix{}, load)
+		y := percentile(base.short, 0.99) / better(without, shortOf, 0.99)
+		row := fmt.Sprintf("%-24s", p.name)
+		for i, x := range mixes {
+			s := measured(o, p, x, load)
+			z := percentile(s.short, 0.99)
+			row += fmt.Sprintf("  %5.2f (%5.2f s)", z/better(with[i], shortOf, 0.99)/y, z)
+		}
+		return row + fmt.Sprintf("  without: %.2f s", percentile(base.short, 0.99))
+	})
+	for _, row := range rows {
+		fmt.Fprintln(w, row)
 	}
 	fmt.Fprintln(w)
 }
--- a/internal/sched/experiment/experiment_test.go
+++ b/internal/sched/experiment/experiment_test.go
@@ -12,7 +12,11 @@
 	if err != nil {
 		t.Skip("SAVORY_EXPERIMENT is not set")
 	}
-	if err := Run(os.Stdout, Options{Seeds: seeds, Only: os.Getenv("SAVORY_POLICY")}); err != nil {
+	run := Run
+	if os.Getenv("SAVORY_TUNE") != "" {
+		run = Tune
+	}
+	if err := run(os.Stdout, Options{Seeds: seeds, Only: os.Getenv("SAVORY_POLICY")}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/sched/experiment/simulate.go
+++ b/internal/sched/experiment/simulate.go
@@ -14,6 +14,7 @@
 type outcome struct {
 	verdict sched.Verdict
 	expect  sched.Estimate
+	at      float64   // time of the submission that was admitted
 	first   float64   // start of the first task
 	end     float64   // end of the last task; 0 if it did not finish
 	starts  []float64 // start of each task, negative if it never started
@@ -89,6 +90,7 @@
 	for i, j := range jobs {
 		m.left[i] = len(j.run)
 		m.out[i].first = -1
+		m.out[i].at = j.at
 		m.out[i].starts = make([]float64, len(j.run))
 		for t := range j.run {
 			m.out[i].starts[t] = -1
@@ -138,7 +140,7 @@
 			}
 			return
 		}
-		j.at = e.at
+		o.at = e.at
 	}
 	m.s.Submit(now, &j.spec)
 }
--- a/internal/sched/experiment/workload.go
+++ b/internal/sched/experiment/workload.go
@@ -24,6 +24,9 @@
 	longShare       = 0.02 // of the tasks
 	maxTasks        = 160
 
+	batchEvery = 10.0 // seconds
+	batchJobs  = 3    // long jobs of the most tasks in a batch
+
 	shortDeadline = 20 * time.Second
 	longDeadline  = 2 * time.Minute
 )
@@ -41,7 +44,8 @@
 
 // mix describes a workload.
 type mix struct {
-	heavy bool // with stragglers and long work
+	heavy   bool // with stragglers and long work
+	batches bool // long work comes in batches that could fill all slots
 }
 
 type kind struct {
@@ -83,9 +87,19 @@
 	all := kinds(r)
 	mean := meanWork(seed, m)
 	var out []*job
+	rest := 1.0 // share of the load that does not come in batches
+	if m.batches {
+		batches := newBatches(r, all, seconds)
+		work := 0.0
+		for _, j := range batches {
+			work += j.work
+		}
+		rest = 1 - work/(seconds*slots*load(0))
+		out = append(out, batches...)
+	}
 	const step = 0.001 // thinning: the rate may change from one step to the next
 	for at := 0.0; at < seconds; at += step {
-		rate := load(at) * slots / mean
+		rate := rest * load(at) * slots / mean
 		for n := poisson(r, rate*step); n > 0; n-- {
 			out = append(out, newJob(r, all, m, at+r.Float64()*step))
 		}
@@ -110,6 +124,18 @@
 	return sum / sample
 }
 
+// newBatches returns jobs of long work, all of the largest team.
+func newBatches(r *rand.Rand, all [][]kind, seconds float64) []*job {
+	var out []*job
+	long := all[0][len(all[0])-1]
+	for at := batchEvery; at < seconds; at += batchEvery {
+		for range batchJobs {
+			out = append(out, fill(r, long, maxTasks, true, false, at))
+		}
+	}
+	return out
+}
+
 func newJob(r *rand.Rand, all [][]kind, m mix, at float64) *job {
 	team := all[pickTeam(r)]
 	k := team[r.IntN(len(team)-1)]
@@ -120,6 +146,11 @@
 		k = team[len(team)-1]
 		n = (n + 9) / 10
 	}
+	return fill(r, k, n, isLong, m.heavy, at)
+}
+
+// fill returns a job of n tasks.
+func fill(r *rand.Rand, k kind, n int, isLong, stragglers bool, at float64) *job {
 	j := &job{at: at, isLong: isLong, deadline: shortDeadline.Seconds()}
 	if isLong {
 		j.deadline = longDeadline.Seconds()
@@ -128,7 +159,7 @@
 	for i := range n {
 		run := k.draw(r, isLong)
 		declared := run * k.misdeclared * math.Exp(0.3*r.NormFloat64())
-		if m.heavy && r.Float64() < stragglerShare {
+		if stragglers && r.Float64() < stragglerShare {
 			run *= stragglerFactor * (1 + 2*r.Float64())
 		}
 		j.run = append(j.run, run)
--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -17,14 +17,14 @@
 	Teams        []sched.Team
 	ShortReserve float64       // share of slots that never take long tasks; default 0.1, negative for none
 	LongAfter    time.Duration // tasks expected to run at least this long are long; default 2 s
-	Ageing       float64       // see ByRemainingWork; default 0.25
+	Ageing       float64       // see ByRemainingWork; default 0.05
 	Rank         Rank          // order of jobs; default ByRemainingWork(Ageing)
 }
 
 const (
 	defaultShortReserve = 0.1
 	defaultLongAfter    = 2 * time.Second
-	defaultAgeing       = 0.25
+	defaultAgeing       = 0.05
 )
 
 // Scheduler implements sched.Scheduler, sched.Expirer and sched.Sharer.
--- a/internal/sched/fair/model_test.go
+++ b/internal/sched/fair/model_test.go
@@ -112,13 +112,13 @@
 	}
 }
 
-// checkIdle fails if a queued task could have started: the reserve, limits and holds are off in this model.
+// checkIdle fails if a queued task could have started: the reserve and limits are off in this model.
 func (m *model) checkIdle() {
 	if m.fair == nil {
 		return
 	}
 	for name, w := range m.workers {
-		if m.running(name) >= m.fair.workers[name].allowed() {
+		if m.running(name) >= m.fair.workers[name].allowed() || m.fair.workers[name].hold != nil {
 			continue
 		}
 		free := sum(w.Size, m.load(name), -1)
@@ -146,7 +146,20 @@
 	m.s.Finish(m.now, a, sched.Outcome{Kind: kind, RunTime: 100 * time.Millisecond})
 }
 
+// remove forgets a worker. What ran on it ends as lost.
+func (m *model) remove(name string) {
+	m.s.RemoveWorker(name)
+	for i := len(m.busy) - 1; i >= 0; i-- {
+		if m.busy[i].Worker == name {
+			m.finish(i, platform.Lost)
+		}
+	}
+	m.peers = slices.DeleteFunc(m.peers, func(a sched.Assignment) bool { return a.Worker == name })
+	delete(m.workers, name)
+}
+
 func (m *model) cancel(id sched.JobID) {
+	m.reap() // tasks that expired unreported are not returned by Cancel
 	for _, i := range m.s.Cancel(m.now, id) {
 		m.move(taskKey{id, i}, "queued", "dropped")
 	}
@@ -269,7 +282,8 @@
 				})
 			}
 		}
-		for id := 1; id <= rapid.IntRange(5, 60).Draw(t, "steps"); id++ {
+		steps := rapid.IntRange(5, 150).Draw(t, "steps")
+		for id := 1; id <= steps; id++ {
 			step(t, both, id)
 		}
 		for _, m := range both {
@@ -297,7 +311,11 @@
 	case 3:
 		w := drawWorker(t)
 		for _, m := range both {
-			m.setWorker(w)
+			if w.Slots == 4 && m.workers[w.Name].Slots > 0 && len(m.workers) > 5 {
+				m.remove(w.Name)
+			} else {
+				m.setWorker(w)
+			}
 		}
 	case 4:
 		target := sched.JobID(rapid.IntRange(1, id).Draw(t, "cancelled"))
@@ -310,19 +328,23 @@
 		product.reserve(rapid.IntRange(1, 4).Draw(t, "reserved"))
 	case 6:
 		if len(product.peers) > 0 {
+			product.fair.Attach(product.now, product.peers[0], sched.Foreign{Team: "b", Service: "x"})
 			product.s.Finish(product.now, product.peers[0], sched.Outcome{})
 			product.peers = product.peers[1:]
 		}
 	case 7:
 		product.take(rapid.IntRange(1, 3).Draw(t, "taken"))
 	default:
-		product.now = product.now.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "ms")) * time.Millisecond)
+		pause := rapid.SampledFrom([]int{0, 1, 10, 10, 10, 500, 1500}).Draw(t, "ms")
+		product.now = product.now.Add(time.Duration(pause) * time.Millisecond)
 		product.reap()
 		kind := platform.Outcome(rapid.IntRange(0, 4).Draw(t, "outcome"))
 		for _, m := range both {
 			m.dispatch(rapid.IntRange(0, 20).Draw(t, "starts"))
-			if n := len(m.busy); n > 0 {
-				m.finish(rapid.IntRange(0, n-1).Draw(t, "finished"), kind)
+			for range rapid.IntRange(0, 5).Draw(t, "ends") {
+				if n := len(m.busy); n > 0 {
+					m.finish(rapid.IntRange(0, n-1).Draw(t, "finished"), kind)
+				}
 			}
 		}
 	}
--- a/internal/sched/fair/queue.go
+++ b/internal/sched/fair/queue.go
@@ -21,10 +21,11 @@
 // by adding the arrival time.
 type Rank func(Ranking) float64
 
-// ByRemainingWork orders jobs by the time that all slots together need for the rest of the job, minus ageing times the
-// time since its arrival. A job is overtaken only by jobs that arrive within its own remaining time over ageing.
+// ByRemainingWork orders jobs by the time that all slots together need for the rest of the job, divided by ageing, minus
+// the time since its arrival. A job is overtaken only by jobs that arrive within that quotient. The time of one task is
+// added, so that among jobs of similar work the one whose tasks are short goes first.
 func ByRemainingWork(ageing float64) Rank {
-	return func(r Ranking) float64 { return r.Arrival + r.Work/(r.Slots*ageing) }
+	return func(r Ranking) float64 { return r.Arrival + r.Work/(r.Slots*ageing) + r.TaskTime }
 }
 
 // States of a task.
