--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -32,6 +32,7 @@
 	Refused  []time.Duration // of each refusal, from the submission that it answers
 	Err      error
 	Wrong    string // a broken promise that the caller can see
+	Reason   string // message of the last refusal
 
 	mu    sync.Mutex
 	known chan struct{} // closed when Identity is set
@@ -145,10 +146,10 @@
 	if r.Job.Resubmit > 0 {
 		aside.Go(func() { second = l.resubmit(c, r, tail) })
 	}
-	r.Lag = time.Now().Sub(at)
+	r.Lag = time.Since(at)
 	first := l.submit(c, r, tail)
 	if first != nil && first.Final {
-		r.Response = time.Now().Sub(at)
+		r.Response = time.Since(at)
 	}
 	select {
 	case <-r.known:
@@ -173,7 +174,8 @@
 			return a
 		}
 		if a.Execution == string(result.NotRun) {
-			r.Refused = append(r.Refused, time.Now().Sub(began))
+			r.Refused = append(r.Refused, time.Since(began))
+			r.Reason = a.Message
 			if try >= l.opts.Retries {
 				return a
 			}
@@ -271,7 +273,7 @@
 }
 
 func addRatio(h *hdrhistogram.Histogram, ratio float64) {
-	h.RecordValue(min(histogramMax, max(1, int64(ratio*ratioUnit))))
+	h.RecordValue(int64(min(histogramMax, max(1, ratio*ratioUnit))))
 }
 
 func addTime(h *hdrhistogram.Histogram, d time.Duration) {
--- a/internal/bench/operator.go
+++ b/internal/bench/operator.go
@@ -168,10 +168,12 @@
 }
 
 func (c *Cluster) ready(doc []byte) error {
+	var published error
 	if v, err := c.version(c.Entries[0]); err != nil || v == 0 {
-		c.publish(c.Entries[0], doc, 0) // fails until the instance has read the log; the next attempt tells
+		_, published = c.publish(c.Entries[0], doc, 0) // fails until the instance has read the log
 	}
 	sum, err := c.ownedSlots()
+	err = errors.Join(published, err)
 	switch {
 	case err != nil:
 		return err
--- a/internal/bench/sample.go
+++ b/internal/bench/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -87,16 +88,19 @@
 	s.Submitted++
 	if len(r.Refused) > 0 {
 		s.Refused++
+		s.Errors["refused: "+r.Reason]++
 	}
 	switch {
 	case r.Completed():
 		s.Completed++
 	case r.GivenUp():
 		s.GivenUp++
+		s.addUnanswered(r.Job)
 		return
 	default:
 		s.Failed++
 		s.Errors["answer "+r.Code.String()]++
+		s.addUnanswered(r.Job)
 		return
 	}
 	s.addJob(r.Job, r.Response, network)
@@ -108,6 +112,19 @@
 	}
 }
 
+// addUnanswered counts a job without a complete answer as one with an endless response, so that refusing or failing work
+// cannot improve a percentile.
+func (s *Sample) addUnanswered(j *Job) {
+	addRatio(s.Jobs, math.Inf(1))
+	s.JobRatios = append(s.JobRatios, histogramMax/ratioUnit)
+	for t := range j.Run {
+		addRatio(s.Tasks, math.Inf(1))
+		if !j.Long && !j.Straggle[t] {
+			addTime(s.Short, math.MaxInt64)
+		}
+	}
+}
+
 func (s *Sample) addJob(j *Job, response, network time.Duration) {
 	ratio := float64(response) / float64(j.Longest()+network)
 	addRatio(s.Jobs, ratio)
