Enlarge the short reserve where short tasks use more slots

Cause: with batches of 480 long tasks every 10 s the p99 of short tasks was 3.90 s, and 2.50 s with stragglers, against 1.42 s without long work. Change: long tasks are kept out of the slots that short tasks used on average in the last 5 s, but may always use 65% of the slots.

--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -69,6 +69,7 @@
 	long       int // running tasks that count as long
 	stuck      int // running tasks far beyond their estimate
 	overruns   overruns
+	reserve    reserve
 	quarantine quarantine
 }
 
@@ -126,6 +127,7 @@
 func (s *Scheduler) tick(now float64) {
 	s.expire(now)
 	s.overdue(now)
+	s.sampleReserve(now)
 	s.restore(now)
 	s.holdForStarved(now)
 	if now > s.horizon {
--- a/internal/sched/fair/team.go
+++ b/internal/sched/fair/team.go
@@ -223,7 +223,7 @@
 
 // allowed reports whether the short reserve and the team's limit let a task of the queue start.
 func (s *Scheduler) allowed(q *queue) bool {
-	if q.long && !s.longAllowed() {
+	if q.long && !s.reserve.open {
 		return false
 	}
 	if t := q.team; t.hasLimit && !t.under(&t.limit, q.shape.size) {
@@ -265,23 +265,6 @@
 	}
 }
 
-// setLong records the number of running long tasks.
-func (s *Scheduler) setLong(n int) {
-	before := s.longAllowed()
-	s.long = n
-	if s.longAllowed() != before {
-		s.epoch++
-	}
-}
-
-// longAllowed reports whether another long task may start outside the short reserve.
-func (s *Scheduler) longAllowed() bool {
-	if s.opts.ShortReserve <= 0 {
-		return true
-	}
-	return s.long < max(1, int(float64(s.slots)*(1-s.opts.ShortReserve)))
-}
-
 // removeShape forgets the team's queue of a shape, which must be empty.
 func (t *team) removeShape(sh *shape) {
 	delete(t.byKey, queueKey{sh, false})
--- a/internal/sched/fair/worker.go
+++ b/internal/sched/fair/worker.go
@@ -253,7 +253,7 @@
 	if usable != w.usable {
 		s.slots += usable - w.usable
 		w.usable = usable
-		s.epoch++ // the short reserve depends on the number of slots
+		s.checkReserve()
 	}
 	grown := room > 0 && len(s.listed) > 0
 	s.free += room - w.room
