--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -47,6 +47,8 @@
 	activeWeight float64
 	epoch        uint64 // changes when the choice of any team may have changed
 	horizon      float64
+	teamList     []*team // all teams, in order of their first use
+	inflowOrigin float64
 
 	workers  map[string]*worker
 	racks    map[string]*rack
@@ -69,6 +71,7 @@
 	long       int // running tasks that count as long
 	stuck      int // running tasks far beyond their estimate
 	overruns   overruns
+	reserve    reserve
 	quarantine quarantine
 }
 
@@ -126,6 +129,7 @@
 func (s *Scheduler) tick(now float64) {
 	s.expire(now)
 	s.overdue(now)
+	s.sampleReserve(now)
 	s.restore(now)
 	s.holdForStarved(now)
 	if now > s.horizon {
