Engine: a worker without an answer gets no work after 2.8 s; order of service from the configuration

Cause: a leaving endpoint had to be out of use after 3 s, but an unanswered renewal was noticed only after its time-out, up to 4 s; a resubmission with wait_ms=0 waited for the whole job; quotas and the order of service were not applied. Change: staleness is checked each tick ahead of starts; attached submissions answer at once; a new version configures the scheduler and the operators' tokens; tasks that fit no own worker are offered to peers first. Ruled out: shorter renewal intervals, which at the target exceed 18 KB/s a node.

--- a/internal/engine/delegate.go
+++ b/internal/engine/delegate.go
@@ -93,7 +93,7 @@
 }
 
 func (e *Engine) delegate(now time.Time, w *worker, grant uint64, slots int) int {
-	taken := e.sharer.Take(now, slots)
+	taken := e.sharer.Take(now, slots, e.reportedSize)
 	if len(taken) == 0 {
 		return 0
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,7 +58,7 @@
 	RenewBusy      time.Duration // lease renewal of a worker with tasks older than this
 	RenewIdle      time.Duration // lease renewal of other workers
 	Lease          time.Duration // lease of a task
-	SuspectAfter   time.Duration // no answer to renewals
+	SuspectAfter   time.Duration // time without an answer to a renewal after which a worker gets no new task
 	CallGrace      time.Duration // how long a call may lag behind the worker's own report of the task's end
 	ControlTimeout time.Duration // one renewal, fetch or stop
 }
@@ -67,7 +67,8 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Tick: 5 * time.Millisecond, RenewBusy: time.Second, RenewIdle: 2 * time.Second, Lease: 5 * time.Second,
-		SuspectAfter: 3 * time.Second, CallGrace: 250 * time.Millisecond, ControlTimeout: time.Second,
+		// Below the 3 s after which a leaving endpoint must get no new work, also when renewals go unanswered.
+		SuspectAfter: 2800 * time.Millisecond, CallGrace: 250 * time.Millisecond, ControlTimeout: time.Second,
 	}
 }
 
@@ -97,7 +98,9 @@
 	foreignEnded []string // in the order of their ends
 	reported     int      // tasks in the last backlog report
 	reportedAt   time.Time
+	reportedSize sched.Size // that granted slots have room for
 	loadedAt     time.Time
+	tickedAt     time.Time
 
 	draining bool
 }
@@ -143,7 +146,6 @@
 			e.closeAll()
 			return
 		case <-ticker.Chan():
-			e.tick(e.opts.Clock.Now())
 		case <-e.inbox.wake:
 		}
 		batch = e.inbox.take(batch[:0])
@@ -152,6 +154,10 @@
 			batch[i](now)
 			batch[i] = nil
 		}
+		// Housekeeping comes before starts, so that no start follows from a state that should have lapsed.
+		if now.Sub(e.tickedAt) >= e.opts.Timing.Tick {
+			e.tick(now)
+		}
 		e.lendFirst(now)
 		e.start(now)
 		e.lendRest(now)
@@ -169,6 +175,11 @@
 // post hands an event to the loop.
 func (e *Engine) post(ev event) { e.inbox.put(ev) }
 
+// Configure runs f in the engine's loop, so that it may change the scheduler's settings.
+func (e *Engine) Configure(f func(now time.Time, s sched.Scheduler)) {
+	e.post(func(now time.Time) { f(now, e.opts.Scheduler) })
+}
+
 // call runs f in the loop and waits for it. It returns false when the engine has stopped.
 func (e *Engine) call(f event) bool {
 	done := make(chan struct{})
@@ -186,6 +197,7 @@
 
 // tick runs the periodic work.
 func (e *Engine) tick(now time.Time) {
+	e.tickedAt = now
 	e.runTimers(now)
 	e.expire(now)
 	e.expireGrants(now)
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -14,6 +14,9 @@
 // renewDue starts the renewal of leases for each worker whose interval has passed.
 func (e *Engine) renewDue(now time.Time) {
 	for _, w := range e.workers {
+		if !w.peer && w.state == sched.WorkerReady && now.Sub(w.renewedAt) >= e.opts.Timing.SuspectAfter {
+			e.setState(now, w, sched.WorkerSuspect, "no answer to renewals")
+		}
 		if w.renewing || now.Sub(w.triedAt) < e.renewInterval(now, w) {
 			continue
 		}
@@ -62,11 +65,8 @@
 }
 
 func (e *Engine) renewFailed(now time.Time, w *worker, err error) {
-	silent := now.Sub(w.renewedAt)
-	if silent >= e.opts.Timing.SuspectAfter {
-		e.setState(now, w, sched.WorkerSuspect, err.Error())
-	}
-	if silent >= e.opts.Timing.Lease {
+	e.log.WithError(err).WithField("worker", w.instance.Name).Debug("leases not renewed")
+	if now.Sub(w.renewedAt) >= e.opts.Timing.Lease {
 		e.loseAll(now, w, "no answer from the worker for the time of its lease")
 	}
 }
--- a/internal/engine/lend.go
+++ b/internal/engine/lend.go
@@ -285,6 +285,6 @@
 	default:
 		return
 	}
-	e.reported, e.reportedAt = b.Queued, now
+	e.reported, e.reportedAt, e.reportedSize = b.Queued, now, b.Size
 	e.opts.Sharing.Backlog(b)
 }
--- /dev/null
+++ b/internal/entry/apply.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/config"
+	"github.com/savorypass/savorypass/internal/sched"
+	"github.com/savorypass/savorypass/internal/sched/fair"
+	"github.com/savorypass/savorypass/internal/secure"
+)
+
+// apply puts a configuration version into force on this instance.
+func (e *Entry) apply(u config.Update) {
+	if err := e.applyTokens(u.Config); err != nil {
+		// Validation has accepted the digests, so this is a fault of the program. The old tokens stay.
+		e.log.WithError(err).WithField("version", u.State.Version).Error("tokens not replaced")
+	}
+	e.current.Store(newSnapshot(u.State.Version, u.Config))
+	e.metrics.ConfigVersion.Set(int64(u.State.Version))
+	opts := schedulerOptions(u.Config)
+	e.engine.Configure(func(_ time.Time, s sched.Scheduler) {
+		if f, ok := s.(*fair.Scheduler); ok {
+			f.Configure(opts)
+		}
+	})
+}
+
+func (e *Entry) applyTokens(c *config.Config) error {
+	callers, err := callerTokens(c)
+	if err != nil {
+		return err
+	}
+	staff, err := staffTokens(e.staff, c)
+	if err != nil {
+		return err
+	}
+	if err := e.tokens.SetCallers(callers); err != nil {
+		return err
+	}
+	return e.tokens.SetStaff(staff)
+}
+
+// staffTokens joins the operators of the settings and of a configuration. A token that both name keeps the role of the
+// settings, so that a configuration cannot lock its operators out.
+func staffTokens(settings []secure.Entry, c *config.Config) ([]secure.Entry, error) {
+	entries := append([]secure.Entry(nil), settings...)
+	known := map[secure.Digest]bool{}
+	for _, s := range settings {
+		known[s.Digest] = true
+	}
+	for _, o := range c.Operators {
+		d, err := secure.ParseDigest(o.TokenDigest)
+		if err != nil {
+			return nil, err
+		}
+		role, err := secure.ParseRole(o.Role)
+		if err != nil {
+			return nil, err
+		}
+		if !known[d] {
+			entries = append(entries, secure.Entry{Digest: d, Principal: secure.Principal{Name: o.Name, Role: role}})
+		}
+	}
+	return entries, nil
+}
+
+// schedulerOptions returns what a configuration says of the order of service.
+func schedulerOptions(c *config.Config) fair.Options {
+	o := fair.Options{ShortReserve: c.Order.ShortReserve, LongAfter: c.Order.ShortThreshold, Ageing: c.Order.AgeingRate}
+	if o.ShortReserve == 0 {
+		o.ShortReserve = -1 // none; 0 would take the default
+	}
+	for i := range c.Teams {
+		t := &c.Teams[i]
+		team := sched.Team{Name: t.Name, Weight: t.Weight, Quota: t.Quota.Platform()}
+		if t.HardLimit != nil {
+			team.Limit = t.HardLimit.Platform()
+		}
+		o.Teams = append(o.Teams, team)
+	}
+	return o
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/api"
 	"github.com/savorypass/savorypass/internal/filter"
 	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/secure"
 	"github.com/savorypass/savorypass/internal/server"
 )
 
@@ -24,7 +24,9 @@
 	r.Arrived = x.Arrived
 	r.Method = string(x.Request.Header.Method())
 	r.Path = string(x.Request.RequestURI())
-	r.Token, _ = strings.CutPrefix(string(x.Request.Header.Peek("Authorization")), "Bearer ")
+	if token, ok := secure.BearerToken(x.Request.Header.Peek("Authorization")); ok {
+		r.Token = string(token)
+	}
 	r.Body = x.Request.Body()
 	c.chain.Handle(r)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,7 @@
 	incarnation uint64
 
 	tokens   *secure.Tokens
+	staff    []secure.Entry // from the settings; the configuration adds more
 	metrics  *metric.Set
 	dumps    *ops.Dumps
 	issuer   *identity.Issuer
@@ -94,6 +95,7 @@
 		if err := e.tokens.SetStaff(staff); err != nil {
 			return nil, merry.Prepend(err, "operators' tokens")
 		}
+		e.staff = staff
 	}
 	tls, err := secure.LoadTLS(e.tlsSettings())
 	if err != nil {
@@ -195,20 +197,6 @@
 	return nil
 }
 
-// apply puts a configuration version into force on this instance.
-func (e *Entry) apply(u config.Update) {
-	entries, err := callerTokens(u.Config)
-	if err == nil {
-		err = e.tokens.SetCallers(entries)
-	}
-	if err != nil {
-		// Validation has accepted the digests, so this is a fault of the program. The old tokens stay.
-		e.log.WithError(err).WithField("version", u.State.Version).Error("callers' tokens not replaced")
-	}
-	e.current.Store(newSnapshot(u.State.Version, u.Config))
-	e.metrics.ConfigVersion.Set(int64(u.State.Version))
-}
-
 func (e *Entry) view() *filter.View {
 	if s := e.current.Load(); s != nil {
 		return s.view
--- a/internal/filter/dedup/dedup.go
+++ b/internal/filter/dedup/dedup.go
@@ -82,6 +82,9 @@
 		r.Refuse(api.Errorf(result.IdentityReused, "identity", "another body was submitted under this identity"))
 	case registry.Attached:
 		limitWait(r)
+		if r.Wait == 0 {
+			r.OnAccepted()
+		}
 	case registry.First:
 		limitWait(r)
 		next.Handle(r)
--- /dev/null
+++ b/internal/sched/fair/configure.go
@@ -0,0 +1,29 @@
+package fair
+
+// Configure replaces the options of a running scheduler. Zero values select the defaults.
+func (s *Scheduler) Configure(o Options) {
+	o.setDefaults()
+	s.opts = o
+	s.longAfter = o.LongAfter.Seconds()
+	s.SetTeams(o.Teams)
+	for _, v := range s.serviceList {
+		for _, j := range v.jobs {
+			s.rekey(j)
+		}
+	}
+}
+
+func (o *Options) setDefaults() {
+	if o.ShortReserve == 0 {
+		o.ShortReserve = defaultShortReserve
+	}
+	if o.LongAfter <= 0 {
+		o.LongAfter = defaultLongAfter
+	}
+	if o.Ageing <= 0 {
+		o.Ageing = defaultAgeing
+	}
+	if o.Rank == nil {
+		o.Rank = ByRemainingWork(o.Ageing)
+	}
+}
--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -88,18 +88,7 @@
 
 // New returns an empty scheduler.
 func New(o Options) *Scheduler {
-	if o.ShortReserve == 0 {
-		o.ShortReserve = defaultShortReserve
-	}
-	if o.LongAfter <= 0 {
-		o.LongAfter = defaultLongAfter
-	}
-	if o.Ageing <= 0 {
-		o.Ageing = defaultAgeing
-	}
-	if o.Rank == nil {
-		o.Rank = ByRemainingWork(o.Ageing)
-	}
+	o.setDefaults()
 	s := &Scheduler{
 		opts:      o,
 		longAfter: o.LongAfter.Seconds(),
--- a/internal/sched/fair/model_test.go
+++ b/internal/sched/fair/model_test.go
@@ -197,7 +197,7 @@
 }
 
 func (m *model) take(n int) {
-	for _, a := range m.fair.Take(m.now, n) {
+	for _, a := range m.fair.Take(m.now, n, anySize) {
 		m.move(taskKey{a.Job, a.Task}, "queued", "started")
 		m.busy = append(m.busy, a)
 	}
@@ -349,3 +349,6 @@
 		}
 	}
 }
+
+// anySize is room for every task of the model.
+var anySize = sched.Size{Cores: 1 << 20, MemoryMB: 1 << 40, Accelerators: 1 << 20}
--- a/internal/sched/fair/share.go
+++ b/internal/sched/fair/share.go
@@ -16,11 +16,13 @@
 	}
 	work := 0.0
 	var first *item
+	stranded := false // first fits none of the own workers
 	for _, o := range s.active {
 		work += o.ahead.total
 		for _, q := range o.queues {
-			if it := &q.heap[0]; first == nil || it.less(*first) {
-				first = it
+			it, alone := &q.heap[0], !s.possible(q.shape.size)
+			if first == nil || (alone && !stranded) || (alone == stranded && it.less(*first)) {
+				first, stranded = it, alone
 			}
 		}
 	}
@@ -112,12 +114,12 @@
 }
 
 // Take implements sched.Sharer.
-func (s *Scheduler) Take(now time.Time, n int) []sched.Assignment {
+func (s *Scheduler) Take(now time.Time, n int, size sched.Size) []sched.Assignment {
 	t := s.clock(now)
 	s.tick(t)
 	var out []sched.Assignment
 	for len(out) < n && s.queued > 0 {
-		q := s.mostUrgent()
+		q := s.mostUrgent(size)
 		if q == nil {
 			break
 		}
@@ -131,21 +133,24 @@
 	return out
 }
 
-// mostUrgent returns the queue whose first task is next if any worker may be used.
-func (s *Scheduler) mostUrgent() *queue {
+// mostUrgent returns the queue whose first task is next if any worker may be used that has room for size. Tasks that
+// fit none of the own workers come first.
+func (s *Scheduler) mostUrgent(size sched.Size) *queue {
 	var best *queue
 	var first precedence
+	stranded := false
 	for _, t := range s.active {
 		for _, q := range t.queues {
-			if t.hasLimit && !t.under(&t.limit, q.shape.size) {
+			if !sched.Fits(q.shape.size, size) || t.hasLimit && !t.under(&t.limit, q.shape.size) {
 				continue
 			}
 			kept := t.best
 			t.best = q
 			p := s.precedence(t)
 			t.best = kept
-			if best == nil || p.less(first) {
-				best, first = q, p
+			alone := !s.possible(q.shape.size)
+			if best == nil || (alone && !stranded) || (alone == stranded && p.less(first)) {
+				best, first, stranded = q, p, alone
 			}
 		}
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -147,13 +147,14 @@
 	Queued int           // tasks
 	Work   time.Duration // expected run time of all queued tasks
 	Wait   time.Duration // expected time until all of them have started
-	Best   float64       // rank of the best queued task in seconds, lower is more urgent; relative to now
-	Size   Size          // size of the best queued task
+	Best   float64       // rank in seconds of the task that a peer should run first, lower is more urgent; relative to now
+	Size   Size          // size of that task
 }
 
 // Sharer is implemented by schedulers that lend slots to and hand tasks to other instances.
 type Sharer interface {
-	// Backlog summarises the queue.
+	// Backlog summarises the queue. Tasks that fit none of the own workers come before all others, since only a peer
+	// can run them.
 	Backlog(now time.Time) Backlog
 	// Reserve takes up to n free slots, each on a worker with room for size, out of use for a peer's tasks. The
 	// assignments carry job 0. Each must be ended by Release or Finish.
@@ -163,7 +164,7 @@
 	Attach(now time.Time, a Assignment, f Foreign) bool
 	// Release returns a reserved slot on which nothing ran.
 	Release(now time.Time, a Assignment)
-	// Take removes up to n of the best queued tasks in order to hand them to a peer. They count as started, on no
-	// worker, until Finish or Requeue is called.
-	Take(now time.Time, n int) []Assignment
+	// Take removes up to n of the best queued tasks that are no larger than size in order to hand them to a peer. They
+	// count as started, on no worker, until Finish or Requeue is called.
+	Take(now time.Time, n int, size Size) []Assignment
 }
