config: refuse what a record cannot hold, survive a restarted log

JSON replaces invalid UTF-8, so a record of such a document or nonce does not match its digest and nobody accepts it; publishing now refuses it. A publish record leaves room for the fields that only a checkpoint has, so that every version fits a checkpoint.

A test restarts the log with fewer records than the instances have folded.

--- a/internal/config/controller_test.go
+++ b/internal/config/controller_test.go
@@ -251,6 +251,39 @@
 	w.is.Equal(w.publish(d, 6).Ending, Won)
 }
 
+// Guards against a log that lost its records and counts from 0 again: nobody could publish any more, or an instance
+// would fall back to the versions of the new log's first records.
+func TestLogRestarts(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.instance("a"), w.instance("b")
+	for mark := range 3 {
+		w.publish(a, mark)
+	}
+	w.is.NoErr(b.poll(w.ctx))
+	first := w.log.records[:1]
+	w.log.set(func() { w.log.records = append([]platform.Record(nil), first...) })
+	w.is.Equal(w.publish(a, 4).Version, uint64(4))
+	a.writeCheckpoint(w.ctx)
+	w.is.NoErr(b.poll(w.ctx))
+	w.is.Equal(b.Snapshot().Digest, a.Snapshot().Digest)
+	w.is.Equal(w.publish(b, 5).Version, uint64(5))
+}
+
+// Guards against a document that JSON alters in the record, so that every instance refuses it.
+func TestPublishRefusesWhatNoRecordCanHold(t *testing.T) {
+	w := newWorld(t)
+	a := w.instance("a")
+	for _, p := range []Publication{
+		{Author: "x", Document: append(validDoc(1), "# \xff\n"...)},
+		{Author: "x", Document: validDoc(1), Nonce: "\xff"},
+		{Author: "x", Document: append(validDoc(1), "#"+strings.Repeat("\x01", 60_000)...)}, // six bytes each in JSON
+		{Author: strings.Repeat("x", 200), Document: validDoc(1)},
+	} {
+		w.is.Equal(a.Publish(w.ctx, p).Ending, NotAccepted)
+	}
+	w.is.Equal(len(w.log.records), 0)
+}
+
 // Guards against a new instance that waits for the log, a peer that reverts a version, and versions out of order.
 func TestNewInstanceStartsFromPeer(t *testing.T) {
 	w := newWorld(t)
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -70,6 +71,9 @@
 	if len(doc) > MaxDocumentBytes {
 		return nil, malformed(0, fmt.Sprintf("has %d bytes, at most %d", len(doc), MaxDocumentBytes))
 	}
+	if !utf8.Valid(doc) {
+		return nil, malformed(0, "is not valid UTF-8") // JSON would alter it in the record
+	}
 	defer func() {
 		// The parser indexes into its tokens without checks on some malformed inputs.
 		if p := recover(); p != nil {
--- a/internal/config/problem.go
+++ b/internal/config/problem.go
@@ -31,6 +31,9 @@
 	return fmt.Sprintf("%s: is %s, %s", path, p.Value, p.Bound)
 }
 
+// Error returns the problem as one line.
+func (p Problem) Error() string { return p.String() }
+
 // Problems is the list of all faults of a document. It is the error type of Decode and Validate.
 type Problems []Problem
 
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -208,8 +208,7 @@
 		return Outcome{}, false
 	}
 	// The version has moved on from the base, which settles every copy of the record.
-	r, err := DecodeRecord(raw.Data)
-	if err == nil && r.Nonce == f.mine.Nonce {
+	if next.Nonce == f.mine.Nonce {
 		return Outcome{Ending: Won, Version: next.Version, Author: next.Author}, true
 	}
 	return Outcome{Ending: LostTo, Version: next.Version, Author: next.Author}, true
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"regexp"
 
 	"github.com/savorypass/savorypass/internal/result"
 )
@@ -15,10 +16,13 @@
 // MaxRecordBytes bounds an encoded record. JSON escapes of line ends and quotes add to the document's size.
 const MaxRecordBytes = 192 * 1024
 
-const (
-	maxNonceBytes  = 64
-	maxAuthorBytes = 128
-)
+// maxPublishBytes leaves room for the fields that a checkpoint has and a publish record has not: every version must fit
+// a checkpoint.
+const maxPublishBytes = MaxRecordBytes - 128
+
+const maxAuthorBytes = 128
+
+var noncePattern = regexp.MustCompile(`^[!-~]{1,64}$`)
 
 // Kind tells what a record is.
 type Kind string
@@ -50,8 +54,8 @@
 	if err := enc.Encode(r); err != nil {
 		return nil, err
 	}
-	if buf.Len() > MaxRecordBytes {
-		bound := fmt.Sprintf("makes a record of %d bytes, at most %d", buf.Len(), MaxRecordBytes)
+	if limit := r.Kind.maxBytes(); buf.Len() > limit {
+		bound := fmt.Sprintf("makes a record of %d bytes, at most %d", buf.Len(), limit)
 		return nil, Problems{{Code: result.BodyTooLarge, Bound: bound}}
 	}
 	return bytes.TrimSpace(buf.Bytes()), nil
@@ -70,15 +74,25 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return r, fmt.Errorf("record has data after the JSON value")
 	}
+	if limit := r.Kind.maxBytes(); len(data) > limit {
+		return r, fmt.Errorf("%s record has %d bytes, at most %d", r.Kind, len(data), limit)
+	}
 	return r, r.check()
 }
 
+func (k Kind) maxBytes() int {
+	if k == KindPublish {
+		return maxPublishBytes
+	}
+	return MaxRecordBytes
+}
+
 func (r Record) check() error {
 	switch {
 	case r.Kind != KindPublish && r.Kind != KindCheckpoint:
 		return fmt.Errorf("record kind %q is not known", r.Kind)
-	case r.Kind == KindPublish && (r.Nonce == "" || len(r.Nonce) > maxNonceBytes):
-		return fmt.Errorf("nonce has %d bytes, must have 1 to %d", len(r.Nonce), maxNonceBytes)
+	case r.Kind == KindPublish && !noncePattern.MatchString(r.Nonce):
+		return fmt.Errorf("nonce must have 1 to 64 visible ASCII characters")
 	case r.Kind == KindPublish && (r.Version == 0 || r.Version-1 != r.Replaces):
 		return fmt.Errorf("version %d does not follow version %d", r.Version, r.Replaces)
 	case r.Version == 0 || r.AsOf < 0:
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -18,7 +18,7 @@
 	MinSchemaVersion = 1 // the oldest one
 )
 
-// MaxDocumentBytes bounds a document. The target's 43 teams with 5 callers each take about 45 KB.
+// MaxDocumentBytes bounds a document. The target's 43 teams with 5 callers each take 31 KB.
 const MaxDocumentBytes = 128 * 1024
 
 // Roles of tokens.
