--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -97,17 +98,16 @@
 		}
 		e.staff = staff
 	}
-	tls, err := secure.LoadTLS(e.tlsSettings())
-	if err != nil {
+	var err error
+	if e.tls, err = secure.LoadTLS(e.tlsSettings()); err != nil {
 		return nil, merry.Prepend(err, "TLS material")
 	}
-	e.tls = tls
-	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
+	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: e.tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
 		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
 	}
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
-	e.registry = registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
+	e.registry = newRegistry()
 	web := httpx.Options{Zone: opts.Zone}
 	e.list = httpx.NewInstanceList(address(opts.InstancesURL), web)
 	e.config = config.New(config.Options{
@@ -131,6 +131,10 @@
 	return e, nil
 }
 
+func newRegistry() *registry.Registry {
+	return registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
+}
+
 func newScheduler(name string) sched.Scheduler {
 	if name == schedulerNaive {
 		return naive.New()
@@ -147,15 +151,18 @@
 
 // chain returns the filters that a caller's request passes.
 func (e *Entry) chain() filter.Handler {
+	limits := limiter{secure.NewLimiter(maxLimited), e.current.Load}
+	return e.requestChain(filter.ViewFunc(e.view), limits, gate{e})
+}
+
+func (e *Entry) requestChain(views filter.Views, limits admit.Limiter, gate admit.Gate) filter.Handler {
 	now := e.clock.Now
 	return filter.Chain(
 		authn.Filter{Tokens: tokens{e.tokens}},
 		decode.Filter{},
-		validate.Filter{Views: filter.ViewFunc(e.view)},
+		validate.Filter{Views: views},
 		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now},
-		admit.Filter{
-			Limiter: limiter{secure.NewLimiter(maxLimited), e.current.Load}, Gate: gate{e}, Registry: e.registry, Now: now,
-		},
+		admit.Filter{Limiter: limits, Gate: gate, Registry: e.registry, Now: now},
 		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Now: now},
 	)
 }
@@ -174,6 +181,9 @@
 	if err != nil {
 		return merry.Prependf(err, "listen for operators on %s", e.opts.Operators)
 	}
+	if e.opts.OperatorsTLS {
+		listener = tls.NewListener(listener, e.tls.Operators())
+	}
 	e.ops = e.newOps()
 	go e.ops.Serve(listener)
 	defer e.ops.Shutdown(context.Background())
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -22,10 +22,11 @@
 	InstancesURL string   `long:"instances-url" env:"SAVORY_INSTANCES_URL" default:"http://127.0.0.1:8091" description:"the platform's instance list"`
 	Seeds        []string `long:"seed" env:"SAVORY_SEEDS" env-delim:"," description:"peer to ask while the instance list is not available: ZONE/INSTANCE@ADDRESS"`
 
-	Cert  string `long:"tls-cert" env:"SAVORY_TLS_CERT" description:"PEM file with the certificate that names zone and instance"`
-	Key   string `long:"tls-key" env:"SAVORY_TLS_KEY" description:"PEM file with the certificate's private key"`
-	CA    string `long:"tls-ca" env:"SAVORY_TLS_CA" description:"PEM file with the authority of all entry instances"`
-	Staff string `long:"staff-tokens" env:"SAVORY_STAFF_TOKENS" description:"file with digests of operators' and viewers' tokens"`
+	Cert         string `long:"tls-cert" env:"SAVORY_TLS_CERT" description:"PEM file with the certificate that names zone and instance"`
+	Key          string `long:"tls-key" env:"SAVORY_TLS_KEY" description:"PEM file with the certificate's private key"`
+	CA           string `long:"tls-ca" env:"SAVORY_TLS_CA" description:"PEM file with the authority of all entry instances"`
+	OperatorsTLS bool   `long:"operators-tls" env:"SAVORY_OPERATORS_TLS" description:"serve operators over TLS with the certificate of the instance"`
+	Staff        string `long:"staff-tokens" env:"SAVORY_STAFF_TOKENS" description:"file with digests of operators' and viewers' tokens"`
 
 	DrainTimeout time.Duration `long:"drain-timeout" env:"SAVORY_DRAIN_TIMEOUT" default:"30s" description:"longest planned stop"`
 	LogRetention time.Duration `long:"log-retention" env:"SAVORY_LOG_RETENTION" default:"1h" description:"how long the log service keeps records"`
