--- /dev/null
+++ b/internal/owner/assign.go
@@ -0,0 +1,82 @@
+// Package owner decides which entry instance assigns the slots of which worker, and moves slots between instances
+// without filling one twice.
+package owner
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/savorypass/savorypass/internal/member"
+	"github.com/savorypass/savorypass/internal/platform"
+)
+
+// Holder is the life of a peer of the zone that may hold slots of workers.
+type Holder struct {
+	Instance    string
+	Incarnation uint64
+}
+
+// View is what ownership depends on.
+type View struct {
+	Self    string
+	Owners  []string            // instances of the zone that may own workers, in any order
+	Holders []Holder            // live peers of the zone that may hold slots; a draining peer does until it has finished
+	Workers []platform.Instance // endpoints of the zone
+	// Returns changes when this instance and a peer may both have owned a worker, see member.View.
+	Returns uint64
+	Addrs   map[string]string // addresses of the holders, by instance
+}
+
+// Assign returns the owner of each worker. It depends on nothing but the sets of names, and a change of the
+// instances moves only the workers of the instances that have come or gone.
+func Assign(instances, workers []string) map[string]string {
+	owners := make(map[string]string, len(workers))
+	if len(instances) == 0 {
+		return owners
+	}
+	sorted := slices.Sorted(slices.Values(instances)) // decides ties in the same way everywhere
+	table := rendezvous.New(sorted, xxhash.Sum64String)
+	for _, w := range workers {
+		owners[w] = table.Lookup(w)
+	}
+	return owners
+}
+
+// FromMember derives the view from the membership.
+func FromMember(m member.View) View {
+	v := View{Self: m.Self.Instance, Returns: m.Returns, Addrs: make(map[string]string)}
+	if m.Settled && !m.Draining && !m.Superseded {
+		v.Owners = append(v.Owners, m.Self.Instance)
+	}
+	for _, p := range m.Members {
+		if p.Zone != m.Self.Zone || !p.Live() || !p.Settled {
+			continue
+		}
+		v.Holders = append(v.Holders, Holder{Instance: p.Instance, Incarnation: p.Incarnation})
+		v.Addrs[p.Instance] = p.Addr
+		if !p.Draining {
+			v.Owners = append(v.Owners, p.Instance)
+		}
+	}
+	for _, i := range m.Instances {
+		if i.Kind == platform.KindEndpoint && i.Zone == m.Self.Zone {
+			v.Workers = append(v.Workers, i)
+		}
+	}
+	return v
+}
+
+func (v View) equal(o View) bool {
+	return v.Self == o.Self && v.Returns == o.Returns && slices.Equal(v.Owners, o.Owners) &&
+		slices.Equal(v.Holders, o.Holders) && slices.Equal(v.Workers, o.Workers)
+}
+
+func (v View) workerNames() []string {
+	names := make([]string, len(v.Workers))
+	for i := range v.Workers {
+		names[i] = v.Workers[i].Name
+	}
+	return names
+}
