--- a/internal/peer/message/messages.go
+++ b/internal/peer/message/messages.go
@@ -189,11 +189,13 @@
 // Copy is a finished answer.
 type Copy struct {
 	Identity string
+	Team     string // that alone may read the answer
 	Answer   []byte
 }
 
 func (m *Copy) visit(c *codec) {
 	c.text(&m.Identity)
+	c.text(&m.Team)
 	c.bytes(&m.Answer)
 }
 
@@ -207,9 +209,13 @@
 // CopyLookup asks for the copy of an answer.
 type CopyLookup struct {
 	Identity string
+	Team     string
 }
 
-func (m *CopyLookup) visit(c *codec) { c.text(&m.Identity) }
+func (m *CopyLookup) visit(c *codec) {
+	c.text(&m.Identity)
+	c.text(&m.Team)
+}
 
 // CopyFound answers a CopyLookup.
 type CopyFound struct {
