Worker ownership with handover, copies of answers and the teams' use across instances

Cause: both instances of a zone filled all workers of the zone; a resubmission after the home's death had no answer; quotas were applied per instance. Change: ownership by rendezvous with handover of each slot; copies on two peers; use per team every 2 s; a worker that leaves the list is followed until its last task has ended; draining instances keep their workers when the whole zone drains. Before: every worker owned twice (22 workers shown of 17 with peers counted). Conclusion: the interim ownership is gone.

--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -48,12 +48,21 @@
 	Usage    sched.Size `json:"usage"`
 }
 
+// PeerDump is the use of a peer's slots.
+type PeerDump struct {
+	Name      string `json:"name"`
+	Delegated int    `json:"delegated"` // tasks that run there
+}
+
 // Dump is the engine's state.
 type Dump struct {
 	Draining  bool         `json:"draining"`
 	Jobs      int          `json:"jobs"`
 	Scheduler sched.Stats  `json:"scheduler"`
 	Workers   []WorkerDump `json:"workers"`
+	Peers     []PeerDump   `json:"peers"`
+	Grants    int          `json:"grants"`  // slots on offer to peers, in sets
+	Demands   int          `json:"demands"` // peers with a backlog
 	Teams     []TeamDump   `json:"teams"`
 	OpenJobs  []JobDump    `json:"open_jobs"` // at most maxDumpedJobs, oldest first
 }
@@ -69,8 +78,13 @@
 	e.call(func(now time.Time) {
 		d.Draining, d.Jobs, d.Scheduler = e.draining, len(e.jobs), e.opts.Scheduler.Stats()
 		for _, w := range e.workers {
+			if w.peer {
+				d.Peers = append(d.Peers, PeerDump{Name: w.instance.Name, Delegated: len(w.flights)})
+				continue
+			}
 			d.Workers = append(d.Workers, w.dump(now))
 		}
+		d.Grants, d.Demands = len(e.grants), len(e.demand)
 		teams := map[string]*TeamDump{}
 		for _, j := range e.jobs {
 			d.OpenJobs = append(d.OpenJobs, j.dump(now))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,8 @@
 	// that implements sched.Sharer.
 	Sharing Sharing
 	Lending Lending
+	// Owner is told of the use of workers' slots, so that it can hand them over. It may be nil.
+	Owner Owner
 	// Spawn runs f beside the loop; nil starts a goroutine. Tests wait for what was spawned.
 	Spawn func(f func())
 }
@@ -52,6 +54,19 @@
 	Lent(team, service string)
 }
 
+// Owner decides how many slots of a worker this instance may use, by SetWorker and DropWorker.
+type Owner interface {
+	// Applied confirms one SetWorker with the number of tasks that run on the worker.
+	Applied(worker string, busy int)
+	// Ended reports that a task has ended on a worker that runs as many tasks as its limit allows, or more.
+	Ended(worker string, busy int)
+}
+
+type noOwner struct{}
+
+func (noOwner) Applied(string, int) {}
+func (noOwner) Ended(string, int)   {}
+
 // Timing holds the intervals of the engine's housekeeping.
 type Timing struct {
 	Tick           time.Duration // expiry of deadlines, batches of stops
@@ -116,6 +131,9 @@
 	if opts.Observe == nil {
 		opts.Observe = nopObserver{}
 	}
+	if opts.Owner == nil {
+		opts.Owner = noOwner{}
+	}
 	if opts.Spawn == nil {
 		opts.Spawn = func(f func()) { go f() }
 	}
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -35,3 +35,32 @@
 	}
 	e.load.Store(l)
 }
+
+// Usage returns what each team uses on the slots that this instance assigns, its peers' tasks included.
+func (e *Engine) Usage() map[string]sched.Size {
+	out := map[string]sched.Size{}
+	e.call(func(time.Time) {
+		for _, w := range e.workers {
+			if w.peer {
+				continue
+			}
+			for f := range w.flights {
+				team, size := f.charge()
+				s := out[team]
+				s.Cores += size.Cores
+				s.MemoryMB += size.MemoryMB
+				s.Accelerators += size.Accelerators
+				out[team] = s
+			}
+		}
+	})
+	return out
+}
+
+// charge returns the team and the declared size of a task.
+func (f *flight) charge() (team string, size sched.Size) {
+	if f.foreign != nil {
+		return f.foreign.task.Team, f.foreign.task.Size
+	}
+	return f.job.Team, f.job.Shape.Tasks[f.index].Size
+}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -37,6 +37,7 @@
 	flights     map[*flight]struct{}
 	state       sched.WorkerState
 	slots       int
+	gone        bool // no longer in the list; forgotten when its last task has ended
 	renewing    bool
 	renewedAt   time.Time // last answer to a renewal
 	triedAt     time.Time
@@ -52,7 +53,7 @@
 func (e *Engine) setWorker(now time.Time, inst platform.Instance, slots int) {
 	w := e.workers[inst.Name]
 	if w != nil && w.instance.Address != inst.Address {
-		e.dropWorker(now, inst.Name)
+		e.forget(now, w, "the worker has another address")
 		w = nil
 	}
 	if w == nil {
@@ -62,13 +63,14 @@
 		}
 		e.workers[inst.Name] = w
 	}
-	w.instance, w.slots = inst, slots
+	w.instance, w.slots, w.gone = inst, slots, false
 	if inst.State == platform.StateLeaving {
 		w.state = sched.WorkerLeaving
 	} else if w.state == sched.WorkerLeaving && !w.status.Leaving {
 		w.state = sched.WorkerReady
 	}
 	e.publish(now, w)
+	e.opts.Owner.Applied(inst.Name, len(w.flights))
 }
 
 // publish tells the scheduler what it may use of a worker.
@@ -78,22 +80,42 @@
 	})
 }
 
-// DropWorker forgets a worker; tasks on it count as lost.
+// DropWorker forgets a worker. Tasks on it are followed to their ends, or until their leases run out.
 func (e *Engine) DropWorker(name string) {
 	e.post(func(now time.Time) { e.dropWorker(now, name) })
 }
 
 func (e *Engine) dropWorker(now time.Time, name string) {
 	w := e.workers[name]
-	if w == nil {
+	if w == nil || w.peer {
+		return
+	}
+	if len(w.flights) == 0 {
+		e.forget(now, w, "")
 		return
 	}
-	e.loseAll(now, w, "the worker left")
-	e.opts.Scheduler.RemoveWorker(name)
-	delete(e.workers, name)
+	w.gone, w.slots = true, 0
+	e.publish(now, w)
+}
+
+// forget removes a worker; tasks on it count as lost.
+func (e *Engine) forget(now time.Time, w *worker, reason string) {
+	e.loseAll(now, w, reason)
+	e.opts.Scheduler.RemoveWorker(w.instance.Name)
+	delete(e.workers, w.instance.Name)
 	w.target.close()
 }
 
+// TasksAt returns the names of the tasks that run on a worker.
+func (e *Engine) TasksAt(name string) (tasks []string) {
+	e.call(func(time.Time) {
+		if w := e.workers[name]; w != nil {
+			tasks = w.tasks()
+		}
+	})
+	return tasks
+}
+
 // setState changes whether the worker gets new tasks.
 func (e *Engine) setState(now time.Time, w *worker, s sched.WorkerState, reason string) {
 	if w.state == s {
@@ -191,5 +213,20 @@
 
 func (e *Engine) land(f *flight) {
 	f.end()
-	delete(f.at.flights, f)
+	w := f.at
+	delete(w.flights, f)
+	if w.peer {
+		return
+	}
+	if len(w.flights) >= w.slots {
+		e.opts.Owner.Ended(w.instance.Name, len(w.flights))
+	}
+	if w.gone && len(w.flights) == 0 {
+		// Not at once: the scheduler still has to be told of this task's end.
+		e.after(e.tickedAt, 0, func(now time.Time) {
+			if w.gone && len(w.flights) == 0 && e.workers[w.instance.Name] == w {
+				e.forget(now, w, "")
+			}
+		})
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,10 +25,12 @@
 	"github.com/savorypass/savorypass/internal/member"
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/ops"
+	"github.com/savorypass/savorypass/internal/owner"
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/platform/httpx"
 	"github.com/savorypass/savorypass/internal/registry"
+	"github.com/savorypass/savorypass/internal/replica"
 	"github.com/savorypass/savorypass/internal/sched"
 	"github.com/savorypass/savorypass/internal/sched/fair"
 	"github.com/savorypass/savorypass/internal/sched/naive"
@@ -72,6 +74,10 @@
 	tls      *secure.TLS
 	members  *member.Controller
 	sharing  *share.Service
+	owner    *owner.Controller
+	replicas *replica.Replicator
+	dialer   platform.Dialer
+	usage    *usage
 	handler  filter.Handler
 	server   *server.Server
 	ops      *ops.Server
@@ -120,10 +126,15 @@
 	e.sharing = share.New(share.Options{
 		Zone: opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: log, Now: clock.Now,
 	})
+	e.dialer = httpx.NewDialer(web)
 	e.engine = engine.New(engine.Options{
-		Scheduler: newScheduler(opts.Scheduler), Dialer: httpx.NewDialer(web), Clock: clock, Log: log,
+		Scheduler: newScheduler(opts.Scheduler), Dialer: e.dialer, Clock: clock, Log: log,
 		Admit: e.admitJob, Observe: observer{e.metrics}, MayStart: e.mayStart, Sharing: e.sharing,
+		Owner: slotUse{e},
 	})
+	e.owner = e.newOwner()
+	e.usage = newUsage(clock.Now)
+	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock})
 	e.handler = e.chain()
 	e.members.Subscribe(e.memberChanged)
 	e.handlePeers()
@@ -145,6 +156,8 @@
 func (e *Entry) registerDumps() {
 	e.dumps.Register("engine", ops.DumpFunc(e.engine.Dump))
 	e.dumps.Register("config", ops.DumpFunc(e.config.Dump))
+	e.dumps.Register("owner", ops.DumpFunc(e.owner.Dump))
+	e.dumps.Register("replicas", ops.DumpFunc(e.replicas.Dump))
 	e.dumps.Register("members", ops.DumpFunc(e.members.Dump))
 	e.dumps.Register("registry", ops.DumpFunc(func() any { return e.registry.Stats() }))
 }
@@ -163,7 +176,7 @@
 		validate.Filter{Views: views},
 		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now},
 		admit.Filter{Limiter: limits, Gate: gate, Registry: e.registry, Now: now},
-		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Now: now},
+		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Finished: e.copyAnswer, Now: now},
 	)
 }
 
@@ -175,7 +188,9 @@
 	go e.engine.Run(ctx)
 	go e.config.Run(ctx)
 	go e.members.Run(ctx)
-	go e.followWorkers(ctx)
+	go e.owner.Run(ctx)
+	go e.replicas.Run(ctx)
+	go e.reportUsage(ctx)
 	go e.expireRecords(ctx)
 	listener, err := net.Listen("tcp", e.opts.Operators)
 	if err != nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -19,6 +19,11 @@
 	e.node.HandleInline(peer.Heartbeat, e.members.HandleHeartbeat)
 	e.node.Handle(peer.Forward, e.handleForward)
 	e.node.Handle(peer.ConfigFetch, e.handleConfigFetch)
+	e.node.Handle(peer.Claim, e.owner.HandleClaim)
+	e.node.Handle(peer.Handover, e.owner.HandleHandover)
+	e.node.HandleInline(peer.Copies, e.replicas.HandleCopies)
+	e.node.Handle(peer.CopyLookup, e.replicas.HandleLookup)
+	e.node.HandleInline(peer.TeamUsage, e.usage.handle)
 	e.sharing.Serve(e.engine)
 }
 
@@ -34,6 +39,9 @@
 // memberChanged follows the membership.
 func (e *Entry) memberChanged(ev member.Event) {
 	name := ev.Member.Zone + "/" + ev.Member.Instance
+	if ownershipChanges[ev.Kind] {
+		e.owner.Refresh()
+	}
 	switch ev.Kind {
 	case member.Joined, member.Returned, member.Recovered:
 		e.engine.AddPeer(name, e.sharing.Link(ev.Member.Addr))
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -92,8 +92,25 @@
 	r.Answer(a)
 }
 
+// copyAnswer copies a finished answer to peers. An answer that the home drops after its retention is not copied.
+func (e *Entry) copyAnswer(identity, team string, a *api.Answer) {
+	e.replicas.Add(identity, team, encode(a))
+	e.metrics.Copies.Add(metric.Sent, 1)
+}
+
 // lookupCopy asks the peers for a copy of an answer of the team.
-func (e *Entry) lookupCopy(context.Context, string, string) (*api.Answer, bool) { return nil, false }
+func (e *Entry) lookupCopy(ctx context.Context, identity, team string) (*api.Answer, bool) {
+	data, ok := e.replicas.Lookup(ctx, identity, team)
+	if !ok {
+		return nil, false
+	}
+	var a api.Answer
+	if err := json.Unmarshal(data, &a); err != nil {
+		e.log.WithError(err).WithField("identity", identity).Error("copy of an answer cannot be read")
+		return nil, false
+	}
+	return &a, true
+}
 
 // handleForward serves a request that another instance received.
 func (e *Entry) handleForward(ctx context.Context, _ peer.From, body []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/entry/usage.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/peer"
+	"github.com/savorypass/savorypass/internal/peer/message"
+	"github.com/savorypass/savorypass/internal/sched"
+	"github.com/savorypass/savorypass/internal/sched/fair"
+)
+
+const (
+	// usageInterval is the time between two reports of the teams' use to the zone's peers. With 43 teams of about 35
+	// bytes and 4 peers it costs 3 KB/s in each direction.
+	usageInterval = 2 * time.Second
+	// usageTTL drops the report of a peer that has fallen silent.
+	usageTTL = 3 * usageInterval
+)
+
+// usage holds what the teams use on the slots of the zone's other instances.
+type usage struct {
+	now  func() time.Time
+	mu   sync.Mutex
+	from map[string]usageReport
+}
+
+type usageReport struct {
+	at    time.Time
+	teams []message.TeamAmount
+}
+
+func newUsage(now func() time.Time) *usage {
+	return &usage{now: now, from: map[string]usageReport{}}
+}
+
+func (u *usage) handle(_ context.Context, from peer.From, body []byte) ([]byte, error) {
+	var m message.TeamUsage
+	if err := message.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.from[from.Instance] = usageReport{u.now(), m.Teams}
+	return nil, nil
+}
+
+// sum returns the use of each team, over all peers that have reported lately.
+func (u *usage) sum() map[string]sched.Size {
+	now := u.now()
+	out := map[string]sched.Size{}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name, r := range u.from {
+		if now.Sub(r.at) > usageTTL {
+			delete(u.from, name)
+			continue
+		}
+		for _, t := range r.teams {
+			s := out[t.Team]
+			s.Cores += t.Size.Cores
+			s.MemoryMB += t.Size.MemoryMB
+			s.Accelerators += t.Size.Accelerators
+			out[t.Team] = s
+		}
+	}
+	return out
+}
+
+// reportUsage sends the teams' use of this instance's slots to the zone's peers and gives theirs to the scheduler.
+func (e *Entry) reportUsage(ctx context.Context) {
+	ticker := e.clock.NewTicker(usageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		e.sendUsage()
+		elsewhere := e.usage.sum()
+		e.engine.Configure(func(_ time.Time, s sched.Scheduler) {
+			if f, ok := s.(*fair.Scheduler); ok {
+				f.SetElsewhere(elsewhere)
+			}
+		})
+	}
+}
+
+func (e *Entry) sendUsage() {
+	var m message.TeamUsage
+	for team, size := range e.engine.Usage() {
+		m.Teams = append(m.Teams, message.TeamAmount{Team: team, Size: size})
+	}
+	body := message.Encode(&m)
+	for _, p := range e.members.View().Live() {
+		if p.Zone == e.opts.Zone {
+			e.node.Notify(p.Addr, peer.TeamUsage, body) // best effort; the next report replaces it
+		}
+	}
+}
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -2,50 +2,50 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/savorypass/savorypass/internal/member"
+	"github.com/savorypass/savorypass/internal/owner"
 	"github.com/savorypass/savorypass/internal/platform"
 )
 
-const (
-	listInterval = time.Second
-	listTimeout  = 900 * time.Millisecond
-)
+// slots passes the decisions of ownership to the engine.
+type slots struct{ e *Entry }
+
+// SetSlots implements owner.Consumer.
+func (s slots) SetSlots(worker platform.Instance, n int) { s.e.engine.SetWorker(worker, n) }
+
+// Drop implements owner.Consumer.
+func (s slots) Drop(worker string) { s.e.engine.DropWorker(worker) }
+
+// slotUse passes the engine's use of slots to the ownership. The engine is made first, hence the indirection.
+type slotUse struct{ e *Entry }
+
+// Applied implements engine.Owner.
+func (u slotUse) Applied(worker string, busy int) { u.e.owner.Applied(worker, busy) }
+
+// Ended implements engine.Owner.
+func (u slotUse) Ended(worker string, busy int) { u.e.owner.Ended(worker, busy) }
+
+// asker asks workers for tasks that this instance has not started.
+type asker struct{ e *Entry }
+
+// Foreign implements owner.Asker. It uses a connection of its own, since the engine may not know the worker yet.
+func (a asker) Foreign(ctx context.Context, worker platform.Instance) (int, error) {
+	endpoint := a.e.dialer.Dial(worker.Address, 1)
+	defer endpoint.Close()
+	return owner.Foreign(ctx, endpoint, a.e.engine.TasksAt(worker.Name))
+}
 
-// followWorkers keeps the engine's workers equal to the endpoints of the own zone in the instance list.
-func (e *Entry) followWorkers(ctx context.Context) {
-	ticker := e.clock.NewTicker(listInterval)
-	defer ticker.Stop()
-	known := map[string]bool{}
-	for {
-		known = e.syncWorkers(ctx, known)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+// newOwner returns the controller of worker ownership.
+func (e *Entry) newOwner() *owner.Controller {
+	return owner.New(owner.Options{
+		Incarnation: e.incarnation, Clock: e.clock, Transport: e.node, Slots: slots{e}, Asker: asker{e},
+		View: func() owner.View { return owner.FromMember(e.members.View()) },
+	})
 }
 
-func (e *Entry) syncWorkers(ctx context.Context, known map[string]bool) map[string]bool {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	list, err := e.list.Instances(ctx)
-	if err != nil {
-		e.log.WithError(err).Warn("instance list not read")
-		return known
-	}
-	next := map[string]bool{}
-	for _, in := range list {
-		if in.Kind == platform.KindEndpoint && in.Zone == e.opts.Zone {
-			next[in.Name] = true
-			e.engine.SetWorker(in, in.Slots)
-		}
-	}
-	for name := range known {
-		if !next[name] {
-			e.engine.DropWorker(name)
-		}
-	}
-	return next
+// ownershipChanges are the events that may move workers between instances.
+var ownershipChanges = map[member.EventKind]bool{
+	member.Joined: true, member.Restarted: true, member.Died: true, member.Returned: true, member.Changed: true,
+	member.ListChanged: true, member.Settled: true, member.Superseded: true,
 }
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -13,7 +13,7 @@
 )
 
 // Finished is told of each final answer, for the copies on peers. It must not block.
-type Finished func(identity string, a *api.Answer)
+type Finished func(identity, team string, a *api.Answer)
 
 // Filter implements filter.Filter. It is the last of the chain.
 type Filter struct {
@@ -52,20 +52,20 @@
 }
 
 func (f Filter) submit(r *filter.Request) {
-	seq, id := r.ID.Seq, r.Identity
+	seq, id, team := r.ID.Seq, r.Identity, r.Principal.Team
 	r.Job.OnQueued = r.OnAccepted
-	f.Engine.Submit(r.Job, func(a *api.Answer) { f.done(seq, id, a) })
+	f.Engine.Submit(r.Job, func(a *api.Answer) { f.done(seq, id, team, a) })
 }
 
 // done closes the record of a job. A refusal before the queue gives the identity back.
-func (f Filter) done(seq uint64, id string, a *api.Answer) {
+func (f Filter) done(seq uint64, id, team string, a *api.Answer) {
 	if !a.Final {
 		f.Registry.Withdraw(seq, a)
 		return
 	}
 	f.Registry.Finish(f.Now(), seq, a)
 	if f.Finished != nil {
-		f.Finished(id, a)
+		f.Finished(id, team, a)
 	}
 }
 
--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -44,11 +44,20 @@
 	return owners
 }
 
-// FromMember derives the view from the membership.
+// FromMember derives the view from the membership. Draining instances own nothing as long as the zone has others; when
+// all are draining they keep their workers, since each has to finish its queue.
 func FromMember(m member.View) View {
 	v := View{Self: m.Self.Instance, Returns: m.Returns, Addrs: make(map[string]string)}
-	if m.Settled && !m.Draining && !m.Superseded {
-		v.Owners = append(v.Owners, m.Self.Instance)
+	var draining []string
+	own := func(instance string, drains bool) {
+		if drains {
+			draining = append(draining, instance)
+			return
+		}
+		v.Owners = append(v.Owners, instance)
+	}
+	if m.Settled && !m.Superseded {
+		own(m.Self.Instance, m.Draining)
 	}
 	for _, p := range m.Members {
 		if p.Zone != m.Self.Zone || !p.Live() || !p.Settled {
@@ -56,9 +65,10 @@
 		}
 		v.Holders = append(v.Holders, Holder{Instance: p.Instance, Incarnation: p.Incarnation})
 		v.Addrs[p.Instance] = p.Addr
-		if !p.Draining {
-			v.Owners = append(v.Owners, p.Instance)
-		}
+		own(p.Instance, p.Draining)
+	}
+	if len(v.Owners) == 0 {
+		v.Owners = draining
 	}
 	for _, i := range m.Instances {
 		if i.Kind == platform.KindEndpoint && i.Zone == m.Self.Zone {
