--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,8 @@
 	// that implements sched.Sharer.
 	Sharing Sharing
 	Lending Lending
+	// Owner is told of the use of workers' slots, so that it can hand them over. It may be nil.
+	Owner Owner
 	// Spawn runs f beside the loop; nil starts a goroutine. Tests wait for what was spawned.
 	Spawn func(f func())
 }
@@ -52,13 +54,26 @@
 	Lent(team, service string)
 }
 
+// Owner decides how many slots of a worker this instance may use, by SetWorker and DropWorker.
+type Owner interface {
+	// Applied confirms one SetWorker with the number of tasks that run on the worker.
+	Applied(worker string, busy int)
+	// Ended reports that a task has ended on a worker that runs as many tasks as its limit allows, or more.
+	Ended(worker string, busy int)
+}
+
+type noOwner struct{}
+
+func (noOwner) Applied(string, int) {}
+func (noOwner) Ended(string, int)   {}
+
 // Timing holds the intervals of the engine's housekeeping.
 type Timing struct {
 	Tick           time.Duration // expiry of deadlines, batches of stops
 	RenewBusy      time.Duration // lease renewal of a worker with tasks older than this
 	RenewIdle      time.Duration // lease renewal of other workers
 	Lease          time.Duration // lease of a task
-	SuspectAfter   time.Duration // no answer to renewals
+	SuspectAfter   time.Duration // time without an answer to a renewal after which a worker gets no new task
 	CallGrace      time.Duration // how long a call may lag behind the worker's own report of the task's end
 	ControlTimeout time.Duration // one renewal, fetch or stop
 }
@@ -67,7 +82,8 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Tick: 5 * time.Millisecond, RenewBusy: time.Second, RenewIdle: 2 * time.Second, Lease: 5 * time.Second,
-		SuspectAfter: 3 * time.Second, CallGrace: 250 * time.Millisecond, ControlTimeout: time.Second,
+		// Below the 3 s after which a leaving endpoint must get no new work, also when renewals go unanswered.
+		SuspectAfter: 2800 * time.Millisecond, CallGrace: 250 * time.Millisecond, ControlTimeout: time.Second,
 	}
 }
 
@@ -97,7 +113,9 @@
 	foreignEnded []string // in the order of their ends
 	reported     int      // tasks in the last backlog report
 	reportedAt   time.Time
+	reportedSize sched.Size // that granted slots have room for
 	loadedAt     time.Time
+	tickedAt     time.Time
 
 	draining bool
 }
@@ -113,6 +131,9 @@
 	if opts.Observe == nil {
 		opts.Observe = nopObserver{}
 	}
+	if opts.Owner == nil {
+		opts.Owner = noOwner{}
+	}
 	if opts.Spawn == nil {
 		opts.Spawn = func(f func()) { go f() }
 	}
@@ -143,7 +164,6 @@
 			e.closeAll()
 			return
 		case <-ticker.Chan():
-			e.tick(e.opts.Clock.Now())
 		case <-e.inbox.wake:
 		}
 		batch = e.inbox.take(batch[:0])
@@ -152,6 +172,10 @@
 			batch[i](now)
 			batch[i] = nil
 		}
+		// Housekeeping comes before starts, so that no start follows from a state that should have lapsed.
+		if now.Sub(e.tickedAt) >= e.opts.Timing.Tick {
+			e.tick(now)
+		}
 		e.lendFirst(now)
 		e.start(now)
 		e.lendRest(now)
@@ -169,6 +193,11 @@
 // post hands an event to the loop.
 func (e *Engine) post(ev event) { e.inbox.put(ev) }
 
+// Configure runs f in the engine's loop, so that it may change the scheduler's settings.
+func (e *Engine) Configure(f func(now time.Time, s sched.Scheduler)) {
+	e.post(func(now time.Time) { f(now, e.opts.Scheduler) })
+}
+
 // call runs f in the loop and waits for it. It returns false when the engine has stopped.
 func (e *Engine) call(f event) bool {
 	done := make(chan struct{})
@@ -186,6 +215,7 @@
 
 // tick runs the periodic work.
 func (e *Engine) tick(now time.Time) {
+	e.tickedAt = now
 	e.runTimers(now)
 	e.expire(now)
 	e.expireGrants(now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -24,10 +25,12 @@
 	"github.com/savorypass/savorypass/internal/member"
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/ops"
+	"github.com/savorypass/savorypass/internal/owner"
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/platform/httpx"
 	"github.com/savorypass/savorypass/internal/registry"
+	"github.com/savorypass/savorypass/internal/replica"
 	"github.com/savorypass/savorypass/internal/sched"
 	"github.com/savorypass/savorypass/internal/sched/fair"
 	"github.com/savorypass/savorypass/internal/sched/naive"
@@ -59,6 +62,7 @@
 	incarnation uint64
 
 	tokens   *secure.Tokens
+	staff    []secure.Entry // from the settings; the configuration adds more
 	metrics  *metric.Set
 	dumps    *ops.Dumps
 	issuer   *identity.Issuer
@@ -70,6 +74,10 @@
 	tls      *secure.TLS
 	members  *member.Controller
 	sharing  *share.Service
+	owner    *owner.Controller
+	replicas *replica.Replicator
+	dialer   platform.Dialer
+	usage    *usage
 	handler  filter.Handler
 	server   *server.Server
 	ops      *ops.Server
@@ -94,18 +102,18 @@
 		if err := e.tokens.SetStaff(staff); err != nil {
 			return nil, merry.Prepend(err, "operators' tokens")
 		}
+		e.staff = staff
 	}
-	tls, err := secure.LoadTLS(e.tlsSettings())
-	if err != nil {
+	var err error
+	if e.tls, err = secure.LoadTLS(e.tlsSettings()); err != nil {
 		return nil, merry.Prepend(err, "TLS material")
 	}
-	e.tls = tls
-	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
+	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: e.tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
 		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
 	}
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
-	e.registry = registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
+	e.registry = newRegistry()
 	web := httpx.Options{Zone: opts.Zone}
 	e.list = httpx.NewInstanceList(address(opts.InstancesURL), web)
 	e.config = config.New(config.Options{
@@ -118,10 +126,15 @@
 	e.sharing = share.New(share.Options{
 		Zone: opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: log, Now: clock.Now,
 	})
+	e.dialer = httpx.NewDialer(web)
 	e.engine = engine.New(engine.Options{
-		Scheduler: newScheduler(opts.Scheduler), Dialer: httpx.NewDialer(web), Clock: clock, Log: log,
+		Scheduler: newScheduler(opts.Scheduler), Dialer: e.dialer, Clock: clock, Log: log,
 		Admit: e.admitJob, Observe: observer{e.metrics}, MayStart: e.mayStart, Sharing: e.sharing,
+		Owner: slotUse{e},
 	})
+	e.owner = e.newOwner()
+	e.usage = newUsage(clock.Now)
+	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock})
 	e.handler = e.chain()
 	e.members.Subscribe(e.memberChanged)
 	e.handlePeers()
@@ -129,6 +142,10 @@
 	return e, nil
 }
 
+func newRegistry() *registry.Registry {
+	return registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
+}
+
 func newScheduler(name string) sched.Scheduler {
 	if name == schedulerNaive {
 		return naive.New()
@@ -139,22 +156,27 @@
 func (e *Entry) registerDumps() {
 	e.dumps.Register("engine", ops.DumpFunc(e.engine.Dump))
 	e.dumps.Register("config", ops.DumpFunc(e.config.Dump))
+	e.dumps.Register("owner", ops.DumpFunc(e.owner.Dump))
+	e.dumps.Register("replicas", ops.DumpFunc(e.replicas.Dump))
 	e.dumps.Register("members", ops.DumpFunc(e.members.Dump))
 	e.dumps.Register("registry", ops.DumpFunc(func() any { return e.registry.Stats() }))
 }
 
 // chain returns the filters that a caller's request passes.
 func (e *Entry) chain() filter.Handler {
+	limits := limiter{secure.NewLimiter(maxLimited), e.current.Load}
+	return e.requestChain(filter.ViewFunc(e.view), limits, gate{e})
+}
+
+func (e *Entry) requestChain(views filter.Views, limits admit.Limiter, gate admit.Gate) filter.Handler {
 	now := e.clock.Now
 	return filter.Chain(
 		authn.Filter{Tokens: tokens{e.tokens}},
 		decode.Filter{},
-		validate.Filter{Views: filter.ViewFunc(e.view)},
+		validate.Filter{Views: views},
 		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now},
-		admit.Filter{
-			Limiter: limiter{secure.NewLimiter(maxLimited), e.current.Load}, Gate: gate{e}, Registry: e.registry, Now: now,
-		},
-		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Now: now},
+		admit.Filter{Limiter: limits, Gate: gate, Registry: e.registry, Now: now},
+		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Finished: e.copyAnswer, Now: now},
 	)
 }
 
@@ -166,12 +188,17 @@
 	go e.engine.Run(ctx)
 	go e.config.Run(ctx)
 	go e.members.Run(ctx)
-	go e.followWorkers(ctx)
+	go e.owner.Run(ctx)
+	go e.replicas.Run(ctx)
+	go e.reportUsage(ctx)
 	go e.expireRecords(ctx)
 	listener, err := net.Listen("tcp", e.opts.Operators)
 	if err != nil {
 		return merry.Prependf(err, "listen for operators on %s", e.opts.Operators)
 	}
+	if e.opts.OperatorsTLS {
+		listener = tls.NewListener(listener, e.tls.Operators())
+	}
 	e.ops = e.newOps()
 	go e.ops.Serve(listener)
 	defer e.ops.Shutdown(context.Background())
@@ -195,20 +222,6 @@
 	return nil
 }
 
-// apply puts a configuration version into force on this instance.
-func (e *Entry) apply(u config.Update) {
-	entries, err := callerTokens(u.Config)
-	if err == nil {
-		err = e.tokens.SetCallers(entries)
-	}
-	if err != nil {
-		// Validation has accepted the digests, so this is a fault of the program. The old tokens stay.
-		e.log.WithError(err).WithField("version", u.State.Version).Error("callers' tokens not replaced")
-	}
-	e.current.Store(newSnapshot(u.State.Version, u.Config))
-	e.metrics.ConfigVersion.Set(int64(u.State.Version))
-}
-
 func (e *Entry) view() *filter.View {
 	if s := e.current.Load(); s != nil {
 		return s.view
@@ -229,6 +242,9 @@
 	if err := e.config.Ready(); err != nil {
 		reasons = append(reasons, err.Error())
 	}
+	if e.engine.Load().Slots == 0 {
+		reasons = append(reasons, "no usable slot of a worker")
+	}
 	return reasons
 }
 
--- a/internal/sched/fair/team.go
+++ b/internal/sched/fair/team.go
@@ -43,6 +43,7 @@
 	queues    []*queue
 	byKey     map[queueKey]*queue
 	ahead     ahead
+	inflow    inflow
 	best      *queue // cached choice
 	epoch     uint64
 	dirty     bool
@@ -53,6 +54,7 @@
 	if t == nil {
 		t = &team{name: name, weight: 1, activePos: -1, byKey: map[queueKey]*queue{}}
 		s.teams[name] = t
+		s.teamList = append(s.teamList, t)
 	}
 	return t
 }
@@ -223,7 +225,7 @@
 
 // allowed reports whether the short reserve and the team's limit let a task of the queue start.
 func (s *Scheduler) allowed(q *queue) bool {
-	if q.long && !s.longAllowed() {
+	if q.long && !s.reserve.open {
 		return false
 	}
 	if t := q.team; t.hasLimit && !t.under(&t.limit, q.shape.size) {
@@ -265,23 +267,6 @@
 	}
 }
 
-// setLong records the number of running long tasks.
-func (s *Scheduler) setLong(n int) {
-	before := s.longAllowed()
-	s.long = n
-	if s.longAllowed() != before {
-		s.epoch++
-	}
-}
-
-// longAllowed reports whether another long task may start outside the short reserve.
-func (s *Scheduler) longAllowed() bool {
-	if s.opts.ShortReserve <= 0 {
-		return true
-	}
-	return s.long < max(1, int(float64(s.slots)*(1-s.opts.ShortReserve)))
-}
-
 // removeShape forgets the team's queue of a shape, which must be empty.
 func (t *team) removeShape(sh *shape) {
 	delete(t.byKey, queueKey{sh, false})
