--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -74,7 +74,7 @@
 	Bin       string   `long:"bin" default:"bin" description:"directory with the programs"`
 	Name      string   `long:"name" default:"fair" description:"name of the cluster in tables"`
 	Scheduler string   `long:"scheduler" default:"fair" description:"fair or naive"`
-	Port      int      `long:"port" default:"20000" description:"first port"`
+	Port      int      `long:"port" default:"27000" description:"first port"`
 	Zones     []string `long:"zone" description:"availability zones; the default is zone-a, zone-b and zone-c"`
 	Entries   int      `long:"entries" default:"6" description:"entry instances, assigned to the zones in turn"`
 	Workers   int      `long:"workers" default:"50" description:"workers, assigned to the zones in turn"`
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -116,8 +117,9 @@
 		if wait := l.Begin.Add(r.Job.At).Sub(time.Now()); wait > 0 {
 			time.Sleep(wait)
 		}
-		l.done.Go(func() { l.serve(r, l.tails[i]) })
+		tail := l.tails[i]
 		l.tails[i] = nil
+		l.done.Go(func() { l.serve(r, tail) })
 	}
 }
 
@@ -280,8 +282,13 @@
 	h.RecordValue(min(histogramMax, max(1, d.Microseconds())))
 }
 
+// ratioAt returns a percentile, which is infinite where so many values are.
 func ratioAt(h *hdrhistogram.Histogram, percent float64) float64 {
-	return float64(h.ValueAtPercentile(percent)) / ratioUnit
+	v := h.ValueAtPercentile(percent)
+	if h.TotalCount() == 0 || v >= histogramMax {
+		return math.Inf(1)
+	}
+	return float64(v) / ratioUnit
 }
 
 func millisAt(h *hdrhistogram.Histogram, percent float64) float64 {
--- a/internal/bench/operator.go
+++ b/internal/bench/operator.go
@@ -26,7 +26,10 @@
 	overlapTimeout  = 10 * time.Second // owners settle within 2 s of the last change of members
 )
 
-var errOverlap = errors.New("workers have more than one owner")
+var (
+	errOverlap = errors.New("workers have more than one owner")
+	errEnded   = errors.New("process has ended")
+)
 
 var operators = fasthttp.Client{Name: "savory-bench", MaxConnsPerHost: 16, MaxResponseBodySize: 256 << 20}
 
@@ -159,6 +162,9 @@
 		if err == nil || errors.Is(err, errOverlap) && time.Since(begin) > overlapTimeout {
 			return nil
 		}
+		if errors.Is(err, errEnded) {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("cluster %s is not ready after %v: %w", c.Name, readyTimeout, err)
@@ -168,6 +174,9 @@
 }
 
 func (c *Cluster) ready(doc []byte) error {
+	if err := c.alive(); err != nil {
+		return err
+	}
 	var published error
 	if v, err := c.version(c.Entries[0]); err != nil || v == 0 {
 		_, published = c.publish(c.Entries[0], doc, 0) // fails until the instance has read the log
@@ -185,6 +194,18 @@
 	return nil
 }
 
+// alive returns an error when a process of the cluster has ended, for example because its port is taken. Another
+// process may then answer in its place.
+func (c *Cluster) alive() error {
+	pids, err := c.PIDs()
+	for name, pid := range pids {
+		if _, gone := UsageOf(pid); gone != nil {
+			err = errors.Join(err, fmt.Errorf("%s has ended, see %s: %w", name, filepath.Join(c.dir, name+".log"), errEnded))
+		}
+	}
+	return err
+}
+
 // ownedSlots returns the sum of the slots of all entry instances, or an error when one of them is not ready or does
 // not know all of its peers.
 func (c *Cluster) ownedSlots() (int, error) {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -69,7 +70,13 @@
 	return strconv.FormatFloat(*v, 'g', 3, 64)
 }
 
-func some(v float64) *float64 { return &v }
+// some returns a measured value, or nil for an infinite or undefined one, which a row reports as not measured.
+func some(v float64) *float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return nil
+	}
+	return &v
+}
 
 // record appends rows to the rows of a run.
 func record(out string, rows ...Row) error {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts clusters of stand-ins and entry instances on loopback, measures them with savory-bench, and ends every process
-# that it started by its id.
+# that it started by its id. The ports 27000 to 32000 must be free.
 #
 #   scripts/bench.sh [bench|slopes]
 #
@@ -51,9 +51,8 @@
 stop_all() {
 	local dir
 	for dir in "${started[@]}"; do stop "$dir"; done
+	rmdir "$OUT/lock"
 }
-trap stop_all EXIT
-trap 'exit 130' INT TERM
 
 bench() { "$BIN/savory-bench" "$@"; }
 
@@ -68,8 +67,8 @@
 
 run_bench() {
 	rm -f "$OUT/rows.jsonl"
-	cluster "$CLUSTERS/fair" --name fair --scheduler fair --port 20000 || return
-	cluster "$CLUSTERS/naive" --name naive --scheduler naive --port 24000 || return
+	cluster "$CLUSTERS/fair" --name fair --scheduler fair --port 27000 || return
+	cluster "$CLUSTERS/naive" --name naive --scheduler naive --port 28000 || return
 	bench run --fair "$CLUSTERS/fair" --naive "$CLUSTERS/naive" --out "$OUT" $short_flag ${ONLY:+--only "$ONLY"}
 	stop "$CLUSTERS/fair"
 	stop "$CLUSTERS/naive"
@@ -88,7 +87,7 @@
 # rate ENTRIES WORKERS
 rate() {
 	local dir=$CLUSTERS/rate-$1-$2
-	cluster "$dir" --zone zone-a --entries "$1" --workers "$2" --port 26000 --keep-starts 1 &&
+	cluster "$dir" --zone zone-a --entries "$1" --workers "$2" --port 29000 --keep-starts 1 &&
 		bench rate --dir "$dir" --out "$OUT" $short_flag
 	stop "$dir"
 }
@@ -113,12 +112,18 @@
 size() {
 	local dir=$CLUSTERS/size-$1-$2-$3-$4-$5 length=6s
 	[ -n "$SHORT" ] && length=2s
-	cluster "$dir" --zone zone-a --zone zone-b --entries "$5" --workers "$2" --teams "$3" --port 26000 --keep-starts 1 || return
+	cluster "$dir" --zone zone-a --zone zone-b --entries "$5" --workers "$2" --teams "$3" --port 29000 --keep-starts 1 || return
 	bench measure --dir "$dir" --vary "$1" --tasks "$4" --length "$length" --out "$OUT" || return
 	stop "$dir"
 }
 
 mkdir -p "$OUT"
+if ! mkdir "$OUT/lock" 2>/dev/null; then
+	echo "another run uses $OUT; remove $OUT/lock if that run was killed" >&2
+	exit 2
+fi
+trap stop_all EXIT
+trap 'exit 130' INT TERM
 case $MODE in
 bench) run_bench ;;
 slopes) run_slopes ;;
