--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,14 @@
 demo: build
 	scripts/demo.sh
 
+# Load tests and experiments on real processes; SHORT=1 for a trial. A missed bound shows in the table and as exit
+# status 3 of `savory-bench table`, and fails the target.
+bench: build
+	BIN=$(BIN) SHORT=$(SHORT) scripts/bench.sh bench
+
+# The cost of control at several sizes.
+slopes: build
+	BIN=$(BIN) SHORT=$(SHORT) scripts/bench.sh slopes
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,223 @@
+package bench
+
+import (
+	"bytes"
+	"math"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/config"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+func mixed(seed uint64) Workload {
+	return Workload{
+		Seed: seed, Slots: 400, Teams: 8, Callers: 2, Segments: []Segment{{4 * time.Second, 0.3}, {20 * time.Second, 0.95}},
+		Heavy: true, Bursts: true, Unrest: true, Deadline: time.Minute,
+	}
+}
+
+// Guards against runs that cannot be repeated, and against arrivals that differ from what the table says of them.
+func TestGenerate(t *testing.T) {
+	is := is.New(t)
+	jobs := Generate(mixed(1))
+	is.Equal(jobs, Generate(mixed(1)))
+	is.True(len(jobs) != len(Generate(mixed(2))))
+
+	var work [2]time.Duration
+	var stragglers, cancelled, resubmitted, long, tasks float64
+	least, most := math.Inf(1), 0.0
+	last := time.Duration(0)
+	for _, j := range jobs {
+		is.True(j.At >= last && len(j.Run) >= 1 && len(j.Run) <= maxTasks)
+		last = j.At
+		segment := 0
+		if j.At >= 4*time.Second {
+			segment = 1
+		}
+		work[segment] += j.Work()
+		if j.Cancel > 0 {
+			cancelled++
+		}
+		if j.Resubmit > 0 {
+			resubmitted++
+		}
+		for i, run := range j.Run {
+			tasks++
+			is.True(run >= shortestRun && run <= longestTask)
+			if j.Straggle[i] {
+				stragglers++
+				continue
+			}
+			if j.Long {
+				long++
+				continue
+			}
+			is.True(run <= longestRun)
+			off := float64(j.Declared[i]) / float64(run)
+			least, most = min(least, off), max(most, off)
+		}
+	}
+	near := func(got time.Duration, load float64, length time.Duration) bool {
+		want := load * 400 * float64(length)
+		return math.Abs(float64(got)-want) < want/20
+	}
+	is.True(near(work[0], 0.3, 4*time.Second))
+	is.True(near(work[1], 0.95, 20*time.Second))
+	is.True(stragglers > tasks/200 && stragglers < tasks/50)
+	is.True(long > tasks/200 && long < tasks/20)
+	is.True(cancelled > 0 && resubmitted > 0)
+	is.True(least < 0.5 && least > 0.09 && most > 2 && most < 11)
+}
+
+func job(at int, cancel int, run ...int) *Job {
+	j := &Job{At: time.Duration(at), Cancel: time.Duration(cancel)}
+	for _, r := range run {
+		j.Run = append(j.Run, time.Duration(r))
+	}
+	return j
+}
+
+// Guards against an ideal that is not ideal, which would loosen every bound that is relative to it.
+func TestIdeal(t *testing.T) {
+	ends := func(jobs []*Job, slots int, o Order) (out []int) {
+		for _, x := range Ideal(jobs, slots, o) {
+			out = append(out, int(x.Job))
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name            string
+		slots           int
+		jobs            []*Job
+		first, shortest []int
+	}{
+		// The long job holds the only slot; behind it the short one waits, or overtakes the middle one.
+		{"one slot", 1, []*Job{job(0, 0, 10), job(1, 0, 5), job(2, 0, 1)}, []int{10, 14, 14}, []int{10, 15, 9}},
+		// The longest task goes first: 4 and 3 start, then 2 and 1 after the 3 and the 4.
+		{"longest task first", 2, []*Job{job(0, 0, 1, 2, 3, 4)}, []int{5}, []int{5}},
+		// What is left counts: at time 2 the first job has 2 left to start, the second one 3.
+		{"remaining work", 1, []*Job{job(0, 0, 2, 2), job(1, 0, 3)}, []int{4, 6}, []int{4, 6}},
+		// The cancelled job frees its slot at time 3, and its second task never starts.
+		{"cancelled", 1, []*Job{job(0, 3, 9, 9), job(1, 0, 2)}, []int{-1, 4}, []int{-1, 4}},
+		// A cancellation after the end changes nothing.
+		{"cancelled late", 1, []*Job{job(0, 5, 2), job(1, 0, 2)}, []int{2, 3}, []int{2, 3}},
+		// A slot that ends when a job arrives is free for it.
+		{"end before arrival", 1, []*Job{job(0, 0, 4), job(4, 0, 1)}, []int{4, 1}, []int{4, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ends(c.jobs, c.slots, FirstCome), c.first)
+			is.Equal(ends(c.jobs, c.slots, ShortestRemaining), c.shortest)
+		})
+	}
+	is := is.New(t)
+	x := Ideal([]*Job{job(7, 0, 1, 2, 3, 4)}, 2, FirstCome)[0]
+	is.Equal(x.Tasks, []time.Duration{5, 5, 3, 4})
+}
+
+// Guards against a miss that is shown as met, above all where there is no figure.
+func TestRows(t *testing.T) {
+	is := is.New(t)
+	out := t.TempDir()
+	is.NoErr(record(out,
+		Row{Measure: "a", Value: some(1.3), Most: some(1.3)},
+		Row{Measure: "b", Value: some(1.31), Most: some(1.3)},
+		Row{Measure: "c", Value: some(95), Least: some(95)},
+		Row{Measure: "d", Value: some(94.9), Least: some(95)},
+	))
+	is.NoErr(record(out,
+		Row{Measure: "e", Value: some(math.NaN()), Most: some(1)},
+		Row{Measure: "f", Value: some(math.Inf(1)), Least: some(1)},
+		Row{Measure: "g", Value: some(3)},
+	))
+	rows, err := readLines[Row](filepath.Join(out, rowsFile))
+	is.NoErr(err)
+	var got []string
+	for i := range rows {
+		got = append(got, rows[i].Verdict())
+	}
+	is.Equal(got, []string{verdictMet, verdictMissed, verdictMet, verdictMissed, verdictNoValue, verdictNoValue, verdictNoBound})
+	var text bytes.Buffer
+	missed, err := Table(&text, out)
+	is.NoErr(err)
+	is.Equal(missed, 4)
+	is.True(strings.Contains(text.String(), "7 rows, 4 miss their bound"))
+}
+
+// Guards against jobs without an answer that improve a percentile, and against promises that nobody checks.
+func TestSample(t *testing.T) {
+	is := is.New(t)
+	l := &Load{Begin: time.Unix(100, 0)}
+	j := job(0, 0, 50_000_000)
+	j.Straggle = []bool{false}
+	add := func(id string, response time.Duration, code result.Code) *Record {
+		r := &Record{Job: j, Identity: id, Response: response, Code: code}
+		l.Records = append(l.Records, r)
+		return r
+	}
+	for range 30 {
+		add("done", 100*time.Millisecond, result.Complete)
+	}
+	add("refused", 0, result.QueueFull)
+	add("wrong", 100*time.Millisecond, result.Complete).Wrong = "foreign outputs"
+	starts := map[string][]start{
+		"done/0":    {{0, l.Begin.Add(time.Millisecond)}},
+		"refused/0": {{0, l.Begin}, {1, l.Begin}},
+	}
+	s := sampleOf(l, window{0, time.Second}, starts, 0)
+	is.Equal([]int{s.Submitted, s.Completed, s.GivenUp, s.Wrong, s.Repeated, s.Untrue}, []int{32, 31, 1, 1, 1, 1})
+	is.True(math.Abs(ratioAt(s.Jobs, 50)-2) < 0.01)
+	is.True(math.IsInf(ratioAt(s.Jobs, 99), 1))
+	is.True(math.Abs(ratioAt(s.Tasks, 50)-1.02) < 0.01)
+}
+
+// Guards against work that counts in the wrong part of the crest.
+func TestSpread(t *testing.T) {
+	is := is.New(t)
+	bins := make([]float64, 3)
+	spread(bins, 100*time.Millisecond, 300*time.Millisecond)
+	spread(bins, 600*time.Millisecond, time.Minute)
+	spread(bins, -time.Second, time.Second+time.Millisecond)
+	is.Equal(bins, []float64{151e6, 150e6, 150e6})
+}
+
+// Guards against a wrong slope, and against figures of /proc that are read from the wrong field.
+func TestFitAndProc(t *testing.T) {
+	is := is.New(t)
+	f := fit([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
+	is.True(math.Abs(f.Slope-2) < 1e-9 && math.Abs(f.Intercept-3) < 1e-9 && f.Worst < 1e-9)
+	u, err := parseStat([]byte("7 (a) b) S 1 7 7 0 -1 4194560 9 0 0 0 150 50 0 0 20 0 9 0 100 1000 3 18446744073709551615"))
+	is.NoErr(err)
+	is.Equal(u.CPU, 2*time.Second)
+	is.True(u.Resident > 0 && u.Resident%3 == 0)
+	_, err = parseStat([]byte("7 (a) S 1"))
+	is.True(err != nil)
+	is.Equal(parseIO([]byte("rchar: 10\nwchar: 5\nsyscr: 99\n")), int64(15))
+}
+
+// Guards against a cluster whose configuration the dispatcher refuses, and against processes that share a port.
+func TestPrepare(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.NoErr(Prepare(Plan{Dir: dir, Bin: "bin", Name: "x", Scheduler: "fair", Port: 5000, Entries: 6, Workers: 650, Slots: 8, Teams: 43, Callers: 2, MaxWait: "1s", Keep: 1}))
+	c, err := Open(dir)
+	is.NoErr(err)
+	is.Equal(c.Slots, 5200)
+	_, err = config.Decode(document(c, "1s", 7))
+	is.NoErr(err)
+	used := map[string]bool{}
+	for _, a := range append([]string{c.Log, c.Instances}, c.Workers...) {
+		is.True(!used[a])
+		used[a] = true
+	}
+	for _, e := range c.Entries {
+		is.True(!used[e.Callers] && !used[e.Peers] && !used[e.Operators])
+	}
+	plan := Plan{Zones: []string{"a", "b"}, Workers: 650, Slots: 8}
+	is.Equal(len(plan.workerProcesses(c, "w")), 4) // two for each zone, as one process holds at most 300
+}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -114,7 +114,7 @@
 
 func (l *Load) dispatch() {
 	for i, r := range l.Records {
-		if wait := l.Begin.Add(r.Job.At).Sub(time.Now()); wait > 0 {
+		if wait := time.Until(l.Begin.Add(r.Job.At)); wait > 0 {
 			time.Sleep(wait)
 		}
 		tail := l.tails[i]
@@ -124,7 +124,7 @@
 }
 
 // Arrived blocks until the last job was submitted.
-func (l *Load) Arrived() { time.Sleep(l.End.Sub(time.Now())) }
+func (l *Load) Arrived() { time.Sleep(time.Until(l.End)) }
 
 // Finish blocks until every job has ended and closes the connections.
 func (l *Load) Finish() {
@@ -205,7 +205,7 @@
 
 // later waits for a time after the intended arrival and for the identity, and reports whether there is one.
 func (l *Load) later(r *Record, after time.Duration) bool {
-	time.Sleep(l.Begin.Add(r.Job.At + after).Sub(time.Now()))
+	time.Sleep(time.Until(l.Begin.Add(r.Job.At + after)))
 	<-r.known
 	return r.Identity != ""
 }
