--- a/internal/member/pause.go
+++ b/internal/member/pause.go
@@ -55,7 +55,11 @@
 // Paused reports whether the process recovers from a pause or is stopped for good by a newer incarnation.
 func (c *Controller) Paused() bool { return !c.gate.check(c.opts.Clock.Now()) }
 
+// pauseLocked begins the recovery from a pause. Peers declare a paused instance dead, so what it owned may have passed
+// to others. View.Returns changes now and not at the end, so that ownership has been claimed anew before dispatching
+// goes on.
 func (c *Controller) pauseLocked(now time.Time) {
+	c.returns++
 	c.gate.pausedAt = now
 	c.gate.firstRound = 0
 	c.nextZone, c.nextFar, c.listed.next = now, now, now
@@ -67,8 +71,7 @@
 	c.pending = append(c.pending, Event{Kind: Paused})
 }
 
-// resumeLocked ends a pause when its conditions are met or its bound has passed. Peers declare a paused instance
-// dead, so what it owned may have passed to others: the generation in the view changes.
+// resumeLocked ends a pause when its conditions are met or its bound has passed.
 func (c *Controller) resumeLocked(now time.Time) {
 	if !c.gate.paused.Load() {
 		return
@@ -83,7 +86,6 @@
 	}
 	c.gate.pausedAt = time.Time{}
 	c.gate.firstRound = 0
-	c.returns++
 	c.gate.paused.Store(false)
 	c.pending = append(c.pending, Event{Kind: Resumed})
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -37,9 +37,13 @@
 }
 
 func newNode(tb testing.TB, ca *secure.DevCA, zone, instance string) *Node {
+	return newPatientNode(tb, ca, zone, instance, DefaultIdleTimeout)
+}
+
+func newPatientNode(tb testing.TB, ca *secure.DevCA, zone, instance string, idle time.Duration) *Node {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n, err := New(Options{Listen: "127.0.0.1:0", TLS: newTLS(tb, ca, zone, instance), Log: log, EnableFaults: true})
+	n, err := New(Options{Listen: "127.0.0.1:0", TLS: newTLS(tb, ca, zone, instance), Log: log, EnableFaults: true, IdleTimeout: idle})
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -205,6 +209,37 @@
 	is.NoErr(err)
 }
 
+// Guards against calls that go on waiting for a process that was replaced at its address.
+func TestReplacedProcess(t *testing.T) {
+	is := is.New(t)
+	ca := newCA(t)
+	// With this idle time-out only the new process's connection can end the old one.
+	a, b := newPatientNode(t, ca, "blackstone", "e1", time.Hour), newPatientNode(t, ca, "blackstone", "e2", time.Hour)
+	started := make(chan struct{})
+	b.Handle(Delegate, func(ctx context.Context, _ From, _ []byte) ([]byte, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, nil
+	})
+	failed := make(chan error)
+	go func() {
+		_, err := a.Call(context.Background(), b.Addr(), Delegate, nil)
+		failed <- err
+	}()
+	<-started
+	addr := b.Addr()
+	b.socket.Close() // no word to the peer
+	again, err := New(Options{Listen: addr, TLS: b.opts.TLS, Log: b.opts.Log})
+	is.NoErr(err)
+	_, err = again.Call(context.Background(), a.Addr(), Forward, nil)
+	is.NoErr(err)
+	err = <-failed
+	is.True(errors.Is(err, ErrLost) && errors.Is(err, errReplaced))
+	_, err = a.Call(context.Background(), addr, Backlog, nil)
+	is.True(errors.Is(err, ErrRefused)) // the new process was asked, which has no handler
+	is.NoErr(again.Close(context.Background()))
+}
+
 // Guards against a cut that lets a message through or does not end.
 func TestCut(t *testing.T) {
 	is := is.New(t)
