Admit with a margin on the wait

Cause: 1.9% of the admitted jobs were late, but they were the large ones and cost 9% of the capacity. Change: the time that a job waits for slots counts 1.4 times against its deadline, the time that it runs counts once, so that an idle system refuses nothing that it can do.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -39,6 +39,11 @@
 // OK reports whether the job is admitted.
 func (v Verdict) OK() bool { return v.Reason == Admitted }
 
+// waitMargin is added to the time that a job waits for slots, as a share of it. One accepted job in ten waits more than
+// 1.3 times the estimate, and a large job that ends late has used slots in vain: without a margin, 9% of the capacity
+// was lost that way in the offline experiment.
+const waitMargin = 0.4
+
 const (
 	defaultMinHint = 100 * time.Millisecond
 	defaultMaxHint = 10 * time.Second
@@ -73,7 +78,8 @@
 		return Backlogged, e.Drain - b.MaxDrain
 	}
 	if !deadline.IsZero() {
-		late := e.Wait + e.Run - deadline.Sub(now)
+		waiting := e.Wait + e.Spread
+		late := waiting + time.Duration(waitMargin*float64(waiting)) + e.Run - e.Spread - deadline.Sub(now)
 		if late > 0 {
 			return TooLate, min(late, e.Drain)
 		}
--- a/internal/sched/fair/expect.go
+++ b/internal/sched/fair/expect.go
@@ -48,7 +48,8 @@
 	wait := f.time(before)
 	end := f.time(before + max(0, work-s.freeWork(work, len(j.Tasks))))
 	e.Wait = seconds(wait)
-	e.Run = seconds(max(0, end-wait) + longest)
+	e.Spread = seconds(max(0, end-wait))
+	e.Run = e.Spread + seconds(longest)
 	e.Drain = seconds(total / rate)
 	return e
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -69,6 +69,7 @@
 type Estimate struct {
 	Wait      time.Duration // until its first task starts
 	Run       time.Duration // from then on until its last task ends
+	Spread    time.Duration // the part of Run until its last task starts
 	Feasible  bool          // some worker is large enough for each task
 	Queued    int           // tasks in the queue
 	Drain     time.Duration // until all queued work has started
