Test faults, estimates and admission; take the worker speed's center robustly

Cause: with one of ten workers 10 times slower, the median of a service was learned 25% too high, since speeds were taken relative to their mean. Change: speeds are relative to a center that moves by clipped steps. Tests for the fast failing worker, failing services, stragglers, wrong declarations, starvation, quotas and cancellation.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -39,7 +39,7 @@
 	classes map[key]*Class
 	rest    *Class
 	speeds  map[string]*Speed
-	logSum  float64 // sum of the speeds' log factors
+	center  float64 // log factor of the usual worker, close to the median over all samples
 }
 
 // New returns an estimator that knows nothing.
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -7,6 +7,8 @@
 	speedClip    = 1.0 // largest pull of one sample, in natural log units; bounds the effect of a straggler
 	speedSamples = 8   // samples from which a worker's speed is used
 	maxFactor    = 32.0
+	centerStep   = 0.02
+	centerClip   = 0.1 // a few workers far from the rest hardly move the center; their mean would
 )
 
 // Speed is the learned slowness of one worker.
@@ -28,23 +30,20 @@
 
 // Forget drops what is known of a worker.
 func (e *Estimator) Forget(worker string) {
-	if s := e.speeds[worker]; s != nil {
-		e.logSum -= s.log
-		delete(e.speeds, worker)
-	}
+	delete(e.speeds, worker)
 }
 
 func (e *Estimator) learnSpeed(w *Speed, x float64) {
 	step := speedStep * math.Max(-speedClip, math.Min(speedClip, x-w.log))
 	w.log += step
 	w.n++
-	e.logSum += step
+	e.center += centerStep * math.Max(-centerClip, math.Min(centerClip, w.log-e.center))
 	if w.n >= speedSamples {
-		f := math.Exp(w.log - e.logSum/float64(len(e.speeds)))
+		f := math.Exp(w.log - e.center)
 		w.factor = math.Max(1/maxFactor, math.Min(maxFactor, f))
 	}
 }
 
-// Factor is how many times longer tasks run on the worker than on the average one. A change that affects all workers
+// Factor is how many times longer tasks run on the worker than on the usual one. A change that affects all workers
 // leaves it at 1, so that such a change moves the estimates of the services instead.
 func (w *Speed) Factor() float64 { return w.factor }
--- /dev/null
+++ b/internal/sched/fair/fault_test.go
@@ -0,0 +1,257 @@
+package fair
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/sched"
+)
+
+// rig runs a scheduler in simulated time.
+type rig struct {
+	s    *Scheduler
+	now  time.Time
+	next sched.JobID
+	busy []execution
+	// result decides how a task ends: its run time and outcome.
+	result func(sched.Assignment) (time.Duration, platform.Outcome)
+	starts map[string]int            // per worker
+	ends   map[sched.JobID]time.Time // of each job's last task
+	order  []sched.JobID             // jobs in order of starts
+	of     map[sched.JobID]*sched.Job
+}
+
+type execution struct {
+	a   sched.Assignment
+	end time.Time
+	ran time.Duration
+	how platform.Outcome
+}
+
+func newRig(workers, slots int, o Options) *rig {
+	r := &rig{
+		s: New(o), now: time.Unix(0, 0), starts: map[string]int{},
+		ends: map[sched.JobID]time.Time{}, of: map[sched.JobID]*sched.Job{},
+	}
+	r.result = func(sched.Assignment) (time.Duration, platform.Outcome) {
+		return 100 * time.Millisecond, platform.Succeeded
+	}
+	for i := range workers {
+		r.s.SetWorker(r.now, sched.Worker{
+			Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/8), Slots: slots,
+			Size: sched.Size{Cores: 16, MemoryMB: 64 << 10},
+		})
+	}
+	return r
+}
+
+func (r *rig) submit(team, service string, tasks int, t sched.Task) sched.JobID {
+	r.next++
+	j := &sched.Job{ID: r.next, Team: team, Service: service}
+	for range tasks {
+		j.Tasks = append(j.Tasks, t)
+	}
+	r.of[r.next] = j
+	r.s.Submit(r.now, j)
+	return r.next
+}
+
+// run advances the time by steps of 5 ms.
+func (r *rig) run(d time.Duration, each func()) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(5 * time.Millisecond) {
+		if each != nil {
+			each()
+		}
+		kept := r.busy[:0]
+		for _, x := range r.busy {
+			if x.end.After(r.now) {
+				kept = append(kept, x)
+				continue
+			}
+			r.s.Finish(r.now, x.a, sched.Outcome{Kind: x.how, RunTime: x.ran})
+			r.ends[x.a.Job] = r.now
+		}
+		r.busy = kept
+		for {
+			a, ok := r.s.Next(r.now)
+			if !ok {
+				break
+			}
+			ran, how := r.result(a)
+			r.busy = append(r.busy, execution{a, r.now.Add(ran), ran, how})
+			r.starts[a.Worker]++
+			r.order = append(r.order, a.Job)
+		}
+	}
+}
+
+// Guards against a worker that fails everything at once, and so always has free slots, drawing in the whole queue.
+func TestFastFailingWorkerGetsLittleWork(t *testing.T) {
+	is := is.New(t)
+	r := newRig(10, 4, Options{})
+	r.result = func(a sched.Assignment) (time.Duration, platform.Outcome) {
+		if a.Worker == "w3" {
+			return time.Millisecond, platform.Failed
+		}
+		return 100 * time.Millisecond, platform.Succeeded
+	}
+	r.run(20*time.Second, func() { r.submit("a", "x", 1, sched.Task{}) })
+	// One row of failures on four slots, then one start after each of 1, 2, 4 and 8 s.
+	is.True(r.starts["w3"] <= 12)
+	is.True(r.starts["w4"] > 200)
+	// Once repaired, it returns with one slot and then in full.
+	r.result = func(sched.Assignment) (time.Duration, platform.Outcome) {
+		return 100 * time.Millisecond, platform.Succeeded
+	}
+	r.run(70*time.Second, func() { r.submit("a", "x", 1, sched.Task{}) })
+	is.Equal(r.s.Stats().Slots, 40)
+}
+
+// Guards against tasks that fail everywhere taking healthy workers out of service.
+func TestFailingServiceDoesNotWithdrawWorkers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(10, 4, Options{})
+	r.result = func(a sched.Assignment) (time.Duration, platform.Outcome) {
+		if r.of[a.Job].Service == "broken" {
+			return 10 * time.Millisecond, platform.Failed
+		}
+		return 100 * time.Millisecond, platform.Succeeded
+	}
+	each := func() {
+		r.submit("a", "broken", 1, sched.Task{})
+		r.submit("b", "x", 1, sched.Task{})
+	}
+	r.run(10*time.Second, each)
+	is.Equal(r.s.Stats().Slots, 40)
+}
+
+// Guards against stragglers and long work together taking all slots.
+func TestStragglersCountAsLong(t *testing.T) {
+	is := is.New(t)
+	r := newRig(5, 2, Options{})
+	r.result = func(a sched.Assignment) (time.Duration, platform.Outcome) {
+		if r.of[a.Job].Service != "x" || r.next <= 6 {
+			return time.Minute, platform.Succeeded
+		}
+		return 100 * time.Millisecond, platform.Succeeded
+	}
+	for range 6 {
+		r.submit("a", "x", 1, sched.Task{Declared: 100 * time.Millisecond})
+	}
+	r.run(3*time.Second, nil)
+	is.Equal(r.s.stuck, 6)
+	r.submit("a", "long", 8, sched.Task{Declared: time.Minute})
+	r.run(time.Second, nil)
+	short := r.submit("a", "x", 2, sched.Task{Declared: 100 * time.Millisecond})
+	r.run(200*time.Millisecond, nil)
+	is.True(!r.ends[short].IsZero())
+}
+
+// Guards against declared run times that are off by 10x either way deciding the order for good.
+func TestDeclaredOffByTen(t *testing.T) {
+	is := is.New(t)
+	r := newRig(2, 2, Options{})
+	declared := map[string]time.Duration{"quick": time.Second, "slow": 100 * time.Millisecond}
+	r.result = func(a sched.Assignment) (time.Duration, platform.Outcome) {
+		if r.of[a.Job].Service == "quick" {
+			return 100 * time.Millisecond, platform.Succeeded
+		}
+		return time.Second, platform.Succeeded
+	}
+	for service, d := range declared {
+		r.submit("a", service, 20, sched.Task{Declared: d})
+	}
+	r.run(20*time.Second, nil)
+	slow := r.submit("a", "slow", 8, sched.Task{Declared: declared["slow"]})
+	quick := r.submit("a", "quick", 8, sched.Task{Declared: declared["quick"]})
+	r.run(10*time.Second, nil)
+	is.True(r.ends[quick].Before(r.ends[slow]))
+	e := r.s.Estimate(r.now, r.of[quick])
+	is.True(e.Run > 150*time.Millisecond && e.Run < 400*time.Millisecond) // two rounds of 100 ms on 4 slots
+}
+
+// Guards against long work waiting for ever behind short work, and large tasks behind small ones.
+func TestNothingStarves(t *testing.T) {
+	is := is.New(t)
+	r := newRig(4, 4, Options{})
+	big := sched.Task{Size: sched.Size{Cores: 16}, Declared: 100 * time.Millisecond}
+	small := sched.Task{Size: sched.Size{Cores: 4}, Declared: 100 * time.Millisecond}
+	var long, large sched.JobID
+	n := 0
+	r.run(60*time.Second, func() {
+		if n++; n == 100 {
+			// 10 s of work over 16 slots: with an ageing of 0.05, jobs of the first 12.5 s may overtake it.
+			long = r.submit("a", "long", 20, sched.Task{Size: small.Size, Declared: 500 * time.Millisecond})
+			large = r.submit("a", "large", 3, big)
+		}
+		if n%5 == 0 {
+			r.submit("a", "x", 4, small) // 100% of the slots
+		}
+	})
+	is.True(!r.ends[long].IsZero())
+	is.True(!r.ends[large].IsZero())
+}
+
+// Guards against a team keeping slots that it borrowed, and against exceeding a limit.
+func TestQuotaReturnsWithNextSlot(t *testing.T) {
+	is := is.New(t)
+	r := newRig(4, 4, Options{Teams: []sched.Team{
+		{Name: "owner", Quota: sched.Size{Cores: 8}},
+		{Name: "capped", Limit: sched.Size{Cores: 3}},
+	}})
+	one := sched.Task{Size: sched.Size{Cores: 1}}
+	r.submit("borrower", "x", 160, one)
+	r.run(50*time.Millisecond, nil)
+	is.Equal(r.s.Stats().FreeSlots, 0) // the quota is lent
+	from := len(r.order)
+	owner := r.submit("owner", "x", 20, one)
+	r.submit("capped", "x", 20, one)
+	r.run(60*time.Millisecond, nil)
+	for _, job := range r.order[from : from+8] {
+		is.Equal(job, owner)
+	}
+	r.run(5*time.Second, func() { is.True(r.s.teams["capped"].usage[dimCores] <= 3) })
+	is.Equal(r.s.Stats().Running, 0)
+}
+
+// Guards against a cancellation wave whose cost per job grows with the queue. Allocations stand in for the work.
+func TestCancelWaveIsConstantWorkPerTask(t *testing.T) {
+	is := is.New(t)
+	perJob := func(jobs int) float64 {
+		r := newRig(1, 1, Options{})
+		for range jobs {
+			r.submit("a", "x", 160, sched.Task{Declared: time.Second})
+		}
+		id := sched.JobID(0)
+		return testing.AllocsPerRun(jobs/2, func() {
+			id++
+			if len(r.s.Cancel(r.now, id)) != 160 {
+				t.Fatal("queued tasks were not returned")
+			}
+		})
+	}
+	is.True(perJob(1000) <= perJob(20)+1)
+}
+
+// BenchmarkCancel measures the cancellation of a job of 160 tasks in queues of different lengths.
+func BenchmarkCancel(b *testing.B) {
+	for _, jobs := range []int{200, 2000, 20000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			r := newRig(1, 1, Options{})
+			for range jobs {
+				r.submit("a", "x", 160, sched.Task{Declared: time.Second})
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				r.s.Cancel(r.now, sched.JobID(i+1))
+				b.StopTimer()
+				r.submit("a", "x", 160, sched.Task{Declared: time.Second})
+				b.StartTimer()
+			}
+		})
+	}
+}
