Take other instances into account

Cause: an instance that owns few workers saw only these: ranks were scaled by its own slots, waits ignored free slots of peers, and a task that only a peer's worker can hold was infeasible. Change: SetElsewhere takes the peers' use by team, slots, free slots and worker sizes.

--- a/internal/sched/experiment/experiment_test.go
+++ b/internal/sched/experiment/experiment_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"os"
+	"reflect"
 	"strconv"
 	"testing"
+
+	"github.com/savorypass/savorypass/internal/sched/fair"
 )
 
 // TestRun prints the comparison when SAVORY_EXPERIMENT holds the number of seeds.
@@ -20,3 +23,15 @@
 		t.Fatal(err)
 	}
 }
+
+// TestRepeatable guards against decisions that depend on anything but the arguments, such as the order of a map.
+func TestRepeatable(t *testing.T) {
+	run := func() []outcome {
+		jobs := generate(1, mix{heavy: true}, 8, steady(1.5))
+		gate := &admission{bounds: burstCases[0].bounds, retries: 1}
+		return simulate(fair.New(fair.Options{}), jobs, gate).out
+	}
+	if a, b := run(), run(); !reflect.DeepEqual(a, b) {
+		t.Fatal("two runs of the same arrivals differ")
+	}
+}
--- a/internal/sched/fair/expect.go
+++ b/internal/sched/fair/expect.go
@@ -14,7 +14,12 @@
 func (s *Scheduler) Estimate(now time.Time, j *sched.Job) sched.Estimate {
 	t := s.clock(now)
 	s.tick(t)
-	e := sched.Estimate{Feasible: true, Queued: s.queued, Slots: s.slots, FreeSlots: s.free}
+	e := sched.Estimate{
+		Feasible:  true,
+		Queued:    s.queued,
+		Slots:     s.slots + s.elsewhere.FreeSlots,
+		FreeSlots: s.free + s.elsewhere.FreeSlots,
+	}
 	class := s.estimates.Class(j.Team, j.Service)
 	work, longest := 0.0, 0.0
 	for i := range j.Tasks {
@@ -31,7 +36,7 @@
 		work += x.Mean * s.slotsOf(size)
 		longest = max(longest, lastOf(len(j.Tasks), x.Mean, x.P90))
 	}
-	rate := max(1, float64(s.slots-s.stuck))
+	rate := s.rate()
 	key := s.opts.Rank(Ranking{
 		Arrival:  t,
 		Work:     work,
@@ -54,12 +59,17 @@
 	return e
 }
 
+// rate is the work done per second: one second per usable slot, without slots held by runs far beyond their estimate.
+func (s *Scheduler) rate() float64 {
+	return max(1, float64(s.slots+s.elsewhere.FreeSlots-s.stuck))
+}
+
 // freeWork is the part of the job that starts at once on free slots.
 func (s *Scheduler) freeWork(work float64, tasks int) float64 {
 	if s.queued > 0 || tasks == 0 {
 		return 0
 	}
-	return work * min(1, float64(s.free)/float64(tasks))
+	return work * min(1, float64(s.free+s.elsewhere.FreeSlots)/float64(tasks))
 }
 
 // lastOf is the expected end of the last of n tasks, from the mean of one to the 90th percentile of many. The tail
--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -52,20 +52,21 @@
 	teamList     []*team // all teams, in order of their first use
 	inflowOrigin float64
 
-	workers  map[string]*worker
-	racks    map[string]*rack
-	plain    index // workers without accelerators
-	special  index // workers with accelerators
-	shapes   map[sched.Size]*shape
-	listed   []*shape
-	open     []*shape           // shapes with queued tasks that some worker may have room for
-	kinds    map[sched.Size]int // workers of each size
-	capacity vector
-	ageSlots float64 // slots that the jobs' keys were computed for
-	held     *worker
-	nextHold float64
-	ids      []int // unused worker numbers
-	lastID   int
+	workers   map[string]*worker
+	racks     map[string]*rack
+	plain     index // workers without accelerators
+	special   index // workers with accelerators
+	shapes    map[sched.Size]*shape
+	listed    []*shape
+	open      []*shape           // shapes with queued tasks that some worker may have room for
+	kinds     map[sched.Size]int // workers of each size
+	capacity  vector
+	elsewhere sched.Elsewhere
+	ageSlots  float64 // slots that the jobs' keys were computed for
+	held      *worker
+	nextHold  float64
+	ids       []int // unused worker numbers
+	lastID    int
 
 	queued     int
 	running    int
--- a/internal/sched/fair/shape.go
+++ b/internal/sched/fair/shape.go
@@ -1,6 +1,8 @@
 package fair
 
 import (
+	"slices"
+
 	"github.com/savorypass/savorypass/internal/estimate"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -82,8 +84,12 @@
 	return sh
 }
 
-// possible reports whether some worker is large enough.
+// possible reports whether some worker, here or elsewhere, is large enough.
 func (s *Scheduler) possible(z sched.Size) bool {
+	return s.possibleHere(z) || slices.ContainsFunc(s.elsewhere.Sizes, func(kind sched.Size) bool { return sched.Fits(z, kind) })
+}
+
+func (s *Scheduler) possibleHere(z sched.Size) bool {
 	for kind := range s.kinds {
 		if sched.Fits(z, kind) {
 			return true
@@ -255,7 +261,7 @@
 			if !q.shape.listed || len(q.shape.list) > 0 || !s.allowed(q) {
 				continue
 			}
-			if at := q.heap[0].g.job.arrival; at <= oldest {
+			if at := q.heap[0].g.job.arrival; at <= oldest && s.possibleHere(q.shape.size) {
 				found, oldest = q.shape, at
 			}
 		}
--- a/internal/sched/fair/share.go
+++ b/internal/sched/fair/share.go
@@ -25,7 +25,7 @@
 		}
 	}
 	b.Work = seconds(work)
-	b.Wait = seconds(work / max(1, float64(s.slots-s.stuck)))
+	b.Wait = seconds(work / s.rate())
 	b.Best = first.key - t
 	b.Size = first.g.queue.shape.size
 	return b
--- a/internal/sched/fair/team.go
+++ b/internal/sched/fair/team.go
@@ -1,6 +1,8 @@
 package fair
 
 import (
+	"time"
+
 	"github.com/savorypass/savorypass/internal/sched"
 )
 
@@ -86,13 +88,16 @@
 	t.hasLimit = c.Limit != sched.Size{}
 }
 
-// SetElsewhere replaces what the teams use on other instances' slots of the zone, as summed from their reports.
-func (s *Scheduler) SetElsewhere(use map[string]sched.Size) {
-	for name, t := range s.teams {
-		t.elsewhere = vectorOf(0, use[name])
+// SetElsewhere implements sched.Sharer.
+func (s *Scheduler) SetElsewhere(now time.Time, e sched.Elsewhere) {
+	s.clock(now)
+	s.elsewhere = e
+	for _, t := range s.teamList {
+		t.elsewhere = vectorOf(0, e.Use[t.name])
 		s.updateShare(t)
 		t.dirty = true
 	}
+	s.refreshSlots()
 }
 
 type queueKey struct {
--- a/internal/sched/fair/worker.go
+++ b/internal/sched/fair/worker.go
@@ -235,7 +235,7 @@
 
 // refreshSlots recomputes all keys when the number of slots has changed so much that ageing is out of scale.
 func (s *Scheduler) refreshSlots() {
-	have := float64(s.slots)
+	have := float64(s.slots + s.elsewhere.Slots)
 	if have < 1 || (have <= s.ageSlots*1.25 && have >= s.ageSlots*0.8) {
 		return
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -147,8 +147,20 @@
 	Size   Size          // size of the best queued task
 }
 
+// Elsewhere is what the other instances of the availability zone report.
+type Elsewhere struct {
+	Use       map[string]Size // by team, of the tasks that run on their slots
+	Slots     int             // usable slots
+	FreeSlots int             // slots that they would lend
+	Sizes     []Size          // sizes of their workers
+}
+
 // Sharer is implemented by schedulers that lend slots to and hand tasks to other instances.
 type Sharer interface {
+	// SetElsewhere replaces what is known of the other instances. Teams are charged for their use elsewhere, ranks
+	// are scaled by all slots so that instances can compare them, waits count on free slots elsewhere, and jobs are
+	// feasible that fit a worker elsewhere.
+	SetElsewhere(now time.Time, e Elsewhere)
 	// Backlog summarises the queue.
 	Backlog(now time.Time) Backlog
 	// Reserve takes up to n free slots, each on a worker with room for size, out of use for a peer's tasks. The
