--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/peer/message"
+	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
-	"github.com/savorypass/savorypass/internal/sched/fair"
 )
 
 const (
@@ -68,26 +69,54 @@
 	return out
 }
 
-// reportUsage sends the teams' use of this instance's slots to the zone's peers and gives theirs to the scheduler.
+// elsewhereInterval follows the heartbeats of the zone's peers, which carry their slots.
+const elsewhereInterval = 250 * time.Millisecond
+
+// reportUsage sends the teams' use of this instance's slots to the zone's peers, and gives what is known of the other
+// instances to the scheduler.
 func (e *Entry) reportUsage(ctx context.Context) {
-	ticker := e.clock.NewTicker(usageInterval)
+	ticker := e.clock.NewTicker(elsewhereInterval)
 	defer ticker.Stop()
+	var sent time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case now := <-ticker.Chan():
+			if now.Sub(sent) >= usageInterval {
+				sent = now
+				e.sendUsage()
+			}
 		}
-		e.sendUsage()
-		elsewhere := e.usage.sum()
-		e.engine.Configure(func(_ time.Time, s sched.Scheduler) {
-			if f, ok := s.(*fair.Scheduler); ok {
-				f.SetElsewhere(elsewhere)
+		elsewhere := e.elsewhere()
+		e.engine.Configure(func(now time.Time, s sched.Scheduler) {
+			if f, ok := s.(sched.Sharer); ok {
+				f.SetElsewhere(now, elsewhere)
 			}
 		})
 	}
 }
 
+// elsewhere summarises the zone's other instances, and the sizes of all workers that may run tasks of this instance.
+func (e *Entry) elsewhere() sched.Elsewhere {
+	v := e.members.View()
+	out := sched.Elsewhere{Use: e.usage.sum()}
+	for _, m := range v.Live() {
+		if m.Zone == e.opts.Zone {
+			out.Slots += m.Slots
+			out.FreeSlots += m.FreeSlots
+		}
+	}
+	spill := e.spill().Enabled
+	for _, in := range v.Instances {
+		near := in.Zone == e.opts.Zone || spill
+		if in.Kind == platform.KindEndpoint && near && !slices.Contains(out.Sizes, in.Size) {
+			out.Sizes = append(out.Sizes, in.Size)
+		}
+	}
+	return out
+}
+
 func (e *Entry) sendUsage() {
 	var m message.TeamUsage
 	for team, size := range e.engine.Usage() {
--- a/internal/sched/fair/share.go
+++ b/internal/sched/fair/share.go
@@ -20,14 +20,14 @@
 	for _, o := range s.active {
 		work += o.ahead.total
 		for _, q := range o.queues {
-			it, alone := &q.heap[0], !s.possible(q.shape.size)
+			it, alone := &q.heap[0], !s.possibleHere(q.shape.size)
 			if first == nil || (alone && !stranded) || (alone == stranded && it.less(*first)) {
 				first, stranded = it, alone
 			}
 		}
 	}
 	b.Work = seconds(work)
-	b.Wait = seconds(work / max(1, float64(s.slots-s.stuck)))
+	b.Wait = seconds(work / s.rate())
 	b.Best = first.key - t
 	b.Size = first.g.queue.shape.size
 	return b
@@ -144,11 +144,8 @@
 			if !sched.Fits(q.shape.size, size) || t.hasLimit && !t.under(&t.limit, q.shape.size) {
 				continue
 			}
-			kept := t.best
-			t.best = q
-			p := s.precedence(t)
-			t.best = kept
-			alone := !s.possible(q.shape.size)
+			p := s.precedence(t, q)
+			alone := !s.possibleHere(q.shape.size)
 			if best == nil || (alone && !stranded) || (alone == stranded && p.less(first)) {
 				best, first, stranded = q, p, alone
 			}
--- a/internal/sched/fair/worker.go
+++ b/internal/sched/fair/worker.go
@@ -212,6 +212,7 @@
 	w.usable, w.room = 0, 0
 	for _, sh := range s.listed {
 		sh.unlist(w)
+		s.updateOpen(sh)
 	}
 	s.unhold(w)
 	s.quarantine.remove(w)
@@ -234,7 +235,7 @@
 
 // refreshSlots recomputes all keys when the number of slots has changed so much that ageing is out of scale.
 func (s *Scheduler) refreshSlots() {
-	have := float64(s.slots)
+	have := float64(s.slots + s.elsewhere.Slots)
 	if have < 1 || (have <= s.ageSlots*1.25 && have >= s.ageSlots*0.8) {
 		return
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -74,6 +74,7 @@
 type Estimate struct {
 	Wait      time.Duration // until its first task starts
 	Run       time.Duration // from then on until its last task ends
+	Spread    time.Duration // the part of Run until its last task starts
 	Feasible  bool          // some worker is large enough for each task
 	Queued    int           // tasks in the queue
 	Drain     time.Duration // until all queued work has started
@@ -151,8 +152,20 @@
 	Size   Size          // size of that task
 }
 
+// Elsewhere is what the other instances of the availability zone report.
+type Elsewhere struct {
+	Use       map[string]Size // by team, of the tasks that run on their slots
+	Slots     int             // usable slots
+	FreeSlots int             // slots that they would lend
+	Sizes     []Size          // sizes of their workers
+}
+
 // Sharer is implemented by schedulers that lend slots to and hand tasks to other instances.
 type Sharer interface {
+	// SetElsewhere replaces what is known of the other instances. Teams are charged for their use elsewhere, ranks
+	// are scaled by all slots so that instances can compare them, waits count on free slots elsewhere, and jobs are
+	// feasible that fit a worker elsewhere.
+	SetElsewhere(now time.Time, e Elsewhere)
 	// Backlog summarises the queue. Tasks that fit none of the own workers come before all others, since only a peer
 	// can run them.
 	Backlog(now time.Time) Backlog
