--- a/internal/bench/crest.go
+++ b/internal/bench/crest.go
@@ -52,12 +52,20 @@
 		Heavy:    true, Deadline: crestDeadline,
 	})
 	results := map[*Cluster]*crestResult{}
+	loads := map[*Cluster]*Load{}
 	for _, c := range r.clusters() {
-		x, err := crestOf(c, jobs, low, r.network)
+		l, queue, err := c.crestLoad(jobs)
 		if err != nil {
 			return err
 		}
-		results[c] = x
+		loads[c], results[c] = l, &crestResult{queue: queue}
+	}
+	// The stragglers of the first cluster have ended while the second one was at work.
+	for _, c := range r.clusters() {
+		x := results[c]
+		if err := x.evaluate(c, loads[c], window{low, low + crestLength}, r.network); err != nil {
+			return err
+		}
 		r.Say("crest, %s: goodput %.1f%%, %d refusals; %s", c.Name, x.goodput, len(x.refusals), x.sample.describe())
 		if err := record(r.Out, auditRow("crest", c, x.sample)); err != nil {
 			return err
@@ -93,34 +101,38 @@
 	return some(float64(x.refusals[max(0, i)].Microseconds()) / 1000)
 }
 
-func crestOf(c *Cluster, jobs []*Job, low time.Duration, network time.Duration) (*crestResult, error) {
+// crestLoad submits the jobs and returns with the levels of the queue when the last one has arrived.
+func (c *Cluster) crestLoad(jobs []*Job) (*Load, []level, error) {
 	l, err := StartLoad(c, jobs, LoadOptions{})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	x := &crestResult{}
 	stop := make(chan struct{})
+	var queue []level
 	var polling sync.WaitGroup
-	polling.Go(func() { x.queue = c.followQueue(l.Begin, stop) })
+	polling.Go(func() { queue = c.followQueue(l.Begin, stop) })
 	l.Arrived()
-	time.Sleep(time.Second) // the queue after the last arrival belongs to the picture
 	close(stop)
 	polling.Wait()
+	return l, queue, nil
+}
+
+// evaluate waits for the end of a load and works out its figures.
+func (x *crestResult) evaluate(c *Cluster, l *Load, crest window, network time.Duration) error {
 	l.Finish()
 	starts, err := c.starts()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	all := window{0, 2*low + crestLength}
+	all := window{0, crest.to + crest.from} // as long after the crest as before it
 	x.sample = sampleOf(l, all, starts, network)
 	for _, r := range l.Records {
 		x.refusals = append(x.refusals, r.refusals()...)
 	}
 	x.bins = goodput(l, starts, all.to, c.Slots)
-	crest := window{low, low + crestLength}
 	x.goodput = meanBetween(x.bins, crest) * 100
 	x.recovery = recovery(l, x.queue, crest, c.Slots).Seconds()
-	return x, nil
+	return nil
 }
 
 // refusals returns the times of the refusals from the intended arrival on. Without retries there is at most one.
--- a/internal/bench/operator.go
+++ b/internal/bench/operator.go
@@ -14,7 +14,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
+	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/standin"
+	"github.com/savorypass/savorypass/internal/standin/instances"
 	"github.com/savorypass/savorypass/internal/standin/logservice"
 	"github.com/savorypass/savorypass/internal/standin/worker"
 )
@@ -241,6 +243,24 @@
 	return n
 }
 
+// OpenRunning reads the description of a running cluster and the addresses of its workers.
+func OpenRunning(dir string) (*Cluster, error) {
+	c, err := Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	var list instances.Dump
+	if err := c.call(http.MethodGet, c.Instances, "/dump", nil, &list); err != nil {
+		return nil, err
+	}
+	for _, in := range list.Instances {
+		if in.Kind == platform.KindEndpoint {
+			c.Workers = append(c.Workers, in.Address)
+		}
+	}
+	return c, nil
+}
+
 // cutFromLog makes the log service unreachable for the entry instances of a zone; "" ends that.
 func (c *Cluster) cutFromLog(zone string) error {
 	f := logservice.Fault{Clear: true}
