entry: inject cuts from peers, the log and the instance list

A cut from the platform makes the calls hang until their time-out, as lost packets do; a call that was cut has had no effect. Failure scenarios use them to cut single instances, which the stand-ins' cuts by availability zone cannot do.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,7 @@
 	config   *config.Controller
 	list     platform.InstanceList
 	node     *peer.Node
+	faults   *faults
 	tls      *secure.TLS
 	members  *member.Controller
 	sharing  *share.Service
@@ -103,13 +104,14 @@
 	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
 		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
 	}
+	e.faults = newFaults(e.node)
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
 	e.registry = registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
 	web := httpx.Options{Zone: opts.Zone}
-	e.list = httpx.NewInstanceList(address(opts.InstancesURL), web)
+	e.list = cutList{httpx.NewInstanceList(address(opts.InstancesURL), web), e.faults.list}
 	e.config = config.New(config.Options{
-		Log: httpx.NewLog(address(opts.LogURL), web), Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: log,
+		Log: cutLog{httpx.NewLog(address(opts.LogURL), web), e.faults.log}, Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: log,
 		Retention: opts.LogRetention, Live: e.liveNames, SchemaSupport: e.schemaSupport,
 	})
 	e.members = member.New(member.Options{
