authn: an instance without a configuration claims nothing about jobs

Cause: the callers' tokens are part of the configuration, and a new instance listens before it has one, so every token is unknown. A wrong token and a lost registry entry were ruled out: the same request succeeded 200 ms later. Change: until the first configuration, requests about an identity get home_unreachable (may have run, not final), and requests for identities get not_ready.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,7 +149,7 @@
 func (e *Entry) chain() filter.Handler {
 	now := e.clock.Now
 	return filter.Chain(
-		authn.Filter{Tokens: tokens{e.tokens}},
+		authn.Filter{Tokens: tokens{e.tokens}, Ready: func() bool { return e.current.Load() != nil }},
 		decode.Filter{},
 		validate.Filter{Views: filter.ViewFunc(e.view)},
 		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now},
--- /dev/null
+++ b/internal/filter/authn/authn_test.go
@@ -0,0 +1,32 @@
+package authn
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/filter"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+type noTokens struct{}
+
+func (noTokens) Caller(string) (filter.Principal, bool) { return filter.Principal{}, false }
+
+// Guards against an instance without a configuration that says "not run" of a job it knows nothing about.
+func TestWithoutConfigurationNothingIsClaimed(t *testing.T) {
+	is := is.New(t)
+	ready := false
+	ask := func(path string) (got *api.Answer) {
+		r := filter.NewRequest(func(a *api.Answer) { got = a }, nil)
+		r.Path = path
+		Filter{Tokens: noTokens{}, Ready: func() bool { return ready }}.Handle(r, nil)
+		return got
+	}
+	is.Equal(ask("/v1/jobs/some-identity").Execution, result.MayHaveRun)
+	is.Equal(ask("/v1/jobs").Final, false)
+	is.Equal(ask("/v1/identities").Code, result.NotReady)
+	ready = true
+	is.Equal(ask("/v1/jobs").Code, result.Unauthenticated)
+}
--- a/internal/filter/decode/decode.go
+++ b/internal/filter/decode/decode.go
@@ -13,11 +13,13 @@
 	"github.com/savorypass/savorypass/internal/result"
 )
 
+// PathIdentities is where callers get submission identities.
+const PathIdentities = "/v1/identities"
+
 const (
-	pathIdentities = "/v1/identities"
-	pathJobs       = "/v1/jobs"
-	prefixJob      = "/v1/jobs/"
-	defaultWait    = 60 * time.Second
+	pathJobs    = "/v1/jobs"
+	prefixJob   = "/v1/jobs/"
+	defaultWait = 60 * time.Second
 )
 
 // Filter implements filter.Filter.
@@ -46,7 +48,7 @@
 
 func route(r *filter.Request, path string) *api.Error {
 	switch {
-	case path == pathIdentities:
+	case path == PathIdentities:
 		r.Action = filter.Issue
 		return allow(r, "POST")
 	case path == pathJobs:
