--- a/internal/sched/experiment/burst.go
+++ b/internal/sched/experiment/burst.go
@@ -10,14 +10,27 @@
 )
 
 const (
-	burstFrom   = 30.0 // seconds; the estimates are warm by then
-	burstLength = 10.0
-	burstEnd    = 60.0
-	lowLoad     = 0.3
-	highLoad    = 3.0
+	burstFrom    = 30.0 // seconds; the estimates are warm by then
+	burstLength  = 10.0
+	burstEnd     = 60.0
+	burstRetries = 3
+	lowLoad      = 0.3
+	highLoad     = 3.0
 )
 
-var burstBounds = sched.Bounds{MaxDrain: time.Second}
+// burstCase is a workload with the bounds that jobs are admitted by.
+type burstCase struct {
+	title  string
+	mix    mix
+	bounds sched.Bounds
+	// deadline replaces the jobs' deadlines unless it is zero.
+	deadline time.Duration
+}
+
+var burstCases = []burstCase{
+	{"all work, at most 700 ms of queued work", mix{heavy: true}, sched.Bounds{MaxDrain: 700 * time.Millisecond}, 0},
+	{"short work only, no bound but the deadline of 3 s", mix{}, sched.Bounds{}, 3 * time.Second},
+}
 
 func burstLoad(at float64) float64 {
 	if at >= burstFrom && at < burstFrom+burstLength {
@@ -39,26 +52,38 @@
 
 // burst measures a step from 30% to 300% load.
 func burst(w io.Writer, o Options, chosen []policy) {
-	fmt.Fprintf(w, "step from %.0f%% to %.0f%% for %.0f s, admission bound %v of queued work\n",
-		lowLoad*100, highLoad*100, burstLength, burstBounds.MaxDrain)
+	for _, c := range burstCases {
+		burstTable(w, o, chosen, c)
+	}
+}
+
+func burstTable(w io.Writer, o Options, chosen []policy, c burstCase) {
+	fmt.Fprintf(w, "step from %.0f%% to %.0f%% for %.0f s: %s\n", lowLoad*100, highLoad*100, burstLength, c.title)
 	fmt.Fprintf(w, "%-24s %8s %8s %9s %8s %8s %10s %16s\n", "", "retries", "goodput", "of doable", "refused", "late",
 		"recovery s", "answer/estimate")
-	for _, p := range chosen {
-		for _, retries := range []int{0, 3} {
-			r := burstOf(o, p, retries)
-			fmt.Fprintf(w, "%-24s %8d %7.1f%% %8.1f%% %7.1f%% %7.2f%% %10.2f  p50 %.2f p90 %.2f\n", p.name, retries,
+	results := eachOf(chosen, func(p policy) [2]burstResult {
+		return [2]burstResult{burstOf(o, p, c, 0), burstOf(o, p, c, burstRetries)}
+	})
+	for i, p := range chosen {
+		for n, r := range results[i] {
+			fmt.Fprintf(w, "%-24s %8d %7.1f%% %8.1f%% %7.1f%% %7.2f%% %10.2f  p50 %.2f p90 %.2f\n", p.name, n*burstRetries,
 				r.goodput*100, r.avoidable*100, r.refused*100, r.late*100, r.recovery, r.errorP50, r.errorP90)
 		}
 	}
 	fmt.Fprintln(w)
 }
 
-func burstOf(o Options, p policy, retries int) burstResult {
+func burstOf(o Options, p policy, c burstCase, retries int) burstResult {
 	var r burstResult
 	var errors []float64
 	for seed := range o.Seeds {
-		jobs := generate(uint64(seed), mix{heavy: true}, burstEnd, burstLoad)
-		m := simulate(p.make(), jobs, &admission{bounds: burstBounds, retries: retries})
+		jobs := generate(uint64(seed), c.mix, burstEnd, burstLoad)
+		if c.deadline > 0 {
+			for _, j := range jobs {
+				j.deadline = c.deadline.Seconds()
+			}
+		}
+		m := simulate(p.make(), jobs, &admission{bounds: c.bounds, retries: retries})
 		x := m.burstResult(&errors)
 		n := float64(o.Seeds)
 		r.goodput += x.goodput / n
@@ -76,7 +101,7 @@
 	var useful, hopeless, arrived, refused, admitted, late float64
 	for i, j := range m.jobs {
 		o := &m.out[i]
-		inBurst := j.at >= burstFrom && j.at < burstFrom+burstLength
+		inBurst := o.at >= burstFrom && o.at < burstFrom+burstLength
 		if inBurst {
 			arrived++
 		}
@@ -87,7 +112,7 @@
 			continue
 		}
 		doable := j.slowest <= j.deadline
-		inTime := o.end > 0 && o.end-j.at <= j.deadline
+		inTime := o.end > 0 && o.end-o.at <= j.deadline
 		if inTime {
 			useful += m.slotTime(i)
 		}
@@ -100,7 +125,7 @@
 				late++
 			}
 			if inTime {
-				*errors = append(*errors, (o.end-j.at)/(o.expect.Wait+o.expect.Run).Seconds())
+				*errors = append(*errors, (o.end-o.at)/(o.expect.Wait+o.expect.Run).Seconds())
 			}
 		}
 	}
