Deduplicate before validating, so that a resubmission is never refused as not run

Found by reading: validation stood before deduplication, so after a new configuration had dropped a service or lowered tasks_per_job, a resubmission of a job that had run was refused with 'not run'. An instance whose configuration lags did the same to jobs that were accepted elsewhere. Change: dedup comes first; validate refuses only first submissions and gives their identity back, as admit does.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -153,8 +153,8 @@
 	return filter.Chain(
 		authn.Filter{Tokens: tokens{e.tokens}, Ready: func() bool { return e.current.Load() != nil }},
 		decode.Filter{},
-		validate.Filter{Views: filter.ViewFunc(e.view)},
 		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now},
+		validate.Filter{Views: filter.ViewFunc(e.view), Registry: e.registry},
 		admit.Filter{
 			Limiter: limiter{secure.NewLimiter(maxLimited), e.current.Load}, Gate: gate{e}, Registry: e.registry, Now: now,
 		},
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -1,4 +1,4 @@
-// Package filter defines the chain that each caller's request passes: authenticate, decode, validate, deduplicate,
+// Package filter defines the chain that each caller's request passes: authenticate, decode, deduplicate, validate,
 // admit, dispatch. Each filter answers the request or hands it to the next one.
 package filter
 
--- a/internal/filter/validate/validate.go
+++ b/internal/filter/validate/validate.go
@@ -7,19 +7,23 @@
 	"github.com/savorypass/savorypass/internal/api"
 	"github.com/savorypass/savorypass/internal/engine"
 	"github.com/savorypass/savorypass/internal/filter"
+	"github.com/savorypass/savorypass/internal/registry"
 	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/sched"
 )
 
 // Filter implements filter.Filter.
 type Filter struct {
-	Views filter.Views
+	Views    filter.Views
+	Registry *registry.Registry
 }
 
 // Name returns the filter's name.
 func (Filter) Name() string { return "validate" }
 
-// Handle refuses what the configuration does not allow.
+// Handle refuses what the configuration does not allow. Only a first submission comes here: a resubmission must not be
+// refused under a configuration that is newer than the one under which the job was accepted. A refused submission
+// gives its identity back.
 func (f Filter) Handle(r *filter.Request, next filter.Handler) {
 	if r.Action != filter.Submit {
 		next.Handle(r)
@@ -27,18 +31,24 @@
 	}
 	v := f.Views.View()
 	if v == nil {
-		r.Refuse(api.Errorf(result.NotReady, "", "the instance has no configuration yet"))
+		f.refuse(r, api.Errorf(result.NotReady, "", "the instance has no configuration yet"))
 		return
 	}
 	job, err := build(r, v)
 	if err != nil {
-		r.Refuse(err)
+		f.refuse(r, err)
 		return
 	}
 	r.Job = job
 	next.Handle(r)
 }
 
+func (f Filter) refuse(r *filter.Request, err *api.Error) {
+	a := err.Answer()
+	a.Identity = r.Identity
+	f.Registry.Withdraw(r.ID.Seq, a)
+}
+
 func build(r *filter.Request, v *filter.View) (*engine.Job, *api.Error) {
 	sub := r.Submit
 	svc, ok := v.Services[sub.Service]
