scenario: deployment, callers, history, checks and random runs

Test support that runs entry instances and stand-ins in one process or as real processes, records what callers and workers saw, and checks it: single start, whole answers, true claims, stable final answers, configuration that never reverts, no new work on a leaving endpoint.

--- /dev/null
+++ b/internal/scenario/chaos.go
@@ -0,0 +1,298 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/standin/worker"
+)
+
+// Bounds of a random run.
+const (
+	chaosZones    = 2
+	chaosEntries  = 2 // for each zone
+	chaosWorkers  = 2 // for each zone
+	chaosSlots    = 4
+	chaosCallers  = 6
+	chaosPhase    = 3 * time.Second // in which faults happen and new jobs are submitted
+	chaosResolve  = 60 * time.Second
+	chaosMaxTasks = 12
+	chaosMaxRunMS = 60
+	longFault     = 1500 * time.Millisecond
+)
+
+// event is one fault of a schedule.
+type event struct {
+	at, length time.Duration
+	name       string
+	target     int // chooses an instance, a worker or a zone
+	n          int
+}
+
+// faultKinds are the faults that a schedule is drawn from.
+var faultKinds = []string{
+	"kill entry", "stop entry", "cut zone", "cut entry", "cut entry log", "cut entry list", "log down", "log hang", "log slow",
+	"log lose-answer", "list down", "list freeze", "worker fail", "worker silent", "worker slow", "worker leave",
+	"worker pause", "worker kill", "publish", "race", "cancel wave",
+}
+
+// schedule draws the faults of a run. Two or more faults overlap in most runs.
+func schedule(rng *rand.Rand) []event {
+	var events []event
+	for range 2 + rng.IntN(5) {
+		events = append(events, event{
+			at: time.Duration(rng.Int64N(int64(chaosPhase))), length: time.Duration(rng.Int64N(int64(longFault))),
+			name: faultKinds[rng.IntN(len(faultKinds))], target: rng.IntN(1 << 16), n: 1 + rng.IntN(3),
+		})
+	}
+	return events
+}
+
+// Chaos makes one random run and returns its history and every broken promise. The schedule of faults and the load
+// follow from the seed; how they interleave with the system does not.
+func Chaos(seed uint64, dir string, launch Launcher) (*System, []string) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	zones := []string{"amman-bench", "zarqa-annex"}[:chaosZones]
+	s, err := Start(Options{
+		Dir: dir, Launch: launch, Zones: zones, Entries: chaosEntries, Workers: chaosWorkers, Slots: chaosSlots,
+		Lag: time.Duration(rng.IntN(1000)) * time.Millisecond, LogKeep: 2 + rng.IntN(20),
+	})
+	if err != nil {
+		return s, []string{err.Error()}
+	}
+	if err := s.Prepare(); err != nil {
+		return s, []string{err.Error()}
+	}
+	r := &chaos{s: s}
+	for _, ev := range schedule(rng) {
+		r.faults.Go(func() { r.play(ev) })
+	}
+	ctl := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() { r.watch(ctl) })
+	var callers sync.WaitGroup
+	end := time.Now().Add(chaosPhase)
+	for range chaosCallers {
+		own := rand.New(rand.NewPCG(rng.Uint64(), 1))
+		callers.Go(func() { r.caller(own, end) })
+	}
+	callers.Wait()
+	r.faults.Wait()
+	problems := r.finish()
+	close(ctl)
+	watching.Wait()
+	return s, append(problems, s.Check()...)
+}
+
+type chaos struct {
+	s      *System
+	faults sync.WaitGroup
+	mu     sync.Mutex // held while a fault changes a program or a stand-in
+}
+
+// play applies one fault and ends it after its time.
+func (r *chaos) play(ev event) {
+	time.Sleep(ev.at)
+	undo := r.apply(ev)
+	if undo == nil {
+		return
+	}
+	time.Sleep(ev.length)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := undo(); err != nil {
+		r.s.History.Note("end of %s: %v", ev.name, err)
+	}
+}
+
+// apply returns how to end the fault, or nil.
+func (r *chaos) apply(ev event) (undo func() error) {
+	s := r.s
+	e := s.Entries[ev.target%len(s.Entries)]
+	w := s.Workers[ev.target%len(s.Workers)]
+	zone := s.opts.Zones[ev.target%len(s.opts.Zones)]
+	clear := func() error { return s.Fault(w, worker.Fault{Clear: true}) }
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var err error
+	switch ev.name {
+	case "kill entry":
+		if !s.Up(e) {
+			return nil
+		}
+		err, undo = s.Kill(e), func() error { return s.Restart(e) }
+	case "stop entry":
+		if !s.Up(e) {
+			return nil
+		}
+		undo = r.stop(e)
+	case "cut zone":
+		err, undo = s.Cut(zone, Peers), s.Heal
+	case "cut entry":
+		err, undo = s.Cut(e.Name, Peers), s.Heal
+	case "cut entry log":
+		err, undo = s.Cut(e.Name, Log), s.Heal
+	case "cut entry list":
+		err, undo = s.Cut(e.Name, List), s.Heal
+	case "log down", "log hang":
+		err, undo = s.LogFault(ev.name[4:], 0), s.Heal
+	case "log slow":
+		err, undo = s.LogFault("slow", 300*ev.n), s.Heal
+	case "log lose-answer":
+		err, undo = s.LogFault("lose-answer", ev.n), s.Heal
+	case "list down", "list freeze":
+		err, undo = s.ListFault(ev.name[5:]), s.Heal
+	case "worker fail":
+		err, undo = s.Fault(w, worker.Fault{FailFast: true}), clear
+	case "worker silent":
+		err = s.Fault(w, worker.Fault{Silent: true})
+	case "worker slow":
+		err, undo = s.Fault(w, worker.Fault{SlowFactor: 5 * float64(ev.n)}), clear
+	case "worker leave":
+		// It leaves for good and starts what it is still given, so that late work shows in its records.
+		err = s.Fault(w, worker.Fault{Leave: true, LeaveAccepts: ev.n > 1})
+	case "worker pause":
+		err, undo = s.Fault(w, worker.Fault{Pause: true}), clear
+	case "worker kill":
+		if !s.Up(w) {
+			return nil
+		}
+		err, undo = s.Kill(w), func() error { return s.Restart(w) }
+	case "publish":
+		r.faults.Go(func() { s.PublishNext(e) })
+	case "race":
+		other := s.Entries[(ev.target+1)%len(s.Entries)]
+		r.faults.Go(func() { s.PublishNext(e) })
+		r.faults.Go(func() { s.PublishNext(other) })
+	case "cancel wave":
+		r.faults.Go(func() { r.cancelAll(e) })
+	}
+	if err != nil {
+		s.History.Note("%s: %v", ev.name, err)
+	}
+	return undo
+}
+
+// stop begins a planned stop. Its end waits for the process, since the lock must not be held that long.
+func (r *chaos) stop(e *Program) func() error {
+	ended := make(chan struct{})
+	go func() {
+		r.s.Stop(e)
+		close(ended)
+	}()
+	return func() error {
+		<-ended
+		return r.s.Restart(e)
+	}
+}
+
+func (r *chaos) cancelAll(e *Program) {
+	for _, j := range r.s.History.Jobs() {
+		if j.Cancels && r.s.History.Final(j) == nil {
+			r.s.Ask(e, j, Cancel, time.Second)
+		}
+	}
+}
+
+// watch records the configuration versions until the run ends.
+func (r *chaos) watch(ctl <-chan struct{}) {
+	for {
+		select {
+		case <-ctl:
+			return
+		case <-time.After(100 * time.Millisecond):
+			r.s.Observe()
+		}
+	}
+}
+
+// caller submits jobs one after the other until the end: at the home or elsewhere, again after a broken connection, at
+// two instances at once, and with cancellations.
+func (r *chaos) caller(rng *rand.Rand, end time.Time) {
+	pick := func() *Program { return r.s.Entries[rng.IntN(len(r.s.Entries))] }
+	for time.Now().Before(end) {
+		sh := Shape{Service: "washout", Tasks: 1 + rng.IntN(chaosMaxTasks), RunMS: 1 + rng.IntN(chaosMaxRunMS)}
+		sh.DeclaredMS = sh.RunMS * (rng.IntN(20)) / 5
+		sh.DeadlineMS = int64(200 + rng.IntN(20_000))
+		sh.Fail = rng.IntN(20) == 0
+		if rng.IntN(2) == 0 {
+			sh.Service = "dispatch"
+		}
+		token := []string{CallerToken, OtherToken}[rng.IntN(2)]
+		first, second, third := pick(), pick(), pick()
+		twice, cancels := rng.IntN(3) == 0, rng.IntN(5) == 0
+		j, err := r.s.NewJob(first, token, sh)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		j.Cancels = cancels
+		var both sync.WaitGroup
+		if twice {
+			both.Go(func() { r.s.Ask(third, j, Submit, 500*time.Millisecond) })
+		}
+		r.s.Ask(second, j, Submit, time.Duration(rng.IntN(1000))*time.Millisecond)
+		if cancels {
+			r.s.Ask(third, j, Cancel, 200*time.Millisecond)
+		}
+		both.Wait()
+		if rng.IntN(4) == 0 {
+			r.s.Ask(pick(), j, Fetch, 0)
+		}
+	}
+}
+
+// finish ends all faults and waits until every job has a final answer and the configuration is the same everywhere.
+func (r *chaos) finish() []string {
+	var problems []string
+	note := func(err error) {
+		if err != nil {
+			problems = append(problems, err.Error())
+		}
+	}
+	s := r.s
+	s.History.Note("end of the faults")
+	note(s.Heal())
+	for _, w := range s.Workers {
+		f := worker.Fault{Clear: true}
+		if s.leaving(w) {
+			f = worker.Fault{Leave: true, LeaveAccepts: true}
+		}
+		note(s.Fault(w, f))
+	}
+	var resolving sync.WaitGroup
+	for _, j := range s.History.Jobs() {
+		resolving.Go(func() {
+			if err := r.resolve(j); err != nil {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				note(err)
+			}
+		})
+	}
+	resolving.Wait()
+	note(s.WaitConfig(Limit))
+	note(s.CheckDocument())
+	return problems
+}
+
+func (s *System) leaving(w *Program) bool {
+	st, err := s.readStatus(w)
+	return err == nil && st.Leaving
+}
+
+// resolve asks for the final answer. A job whose home was stopped before the submission arrived stays refused.
+func (r *chaos) resolve(j *Job) error {
+	_, err := r.s.Resolve(j, chaosResolve)
+	if err != nil {
+		reqs := r.s.History.Requests(j)
+		last := reqs[len(reqs)-1]
+		if last.Ans != nil && last.Ans.Code == result.NotReady {
+			return fmt.Errorf("no worker left: %w", err)
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/scenario/system.go
@@ -0,0 +1,334 @@
+// Package scenario is test support: it runs a small deployment of entry instances and stand-ins, submits jobs to it
+// under faults, and checks what callers and workers have seen against the promises of the design page.
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/config"
+	"github.com/savorypass/savorypass/internal/secure"
+	"github.com/savorypass/savorypass/internal/standin/instances"
+	"github.com/savorypass/savorypass/internal/standin/logservice"
+	"github.com/savorypass/savorypass/internal/standin/worker"
+)
+
+// Tokens of the deployment.
+const (
+	CallerToken   = "survey-token"
+	OtherToken    = "desk-token" // of another team
+	OperatorToken = "operator-token"
+)
+
+// Document returns a valid configuration. Documents of different numbers differ.
+func Document(n int) string {
+	return fmt.Sprintf(`schema: 1
+services:
+  - {name: washout, idempotent: true, default_deadline: 30s, expected_run_time: 50ms}
+  - {name: dispatch, default_deadline: 30s, expected_run_time: 50ms}
+teams:
+  - {name: survey, callers: [{name: inspectors, token_digest: %q}]}
+  - {name: desk, callers: [{name: counter, token_digest: %q}]}
+# revision %d
+`, config.TokenDigest(CallerToken), config.TokenDigest(OtherToken), n)
+}
+
+// Running is a started program.
+type Running interface {
+	Kill() // at once
+	Stop() // as planned
+	Wait() // until it has ended
+	Pause() error
+	Resume() error
+}
+
+// Launcher starts a program of the project with arguments.
+type Launcher func(name, program string, args []string) (Running, error)
+
+// Options describe a deployment.
+type Options struct {
+	Dir     string // for certificates and logs
+	Launch  Launcher
+	Zones   []string
+	Entries int // for each zone
+	Workers int // for each zone
+	Slots   int // of each worker
+	Lag     time.Duration
+	LogKeep int // records that the log keeps
+}
+
+// Program is one started program and how to start it again.
+type Program struct {
+	Name, Zone, Kind string
+	Callers          string // entry instance
+	Control          string // operators' address of an entry instance, or a stand-in's address
+
+	args    []string
+	running Running
+	starts  []worker.Starts // of the lives that have ended
+	down    bool
+	ends    int // lives that have ended
+}
+
+// System is a running deployment.
+type System struct {
+	opts      Options
+	ca        *secure.DevCA
+	Log       *Program
+	List      *Program
+	Entries   []*Program
+	Workers   []*Program
+	History   *History
+	clients   *clients
+	revision  int
+	logFault  logservice.Fault
+	listFault instances.Fault
+
+	mu sync.Mutex
+}
+
+const program = "savoryd"
+
+// Start starts a deployment. It is not ready yet, and it has no configuration.
+func Start(o Options) (*System, error) {
+	s := &System{opts: o, History: newHistory(), clients: newClients()}
+	var err error
+	if s.ca, err = secure.NewDevCA(time.Now()); err != nil {
+		return nil, err
+	}
+	staff := "operator tester " + config.TokenDigest(OperatorToken) + "\n"
+	if err := os.WriteFile(filepath.Join(o.Dir, "staff"), []byte(staff), 0o600); err != nil {
+		return nil, err
+	}
+	for _, zone := range o.Zones {
+		for i := range o.Entries {
+			p, err := s.newEntry(zone, fmt.Sprintf("%s-e%d", zone, i+1))
+			if err != nil {
+				return nil, err
+			}
+			s.Entries = append(s.Entries, p)
+		}
+	}
+	s.newPlatform()
+	for _, p := range slices.Concat([]*Program{s.Log, s.List}, s.Workers, s.Entries) {
+		if err := s.launch(p); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *System) newPlatform() {
+	keep := s.opts.LogKeep
+	if keep == 0 {
+		keep = 10_000
+	}
+	s.Log = &Program{Name: "log", Kind: "savory-log", Control: freeAddress("tcp")}
+	s.Log.args = []string{"--listen", s.Log.Control, "--retention-count", strconv.Itoa(keep)}
+	s.List = &Program{Name: "list", Kind: "savory-instances", Control: freeAddress("tcp")}
+	s.List.args = []string{"--listen", s.List.Control, "--lag", s.opts.Lag.String()}
+	for _, e := range s.Entries {
+		peers := e.args[slices.Index(e.args, "--peers")+1]
+		s.List.args = append(s.List.args, "--entry", strings.Join([]string{e.Zone + "/" + e.Name, peers, e.Control, e.Callers}, ","))
+		e.args = append(e.args, "--log-url", "http://"+s.Log.Control, "--instances-url", "http://"+s.List.Control)
+	}
+	for _, zone := range s.opts.Zones {
+		for i := range s.opts.Workers {
+			w := &Program{Name: fmt.Sprintf("%s-w%d", zone, i+1), Zone: zone, Kind: "savory-worker", Control: freeAddress("tcp")}
+			w.args = []string{
+				"--listen", w.Control, "--name", w.Name, "--zone", zone, "--instances", s.List.Control,
+				"--slots", strconv.Itoa(s.opts.Slots), "--run-time", "10ms",
+			}
+			s.Workers = append(s.Workers, w)
+		}
+	}
+}
+
+func (s *System) newEntry(zone, name string) (*Program, error) {
+	settings, err := s.ca.Issue(secure.Name{Zone: zone, Instance: name})
+	if err != nil {
+		return nil, err
+	}
+	p := &Program{Name: name, Zone: zone, Kind: program, Callers: freeAddress("tcp"), Control: freeAddress("tcp")}
+	p.args = []string{
+		"--name", name, "--zone", zone, "--callers", p.Callers, "--operators", p.Control, "--peers", freeAddress("udp"),
+		"--staff-tokens", filepath.Join(s.opts.Dir, "staff"), "--enable-faults", "--event-loops", "1", "--drain-timeout", "30s",
+	}
+	for flag, text := range map[string]string{"tls-cert": settings.Certificate, "tls-key": settings.Key, "tls-ca": settings.CA} {
+		file := filepath.Join(s.opts.Dir, name+"."+flag)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		p.args = append(p.args, "--"+flag, file)
+	}
+	return p, nil
+}
+
+// Ports below the range that systems give to outgoing connections, so that a port which is free when it is chosen is
+// still free when its program is started or restarted.
+const (
+	firstPort = 11000
+	lastPort  = 32000
+)
+
+var taken sync.Map
+
+func freeAddress(network string) string {
+	for {
+		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort))
+		if _, used := taken.LoadOrStore(address, true); !used && isFree(network, address) {
+			return address
+		}
+	}
+}
+
+func isFree(network, address string) bool {
+	if network == "udp" {
+		c, err := net.ListenPacket(network, address)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}
+	l, err := net.Listen(network, address)
+	if err == nil {
+		l.Close()
+	}
+	return err == nil
+}
+
+func (s *System) launch(p *Program) error {
+	r, err := s.opts.Launch(p.Name, p.Kind, p.args)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.running, p.down = r, false
+	return nil
+}
+
+// Up reports whether the program is meant to run.
+func (s *System) Up(p *Program) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !p.down
+}
+
+func (s *System) markDown(p *Program) Running {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.down || p.running == nil {
+		return nil
+	}
+	p.down = true
+	p.ends++
+	return p.running
+}
+
+// Kill ends a program without a word to anybody. A worker is halted first, so that its last starts are known.
+func (s *System) Kill(p *Program) error {
+	s.History.Note("kill %s", p.Name)
+	if p.Kind == "savory-worker" {
+		if err := s.saveStarts(p); err != nil {
+			return err
+		}
+	}
+	if r := s.markDown(p); r != nil {
+		r.Kill()
+		r.Wait()
+	}
+	return nil
+}
+
+// Stop ends a program as planned and waits until it has ended.
+func (s *System) Stop(p *Program) {
+	s.History.Note("stop %s", p.Name)
+	if r := s.markDown(p); r != nil {
+		r.Stop()
+		r.Wait()
+	}
+}
+
+// Restart starts a program that has ended.
+func (s *System) Restart(p *Program) error {
+	s.History.Note("restart %s", p.Name)
+	return s.launch(p)
+}
+
+// Pause stops a process where it is; Resume lets it go on.
+func (s *System) Pause(p *Program) error {
+	s.History.Note("pause %s", p.Name)
+	return p.running.Pause()
+}
+
+// Resume ends a pause.
+func (s *System) Resume(p *Program) error {
+	s.History.Note("resume %s", p.Name)
+	return p.running.Resume()
+}
+
+func (s *System) saveStarts(w *Program) error {
+	if err := s.Fault(w, worker.Fault{Pause: true}); err != nil {
+		return err
+	}
+	st, err := s.readStarts(w)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.starts = append(w.starts, st)
+	return nil
+}
+
+// Close ends all programs.
+func (s *System) Close() {
+	var wg sync.WaitGroup
+	for _, p := range slices.Concat(s.Entries, s.Workers, []*Program{s.List, s.Log}) {
+		if r := s.markDown(p); r != nil {
+			wg.Go(func() {
+				r.Kill()
+				r.Wait()
+			})
+		}
+	}
+	wg.Wait()
+	s.clients.close()
+}
+
+// Find returns a program by its name.
+func (s *System) Find(name string) (*Program, error) {
+	for _, p := range slices.Concat(s.Entries, s.Workers, []*Program{s.List, s.Log}) {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return nil, fmt.Errorf("there is no program %q", name)
+}
+
+// Limit bounds each wait for a state. It is generous, as tests must not depend on the machine's speed.
+const Limit = 60 * time.Second
+
+var errLimit = errors.New("state not reached")
+
+// Until waits for a state. ok returns "" when it is reached and otherwise what is missing.
+func Until(what string, limit time.Duration, ok func() string) error {
+	missing := ""
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if missing = ok(); missing == "" {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w in %s: %s: %s", errLimit, limit, what, missing)
+}
