share: take the result of a delegated task only from the peer that has it

Found by reading: a peer repeats its results until they are acknowledged. When it refused a task and the acknowledgement was lost, the repetition could arrive after the home had delegated the task to another peer. It then ended that delegation as refused, so the task was queued and started a second time. Change: a pending task records its peer, and results of others are ignored. A repetition from the same peer does no harm, as a peer refuses a task that it has seen.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -36,10 +36,10 @@
 	name := ev.Member.Zone + "/" + ev.Member.Instance
 	switch ev.Kind {
 	case member.Joined, member.Returned, member.Recovered:
-		e.engine.AddPeer(name, e.sharing.Link(ev.Member.Addr))
+		e.engine.AddPeer(name, e.sharing.Link(name, ev.Member.Addr))
 	case member.Restarted:
 		e.engine.RemovePeer(name)
-		e.engine.AddPeer(name, e.sharing.Link(ev.Member.Addr))
+		e.engine.AddPeer(name, e.sharing.Link(name, ev.Member.Addr))
 	}
 	if ev.Member.Live() {
 		e.config.Observe(name, ev.Member.Version)
--- a/internal/share/link.go
+++ b/internal/share/link.go
@@ -14,13 +14,14 @@
 // Link delegates tasks to one peer. It implements engine.Peer.
 type Link struct {
 	service *Service
+	name    string
 	addr    string
 }
 
 var _ engine.Peer = (*Link)(nil)
 
-// Link returns the link to a peer.
-func (s *Service) Link(addr string) *Link { return &Link{service: s, addr: addr} }
+// Link returns the link to the peer of a name, which is that of its messages, at an address.
+func (s *Service) Link(name, addr string) *Link { return &Link{service: s, name: name, addr: addr} }
 
 // Delegate implements engine.Peer.
 func (l *Link) Delegate(grant uint64, tasks []engine.Delegated, ended engine.Ended) {
@@ -30,7 +31,7 @@
 		m.Tasks[i] = message.DelegatedTask{
 			Task: t.Task, Team: t.Team, Service: t.Service, Size: t.Size, Payload: t.Payload, Expected: t.Expected,
 		}
-		l.service.pending.add(l.service.opts.Now(), t.Task, i, ended)
+		l.service.pending.add(l.service.opts.Now(), t.Task, l.name, i, ended)
 	}
 	go l.send(message.Encode(m), tasks, ended)
 }
@@ -60,7 +61,7 @@
 // refused ends the tasks from the given one on, which did not start.
 func (l *Link) refused(tasks []engine.Delegated, from int, why platform.Outcome, ended engine.Ended) {
 	for i := max(0, from); i < len(tasks); i++ {
-		if l.service.pending.take(tasks[i].Task) != nil {
+		if l.service.pending.take(tasks[i].Task, l.name) != nil {
 			ended(i, platform.RunResult{Outcome: why, Output: "the peer did not take the task"})
 		}
 	}
@@ -90,6 +91,7 @@
 
 // entry is a delegated task whose result has not come.
 type entry struct {
+	peer  string // that has the task now
 	index int
 	ended engine.Ended
 	at    time.Time
@@ -102,10 +104,10 @@
 	swept time.Time
 }
 
-func (p *pending) add(now time.Time, task string, index int, ended engine.Ended) {
+func (p *pending) add(now time.Time, task, peer string, index int, ended engine.Ended) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tasks[task] = &entry{index, ended, now}
+	p.tasks[task] = &entry{peer, index, ended, now}
 	if now.Sub(p.swept) > pendingTTL {
 		p.swept = now
 		for t, e := range p.tasks {
@@ -116,23 +118,28 @@
 	}
 }
 
-func (p *pending) take(task string) *entry {
+// take removes a task that a peer has, or returns nil. A peer repeats its results until they are acknowledged; a late
+// repetition of "refused" must not end the delegation to the next peer, since the task would then start again.
+func (p *pending) take(task, peer string) *entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.tasks[task]
+	if e == nil || e.peer != peer {
+		return nil
+	}
 	delete(p.tasks, task)
 	return e
 }
 
 // results takes in the ends of delegated tasks.
-func (s *Service) results(_ context.Context, _ peer.From, body []byte) ([]byte, error) {
+func (s *Service) results(_ context.Context, from peer.From, body []byte) ([]byte, error) {
 	var m message.DelegateResults
 	if err := message.Decode(body, &m); err != nil {
 		return nil, err
 	}
 	for i := range m.Results {
 		r := &m.Results[i]
-		if e := s.pending.take(r.Task); e != nil {
+		if e := s.pending.take(r.Task, Name(from)); e != nil {
 			e.ended(e.index, platform.RunResult{Outcome: r.Outcome, Output: r.Output, RunTime: r.RunTime})
 		}
 	}
@@ -174,8 +181,8 @@
 	}
 }
 
-// send repeats a message until it is answered. A home takes each result once, so repetition does no harm; a home that
-// gets none of them asks for the states.
+// send repeats a message until it is answered. A home takes each result once and only from the peer that has the task,
+// so repetition does no harm; a home that gets none of them asks for the states.
 func (o *outgoing) send(body []byte) {
 	for range resultRetries {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
