--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,13 @@
 demo: build
 	scripts/demo.sh
 
+# Random fault runs: make chaos SEED=1 RUNS=20. PROCESSES=1 runs every program as a process of its own.
+SEED ?= 1
+RUNS ?= 20
+PARALLEL ?= 8
+chaos:
+	go test ./internal/scenario -run '^TestChaos$$' -count=1 -timeout 3h -parallel $(PARALLEL) \
+		-chaos.seed=$(SEED) -chaos.runs=$(RUNS) $(if $(PROCESSES),-chaos.processes)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/scenario/chaos.go
+++ b/internal/scenario/chaos.go
@@ -1,12 +1,10 @@
 package scenario
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/standin/worker"
 )
 
@@ -21,7 +19,9 @@
 	chaosResolve  = 60 * time.Second
 	chaosMaxTasks = 12
 	chaosMaxRunMS = 60
-	longFault     = 1500 * time.Millisecond
+	shortFault    = 1500 * time.Millisecond
+	longFault     = 4 * time.Second // beyond the time-outs of membership and of workers that do not answer
+	longOneOf     = 6
 )
 
 // event is one fault of a schedule.
@@ -36,15 +36,19 @@
 var faultKinds = []string{
 	"kill entry", "stop entry", "cut zone", "cut entry", "cut entry log", "cut entry list", "log down", "log hang", "log slow",
 	"log lose-answer", "list down", "list freeze", "worker fail", "worker silent", "worker slow", "worker leave",
-	"worker pause", "worker kill", "publish", "race", "cancel wave",
+	"worker pause", "worker kill", "publish", "race", "cancel wave", "pause entry",
 }
 
 // schedule draws the faults of a run. Two or more faults overlap in most runs.
 func schedule(rng *rand.Rand) []event {
 	var events []event
-	for range 2 + rng.IntN(5) {
+	for range 3 + rng.IntN(6) {
+		length := shortFault
+		if rng.IntN(longOneOf) == 0 {
+			length = longFault
+		}
 		events = append(events, event{
-			at: time.Duration(rng.Int64N(int64(chaosPhase))), length: time.Duration(rng.Int64N(int64(longFault))),
+			at: time.Duration(rng.Int64N(int64(chaosPhase))), length: time.Duration(rng.Int64N(int64(length))),
 			name: faultKinds[rng.IntN(len(faultKinds))], target: rng.IntN(1 << 16), n: 1 + rng.IntN(3),
 		})
 	}
@@ -129,6 +133,11 @@
 			return nil
 		}
 		undo = r.stop(e)
+	case "pause entry": // has no effect in one process
+		if !s.Up(e) {
+			return nil
+		}
+		err, undo = s.Pause(e), func() error { return s.Resume(e) }
 	case "cut zone":
 		err, undo = s.Cut(zone, Peers), s.Heal
 	case "cut entry":
@@ -266,7 +275,7 @@
 	var resolving sync.WaitGroup
 	for _, j := range s.History.Jobs() {
 		resolving.Go(func() {
-			if err := r.resolve(j); err != nil {
+			if _, err := s.Resolve(j, chaosResolve); err != nil {
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				note(err)
@@ -283,16 +292,3 @@
 	st, err := s.readStatus(w)
 	return err == nil && st.Leaving
 }
-
-// resolve asks for the final answer. A job whose home was stopped before the submission arrived stays refused.
-func (r *chaos) resolve(j *Job) error {
-	_, err := r.s.Resolve(j, chaosResolve)
-	if err != nil {
-		reqs := r.s.History.Requests(j)
-		last := reqs[len(reqs)-1]
-		if last.Ans != nil && last.Ans.Code == result.NotReady {
-			return fmt.Errorf("no worker left: %w", err)
-		}
-	}
-	return err
-}
--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"flag"
+	"io"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/sirupsen/logrus"
 )
 
 var (
@@ -15,9 +19,10 @@
 
 // Guards against promises that break under a combination of faults that no scenario lists.
 func TestChaos(t *testing.T) {
+	logrus.SetOutput(io.Discard) // of the stand-ins in this process
 	for i := range *chaosRuns {
 		seed := *chaosSeed + uint64(i)
-		t.Run(seedName(seed), func(t *testing.T) {
+		t.Run("seed="+strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			launch := Launcher(InProcess)
 			if *chaosProcesses {
@@ -40,6 +45,4 @@
 	}
 }
 
-func seedName(seed uint64) string { return "seed=" + uintText(seed) }
-
 func TestMain(m *testing.M) { os.Exit(runMain(m)) }
--- a/internal/scenario/client.go
+++ b/internal/scenario/client.go
@@ -16,6 +16,7 @@
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/standin/instances"
 	"github.com/savorypass/savorypass/internal/standin/worker"
 )
 
@@ -94,6 +95,17 @@
 	return st, err
 }
 
+// listed returns the names that readers of the instance list see.
+func (s *System) listed() ([]string, error) {
+	var d instances.Dump
+	_, err := call(s.clients.control, controlTimeout, "", "GET", "http://"+s.List.Control+"/dump", nil, &d)
+	var names []string
+	for _, in := range d.Seen {
+		names = append(names, in.Name)
+	}
+	return names, err
+}
+
 // Operate sends a request to an entry instance's operators' listener. A refusal is an *opsapi.Error.
 func (s *System) Operate(e *Program, method, path string, body []byte, into any) error {
 	var raw json.RawMessage
--- a/internal/scenario/drive.go
+++ b/internal/scenario/drive.go
@@ -190,14 +190,14 @@
 // retryPause is how long a caller waits before it asks again.
 const retryPause = 200 * time.Millisecond
 
-// Resolve asks for the outcome of a job until there is a final answer, at each running instance in turn. A job that was
-// refused, or never arrived, is submitted again; a draining instance's identities cannot be submitted any more.
+// Resolve submits a job again, at each running instance in turn, until there is a final answer or a refusal that says
+// "not run". A refusal may last, for example when no worker is left that could meet the deadline.
 func (s *System) Resolve(j *Job, limit time.Duration) (*api.Answer, error) {
 	for end, i := time.Now().Add(limit), 0; time.Now().Before(end); i++ {
 		up := s.upEntries()
 		if len(up) > 0 {
 			a, err := s.Ask(up[i%len(up)], j, Submit, time.Second)
-			if err == nil && (a.Final || a.Code == result.NeverFits) {
+			if err == nil && (a.Final || a.Execution == result.NotRun) {
 				return a, nil
 			}
 		}
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,8 +19,6 @@
 	"github.com/savorypass/savorypass/internal/standin/worker"
 )
 
-func uintText(n uint64) string { return strconv.FormatUint(n, 10) }
-
 // runMain registers the project's programs, so that the test's binary runs as each of them.
 func runMain(m *testing.M) int {
 	testscript.Main(m, map[string]func(){
@@ -60,7 +57,7 @@
 		defer out.Close()
 		p := &process{cmd: exec.Command(program, args...), done: make(chan struct{})}
 		p.cmd.Stdout, p.cmd.Stderr = out, out
-		// A process of its own group does not get the test's signals; it ends with the test's own process at the latest.
+		// The process must not outlive a test that is ended by its time-out.
 		p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		if err := p.cmd.Start(); err != nil {
 			return nil, fmt.Errorf("%s: %w", program, err)
--- /dev/null
+++ b/internal/scenario/raw_test.go
@@ -0,0 +1,73 @@
+package scenario
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/api"
+)
+
+// raw JOBS: submits the jobs of a group again, pipelined on one connection and split over several packets, and compares
+// the answers with the order of the requests.
+func raw(sc *script, args []string) error {
+	if err := need(args, 1, "raw JOBS"); err != nil {
+		return err
+	}
+	e := sc.sys.Entries[0]
+	c, err := net.Dial("tcp", e.Callers)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(Limit))
+	var all bytes.Buffer
+	jobs := sc.jobs[args[0]]
+	ends := make([]func(*api.Answer, error), len(jobs))
+	for i, j := range jobs {
+		ends[i] = sc.sys.History.asked(j, Submit, e.Name)
+		fmt.Fprintf(&all, "POST /v1/jobs?wait_ms=45000 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %s\r\n\r\n%s",
+			j.Token, strconv.Itoa(len(j.body)), j.body)
+	}
+	go func() {
+		const packet = 777
+		for b := all.Bytes(); len(b) > 0; {
+			n := min(packet, len(b))
+			c.Write(b[:n])
+			b = b[n:]
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	r := bufio.NewReader(c)
+	for i, j := range jobs {
+		a, err := readAnswer(r)
+		ends[i](a, err)
+		if err != nil {
+			return fmt.Errorf("answer %d: %w", i, err)
+		}
+		if a.Identity != j.Identity {
+			return fmt.Errorf("answer %d is for %s, must be for %s", i, a.Identity, j.Identity)
+		}
+	}
+	return nil
+}
+
+func readAnswer(r *bufio.Reader) (*api.Answer, error) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	var a api.Answer
+	return &a, json.Unmarshal(body, &a)
+}
