--- a/internal/filter/dedup/dedup.go
+++ b/internal/filter/dedup/dedup.go
@@ -26,6 +26,8 @@
 	Registry *registry.Registry
 	Remote   Remote // nil answers for foreign identities as if their homes were unreachable
 	Now      func() time.Time
+	// Fenced is true when others may have answered for this instance; it must not answer then. It may be nil.
+	Fenced func(now time.Time) bool
 }
 
 // Name returns the filter's name.
@@ -33,6 +35,10 @@
 
 // Handle forwards, attaches, or hands a first submission on.
 func (f Filter) Handle(r *filter.Request, next filter.Handler) {
+	if f.Fenced != nil && f.Fenced(f.Now()) {
+		r.Answer(api.NewAnswer(result.HomeUnreachable, "the instance was paused for too long and ends"))
+		return
+	}
 	if r.Action == filter.Issue {
 		next.Handle(r)
 		return
--- a/internal/member/pause.go
+++ b/internal/member/pause.go
@@ -11,7 +11,8 @@
 	origin   time.Time
 	lastTick atomic.Int64 // since origin, monotonic
 	paused   atomic.Bool
-	stopped  atomic.Bool // superseded, for good
+	stopped  atomic.Bool // superseded or fenced, for good
+	fenced   atomic.Bool
 
 	// Below: guarded by the controller's lock.
 	pausedAt   time.Time // when the pause was noticed
@@ -25,7 +26,7 @@
 	at := int64(now.Sub(g.origin))
 	gap := at - g.lastTick.Load()
 	if gap > int64(PauseGap) {
-		g.paused.Store(true) // before the tick, so that no check passes in between
+		g.pause(gap) // before the tick, so that no check passes in between
 		paused = true
 	}
 	g.lastTick.Store(at)
@@ -33,13 +34,21 @@
 }
 
 func (g *gate) check(now time.Time) bool {
-	if int64(now.Sub(g.origin))-g.lastTick.Load() > int64(PauseGap) {
-		g.paused.Store(true)
+	if gap := int64(now.Sub(g.origin)) - g.lastTick.Load(); gap > int64(PauseGap) {
+		g.pause(gap)
 		return false
 	}
 	return !g.paused.Load() && !g.stopped.Load()
 }
 
+func (g *gate) pause(gap int64) {
+	if gap >= int64(FenceGap) {
+		g.fenced.Store(true)
+		g.stopped.Store(true)
+	}
+	g.paused.Store(true)
+}
+
 func (g *gate) stop() { g.stopped.Store(true) }
 
 func (g *gate) round(seq uint64) {
@@ -52,6 +61,13 @@
 // heartbeat round and a read of the instance list have completed. now must carry a monotonic reading.
 func (c *Controller) Check(now time.Time) bool { return c.gate.check(now) }
 
+// Fenced reports whether this process must not give answers any more, since it was paused for FenceGap or longer. now
+// must carry a monotonic reading.
+func (c *Controller) Fenced(now time.Time) bool {
+	c.gate.check(now)
+	return c.gate.fenced.Load()
+}
+
 // Paused reports whether the process recovers from a pause or is stopped for good by a newer incarnation.
 func (c *Controller) Paused() bool { return !c.gate.check(c.opts.Clock.Now()) }
 
@@ -69,6 +85,10 @@
 		}
 	}
 	c.pending = append(c.pending, Event{Kind: Paused})
+	if c.gate.fenced.Load() {
+		c.newer = true // owns nothing any more
+		c.pending = append(c.pending, Event{Kind: Fenced})
+	}
 }
 
 // resumeLocked ends a pause when its conditions are met or its bound has passed.
