--- a/internal/scenario/drive.go
+++ b/internal/scenario/drive.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -20,6 +21,7 @@
 // Prepare publishes the first configuration and waits until the deployment takes work.
 func (s *System) Prepare() error {
 	first := s.Entries[0]
+	var failed error
 	err := Until("operators' listener", Limit, func() string {
 		_, err := s.Status(first)
 		return text(err)
@@ -27,7 +29,17 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.Publish(first, Document(s.nextRevision()), 0); err != nil {
+	document := Document(s.nextRevision())
+	err = Until("first configuration", Limit, func() string {
+		_, err := s.Publish(first, document, 0)
+		// Nothing was published while the instance had not reached the log yet.
+		if code, refused := Refusal(err); refused && code == result.ConfigUnavailable {
+			return text(err)
+		}
+		failed = err
+		return ""
+	})
+	if err = errors.Join(err, failed); err != nil {
 		return err
 	}
 	return s.WaitReady()
