--- a/internal/scenario/chaos.go
+++ b/internal/scenario/chaos.go
@@ -105,8 +105,10 @@
 		return
 	}
 	time.Sleep(ev.length)
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	if ev.name != "pause entry" { // others may hold the lock while they wait for the paused instance
+		r.mu.Lock()
+		defer r.mu.Unlock()
+	}
 	if err := undo(); err != nil {
 		r.s.History.Note("end of %s: %v", ev.name, err)
 	}
--- a/internal/scenario/drive.go
+++ b/internal/scenario/drive.go
@@ -145,9 +145,7 @@
 // Heal ends all faults of entry instances, of the log and of the list.
 func (s *System) Heal() error {
 	for _, e := range s.upEntries() {
-		// An instance that has just been restarted does not listen yet.
-		err := Until("faults cleared at "+e.Name, Limit, func() string { return text(s.Inject(e, "", nil)) })
-		if err != nil {
+		if err := s.Inject(e, "", nil); err != nil {
 			return err
 		}
 	}
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -74,6 +74,9 @@
 				ts.Fatalf("%s: there is no system", name)
 			}
 			err := run(sc, args)
+			if name == "system" && err == nil {
+				sc.environment(ts)
+			}
 			if neg && err == nil {
 				ts.Fatalf("%s succeeded", name)
 			}
@@ -86,6 +89,17 @@
 	return out
 }
 
+// environment lets scripts run savoryctl against the deployment.
+func (sc *script) environment(ts *testscript.TestScript) {
+	var operators, callers []string
+	for _, e := range sc.sys.Entries {
+		operators, callers = append(operators, e.Control), append(callers, e.Callers)
+	}
+	ts.Setenv("SAVORY_ENDPOINTS", strings.Join(operators, ","))
+	ts.Setenv("SAVORY_CALLERS", strings.Join(callers, ","))
+	ts.Setenv("SAVORY_TOKEN", OperatorToken)
+}
+
 func (sc *script) print(ts *testscript.TestScript) {
 	if sc.sys == nil {
 		return
--- a/internal/scenario/system.go
+++ b/internal/scenario/system.go
@@ -260,10 +260,19 @@
 	}
 }
 
-// Restart starts a program that has ended.
+// Restart starts a program that has ended and waits until it listens.
 func (s *System) Restart(p *Program) error {
 	s.History.Note("restart %s", p.Name)
-	return s.launch(p)
+	if err := s.launch(p); err != nil {
+		return err
+	}
+	return Until(p.Name+" listens", Limit, func() string {
+		c, err := net.Dial("tcp", p.Control)
+		if err == nil {
+			c.Close()
+		}
+		return text(err)
+	})
 }
 
 // Pause stops a process where it is; Resume lets it go on.
