--- a/internal/sched/fair/team.go
+++ b/internal/sched/fair/team.go
@@ -1,6 +1,8 @@
 package fair
 
 import (
+	"time"
+
 	"github.com/savorypass/savorypass/internal/sched"
 )
 
@@ -86,13 +88,16 @@
 	t.hasLimit = c.Limit != sched.Size{}
 }
 
-// SetElsewhere replaces what the teams use on other instances' slots of the zone, as summed from their reports.
-func (s *Scheduler) SetElsewhere(use map[string]sched.Size) {
-	for name, t := range s.teams {
-		t.elsewhere = vectorOf(0, use[name])
+// SetElsewhere implements sched.Sharer.
+func (s *Scheduler) SetElsewhere(now time.Time, e sched.Elsewhere) {
+	s.clock(now)
+	s.elsewhere = e
+	for _, t := range s.teamList {
+		t.elsewhere = vectorOf(0, e.Use[t.name])
 		s.updateShare(t)
 		t.dirty = true
 	}
+	s.refreshSlots()
 }
 
 type queueKey struct {
@@ -109,17 +114,31 @@
 	return q
 }
 
-func (t *team) open(q *queue) {
+// openQueue enters a queue that has become non-empty.
+func (s *Scheduler) openQueue(q *queue) {
+	t, sh := q.team, q.shape
 	q.pos = len(t.queues)
 	t.queues = append(t.queues, q)
+	q.place = len(sh.queues)
+	sh.queues = append(sh.queues, q)
+	s.queues++
+	s.updateOpen(sh)
 }
 
-func (t *team) close(q *queue) {
+// closeQueue is the opposite of openQueue.
+func (s *Scheduler) closeQueue(q *queue) {
+	t, sh := q.team, q.shape
 	last := t.queues[len(t.queues)-1]
 	t.queues[q.pos] = last
 	last.pos = q.pos
 	t.queues = t.queues[:len(t.queues)-1]
 	q.pos = -1
+	last = sh.queues[len(sh.queues)-1]
+	sh.queues[q.place] = last
+	last.place = q.place
+	sh.queues = sh.queues[:len(sh.queues)-1]
+	s.queues--
+	s.updateOpen(sh)
 }
 
 func (s *Scheduler) addQueued(t *team, n int) {
@@ -183,6 +202,10 @@
 
 // choose returns the queue whose first task is next, or nil if no queued task may start.
 func (s *Scheduler) choose() *queue {
+	if s.epoch != s.refreshed && s.openQueues()*2 < s.queues {
+		return s.chooseOpen()
+	}
+	s.refreshed = s.epoch
 	var best *team
 	var first precedence
 	for _, t := range s.active {
@@ -192,7 +215,7 @@
 		if t.best == nil {
 			continue
 		}
-		p := s.precedence(t)
+		p := s.precedence(t, t.best)
 		if best == nil || p.less(first) || (!first.less(p) && t.name < best.name) {
 			best, first = t, p
 		}
@@ -203,6 +226,25 @@
 	return best.best
 }
 
+// chooseOpen is choose by way of the open shapes. Where resources run out before slots, shapes open and close with
+// almost every start, but few are open at a time; refreshing all teams each time would cost more.
+func (s *Scheduler) chooseOpen() *queue {
+	var best *queue
+	var first precedence
+	for _, sh := range s.open {
+		for _, q := range sh.queues {
+			if !s.allowed(q) {
+				continue
+			}
+			p := s.precedence(q.team, q)
+			if best == nil || p.less(first) || (!first.less(p) && q.heap[0].less(best.heap[0])) {
+				best, first = q, p
+			}
+		}
+	}
+	return best
+}
+
 // refresh recomputes the team's most urgent queue among those that may start a task.
 func (s *Scheduler) refresh(t *team) {
 	t.dirty, t.epoch, t.best = false, s.epoch, nil
@@ -245,9 +287,10 @@
 	return true
 }
 
-func (s *Scheduler) precedence(t *team) precedence {
-	key := t.best.heap[0].key
-	if t.hasQuota && t.under(&t.quota, t.best.shape.size) {
+// precedence is the place of a team whose next task would come from the given queue.
+func (s *Scheduler) precedence(t *team, q *queue) precedence {
+	key := q.heap[0].key
+	if t.hasQuota && t.under(&t.quota, q.shape.size) {
 		return precedence{withinQuota, key, 0}
 	}
 	share := t.share / t.weight
