entry: a planned stop may begin before the callers' listener is open

A fault of the test was ruled out: signals are handled before Run. Change: the end of a planned stop is looked for only once the listener is open, or the time for the stop is up. The test ends with the nil pointer before the change and passes after it.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -17,9 +17,14 @@
 	go e.finishDrain(e.clock.Now().Add(e.opts.DrainTimeout))
 }
 
-// finishDrain waits until every request is answered, or the time is up.
+// finishDrain waits until every request is answered, or the time is up. A stop may begin before the listener for callers
+// has been opened.
 func (e *Entry) finishDrain(limit time.Time) {
 	defer close(e.drained)
+	select {
+	case <-e.serving:
+	case <-e.clock.After(e.opts.DrainTimeout):
+	}
 	for e.clock.Now().Before(limit) {
 		// A peer's task that runs here is part of a job at its home, which would lose the result.
 		if jobs, foreign := e.engine.Open(); jobs == 0 && foreign == 0 && e.server.Active() == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,7 @@
 
 	current  atomic.Pointer[snapshot]
 	draining atomic.Bool
+	serving  chan struct{} // closed when server is set
 	drained  chan struct{}
 }
 
@@ -93,7 +94,7 @@
 	clock := clockwork.NewRealClock()
 	e := &Entry{
 		opts: opts, log: log, clock: clock, started: clock.Now(), incarnation: uint64(clock.Now().UnixNano()),
-		tokens: &secure.Tokens{}, metrics: metric.New(), dumps: &ops.Dumps{}, drained: make(chan struct{}),
+		tokens: &secure.Tokens{}, metrics: metric.New(), dumps: &ops.Dumps{}, serving: make(chan struct{}), drained: make(chan struct{}),
 	}
 	if opts.Staff != "" {
 		staff, err := secure.ReadStaffFile(opts.Staff)
@@ -210,6 +211,7 @@
 	if err != nil {
 		return err
 	}
+	close(e.serving)
 	defer e.server.Stop(context.Background())
 	defer e.closePeers()
 	e.log.WithFields(logrus.Fields{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -243,3 +243,22 @@
 	}
 	is.Equal(s.do(far, deskToken, "GET", "/v1/jobs/"+id, nil).Code, result.IdentityMalformed) // another team
 }
+
+// Guards against a planned stop during the start, which ended the process with a nil pointer.
+func TestPlannedStopBeforeTheListenersAreOpen(t *testing.T) {
+	s := newSystem(t, "blackstone")
+	settings, err := s.ca.Issue(secure.Name{Zone: "blackstone", Instance: "b1"})
+	is := is.New(t)
+	is.NoErr(err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e, err := New(Options{
+		Name: "b1", Zone: "blackstone", Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0",
+		LogURL: "http://" + s.log.Address(), InstancesURL: "http://" + s.list.Address(),
+		Cert: settings.Certificate, Key: settings.Key, CA: settings.CA, DrainTimeout: 10 * time.Second,
+		LogRetention: time.Hour, Scheduler: schedulerFair, EventLoops: 1,
+	}, log)
+	is.NoErr(err)
+	e.Drain()
+	is.NoErr(e.Run(context.Background()))
+}
