Scripts: a deployment that stays up, and no start on ports in use

Cause: with BASE_PORT in use by another process, a program ended at once with 'address already in use' in its own log, the script found somebody else's process answering on the port, published its example configuration there, and then gave up after 30 s with 'e1 has not heard all instances'.

Change: the scripts refuse to start when one of their TCP ports is taken, and report a program that ends during the start with the end of its log. make demo-up leaves a deployment running without a configuration and prints its addresses and the environment to paste; make demo-down stops it as planned from any shell, by process id, and only ids that still belong to one of the project's programs.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # The tests named in KNOWN-RED.txt are passed over by CI and printed; everything else must pass.
 SKIP = $(shell awk -F'[: ]+' '/^test:/ {printf "%s%s", sep, $$2; sep="|"}' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: all build test check fmt-check lint fuzz-seeds demo bench chaos slopes clean
+.PHONY: all build test check fmt-check lint fuzz-seeds demo demo-up demo-down bench chaos slopes clean
 
 all: build
 
@@ -26,5 +26,12 @@
 demo: build
 	scripts/demo.sh
 
+# Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
+demo-up: build
+	@scripts/up.sh
+
+demo-down:
+	@scripts/down.sh
+
 clean:
 	rm -rf $(BIN)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,9 +3,12 @@
 # that each task started once, and stops everything as planned while a last job is running.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-OUT=${OUT:-out/demo}
 . scripts/lib.sh
 
+if [ -f "$PIDS" ]; then
+  echo "$OUT holds a running deployment; end it with: make demo-down${OUT_GIVEN:+ OUT=$OUT}" >&2
+  exit 1
+fi
 rm -rf "$OUT"
 trap 'stop_system || true' EXIT
 echo "starting $WORKERS workers and $((ENTRIES_PER_ZONE * ${#ZONES[@]})) entry instances in ${#ZONES[@]} availability zones"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,9 +1,10 @@
 # Starts and stops a deployment of stand-ins and entry instances on loopback. Sourced by the other scripts.
 #
 # Settings: DEPLOYMENT (petra or halloway), OUT (directory for logs, keys and process ids), BASE_PORT, WORKERS,
-# ENTRIES_PER_ZONE, SCHEDULER, DRAIN_TIMEOUT.
+# ENTRIES_PER_ZONE, SCHEDULER, DRAIN_TIMEOUT. Ports BASE_PORT to BASE_PORT+1000+WORKERS must be free.
 
 DEPLOYMENT=${DEPLOYMENT:-petra}
+OUT_GIVEN=${OUT:+yes}
 OUT=${OUT:-out/demo}
 BASE_PORT=${BASE_PORT:-18000}
 WORKERS=${WORKERS:-50}
@@ -14,10 +15,10 @@
 case $DEPLOYMENT in
   petra)
     ZONES=(amman-bench zarqa-annex salt-store)
-    OPERATOR=shop-lead; CALLER=till; SERVICE=clasp-quote; MEMORY_MB=32768 ;;
+    OPERATOR=shop-lead; VIEWER=back-office; CALLER=till; SERVICE=clasp-quote; MEMORY_MB=32768 ;;
   halloway)
     ZONES=(blackstone farmington middlesex)
-    OPERATOR=flood-desk; CALLER=bank-phone; SERVICE=washout-check; MEMORY_MB=65536 ;;
+    OPERATOR=flood-desk; VIEWER=gauge-board; CALLER=bank-phone; SERVICE=washout-check; MEMORY_MB=65536 ;;
   *) echo "DEPLOYMENT must be petra or halloway" >&2; exit 2 ;;
 esac
 
@@ -36,6 +37,31 @@
   echo "$! $name" >>"$PIDS"
 }
 
+# check_ports refuses to start on ports that are in use: the scripts would talk to somebody else's processes.
+check_ports() {
+  local n ports=(0 1)
+  for ((n = 0; n < ENTRIES_PER_ZONE * ${#ZONES[@]}; n++)); do ports+=($((100 + n)) $((300 + n))); done
+  for ((n = 0; n < WORKERS; n++)); do ports+=($((1000 + n))); done
+  for n in "${ports[@]}"; do
+    if (: <>"/dev/tcp/127.0.0.1/$((BASE_PORT + n))") 2>/dev/null; then
+      echo "port $((BASE_PORT + n)) is in use; end what uses it or set another BASE_PORT (now $BASE_PORT)" >&2
+      return 1
+    fi
+  done
+}
+
+# check_running reports processes that have ended since they were started.
+check_running() {
+  local pid name
+  while read -r pid name; do
+    if ! kill -0 "$pid" 2>/dev/null; then
+      echo "$name has ended:" >&2
+      tail -n 3 "$OUT/$name.log" >&2
+      return 1
+    fi
+  done <"$PIDS"
+}
+
 # entry ZONE-INDEX INSTANCE-INDEX sets the names and addresses of an entry instance.
 entry() {
   local n=$(($1 * ENTRIES_PER_ZONE + $2))
@@ -88,6 +114,7 @@
   local i
   for ((i = 0; i < 600; i++)); do
     if curl -sf -o "$OUT/probe" "$1"; then return 0; fi
+    check_running || return 1
     sleep 0.05
   done
   echo "no answer from $1; see $OUT" >&2
@@ -115,35 +142,72 @@
   SAVORY_TOKEN=$(token "$OPERATOR") SAVORY_ENDPOINTS=$OPERATORS "$BIN/savoryctl" "$@"
 }
 
-# start_system starts everything, publishes the deployment's example configuration and waits until all are ready.
-start_system() {
+# start_processes starts everything and waits until all instances answer. They have no configuration yet.
+start_processes() {
   mkdir -p "$OUT"
+  check_ports
   : >"$PIDS"
   make_keys
   start_platform
   each_entry start_entry
   each_entry wait_live
-  ctl config publish --yes "examples/$DEPLOYMENT/config.yaml" >"$OUT/publish.log" 2>&1 || { cat "$OUT/publish.log"; return 1; }
+  check_running
+}
+
+# publish FILE publishes a configuration and waits until all instances are ready and have heard each other.
+publish() {
+  ctl config publish --yes "$1" >"$OUT/publish.log" 2>&1 || { cat "$OUT/publish.log" >&2; return 1; }
   each_entry wait_ready
   each_entry wait_members
 }
 
-# stop_system stops what launch has started, entry instances first and as planned.
+# start_system starts everything with the deployment's example configuration.
+start_system() {
+  start_processes
+  publish "examples/$DEPLOYMENT/config.yaml"
+}
+
+# stop_system stops what launch has started, entry instances first and as planned, also from another shell.
 stop_system() {
-  local pid name status=0
+  local status=0
   [ -f "$PIDS" ] || return 0
+  signal_all 'e[0-9]*' ''
+  await_all 'e[0-9]*' '' || status=1
+  signal_all '*' 'e[0-9]*'
+  await_all '*' 'e[0-9]*' || true
+  rm -f "$PIDS"
+  return $status
+}
+
+# is_ours PID says whether the process is one of the project's programs: an id may have been given to another process.
+is_ours() {
+  case $(cat "/proc/$1/comm" 2>/dev/null || ps -o comm= -p "$1" 2>/dev/null) in
+    savoryd* | savory-*) return 0 ;;
+  esac
+  return 1
+}
+
+# signal_all PATTERN EXCEPT asks the processes of these names to stop.
+signal_all() {
+  local pid name
   while read -r pid name; do
-    case $name in e[0-9]*) kill -TERM "$pid" 2>/dev/null || true ;; esac
-  done <"$PIDS"
-  while read -r pid name; do
-    case $name in e[0-9]*) wait "$pid" || { echo "$name stopped with status $?; see $OUT/$name.log" >&2; status=1; } ;; esac
-  done <"$PIDS"
-  while read -r pid name; do
-    case $name in e[0-9]*) ;; *) kill -TERM "$pid" 2>/dev/null || true ;; esac
+    if [[ $name == $1 && $name != $2 ]] && is_ours "$pid"; then kill -TERM "$pid" 2>/dev/null || true; fi
   done <"$PIDS"
+}
+
+# await_all PATTERN EXCEPT waits until the processes of these names have ended.
+await_all() {
+  local pid name code status=0
   while read -r pid name; do
-    case $name in e[0-9]*) ;; *) wait "$pid" 2>/dev/null || true ;; esac
+    [[ $name == $1 && $name != $2 ]] || continue
+    code=0
+    wait "$pid" 2>/dev/null || code=$?
+    # 127: started by another shell, which has its status.
+    while [ "$code" = 127 ] && is_ours "$pid"; do sleep 0.05; done
+    case $code in
+      0 | 127) ;;
+      *) echo "$name stopped with status $code; see $OUT/$name.log" >&2; status=1 ;;
+    esac
   done <"$PIDS"
-  rm -f "$PIDS"
   return $status
 }
--- /dev/null
+++ b/scripts/up.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Starts a deployment on loopback and leaves it running until scripts/down.sh. It has no configuration yet, unless
+# CONFIG names one to publish.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/lib.sh
+
+if [ -f "$PIDS" ]; then
+  echo "$OUT holds a running deployment; end it with: make demo-down${OUT_GIVEN:+ OUT=$OUT}" >&2
+  exit 1
+fi
+rm -rf "$OUT"
+trap 'stop_system || true' EXIT
+echo "starting $WORKERS workers and $((ENTRIES_PER_ZONE * ${#ZONES[@]})) entry instances in ${#ZONES[@]} availability zones"
+start_processes
+if [ -n "${CONFIG:-}" ]; then publish "$CONFIG"; fi
+
+# Absolute, so that the lines work in every directory.
+out=$(cd "$OUT" && pwd)
+mkdir -p "$OUT/tokens"
+for name in "$OPERATOR" "$VIEWER" "$CALLER"; do (umask 077 && token "$name" >"$OUT/tokens/$name"); done
+operators=() callers=()
+show_entry() {
+  echo "  $NAME in $ZONE: callers $CALLERS, operators $OPERATORS"
+  operators+=("$OPERATORS"); callers+=("$CALLERS")
+}
+each_entry show_entry
+join() { local IFS=,; echo "$*"; }
+cat >"$OUT/env" <<END
+export PATH=$(cd "$BIN" && pwd):\$PATH
+export SAVORY_ENDPOINTS=$(join "${operators[@]}")
+export SAVORY_CALLERS=$(join "${callers[@]}")
+export SAVORY_TOKEN_FILE=$out/tokens/$OPERATOR
+export CALLER_TOKEN_FILE=$out/tokens/$CALLER
+END
+trap - EXIT
+echo "running; state, logs and process ids are in $OUT. Paste this line into your shell, or the ones below:"
+echo "  . $OUT/env"
+sed 's/^/  /' "$OUT/env"
+echo "operator $OPERATOR is SAVORY_TOKEN_FILE, caller $CALLER is CALLER_TOKEN_FILE, viewer $VIEWER is $out/tokens/$VIEWER"
+if [ -z "${CONFIG:-}" ]; then echo "no configuration is published yet: savoryctl config publish examples/$DEPLOYMENT/config.yaml"; fi
+echo "end it with: make demo-down${OUT_GIVEN:+ OUT=$OUT}"
