Bound of deadlines that callers state; restoration of a log without a base

Cause: closing hours bounded only the deadline that the configuration supplies, while a caller could state 10 minutes, a minute before closing. The controller's Restore had no endpoint, so operators could not use it. A publication that was refused because the log could not be read said only that something is not available. The history showed schema 0, and 'config get' showed the year 1 as the time of publication.

Change: services have max_deadline (default 10m, at least default_deadline), which the questionnaire derives from closing.last_request; the validate filter refuses more with out_of_range, field deadline_ms and the bound. POST /v1/config/restore (operators only) and 'savoryctl config restore' call Restore, with result code restore_not_needed (606) where the instance misses no record. config_unavailable carries the reason. History and current version carry schema and time.

--- a/internal/config/controller_test.go
+++ b/internal/config/controller_test.go
@@ -249,6 +249,7 @@
 	w.is.Equal(w.publish(d, 5).Ending, NotAccepted)
 	w.is.Equal(d.Restore(w.ctx, "ann", validDoc(5)).Ending, Won)
 	w.is.Equal(w.publish(d, 6).Ending, Won)
+	w.is.Equal(d.Restore(w.ctx, "ann", validDoc(7)).Ending, NotNeeded)
 }
 
 // Guards against a log that lost its records and counts from 0 again: nobody could publish any more, or an instance
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -10,6 +10,7 @@
 // Version is one entry of the history.
 type Version struct {
 	Version  uint64    `json:"version"`
+	Schema   int       `json:"schema"`
 	Author   string    `json:"author"`
 	Digest   string    `json:"digest"`
 	Nonce    string    `json:"nonce"`
@@ -20,7 +21,7 @@
 // remember adds the current state to the history. c.mu is held.
 func (c *Controller) remember() {
 	s := c.state
-	c.history = append(c.history, Version{s.Version, s.Author, s.Digest, s.Nonce, c.opts.Clock.Now(), s.Document})
+	c.history = append(c.history, Version{s.Version, s.Schema, s.Author, s.Digest, s.Nonce, c.opts.Clock.Now(), s.Document})
 	if extra := len(c.history) - c.opts.History; extra > 0 {
 		c.history = append([]Version(nil), c.history[extra:]...)
 	}
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -30,6 +30,7 @@
 	Won         Ending = "won"          // the document is the version Outcome.Version
 	LostTo      Ending = "lost"         // another author has replaced the base: Outcome.Version, Outcome.Author
 	NotAccepted Ending = "not accepted" // the document was not appended or is invalid; Outcome.Reason says why
+	NotNeeded   Ending = "not needed"   // only of Restore: the instance misses no record, so it can publish
 	Unknown     Ending = "unknown"      // the append may have taken effect; it has not been found in the log in time
 )
 
@@ -100,7 +101,7 @@
 	case c.newer > 0:
 		out = notAccepted("the current version has schema %d, this instance reads up to %d", c.newer, SchemaVersion)
 	case c.behind():
-		out = notAccepted("records of the log are missing on this instance; publish at another one")
+		out = notAccepted("this instance misses records of the log; publish at another one, or restore if all of them say so")
 	case p.Replaces < c.state.Version:
 		out = c.replaced(p)
 	case p.Replaces > c.state.Version:
--- a/internal/config/restore.go
+++ b/internal/config/restore.go
@@ -22,7 +22,7 @@
 	}
 	r, ok := c.restoreRecord()
 	if !ok {
-		return notAccepted("this instance has folded the whole log; publish instead")
+		return Outcome{Ending: NotNeeded, Reason: "this instance has the whole log; publish instead"}
 	}
 	r.Nonce = rand.Text()
 	r.Schema, r.Author, r.Document, r.Digest = cfg.Schema, author, string(document), DocumentDigest(document)
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -47,6 +47,7 @@
 	Idempotent      bool          `yaml:"idempotent" json:"idempotent" doc:"a second run does no harm; used for the advice in an answer that says may have run"`
 	MaxRunTime      time.Duration `yaml:"max_run_time" json:"max_run_time" validate:"min=1ms,max=10m" doc:"longest run time that a task may declare"`
 	DefaultDeadline time.Duration `yaml:"default_deadline" json:"default_deadline" validate:"min=1ms,max=10m" doc:"deadline of a job that states none; not below expected_run_time"`
+	MaxDeadline     time.Duration `yaml:"max_deadline" json:"max_deadline" validate:"min=1ms,max=10m" doc:"longest deadline that a caller may state; not below default_deadline"`
 	ExpectedRunTime time.Duration `yaml:"expected_run_time" json:"expected_run_time" validate:"min=1ms,max=10m" doc:"run time that is assumed until it is learned; not above max_run_time"`
 	DefaultSize     Size          `yaml:"default_size" json:"default_size" doc:"size of a task that declares none"`
 }
@@ -153,6 +154,7 @@
 func (s *Service) setDefaults() {
 	s.MaxRunTime = time.Minute
 	s.DefaultDeadline = 30 * time.Second
+	s.MaxDeadline = 10 * time.Minute
 	s.ExpectedRunTime = 250 * time.Millisecond
 	s.DefaultSize = Size{Cores: 1, MemoryMB: 512}
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -148,6 +148,9 @@
 	if s.DefaultDeadline < s.ExpectedRunTime {
 		r.add(path+".default_deadline", s.DefaultDeadline, fmt.Sprintf("must be at least expected_run_time, which is %s", s.ExpectedRunTime))
 	}
+	if s.MaxDeadline < s.DefaultDeadline {
+		r.add(path+".max_deadline", s.MaxDeadline, fmt.Sprintf("must be at least default_deadline, which is %s", s.DefaultDeadline))
+	}
 }
 
 func (r *relation) team(path string, t *Team) {
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -117,6 +117,14 @@
 				"is read from the history.\n\n" +
 				"Examples:\n  savoryctl config publish config.yaml\n  savoryctl config publish --yes --replaces 41 config.yaml",
 		},
+		{
+			name: "restore", short: "Give the log a new base after its records were lost", data: &configRestoreCommand{app: a},
+			long: "Needed only when the log's retention has dropped records that no live instance has, for example after " +
+				"the whole system was stopped for longer than the retention. Then 'config publish' is refused with " +
+				"config_unavailable on every instance, and new instances are not ready. The file becomes the configuration " +
+				"under a version above every known one. An instance that misses no record refuses with " +
+				"restore_not_needed: publish instead.\n\nExample:\n  savoryctl config restore config.yaml",
+		},
 		{
 			name: "history", short: "List the published versions", data: &configHistoryCommand{app: a},
 			long: "Example:\n  savoryctl config history --max 5",
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -113,6 +113,23 @@
 	c.run(ExitRefused, "", "config", "publish", "--yes", file)
 }
 
+// Guards against a restoration where publishing is possible, without a question, or that is not followed up.
+func TestRestoreCommand(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	file := c.file("schema: 1\nteams: [counter]\n")
+	_, notes := c.run(ExitRefused, "", "config", "restore", "--yes", file)
+	c.has(notes, "restore_not_needed", "publish instead")
+	c.run(ExitRefused, "", "config", "restore", "--yes", c.file("tasks: 161"))
+	c.nodes[0].outcome = ops.ErrUnavailable // the first instance misses records
+	_, notes = c.run(ExitFailed, "n\n", "config", "restore", file)
+	c.has(notes, "lost records")
+	c.is.Equal(len(c.log), 1)
+	_, notes = c.run(ExitOK, "y\n", "config", "restore", file)
+	c.has(notes, "restored as version 2", "in force on 2 of 2")
+	c.as(secure.RoleViewer)
+	c.run(ExitRefused, "", "config", "restore", "--yes", file)
+}
+
 // Guards against a guess about a publication whose answer was lost: it took effect, or another one did, or it is open.
 func TestLostAnswerOfAPublication(t *testing.T) {
 	c := newCluster(t, "e1", "e2")
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -112,6 +112,17 @@
 	n.log = append([]opsapi.Config{next}, n.log...)
 	return next.Version, n.outcome
 }
+func (n *node) Restore(_ context.Context, author string, doc []byte) (int64, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.outcome == nil {
+		return 0, ops.ErrNotNeeded
+	}
+	n.outcome = nil
+	next := opsapi.Config{Version: n.log[0].Version + 1, Author: author, Document: string(doc)}
+	n.log = append([]opsapi.Config{next}, n.log...)
+	return next.Version, nil
+}
 func (n *node) Load(context.Context) (opsapi.Load, error) {
 	return opsapi.Load{Workers: opsapi.WorkerCounts{Owned: 1, Slots: 8}}, nil
 }
--- a/internal/entry/backend_config.go
+++ b/internal/entry/backend_config.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/savorypass/savorypass/internal/config"
 	"github.com/savorypass/savorypass/internal/ops"
@@ -21,17 +22,29 @@
 	}
 	return opsapi.Config{
 		Version: int64(u.State.Version), Schema: u.State.Schema, Author: u.State.Author, Nonce: u.State.Nonce, Digest: u.State.Digest,
-		Document: u.State.Document,
+		Published: b.inForce(u.State.Version), Document: u.State.Document,
 	}, nil
 }
 
+// inForce returns when a version came into force here, or zero if the history does not hold it any more.
+func (b configBackend) inForce(version uint64) time.Time {
+	for _, v := range b.c.History() {
+		if v.Version == version {
+			return v.InForce
+		}
+	}
+	return time.Time{}
+}
+
 // History implements ops.Config.
 func (b configBackend) History(_ context.Context, limit int) ([]opsapi.Config, error) {
 	kept := b.c.History()
 	var out []opsapi.Config
 	for i := len(kept) - 1; i >= 0 && len(out) < limit; i-- {
 		v := kept[i]
-		out = append(out, opsapi.Config{Version: int64(v.Version), Author: v.Author, Nonce: v.Nonce, Digest: v.Digest, Published: v.InForce})
+		out = append(out, opsapi.Config{
+			Version: int64(v.Version), Schema: v.Schema, Author: v.Author, Nonce: v.Nonce, Digest: v.Digest, Published: v.InForce,
+		})
 	}
 	return out, nil
 }
@@ -59,12 +72,23 @@
 
 // Publish implements ops.Config.
 func (b configBackend) Publish(ctx context.Context, p ops.Publication) (int64, error) {
-	out := b.c.Publish(ctx, config.Publication{
+	return ended(b.c.Publish(ctx, config.Publication{
 		Author: p.Author, Document: p.Document, Replaces: uint64(p.Replaces), Nonce: p.Nonce,
-	})
+	}))
+}
+
+// Restore implements ops.Config.
+func (b configBackend) Restore(ctx context.Context, author string, document []byte) (int64, error) {
+	return ended(b.c.Restore(ctx, author, document))
+}
+
+// ended returns the version of a publication that won, or the error for its ending.
+func ended(out config.Outcome) (int64, error) {
 	switch out.Ending {
 	case config.Won:
 		return int64(out.Version), nil
+	case config.NotNeeded:
+		return 0, ops.ErrNotNeeded
 	case config.LostTo:
 		return 0, ops.ErrConflict
 	case config.Unknown:
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -38,7 +38,7 @@
 	for _, svc := range c.Services {
 		s.view.Services[svc.Name] = filter.Service{
 			Idempotent: svc.Idempotent, Deadline: svc.DefaultDeadline, RunTime: svc.ExpectedRunTime,
-			MaxRunTime: svc.MaxRunTime, Size: svc.DefaultSize.Platform(),
+			MaxDeadline: svc.MaxDeadline, MaxRunTime: svc.MaxRunTime, Size: svc.DefaultSize.Platform(),
 		}
 	}
 	for i := range c.Teams {
--- a/internal/filter/validate/validate.go
+++ b/internal/filter/validate/validate.go
@@ -49,6 +49,10 @@
 		return nil, api.Errorf(result.TooManyTasks, "tasks", "tasks has %d entries, at most %d", len(sub.Tasks), v.Limits.TasksPerJob)
 	}
 	deadline := svc.Deadline
+	if limit := svc.MaxDeadline; limit > 0 && sub.DeadlineMS > limit.Milliseconds() {
+		return nil, api.Errorf(result.OutOfRange, "deadline_ms", "deadline_ms is %d, at most %d for service %q",
+			sub.DeadlineMS, limit.Milliseconds(), sub.Service)
+	}
 	if sub.DeadlineMS > 0 {
 		deadline = time.Duration(sub.DeadlineMS) * time.Millisecond
 	}
--- a/internal/filter/view.go
+++ b/internal/filter/view.go
@@ -15,11 +15,12 @@
 
 // Service is the configuration of one kind of task.
 type Service struct {
-	Idempotent bool
-	Deadline   time.Duration // default
-	RunTime    time.Duration // expected, where a task declares none
-	MaxRunTime time.Duration // bound of declared run times
-	Size       sched.Size    // where a task declares none
+	Idempotent  bool
+	Deadline    time.Duration // default
+	MaxDeadline time.Duration // bound of deadlines that callers state
+	RunTime     time.Duration // expected, where a task declares none
+	MaxRunTime  time.Duration // bound of declared run times
+	Size        sched.Size    // where a task declares none
 }
 
 // Limits bounds what callers may ask.
--- a/internal/ops/backend.go
+++ b/internal/ops/backend.go
@@ -15,7 +15,10 @@
 	ErrConflict = errors.New("ops: another version was published")
 	// ErrUnresolved says that a document may have been published.
 	ErrUnresolved = errors.New("ops: the outcome of the publication is unknown")
-	// ErrUnavailable says that nothing was published, because the log refused or there is no configuration yet.
+	// ErrNotNeeded says that a document cannot be restored here, because the instance misses no record of the log.
+	ErrNotNeeded = errors.New("ops: nothing to restore")
+	// ErrUnavailable says that nothing was published, because the log refused or there is no configuration yet. A reason may
+	// follow it in the text, after a colon.
 	ErrUnavailable = errors.New("ops: the configuration is not available")
 )
 
@@ -44,6 +47,9 @@
 	// Publish appends a record and returns the version that it got. It returns *InvalidError, ErrConflict,
 	// ErrUnresolved or ErrUnavailable.
 	Publish(ctx context.Context, p Publication) (int64, error)
+	// Restore appends a document as the new base of a log whose records are lost and returns its version. Besides the
+	// errors of Publish it returns ErrNotNeeded.
+	Restore(ctx context.Context, author string, document []byte) (int64, error)
 }
 
 // Engine owns the jobs and the slots.
--- a/internal/ops/config.go
+++ b/internal/ops/config.go
@@ -75,6 +75,25 @@
 	return nil
 }
 
+// restore hands a document to the controller as the new base of the log.
+func (s *Server) restore(c *call) error {
+	document := append([]byte(nil), c.http.PostBody()...)
+	if problems := s.o.Config.Validate(document); len(problems) > 0 {
+		return &InvalidError{problems}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	version, err := s.o.Config.Restore(ctx, c.who.Name, document)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = ErrUnresolved
+	}
+	if err != nil {
+		return err
+	}
+	writeJSON(c.http, http.StatusOK, opsapi.Published{Version: version})
+	return nil
+}
+
 func (s *Server) conflict(replaces int64) error {
 	e := opsapi.NewError(result.ConfigConflict, fmt.Sprintf("version %d is not the current version any more", replaces))
 	if current, err := s.o.Config.Current(); err == nil {
--- a/internal/ops/opsapi/opsapi.go
+++ b/internal/ops/opsapi/opsapi.go
@@ -18,6 +18,7 @@
 	PathConfig   = "/v1/config"
 	PathHistory  = "/v1/config/history"
 	PathValidate = "/v1/config/validate"
+	PathRestore  = "/v1/config/restore"
 	PathDrain    = "/v1/drain"
 	PathStatus   = "/v1/status"
 	PathWorkers  = "/v1/workers"
@@ -105,7 +106,7 @@
 // Published answers a publication.
 type Published struct {
 	Version int64  `json:"version"`
-	Nonce   string `json:"nonce"`
+	Nonce   string `json:"nonce,omitempty"` // absent after a restoration
 }
 
 // MemberState is an instance's view of a peer.
--- a/internal/ops/route.go
+++ b/internal/ops/route.go
@@ -34,6 +34,7 @@
 	{http.MethodDelete, opsapi.PathJobs + "/", secure.RoleOperator, maxSmallBytes, (*Server).cancel},
 	{http.MethodGet, opsapi.PathConfig, secure.RoleViewer, 0, (*Server).config},
 	{http.MethodPut, opsapi.PathConfig, secure.RoleOperator, maxDocumentBytes, (*Server).publish},
+	{http.MethodPost, opsapi.PathRestore, secure.RoleOperator, maxDocumentBytes, (*Server).restore},
 	{http.MethodGet, opsapi.PathHistory, secure.RoleViewer, 0, (*Server).history},
 	{http.MethodPost, opsapi.PathValidate, secure.RoleViewer, maxDocumentBytes, (*Server).validate},
 	{http.MethodPost, opsapi.PathDrain, secure.RoleOperator, maxSmallBytes, (*Server).drain},
--- a/internal/ops/server.go
+++ b/internal/ops/server.go
@@ -9,6 +9,7 @@
 	"expvar"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -210,8 +211,13 @@
 		return opsapi.NewError(result.ConfigConflict, "another version was published")
 	case errors.Is(err, ErrUnresolved):
 		return opsapi.NewError(result.ConfigUnresolved, "the outcome of the publication is unknown")
+	case errors.Is(err, ErrNotNeeded):
+		return opsapi.NewError(result.RestoreNotNeeded, "this instance misses no record of the log")
 	case errors.Is(err, ErrUnavailable):
-		return opsapi.NewError(result.ConfigUnavailable, "the log service or the configuration is not available")
+		if reason, ok := strings.CutPrefix(err.Error(), ErrUnavailable.Error()+": "); ok {
+			return opsapi.NewError(result.ConfigUnavailable, reason)
+		}
+		return opsapi.NewError(result.ConfigUnavailable, "the instance has no configuration")
 	case errors.Is(err, context.DeadlineExceeded):
 		return opsapi.NewError(result.Timeout, "no answer in time")
 	}
--- a/internal/ops/server_test.go
+++ b/internal/ops/server_test.go
@@ -47,6 +47,10 @@
 	p.published = append(p.published, pub)
 	return 8, p.outcome
 }
+func (p *parts) Restore(_ context.Context, author string, doc []byte) (int64, error) {
+	p.published = append(p.published, Publication{Author: author, Document: doc})
+	return 9, p.outcome
+}
 func (p *parts) Load(context.Context) (opsapi.Load, error)        { return opsapi.Load{Queued: 5}, nil }
 func (p *parts) Workers(context.Context) ([]opsapi.Worker, error) { panic("broken part") }
 func (p *parts) Teams(context.Context) ([]opsapi.Team, error) {
@@ -183,6 +187,21 @@
 		d.parts.outcome = outcome
 		d.refused(code, "operator", "PUT", "/v1/config?replaces=6", "schema: 1\n")
 	}
+	d.parts.outcome = fmt.Errorf("%w: the log cannot be read", ErrUnavailable)
+	e := d.refused(result.ConfigUnavailable, "operator", "PUT", "/v1/config?replaces=6", "schema: 1\n")
+	d.is.Equal(e.Message, "the log cannot be read") // an operator sees the reason
+}
+
+// Guards against a restoration of an invalid document, and against one that hides that publishing is possible.
+func TestRestore(t *testing.T) {
+	d := newDoor(t, false)
+	d.refused(result.ConfigInvalid, "operator", "POST", "/v1/config/restore", "x")
+	d.is.Equal(len(d.parts.published), 0)
+	status, text := d.do("operator", "POST", "/v1/config/restore", "schema: 1\n")
+	d.is.Equal(fmt.Sprintf("%d %s", status, text), `200 {"version":9}`)
+	d.is.Equal(d.parts.published[0].Author, "ines")
+	d.parts.outcome = ErrNotNeeded
+	d.refused(result.RestoreNotNeeded, "operator", "POST", "/v1/config/restore", "schema: 1\n")
 }
 
 // Guards against a failing part that ends the process or shows internals, and against wrong answers to odd requests.
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -84,6 +84,7 @@
 	ConfigUnavailable Code = 603
 	NoSuchObject      Code = 604
 	Timeout           Code = 605
+	RestoreNotNeeded  Code = 606
 )
 
 // Internal reports a fault of the dispatcher itself.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -66,6 +66,7 @@
 	ConfigConflict:    {"config_conflict", 409, NotRun, false, "another version was published since the one that the request replaces", "read the current version, apply the change to it and publish again"},
 	ConfigUnresolved:  {"config_unresolved", 503, MayHaveRun, false, "the log's answer was lost; the document may have been published", "look for the nonce in GET /v1/config/history before publishing again"},
 	ConfigUnavailable: {"config_unavailable", 503, NotRun, false, "the log service refuses or the instance has no configuration; nothing was published", "try again when the log service is back"},
+	RestoreNotNeeded:  {"restore_not_needed", 409, NotRun, false, "the instance misses no record of the log; nothing was changed", "publish instead"},
 	NoSuchObject:      {"no_such_object", 404, NotRun, false, "there is no worker, job, dump or version of this name here", "check the name and the instance"},
 	Timeout:           {"timeout", 504, MayHaveRun, false, "a part of the instance did not answer in time", "look at the state before repeating a change"},
 
--- a/internal/setup/derive.go
+++ b/internal/setup/derive.go
@@ -72,6 +72,11 @@
 	return a.beforeClosing(v)
 }
 
+// maxDeadline keeps callers from asking for more than can end before closing time.
+func (a *Answers) maxDeadline() value[time.Duration] {
+	return a.beforeClosing(from(maxDeadline, "longest that the schema allows"))
+}
+
 func (a *Answers) beforeClosing(v value[time.Duration]) value[time.Duration] {
 	if limit := a.deadlineLimit(); v.V > limit && !a.Closing.NightShift {
 		return from(limit, "%s, bounded by closing.last_request: %s", v.From, limit)
--- a/internal/setup/write.go
+++ b/internal/setup/write.go
@@ -71,6 +71,7 @@
 		put(w, 2, "idempotent", a.idempotent(s))
 		put(w, 2, "max_run_time", a.maxRunTime(s))
 		put(w, 2, "default_deadline", a.deadline(s))
+		put(w, 2, "max_deadline", a.maxDeadline())
 		put(w, 2, "expected_run_time", from(s.RunTime, "run_time: %s", s.RunTime))
 		size := config.Size{Cores: s.Cores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
 		put(w, 2, "default_size", from(size, "cores, memory_mb, accelerators"))
