savoryctl: views that are readable at a glance, and refusals that name the usual mistake

Cause: tried against a running system. A job refused as backlogged would have been answered with code 0, complete, because the reason was missing in the table of refusals.

Change: a summary line and one line per instance that is not ready; columns without any value are left out; use and quota stand in one column; a total in 'top'; texts with the bound and the usual mistake; REFUSED, failed tasks and the expected wait of a queue leave the operators' interface, since nothing ever set them.

--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -184,7 +185,7 @@
 
 type topCommand struct {
 	app      *app
-	Interval time.Duration `long:"interval" default:"1s" description:"time between two views, at least 200ms"`
+	Interval time.Duration `long:"interval" default:"1s" description:"time between two views, at least 200ms; with --once the time over which the rate is taken"`
 	Once     bool          `long:"once" description:"show one view and end"`
 
 	starts map[string]int64 // at the last view, by instance
@@ -217,18 +218,30 @@
 }
 
 type quantiles struct {
-	P50 float64 `json:"p50"`
-	P99 float64 `json:"p99"`
+	Count int64   `json:"count"` // in the last minute
+	P50   float64 `json:"p50"`
+	P99   float64 `json:"p99"`
+}
+
+// cells returns the ratio's p99 and the wait's p50 and p99, empty without a value in the last minute.
+func (v *topVars) cells() (ratio, p50, p99 string) {
+	if v.Ratio.Count > 0 {
+		ratio = fmt.Sprintf("%.2f", v.Ratio.P99)
+	}
+	if v.Wait.Count > 0 {
+		p50, p99 = fmt.Sprintf("%.1f", v.Wait.P50), fmt.Sprintf("%.1f", v.Wait.P99)
+	}
+	return ratio, p50, p99
 }
 
 // Execute shows the view once or until it is interrupted. A view that fails is shown as such and tried again.
 func (c *topCommand) Execute([]string) error {
-	if c.Once {
-		return c.view("")
-	}
 	if c.Interval < minTopInterval {
 		return usagef("--interval is %v, must be at least %v", c.Interval, minTopInterval)
 	}
+	if c.Once {
+		return c.once()
+	}
 	if err := c.view(clearScreen); exitCode(err) != ExitOK && exitCode(err) != ExitPartly {
 		return err // wrong settings do not heal
 	}
@@ -240,16 +253,36 @@
 	}
 }
 
+// once looks twice, because a rate needs two readings.
+func (c *topCommand) once() error {
+	if _, _, err := c.look(); err != nil {
+		return err
+	}
+	c.app.Sleep(c.Interval)
+	return c.view("")
+}
+
 func (c *topCommand) view(before string) error {
+	top, views, err := c.look()
+	if err != nil {
+		return err
+	}
+	if err := c.print(before, top); err != nil {
+		return err
+	}
+	return c.app.incomplete(views)
+}
+
+func (c *topCommand) look() (*topView, []instanceView, error) {
 	views, vars, err := gather[struct {
 		Savory topVars `json:"savory"`
 	}](c.app, opsapi.PathVars)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	_, teams, err := gather[opsapi.Teams](c.app, opsapi.PathTeams)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	top := topView{Teams: mergeTeams(views, teams)}
 	now := c.app.Now()
@@ -266,10 +299,7 @@
 		top.Instances = append(top.Instances, line)
 	}
 	c.starts, c.at = seen, now
-	if err := c.print(before, &top); err != nil {
-		return err
-	}
-	return c.app.incomplete(views)
+	return &top, views, nil
 }
 
 func (c *topCommand) print(before string, top *topView) error {
@@ -277,16 +307,22 @@
 		return c.app.showJSON(top)
 	}
 	fmt.Fprint(c.app.Out, before)
-	t := newTable("ZONE", "INSTANCE", "STATE", "CONFIG", "JOBS", "QUEUED", "RUNNING", "FREE", "STARTS", "STARTS/S", "RATIO_P99", "WAIT_P50_MS", "WAIT_P99_MS")
+	t := newTable("ZONE", "INSTANCE", "STATE", "JOBS", "QUEUED", "RUNNING", "FREE", "STARTS/S", "RATIO_P99", "WAIT_P50_MS", "WAIT_P99_MS")
+	var sum opsapi.Status
+	rate := 0.0
 	for _, v := range top.Instances {
 		if v.Status == nil {
-			t.add(v.Zone, v.Instance, v.State, v.ConfigVersion, "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?", "?", "?")
+			t.add(v.Zone, v.Instance, v.State, "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?", "?")
 			continue
 		}
 		s := v.Status
-		t.add(v.Zone, v.Instance, stateOf(s), s.ConfigVersion, s.Jobs, s.Queued, s.Running, s.Workers.FreeSlots,
-			v.Starts, int64(v.PerSecond), v.Vars.Ratio.P99, v.Vars.Wait.P50, v.Vars.Wait.P99)
+		ratio, p50, p99 := v.Vars.cells()
+		t.add(v.Zone, v.Instance, stateOf(s), s.Jobs, s.Queued, s.Running, s.Workers.FreeSlots, math.Round(v.PerSecond), ratio, p50, p99)
+		sum.Jobs, sum.Queued, sum.Running = sum.Jobs+s.Jobs, sum.Queued+s.Queued, sum.Running+s.Running
+		sum.Workers.FreeSlots += s.Workers.FreeSlots
+		rate += v.PerSecond
 	}
+	t.add("all", "", "", sum.Jobs, sum.Queued, sum.Running, sum.Workers.FreeSlots, math.Round(rate), "", "", "")
 	if err := c.app.showTable(t); err != nil {
 		return err
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -88,6 +89,9 @@
 		return err
 	}
 	a.Endpoints = named(a.Endpoints)
+	if err := checkAddresses("--endpoint", a.Endpoints); err != nil {
+		return err
+	}
 	a.client = newClient(token, conf, a.Timeout)
 	return command.Execute(args)
 }
@@ -97,6 +101,20 @@
 	return slices.DeleteFunc(addresses, func(s string) bool { return strings.TrimSpace(s) == "" })
 }
 
+// checkAddresses refuses addresses without a port, which would be asked on port 80.
+func checkAddresses(option string, addresses []string) error {
+	for _, address := range addresses {
+		host := address
+		if _, rest, ok := strings.Cut(address, "://"); ok {
+			host = rest
+		}
+		if _, port, err := net.SplitHostPort(host); err != nil || port == "" {
+			return usagef("%s %q must be HOST:PORT or https://HOST:PORT", option, address)
+		}
+	}
+	return nil
+}
+
 // readToken takes the token from a file or the environment, never from an argument that other users can see.
 func (a *app) readToken() (secure.Secret, error) {
 	if a.TokenFile == "" {
--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/savorypass/savorypass/internal/identity"
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
@@ -73,24 +74,31 @@
 
 func jobTable(j *opsapi.Job) *table {
 	t := newTable("FIELD", "VALUE")
+	// An ended job is known by its answer only, so what describes the open job is left out.
+	known := func(name string, v any) {
+		if !blank(cell(v)) {
+			t.add(name, v)
+		}
+	}
 	t.add("identity", j.Identity)
-	t.add("team", j.Team)
-	t.add("service", j.Service)
+	known("team", j.Team)
+	known("service", j.Service)
 	t.add("result", j.Name)
 	t.add("final", j.Final)
-	t.add("message", j.Message)
-	t.add("age", millis(j.AgeMS))
-	t.add("deadline in", millis(j.DeadlineMS))
-	t.add("tasks queued", j.Tasks.Queued)
-	t.add("tasks running", j.Tasks.Running)
-	t.add("tasks delegated", j.Tasks.Delegated)
-	t.add("tasks done", j.Tasks.Done)
-	t.add("tasks failed", j.Tasks.Failed)
+	known("message", j.Message)
+	known("age", millis(j.AgeMS))
+	known("deadline in", millis(j.DeadlineMS))
+	if !j.Final {
+		t.add("tasks queued", j.Tasks.Queued)
+		t.add("tasks running", j.Tasks.Running)
+		t.add("tasks delegated", j.Tasks.Delegated)
+		t.add("tasks done", j.Tasks.Done)
+	}
 	if j.Outcome != nil {
-		t.add("ran", j.Outcome.Ran)
-		t.add("not run", j.Outcome.NotRun)
-		t.add("may have run", j.Outcome.MayHaveRun)
+		t.add("tasks that ran", j.Outcome.Ran)
+		t.add("tasks not run", j.Outcome.NotRun)
+		t.add("tasks that may have run", j.Outcome.MayHaveRun)
 	}
-	t.add("workers", j.Workers)
+	known("workers", strings.Join(j.Workers, " "))
 	return t
 }
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
 )
@@ -19,9 +21,37 @@
 	if err != nil {
 		return err
 	}
+	if c.app.Output == "table" {
+		c.app.summarize(views)
+	}
 	return c.app.incomplete(views)
 }
 
+// summarize notes what an operator wants to know first: whether all are ready and on one version, and why not.
+func (a *app) summarize(views []instanceView) {
+	ready, free, slots, queued := 0, 0, 0, 0
+	versions := map[int64]bool{}
+	for _, v := range views {
+		if v.Status == nil {
+			continue
+		}
+		if v.Status.Ready {
+			ready++
+		} else {
+			a.notef("%s is not ready: %s", v.Instance, cell(strings.Join(v.Status.Reasons, "; ")))
+		}
+		free, slots, queued = free+v.Status.Workers.FreeSlots, slots+v.Status.Workers.Slots, queued+v.Status.Queued
+		versions[v.Status.ConfigVersion] = true
+	}
+	on := "configuration versions differ"
+	for version := range versions {
+		if len(versions) == 1 {
+			on = fmt.Sprintf("all on configuration version %d", version)
+		}
+	}
+	a.notef("%d of %d instances ready, %s, %d of %d slots free, %d tasks queued", ready, len(views), on, free, slots, queued)
+}
+
 func statusTable(views []instanceView) *table {
 	t := newTable("ZONE", "INSTANCE", "STATE", "READY", "CONFIG", "JOBS", "QUEUED", "RUNNING", "FREE", "SLOTS", "WORKERS", "UPTIME")
 	for _, v := range views {
@@ -31,7 +61,7 @@
 		}
 		s := v.Status
 		t.add(v.Zone, v.Instance, stateOf(s), readiness(s), s.ConfigVersion, s.Jobs, s.Queued, s.Running,
-			s.Workers.FreeSlots, s.Workers.Slots, s.Workers.Owned, millis(s.UptimeMS))
+			s.Workers.FreeSlots, s.Workers.Slots, s.Workers.Owned, age(s.UptimeMS))
 	}
 	return t
 }
@@ -47,7 +77,7 @@
 	if s.Ready {
 		return "yes"
 	}
-	return "no " + cell(s.Reasons)
+	return "no"
 }
 
 type workersCommand struct {
@@ -82,7 +112,7 @@
 		t.add(w.Zone, w.Name, w.Rack, w.Owner, w.State, w.Running, w.Slots, w.Cores, w.MemoryMB, w.Accelerators,
 			w.Failures, millis(w.HeldOffMS))
 	}
-	return t
+	return t.hide("ACCELERATORS", "FAILURES", "HELD_OFF")
 }
 
 type teamsCommand struct{ app *app }
@@ -102,14 +132,17 @@
 }
 
 func teamsTable(list []opsapi.Team) *table {
-	t := newTable("TEAM", "WEIGHT", "QUEUED", "RUNNING", "REFUSED", "CORES", "OF", "MEMORY_MB", "OF", "ACCELERATORS", "OF")
+	t := newTable("TEAM", "WEIGHT", "QUEUED", "RUNNING", "CORES", "MEMORY_MB", "ACCELERATORS")
 	for _, m := range list {
-		t.add(m.Name, m.Weight, m.Queued, m.Running, m.Refused, m.Usage.Cores, m.Quota.Cores,
-			m.Usage.MemoryMB, m.Quota.MemoryMB, m.Usage.Accelerators, m.Quota.Accelerators)
+		t.add(m.Name, m.Weight, m.Queued, m.Running, used(m.Usage.Cores, m.Quota.Cores),
+			used(m.Usage.MemoryMB, m.Quota.MemoryMB), used(m.Usage.Accelerators, m.Quota.Accelerators))
 	}
-	return t
+	return t.hide("ACCELERATORS")
 }
 
+// used shows a team's use of its quota. A team may use more while others leave slots idle.
+func used(usage, quota any) string { return fmt.Sprintf("%v of %v", usage, quota) }
+
 // mergeTeams sums the work over instances. Usage is already a sum over an availability zone at each of its instances,
 // so the largest value of each zone is taken and the zones are summed.
 func mergeTeams(views []instanceView, answers map[string]opsapi.Teams) []opsapi.Team {
@@ -124,7 +157,6 @@
 			}
 			sum.Queued += m.Queued
 			sum.Running += m.Running
-			sum.Refused += m.Refused
 			at := [2]string{m.Name, v.Zone}
 			usage[at] = largest(usage[at], m.Usage)
 		}
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,6 +37,9 @@
 	if c.To = named(c.To); len(c.To) == 0 {
 		return usagef("no address to submit to: set SAVORY_CALLERS or --to")
 	}
+	if err := checkAddresses("--to", c.To); err != nil {
+		return err
+	}
 	job, err := c.read()
 	if err != nil {
 		return err
@@ -65,15 +67,18 @@
 	if err != nil {
 		return nil, err
 	}
+	// Without an identity, which is the last thing that is missing, the instance's own check says so.
+	_, problem := api.DecodeSubmit(text)
+	if problem == nil {
+		return nil, usagef("%s: has an identity; use --identity to submit again under one", c.Args.File)
+	}
+	if problem.Code != result.IdentityRequired {
+		return nil, usagef("%s: %w", c.Args.File, problem)
+	}
 	var job api.Submit
-	dec := json.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&job); err != nil {
+	if err := json.Unmarshal(text, &job); err != nil {
 		return nil, usagef("%s: %w", c.Args.File, err)
 	}
-	if job.Identity != "" {
-		return nil, usagef("%s: has an identity; use --identity to submit again under one", c.Args.File)
-	}
 	checked := job
 	checked.Identity = "unset"
 	body, err := json.Marshal(checked)
@@ -103,7 +108,18 @@
 	if err != nil {
 		return "", err
 	}
-	return "", exitf(answerCode(answer), "no identity: %s: %s", answer.Name, answer.Message)
+	return "", exitf(answerCode(answer), "no identity from %s: %s: %s%s", c.To[c.next%len(c.To)], answer.Name, answer.Message, hint(answer))
+}
+
+// hint names the usual mistake behind a refusal.
+func hint(a *api.Answer) string {
+	switch a.Code {
+	case result.Unauthenticated:
+		return "\nadvice: submit needs a caller's token, not an operator's: --token-file or SAVORY_TOKEN_FILE"
+	case result.UnknownPath:
+		return "\nadvice: --to and SAVORY_CALLERS name callers' addresses, not operators'"
+	}
+	return "\nadvice: " + a.Code.Info().Advice
 }
 
 // anywhere sends a request that may be repeated to each address in turn until one answers.
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -18,6 +18,16 @@
 	sched.QueueFull:   result.QueueFull,
 	sched.TooLate:     result.DeadlineUnreachable,
 	sched.WaitTooLong: result.QueueFull,
+	sched.Backlogged:  result.QueueFull,
+}
+
+var refusalTexts = map[sched.Reason]string{
+	sched.NoFit:       "a task asks for more cores, memory or accelerators than any worker has",
+	sched.NoSlots:     "there is no usable worker at present",
+	sched.QueueFull:   "the queue is at limits.queued_tasks",
+	sched.TooLate:     "the expected wait and run time exceed the deadline",
+	sched.WaitTooLong: "the expected wait exceeds admission.max_wait",
+	sched.Backlogged:  "the queued work exceeds what may wait",
 }
 
 // admitJob decides on a new job with the scheduler's estimate of this moment.
@@ -35,7 +45,7 @@
 	if v.OK() {
 		return nil
 	}
-	a := api.NewAnswer(refusalCodes[v.Reason], "not admitted: "+v.Reason.String())
+	a := api.NewAnswer(refusalCodes[v.Reason], refusalTexts[v.Reason])
 	a.RetryAfterMS = v.Retry.Milliseconds()
 	return a
 }
--- a/internal/ops/opsapi/opsapi.go
+++ b/internal/ops/opsapi/opsapi.go
@@ -149,11 +149,10 @@
 
 // Queue is the waiting work of one team.
 type Queue struct {
-	Team           string `json:"team"`
-	Jobs           int    `json:"jobs"`
-	Tasks          int    `json:"tasks"`
-	OldestMS       int64  `json:"oldest_ms"`
-	ExpectedWaitMS int64  `json:"expected_wait_ms"`
+	Team     string `json:"team"`
+	Jobs     int    `json:"jobs"`
+	Tasks    int    `json:"tasks"`
+	OldestMS int64  `json:"oldest_ms"`
 }
 
 // Load is the engine's part of a status.
@@ -227,7 +226,6 @@
 	Usage   Usage   `json:"usage"` // summed over the availability zone
 	Queued  int     `json:"queued"`
 	Running int     `json:"running"`
-	Refused int64   `json:"refused"`
 }
 
 // Teams answers PathTeams.
@@ -241,7 +239,6 @@
 	Running   int `json:"running"`
 	Delegated int `json:"delegated"`
 	Done      int `json:"done"`
-	Failed    int `json:"failed"`
 }
 
 // Job answers PathJobs/ID. Payloads and outputs belong to the team and are not shown.
