Getting started: from a questionnaire to a running service, each step one command

Cause: a new team had the parts (questionnaire, examples, savoryctl) and no path through them.

The scripts' default port is 8000, below the ports that failure tests choose. Workers that are held off for failures are shown with failures and remaining time.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -79,12 +79,15 @@
 	return c.app.show(h, func() *table {
 		t := newTable("VERSION", "PUBLISHED", "AUTHOR", "SCHEMA", "NONCE", "DIGEST")
 		for _, v := range h.Versions {
-			t.add(v.Version, v.Published.UTC().Format(time.RFC3339), v.Author, v.Schema, v.Nonce, v.Digest)
+			t.add(v.Version, v.Published.UTC().Format(time.RFC3339), v.Author, v.Schema, v.Nonce, short(v.Digest))
 		}
 		return t
 	})
 }
 
+// short returns the start of a digest, which is enough to compare versions by eye.
+func short(digest string) string { return digest[:min(len(digest), 12)] }
+
 func historyPath(max int) string {
 	return opsapi.PathHistory + "?" + opsapi.ArgMax + "=" + strconv.Itoa(max)
 }
--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -311,8 +311,12 @@
 	var sum opsapi.Status
 	rate := 0.0
 	for _, v := range top.Instances {
+		if v.State == opsapi.MemberGone {
+			t.add(v.Zone, v.Instance, v.State, "-", "-", "-", "-", "-", "-", "-", "-")
+			continue
+		}
 		if v.Status == nil {
-			t.add(v.Zone, v.Instance, v.State, "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?", "?")
+			t.add(v.Zone, v.Instance, seenState(&v.Member), "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?", "?")
 			continue
 		}
 		s := v.Status
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -55,8 +55,12 @@
 func statusTable(views []instanceView) *table {
 	t := newTable("ZONE", "INSTANCE", "STATE", "READY", "CONFIG", "JOBS", "QUEUED", "RUNNING", "FREE", "SLOTS", "WORKERS", "UPTIME")
 	for _, v := range views {
+		if v.State == opsapi.MemberGone {
+			t.add(v.Zone, v.Instance, v.State, "no", v.ConfigVersion, "-", "-", "-", "-", "-", "-", "-")
+			continue
+		}
 		if v.Status == nil {
-			t.add(v.Zone, v.Instance, v.State, "?", v.ConfigVersion, "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?")
+			t.add(v.Zone, v.Instance, seenState(&v.Member), "?", v.ConfigVersion, "?", v.Backlog, "?", v.FreeSlots, "?", "?", "?")
 			continue
 		}
 		s := v.Status
@@ -66,6 +70,14 @@
 	return t
 }
 
+// seenState is the state of an instance that does not answer: one that was draining has probably stopped as planned.
+func seenState(m *opsapi.Member) string {
+	if m.Draining {
+		return "draining"
+	}
+	return string(m.State)
+}
+
 func stateOf(s *opsapi.Status) string {
 	if s.Draining {
 		return "draining"
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -19,6 +19,8 @@
 	Slots     int                     `json:"slots"`
 	InFlight  int                     `json:"in_flight"`
 	RenewedMS int64                   `json:"renewed_ms_ago"`
+	Failures  int                     `json:"failures"`    // in a row
+	HeldOffMS int64                   `json:"held_off_ms"` // remaining time out of service for its failures
 	Size      sched.Size              `json:"size"`
 	Report    platform.EndpointStatus `json:"report"`
 }
@@ -82,7 +84,7 @@
 				d.Peers = append(d.Peers, PeerDump{Name: w.instance.Name, Delegated: len(w.flights)})
 				continue
 			}
-			d.Workers = append(d.Workers, w.dump(now))
+			d.Workers = append(d.Workers, e.dumpWorker(now, w))
 		}
 		d.Grants, d.Demands = len(e.grants), len(e.demand)
 		teams := map[string]*TeamDump{}
@@ -133,12 +135,17 @@
 	return d, ok
 }
 
-func (w *worker) dump(now time.Time) WorkerDump {
-	return WorkerDump{
+func (e *Engine) dumpWorker(now time.Time, w *worker) WorkerDump {
+	d := WorkerDump{
 		Name: w.instance.Name, Zone: w.instance.Zone, Rack: w.instance.Rack, Address: w.instance.Address,
 		State: w.state.String(), Slots: w.slots, InFlight: len(w.flights),
 		Size: w.instance.Size, RenewedMS: now.Sub(w.renewedAt).Milliseconds(), Report: w.status,
 	}
+	if s, ok := e.opts.Scheduler.(sched.HealthReporter); ok {
+		h := s.Health(now, w.instance.Name)
+		d.Failures, d.HeldOffMS = h.Failures, h.HeldOff.Milliseconds()
+	}
+	return d
 }
 
 func (j *Job) dump(now time.Time) JobDump {
--- a/internal/entry/backend_engine.go
+++ b/internal/entry/backend_engine.go
@@ -20,11 +20,13 @@
 	l := opsapi.Load{Jobs: d.Jobs, Queued: d.Scheduler.Queued, Running: d.Scheduler.Running}
 	l.Workers.Owned, l.Workers.Slots, l.Workers.FreeSlots = len(d.Workers), d.Scheduler.Slots, d.Scheduler.FreeSlots
 	for _, w := range d.Workers {
-		switch w.State {
-		case "leaving":
+		switch stateOf(&w) {
+		case opsapi.WorkerLeaving:
 			l.Workers.Leaving++
-		case "suspect":
+		case opsapi.WorkerSuspect:
 			l.Workers.Suspect++
+		case opsapi.WorkerHeldOff:
+			l.Workers.HeldOff++
 		default:
 			l.Workers.Ready++
 		}
@@ -47,13 +49,23 @@
 	for _, w := range b.e.engine.State().Workers {
 		out = append(out, opsapi.Worker{
 			Name: w.Name, Zone: w.Zone, Rack: w.Rack, Owner: b.e.opts.Name, Address: w.Address,
-			State: opsapi.WorkerState(w.State), Slots: w.Slots, Running: w.InFlight,
+			State: stateOf(&w), Slots: w.Slots, Running: w.InFlight,
 			Cores: w.Size.Cores, MemoryMB: w.Size.MemoryMB, Accelerators: w.Size.Accelerators,
+			Failures: w.Failures, HeldOffMS: w.HeldOffMS,
 		})
 	}
 	return out, nil
 }
 
+// stateOf returns a worker's state, where one that is held off for its failures is not ready.
+func stateOf(w *engine.WorkerDump) opsapi.WorkerState {
+	state := opsapi.WorkerState(w.State)
+	if state == opsapi.WorkerReady && w.HeldOffMS > 0 {
+		return opsapi.WorkerHeldOff
+	}
+	return state
+}
+
 // Teams implements ops.Engine.
 func (b engineBackend) Teams(context.Context) ([]opsapi.Team, error) {
 	s := b.e.current.Load()
--- a/internal/sched/fair/health.go
+++ b/internal/sched/fair/health.go
@@ -1,6 +1,8 @@
 package fair
 
 import (
+	"time"
+
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -49,6 +51,19 @@
 	}
 }
 
+// Health implements sched.HealthReporter.
+func (s *Scheduler) Health(now time.Time, worker string) sched.WorkerHealth {
+	w := s.workers[worker]
+	if w == nil {
+		return sched.WorkerHealth{}
+	}
+	h := sched.WorkerHealth{Failures: w.health.row}
+	if w.health.away {
+		h.HeldOff = time.Duration(max(w.health.back-s.clock(now), 0) * float64(time.Second))
+	}
+	return h
+}
+
 // learn updates the estimates and the worker's health from the end of a run.
 func (s *Scheduler) learn(now float64, w *worker, r run, o sched.Outcome) {
 	if o.Kind == platform.Succeeded {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -135,6 +135,18 @@
 	NextDeadline() (at time.Time, ok bool)
 }
 
+// WorkerHealth is what a scheduler knows of a worker's failures.
+type WorkerHealth struct {
+	Failures int           // in a row
+	HeldOff  time.Duration // remaining time out of service, 0 if it is in service
+}
+
+// HealthReporter is implemented by schedulers that take failing workers out of service.
+type HealthReporter interface {
+	// Health returns the zero value for an unknown worker.
+	Health(now time.Time, worker string) WorkerHealth
+}
+
 // Foreign describes a peer's task that runs on a slot of this instance.
 type Foreign struct {
 	Team    string
--- a/internal/setup/main.go
+++ b/internal/setup/main.go
@@ -94,7 +94,12 @@
 	if err != nil {
 		return err
 	}
-	return write(p.out, p.Out, doc)
+	if err := write(p.out, p.Out, doc); err != nil || p.Out == "" {
+		return err
+	}
+	fmt.Fprintf(p.err, "wrote %s: %d services, %d teams, %d operators; publish it with: savoryctl config publish %s\n",
+		p.Out, len(a.Services), len(a.Teams), len(a.Operators), p.Out)
+	return nil
 }
 
 // answers asks the questions on the error output, so that the configuration can be redirected.
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,7 +6,8 @@
 DEPLOYMENT=${DEPLOYMENT:-petra}
 OUT_GIVEN=${OUT:+yes}
 OUT=${OUT:-out/demo}
-BASE_PORT=${BASE_PORT:-18000}
+# Below 11000, where the failure tests take their ports, and below the ports of outgoing connections.
+BASE_PORT=${BASE_PORT:-8000}
 WORKERS=${WORKERS:-50}
 ENTRIES_PER_ZONE=${ENTRIES_PER_ZONE:-2}
 SCHEDULER=${SCHEDULER:-fair}
@@ -124,6 +125,16 @@
 wait_live() { wait_http "http://$OPERATORS/healthz"; }
 wait_ready() { wait_http "http://$OPERATORS/readyz"; }
 
+# wait_slots waits until an instance has workers; it may still be without a configuration.
+wait_slots() {
+  local i
+  for ((i = 0; i < 600; i++)); do
+    case $(curl -s "http://$OPERATORS/readyz") in *slot*) sleep 0.05 ;; *) return 0 ;; esac
+  done
+  echo "$NAME has no workers; see $OUT" >&2
+  return 1
+}
+
 # wait_members waits until an instance has heard all others.
 wait_members() {
   local i all=$((ENTRIES_PER_ZONE * ${#ZONES[@]}))
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -13,6 +13,8 @@
 trap 'stop_system || true' EXIT
 echo "starting $WORKERS workers and $((ENTRIES_PER_ZONE * ${#ZONES[@]})) entry instances in ${#ZONES[@]} availability zones"
 start_processes
+each_entry wait_members
+each_entry wait_slots
 if [ -n "${CONFIG:-}" ]; then publish "$CONFIG"; fi
 
 # Absolute, so that the lines work in every directory.
@@ -32,11 +34,13 @@
 export SAVORY_CALLERS=$(join "${callers[@]}")
 export SAVORY_TOKEN_FILE=$out/tokens/$OPERATOR
 export CALLER_TOKEN_FILE=$out/tokens/$CALLER
+export A=${callers[0]} B=${callers[-1]} T=\$(cat $out/tokens/$CALLER)
 END
 trap - EXIT
-echo "running; state, logs and process ids are in $OUT. Paste this line into your shell, or the ones below:"
+echo "running; state, logs and process ids are in $OUT. For your shell:"
 echo "  . $OUT/env"
-sed 's/^/  /' "$OUT/env"
-echo "operator $OPERATOR is SAVORY_TOKEN_FILE, caller $CALLER is CALLER_TOKEN_FILE, viewer $VIEWER is $out/tokens/$VIEWER"
+echo "which sets"
+sed 's/^export /  /' "$OUT/env"
+echo "tokens: SAVORY_TOKEN_FILE is operator $OPERATOR, CALLER_TOKEN_FILE and T are caller $CALLER, viewer $VIEWER is in $out/tokens"
 if [ -z "${CONFIG:-}" ]; then echo "no configuration is published yet: savoryctl config publish examples/$DEPLOYMENT/config.yaml"; fi
 echo "end it with: make demo-down${OUT_GIVEN:+ OUT=$OUT}"
