--- a/internal/config/reference.go
+++ b/internal/config/reference.go
@@ -34,7 +34,7 @@
 
 - Names of services, teams and operators are unique, each among themselves; names of callers are unique within a team.
 - A token digest occurs once in the document.
-- ` + "`expected_run_time`" + ` is at most ` + "`max_run_time`" + ` and at most ` + "`default_deadline`" + `.
+- ` + "`expected_run_time`" + ` is at most ` + "`max_run_time`" + ` and at most ` + "`default_deadline`" + `, which is at most ` + "`max_deadline`" + `.
 - Each part of ` + "`hard_limit`" + ` is at least that of ` + "`quota`" + `.
 - ` + "`limits.queued_tasks`" + ` is at least ` + "`limits.tasks_per_job`" + `.
 - ` + "`retention.answer_retention`" + ` is at most ` + "`retention.identity_validity`" + `.
--- /dev/null
+++ b/internal/entry/main.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"context"
+	"os"
+
+	"github.com/savorypass/savorypass/internal/daemon"
+)
+
+// Main is the program savoryd. It returns the exit code.
+func Main() int {
+	var opts Options
+	daemon.MustLoad("savoryd", &opts)
+	log := daemon.NewLogger(os.Stderr, opts.LogOptions)
+	e, err := New(opts, log)
+	if err != nil {
+		log.WithError(err).Error("entry instance not started")
+		return daemon.ExitFault
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := daemon.Signals{Log: log, Drain: e.Drain, Kill: cancel, Reload: e.Reload, Dump: e.Dumps(), Output: os.Stderr}
+	go signals.Run(ctx)
+	if err := e.Run(ctx); err != nil {
+		log.WithError(err).Error("entry instance failed")
+		return daemon.ExitFault
+	}
+	return daemon.ExitOK
+}
