--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -15,6 +15,9 @@
 		// Validation has accepted the digests, so this is a fault of the program. The old tokens stay.
 		e.log.WithError(err).WithField("version", u.State.Version).Error("tokens not replaced")
 	}
+	// Records are kept longer before identities are valid longer, so that a valid identity never lacks its record.
+	e.registry.Retain(u.Config.Retention.IdentityValidity+recordMargin, u.Config.Retention.AnswerRetention)
+	e.issuer.SetValidity(u.Config.Retention.IdentityValidity)
 	e.current.Store(newSnapshot(u.State.Version, u.Config))
 	e.metrics.ConfigVersion.Set(int64(u.State.Version))
 	opts := schedulerOptions(u.Config)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,9 +48,13 @@
 const (
 	defaultValidity  = 10 * time.Minute
 	defaultRetention = time.Minute
-	expiryInterval   = time.Second
-	drainPoll        = 20 * time.Millisecond
-	closeTimeout     = 2 * time.Second
+
+	// recordMargin keeps a record beyond the identity's validity, for a submission that is held up between the check of
+	// the validity and the look-up of the record.
+	recordMargin   = time.Minute
+	expiryInterval = time.Second
+	drainPoll      = 20 * time.Millisecond
+	closeTimeout   = 2 * time.Second
 )
 
 // Entry is one running entry instance.
@@ -143,7 +147,7 @@
 }
 
 func newRegistry() *registry.Registry {
-	return registry.New(registry.Options{RecordTTL: defaultValidity, AnswerTTL: defaultRetention})
+	return registry.New(registry.Options{RecordTTL: defaultValidity + recordMargin, AnswerTTL: defaultRetention})
 }
 
 func newScheduler(name string) sched.Scheduler {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -49,6 +49,7 @@
 	entries map[string]*Entry
 	stops   map[string]context.CancelFunc
 	done    map[string]chan struct{}
+	hooks   []logrus.Hook // of the instances' logs
 }
 
 func newSystem(t *testing.T, zones ...string) *system {
@@ -98,6 +99,9 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	for _, h := range s.hooks {
+		log.AddHook(h)
+	}
 	e, err := New(Options{
 		Name: name, Zone: zone, Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0",
 		LogURL: "http://" + s.log.Address(), InstancesURL: "http://" + s.list.Address(),
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -73,12 +73,19 @@
 
 // Issuer issues the identities of one incarnation and verifies them.
 type Issuer struct {
-	home     Home
-	prefix   string
+	home   Home
+	prefix string
+	term   atomic.Pointer[term]
+	age    func() time.Duration // time since the incarnation's start, monotonic
+	seq    atomic.Uint64
+	macs   sync.Pool
+}
+
+// term says which identities are valid.
+type term struct {
 	validity time.Duration
-	age      func() time.Duration // time since the incarnation's start, monotonic
-	seq      atomic.Uint64
-	macs     sync.Pool
+	longest  time.Duration // longest validity so far
+	floor    time.Duration // identities issued earlier had expired before the validity became longer
 }
 
 // NewIssuer returns an issuer with a fresh random key. age must return the monotonic time since start.
@@ -86,7 +93,8 @@
 	key := make([]byte, sha256.Size)
 	rand.Read(key) // never fails; it aborts the process where no randomness is to be had
 	prefix := strings.Join([]string{version, home.Zone, home.Instance, strconv.FormatUint(home.Incarnation, 36)}, ".") + "."
-	i := &Issuer{home: home, prefix: prefix, validity: validity, age: age}
+	i := &Issuer{home: home, prefix: prefix, age: age}
+	i.term.Store(&term{validity: validity, longest: validity})
 	i.macs.New = func() any { return hmac.New(sha256.New, key) }
 	return i
 }
@@ -95,7 +103,20 @@
 func (i *Issuer) Home() Home { return i.home }
 
 // Validity returns how long an identity may be used for a first submission.
-func (i *Issuer) Validity() time.Duration { return i.validity }
+func (i *Issuer) Validity() time.Duration { return i.term.Load().validity }
+
+// SetValidity changes the validity of all identities. One that had ever expired stays expired, because its record may
+// be gone. Records must be kept for the longest validity so far, from before the call. It must not be called by two
+// goroutines at once.
+func (i *Issuer) SetValidity(validity time.Duration) {
+	next := *i.term.Load()
+	next.validity = validity
+	if validity > next.longest {
+		next.floor = max(next.floor, i.age()-next.longest)
+		next.longest = validity
+	}
+	i.term.Store(&next)
+}
 
 // Issue returns a new identity for a team.
 func (i *Issuer) Issue(team string) string {
@@ -115,7 +136,8 @@
 	if id.Home != i.home || !hmac.Equal(id.mac[:], i.sum(raw[:], team)) {
 		return ErrForged
 	}
-	if i.age()-id.Issued > i.validity {
+	t := i.term.Load()
+	if i.age()-id.Issued > t.validity || id.Issued < t.floor {
 		return ErrExpired
 	}
 	return nil
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -40,6 +40,24 @@
 	is.True(errors.Is(a.Verify(id, "survey"), ErrExpired))
 }
 
+// Guards against a longer validity that makes an identity valid again whose record may be dropped.
+func TestExpiredIdentitiesStayExpired(t *testing.T) {
+	is := is.New(t)
+	var now time.Duration
+	a := newIssuer(1, &now)
+	old, _ := Parse(a.Issue("survey"))
+	now = 6 * time.Minute
+	young, _ := Parse(a.Issue("survey"))
+	a.SetValidity(time.Minute)
+	now = 11 * time.Minute
+	is.True(errors.Is(a.Verify(young, "survey"), ErrExpired))
+	a.SetValidity(time.Hour)
+	is.True(errors.Is(a.Verify(old, "survey"), ErrExpired))
+	is.NoErr(a.Verify(young, "survey")) // its record was kept for 10 minutes all the time
+	now = 6*time.Minute + time.Hour + 1
+	is.True(errors.Is(a.Verify(young, "survey"), ErrExpired))
+}
+
 // Guards against a crash or acceptance on text that is no identity.
 func FuzzParse(f *testing.F) {
 	var now time.Duration
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -52,6 +52,15 @@
 	return &Registry{opts: opts, records: map[uint64]*record{}, byAge: list.New(), byFinish: list.New()}
 }
 
+// Retain changes how long records and answers are kept. Records are never kept shorter than before, because an
+// identity may have been verified under the longer validity a moment ago.
+func (r *Registry) Retain(records, answers time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.RecordTTL = max(r.opts.RecordTTL, records)
+	r.opts.AnswerTTL = answers
+}
+
 // Claim is the result of opening a record.
 type Claim int
 
