savoryctl: a silent zone costs 2 s once, not 5 s again and again

Change: a status is waited for 2 s at most, silent addresses are not asked twice, and endpoints of instances that the others see as gone are left out of later polls. 'no answer in time' instead of 'the connection broke'; drain and jobs name how the peers see an instance that does not answer.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -28,6 +28,9 @@
 }
 
 func (e *brokenError) Error() string {
+	if errors.Is(e.err, fasthttp.ErrTimeout) {
+		return fmt.Sprintf("%s: no answer in time", e.address)
+	}
 	if e.sent {
 		return fmt.Sprintf("%s: the connection broke before the answer: %v", e.address, e.err)
 	}
--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -69,7 +69,7 @@
 	for i := range views {
 		if views[i].Instance == name {
 			if views[i].Status == nil {
-				return nil, exitf(ExitUnreachable, "%s does not answer: %s", name, cell(views[i].Problem))
+				return nil, exitf(ExitUnreachable, "%s does not answer: %s", name, views[i].silence())
 			}
 			return &views[i], nil
 		}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -50,6 +50,7 @@
 	parser *flags.Parser
 	client *client
 	in     *bufio.Reader
+	gone   map[string]bool // operators' addresses of instances that the others see as gone
 }
 
 // Run carries out a command and returns the exit code.
--- a/internal/ctl/instances.go
+++ b/internal/ctl/instances.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"errors"
+	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
 )
@@ -24,20 +26,47 @@
 	return v.ConfigVersion
 }
 
+// silence says why there is no status.
+func (v *instanceView) silence() string {
+	if v.Problem == "" {
+		return "its peers see it as " + string(v.State)
+	}
+	return v.Problem
+}
+
 // instances finds all entry instances from the given endpoints' member lists and asks each for its status.
 func (a *app) instances() ([]instanceView, error) {
 	if err := a.needEndpoints(); err != nil {
 		return nil, err
 	}
-	found := survey{app: a, byName: map[string]*instanceView{}}
-	problems := found.ask(a.Endpoints)
+	found := survey{app: a, byName: map[string]*instanceView{}, failures: map[string]string{}}
+	problems := found.ask(a.present())
 	if len(found.byName) == 0 {
+		a.gone = nil
 		return nil, unanswered(problems)
 	}
 	found.ask(found.unasked())
-	return found.sorted(), nil
+	views := found.sorted()
+	a.gone = map[string]bool{}
+	for _, v := range views {
+		a.gone[v.Operators] = v.Status == nil && v.State == opsapi.MemberGone
+	}
+	return views, nil
+}
+
+// present returns the endpoints without the ones of gone instances, each of which would cost a timeout again.
+func (a *app) present() []string {
+	list := slices.DeleteFunc(slices.Clone(a.Endpoints), func(address string) bool { return a.gone[address] })
+	if len(list) == 0 {
+		return a.Endpoints
+	}
+	return list
 }
 
+// statusTimeout bounds the wait for a status, which an instance answers from memory. One that is silent for 2 s is
+// gone for its peers, too.
+const statusTimeout = 2 * time.Second
+
 // unanswered returns a refusal rather than a broken connection, because it says more.
 func unanswered(problems []error) error {
 	for _, err := range problems {
@@ -53,6 +82,8 @@
 	app    *app
 	mu     sync.Mutex
 	byName map[string]*instanceView
+
+	failures map[string]string // by address
 }
 
 // ask fetches the status from addresses at the same time and returns what went wrong.
@@ -62,11 +93,12 @@
 	for i, address := range addresses {
 		wait.Go(func() {
 			var st opsapi.Status
-			errs[i] = s.app.getFrom(address, opsapi.PathStatus, &st)
+			r := request{address: address, method: http.MethodGet, path: opsapi.PathStatus, timeout: min(s.app.Timeout, statusTimeout)}
+			errs[i] = s.app.client.call(r, &st)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if errs[i] != nil {
-				s.failed(address, errs[i])
+				s.failures[address] = errs[i].Error()
 				return
 			}
 			s.learn(address, &st)
@@ -76,14 +108,6 @@
 	return slices.DeleteFunc(errs, func(err error) bool { return err == nil })
 }
 
-func (s *survey) failed(address string, err error) {
-	for _, v := range s.byName {
-		if v.Operators == address {
-			v.Problem = err.Error()
-		}
-	}
-}
-
 // learn takes over an instance's own status and its view of the others.
 func (s *survey) learn(address string, st *opsapi.Status) {
 	for _, m := range st.Members {
@@ -139,6 +163,7 @@
 	for _, v := range s.byName {
 		switch {
 		case v.Status != nil || v.State == opsapi.MemberGone:
+		case s.failures[v.Operators] != "": // asked already
 		case v.Operators == "":
 			v.Problem = "its operators' address is not known"
 		default:
@@ -151,6 +176,9 @@
 func (s *survey) sorted() []instanceView {
 	var list []instanceView
 	for _, v := range s.byName {
+		if v.Status == nil && v.State != opsapi.MemberGone && s.failures[v.Operators] != "" {
+			v.Problem = s.failures[v.Operators]
+		}
 		list = append(list, *v)
 	}
 	slices.SortFunc(list, func(x, y instanceView) int {
--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -65,7 +65,7 @@
 			return "", exitf(ExitFailed, "the job's home %s was replaced: its incarnation was %d and is %d now; the job is lost", h.Instance, h.Incarnation, v.Incarnation)
 		}
 		if v.Status == nil {
-			return "", exitf(ExitUnreachable, "the job's home %s in %s does not answer: %s", h.Instance, h.Zone, v.Problem)
+			return "", exitf(ExitUnreachable, "the job's home %s in %s does not answer: %s", h.Instance, h.Zone, v.silence())
 		}
 		return v.Operators, nil
 	}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -91,7 +91,7 @@
   local args=() z share first=0
   add_watch() { args+=(--entry "$ZONE/$NAME,$PEERS,$OPERATORS,$CALLERS"); }
   each_entry add_watch
-  launch log "$BIN/savory-log" --listen "$LOG_ADDRESS"
+  launch log "$BIN/savory-log" --listen "$LOG_ADDRESS" ${LOG_ARGS:-}
   launch instances "$BIN/savory-instances" --listen "$LIST_ADDRESS" "${args[@]}"
   wait_http "http://$LIST_ADDRESS/instances"
   for z in "${!ZONES[@]}"; do
