--- a/internal/ops/opsapi/opsapi.go
+++ b/internal/ops/opsapi/opsapi.go
@@ -18,6 +18,7 @@
 	PathConfig   = "/v1/config"
 	PathHistory  = "/v1/config/history"
 	PathValidate = "/v1/config/validate"
+	PathRestore  = "/v1/config/restore"
 	PathDrain    = "/v1/drain"
 	PathStatus   = "/v1/status"
 	PathWorkers  = "/v1/workers"
@@ -105,7 +106,7 @@
 // Published answers a publication.
 type Published struct {
 	Version int64  `json:"version"`
-	Nonce   string `json:"nonce"`
+	Nonce   string `json:"nonce,omitempty"` // absent after a restoration
 }
 
 // MemberState is an instance's view of a peer.
@@ -148,11 +149,10 @@
 
 // Queue is the waiting work of one team.
 type Queue struct {
-	Team           string `json:"team"`
-	Jobs           int    `json:"jobs"`
-	Tasks          int    `json:"tasks"`
-	OldestMS       int64  `json:"oldest_ms"`
-	ExpectedWaitMS int64  `json:"expected_wait_ms"`
+	Team     string `json:"team"`
+	Jobs     int    `json:"jobs"`
+	Tasks    int    `json:"tasks"`
+	OldestMS int64  `json:"oldest_ms"`
 }
 
 // Load is the engine's part of a status.
@@ -226,7 +226,6 @@
 	Usage   Usage   `json:"usage"` // summed over the availability zone
 	Queued  int     `json:"queued"`
 	Running int     `json:"running"`
-	Refused int64   `json:"refused"`
 }
 
 // Teams answers PathTeams.
@@ -240,7 +239,6 @@
 	Running   int `json:"running"`
 	Delegated int `json:"delegated"`
 	Done      int `json:"done"`
-	Failed    int `json:"failed"`
 }
 
 // Job answers PathJobs/ID. Payloads and outputs belong to the team and are not shown.
