Measure what a flood of one team costs the others

Cause: the price of fairness was known, its use was not. Change: the experiment gains a table in which one team adds 200% load.

--- a/internal/sched/experiment/experiment.go
+++ b/internal/sched/experiment/experiment.go
@@ -85,6 +85,7 @@
 		compareAt(w, o, chosen, title, swinging(load))
 	}
 	headOfLine(w, o, chosen)
+	isolation(w, o, chosen)
 	burst(w, o, chosen)
 	return nil
 }
@@ -110,11 +111,15 @@
 // sample holds response times of tasks and jobs in seconds, and the jobs' response over their longest task.
 type sample struct{ tasks, jobs, short, stretch []float64 }
 
-// measure collects the response times after a warm-up of a tenth of the time.
+// measure collects the response times of the jobs that arrive in a span of time.
 func (m *simulation) measure(from, to float64) sample {
+	return m.measureIf(func(j *job) bool { return j.at >= from && j.at <= to })
+}
+
+func (m *simulation) measureIf(counts func(*job) bool) sample {
 	var out sample
 	for i, j := range m.jobs {
-		if j.at < from || j.at > to {
+		if !counts(j) {
 			continue
 		}
 		o := &m.out[i]
@@ -182,10 +187,7 @@
 	var out sample
 	for seed := range o.Seeds {
 		jobs := generate(uint64(seed), m, o.Seconds, load)
-		for _, j := range jobs {
-			j.spec.Deadline = time.Time{}
-		}
-		r := simulate(p.make(), jobs, nil)
+		r := simulate(p.make(), withoutDeadlines(jobs), nil)
 		out.merge(r.measure(o.Seconds/10, o.Seconds))
 	}
 	out.sort()
@@ -208,6 +210,13 @@
 	return out
 }
 
+func withoutDeadlines(jobs []*job) []*job {
+	for _, j := range jobs {
+		j.spec.Deadline = time.Time{}
+	}
+	return jobs
+}
+
 // better is the lower of the ideals' percentiles.
 func better(d [2]sample, of func(*sample) []float64, p float64) float64 {
 	return min(percentile(of(&d[0]), p), percentile(of(&d[1]), p))
@@ -252,7 +261,7 @@
 func headOfLine(w io.Writer, o Options, chosen []policy) {
 	load := steady(0.8)
 	mixes := []mix{{heavy: true}, {batches: true}, {heavy: true, batches: true}}
-	fmt.Fprintln(w, "head of line: p99 of short tasks over the ideal's with long work, over the same without, at 80% load")
+	fmt.Fprintln(w, "head of line, short tasks at 80% load: p99 over the ideal's with long work / without, and p99 with / without")
 	fmt.Fprintf(w, "%-24s %16s %16s %16s\n", "", "mixed in", "in batches", "both")
 	without := idealOf(o, mix{}, load)
 	with := make([][2]sample, len(mixes))
@@ -266,9 +275,9 @@
 		for i, x := range mixes {
 			s := measured(o, p, x, load)
 			z := percentile(s.short, 0.99)
-			row += fmt.Sprintf("  %5.2f (%5.2f s)", z/better(with[i], shortOf, 0.99)/y, z)
+			row += fmt.Sprintf("   %5.2f and %5.2f", z/better(with[i], shortOf, 0.99)/y, z/percentile(base.short, 0.99))
 		}
-		return row + fmt.Sprintf("  without: %.2f s", percentile(base.short, 0.99))
+		return row + fmt.Sprintf("   p99 without %.2f s", percentile(base.short, 0.99))
 	})
 	for _, row := range rows {
 		fmt.Fprintln(w, row)
--- a/internal/sched/experiment/workload.go
+++ b/internal/sched/experiment/workload.go
@@ -46,6 +46,7 @@
 type mix struct {
 	heavy   bool // with stragglers and long work
 	batches bool // long work comes in batches that could fill all slots
+	flood   bool // the largest team sends twice what all slots can do, during the burst
 }
 
 type kind struct {
@@ -86,6 +87,7 @@
 	r := rand.New(rand.NewPCG(seed, 1))
 	all := kinds(r)
 	mean := meanWork(seed, m)
+	flood := rand.New(rand.NewPCG(seed, 3)) // of its own, so that the other arrivals stay the same
 	var out []*job
 	rest := 1.0 // share of the load that does not come in batches
 	if m.batches {
@@ -103,6 +105,11 @@
 		for n := poisson(r, rate*step); n > 0; n-- {
 			out = append(out, newJob(r, all, m, at+r.Float64()*step))
 		}
+		if m.flood && at >= burstFrom && at < burstFrom+burstLength {
+			for n := poisson(flood, floodLoad*slots/mean*step); n > 0; n-- {
+				out = append(out, newJob(flood, all[:1], m, at+flood.Float64()*step))
+			}
+		}
 	}
 	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.at, b.at) })
 	for i, j := range out {
@@ -137,7 +144,7 @@
 }
 
 func newJob(r *rand.Rand, all [][]kind, m mix, at float64) *job {
-	team := all[pickTeam(r)]
+	team := all[min(pickTeam(r), len(all)-1)]
 	k := team[r.IntN(len(team)-1)]
 	n := taskCount(r)
 	// A job of long work has a tenth of the tasks, so the share of such jobs is ten times that of the tasks.
