--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -10,6 +10,8 @@
 	"math/bits"
 	"time"
 
+	"github.com/DataDog/sketches-go/ddsketch"
+
 	"github.com/savorypass/savorypass/internal/platform"
 )
 
@@ -21,7 +23,7 @@
 	bucketSamples  = 16   // samples from which a range of declared values has its own estimate
 	buckets        = 12   // ranges of declared values, a factor of 4 each, from 1 ms
 	sizeSamples    = 8    // usage reports from which the learned size replaces the declared one
-	maxClasses     = 4096 // estimates kept; beyond that, the rest share one, which bounds memory
+	maxClasses     = 1024 // estimates kept; beyond that, the rest share one, which bounds memory
 	priorTailRatio = 2.0  // assumed p90 / p50 of a service of which nothing is known
 )
 
@@ -39,12 +41,13 @@
 	classes map[key]*Class
 	rest    *Class
 	speeds  map[string]*Speed
+	scratch *ddsketch.DDSketch
 	center  float64 // log factor of the usual worker, close to the median over all samples
 }
 
 // New returns an estimator that knows nothing.
 func New() *Estimator {
-	return &Estimator{classes: map[key]*Class{}, speeds: map[string]*Speed{}}
+	return &Estimator{classes: map[key]*Class{}, speeds: map[string]*Speed{}, scratch: newSketch()}
 }
 
 // Class holds the estimates of one service of one team.
@@ -54,7 +57,8 @@
 	cores    *series
 	memory   *series
 	size     platform.Size // 90th percentile of the use, rounded up
-	failures float64       // moving share of tasks that fail
+	scratch  *ddsketch.DDSketch
+	failures float64 // moving share of tasks that fail
 }
 
 // Class returns the estimates of a service of a team. The pointer stays valid.
@@ -66,11 +70,11 @@
 	}
 	if len(e.classes) >= maxClasses {
 		if e.rest == nil {
-			e.rest = &Class{}
+			e.rest = &Class{scratch: e.scratch}
 		}
 		return e.rest
 	}
-	c = &Class{}
+	c = &Class{scratch: e.scratch}
 	e.classes[k] = c
 	return c
 }
@@ -101,13 +105,13 @@
 		seconds /= w.Factor()
 	}
 	if c.all == nil {
-		c.all = newSeries(now)
+		c.all = newSeries(now, c.scratch)
 	}
 	c.all.add(now, seconds)
 	if declared > 0 {
 		b := bucket(declared)
 		if c.declared[b] == nil {
-			c.declared[b] = newSeries(now)
+			c.declared[b] = newSeries(now, c.scratch)
 		}
 		c.declared[b].add(now, seconds)
 	}
@@ -119,7 +123,7 @@
 		return
 	}
 	if c.cores == nil {
-		c.cores, c.memory = newSeries(now), newSeries(now)
+		c.cores, c.memory = newSeries(now, c.scratch), newSeries(now, c.scratch)
 	}
 	c.cores.add(now, used.Cores)
 	c.memory.add(now, float64(used.MemoryMB))
--- a/internal/estimate/series.go
+++ b/internal/estimate/series.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	sketchAccuracy = 0.03 // relative; estimates need to be right within a few tens of percent
-	sketchBins     = 256  // at 3% this spans a range of 5e6, below which the lowest values collapse
+	sketchAccuracy = 0.05 // relative; estimates need to be right within a few tens of percent
+	sketchBins     = 128  // at 5% this spans a range of 3e5, below which the lowest values collapse
 	windowSamples  = 512  // samples after which the older window is dropped
 	windowSeconds  = 120  // a window is also dropped after this time, so that a quiet service forgets
 	refreshEvery   = 32   // samples between two evaluations of the quantiles once a series is warm
@@ -18,8 +18,8 @@
 type series struct {
 	current  window
 	previous window
-	merged   *ddsketch.DDSketch
-	pending  int // samples since the quantiles were evaluated
+	merged   *ddsketch.DDSketch // scratch, shared by all series of an estimator
+	pending  int                // samples since the quantiles were evaluated
 	n        float64
 	p50      float64
 	p90      float64
@@ -33,11 +33,11 @@
 	since  float64
 }
 
-func newSeries(now float64) *series {
+func newSeries(now float64, scratch *ddsketch.DDSketch) *series {
 	return &series{
 		current:  window{sketch: newSketch(), since: now},
 		previous: window{sketch: newSketch(), since: now},
-		merged:   newSketch(),
+		merged:   scratch,
 	}
 }
 
