--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -95,7 +95,7 @@
 	is.Equal(a.Teams[0].Callers[0].Role, RoleCaller)
 	is.Equal(a.Spill.WaitDifference, 50*time.Millisecond)
 	is.True(a.Spill.Enabled)
-	b, err := Decode(append([]byte("# comment\norder: {ageing_rate: 1}\n"), validDoc(0)...))
+	b, err := Decode(append([]byte("# comment\norder: {ageing_rate: 0.05}\n"), validDoc(0)...))
 	is.NoErr(err)
 	is.Equal(a.Digest(), b.Digest())
 	c, err := Decode(append([]byte("spill: {enabled: false}\norder: {ageing_rate: 0}\n"), validDoc(0)...))
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -115,6 +115,7 @@
 type Admission struct {
 	SafetyFactor float64       `yaml:"safety_factor" json:"safety_factor" validate:"min=0.1,max=10" doc:"factor on the expected wait and run time before they are compared with the deadline"`
 	MaxWait      time.Duration `yaml:"max_wait" json:"max_wait" validate:"min=1ms,max=10m" doc:"a job that is expected to wait longer than this is refused, whatever its deadline"`
+	MaxDrain     time.Duration `yaml:"max_drain" json:"max_drain" validate:"min=1ms,max=10m" doc:"jobs are refused while the queued work would take longer than this to start; bounds how long a burst is felt after its end"`
 }
 
 // Spill tunes the delegation of tasks to another availability zone.
@@ -140,8 +141,8 @@
 			ConnectionsPerCaller:       200,
 			RequestsPerSecondPerCaller: 1000,
 		},
-		Order:     Order{ShortReserve: 0.2, ShortThreshold: time.Second, AgeingRate: 1},
-		Admission: Admission{SafetyFactor: 1, MaxWait: time.Minute},
+		Order:     Order{ShortReserve: 0.1, ShortThreshold: 2 * time.Second, AgeingRate: 0.05},
+		Admission: Admission{SafetyFactor: 1, MaxWait: time.Minute, MaxDrain: 700 * time.Millisecond},
 		// 50 ms is far more than the 3 ms round trip between availability zones.
 		Spill:     Spill{Enabled: true, WaitDifference: 50 * time.Millisecond},
 		Retention: Retention{IdentityValidity: 10 * time.Minute, AnswerRetention: time.Minute},
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -34,7 +34,10 @@
 	if s == nil {
 		return api.NewAnswer(result.NotReady, "the instance has no configuration yet")
 	}
-	bounds := sched.Bounds{MaxQueued: s.config.Limits.QueuedTasks, MaxWait: s.config.Admission.MaxWait}
+	bounds := sched.Bounds{
+		MaxQueued: s.config.Limits.QueuedTasks, MaxWait: s.config.Admission.MaxWait,
+		MaxDrain: s.config.Admission.MaxDrain,
+	}
 	est.Wait = time.Duration(float64(est.Wait) * s.config.Admission.SafetyFactor)
 	v := sched.Admit(now, est, len(j.Payloads), j.Deadline, bounds, rand.Float64)
 	if v.OK() {
--- a/internal/setup/derive.go
+++ b/internal/setup/derive.go
@@ -154,14 +154,6 @@
 	return from(min(max(shortFactor*typical, minShortThreshold), maxDeadline), "%d times the median run_time: %s", shortFactor, typical)
 }
 
-// ageing is slower where short work comes first, and still keeps long work from waiting for ever.
-func (a *Answers) ageing() value[float64] {
-	if a.TopPriority == priorityShortWork {
-		return from(0.5, "top_priority: %s", a.TopPriority)
-	}
-	return from(1.0, "top_priority: %s", a.TopPriority)
-}
-
 func (a *Answers) safety() value[float64] {
 	for _, s := range a.Services {
 		if s.Late == HarmCostly || s.Late == HarmDangerous {
