--- a/internal/scenario/inproc.go
+++ b/internal/scenario/inproc.go
@@ -52,6 +52,7 @@
 func (p *inProcess) Kill()         { p.kill() }
 func (p *inProcess) Stop()         { p.stop() }
 func (p *inProcess) Wait()         { <-p.done }
+func (p *inProcess) Ended() bool   { return ended(p.done) }
 func (p *inProcess) Pause() error  { return errNoPause }
 func (p *inProcess) Resume() error { return errNoPause }
 
@@ -96,3 +97,12 @@
 	}()
 	return p, nil
 }
+
+func ended(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -75,5 +75,6 @@
 func (p *process) Kill()         { p.signal(syscall.SIGKILL) }
 func (p *process) Stop()         { p.signal(syscall.SIGTERM) }
 func (p *process) Wait()         { <-p.done }
+func (p *process) Ended() bool   { return ended(p.done) }
 func (p *process) Pause() error  { return p.signal(syscall.SIGSTOP) }
 func (p *process) Resume() error { return p.signal(syscall.SIGCONT) }
--- a/internal/scenario/system.go
+++ b/internal/scenario/system.go
@@ -47,6 +47,7 @@
 	Kill() // at once
 	Stop() // as planned
 	Wait() // until it has ended
+	Ended() bool
 	Pause() error
 	Resume() error
 }
@@ -287,6 +288,16 @@
 	return p.running.Resume()
 }
 
+// Revive starts a program again if it has ended by itself, as the platform does.
+func (s *System) Revive(p *Program) error {
+	if !p.running.Ended() {
+		return nil
+	}
+	s.History.Note("%s has ended by itself", p.Name)
+	s.markDown(p)
+	return s.Restart(p)
+}
+
 func (s *System) saveStarts(w *Program) error {
 	if err := s.Fault(w, worker.Fault{Pause: true}); err != nil {
 		return err
