sched: slots of other instances are usable even while they are busy

Cause: the estimate counted only the neighbours' free slots as usable, and admission refuses when there is none. Change: usable slots count the neighbours' slots, free slots the free ones. The expected wait is computed as before.

--- a/internal/sched/fair/expect.go
+++ b/internal/sched/fair/expect.go
@@ -17,7 +17,7 @@
 	e := sched.Estimate{
 		Feasible:  true,
 		Queued:    s.queued,
-		Slots:     s.slots + s.elsewhere.FreeSlots,
+		Slots:     s.slots + s.elsewhere.Slots,
 		FreeSlots: s.free + s.elsewhere.FreeSlots,
 	}
 	class := s.estimates.Class(j.Team, j.Service)
