--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 
@@ -44,7 +43,6 @@
 type process struct {
 	cmd  *exec.Cmd
 	done chan struct{}
-	once sync.Once
 }
 
 // processes returns a launcher that writes each program's output to a file of the directory.
