--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -204,11 +204,11 @@
 func TestPrepare(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	is.NoErr(Prepare(Plan{Dir: dir, Bin: "bin", Name: "x", Scheduler: "fair", Port: 5000, Entries: 6, Workers: 650, Slots: 8, Teams: 43, Callers: 2, MaxWait: "1s", Keep: 1}))
+	is.NoErr(Prepare(Plan{Dir: dir, Bin: "bin", Name: "x", Scheduler: "fair", Port: 5000, Entries: 6, Workers: 650, Slots: 8, Teams: 43, Callers: 2, Keep: 1}))
 	c, err := Open(dir)
 	is.NoErr(err)
 	is.Equal(c.Slots, 5200)
-	_, err = config.Decode(document(c, "1s", 7))
+	_, err = config.Decode(document(c, 7))
 	is.NoErr(err)
 	used := map[string]bool{}
 	for _, a := range []string{c.Log, c.Instances} {
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -26,6 +26,9 @@
 
 	workersPerProcess = 300 // one process with all 1,200 workers of the target would exceed the limit of open files
 	rackSize          = 8
+
+	// admission is the section that the questionnaire gives to a deployment whose top priority is the crest.
+	admission = "max_wait: 10s, max_drain: 700ms"
 )
 
 // quickServices and longService are the services of the generated jobs. plainService is the one of jobs that are not
@@ -81,7 +84,6 @@
 	Slots     int      `long:"slots" default:"8" description:"slots per worker"`
 	Teams     int      `long:"teams" default:"8" description:"teams"`
 	Callers   int      `long:"callers" default:"2" description:"callers of each team"`
-	MaxWait   string   `long:"max-wait" default:"1500ms" description:"admission.max_wait of the configuration"`
 	Keep      int      `long:"keep-starts" default:"20000" description:"start records that each worker keeps"`
 }
 
@@ -162,11 +164,11 @@
 }
 
 func (p *Plan) writeConfig(c *Cluster) error {
-	return os.WriteFile(p.path(configFile), document(c, p.MaxWait, 0), 0o600)
+	return os.WriteFile(p.path(configFile), document(c, 0), 0o600)
 }
 
 // document returns a configuration. Documents with different marks differ in meaning only by one unimportant bound.
-func document(c *Cluster, maxWait string, mark int) []byte {
+func document(c *Cluster, mark int) []byte {
 	var b strings.Builder
 	b.WriteString("schema: 1\nservices:\n")
 	for _, s := range append([]string{longService, plainService}, quickServices...) {
@@ -180,7 +182,7 @@
 		}
 	}
 	fmt.Fprintf(&b, "limits: {connections_per_caller: 100000, requests_per_second_per_caller: 1000000, queued_tasks: %d}\n", 200_000+mark)
-	fmt.Fprintf(&b, "admission: {max_wait: %s}\n", maxWait)
+	fmt.Fprintf(&b, "admission: {%s}\n", admission)
 	return []byte(b.String())
 }
 
--- a/internal/bench/configuration.go
+++ b/internal/bench/configuration.go
@@ -77,7 +77,7 @@
 		return 0, err
 	}
 	begin := time.Now()
-	version, err := c.publish(c.Entries[0], document(c, "1500ms", int(current)), current)
+	version, err := c.publish(c.Entries[0], document(c, int(current)), current)
 	if err != nil {
 		return 0, err
 	}
