--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -28,6 +28,13 @@
 	AbsentAfter = 5 * time.Second
 	// MaxListGap is the longest time between two reads of the list for which it counts as readable throughout.
 	MaxListGap = ListInterval + ListTimeout
+	// ZoneAbsentAfter takes the place of AbsentAfter while no instance of the home's zone is heard. The zone may be cut
+	// off as a whole and go on answering its callers, so its homes are not declared dead before their identities have
+	// lost their validity.
+	ZoneAbsentAfter = 10 * time.Minute
+	// FenceGap is the shortest pause that ends this incarnation. Others may have declared it dead after AbsentAfter
+	// and answered for it, so that it must not give other answers.
+	FenceGap = AbsentAfter
 	// PauseGap is the shortest time without a tick that counts as a pause of the process.
 	PauseGap = time.Second
 	// ResumeBound ends the wait after a pause where peers or the platform do not answer. It exceeds ZoneDeadAfter,
@@ -105,6 +112,7 @@
 	Resumed     EventKind = "resumed"      // this process may dispatch again
 	Settled     EventKind = "settled"      // this process begins to own workers
 	Superseded  EventKind = "superseded"   // a newer incarnation of this instance exists
+	Fenced      EventKind = "fenced"       // this process was paused for so long that others may have answered for it
 )
 
 // Event is a change of the view.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -140,7 +140,7 @@
 		Scheduler: fair.New(fair.Options{}), Dialer: d, Clock: clockwork.NewRealClock(), Log: log, Sharing: s, Timing: timing,
 	})
 	s.Serve(e)
-	e.AddPeer("z/"+other, s.Link(other))
+	e.AddPeer("z/"+other, s.Link("z/"+other, other))
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Run(ctx)
 	t.Cleanup(cancel)
