--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,6 @@
 demo: build
 	scripts/demo.sh
 
-# Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
-demo-up: build
-	@scripts/up.sh
-
-demo-down:
-	@scripts/down.sh
-
 # Random fault runs: make chaos SEED=1 RUNS=20. PROCESSES=1 runs every program as a process of its own.
 SEED ?= 1
 RUNS ?= 20
@@ -41,5 +34,12 @@
 	go test ./internal/scenario -run '^TestChaos$$' -count=1 -timeout 3h -parallel $(PARALLEL) \
 		-chaos.seed=$(SEED) -chaos.runs=$(RUNS) $(if $(PROCESSES),-chaos.processes)
 
+# Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
+demo-up: build
+	@scripts/up.sh
+
+demo-down:
+	@scripts/down.sh
+
 clean:
 	rm -rf $(BIN)
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -40,8 +40,12 @@
 	outputs []string
 	where   []*worker // of running tasks
 	left    int       // tasks without an end
+	longest time.Duration
 }
 
+// LongestRun returns the longest run time among the tasks that have ended, for Observer.Answered.
+func (j *Job) LongestRun() time.Duration { return j.longest }
+
 // TaskID returns the name of a task at endpoints.
 func (j *Job) TaskID(i int) string { return j.Identity + "/" + strconv.Itoa(i) }
 
@@ -140,6 +144,7 @@
 // taskEnded records the end of a task that ran.
 func (e *Engine) taskEnded(now time.Time, j *Job, i int, r *platform.RunResult) {
 	j.left--
+	j.longest = max(j.longest, r.RunTime)
 	switch r.Outcome {
 	case platform.Succeeded:
 		j.phases[i] = ran
