Tasks that were stopped on request are no failures of their worker

A worker answers a stopped task as failed, and the scheduler counted that against the worker and in the service's failure rate. The same happened to the other workers of a job that failed. A wave of cancellations would have held off up to half of the workers.

Change: the engine marks a flight when its stop is sent; a failure after that is given to the scheduler as stopped, from which it learns nothing.

Test: TestCancelledTasksAreNoFailures. Without the change it stops at 'not reached in 30 s: all tasks run', since the workers are held off after the first cancellation.

--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -191,6 +191,16 @@
 	}
 }
 
+func (w *worker) markStopping(tasks []string) {
+	stopped := make(map[string]bool, len(tasks))
+	for _, t := range tasks {
+		stopped[t] = true
+	}
+	for f := range w.flights {
+		f.stopping = f.stopping || stopped[f.task]
+	}
+}
+
 // flushStops sends the stops that have come together since the last tick, one message per worker.
 func (e *Engine) flushStops() {
 	for w, tasks := range e.stops {
@@ -198,6 +208,7 @@
 		if e.workers[w.instance.Name] != w {
 			continue
 		}
+		w.markStopping(tasks)
 		e.opts.Spawn(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 			defer cancel()
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -20,6 +20,7 @@
 	reported time.Time // the worker reported the task's end while the call was still open; zero before
 	fetching bool
 	misses   int         // fetches in a row without an answer
+	stopping bool        // the worker was asked to stop the task, so that its end says nothing about the worker
 	settled  bool        // the outcome is known; a late end of the call is ignored
 	revoked  atomic.Bool // set with settled; a lane that has not begun the call skips it
 }
@@ -194,13 +195,19 @@
 	e.opts.Scheduler.Requeue(now, f.assigned)
 }
 
+// lesson returns what the scheduler learns from an outcome. A worker fails a task that it was asked to stop; counted as
+// failures, a wave of cancellations would take healthy workers out of service.
+func (f *flight) lesson(r *platform.RunResult) sched.Outcome {
+	return sched.Outcome{Kind: r.Outcome, RunTime: r.RunTime, Stopped: f.stopping && r.Outcome == platform.Failed}
+}
+
 // settle records the outcome of a task and frees its slot.
 func (e *Engine) settle(now time.Time, f *flight, r *platform.RunResult) {
 	e.land(f)
 	if r.RunTime == 0 {
 		r.RunTime = now.Sub(f.started)
 	}
-	e.opts.Scheduler.Finish(now, f.assigned, sched.Outcome{Kind: r.Outcome, RunTime: r.RunTime})
+	e.opts.Scheduler.Finish(now, f.assigned, f.lesson(r))
 	if f.foreign != nil {
 		f.foreign.ended(r)
 		return
--- a/internal/entry/doors_test.go
+++ b/internal/entry/doors_test.go
@@ -197,6 +197,25 @@
 	is.Equal(s.do(far, surveyToken, "DELETE", "/v1/jobs/"+id, nil).Code, result.Cancelled) // the team itself may
 }
 
+// Guards against a wave of cancellations that takes healthy workers out of service, as if they had failed the tasks.
+func TestCancelledTasksAreNoFailures(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, "blackstone")
+	e := s.start("blackstone", "b1")
+	s.ready(e)
+	for range 2 {
+		id := s.identity(e, surveyToken)
+		is.Equal(s.do(e, surveyToken, "POST", "/v1/jobs?wait_ms=0", job(id, 16, 60_000)).Code, result.Running)
+		s.until("all tasks run", func() bool { return len(s.starts(id)) == 16 })
+		is.Equal(s.do(e, surveyToken, "DELETE", "/v1/jobs/"+id, nil).Code, result.Cancelled)
+		s.until("no task runs", func() bool { return e.engine.State().Scheduler.Running == 0 })
+	}
+	for _, w := range e.engine.State().Workers {
+		is.Equal(w.Failures, 0)
+		is.Equal(w.HeldOffMS, int64(0))
+	}
+}
+
 // Guards the peers' port against a certificate of another authority for a name that exists, and against none.
 func TestPeersPortRefusesOtherAuthorities(t *testing.T) {
 	is := is.New(t)
--- a/internal/sched/fair/health.go
+++ b/internal/sched/fair/health.go
@@ -66,6 +66,9 @@
 
 // learn updates the estimates and the worker's health from the end of a run.
 func (s *Scheduler) learn(now float64, w *worker, r run, o sched.Outcome) {
+	if o.Stopped {
+		return
+	}
 	if o.Kind == platform.Succeeded {
 		s.succeeded(w)
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -65,6 +65,7 @@
 
 // Outcome tells the scheduler how a started task ended.
 type Outcome struct {
+	Stopped bool // the worker was asked to stop the task: nothing is learnt from its end
 	Kind    platform.Outcome
 	RunTime time.Duration
 	Usage   Size // reported use; zero when unknown
