--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -195,7 +195,7 @@
 	a, b, _ := w.trio()
 	pause := func() {
 		a.paused = true
-		w.run(FenceGap - TickInterval)
+		w.run(2 * ZoneDeadAfter)
 		a.paused = false
 		is.Equal(b.status(a), Dead)
 		is.True(!a.Check(w.clock.Now())) // before the first tick
