Instance list by entity tag; slower housekeeping of an idle engine

Change: a read names the version it has and an unchanged list is answered 304; without work the engine's tick is 50 ms in place of 5 ms. Ruled out: reading the list less often, which delays the leave of endpoints.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -73,6 +73,7 @@
 // Timing holds the intervals of the engine's housekeeping.
 type Timing struct {
 	Tick           time.Duration // expiry of deadlines, batches of stops
+	IdleTick       time.Duration // the same without work
 	RenewBusy      time.Duration // lease renewal of a worker with tasks older than this
 	RenewIdle      time.Duration // lease renewal of other workers
 	Lease          time.Duration // lease of a task
@@ -84,7 +85,7 @@
 // DefaultTiming returns the intervals of the design page.
 func DefaultTiming() Timing {
 	return Timing{
-		Tick: 5 * time.Millisecond, RenewBusy: time.Second, RenewIdle: 2 * time.Second, Lease: 5 * time.Second,
+		Tick: 5 * time.Millisecond, IdleTick: 50 * time.Millisecond, RenewBusy: time.Second, RenewIdle: 2 * time.Second, Lease: 5 * time.Second,
 		// Below the 3 s after which a leaving endpoint must get no new work, also when renewals go unanswered.
 		SuspectAfter: 2800 * time.Millisecond, CallGrace: 250 * time.Millisecond, ControlTimeout: time.Second,
 	}
@@ -161,6 +162,7 @@
 	ticker := e.opts.Clock.NewTicker(e.opts.Timing.Tick)
 	defer ticker.Stop()
 	var batch []event
+	interval := e.opts.Timing.Tick
 	for {
 		select {
 		case <-ctx.Done():
@@ -188,7 +190,20 @@
 		e.start(now)
 		e.lendRest(now)
 		e.report(now)
+		if next := e.tickInterval(); next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
+	}
+}
+
+// tickInterval returns the time until the next housekeeping. Without work only renewals and the load are due, and 200
+// ticks a second cost an idle instance more than all its control messages.
+func (e *Engine) tickInterval() time.Duration {
+	if len(e.jobs) > 0 || len(e.stops) > 0 || len(e.timers) > 0 || len(e.grants) > 0 || len(e.foreign) > len(e.foreignEnded) {
+		return e.opts.Timing.Tick
 	}
+	return e.opts.Timing.IdleTick
 }
 
 func (e *Engine) closeAll() {
--- a/internal/platform/httpx/client.go
+++ b/internal/platform/httpx/client.go
@@ -27,12 +27,14 @@
 	method string
 	path   string
 	body   []byte
-	fresh  bool // use a new connection
+	fresh  bool   // use a new connection
+	etag   string // of the version that the caller has; the server may answer 304
 }
 
 type reply struct {
 	status int
 	body   []byte
+	etag   string
 }
 
 // callError is an error of a call without a response.
@@ -67,7 +69,7 @@
 		return reply{}, &callError{wrote: wrote, cause: withContext(ctx, err)}
 	}
 	c.release(cn, &resp)
-	return reply{status: resp.StatusCode(), body: resp.Body()}, nil
+	return reply{status: resp.StatusCode(), body: resp.Body(), etag: string(resp.Header.Peek(fasthttp.HeaderETag))}, nil
 }
 
 // exchangeContext ends the exchange when the context is done.
@@ -97,6 +99,9 @@
 	if c.opts.Zone != "" {
 		h.Set(HeaderZone, c.opts.Zone)
 	}
+	if k.etag != "" {
+		h.Set(fasthttp.HeaderIfNoneMatch, k.etag)
+	}
 	if k.method != fasthttp.MethodGet {
 		h.SetContentType("application/json")
 		h.SetContentLength(len(k.body))
--- a/internal/platform/httpx/conn.go
+++ b/internal/platform/httpx/conn.go
@@ -88,8 +88,10 @@
 	if resp.StatusCode() < fasthttp.StatusOK {
 		return fmt.Errorf("%w: status %d", errInterim, resp.StatusCode())
 	}
-	length := resp.Header.ContentLength()
-	if length == identityLength {
+	if resp.StatusCode() == fasthttp.StatusNotModified {
+		return nil // never has a body
+	}
+	if resp.Header.ContentLength() == identityLength {
 		return errUnframed
 	}
 	if err := resp.ReadBody(br, maxBody); err != nil {
--- a/internal/platform/httpx/list.go
+++ b/internal/platform/httpx/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -11,8 +12,15 @@
 )
 
 // InstanceList is the platform's instance list over HTTP/1.1. It implements platform.InstanceList.
+//
+// A read names the version that is known by its entity tag, so that an unchanged list costs about 200 bytes. At the
+// target's 1,200 workers a whole list is about 300 KB, and a node may spend 18 KB a second on control.
 type InstanceList struct {
 	client *client
+
+	mu   sync.Mutex
+	etag string // of last; empty when there is none
+	last []platform.Instance
 }
 
 // NewInstanceList returns the instance list at an address of the form host:port.
@@ -23,12 +31,18 @@
 // Close releases all connections.
 func (l *InstanceList) Close() { l.client.close() }
 
-// Instances reads the list.
+// Instances reads the list. Callers must not change it.
 func (l *InstanceList) Instances(ctx context.Context) ([]platform.Instance, error) {
-	r, err := l.client.do(ctx, call{method: fasthttp.MethodGet, path: "/instances"})
+	l.mu.Lock()
+	etag, last := l.etag, l.last
+	l.mu.Unlock()
+	r, err := l.client.do(ctx, call{method: fasthttp.MethodGet, path: "/instances", etag: etag})
 	if err != nil {
 		return nil, fmt.Errorf("instance list: %w", err)
 	}
+	if r.status == fasthttp.StatusNotModified && etag != "" {
+		return last, nil
+	}
 	if r.status != fasthttp.StatusOK {
 		return nil, fmt.Errorf("instance list: status %d: %s", r.status, r.body)
 	}
@@ -36,5 +50,8 @@
 	if err := json.Unmarshal(r.body, &list); err != nil {
 		return nil, fmt.Errorf("instance list: %w", err)
 	}
+	l.mu.Lock()
+	l.etag, l.last = r.etag, list
+	l.mu.Unlock()
 	return list, nil
 }
--- a/internal/standin/instances/server.go
+++ b/internal/standin/instances/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
@@ -118,7 +119,7 @@
 		s.handleFault(ctx)
 	case "/instances":
 		if s.gate.Pass(ctx, s.http.Closed()) {
-			standin.WriteJSON(ctx, fasthttp.StatusOK, s.state.list(s.opts.Clock.Now()))
+			s.writeList(ctx)
 		}
 	case "/register":
 		s.handleRegister(ctx)
@@ -129,6 +130,17 @@
 	}
 }
 
+// writeList answers with the list, or with 304 to a reader that has this version.
+func (s *Server) writeList(ctx *fasthttp.RequestCtx) {
+	standin.WriteJSON(ctx, fasthttp.StatusOK, s.state.list(s.opts.Clock.Now()))
+	etag := fmt.Sprintf("\"%x\"", xxhash.Sum64(ctx.Response.Body()))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, etag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == etag {
+		ctx.Response.ResetBody()
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+	}
+}
+
 func (s *Server) handleFault(ctx *fasthttp.RequestCtx) {
 	var f Fault
 	if !standin.ReadJSON(ctx, &f) {
--- a/internal/standin/instances/server_test.go
+++ b/internal/standin/instances/server_test.go
@@ -112,3 +112,29 @@
 	b.True(err != nil)
 	b.True(b.client.Renew(Ref{"w2", 1}) != nil)
 }
+
+// Guards against readers that get the whole list each second although it has not changed, and against readers that keep
+// an old one.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	o := DefaultOptions()
+	o.Lag = 0
+	s, err := Start(o)
+	is.NoErr(err)
+	defer s.Close()
+	c := NewClient(s.Address(), "")
+	defer c.Close()
+	is.NoErr(c.Register(platform.Instance{Name: "w1", Zone: "z", Address: "127.0.0.1:1", Kind: platform.KindEndpoint}))
+	reader := httpx.NewInstanceList(s.Address(), httpx.Options{})
+	defer reader.Close()
+	first, err := reader.Instances(context.Background())
+	is.NoErr(err)
+	again, err := reader.Instances(context.Background())
+	is.NoErr(err)
+	is.Equal(len(first), 1)
+	is.True(&first[0] == &again[0]) // the same copy: the server answered 304
+	is.NoErr(c.Register(platform.Instance{Name: "w2", Zone: "z", Address: "127.0.0.1:2", Kind: platform.KindEndpoint}))
+	changed, err := reader.Instances(context.Background())
+	is.NoErr(err)
+	is.Equal(len(changed), 2)
+}
