--- a/internal/platform/httpx/conn.go
+++ b/internal/platform/httpx/conn.go
@@ -97,7 +97,7 @@
 	if err := resp.ReadBody(br, maxBody); err != nil {
 		return err
 	}
-	if length < 0 {
+	if resp.Header.ContentLength() < 0 {
 		return resp.Header.ReadTrailer(br)
 	}
 	return nil
