httpx: read the length ahead of the body

Cause: ReadBody replaces the length of a chunked response, so its trailer would stay unread. Change: the length is kept from before.

--- a/internal/platform/httpx/conn.go
+++ b/internal/platform/httpx/conn.go
@@ -91,13 +91,14 @@
 	if resp.StatusCode() == fasthttp.StatusNotModified {
 		return nil // never has a body
 	}
-	if resp.Header.ContentLength() == identityLength {
+	length := resp.Header.ContentLength() // ReadBody replaces it
+	if length == identityLength {
 		return errUnframed
 	}
 	if err := resp.ReadBody(br, maxBody); err != nil {
 		return err
 	}
-	if resp.Header.ContentLength() < 0 {
+	if length < 0 {
 		return resp.Header.ReadTrailer(br)
 	}
 	return nil
