--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -7,6 +7,7 @@
 	"github.com/savorypass/savorypass/internal/engine"
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/result"
 )
 
 // observer counts the engine's events.
@@ -22,7 +23,12 @@
 func (observer) Ended(string, string, platform.Outcome, time.Duration) {}
 
 // Answered implements engine.Observer.
-func (o observer) Answered(_ *engine.Job, a *api.Answer, _ time.Duration) { o.set.Answers.Add(a.Code) }
+func (o observer) Answered(j *engine.Job, a *api.Answer, took time.Duration) {
+	o.set.Answers.Add(a.Code)
+	if run := j.LongestRun(); a.Code == result.Complete && run > 0 {
+		o.set.ResponseRatio.Add(float64(took) / float64(run))
+	}
+}
 
 // Wasted implements engine.Observer.
 func (o observer) Wasted(kind string) { o.set.Wasted.Add(metric.Kind(kind), 1) }
--- a/internal/platform/httpx/conn.go
+++ b/internal/platform/httpx/conn.go
@@ -88,7 +88,10 @@
 	if resp.StatusCode() < fasthttp.StatusOK {
 		return fmt.Errorf("%w: status %d", errInterim, resp.StatusCode())
 	}
-	length := resp.Header.ContentLength()
+	if resp.StatusCode() == fasthttp.StatusNotModified {
+		return nil // never has a body
+	}
+	length := resp.Header.ContentLength() // ReadBody replaces it
 	if length == identityLength {
 		return errUnframed
 	}
