Admission: the queues and slots of all instances that share slots

Cause: at 95% load 332 of 1,126 jobs were refused at first (trial, busy machine), 328 of them because the queued work exceeded max_drain: an instance reckoned its own queue against its own slots and its peers' free ones, so one job of 160 tasks closed it for the next, although all instances serve the most urgent work of each other. Change: the rate of the own queue is its part of all slots, by the tasks queued elsewhere; with spill, the other zones count as well, in the ranks' scale too. The backlog that decides on spilling stays reckoned on the own slots.

--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -97,17 +97,18 @@
 	}
 }
 
-// elsewhere summarises the zone's other instances, and the sizes of all workers that may run tasks of this instance.
+// elsewhere summarises the instances whose slots this one may use, and the sizes of all workers that may run tasks of this instance.
 func (e *Entry) elsewhere() sched.Elsewhere {
 	v := e.members.View()
 	out := sched.Elsewhere{Use: e.usage.sum()}
+	spill := e.spill().Enabled
 	for _, m := range v.Live() {
-		if m.Zone == e.opts.Zone {
+		if m.Zone == e.opts.Zone || spill {
 			out.Slots += m.Slots
 			out.FreeSlots += m.FreeSlots
+			out.Queued += m.Backlog
 		}
 	}
-	spill := e.spill().Enabled
 	for _, in := range v.Instances {
 		near := in.Zone == e.opts.Zone || spill
 		if in.Kind == platform.KindEndpoint && near && !slices.Contains(out.Sizes, in.Size) {
--- a/internal/sched/fair/expect.go
+++ b/internal/sched/fair/expect.go
@@ -36,7 +36,6 @@
 		work += x.Mean * s.slotsOf(size)
 		longest = max(longest, lastOf(len(j.Tasks), x.Mean, x.P90))
 	}
-	rate := s.rate()
 	key := s.opts.Rank(Ranking{
 		Arrival:  t,
 		Work:     work,
@@ -49,6 +48,7 @@
 	for _, o := range s.active {
 		total += o.ahead.total
 	}
+	rate := s.rate(total, work, len(j.Tasks))
 	f := fluid{team: team, teams: s.teamList, rate: rate, weight: s.inflowWeight(t), offset: key - t}
 	wait := f.time(before)
 	end := f.time(before + max(0, work-s.freeWork(work, len(j.Tasks))))
@@ -59,9 +59,18 @@
 	return e
 }
 
-// rate is the work done per second: one second per usable slot, without slots held by runs far beyond their estimate.
-func (s *Scheduler) rate() float64 {
-	return max(1, float64(s.slots+s.elsewhere.FreeSlots-s.stuck))
+// rate is the work of the own queue that is done per second. All slots together, less those held by runs far beyond
+// their estimate, serve all queues, since slots go to the most urgent task of any instance; the own queue, with the job
+// of the given work added, gets its part. A queue elsewhere is known by its number of tasks, which are taken to be like
+// the own ones.
+func (s *Scheduler) rate(total, work float64, tasks int) float64 {
+	slots := max(1, float64(s.slots+s.elsewhere.Slots-s.stuck))
+	own := total + work
+	if own <= 0 || s.elsewhere.Queued == 0 {
+		return slots
+	}
+	mean := own / float64(s.queued+max(1, tasks))
+	return max(1, slots*own/(own+mean*float64(s.elsewhere.Queued)))
 }
 
 // freeWork is the part of the job that starts at once on free slots.
--- a/internal/sched/fair/share.go
+++ b/internal/sched/fair/share.go
@@ -27,7 +27,7 @@
 		}
 	}
 	b.Work = seconds(work)
-	b.Wait = seconds(work / s.rate())
+	b.Wait = seconds(work / max(1, float64(s.slots-s.stuck))) // on the own slots alone: it decides on going elsewhere
 	b.Best = first.key - t
 	b.Size = first.g.queue.shape.size
 	return b
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -165,11 +165,12 @@
 	Size   Size          // size of that task
 }
 
-// Elsewhere is what the other instances of the availability zone report.
+// Elsewhere is what the other instances report that share slots with this one.
 type Elsewhere struct {
 	Use       map[string]Size // by team, of the tasks that run on their slots
 	Slots     int             // usable slots
 	FreeSlots int             // slots that they would lend
+	Queued    int             // tasks that wait there
 	Sizes     []Size          // sizes of their workers
 }
 
