registry: forget withdrawn records at once

Withdraw removed a refused submission from the map but left its record in the list by age until the record's time to live, 11 min with the default validity. A burst of refusals therefore kept one record for each refused identity. Ruled out: the second list, which holds only answers with outputs.

The record keeps its list element and is removed with it, so Expire no longer has to recognise withdrawn records.

TestWithdrawnRecordsAreForgotten: 100 records left before, 0 after.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -33,7 +33,8 @@
 	finished time.Time
 	answer   *api.Answer // nil while the job is open
 	waiters  []Reply
-	hasBody  bool // the answer still holds its outputs
+	hasBody  bool          // the answer still holds its outputs
+	age      *list.Element // in byAge
 }
 
 // Registry is safe for concurrent use.
@@ -80,7 +81,7 @@
 		rec = &record{seq: seq, digest: d, created: now}
 		rec.attach(reply)
 		r.records[seq] = rec
-		r.byAge.PushBack(rec)
+		rec.age = r.byAge.PushBack(rec)
 		r.open++
 		r.mu.Unlock()
 		return First
@@ -159,6 +160,7 @@
 		return
 	}
 	delete(r.records, seq)
+	r.byAge.Remove(rec.age)
 	waiters := rec.close()
 	r.open--
 	r.mu.Unlock()
@@ -185,14 +187,12 @@
 			break
 		}
 		// A job still open keeps its record; it is bounded by its deadline.
-		if rec.answer == nil && r.records[rec.seq] == rec {
+		if rec.answer == nil {
 			r.byAge.MoveToBack(e)
 			rec.created = now
 			continue
 		}
-		if r.records[rec.seq] == rec {
-			delete(r.records, rec.seq)
-		}
+		delete(r.records, rec.seq)
 		r.byAge.Remove(e)
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -80,3 +80,14 @@
 	r.Expire(t0.Add(time.Hour))
 	is.Equal(r.Open(t0, 1, Digest{}, nil), Attached)
 }
+
+// Guards against memory that grows with refused submissions for the time of a record, 11 min after a burst.
+func TestWithdrawnRecordsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	for seq := range uint64(100) {
+		is.Equal(r.Open(t0, seq, Digest{}, nil), First)
+		r.Withdraw(seq, api.NewAnswer(result.QueueFull, ""))
+	}
+	is.Equal(r.byAge.Len(), 0)
+}
