dedup: compare the body and limit the wait under an expired identity

A submission under an identity that had expired while its record was still there attached by Registry.Watch, which looks neither at the digest nor at the wait: another body got the first body's answer, and a waiting caller had no limit but the job's deadline. A cancellation had no limit either, so one that overtook its submission on the way to the engine waited for the whole job. Ruled out: submissions under valid identities and fetches, which were limited.

Registry.Join attaches like Open but never makes a record. The filter uses it for expired identities, and limits the wait of cancellations.

--- a/internal/filter/dedup/dedup.go
+++ b/internal/filter/dedup/dedup.go
@@ -76,14 +76,10 @@
 
 // submit claims the identity. An expired identity may only attach to a record that is still there.
 func (f Filter) submit(r *filter.Request, next filter.Handler, expired bool) {
-	if expired {
-		if !f.Registry.Watch(r.ID.Seq, r.Wait > 0, r.Answer) {
-			r.Refuse(api.Errorf(result.IdentityExpired, "identity", "the identity is older than %s", f.Issuer.Validity()))
-		}
-		return
-	}
 	// The reply is attached by the claim, so that the answer cannot be missed; the time-out answers a waiting caller.
-	switch f.Registry.Open(f.Now(), r.ID.Seq, r.Digest, r.Answer) {
+	switch f.claim(r, expired) {
+	case registry.Missing:
+		f.refuseExpired(r)
 	case registry.Reused:
 		r.Refuse(api.Errorf(result.IdentityReused, "identity", "another body was submitted under this identity"))
 	case registry.Attached:
@@ -97,8 +93,20 @@
 	}
 }
 
+func (f Filter) claim(r *filter.Request, expired bool) registry.Claim {
+	if expired {
+		return f.Registry.Join(r.ID.Seq, r.Digest, r.Answer)
+	}
+	return f.Registry.Open(f.Now(), r.ID.Seq, r.Digest, r.Answer)
+}
+
+func (f Filter) refuseExpired(r *filter.Request) {
+	r.Refuse(api.Errorf(result.IdentityExpired, "identity", "the identity is older than %s", f.Issuer.Validity()))
+}
+
 func (f Filter) watch(r *filter.Request, next filter.Handler, expired bool) {
 	if r.Action == filter.Cancel {
+		limitWait(r)
 		next.Handle(r)
 		return
 	}
@@ -107,7 +115,7 @@
 		return
 	}
 	if expired {
-		r.Refuse(api.Errorf(result.IdentityExpired, "identity", "the identity is older than %s", f.Issuer.Validity()))
+		f.refuseExpired(r)
 		return
 	}
 	r.Answer(api.NewAnswer(result.NotSubmitted, "nothing was submitted under this identity so far"))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,26 +65,42 @@
 // Claim is the result of opening a record.
 type Claim int
 
-// The results of Open.
+// The results of Open and Join.
 const (
 	First    Claim = iota // the caller of Open must carry the submission out and call Finish or Withdraw
 	Attached              // the reply gets the answer of the first submission
 	Reused                // another body was submitted under the identity
+	Missing               // there is no record; only Join returns it
 )
 
 // Open claims an identity for a submission. reply is kept and answered by Finish, or answered at once when the job has
 // ended. A nil reply attaches nobody.
 func (r *Registry) Open(now time.Time, seq uint64, d Digest, reply Reply) Claim {
 	r.mu.Lock()
+	if r.records[seq] != nil {
+		return r.joinLocked(seq, d, reply)
+	}
+	rec := &record{seq: seq, digest: d, created: now}
+	rec.attach(reply)
+	r.records[seq] = rec
+	rec.age = r.byAge.PushBack(rec)
+	r.open++
+	r.mu.Unlock()
+	return First
+}
+
+// Join is Open for an identity that may no longer start anything: it attaches reply to the record, if there is one.
+func (r *Registry) Join(seq uint64, d Digest, reply Reply) Claim {
+	r.mu.Lock()
+	return r.joinLocked(seq, d, reply)
+}
+
+// joinLocked is called with mu held and releases it before it replies.
+func (r *Registry) joinLocked(seq uint64, d Digest, reply Reply) Claim {
 	rec := r.records[seq]
 	if rec == nil {
-		rec = &record{seq: seq, digest: d, created: now}
-		rec.attach(reply)
-		r.records[seq] = rec
-		rec.age = r.byAge.PushBack(rec)
-		r.open++
 		r.mu.Unlock()
-		return First
+		return Missing
 	}
 	if rec.digest != d {
 		r.mu.Unlock()
