engine: lanes for slots that a worker gets later

A worker's lanes were made once, for the slots that the instance list gave when the worker was first seen. When the list gave it more slots at the same address (a worker that is replaced by a larger one), the scheduler assigned lanes that did not exist, and the engine's loop ended the process with an index out of range. Ruled out: fewer slots, and a change of the address, which makes a new target.

Lanes are added by another endpoint of the same address, because an endpoint has a fixed number of lanes.

TestWorkerWithMoreSlots: panic 'index out of range [2] with length 2' before, passes after.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -136,3 +136,18 @@
 	is.Equal(a.Code, result.DeadlineExpired)
 	is.Equal(len(h.workers["w1"].begun), 0)
 }
+
+// Guards against a crash when a worker comes back with more slots at the address that it had.
+func TestWorkerWithMoreSlots(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.engine.SetWorker(platform.Instance{Name: "w1", Address: "w1", Slots: 4, State: platform.StateLive, Size: platform.Size{Cores: 16}}, 4)
+	h.submit("a", 4, time.Minute)
+	for range 4 {
+		<-h.workers["w1"].begun
+	}
+	for _, task := range []string{"a/0", "a/1", "a/2", "a/3"} {
+		h.workers["w1"].end(task, succeed(task))
+	}
+	is.Equal(h.until().Code, result.Complete)
+}
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -22,6 +22,7 @@
 	starts  map[string]int
 	calls   map[int]chan platform.RunResult // by lane
 	task    map[int]string
+	lanes   int // of all dialled endpoints
 	status  platform.EndpointStatus
 	renew   error
 	fetch   map[string]platform.TaskStatus
@@ -108,7 +109,24 @@
 
 type fakeDialer map[string]*fakeEndpoint
 
-func (d fakeDialer) Dial(address string, _ int) platform.Endpoint { return d[address] }
+func (d fakeDialer) Dial(address string, lanes int) platform.Endpoint {
+	f := d[address]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lanes += lanes
+	return dialed{f, f.lanes - lanes}
+}
+
+// dialed gives each dialled endpoint lanes of its own at the worker.
+type dialed struct {
+	*fakeEndpoint
+	first int
+}
+
+func (d dialed) Run(lane int, req *platform.RunRequest) platform.RunResult {
+	return d.fakeEndpoint.Run(d.first+lane, req)
+}
+func (d dialed) Abandon(lane int) { d.fakeEndpoint.Abandon(d.first + lane) }
 
 // harness is an engine on a fake clock with two workers of two slots.
 type harness struct {
--- a/internal/engine/target.go
+++ b/internal/engine/target.go
@@ -21,9 +21,16 @@
 
 // lanes calls a worker's endpoint, with one goroutine and one connection for each slot.
 type lanes struct {
-	engine   *Engine
+	engine    *Engine
+	endpoints []platform.Endpoint // the first one also carries the control calls
+	lanes     []lane
+}
+
+// lane is the place of one slot's calls.
+type lane struct {
 	endpoint platform.Endpoint
-	work     []chan laneCall
+	index    int // at the endpoint
+	work     chan laneCall
 }
 
 type laneCall struct {
@@ -31,29 +38,44 @@
 	req    *platform.RunRequest
 }
 
-func newLanes(e *Engine, ep platform.Endpoint, slots int) *lanes {
-	l := &lanes{engine: e, endpoint: ep, work: make([]chan laneCall, slots)}
-	for i := range l.work {
-		l.work[i] = make(chan laneCall, 1)
-		go l.serve(i)
-	}
+func newLanes(e *Engine, address string, slots int) *lanes {
+	l := &lanes{engine: e}
+	l.dial(address, slots)
 	return l
 }
 
-func (l *lanes) serve(lane int) {
-	for c := range l.work[lane] {
+// grow adds lanes for a worker that has got more slots. Endpoints have a fixed number of lanes, so the new ones belong
+// to another endpoint of the same address. A worker that has got fewer slots leaves its last lanes idle.
+func (l *lanes) grow(address string, slots int) {
+	if more := slots - len(l.lanes); more > 0 {
+		l.dial(address, more)
+	}
+}
+
+func (l *lanes) dial(address string, n int) {
+	ep := l.engine.opts.Dialer.Dial(address, n)
+	l.endpoints = append(l.endpoints, ep)
+	for i := range n {
+		ln := lane{endpoint: ep, index: i, work: make(chan laneCall, 1)}
+		l.lanes = append(l.lanes, ln)
+		go l.serve(ln)
+	}
+}
+
+func (l *lanes) serve(ln lane) {
+	for c := range ln.work {
 		f := c.flight
 		if f.revoked.Load() {
 			continue
 		}
-		res := l.endpoint.Run(lane, c.req)
+		res := ln.endpoint.Run(ln.index, c.req)
 		l.engine.post(func(now time.Time) { l.engine.callEnded(now, f, &res) })
 	}
 }
 
 func (l *lanes) run(f *flight, req *platform.RunRequest) bool {
 	select {
-	case l.work[f.assigned.Lane] <- laneCall{f, req}:
+	case l.lanes[f.assigned.Lane].work <- laneCall{f, req}:
 		return true
 	default:
 		return false
@@ -61,23 +83,28 @@
 }
 
 func (l *lanes) renew(ctx context.Context, tasks []string) (platform.EndpointStatus, error) {
-	return l.endpoint.Renew(ctx, tasks)
+	return l.endpoints[0].Renew(ctx, tasks)
 }
 
 func (l *lanes) fetch(ctx context.Context, task string) (platform.TaskStatus, error) {
-	return l.endpoint.Fetch(ctx, task)
+	return l.endpoints[0].Fetch(ctx, task)
 }
 
 func (l *lanes) stop(ctx context.Context, tasks []string) error {
-	_, err := l.endpoint.Stop(ctx, tasks)
+	_, err := l.endpoints[0].Stop(ctx, tasks)
 	return err
 }
 
-func (l *lanes) abandon(f *flight) { l.endpoint.Abandon(f.assigned.Lane) }
+func (l *lanes) abandon(f *flight) {
+	ln := &l.lanes[f.assigned.Lane]
+	ln.endpoint.Abandon(ln.index)
+}
 
 func (l *lanes) close() {
-	for _, ch := range l.work {
-		close(ch)
+	for i := range l.lanes {
+		close(l.lanes[i].work)
+	}
+	for _, ep := range l.endpoints {
+		ep.Close()
 	}
-	l.endpoint.Close()
 }
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -57,12 +57,12 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{
-			target:    newLanes(e, e.opts.Dialer.Dial(inst.Address, inst.Slots), inst.Slots),
-			renewedAt: now, flights: map[*flight]struct{}{},
-		}
+		w = &worker{target: newLanes(e, inst.Address, max(inst.Slots, slots)), renewedAt: now, flights: map[*flight]struct{}{}}
 		e.workers[inst.Name] = w
 	}
+	if l, ok := w.target.(*lanes); ok {
+		l.grow(inst.Address, slots)
+	}
 	w.instance, w.slots, w.gone = inst, slots, false
 	if inst.State == platform.StateLeaving {
 		w.state = sched.WorkerLeaving
