engine: forget ended jobs at their end

An ended job stayed in the heap of deadlines until its deadline, up to 10 min, with the sizes and run times of its tasks (5 KB for 160 tasks). Ruled out: the maps of jobs, which were cleared. Jobs now know their place in the heap and leave it when they are answered.

TestEndedJobsAreForgotten: 2 jobs left in the heap before, 0 after.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -151,3 +151,15 @@
 	}
 	is.Equal(h.until().Code, result.Complete)
 }
+
+// Guards against memory that grows with the jobs of the last minutes: nothing of a job stays until its deadline.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	for _, id := range []string{"a", "b"} {
+		h.submit(id, 1, 10*time.Minute)
+		h.workers["w1"].end(<-h.workers["w1"].begun, succeed(""))
+		is.Equal(h.until().Code, result.Complete)
+	}
+	h.engine.call(func(time.Time) { is.Equal(len(h.engine.deadlines), 0) })
+}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -40,6 +40,7 @@
 	outputs []string
 	where   []*worker // of running tasks
 	left    int       // tasks without an end
+	place   int       // in Engine.deadlines
 }
 
 // TaskID returns the name of a task at endpoints.
@@ -106,14 +107,11 @@
 		x.Expire(now) // its result repeats what the loop below finds
 	}
 	for len(e.deadlines) > 0 && !now.Before(e.deadlines[0].Deadline) {
-		j := heap.Pop(&e.deadlines).(*Job)
-		if e.jobs[j.Shape.ID] == j {
-			e.fail(now, j, result.DeadlineExceeded, "the deadline passed")
-		}
+		e.fail(now, e.deadlines[0], result.DeadlineExceeded, "the deadline passed") // takes the job out of the heap
 	}
 }
 
-// deadlines is a heap of jobs. Jobs that have ended stay in it until their deadline.
+// deadlines is a heap of the open jobs.
 type deadlines []*Job
 
 // Len implements heap.Interface.
@@ -123,10 +121,17 @@
 func (d deadlines) Less(a, b int) bool { return d[a].Deadline.Before(d[b].Deadline) }
 
 // Swap implements heap.Interface.
-func (d deadlines) Swap(a, b int) { d[a], d[b] = d[b], d[a] }
+func (d deadlines) Swap(a, b int) {
+	d[a], d[b] = d[b], d[a]
+	d[a].place, d[b].place = a, b
+}
 
 // Push implements heap.Interface.
-func (d *deadlines) Push(x any) { *d = append(*d, x.(*Job)) }
+func (d *deadlines) Push(x any) {
+	j := x.(*Job)
+	j.place = len(*d)
+	*d = append(*d, j)
+}
 
 // Pop implements heap.Interface.
 func (d *deadlines) Pop() any {
@@ -208,8 +213,9 @@
 func (e *Engine) finish(now time.Time, j *Job, a *api.Answer) {
 	delete(e.jobs, j.Shape.ID)
 	delete(e.byIdentity, j.Identity)
+	heap.Remove(&e.deadlines, j.place)
 	e.opts.Observe.Answered(j, a, now.Sub(j.Arrived))
 	j.done(a)
-	// The job stays in the deadline heap; what is large in it must not.
+	// Calls that have not returned keep the job; they must not keep what is large in it.
 	j.Payloads, j.outputs, j.phases, j.where = nil, nil, nil, nil
 }
