endpoint: a call that was given up does not begin afterwards

The engine gives up a task by abandoning its lane. Where the lane had passed its last look at the task but not begun the call, httpx cleared the mark of the abandonment as the call began: the task started after its job was answered, on a slot that the scheduler counted as free, and nothing would end the call if it stayed silent. Ruled out: an abandonment while the connection is opened, which was seen, and one during the call, which closes the connection.

RunRequest.Revoked is asked under the lane's lock as the call begins, and the engine revokes a task before it abandons the lane. So either the call sees that it is revoked, or the abandonment finds the call.

TestRevokedCallSendsNothing: 'succeeded' before, 'unreached' and no request after.

--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -157,7 +157,7 @@
 	case st.State == platform.TaskFailed:
 		r = platform.RunResult{Outcome: platform.Failed, Output: st.Output}
 	}
-	w.target.abandon(f)
+	e.cutOff(f)
 	e.settle(now, f, &r)
 }
 
@@ -175,12 +175,18 @@
 	})
 }
 
+// cutOff ends the call for a task. It is revoked first, so that a call which has not begun cannot begin afterwards.
+func (e *Engine) cutOff(f *flight) {
+	f.end()
+	f.at.target.abandon(f)
+}
+
 // giveUp settles a task as lost.
 func (e *Engine) giveUp(now time.Time, f *flight, reason string) {
 	if f.settled {
 		return
 	}
-	f.at.target.abandon(f)
+	e.cutOff(f)
 	e.settle(now, f, &platform.RunResult{Outcome: platform.Lost, Output: reason})
 }
 
--- a/internal/engine/target.go
+++ b/internal/engine/target.go
@@ -74,6 +74,7 @@
 }
 
 func (l *lanes) run(f *flight, req *platform.RunRequest) bool {
+	req.Revoked = f.revoked.Load
 	select {
 	case l.lanes[f.assigned.Lane].work <- laneCall{f, req}:
 		return true
--- a/internal/platform/httpx/lane.go
+++ b/internal/platform/httpx/lane.go
@@ -46,13 +46,16 @@
 	l.resp.Header.SetNoDefaultContentType(true)
 }
 
-// begin returns the lane's connection, or nil when the call must open one.
-func (l *lane) begin(idleTimeout time.Duration) (*conn, error) {
+// begin returns the lane's connection, or nil when the call must open one. From here on abandon ends the call.
+func (l *lane) begin(idleTimeout time.Duration, revoked func() bool) (*conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return nil, errClosed
 	}
+	if revoked != nil && revoked() {
+		return nil, errAbandoned
+	}
 	l.abandoned = false
 	l.busy = true
 	if l.conn != nil && !l.conn.usable(idleTimeout) {
@@ -120,8 +123,8 @@
 }
 
 // connect returns the lane's connection and opens it if needed.
-func (l *lane) connect(address string, o *Options) (*conn, error) {
-	c, err := l.begin(o.IdleTimeout)
+func (l *lane) connect(address string, o *Options, revoked func() bool) (*conn, error) {
+	c, err := l.begin(o.IdleTimeout, revoked)
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -133,7 +136,7 @@
 }
 
 func (l *lane) run(address string, o *Options, req *platform.RunRequest) platform.RunResult {
-	c, err := l.connect(address, o)
+	c, err := l.connect(address, o, req.Revoked)
 	if err != nil {
 		l.end(nil, false)
 		return platform.RunResult{Outcome: platform.Unreached, Output: err.Error()}
--- a/internal/platform/httpx/lane_test.go
+++ b/internal/platform/httpx/lane_test.go
@@ -183,3 +183,20 @@
 		}
 	}
 }
+
+// Guards against a task that starts after its caller was told of its end: the lane is abandoned between the decision to
+// call and the call.
+func TestRevokedCallSendsNothing(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
+	e := open(t, s.Addr().String())
+	var revoked atomic.Bool
+	late := *request
+	late.Revoked = revoked.Load
+	is.Equal(e.Run(0, &late).Outcome, platform.Succeeded)
+	revoked.Store(true)
+	e.Abandon(0)
+	is.Equal(e.Run(0, &late).Outcome, platform.Unreached)
+	is.Equal(s.requests.Load(), int64(1))
+	is.Equal(e.Run(0, request).Outcome, platform.Succeeded) // the lane is free for the next call
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -111,6 +111,9 @@
 	Size    Size
 	Lease   time.Duration
 	Payload string
+	// Revoked is true once the call is no longer wanted. Run must ask it after Abandon can reach the call and before it
+	// writes a byte; a revoked call ends as Unreached. Nil stands for false.
+	Revoked func() bool
 }
 
 // RunResult is the end of an attempt.
