entry: charge a team once for a delegated task

A home's scheduler charges a team for a task that it hands to a peer, and the peer's report of the teams' use held the same task, so within the availability zone the home charged it twice: a team came behind the others, or reached its quota, with half of what it really used elsewhere. Ruled out: the owner's own account, which charges a peer's task once, and peers of other zones, which send no reports.

The report is now made for each reader and leaves out the tasks that the reader has delegated. It still holds them for the third instances, which know them from nobody else.

--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -191,10 +191,7 @@
 			t.Queued++
 		case running:
 			t.Running++
-			size := j.Shape.Tasks[i].Size
-			t.Usage.Cores += size.Cores
-			t.Usage.MemoryMB += size.MemoryMB
-			t.Usage.Accelerators += size.Accelerators
+			t.Usage = t.Usage.Plus(j.Shape.Tasks[i].Size)
 		}
 	}
 }
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -36,31 +36,33 @@
 	e.load.Store(l)
 }
 
-// Usage returns what each team uses on the slots that this instance assigns, its peers' tasks included.
-func (e *Engine) Usage() map[string]sched.Size {
-	out := map[string]sched.Size{}
+// Use tells whose tasks use slots.
+type Use struct {
+	Home string // ZONE/INSTANCE of the peer that has delegated the tasks, empty for own tasks
+	Team string
+}
+
+// Usage returns the declared sizes of the tasks on the slots that this instance assigns.
+func (e *Engine) Usage() map[Use]sched.Size {
+	out := map[Use]sched.Size{}
 	e.call(func(time.Time) {
 		for _, w := range e.workers {
 			if w.peer {
 				continue
 			}
 			for f := range w.flights {
-				team, size := f.charge()
-				s := out[team]
-				s.Cores += size.Cores
-				s.MemoryMB += size.MemoryMB
-				s.Accelerators += size.Accelerators
-				out[team] = s
+				use, size := f.charge()
+				out[use] = out[use].Plus(size)
 			}
 		}
 	})
 	return out
 }
 
-// charge returns the team and the declared size of a task.
-func (f *flight) charge() (team string, size sched.Size) {
+// charge returns who uses the slot and the declared size of the task.
+func (f *flight) charge() (Use, sched.Size) {
 	if f.foreign != nil {
-		return f.foreign.task.Team, f.foreign.task.Size
+		return Use{f.foreign.home, f.foreign.task.Team}, f.foreign.task.Size
 	}
-	return f.job.Team, f.job.Shape.Tasks[f.index].Size
+	return Use{Team: f.job.Team}, f.job.Shape.Tasks[f.index].Size
 }
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/engine"
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/peer/message"
 	"github.com/savorypass/savorypass/internal/platform"
@@ -59,11 +60,7 @@
 			continue
 		}
 		for _, t := range r.teams {
-			s := out[t.Team]
-			s.Cores += t.Size.Cores
-			s.MemoryMB += t.Size.MemoryMB
-			s.Accelerators += t.Size.Accelerators
-			out[t.Team] = s
+			out[t.Team] = out[t.Team].Plus(t.Size)
 		}
 	}
 	return out
@@ -118,14 +115,27 @@
 }
 
 func (e *Entry) sendUsage() {
-	var m message.TeamUsage
-	for team, size := range e.engine.Usage() {
-		m.Teams = append(m.Teams, message.TeamAmount{Team: team, Size: size})
-	}
-	body := message.Encode(&m)
+	use := e.engine.Usage()
 	for _, p := range e.members.View().Live() {
 		if p.Zone == e.opts.Zone {
-			e.node.Notify(p.Addr, peer.TeamUsage, body) // best effort; the next report replaces it
+			m := usageFor(p.Zone+"/"+p.Instance, use)
+			e.node.Notify(p.Addr, peer.TeamUsage, message.Encode(&m)) // best effort; the next report replaces it
+		}
+	}
+}
+
+// usageFor returns the report for one peer. It leaves out the tasks that the peer has delegated, because the peer's own
+// scheduler charges their teams.
+func usageFor(reader string, use map[engine.Use]sched.Size) message.TeamUsage {
+	teams := map[string]sched.Size{}
+	for u, size := range use {
+		if u.Home != reader {
+			teams[u.Team] = teams[u.Team].Plus(size)
 		}
 	}
+	var m message.TeamUsage
+	for team, size := range teams {
+		m.Teams = append(m.Teams, message.TeamAmount{Team: team, Size: size})
+	}
+	return m
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -33,6 +33,11 @@
 	Accelerators int     `json:"accelerators" msgpack:"a"`
 }
 
+// Plus returns the sum of two amounts.
+func (s Size) Plus(o Size) Size {
+	return Size{Cores: s.Cores + o.Cores, MemoryMB: s.MemoryMB + o.MemoryMB, Accelerators: s.Accelerators + o.Accelerators}
+}
+
 // Instance is one entry of the instance list.
 type Instance struct {
 	Name        string `json:"name"`
