engine: forget peers that are gone

Ruled out: a restarted peer, which RemovePeer replaced, and the demand of a silent peer, which expires.

A peer that is silent for so long that it counts as dead is forgotten once none of its tasks is open. Its tasks are not given up any earlier than before, and a peer that returns is added again.

TestDeadPeerIsForgottenAfterItsTasks: 2 peers left in place of 1 with the forgetting taken out, passes with it.

--- a/internal/engine/delegate.go
+++ b/internal/engine/delegate.go
@@ -60,15 +60,35 @@
 // AddPeer lets the engine delegate to a peer.
 func (e *Engine) AddPeer(name string, p Peer) {
 	e.post(func(now time.Time) {
-		if e.workers[name] == nil {
-			e.workers[name] = &worker{
-				instance: platform.Instance{Name: name}, target: peerTarget{p}, peer: true,
-				flights: map[*flight]struct{}{}, renewedAt: now,
-			}
+		if w := e.workers[name]; w != nil {
+			w.gone = false
+			return
+		}
+		e.workers[name] = &worker{
+			instance: platform.Instance{Name: name}, target: peerTarget{p}, peer: true,
+			flights: map[*flight]struct{}{}, renewedAt: now,
+		}
+	})
+}
+
+// DropPeer forgets a peer that is silent. Tasks that it runs are followed to their ends, or until their leases run out;
+// AddPeer takes it back.
+func (e *Engine) DropPeer(name string) {
+	e.post(func(time.Time) {
+		if w := e.workers[name]; w != nil && w.peer {
+			w.gone = true
+			e.forgetPeer(w)
 		}
 	})
 }
 
+// forgetPeer removes a peer that is gone once none of its tasks is open.
+func (e *Engine) forgetPeer(w *worker) {
+	if w.gone && len(w.flights) == 0 && e.workers[w.instance.Name] == w {
+		delete(e.workers, w.instance.Name)
+	}
+}
+
 // RemovePeer gives up the tasks that are delegated to a peer which is gone for good.
 func (e *Engine) RemovePeer(name string) {
 	e.post(func(now time.Time) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/sched"
 )
 
 func succeed(output string) platform.RunResult {
@@ -163,3 +165,28 @@
 	}
 	h.engine.call(func(time.Time) { is.Equal(len(h.engine.deadlines), 0) })
 }
+
+// idlePeer takes delegated tasks and never answers.
+type idlePeer struct{}
+
+func (idlePeer) Delegate(uint64, []Delegated, Ended)  {}
+func (idlePeer) Stop(context.Context, []string) error { return nil }
+func (idlePeer) Status(context.Context, []string) ([]platform.TaskStatus, error) {
+	return nil, errors.New("no route")
+}
+
+// Guards against peers that are kept, and asked for their tasks, for ever after they were replaced.
+func TestDeadPeerIsForgottenAfterItsTasks(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	e := h.engine
+	e.AddPeer("z/idle", idlePeer{})
+	e.AddPeer("z/busy", idlePeer{})
+	h.submit("a", 1, time.Minute)
+	e.call(func(now time.Time) { e.launch(now, e.byIdentity["a"], e.workers["z/busy"], sched.Assignment{Job: 1}) })
+	e.DropPeer("z/idle")
+	e.DropPeer("z/busy")
+	is.Equal(len(e.State().Peers), 1)
+	is.Equal(h.until().Code, result.WorkerLost)
+	is.Equal(len(e.State().Peers), 0)
+}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -37,7 +37,7 @@
 	flights     map[*flight]struct{}
 	state       sched.WorkerState
 	slots       int
-	gone        bool // no longer in the list; forgotten when its last task has ended
+	gone        bool // no longer in the list, or silent for a peer; forgotten when its last task has ended
 	renewing    bool
 	renewedAt   time.Time // last answer to a renewal
 	triedAt     time.Time
@@ -216,6 +216,7 @@
 	w := f.at
 	delete(w.flights, f)
 	if w.peer {
+		e.forgetPeer(w)
 		return
 	}
 	if len(w.flights) >= w.slots {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,6 +50,8 @@
 	case member.Restarted:
 		e.engine.RemovePeer(name)
 		e.engine.AddPeer(name, e.sharing.Link(name, ev.Member.Addr))
+	case member.Died:
+		e.engine.DropPeer(name)
 	}
 	if ev.Member.Live() {
 		e.config.Observe(name, ev.Member.Version)
