engine: repeat the stop of a task while it runs

A stop was sent once. A worker or peer that had not seen the task yet, because the stop overtook its start or delegation, ignored it, as did one whose message was lost: the task of an answered job then held its slot to its end. Ruled out: tasks that are given up, whose calls are cut off.

A renewal that reports a task as running which nobody waits for, because its job has ended or its home has asked to stop it, sends the stop again.

TestStopIsRepeatedWhileTheTaskRuns: one stop before, more than one after.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -166,6 +166,18 @@
 	h.engine.call(func(time.Time) { is.Equal(len(h.engine.deadlines), 0) })
 }
 
+// Guards against a slot that an unwanted task holds to its end because the stop was lost, or came before the task.
+func TestStopIsRepeatedWhileTheTaskRuns(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.submit("a", 1, time.Minute)
+	<-h.workers["w1"].begun
+	h.engine.Cancel("a")
+	<-h.answers
+	h.advance(5 * time.Second)
+	is.True(len(h.stopped()) > 1)
+}
+
 // idlePeer takes delegated tasks and never answers.
 type idlePeer struct{}
 
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -96,6 +96,10 @@
 func (e *Engine) compare(now time.Time, w *worker, f *flight, st platform.TaskStatus, restarted bool) {
 	if st.State == platform.TaskRunning {
 		f.reported = time.Time{}
+		if e.unwanted(f) {
+			// The stop was lost, or overtook the start.
+			e.stops[w] = append(e.stops[w], f.task)
+		}
 		return
 	}
 	if restarted && st.State == platform.TaskUnknown {
--- a/internal/engine/lend.go
+++ b/internal/engine/lend.go
@@ -50,9 +50,10 @@
 
 // foreign is a task of a peer on a worker of this instance.
 type foreign struct {
-	home  string
-	task  Delegated
-	ended func(r *platform.RunResult)
+	home    string
+	task    Delegated
+	ended   func(r *platform.RunResult)
+	stopped bool // the home has asked to stop it, or is gone
 }
 
 // foreignState is what is kept of a peer's task, so that a lost answer can be asked for.
@@ -262,11 +263,24 @@
 	return out
 }
 
+// ForeignTasks returns the names of the peers' tasks that run here.
+func (e *Engine) ForeignTasks() (tasks []string) {
+	e.call(func(time.Time) {
+		for name, st := range e.foreign {
+			if st.flight != nil {
+				tasks = append(tasks, name)
+			}
+		}
+	})
+	return tasks
+}
+
 // StopForeign stops tasks of a peer.
 func (e *Engine) StopForeign(tasks []string) {
 	e.post(func(time.Time) {
 		for _, t := range tasks {
 			if st := e.foreign[t]; st != nil && st.flight != nil {
+				st.flight.foreign.stopped = true
 				e.stops[st.flight.at] = append(e.stops[st.flight.at], t)
 			}
 		}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -24,6 +24,14 @@
 	revoked  atomic.Bool // set with settled; a lane that has not begun the call skips it
 }
 
+// unwanted reports whether nobody waits for the task's result any more.
+func (e *Engine) unwanted(f *flight) bool {
+	if f.foreign != nil {
+		return f.foreign.stopped
+	}
+	return e.jobs[f.job.Shape.ID] != f.job
+}
+
 func (f *flight) end() {
 	f.settled = true
 	f.revoked.Store(true)
