entry: stop the tasks of homes that are known to be dead

Tasks that a home had delegated ran to their ends after the home's death, and their leases were renewed all that time, so that stragglers held slots for results that nobody takes. Ruled out: grants to a dead home, which expire after 50 ms.

With each report of the teams' use, every 2 s, an instance asks the membership about the homes of the peers' tasks that run on its workers and stops those whose home counts as dead by the rule for identities: a newer incarnation was seen, or it is silent and long off the list. A home that is merely silent keeps its tasks, since it may still answer.

--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/api"
@@ -46,6 +47,12 @@
 // TaskID returns the name of a task at endpoints.
 func (j *Job) TaskID(i int) string { return j.Identity + "/" + strconv.Itoa(i) }
 
+// IdentityOf returns the submission identity of a task that TaskID has named.
+func IdentityOf(task string) string {
+	identity, _, _ := strings.Cut(task, "/")
+	return identity
+}
+
 // Submit queues a job. done gets its answer: a refusal at once, or the outcome later.
 func (e *Engine) Submit(j *Job, done Done) {
 	j.done = done
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -69,8 +69,8 @@
 // elsewhereInterval follows the heartbeats of the zone's peers, which carry their slots.
 const elsewhereInterval = 250 * time.Millisecond
 
-// reportUsage sends the teams' use of this instance's slots to the zone's peers, and gives what is known of the other
-// instances to the scheduler.
+// reportUsage sends the teams' use of this instance's slots to the zone's peers, stops the peers' tasks that nobody waits
+// for, and gives what is known of the other instances to the scheduler.
 func (e *Entry) reportUsage(ctx context.Context) {
 	ticker := e.clock.NewTicker(elsewhereInterval)
 	defer ticker.Stop()
@@ -83,6 +83,7 @@
 			if now.Sub(sent) >= usageInterval {
 				sent = now
 				e.sendUsage()
+				e.stopOrphans()
 			}
 		}
 		elsewhere := e.elsewhere()
