share: a refused task may come to the same peer again

A peer kept the name of each delegated task for 60 s and took none twice, including one that its worker had refused before the start. Where only this peer had free slots, the home delegated the task with each grant and the peer refused it each time, until the job's deadline or the 60 s had passed. Ruled out: the worker's state, which was ready, and the grants, which came. The memory of refused tasks stood in for a check at the home: the refusal is repeated until it is acknowledged, and a late repetition would have ended the second delegation to the same peer and started the task twice.

Results now name the grant of their delegation, the home takes a result only under the grant that is open, and the peer forgets a task that was refused. The new field comes last in the message.

The test of repeated refusals has one more case, a repetition after the same peer got the task again.

--- a/internal/engine/lend.go
+++ b/internal/engine/lend.go
@@ -226,6 +226,11 @@
 	st := &foreignState{status: platform.TaskStatus{Task: t.Task, State: platform.TaskRunning}, flight: f}
 	e.foreign[t.Task] = st
 	f.foreign = &foreign{home: home, task: *t, ended: func(r *platform.RunResult) {
+		if r.Outcome == platform.Refused {
+			delete(e.foreign, t.Task) // it did not start, so it may come again under another grant
+			ended(r)
+			return
+		}
 		st.status.State, st.status.Output, st.ended, st.flight = stateOf(r.Outcome), r.Output, e.opts.Clock.Now(), nil
 		e.foreignEnded = append(e.foreignEnded, t.Task)
 		ended(r)
--- a/internal/peer/message/message_test.go
+++ b/internal/peer/message/message_test.go
@@ -22,7 +22,7 @@
 	&GrantReturn{ID: 7, Slots: 3},
 	&Delegate{Grant: 7, Tasks: []DelegatedTask{{Task: "i/0", Team: "survey", Service: "washout", Size: platform.Size{Cores: .5, MemoryMB: 100, Accelerators: 1}, Payload: "p", Expected: time.Second, Deadline: time.Minute}, {Task: "i/1"}}},
 	&DelegateAccepted{Accepted: 2},
-	&DelegateResults{Results: []TaskResult{{Task: "i/0", Outcome: platform.Lost, Output: "o", RunTime: time.Second, Usage: platform.Size{MemoryMB: 5}}}},
+	&DelegateResults{Results: []TaskResult{{Task: "i/0", Outcome: platform.Lost, Output: "o", RunTime: time.Second, Usage: platform.Size{MemoryMB: 5}, Grant: 3}}},
 	&CopyBatch{Copies: []Copy{{Identity: "i", Team: "survey", Answer: []byte("a")}, {Identity: "j"}}},
 	&CopyLookup{Identity: "i", Team: "survey"},
 	&CopyFound{Found: true, Answer: []byte("a")},
--- a/internal/peer/message/messages.go
+++ b/internal/peer/message/messages.go
@@ -173,6 +173,7 @@
 	Output  string
 	RunTime time.Duration
 	Usage   platform.Size
+	Grant   uint64 // under which the task was delegated
 }
 
 func (t *TaskResult) visit(c *codec) {
@@ -183,6 +184,7 @@
 	c.float(&t.Usage.Cores)
 	c.long(&t.Usage.MemoryMB)
 	c.int(&t.Usage.Accelerators)
+	c.uint(&t.Grant)
 }
 
 // DelegateResults returns the ends of delegated tasks to their home.
--- a/internal/share/link.go
+++ b/internal/share/link.go
@@ -31,12 +31,12 @@
 		m.Tasks[i] = message.DelegatedTask{
 			Task: t.Task, Team: t.Team, Service: t.Service, Size: t.Size, Payload: t.Payload, Expected: t.Expected,
 		}
-		l.service.pending.add(l.service.opts.Now(), t.Task, l.name, i, ended)
+		l.service.pending.add(t.Task, &entry{l.name, grant, i, ended, l.service.opts.Now()})
 	}
-	go l.send(message.Encode(m), tasks, ended)
+	go l.send(message.Encode(m), grant, tasks, ended)
 }
 
-func (l *Link) send(body []byte, tasks []engine.Delegated, ended engine.Ended) {
+func (l *Link) send(body []byte, grant uint64, tasks []engine.Delegated, ended engine.Ended) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	answer, err := l.service.opts.Transport.Call(ctx, l.addr, peer.Delegate, body)
@@ -46,9 +46,9 @@
 	}
 	switch {
 	case err == nil:
-		l.refused(tasks, m.Accepted, platform.Refused, ended)
+		l.refused(grant, tasks, m.Accepted, platform.Refused, ended)
 	case peer.NotProcessed(err):
-		l.refused(tasks, 0, platform.Unreached, ended)
+		l.refused(grant, tasks, 0, platform.Unreached, ended)
 	default:
 		// The peer may be running the tasks. Their results may still come, so they stay pending; the engine asks for
 		// their states meanwhile.
@@ -59,9 +59,9 @@
 }
 
 // refused ends the tasks from the given one on, which did not start.
-func (l *Link) refused(tasks []engine.Delegated, from int, why platform.Outcome, ended engine.Ended) {
+func (l *Link) refused(grant uint64, tasks []engine.Delegated, from int, why platform.Outcome, ended engine.Ended) {
 	for i := max(0, from); i < len(tasks); i++ {
-		if l.service.pending.take(tasks[i].Task, l.name) != nil {
+		if l.service.pending.take(tasks[i].Task, l.name, grant) != nil {
 			ended(i, platform.RunResult{Outcome: why, Output: "the peer did not take the task"})
 		}
 	}
@@ -92,6 +92,7 @@
 // entry is a delegated task whose result has not come.
 type entry struct {
 	peer  string // that has the task now
+	grant uint64 // of that peer
 	index int
 	ended engine.Ended
 	at    time.Time
@@ -104,27 +105,28 @@
 	swept time.Time
 }
 
-func (p *pending) add(now time.Time, task, peer string, index int, ended engine.Ended) {
+func (p *pending) add(task string, added *entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tasks[task] = &entry{peer, index, ended, now}
-	if now.Sub(p.swept) > pendingTTL {
-		p.swept = now
+	p.tasks[task] = added
+	if added.at.Sub(p.swept) > pendingTTL {
+		p.swept = added.at
 		for t, e := range p.tasks {
-			if now.Sub(e.at) > pendingTTL {
+			if added.at.Sub(e.at) > pendingTTL {
 				delete(p.tasks, t)
 			}
 		}
 	}
 }
 
-// take removes a task that a peer has, or returns nil. A peer repeats its results until they are acknowledged; a late
-// repetition of "refused" must not end the delegation to the next peer, since the task would then start again.
-func (p *pending) take(task, peer string) *entry {
+// take removes a task that a peer has under a grant, or returns nil. A peer repeats its results until they are
+// acknowledged; a late repetition of "refused" must not end the next delegation, to another peer or to the same one, since
+// the task would then start again.
+func (p *pending) take(task, peer string, grant uint64) *entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.tasks[task]
-	if e == nil || e.peer != peer {
+	if e == nil || e.peer != peer || e.grant != grant {
 		return nil
 	}
 	delete(p.tasks, task)
@@ -139,7 +141,7 @@
 	}
 	for i := range m.Results {
 		r := &m.Results[i]
-		if e := s.pending.take(r.Task, Name(from)); e != nil {
+		if e := s.pending.take(r.Task, Name(from), r.Grant); e != nil {
 			e.ended(e.index, platform.RunResult{Outcome: r.Outcome, Output: r.Output, RunTime: r.RunTime})
 		}
 	}
--- a/internal/share/link_test.go
+++ b/internal/share/link_test.go
@@ -14,25 +14,30 @@
 )
 
 // Guards against a second start: a peer repeats "refused" because the acknowledgement was lost, while the home has
-// already delegated the task to another peer. The repetition must not end the second delegation, as its task would be
-// queued and started again.
+// already delegated the task to another peer, or to the same one again. The repetition must not end the second
+// delegation, as its task would be queued and started again.
 func TestRepeatedRefusalDoesNotEndTheNextDelegation(t *testing.T) {
 	is := is.New(t)
 	s := New(Options{Now: time.Now})
 	ended := map[string]int{}
-	add := func(p string) {
-		s.pending.add(time.Now(), "id/0", "zone/"+p, 0, func(int, platform.RunResult) { ended[p]++ })
+	add := func(p string, grant uint64) {
+		count := func(int, platform.RunResult) { ended[p]++ }
+		s.pending.add("id/0", &entry{peer: "zone/" + p, grant: grant, ended: count, at: time.Now()})
 	}
-	refuse := func(p string) {
-		body := message.Encode(&message.DelegateResults{Results: []message.TaskResult{{Task: "id/0", Outcome: platform.Refused}}})
+	refuse := func(p string, grant uint64) {
+		refusal := message.TaskResult{Task: "id/0", Grant: grant, Outcome: platform.Refused}
+		body := message.Encode(&message.DelegateResults{Results: []message.TaskResult{refusal}})
 		_, err := s.results(context.Background(), peer.From{Name: secure.Name{Zone: "zone", Instance: p}}, body)
 		is.NoErr(err)
 	}
-	add("first")
-	refuse("first")
-	add("second")
-	refuse("first") // the repetition
+	add("first", 1)
+	refuse("first", 1)
+	add("second", 1)
+	refuse("first", 1) // the repetition
 	is.Equal(ended, map[string]int{"first": 1})
-	refuse("second")
+	refuse("second", 1)
+	is.Equal(ended, map[string]int{"first": 1, "second": 1})
+	add("second", 2)
+	refuse("second", 1) // a repetition after the same peer got the task again
 	is.Equal(ended, map[string]int{"first": 1, "second": 1})
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -209,7 +209,7 @@
 	taken := make(chan int, 1)
 	out := &outgoing{service: s, addr: from.Addr}
 	s.engine.Accept(Name(from), m.Grant, tasks, func(n int) { taken <- n }, func(i int, r platform.RunResult) {
-		out.add(message.TaskResult{Task: tasks[i].Task, Outcome: r.Outcome, Output: r.Output, RunTime: r.RunTime})
+		out.add(message.TaskResult{Task: tasks[i].Task, Grant: m.Grant, Outcome: r.Outcome, Output: r.Output, RunTime: r.RunTime})
 	})
 	return message.Encode(&message.DelegateAccepted{Accepted: <-taken}), nil
 }
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -84,15 +84,24 @@
 
 // endpoint counts starts; its tasks end when release is closed.
 type endpoint struct {
-	mu      sync.Mutex
-	starts  map[string]int
-	release chan struct{}
+	mu       sync.Mutex
+	starts   map[string]int
+	refusals int // calls that are refused before the first start
+	release  chan struct{}
 }
 
 func (e *endpoint) Run(_ int, req *platform.RunRequest) platform.RunResult {
 	e.mu.Lock()
-	e.starts[req.Task]++
+	refused := e.refusals > 0
+	if refused {
+		e.refusals--
+	} else {
+		e.starts[req.Task]++
+	}
 	e.mu.Unlock()
+	if refused {
+		return platform.RunResult{Outcome: platform.Refused}
+	}
 	<-e.release
 	return platform.RunResult{Outcome: platform.Succeeded, Output: req.Payload, RunTime: time.Millisecond}
 }
@@ -236,3 +245,13 @@
 	p.started(8)
 	p.finish(t, 8)
 }
+
+// Guards against a task that waits although slots are free: the peer's worker refused it once, and the peer must take it
+// again.
+func TestRefusedTaskRunsAtTheSamePeerLater(t *testing.T) {
+	p := newPair(t)
+	p.endpoint.refusals = 8
+	p.submit(8)
+	p.started(8)
+	p.finish(t, 8)
+}
