chaos: each running instance completes a new job after the faults

A random run checked what was submitted during the faults, not that the deployment serves again once they have ended: an instance that stayed refusing, or whose owner kept slots in use for ever, passed. Each run now ends with a new job at every running instance whose zone has a usable worker; before it completes, only refusals that say 'not run' may come, for 60 s, since a worker that failed may be held off that long.

--- a/internal/scenario/chaos.go
+++ b/internal/scenario/chaos.go
@@ -1,10 +1,13 @@
 package scenario
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/standin/worker"
 )
 
@@ -287,9 +290,57 @@
 	resolving.Wait()
 	note(s.WaitConfig(Limit))
 	note(s.CheckDocument())
+	return append(problems, r.serve()...)
+}
+
+// serve checks that after the faults each running instance completes a new job. An instance whose zone has lost all its
+// workers for good has nothing to run it on.
+func (r *chaos) serve() []string {
+	usable := map[string]bool{}
+	for _, w := range r.s.Workers {
+		usable[w.Zone] = usable[w.Zone] || r.s.Up(w) && !r.s.leaving(w)
+	}
+	var problems []string
+	for _, e := range r.s.upEntries() {
+		if e.running.Ended() || !usable[e.Zone] {
+			continue
+		}
+		if err := r.complete(e); err != nil {
+			problems = append(problems, err.Error())
+		}
+	}
 	return problems
 }
 
+// complete submits jobs at an instance until one completes. Only a refusal that says "not run" may come before, since
+// workers that failed are still held off.
+func (r *chaos) complete(e *Program) error {
+	last := "no identity"
+	for end := time.Now().Add(chaosResolve); time.Now().Before(end); time.Sleep(retryPause) {
+		j, err := r.s.NewJob(e, CallerToken, Shape{Service: "washout", Tasks: chaosSlots, RunMS: 1, DeadlineMS: 20_000})
+		if err != nil {
+			last = err.Error()
+			continue
+		}
+		a, err := r.s.Ask(e, j, Submit, chaosResolve)
+		if err == nil && a.Code == result.Complete {
+			return nil
+		}
+		if err != nil || a.Execution != result.NotRun {
+			return fmt.Errorf("new job at %s after the faults: %s", e.Name, outcome(a, err))
+		}
+		last = outcome(a, nil)
+	}
+	return fmt.Errorf("%w in %s: a new job completes at %s: %s", errLimit, chaosResolve, e.Name, last)
+}
+
+func outcome(a *api.Answer, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return a.Code.String() + ": " + a.Message
+}
+
 func (s *System) leaving(w *Program) bool {
 	st, err := s.readStatus(w)
 	return err == nil && st.Leaving
