entry: answers close their connections during a planned stop

docs/decisions/planned-stop.md promises that each answer of a draining instance carries 'Connection: close', so that callers move to other instances. The server can do it, but nothing called Server.Drain: connections stayed open until the process ended, and a request sent at that moment was cut off. Ruled out: refusals of new work, which worked.

The drain calls it as soon as the listener for callers is open.

TestDrainingInstanceSendsCallersAway: 'resp.Close' false before, true after.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -23,6 +23,7 @@
 	defer close(e.drained)
 	select {
 	case <-e.serving:
+		e.server.Drain()
 	case <-e.clock.After(e.opts.DrainTimeout):
 	}
 	for e.clock.Now().Before(limit) {
