registry: forget waiters that have been answered by their time-out

Each wait for an open job left its request, with a decoded body for a resubmission, in the job's record until the job ended: a caller that polls a 10 min job once a second kept 600 of them. Ruled out: the timers, which are stopped with the answer.

The registry takes waiters that can tell whether they were answered, and drops those that were when a record's list would grow.

--- a/internal/filter/dedup/dedup.go
+++ b/internal/filter/dedup/dedup.go
@@ -95,9 +95,9 @@
 
 func (f Filter) claim(r *filter.Request, expired bool) registry.Claim {
 	if expired {
-		return f.Registry.Join(r.ID.Seq, r.Digest, r.Answer)
+		return f.Registry.Join(r.ID.Seq, r.Digest, r)
 	}
-	return f.Registry.Open(f.Now(), r.ID.Seq, r.Digest, r.Answer)
+	return f.Registry.Open(f.Now(), r.ID.Seq, r.Digest, r)
 }
 
 func (f Filter) refuseExpired(r *filter.Request) {
@@ -110,7 +110,7 @@
 		next.Handle(r)
 		return
 	}
-	if f.Registry.Watch(r.ID.Seq, r.Wait > 0, r.Answer) {
+	if f.Registry.Watch(r.ID.Seq, r.Wait > 0, r) {
 		limitWait(r)
 		return
 	}
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 
 // cancel ends the job and answers with its outcome.
 func (f Filter) cancel(r *filter.Request) {
-	if !f.Registry.Watch(r.ID.Seq, true, r.Answer) {
+	if !f.Registry.Watch(r.ID.Seq, true, r) {
 		r.Answer(api.NewAnswer(result.NotSubmitted, "nothing was submitted under this identity so far"))
 		return
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// Answered implements registry.Waiter.
+func (r *Request) Answered() bool { return r.answered.Load() }
+
 // StopOnAnswer stops a timer once the request is answered.
 func (r *Request) StopOnAnswer(t *time.Timer) {
 	r.timer.Store(t)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,9 +12,23 @@
 	"github.com/savorypass/savorypass/internal/result"
 )
 
-// Reply receives the answer of a request. It is called once and must not block.
+// Waiter is a request that waits for an answer.
+type Waiter interface {
+	// Answer gives the answer. It is called at most once and must not block.
+	Answer(a *api.Answer)
+	// Answered reports whether the request has been answered by other means, so that it need not be kept.
+	Answered() bool
+}
+
+// Reply is a Waiter that waits until it gets the answer.
 type Reply func(a *api.Answer)
 
+// Answer implements Waiter.
+func (r Reply) Answer(a *api.Answer) { r(a) }
+
+// Answered implements Waiter.
+func (Reply) Answered() bool { return false }
+
 // Digest identifies the content of a submission.
 type Digest [16]byte
 
@@ -32,7 +47,7 @@
 	created  time.Time
 	finished time.Time
 	answer   *api.Answer // nil while the job is open
-	waiters  []Reply
+	waiters  []Waiter
 	hasBody  bool          // the answer still holds its outputs
 	age      *list.Element // in byAge
 }
@@ -68,20 +83,20 @@
 // The results of Open and Join.
 const (
 	First    Claim = iota // the caller of Open must carry the submission out and call Finish or Withdraw
-	Attached              // the reply gets the answer of the first submission
+	Attached              // the waiter gets the answer of the first submission
 	Reused                // another body was submitted under the identity
 	Missing               // there is no record; only Join returns it
 )
 
-// Open claims an identity for a submission. reply is kept and answered by Finish, or answered at once when the job has
-// ended. A nil reply attaches nobody.
-func (r *Registry) Open(now time.Time, seq uint64, d Digest, reply Reply) Claim {
+// Open claims an identity for a submission. w is kept and answered by Finish, or answered at once when the job has
+// ended. A nil w attaches nobody.
+func (r *Registry) Open(now time.Time, seq uint64, d Digest, w Waiter) Claim {
 	r.mu.Lock()
 	if r.records[seq] != nil {
-		return r.joinLocked(seq, d, reply)
+		return r.joinLocked(seq, d, w)
 	}
 	rec := &record{seq: seq, digest: d, created: now}
-	rec.attach(reply)
+	rec.attach(w)
 	r.records[seq] = rec
 	rec.age = r.byAge.PushBack(rec)
 	r.open++
@@ -89,14 +104,14 @@
 	return First
 }
 
-// Join is Open for an identity that may no longer start anything: it attaches reply to the record, if there is one.
-func (r *Registry) Join(seq uint64, d Digest, reply Reply) Claim {
+// Join is Open for an identity that may no longer start anything: it attaches w to the record, if there is one.
+func (r *Registry) Join(seq uint64, d Digest, w Waiter) Claim {
 	r.mu.Lock()
-	return r.joinLocked(seq, d, reply)
+	return r.joinLocked(seq, d, w)
 }
 
 // joinLocked is called with mu held and releases it before it replies.
-func (r *Registry) joinLocked(seq uint64, d Digest, reply Reply) Claim {
+func (r *Registry) joinLocked(seq uint64, d Digest, w Waiter) Claim {
 	rec := r.records[seq]
 	if rec == nil {
 		r.mu.Unlock()
@@ -108,18 +123,18 @@
 	}
 	answer := rec.answer
 	if answer == nil {
-		rec.attach(reply)
+		rec.attach(w)
 	}
 	r.mu.Unlock()
-	if answer != nil && reply != nil {
-		reply(answer)
+	if answer != nil && w != nil {
+		w.Answer(answer)
 	}
 	return Attached
 }
 
-// Watch attaches reply to the record of an identity. ok is false when there is none. With wait false an open job gets
+// Watch attaches w to the record of an identity. ok is false when there is none. With wait false an open job gets
 // result.Running at once.
-func (r *Registry) Watch(seq uint64, wait bool, reply Reply) (ok bool) {
+func (r *Registry) Watch(seq uint64, wait bool, w Waiter) (ok bool) {
 	r.mu.Lock()
 	rec := r.records[seq]
 	if rec == nil {
@@ -128,7 +143,7 @@
 	}
 	answer := rec.answer
 	if answer == nil && wait {
-		rec.attach(reply)
+		rec.attach(w)
 		r.mu.Unlock()
 		return true
 	}
@@ -136,13 +151,13 @@
 	if answer == nil {
 		answer = api.NewAnswer(result.Running, "")
 	}
-	reply(answer)
+	w.Answer(answer)
 	return true
 }
 
 // Answer returns the answer of a record; an open job gives result.Running.
 func (r *Registry) Answer(seq uint64) (a *api.Answer, ok bool) {
-	ok = r.Watch(seq, false, func(found *api.Answer) { a = found })
+	ok = r.Watch(seq, false, Reply(func(found *api.Answer) { a = found }))
 	return a, ok
 }
 
@@ -227,20 +242,26 @@
 	return Stats{Records: len(r.records), Open: r.open, Answers: r.byFinish.Len()}
 }
 
-func (rec *record) attach(reply Reply) {
-	if reply != nil {
-		rec.waiters = append(rec.waiters, reply)
+// attach keeps a waiter. Those that have left are forgotten whenever the list would grow, so that its length follows the
+// waiters that are still there.
+func (rec *record) attach(w Waiter) {
+	if w == nil {
+		return
+	}
+	if len(rec.waiters) == cap(rec.waiters) {
+		rec.waiters = slices.DeleteFunc(rec.waiters, Waiter.Answered)
 	}
+	rec.waiters = append(rec.waiters, w)
 }
 
-func (rec *record) close() []Reply {
+func (rec *record) close() []Waiter {
 	waiters := rec.waiters
 	rec.waiters = nil
 	return waiters
 }
 
-func answer(waiters []Reply, a *api.Answer) {
+func answer(waiters []Waiter, a *api.Answer) {
 	for _, w := range waiters {
-		w(a)
+		w.Answer(a)
 	}
 }
