share: a delegation does not wait for an engine that has stopped

The handler waited for the engine's word without looking at the connection's context, so that a delegation which came after the engine's end left a goroutine that never ended. Ruled out: the other handlers, which post without waiting or ask by a call that ends with the engine.

TestDelegationToAStoppedEngineEnds: time-out after 5 s before, passes after.

--- a/internal/share/link_test.go
+++ b/internal/share/link_test.go
@@ -5,11 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/engine"
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/peer/message"
 	"github.com/savorypass/savorypass/internal/platform"
+	"github.com/savorypass/savorypass/internal/sched/fair"
 	"github.com/savorypass/savorypass/internal/secure"
 )
 
@@ -41,3 +44,13 @@
 	refuse("second", 1) // a repetition after the same peer got the task again
 	is.Equal(ended, map[string]int{"first": 1, "second": 1})
 }
+
+// Guards against a goroutine that waits for ever for an engine that has stopped.
+func TestDelegationToAStoppedEngineEnds(t *testing.T) {
+	s := New(Options{Now: time.Now})
+	s.engine = engine.New(engine.Options{Scheduler: fair.New(fair.Options{}), Clock: clockwork.NewRealClock()}) // not running
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := s.delegate(ctx, peer.From{}, message.Encode(&message.Delegate{Grant: 1}))
+	is.New(t).True(err != nil)
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -194,7 +194,7 @@
 }
 
 // delegate runs tasks of a home. The answer tells how many were taken; their results follow in messages of their own.
-func (s *Service) delegate(_ context.Context, from peer.From, body []byte) ([]byte, error) {
+func (s *Service) delegate(ctx context.Context, from peer.From, body []byte) ([]byte, error) {
 	var m message.Delegate
 	if err := message.Decode(body, &m); err != nil {
 		return nil, err
@@ -211,5 +211,10 @@
 	s.engine.Accept(Name(from), m.Grant, tasks, func(n int) { taken <- n }, func(i int, r platform.RunResult) {
 		out.add(message.TaskResult{Task: tasks[i].Task, Grant: m.Grant, Outcome: r.Outcome, Output: r.Output, RunTime: r.RunTime})
 	})
-	return message.Encode(&message.DelegateAccepted{Accepted: <-taken}), nil
+	select {
+	case n := <-taken:
+		return message.Encode(&message.DelegateAccepted{Accepted: n}), nil
+	case <-ctx.Done():
+		return nil, ctx.Err() // the home is gone, or the engine has stopped; nobody gets an answer
+	}
 }
