--- /dev/null
+++ b/internal/scenario/script_fault_test.go
@@ -0,0 +1,143 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/standin/worker"
+)
+
+// stopping E: begins a planned stop; "expect stopped" waits for its end.
+func stopping(sc *script, args []string) error {
+	return sc.each(args, func(p *Program) error {
+		sc.work.Go(func() { sc.sys.Stop(p) })
+		return nil
+	})
+}
+
+// cut ZONE|E peers|log|list...
+func cut(sc *script, args []string) error {
+	if err := need(args, 2, "cut ZONE|E peers|log|list..."); err != nil {
+		return err
+	}
+	for _, from := range args[1:] {
+		if err := sc.sys.Cut(args[0], from); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// log down|drop|hang|up, log slow MS, log lose-answer N
+func logState(sc *script, args []string) error {
+	if err := need(args, 1, "log down|drop|hang|up|slow MS|lose-answer N"); err != nil {
+		return err
+	}
+	n := 0
+	if len(args) > 1 {
+		n, _ = strconv.Atoi(args[1])
+	}
+	return sc.sys.LogFault(args[0], n)
+}
+
+// list down|hang|freeze|up
+func listState(sc *script, args []string) error {
+	if err := need(args, 1, "list down|hang|freeze|up"); err != nil {
+		return err
+	}
+	return sc.sys.ListFault(args[0])
+}
+
+// worker W fail|silent|slow|leave|leave-accepting|pause|clear
+func workerFault(sc *script, args []string) error {
+	faults := map[string]worker.Fault{
+		"fail": {FailFast: true}, "silent": {Silent: true}, "slow": {SlowFactor: 50}, "leave": {Leave: true},
+		"leave-accepting": {Leave: true, LeaveAccepts: true}, "pause": {Pause: true}, "clear": {Clear: true},
+	}
+	if err := need(args, 2, "worker W FAULT"); err != nil {
+		return err
+	}
+	f, ok := faults[args[1]]
+	if !ok {
+		return fmt.Errorf("worker fault %q is not known", args[1])
+	}
+	return sc.each(args[:1], func(p *Program) error { return sc.sys.Fault(p, f) })
+}
+
+// publish [-at E] [-code CODE] [-replaces N] [-drop SERVICE]: without a code it must be accepted.
+func publish(sc *script, args []string) error {
+	var at, want, drop string
+	var replaces int64
+	_, err := options(args, func(f *flag.FlagSet) {
+		f.StringVar(&at, "at", "", "")
+		f.StringVar(&want, "code", "", "")
+		f.StringVar(&drop, "drop", "", "")
+		f.Int64Var(&replaces, "replaces", -1, "")
+	})
+	if err != nil {
+		return err
+	}
+	e, err := sc.entry(at)
+	if err != nil {
+		return err
+	}
+	if replaces < 0 {
+		st, err := sc.sys.Status(e)
+		if err != nil {
+			return err
+		}
+		replaces = st.ConfigVersion
+	}
+	document := Document(sc.sys.nextRevision())
+	if drop != "" {
+		document = strings.Replace(document, "{name: "+drop+",", "{name: renamed,", 1)
+	}
+	_, err = sc.sys.Publish(e, document, replaces)
+	if want == "" {
+		return err
+	}
+	code, refused := Refusal(err)
+	if !refused || !slices.Contains(strings.Split(want, "|"), code.String()) {
+		return fmt.Errorf("outcome is %v, must be %s", err, want)
+	}
+	return nil
+}
+
+// race E1 E2: two operators replace the same version at once; exactly one may win.
+func race(sc *script, args []string) error {
+	if err := need(args, 2, "race E1 E2"); err != nil {
+		return err
+	}
+	st, err := sc.sys.Status(sc.sys.Entries[0])
+	if err != nil {
+		return err
+	}
+	errs := make([]error, len(args))
+	var both sync.WaitGroup
+	for i, name := range args {
+		e, err := sc.sys.Find(name)
+		if err != nil {
+			return err
+		}
+		document := Document(sc.sys.nextRevision())
+		both.Go(func() { _, errs[i] = sc.sys.Publish(e, document, st.ConfigVersion) })
+	}
+	both.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+		} else if code, _ := Refusal(err); code != result.ConfigConflict {
+			return fmt.Errorf("the loser's outcome is %w, must be config_conflict", err)
+		}
+	}
+	if won != 1 {
+		return fmt.Errorf("%d of %d operators won: %v", won, len(args), errs)
+	}
+	return nil
+}
