entry: shorter New and Run

The parts that follow the platform, the engine, the operators' tokens and the operators' listener have functions of their own. No change of behaviour; a listener's error texts are the same.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,15 +106,8 @@
 		tokens: &secure.Tokens{}, metrics: metric.New(), dumps: &ops.Dumps{}, serving: make(chan struct{}), drained: make(chan struct{}),
 		ended: make(chan struct{}),
 	}
-	if opts.Staff != "" {
-		staff, err := secure.ReadStaffFile(opts.Staff)
-		if err != nil {
-			return nil, merry.Prepend(err, "operators' tokens")
-		}
-		if err := e.tokens.SetStaff(staff); err != nil {
-			return nil, merry.Prepend(err, "operators' tokens")
-		}
-		e.staff = staff
+	if err := e.loadStaff(); err != nil {
+		return nil, merry.Prepend(err, "operators' tokens")
 	}
 	var err error
 	if e.tls, err = secure.LoadTLS(e.tlsSettings()); err != nil {
@@ -124,35 +117,57 @@
 		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
 	}
 	e.faults = newFaults(e.node)
+	e.makeControllers()
+	e.makeEngine()
+	e.handler = e.chain()
+	e.members.Subscribe(e.memberChanged)
+	e.handlePeers()
+	e.registerDumps()
+	return e, nil
+}
+
+// loadStaff reads the operators' tokens of the settings.
+func (e *Entry) loadStaff() (err error) {
+	if e.opts.Staff == "" {
+		return nil
+	}
+	if e.staff, err = secure.ReadStaffFile(e.opts.Staff); err != nil {
+		return err
+	}
+	return e.tokens.SetStaff(e.staff)
+}
+
+// makeControllers makes the parts that follow the platform and the peers.
+func (e *Entry) makeControllers() {
+	opts, clock := e.opts, e.clock
+	web := httpx.Options{Zone: opts.Zone}
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
 	e.registry = newRegistry()
-	web := httpx.Options{Zone: opts.Zone}
 	e.list = cutList{httpx.NewInstanceList(address(opts.InstancesURL), web), e.faults.list}
 	e.config = config.New(config.Options{
-		Log: cutLog{httpx.NewLog(address(opts.LogURL), web), e.faults.log}, Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: log,
+		Log: cutLog{httpx.NewLog(address(opts.LogURL), web), e.faults.log}, Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: e.log,
 		Retention: opts.LogRetention, Live: e.liveNames, SchemaSupport: e.schemaSupport,
 	})
 	e.members = member.New(member.Options{
-		Self: home, Seeds: seeds(opts.Seeds), List: e.list, Transport: e.node, Clock: clock, Local: e.local, Log: log,
+		Self: home, Seeds: seeds(opts.Seeds), List: e.list, Transport: e.node, Clock: clock, Local: e.local, Log: e.log,
 	})
+	e.owner = e.newOwner()
+	e.usage = newUsage(clock.Now)
+	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock})
+}
+
+// makeEngine makes the engine and its sharing of slots, which need the membership.
+func (e *Entry) makeEngine() {
 	e.sharing = share.New(share.Options{
-		Zone: opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: log, Now: clock.Now,
+		Zone: e.opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: e.log, Now: e.clock.Now,
 	})
-	e.dialer = httpx.NewDialer(web)
+	e.dialer = httpx.NewDialer(httpx.Options{Zone: e.opts.Zone})
 	e.engine = engine.New(engine.Options{
-		Scheduler: newScheduler(opts.Scheduler), Dialer: e.dialer, Clock: clock, Log: log,
+		Scheduler: newScheduler(e.opts.Scheduler), Dialer: e.dialer, Clock: e.clock, Log: e.log,
 		Admit: e.admitJob, Observe: observer{e.metrics}, MayStart: e.mayStart, Fenced: e.members.Fenced, Sharing: e.sharing,
 		Owner: slotUse{e},
 	})
-	e.owner = e.newOwner()
-	e.usage = newUsage(clock.Now)
-	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock})
-	e.handler = e.chain()
-	e.members.Subscribe(e.memberChanged)
-	e.handlePeers()
-	e.registerDumps()
-	return e, nil
 }
 
 func newRegistry() *registry.Registry {
@@ -197,23 +212,11 @@
 func (e *Entry) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.config.Subscribe(e.apply)
-	go e.engine.Run(ctx)
-	go e.config.Run(ctx)
-	go e.members.Run(ctx)
-	go e.owner.Run(ctx)
-	go e.replicas.Run(ctx)
-	go e.reportUsage(ctx)
-	go e.expireRecords(ctx)
-	listener, err := net.Listen("tcp", e.opts.Operators)
+	e.startControllers(ctx)
+	operators, err := e.serveOperators()
 	if err != nil {
-		return merry.Prependf(err, "listen for operators on %s", e.opts.Operators)
-	}
-	if e.opts.OperatorsTLS {
-		listener = tls.NewListener(listener, e.tls.Operators())
+		return err
 	}
-	e.ops = e.newOps()
-	go e.ops.Serve(listener)
 	defer e.ops.Shutdown(context.Background())
 	e.server, err = server.Start(server.Options{
 		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: callers{e.handler}, Refuse: refuse,
@@ -226,7 +229,7 @@
 	defer e.closePeers()
 	e.log.WithFields(logrus.Fields{
 		"event": "started", "zone": e.opts.Zone, "instance": e.opts.Name, "incarnation": e.incarnation,
-		"callers": e.server.Address(), "operators": listener.Addr().String(),
+		"callers": e.server.Address(), "operators": operators.String(),
 	}).Info("entry instance started")
 	select {
 	case <-ctx.Done():
@@ -239,6 +242,32 @@
 	return nil
 }
 
+func (e *Entry) startControllers(ctx context.Context) {
+	e.config.Subscribe(e.apply)
+	go e.engine.Run(ctx)
+	go e.config.Run(ctx)
+	go e.members.Run(ctx)
+	go e.owner.Run(ctx)
+	go e.replicas.Run(ctx)
+	go e.reportUsage(ctx)
+	go e.expireRecords(ctx)
+}
+
+// serveOperators opens the operators' listener and returns its address.
+func (e *Entry) serveOperators() (net.Addr, error) {
+	listener, err := net.Listen("tcp", e.opts.Operators)
+	if err != nil {
+		return nil, merry.Prependf(err, "listen for operators on %s", e.opts.Operators)
+	}
+	addr := listener.Addr()
+	if e.opts.OperatorsTLS {
+		listener = tls.NewListener(listener, e.tls.Operators())
+	}
+	e.ops = e.newOps()
+	go e.ops.Serve(listener)
+	return addr, nil
+}
+
 func (e *Entry) view() *filter.View {
 	if s := e.current.Load(); s != nil {
 		return s.view
