chaos: the faults of a run by what they hit

apply chose among 22 faults in one function of 70 lines. Faults of entry instances, the platform and workers, and what operators and callers do, have functions of their own.

--- a/internal/scenario/chaos.go
+++ b/internal/scenario/chaos.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -119,75 +120,104 @@
 
 // apply returns how to end the fault, or nil.
 func (r *chaos) apply(ev event) (undo func() error) {
-	s := r.s
-	e := s.Entries[ev.target%len(s.Entries)]
-	w := s.Workers[ev.target%len(s.Workers)]
-	zone := s.opts.Zones[ev.target%len(s.opts.Zones)]
-	clear := func() error { return s.Fault(w, worker.Fault{Clear: true}) }
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var err error
+	switch kind, _, _ := strings.Cut(ev.name, " "); kind {
+	case "worker":
+		undo, err = r.applyToWorker(ev)
+	case "cut", "log", "list":
+		undo, err = r.applyToPlatform(ev)
+	case "publish", "race", "cancel":
+		r.operate(ev)
+	default:
+		undo, err = r.applyToEntry(ev)
+	}
+	if err != nil {
+		r.s.History.Note("%s: %v", ev.name, err)
+	}
+	return undo
+}
+
+func (r *chaos) entry(ev event) *Program { return r.s.Entries[ev.target%len(r.s.Entries)] }
+
+func (r *chaos) applyToEntry(ev event) (undo func() error, err error) {
+	s, e := r.s, r.entry(ev)
+	if !s.Up(e) {
+		return nil, nil
+	}
 	switch ev.name {
 	case "kill entry":
-		if !s.Up(e) {
-			return nil
-		}
-		err, undo = s.Kill(e), func() error { return s.Restart(e) }
+		return func() error { return s.Restart(e) }, s.Kill(e)
 	case "stop entry":
-		if !s.Up(e) {
-			return nil
-		}
-		undo = r.stop(e)
+		return r.stop(e), nil
 	case "pause entry": // has no effect in one process
-		if !s.Up(e) {
-			return nil
-		}
-		err, undo = s.Pause(e), func() error { return s.Resume(e) }
+		return func() error { return s.Resume(e) }, s.Pause(e)
+	}
+	return nil, nil
+}
+
+// applyToPlatform cuts connections or changes the log service or the instance list.
+func (r *chaos) applyToPlatform(ev event) (undo func() error, err error) {
+	s, e := r.s, r.entry(ev)
+	switch ev.name {
 	case "cut zone":
-		err, undo = s.Cut(zone, Peers), s.Heal
+		err = s.Cut(s.opts.Zones[ev.target%len(s.opts.Zones)], Peers)
 	case "cut entry":
-		err, undo = s.Cut(e.Name, Peers), s.Heal
+		err = s.Cut(e.Name, Peers)
 	case "cut entry log":
-		err, undo = s.Cut(e.Name, Log), s.Heal
+		err = s.Cut(e.Name, Log)
 	case "cut entry list":
-		err, undo = s.Cut(e.Name, List), s.Heal
+		err = s.Cut(e.Name, List)
 	case "log down", "log hang":
-		err, undo = s.LogFault(ev.name[4:], 0), s.Heal
+		err = s.LogFault(ev.name[4:], 0)
 	case "log slow":
-		err, undo = s.LogFault("slow", 300*ev.n), s.Heal
+		err = s.LogFault("slow", 300*ev.n) // ms
 	case "log lose-answer":
-		err, undo = s.LogFault("lose-answer", ev.n), s.Heal
+		err = s.LogFault("lose-answer", ev.n)
 	case "list down", "list freeze":
-		err, undo = s.ListFault(ev.name[5:]), s.Heal
+		err = s.ListFault(ev.name[5:])
+	}
+	return s.Heal, err
+}
+
+func (r *chaos) applyToWorker(ev event) (undo func() error, err error) {
+	s := r.s
+	w := s.Workers[ev.target%len(s.Workers)]
+	clear := func() error { return s.Fault(w, worker.Fault{Clear: true}) }
+	switch ev.name {
 	case "worker fail":
-		err, undo = s.Fault(w, worker.Fault{FailFast: true}), clear
+		return clear, s.Fault(w, worker.Fault{FailFast: true})
 	case "worker silent":
-		err = s.Fault(w, worker.Fault{Silent: true})
+		return nil, s.Fault(w, worker.Fault{Silent: true})
 	case "worker slow":
-		err, undo = s.Fault(w, worker.Fault{SlowFactor: 5 * float64(ev.n)}), clear
+		return clear, s.Fault(w, worker.Fault{SlowFactor: 5 * float64(ev.n)})
 	case "worker leave":
 		// It leaves for good and starts what it is still given, so that late work shows in its records.
-		err = s.Fault(w, worker.Fault{Leave: true, LeaveAccepts: ev.n > 1})
+		return nil, s.Fault(w, worker.Fault{Leave: true, LeaveAccepts: ev.n > 1})
 	case "worker pause":
-		err, undo = s.Fault(w, worker.Fault{Pause: true}), clear
+		return clear, s.Fault(w, worker.Fault{Pause: true})
 	case "worker kill":
-		if !s.Up(w) {
-			return nil
+		if s.Up(w) {
+			return func() error { return s.Restart(w) }, s.Kill(w)
 		}
-		err, undo = s.Kill(w), func() error { return s.Restart(w) }
+	}
+	return nil, nil
+}
+
+// operate begins what operators and callers do in the middle of faults.
+func (r *chaos) operate(ev event) {
+	e := r.entry(ev)
+	switch ev.name {
 	case "publish":
-		r.faults.Go(func() { s.PublishNext(e) })
+		r.faults.Go(func() { r.s.PublishNext(e) })
 	case "race":
-		other := s.Entries[(ev.target+1)%len(s.Entries)]
-		r.faults.Go(func() { s.PublishNext(e) })
-		r.faults.Go(func() { s.PublishNext(other) })
+		other := r.s.Entries[(ev.target+1)%len(r.s.Entries)]
+		r.faults.Go(func() { r.s.PublishNext(e) })
+		r.faults.Go(func() { r.s.PublishNext(other) })
 	case "cancel wave":
 		r.faults.Go(func() { r.cancelAll(e) })
 	}
-	if err != nil {
-		s.History.Note("%s: %v", ev.name, err)
-	}
-	return undo
 }
 
 // stop begins a planned stop. Its end waits for the process, since the lock must not be held that long.
