--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/sched"
 )
 
 func succeed(output string) platform.RunResult {
@@ -136,3 +138,67 @@
 	is.Equal(a.Code, result.DeadlineExpired)
 	is.Equal(len(h.workers["w1"].begun), 0)
 }
+
+// Guards against a crash when a worker comes back with more slots at the address that it had.
+func TestWorkerWithMoreSlots(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.engine.SetWorker(platform.Instance{Name: "w1", Address: "w1", Slots: 4, State: platform.StateLive, Size: platform.Size{Cores: 16}}, 4)
+	h.submit("a", 4, time.Minute)
+	for range 4 {
+		<-h.workers["w1"].begun
+	}
+	for _, task := range []string{"a/0", "a/1", "a/2", "a/3"} {
+		h.workers["w1"].end(task, succeed(task))
+	}
+	is.Equal(h.until().Code, result.Complete)
+}
+
+// Guards against memory that grows with the jobs of the last minutes: nothing of a job stays until its deadline.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	for _, id := range []string{"a", "b"} {
+		h.submit(id, 1, 10*time.Minute)
+		h.workers["w1"].end(<-h.workers["w1"].begun, succeed(""))
+		is.Equal(h.until().Code, result.Complete)
+	}
+	h.engine.call(func(time.Time) { is.Equal(len(h.engine.deadlines), 0) })
+}
+
+// Guards against a slot that an unwanted task holds to its end because the stop was lost, or came before the task.
+func TestStopIsRepeatedWhileTheTaskRuns(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, "w1")
+	h.submit("a", 1, time.Minute)
+	<-h.workers["w1"].begun
+	h.engine.Cancel("a")
+	<-h.answers
+	h.advance(5 * time.Second)
+	is.True(len(h.stopped()) > 1)
+}
+
+// idlePeer takes delegated tasks and never answers.
+type idlePeer struct{}
+
+func (idlePeer) Delegate(uint64, []Delegated, Ended)  {}
+func (idlePeer) Stop(context.Context, []string) error { return nil }
+func (idlePeer) Status(context.Context, []string) ([]platform.TaskStatus, error) {
+	return nil, errors.New("no route")
+}
+
+// Guards against peers that are kept, and asked for their tasks, for ever after they were replaced.
+func TestDeadPeerIsForgottenAfterItsTasks(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	e := h.engine
+	e.AddPeer("z/idle", idlePeer{})
+	e.AddPeer("z/busy", idlePeer{})
+	h.submit("a", 1, time.Minute)
+	e.call(func(now time.Time) { e.launch(now, e.byIdentity["a"], e.workers["z/busy"], sched.Assignment{Job: 1}) })
+	e.DropPeer("z/idle")
+	e.DropPeer("z/busy")
+	is.Equal(len(e.State().Peers), 1)
+	is.Equal(h.until().Code, result.WorkerLost)
+	is.Equal(len(e.State().Peers), 0)
+}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -25,6 +25,14 @@
 	revoked  atomic.Bool // set with settled; a lane that has not begun the call skips it
 }
 
+// unwanted reports whether nobody waits for the task's result any more.
+func (e *Engine) unwanted(f *flight) bool {
+	if f.foreign != nil {
+		return f.foreign.stopped
+	}
+	return e.jobs[f.job.Shape.ID] != f.job
+}
+
 func (f *flight) end() {
 	f.settled = true
 	f.revoked.Store(true)
@@ -38,7 +46,7 @@
 	flights     map[*flight]struct{}
 	state       sched.WorkerState
 	slots       int
-	gone        bool // no longer in the list; forgotten when its last task has ended
+	gone        bool // no longer in the list, or silent for a peer; forgotten when its last task has ended
 	renewing    bool
 	renewedAt   time.Time // last answer to a renewal
 	triedAt     time.Time
@@ -58,12 +66,12 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{
-			target:    newLanes(e, e.opts.Dialer.Dial(inst.Address, inst.Slots), inst.Slots),
-			renewedAt: now, flights: map[*flight]struct{}{},
-		}
+		w = &worker{target: newLanes(e, inst.Address, max(inst.Slots, slots)), renewedAt: now, flights: map[*flight]struct{}{}}
 		e.workers[inst.Name] = w
 	}
+	if l, ok := w.target.(*lanes); ok {
+		l.grow(inst.Address, slots)
+	}
 	w.instance, w.slots, w.gone = inst, slots, false
 	if inst.State == platform.StateLeaving {
 		w.state = sched.WorkerLeaving
@@ -223,6 +231,7 @@
 	w := f.at
 	delete(w.flights, f)
 	if w.peer {
+		e.forgetPeer(w)
 		return
 	}
 	if len(w.flights) >= w.slots {
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/engine"
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/peer/message"
 	"github.com/savorypass/savorypass/internal/platform"
@@ -59,11 +60,7 @@
 			continue
 		}
 		for _, t := range r.teams {
-			s := out[t.Team]
-			s.Cores += t.Size.Cores
-			s.MemoryMB += t.Size.MemoryMB
-			s.Accelerators += t.Size.Accelerators
-			out[t.Team] = s
+			out[t.Team] = out[t.Team].Plus(t.Size)
 		}
 	}
 	return out
@@ -72,8 +69,8 @@
 // elsewhereInterval follows the heartbeats of the zone's peers, which carry their slots.
 const elsewhereInterval = 250 * time.Millisecond
 
-// reportUsage sends the teams' use of this instance's slots to the zone's peers, and gives what is known of the other
-// instances to the scheduler.
+// reportUsage sends the teams' use of this instance's slots to the zone's peers, stops the peers' tasks that nobody waits
+// for, and gives what is known of the other instances to the scheduler.
 func (e *Entry) reportUsage(ctx context.Context) {
 	ticker := e.clock.NewTicker(elsewhereInterval)
 	defer ticker.Stop()
@@ -86,6 +83,7 @@
 			if now.Sub(sent) >= usageInterval {
 				sent = now
 				e.sendUsage()
+				e.stopOrphans()
 			}
 		}
 		elsewhere := e.elsewhere()
@@ -119,14 +117,27 @@
 }
 
 func (e *Entry) sendUsage() {
-	var m message.TeamUsage
-	for team, size := range e.engine.Usage() {
-		m.Teams = append(m.Teams, message.TeamAmount{Team: team, Size: size})
-	}
-	body := message.Encode(&m)
+	use := e.engine.Usage()
 	for _, p := range e.members.View().Live() {
 		if p.Zone == e.opts.Zone {
-			e.node.Notify(p.Addr, peer.TeamUsage, body) // best effort; the next report replaces it
+			m := usageFor(p.Zone+"/"+p.Instance, use)
+			e.node.Notify(p.Addr, peer.TeamUsage, message.Encode(&m)) // best effort; the next report replaces it
+		}
+	}
+}
+
+// usageFor returns the report for one peer. It leaves out the tasks that the peer has delegated, because the peer's own
+// scheduler charges their teams.
+func usageFor(reader string, use map[engine.Use]sched.Size) message.TeamUsage {
+	teams := map[string]sched.Size{}
+	for u, size := range use {
+		if u.Home != reader {
+			teams[u.Team] = teams[u.Team].Plus(size)
 		}
 	}
+	var m message.TeamUsage
+	for team, size := range teams {
+		m.Teams = append(m.Teams, message.TeamAmount{Team: team, Size: size})
+	}
+	return m
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -33,6 +33,11 @@
 	Accelerators int     `json:"accelerators" msgpack:"a"`
 }
 
+// Plus returns the sum of two amounts.
+func (s Size) Plus(o Size) Size {
+	return Size{Cores: s.Cores + o.Cores, MemoryMB: s.MemoryMB + o.MemoryMB, Accelerators: s.Accelerators + o.Accelerators}
+}
+
 // Instance is one entry of the instance list.
 type Instance struct {
 	Name        string `json:"name"`
@@ -111,6 +116,9 @@
 	Size    Size
 	Lease   time.Duration
 	Payload string
+	// Revoked is true once the call is no longer wanted. Run must ask it after Abandon can reach the call and before it
+	// writes a byte; a revoked call ends as Unreached. Nil stands for false.
+	Revoked func() bool
 }
 
 // RunResult is the end of an attempt.
