--- /dev/null
+++ b/internal/bench/capacity.go
@@ -0,0 +1,356 @@
+package bench
+
+import (
+	"math"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/engine"
+	"github.com/savorypass/savorypass/internal/member"
+	"github.com/savorypass/savorypass/internal/replica"
+)
+
+// System is the size of a deployment.
+type System struct {
+	Name         string
+	Workers      int
+	Accelerators int
+	Slots        int // of each worker
+	Instances    int // entry instances
+	Zones        int
+	Regions      int
+	Teams        int
+	Services     int
+	Starts       float64 // tasks per second
+	JobTasks     float64 // tasks of a job
+	RunTime      time.Duration
+	Changes      float64 // of the configuration, per day
+	Events       float64 // instances that fail or are replaced, per day
+	Payload      int     // bytes of a task
+	Output       int     // bytes of a task
+}
+
+// The bounds of the users' letter and of the platform, and assumptions of the extrapolation.
+const (
+	boundControlCPU    = 0.028  // of a core, per node
+	boundControlMemory = 32     // MB, per node
+	boundControlBytes  = 18_000 // per second and node
+	boundLogAppends    = 300    // per second; the low end of "several hundred"
+
+	entryCores   = 4
+	entryUse     = 0.6  // of an entry instance's cores at the peak, so that bursts and failures find room
+	leastPerZone = 2    // entry instances, so that a zone outlives one of them
+	forwarded    = 0.10 // submissions that do not arrive at their home, as in the load of make bench
+	delegated    = 0.10 // tasks that run on another instance's slots; an assumption
+	copies       = 2    // of each answer
+	listPerEvent = 3    // versions of the instance list for an event: leaving, gone, back
+	checkpoints  = 48   // a day, at half of a retention of one hour
+	logPolls     = 2    // per second and instance
+	usageSeconds = 2
+	slopeEntries = 3 // entry instances of the sizes of make slopes, unless they are what varies
+	day          = 86400.0
+)
+
+// Today and the target of the users' letter, in jobs of 160 tasks and in jobs of 10.
+var systems = []System{
+	{Name: "today", Workers: 50, Slots: 8, Instances: 6, Zones: 3, Regions: 1, Teams: 8, Services: 4, Starts: 1300, JobTasks: 10,
+		RunTime: 300 * time.Millisecond, Changes: 10, Events: 2, Payload: 256, Output: 128},
+	target("target, jobs of 160", 160), target("target, jobs of 10", 10),
+}
+
+func target(name string, tasks float64) System {
+	return System{Name: name, Workers: 1200, Accelerators: 2500, Slots: 8, Instances: 20, Zones: 5, Regions: 2, Teams: 43, Services: 7,
+		Starts: 66_000, JobTasks: tasks, RunTime: 300 * time.Millisecond, Changes: 860, Events: 19 + 71, Payload: 256, Output: 128}
+}
+
+// Jobs is the number of jobs per second.
+func (s System) Jobs() float64 { return s.Starts / s.JobTasks }
+
+// ZonePeers is the number of an instance's peers in its own zone.
+func (s System) ZonePeers() float64 { return float64(s.Instances)/float64(s.Zones) - 1 }
+
+// FarPeers is the number of an instance's peers in other zones.
+func (s System) FarPeers() float64 { return float64(s.Instances) * (1 - 1/float64(s.Zones)) }
+
+// OwnedWorkers is the number of workers whose slots one instance assigns.
+func (s System) OwnedWorkers() float64 { return float64(s.Workers) / float64(s.Instances) }
+
+// Share is an instance's part of a total.
+func (s System) Share(total float64) float64 { return total / float64(s.Instances) }
+
+// Wanted is the number of slots that the starts keep in use.
+func (s System) Wanted() float64 { return s.Starts * s.RunTime.Seconds() }
+
+// InFlight is the number of running tasks, which the slots bound.
+func (s System) InFlight() float64 { return min(s.Wanted(), float64(s.Workers*s.Slots)) }
+
+// LongestMeanRun is the mean run time in seconds at which the slots are just enough for the starts.
+func (s System) LongestMeanRun() float64 { return float64(s.Workers*s.Slots) / s.Starts }
+
+// Beats is the number of heartbeats that an instance sends per second.
+func (s System) Beats() float64 {
+	return s.ZonePeers()/member.ZoneInterval.Seconds() + s.FarPeers()/member.OtherInterval.Seconds()
+}
+
+// ListVersions is the number of changes of the instance list per second.
+func (s System) ListVersions() float64 { return s.Events * listPerEvent / day }
+
+// InstancesNeeded is the number of entry instances that carry the starts while one zone is lost.
+func InstancesNeeded(starts, perInstance float64, zones int) int {
+	left := max(1, zones-1)
+	perZone := math.Ceil(starts / float64(left) / perInstance)
+	return zones * max(leastPerZone, int(perZone))
+}
+
+// StartsPerInstance is what an entry instance carries at its planned use, for a cost in microseconds per task.
+func StartsPerInstance(cores, use, microseconds float64) float64 {
+	return cores * use * cpuUnit / microseconds
+}
+
+// Loss is what a failure takes away.
+type Loss struct {
+	Slots float64 // share of all
+	Tasks float64 // running tasks that end as "may have run"
+	Load  float64 // load of the remaining entry instances over the load before
+}
+
+// RackLoss is the loss of one rack of workers.
+func RackLoss(s System) Loss {
+	share := rackSize / float64(s.Workers)
+	return Loss{Slots: share, Tasks: s.InFlight() * share, Load: 1}
+}
+
+// ZoneLoss is the loss of one zone with its workers and entry instances.
+func ZoneLoss(s System) Loss {
+	share := 1 / float64(s.Zones)
+	return Loss{Slots: share, Tasks: s.InFlight() * share, Load: 1 / (1 - share)}
+}
+
+// Flow is one kind of message at one node: both directions.
+type Flow struct {
+	Name    string
+	Rate    float64 // messages or exchanges per second
+	Size    float64 // bytes
+	Source  string  // of the size
+	Carrier string  // package
+}
+
+// Bytes is the flow per second.
+func (f Flow) Bytes() float64 { return f.Rate * f.Size }
+
+func sumFlows(flows []Flow) (bytes float64) {
+	for _, f := range flows {
+		bytes += f.Bytes()
+	}
+	return bytes
+}
+
+// Model is a system with the costs that were measured and counted.
+type Model struct {
+	System
+	Sizes      MessageSizes
+	State      StateSizes
+	Slopes     SlopeTable
+	Benchmarks Benchmarks
+}
+
+// Sources of figures.
+const (
+	counted    = "counted message"
+	countedGo  = "counted heap"
+	configured = "constant of the package"
+)
+
+// renewRate takes the interval of workers with tasks older than 1 s, which nearly every worker has at the peak.
+func (m *Model) renewRate() float64 {
+	return m.OwnedWorkers() / engine.DefaultTiming().RenewBusy.Seconds()
+}
+
+// PeerOverhead is the transport's share of the control traffic with one peer, in bytes per second of both directions:
+// the measured traffic less the heartbeats in it.
+func PeerOverhead(measured, beats, size, peers float64) float64 {
+	return max(0, measured-2*beats*size) / peers
+}
+
+const controlBenchmark = "BenchmarkControl/zones=5/perzone=4"
+
+func (m *Model) peerOverhead() float64 {
+	sample := System{Instances: 20, Zones: 5}
+	measured := m.Benchmarks.of(controlBenchmark, "sent-B/s") + m.Benchmarks.of(controlBenchmark, "received-B/s")
+	return PeerOverhead(measured, sample.Beats(), encoded(sampleHeartbeat(sample)), float64(sample.Instances-1))
+}
+
+// Control is the control traffic of one entry instance.
+func (m *Model) Control() []Flow {
+	n := float64(m.Instances)
+	moves := m.Events * n / (n + float64(m.Workers)) / day // events of entry instances
+	return []Flow{
+		{"heartbeats", 2 * m.Beats(), m.Sizes.Heartbeat, counted, "member"},
+		{"transport of peers (QUIC, keep-alives)", m.ZonePeers() + m.FarPeers(), m.peerOverhead(), controlBenchmark, "peer"},
+		{"usage reports", 2 * m.ZonePeers() / usageSeconds, m.Sizes.Usage, counted, "entry"},
+		{"ownership", 2 * moves * m.ZonePeers(), m.Sizes.Claim, counted, "owner"},
+		{"configuration polls", logPolls, m.Sizes.LogPoll, counted, "config"},
+		{"configuration changes", (m.Changes + checkpoints) / day, m.Sizes.ConfigRecord, counted, "config"},
+		{"list reads, unchanged", 1 / member.ListInterval.Seconds(), m.Sizes.ListUnread, counted, "platform/httpx"},
+		{"list reads, changed", m.ListVersions(), m.Sizes.ListFull, counted, "platform/httpx"},
+		{"lease renewals, workers", m.renewRate(), m.Sizes.RenewIdle, counted, "engine"},
+		{"lease renewals, tasks in them", m.renewRate() * m.InFlight() / float64(m.Workers), m.Sizes.RenewTask, counted, "engine"},
+	}
+}
+
+// Data is the traffic of one entry instance for jobs.
+func (m *Model) Data() []Flow {
+	starts, jobs := m.Share(m.Starts), m.Share(m.Jobs())
+	perTask := m.Sizes.SubmitTask + m.Sizes.AnswerTask
+	return []Flow{
+		{"submissions and answers, by task", starts, perTask, counted, "server, api"},
+		{"forwards, by task (10% assumed)", 2 * starts * forwarded, perTask, counted, "peer"},
+		{"task starts", starts, m.Sizes.Run, counted, "platform/httpx"},
+		{"delegated tasks (10% assumed)", 2 * starts * delegated, m.Sizes.Delegate, counted, "share"},
+		{"copies of answers, by job", 2 * copies * jobs, m.Sizes.CopyJob, counted, "replica"},
+		{"copies of answers, by task", 2 * copies * starts, m.Sizes.AnswerTask, counted, "replica"},
+	}
+}
+
+// Held is one kind of state of one entry instance.
+type Held struct {
+	Name    string
+	Count   float64
+	Size    float64 // bytes
+	Source  string
+	Carrier string
+}
+
+// Bytes is the state's size.
+func (h Held) Bytes() float64 { return h.Count * h.Size }
+
+const (
+	recordSeconds = 600
+	answerSeconds = 60
+	stringHeader  = 16
+	taskState     = 150 // a queued or running task: phase, output, place, shape; from the fields' sizes
+	copyOverhead  = 160 // replica's own estimate for a copy
+	memberState   = 512 // a member's record and its connection without buffers; from the fields' sizes
+)
+
+// Holds is the state of one entry instance.
+func (m *Model) Holds() []Held {
+	tasks := m.Share(m.Starts)
+	output := float64(m.Output) + stringHeader
+	return []Held{
+		{"tasks in progress", m.Share(m.InFlight()), taskState + float64(m.Payload), "fields", "engine"},
+		{"records of identities, 10 min", m.Share(m.Jobs()) * recordSeconds, m.State.Record, countedGo, "registry"},
+		{"outputs of answers, 60 s", tasks * answerSeconds, output, "fields", "registry"},
+		{"copies for peers, 60 s, by job", copies * m.Share(m.Jobs()) * answerSeconds, copyOverhead + m.Sizes.CopyJob, counted, "replica"},
+		{"copies for peers, 60 s, by task", copies * tasks * answerSeconds, m.Sizes.AnswerTask, counted, "replica"},
+		{"estimates", float64(m.Teams * m.Services), m.State.Class, countedGo, "estimate"},
+		{"members", float64(m.Instances), memberState, "fields", "member"},
+		{"instance list", float64(m.Workers + m.Instances), m.State.Instances, countedGo, "member"},
+		{"configuration", 1, m.State.Config, countedGo, "config"},
+	}
+}
+
+func sumHeld(held []Held) (bytes float64) {
+	for _, h := range held {
+		bytes += h.Bytes()
+	}
+	return bytes
+}
+
+// CopyBytes is what the copies for peers want, before replica's bound drops the oldest.
+func (m *Model) CopyBytes() (bytes float64) {
+	for _, h := range m.Holds() {
+		if h.Carrier == "replica" {
+			bytes += h.Bytes()
+		}
+	}
+	return bytes
+}
+
+// ControlCPU is the idle cost of one instance in cores: what does not depend on workers or peers, the workers that it
+// owns, and its peers above the two that the first term contains.
+func (m *Model) ControlCPU() float64 {
+	f := m.Slopes.of("workers", roleEntry, "idle CPU")
+	peers := float64(m.Instances - slopeEntries)
+	return (f.Intercept/slopeEntries+max(0, f.Slope)*m.OwnedWorkers())/cpuUnit + m.PeerCPU(max(0, peers))
+}
+
+// PeerCPU is the cost of membership in cores, in proportion to the number of peers.
+func (m *Model) PeerCPU(peers float64) float64 {
+	return m.Benchmarks.of(controlBenchmark, "%core/instance") / 100 * peers / 19
+}
+
+// ControlMemory is the resident memory of an idle instance in MB, when the slope is due to the workers that an instance
+// owns. In the sizes of make slopes each of three instances owns a third.
+func (m *Model) ControlMemory() float64 {
+	f := m.Slopes.of("workers", roleEntry, "idle memory")
+	return f.Intercept/slopeEntries + max(0, f.Slope)*m.OwnedWorkers()
+}
+
+// ListMemory is the same when the slope is due to the list of all workers, which each instance holds: an upper bound.
+func (m *Model) ListMemory() float64 {
+	f := m.Slopes.of("workers", roleEntry, "idle memory")
+	return (f.Intercept + max(0, f.Slope)*float64(m.Workers)) / slopeEntries
+}
+
+// NodeControl is the mean control traffic of a node in bytes per second, over entry instances and workers.
+func (m *Model) NodeControl() float64 {
+	entries := sumFlows(m.Control()) * float64(m.Instances)
+	return (entries + m.WorkerControl()*float64(m.Workers)) / float64(m.Instances+m.Workers)
+}
+
+// WorkerControl is the control traffic of a worker in bytes per second.
+func (m *Model) WorkerControl() float64 {
+	return m.renewRate() / m.OwnedWorkers() * (m.Sizes.RenewIdle + m.Sizes.RenewTask*m.InFlight()/float64(m.Workers))
+}
+
+// LeanControl is the control traffic of an instance when renewals name no tasks and come at the longer interval.
+func (m *Model) LeanControl() float64 {
+	sum := 0.0
+	for _, f := range m.Control() {
+		if f.Carrier != "engine" {
+			sum += f.Bytes()
+		}
+	}
+	return sum + m.OwnedWorkers()/engine.DefaultTiming().RenewIdle.Seconds()*m.Sizes.RenewIdle
+}
+
+// TaskCPU is the cost of a task in microseconds of an entry instance.
+func (m *Model) TaskCPU() float64 { return m.Slopes.of("tasks", roleEntry, "load CPU").Slope }
+
+const startBenchmark = "BenchmarkStart/workers=60"
+
+// LoopUse is the share of the engine's one goroutine that choosing tasks and workers takes at one instance.
+func (m *Model) LoopUse() float64 {
+	return m.Share(m.Starts) * m.Benchmarks.of(startBenchmark, "ns/op") / float64(time.Second)
+}
+
+// Limit is a bound with its use.
+type Limit struct {
+	Name  string
+	Use   float64
+	Bound float64
+	Unit  string
+	From  string
+}
+
+// Ratio is the use over the bound; above 1 the limit is exceeded.
+func (l Limit) Ratio() float64 { return l.Use / l.Bound }
+
+// Limits are the bounds of a system.
+func (m *Model) Limits() []Limit {
+	perInstance := StartsPerInstance(entryCores, entryUse, m.TaskCPU())
+	needed := float64(InstancesNeeded(m.Starts, perInstance, m.Zones))
+	return []Limit{
+		{"control traffic of an entry instance", sumFlows(m.Control()) / 1000, boundControlBytes / 1000, "KB/s", "control table"},
+		{"control processor time of an entry instance", m.ControlCPU() * 100, boundControlCPU * 100, "% of a core", "slope workers, " + controlBenchmark},
+		{"memory of an idle entry instance", m.ControlMemory(), boundControlMemory, "MB", "slope workers, by owned workers"},
+		{"slots in use at the mean run time", m.Wanted(), float64(m.Workers * m.Slots), "slots", "System.Wanted"},
+		{"log appends", m.Appends(), boundLogAppends, "per second", "changes, checkpoints"},
+		{"copies of answers", m.CopyBytes() / memoryUnit, replica.DefaultMaxBytes / memoryUnit, "MB", "state table"},
+		{"engine loop, choosing", m.LoopUse(), 1, "of a core", startBenchmark},
+		{"entry instances, a zone lost", needed, float64(m.Instances), "instances", "slope tasks"},
+	}
+}
+
+// Appends is the log's number of appends per second.
+func (m *Model) Appends() float64 { return (m.Changes + checkpoints) / day }
--- /dev/null
+++ b/internal/bench/capacity_test.go
@@ -0,0 +1,113 @@
+package bench
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// sampleModel has figures that can be worked out by hand: 100 workers, 10 instances in 5 zones, 1,000 starts a second.
+func sampleModel() *Model {
+	return &Model{
+		System: System{Workers: 100, Slots: 8, Instances: 10, Zones: 5, Teams: 10, Services: 2, Starts: 1000, JobTasks: 10,
+			RunTime: 500 * time.Millisecond, Changes: 864 - checkpoints, Events: 11, Payload: 100, Output: 84},
+		Sizes: MessageSizes{Heartbeat: 100, Usage: 350, LogPoll: 200, ListUnread: 190, RenewIdle: 400, RenewTask: 200, ConfigRecord: 10_000,
+			Run: 800, SubmitTask: 300, AnswerTask: 100, CopyJob: 140, Delegate: 600},
+		State: StateSizes{Record: 400, Class: 7000, Config: 20_000, Instances: 500},
+		Slopes: SlopeTable{
+			{"workers", roleEntry, "idle CPU"}:    {Slope: 100, Intercept: 30_000},
+			{"workers", roleEntry, "idle memory"}: {Slope: 0.3, Intercept: 75},
+			{"tasks", roleEntry, "load CPU"}:      {Slope: 100},
+		},
+		Benchmarks: Benchmarks{
+			controlBenchmark: {"%core/instance": 0.95, "sent-B/s": 4000, "received-B/s": 4000},
+			startBenchmark:   {"ns/op": 5000},
+		},
+	}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-9*math.Max(1, math.Abs(b)) }
+
+func flowNamed(t *testing.T, flows []Flow, name string) Flow {
+	for _, f := range flows {
+		if strings.HasPrefix(f.Name, name) {
+			return f
+		}
+	}
+	t.Fatalf("no flow %q", name)
+	return Flow{}
+}
+
+// Guards against a wrong factor in the extrapolation; the expected values are worked out by hand.
+func TestCapacityByHand(t *testing.T) {
+	is := is.New(t)
+	m := sampleModel()
+	is.True(near(m.Beats(), 1*4+8*1)) // one peer in the zone, eight elsewhere
+	is.True(near(m.InFlight(), 500))  // 800 slots
+	is.True(near(m.LongestMeanRun(), 0.8))
+	is.True(near(m.Appends(), 0.01)) // 864 a day
+	c := m.Control()
+	is.True(near(flowNamed(t, c, "heartbeats").Bytes(), 2*12*100))
+	is.True(near(flowNamed(t, c, "usage").Bytes(), 350))
+	is.True(near(flowNamed(t, c, "lease renewals, workers").Bytes(), 10*400))
+	is.True(near(flowNamed(t, c, "lease renewals, tasks").Bytes(), 10*5*200)) // 5 tasks on a worker
+	is.True(near(m.WorkerControl(), 400+5*200))
+	d := m.Data()
+	is.True(near(flowNamed(t, d, "task starts").Bytes(), 100*800))
+	is.True(near(flowNamed(t, d, "copies of answers, by job").Bytes(), 4*10*140)) // two out, two in
+	is.True(near(flowNamed(t, d, "copies of answers, by task").Bytes(), 4*100*100))
+	is.True(near(m.CopyBytes(), 2*10*60*(160+140)+2*100*60*100))
+	is.True(near(m.Holds()[1].Bytes(), 10*600*400))
+	is.True(near(m.ControlCPU(), 0.01+0.001+0.0095*7/19))
+	is.True(near(m.ControlMemory(), 25+3))
+	is.True(near(m.ListMemory(), 25+10))
+	is.True(near(m.LoopUse(), 0.0005))
+	is.True(near(PeerOverhead(8000, 28, 100, 19), 2400.0/19))
+	is.True(near(StartsPerInstance(4, 0.6, 100), 24_000))
+	is.Equal(InstancesNeeded(66_000, 10_000, 5), 10)  // 4 zones with 2 each carry 80,000
+	is.Equal(InstancesNeeded(100_000, 10_000, 5), 15) // 25,000 a zone
+	is.Equal(InstancesNeeded(10, 10_000, 3), 6)       // two a zone
+	is.True(near(RackLoss(m.System).Tasks, 40))
+	is.True(near(ZoneLoss(m.System).Load, 1.25))
+}
+
+// Guards against sizes that are not those of the adapters: an exchange that carries more must be larger by what it
+// carries, and an unchanged list must cost no more than 300 bytes.
+func TestCountMessages(t *testing.T) {
+	is := is.New(t)
+	small, err := CountMessages(systems[0])
+	is.NoErr(err)
+	large, err := CountMessages(systems[1])
+	is.NoErr(err)
+	is.True(large.ListFull > 15*small.ListFull) // 1,220 over 56 entries
+	is.True(large.ListUnread > 100 && large.ListUnread < 300)
+	is.True(large.Usage > 4*small.Usage)
+	is.True(large.Run > 256+128 && large.RenewTask > 2*40) // payload and output; the identity in both directions
+	is.True(large.ConfigRecord > 43*2*64)                  // a digest for each token
+}
+
+// Guards against a command that goes on with a figure missing.
+func TestReadCapacityInputs(t *testing.T) {
+	is := is.New(t)
+	head := "dimension,role,quantity,unit,slope,intercept,worst,sizes,values\n"
+	lines := []string{}
+	for _, k := range needed {
+		lines = append(lines, strings.Join(k[:], ",")+",us/s,2.5,10,1,[1],[2]")
+	}
+	table, err := ReadSlopes(strings.NewReader(head + strings.Join(lines, "\n")))
+	is.NoErr(err)
+	is.Equal(table.of("tasks", roleEntry, "load CPU"), Fit{Slope: 2.5, Intercept: 10, Worst: 1})
+	_, err = ReadSlopes(strings.NewReader(head + strings.Join(lines[1:], "\n")))
+	is.True(err != nil)
+
+	control := controlBenchmark + "-10  10  1000 ns/op  0.7 %core/instance  19.0 connections  3500 received-B/s  3600 sent-B/s\n"
+	b, err := ReadBenchmarks(strings.NewReader("goos: linux\n" + control + startBenchmark + "-10 20000 3328 ns/op 528 B/op 0 allocs/op\nPASS\n"))
+	is.NoErr(err)
+	is.Equal(b.of(controlBenchmark, "sent-B/s"), 3600.0)
+	is.Equal(b.of(startBenchmark, "ns/op"), 3328.0)
+	_, err = ReadBenchmarks(strings.NewReader(control))
+	is.True(err != nil)
+}
--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -37,6 +37,7 @@
 		{"table", "print the rows of a run", &tableCommand{}},
 		{"measure", "measure the cost of control of a cluster of one size", &measureCommand{}},
 		{"slopes", "print the cost of control over the measured sizes", &slopesCommand{}},
+		{"capacity", "extrapolate the slopes to the target", &capacityCommand{}},
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
