--- a/Makefile
+++ b/Makefile
@@ -35,15 +35,14 @@
 slopes: build
 	BIN=$(BIN) SHORT=$(SHORT) scripts/bench.sh slopes
 
-# The tables of docs/CAPACITY.md from the slopes of the last `make slopes` and from Go benchmarks, which run one after the
-# other.
+# Replaces the tables of docs/CAPACITY.md, from the slopes of the last `make slopes` and from Go benchmarks.
 capacity: build
 	mkdir -p out
 	go test -p 1 -run '^$$' -bench Control -benchtime 10x ./internal/member >out/benchmarks.txt
 	go test -p 1 -run '^$$' -bench 'Call/size=64' ./internal/peer >>out/benchmarks.txt
 	go test -p 1 -run '^$$' -bench Start -benchtime 20000x ./internal/sched/fair >>out/benchmarks.txt
 	go test -p 1 -run '^$$' -bench . ./internal/platform/httpx >>out/benchmarks.txt
-	$(BIN)/savory-bench capacity --slopes out/slopes.csv --benchmarks out/benchmarks.txt | tee out/capacity.md
+	$(BIN)/savory-bench capacity --slopes out/slopes.csv --benchmarks out/benchmarks.txt --page docs/CAPACITY.md
 
 # Random fault runs: make chaos SEED=1 RUNS=20. PROCESSES=1 runs every program as a process of its own.
 SEED ?= 1
--- a/internal/bench/capacity_table.go
+++ b/internal/bench/capacity_table.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/csv"
 	"fmt"
 	"io"
@@ -89,6 +90,7 @@
 type capacityCommand struct {
 	Slopes string `long:"slopes" default:"out/slopes.csv" description:"slopes, written by make slopes"`
 	Bench  string `long:"benchmarks" default:"out/benchmarks.txt" description:"output of the Go benchmarks, written by make capacity"`
+	Page   string `long:"page" description:"page whose tables are replaced, such as docs/CAPACITY.md; the default prints them"`
 }
 
 // Execute implements flags.Commander.
@@ -113,8 +115,35 @@
 		}
 		models = append(models, &Model{System: s, Sizes: sizes, State: state, Slopes: slopes, Benchmarks: marks})
 	}
-	printCapacity(os.Stdout, models)
-	return nil
+	if c.Page == "" {
+		printCapacity(os.Stdout, models)
+		return nil
+	}
+	var tables bytes.Buffer
+	printCapacity(&tables, models)
+	page, err := os.ReadFile(c.Page)
+	if err != nil {
+		return err
+	}
+	if page, err = replaceTables(page, tables.Bytes()); err != nil {
+		return fmt.Errorf("%s: %w", c.Page, err)
+	}
+	return os.WriteFile(c.Page, page, 0o644)
+}
+
+// The lines of a page between which the tables stand.
+const (
+	tablesBegin = "<!-- tables of make capacity -->\n"
+	tablesEnd   = "<!-- end of the tables -->\n"
+)
+
+func replaceTables(page, tables []byte) ([]byte, error) {
+	before, rest, begun := bytes.Cut(page, []byte(tablesBegin))
+	_, after, ended := bytes.Cut(rest, []byte(tablesEnd))
+	if !begun || !ended {
+		return nil, fmt.Errorf("lines %q and %q not found", tablesBegin, tablesEnd)
+	}
+	return slices.Concat(before, []byte(tablesBegin), tables, []byte("\n"+tablesEnd), after), nil
 }
 
 func readFile[T any](path string, read func(io.Reader) (T, error)) (v T, err error) {
--- a/internal/bench/capacity_test.go
+++ b/internal/bench/capacity_test.go
@@ -111,3 +111,13 @@
 	_, err = ReadBenchmarks(strings.NewReader(control))
 	is.True(err != nil)
 }
+
+// Guards against a page that loses the text around its tables.
+func TestReplaceTables(t *testing.T) {
+	is := is.New(t)
+	page, err := replaceTables([]byte("a\n"+tablesBegin+"old\n"+tablesEnd+"b\n"), []byte("new\n"))
+	is.NoErr(err)
+	is.Equal(string(page), "a\n"+tablesBegin+"new\n\n"+tablesEnd+"b\n")
+	_, err = replaceTables([]byte("a\n"+tablesBegin), nil)
+	is.True(err != nil)
+}
