Metrics: every documented metric is set

Cause: refusals, identities, resubmitted, connections_replaced, workers_held_off, connections, overhead_ms, config_lag_ms, control_bytes, instance_list_age_ms, log_errors, copies.received, delegations.lost and all levels were published and set by nothing. starts counted a delegated task at its home and not where it ran. The kinds of wasted messages differed between code and documentation.

Change: each metric is set at its source. The levels are renewed every 250 ms from the engine's last summary. starts counts tasks on the instance's own workers, peers' tasks included, so that the sum over all instances is the number of starts. The kinds of wasted messages are typed; a backlog report counts as wasted when it is replaced or withdrawn before it brought a grant. control_bytes counts frames between instances and HTTP calls by kind; lanes are not counted, so a task start costs nothing more. gnet logs to the daemon's log with event=gnet instead of to the standard output.

Test: TestEveryMetricMoves reads every published metric of two instances after a small load.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -78,7 +78,8 @@
 // Update is a version that has come into force on this instance.
 type Update struct {
 	State  State
-	Config *Config // shared by all subscribers; must not be changed
+	Config *Config   // shared by all subscribers; must not be changed
+	Logged time.Time // the log's time of the record; zero for a version from a peer
 }
 
 // Controller keeps this instance's configuration equal to the fold of the log. Its methods are safe for concurrent
@@ -245,7 +246,7 @@
 		before := c.config
 		verdict := c.foldRecord(r)
 		if c.config != before {
-			updates = append(updates, Update{State: c.state, Config: c.config})
+			updates = append(updates, Update{State: c.state, Config: c.config, Logged: r.Time})
 		}
 		if verdict == Rebased {
 			c.cursor = c.state.Next
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -49,12 +50,16 @@
 
 // Observer counts what the measures of the documentation need.
 type Observer interface {
-	Started(team, service string, wait time.Duration)
+	// Started is told of each task of a job of this instance. delegated says that a peer runs it.
+	Started(team, service string, wait time.Duration, delegated bool)
 	Ended(team, service string, outcome platform.Outcome, run time.Duration)
 	Answered(j *Job, a *api.Answer, took time.Duration)
-	Wasted(kind string)
+	Wasted(kind metric.Kind)
 	Delegated(tasks int)
+	DelegationLost()
 	Lent(team, service string)
+	// Replaced is told of each silent connection that is closed although its task has ended.
+	Replaced()
 }
 
 // Owner decides how many slots of a worker this instance may use, by SetWorker and DropWorker.
@@ -271,9 +276,11 @@
 
 type nopObserver struct{}
 
-func (nopObserver) Started(string, string, time.Duration)                 {}
+func (nopObserver) Started(string, string, time.Duration, bool)           {}
 func (nopObserver) Ended(string, string, platform.Outcome, time.Duration) {}
 func (nopObserver) Answered(*Job, *api.Answer, time.Duration)             {}
 func (nopObserver) Delegated(int)                                         {}
 func (nopObserver) Lent(string, string)                                   {}
-func (nopObserver) Wasted(string)                                         {}
+func (nopObserver) Wasted(metric.Kind)                                    {}
+func (nopObserver) DelegationLost()                                       {}
+func (nopObserver) Replaced()                                             {}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -69,6 +69,7 @@
 	is.Equal(a.Code, result.Complete)
 	is.Equal(a.Outputs, []string{"kept"})
 	is.True(h.clock.Since(before) <= 4*time.Second)
+	is.Equal(h.counts.replaced.Load(), int64(1))
 }
 
 // Guards against waiting for ever on a worker that is gone, and against claiming that its tasks did not run.
--- a/internal/engine/fake_test.go
+++ b/internal/engine/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,8 +119,17 @@
 	workers fakeDialer
 	answers chan *api.Answer
 	spawned sync.WaitGroup
+	counts  counts
 }
 
+// counts is an Observer.
+type counts struct {
+	nopObserver
+	replaced atomic.Int64
+}
+
+func (c *counts) Replaced() { c.replaced.Add(1) }
+
 func newHarness(t *testing.T, names ...string) *harness {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -127,7 +137,7 @@
 	for _, n := range names {
 		h.workers[n] = newFakeEndpoint()
 	}
-	h.engine = New(Options{Scheduler: naive.New(), Dialer: h.workers, Clock: h.clock, Log: log, Spawn: h.spawned.Go})
+	h.engine = New(Options{Scheduler: naive.New(), Dialer: h.workers, Clock: h.clock, Log: log, Spawn: h.spawned.Go, Observe: &h.counts})
 	ctx, cancel := context.WithCancel(context.Background())
 	go h.engine.Run(ctx)
 	t.Cleanup(func() {
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -41,11 +41,17 @@
 	where   []*worker // of running tasks
 	left    int       // tasks without an end
 	longest time.Duration
+
+	submitted time.Time // when the engine queued the job
+	waited    bool      // a task did not start in the round in which the job was queued
 }
 
 // LongestRun returns the longest run time among the tasks that have ended, for Observer.Answered.
 func (j *Job) LongestRun() time.Duration { return j.longest }
 
+// Waited reports whether a task had to wait for a slot, for Observer.Answered.
+func (j *Job) Waited() bool { return j.waited }
+
 // TaskID returns the name of a task at endpoints.
 func (j *Job) TaskID(i int) string { return j.Identity + "/" + strconv.Itoa(i) }
 
@@ -68,6 +74,7 @@
 	j.outputs = make([]string, n)
 	j.where = make([]*worker, n)
 	j.left = n
+	j.submitted = now
 	e.jobs[j.Shape.ID] = j
 	e.byIdentity[j.Identity] = j
 	heap.Push(&e.deadlines, j)
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -11,6 +12,8 @@
 // maxFetches bounds the tries to learn the fate of one task; with time-outs of 1 s it stays below the lease.
 const maxFetches = 3
 
+const reasonSilent = "the connection is silent"
+
 // renewDue starts the renewal of leases for each worker whose interval has passed.
 func (e *Engine) renewDue(now time.Time) {
 	for _, w := range e.workers {
@@ -111,7 +114,7 @@
 
 func (e *Engine) recheck(now time.Time, w *worker, f *flight) {
 	if !f.settled && !f.reported.IsZero() && e.workers[w.instance.Name] == w {
-		e.resolve(now, f, "the connection is silent")
+		e.resolve(now, f, reasonSilent)
 	}
 }
 
@@ -126,7 +129,7 @@
 		return true
 	}
 	f.fetching = true
-	e.opts.Observe.Wasted("fetch")
+	e.opts.Observe.Wasted(metric.WastedFetch)
 	e.log.WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
 	e.opts.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
@@ -157,6 +160,9 @@
 	case st.State == platform.TaskFailed:
 		r = platform.RunResult{Outcome: platform.Failed, Output: st.Output}
 	}
+	if reason == reasonSilent && r.Outcome != platform.Lost {
+		e.opts.Observe.Replaced()
+	}
 	w.target.abandon(f)
 	e.settle(now, f, &r)
 }
--- a/internal/engine/lend.go
+++ b/internal/engine/lend.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -156,7 +157,7 @@
 func (e *Engine) GrantReturned(peer string, id uint64) {
 	e.post(func(now time.Time) {
 		if g := e.grants[id]; g != nil && g.peer == peer {
-			e.opts.Observe.Wasted("grant_returned")
+			e.opts.Observe.Wasted(metric.WastedGrantReturned)
 			e.revoke(now, id, g)
 		}
 	})
@@ -173,7 +174,7 @@
 func (e *Engine) expireGrants(now time.Time) {
 	for id, g := range e.grants {
 		if !now.Before(g.due) {
-			e.opts.Observe.Wasted("grant_expired")
+			e.opts.Observe.Wasted(metric.WastedGrantExpired)
 			e.revoke(now, id, g)
 		}
 	}
@@ -233,7 +234,7 @@
 	e.opts.Observe.Lent(t.Team, t.Service)
 	req := &platform.RunRequest{Task: t.Task, Service: t.Service, Size: t.Size, Lease: e.opts.Timing.Lease, Payload: t.Payload}
 	if !w.target.run(f, req) {
-		e.notStarted(now, f)
+		e.notStarted(now, f, platform.Unreached)
 	}
 }
 
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -134,7 +135,7 @@
 	if !w.target.run(f, e.request(f)) {
 		// The lane still hangs in an earlier call, which was given up; the loop must not wait for it.
 		e.setState(now, w, sched.WorkerSuspect, "a lane does not return from its call")
-		e.notStarted(now, f)
+		e.notStarted(now, f, platform.Unreached)
 	}
 }
 
@@ -143,8 +144,9 @@
 	f := &flight{job: j, index: a.Task, task: j.TaskID(a.Task), assigned: a, at: w, started: now}
 	j.phases[a.Task] = running
 	j.where[a.Task] = w
+	j.waited = j.waited || !now.Equal(j.submitted)
 	w.flights[f] = struct{}{}
-	e.opts.Observe.Started(j.Team, j.Service, now.Sub(j.Arrived))
+	e.opts.Observe.Started(j.Team, j.Service, now.Sub(j.Arrived), w.peer)
 	return f
 }
 
@@ -159,7 +161,7 @@
 // callEnded handles the return of a call.
 func (e *Engine) callEnded(now time.Time, f *flight, r *platform.RunResult) {
 	if f.settled {
-		e.opts.Observe.Wasted("late_answer")
+		e.opts.Observe.Wasted(metric.WastedLateAnswer)
 		return
 	}
 	if r.Leaving {
@@ -169,7 +171,7 @@
 		e.setState(now, f.at, sched.WorkerSuspect, r.Output)
 	}
 	if r.Outcome == platform.Refused || r.Outcome == platform.Unreached {
-		e.notStarted(now, f)
+		e.notStarted(now, f, r.Outcome)
 		return
 	}
 	if r.Outcome == platform.Lost && e.resolve(now, f, r.Output) {
@@ -179,9 +181,9 @@
 }
 
 // notStarted returns a task to the queue that provably did not start.
-func (e *Engine) notStarted(now time.Time, f *flight) {
+func (e *Engine) notStarted(now time.Time, f *flight, why platform.Outcome) {
 	e.land(f)
-	e.opts.Observe.Wasted("refused_start")
+	e.opts.Observe.Wasted(wastedBy(f, why))
 	if f.foreign != nil {
 		e.sharer.Release(now, f.assigned)
 		f.foreign.ended(&platform.RunResult{Outcome: platform.Refused, Output: "the worker refused the task"})
@@ -195,6 +197,17 @@
 	e.opts.Scheduler.Requeue(now, f.assigned)
 }
 
+// wastedBy returns the kind of message that was wasted on a task that did not start.
+func wastedBy(f *flight, why platform.Outcome) metric.Kind {
+	switch {
+	case f.at.peer:
+		return metric.WastedDelegationFailed
+	case why == platform.Refused:
+		return metric.WastedEndpointRefused
+	}
+	return metric.WastedEndpointMissed
+}
+
 // lesson returns what the scheduler learns from an outcome. A worker fails a task that it was asked to stop; counted as
 // failures, a wave of cancellations would take healthy workers out of service.
 func (f *flight) lesson(r *platform.RunResult) sched.Outcome {
@@ -212,6 +225,9 @@
 		f.foreign.ended(r)
 		return
 	}
+	if f.at.peer && r.Outcome == platform.Lost {
+		e.opts.Observe.DelegationLost()
+	}
 	e.opts.Observe.Ended(f.job.Team, f.job.Service, r.Outcome, r.RunTime)
 	if e.jobs[f.job.Shape.ID] == f.job {
 		e.taskEnded(now, f.job, f.index, r)
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -20,6 +20,9 @@
 	e.issuer.SetValidity(u.Config.Retention.IdentityValidity)
 	e.current.Store(newSnapshot(u.State.Version, u.Config))
 	e.metrics.ConfigVersion.Set(int64(u.State.Version))
+	if u.Logged.After(e.started) { // earlier records were in force elsewhere before this process started
+		e.metrics.ConfigLag.AddDuration(e.clock.Since(u.Logged))
+	}
 	opts := schedulerOptions(u.Config)
 	e.engine.Configure(func(_ time.Time, s sched.Scheduler) {
 		if f, ok := s.(*fair.Scheduler); ok {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,6 +6,7 @@
 
 	"github.com/savorypass/savorypass/internal/api"
 	"github.com/savorypass/savorypass/internal/filter"
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/secure"
 	"github.com/savorypass/savorypass/internal/server"
@@ -13,14 +14,24 @@
 
 // callers turns HTTP exchanges into requests for the filter chain.
 type callers struct {
-	chain filter.Handler
+	chain   filter.Handler
+	metrics *metric.Set
 }
 
 // Serve implements server.Handler.
 func (c callers) Serve(x *server.Exchange) {
-	r := filter.NewRequest(
-		func(a *api.Answer) { reply(x, a) },
-		func(ids *api.Identities) { x.Reply(result.Complete.Info().Status, encode(ids), 0) })
+	var r *filter.Request
+	r = filter.NewRequest(
+		func(a *api.Answer) {
+			if !r.Relayed {
+				countRefusal(c.metrics, a.Code)
+			}
+			reply(x, a)
+		},
+		func(ids *api.Identities) {
+			c.metrics.Identities.Add(int64(len(ids.Identities)))
+			x.Reply(result.Complete.Info().Status, encode(ids), 0)
+		})
 	r.Arrived = x.Arrived
 	r.Method = string(x.Request.Header.Method())
 	r.Path = string(x.Request.RequestURI())
@@ -36,7 +47,8 @@
 }
 
 // refuse writes the answer to a request that the server could not read.
-func refuse(code result.Code, message string) []byte {
+func (c callers) refuse(code result.Code, message string) []byte {
+	countRefusal(c.metrics, code)
 	return encode(api.NewAnswer(code, message))
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,7 @@
 	replicas *replica.Replicator
 	dialer   platform.Dialer
 	usage    *usage
+	listRead atomic.Pointer[time.Time] // end of the last good read of the instance list
 	handler  filter.Handler
 	server   *server.Server
 	ops      *ops.Server
@@ -120,17 +121,16 @@
 	if e.tls, err = secure.LoadTLS(e.tlsSettings()); err != nil {
 		return nil, merry.Prepend(err, "TLS material")
 	}
-	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: e.tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
+	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: e.tls, Log: log, Count: e.countPeer, EnableFaults: opts.EnableFaults}); err != nil {
 		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
 	}
 	e.faults = newFaults(e.node)
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
 	e.registry = newRegistry()
-	web := httpx.Options{Zone: opts.Zone}
-	e.list = cutList{httpx.NewInstanceList(address(opts.InstancesURL), web), e.faults.list}
+	e.list = e.watchList(cutList{httpx.NewInstanceList(address(opts.InstancesURL), e.web(metric.ControlList)), e.faults.list})
 	e.config = config.New(config.Options{
-		Log: cutLog{httpx.NewLog(address(opts.LogURL), web), e.faults.log}, Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: log,
+		Log: watchedLog{cutLog{httpx.NewLog(address(opts.LogURL), e.web(metric.ControlLog)), e.faults.log}, &e.metrics.LogErrors}, Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: log,
 		Retention: opts.LogRetention, Live: e.liveNames, SchemaSupport: e.schemaSupport,
 	})
 	e.members = member.New(member.Options{
@@ -138,8 +138,9 @@
 	})
 	e.sharing = share.New(share.Options{
 		Zone: opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: log, Now: clock.Now,
+		Wasted: observer{e.metrics}.Wasted,
 	})
-	e.dialer = httpx.NewDialer(web)
+	e.dialer = httpx.NewDialer(e.web(metric.ControlLeases))
 	e.engine = engine.New(engine.Options{
 		Scheduler: newScheduler(opts.Scheduler), Dialer: e.dialer, Clock: clock, Log: log,
 		Admit: e.admitJob, Observe: observer{e.metrics}, MayStart: e.mayStart, Fenced: e.members.Fenced, Sharing: e.sharing,
@@ -147,7 +148,9 @@
 	})
 	e.owner = e.newOwner()
 	e.usage = newUsage(clock.Now)
-	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock})
+	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock,
+		Received: func(n int) { e.metrics.Copies.Add(metric.Received, int64(n)) },
+	})
 	e.handler = e.chain()
 	e.members.Subscribe(e.memberChanged)
 	e.handlePeers()
@@ -186,7 +189,8 @@
 	return filter.Chain(
 		authn.Filter{Tokens: tokens{e.tokens}, Ready: func() bool { return e.current.Load() != nil }},
 		decode.Filter{},
-		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now, Fenced: e.fenced},
+		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now, Fenced: e.fenced,
+			Resubmitted: func() { e.metrics.Resubmitted.Add(1) }},
 		validate.Filter{Views: views, Registry: e.registry},
 		admit.Filter{Limiter: limits, Gate: gate, Registry: e.registry, Now: now},
 		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Finished: e.copyAnswer, Now: now},
@@ -205,6 +209,7 @@
 	go e.replicas.Run(ctx)
 	go e.reportUsage(ctx)
 	go e.expireRecords(ctx)
+	go e.followLevels(ctx)
 	listener, err := net.Listen("tcp", e.opts.Operators)
 	if err != nil {
 		return merry.Prependf(err, "listen for operators on %s", e.opts.Operators)
@@ -215,8 +220,9 @@
 	e.ops = e.newOps()
 	go e.ops.Serve(listener)
 	defer e.ops.Shutdown(context.Background())
+	fromCallers := callers{e.handler, e.metrics}
 	e.server, err = server.Start(server.Options{
-		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: callers{e.handler}, Refuse: refuse,
+		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: fromCallers, Refuse: fromCallers.refuse, Log: e.log,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/entry/metrics_test.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/result"
+)
+
+// faultMetrics stay at zero without faults of workers and of the log.
+var faultMetrics = map[string]bool{"connections_replaced": true, "workers_held_off": true, "wasted_messages": true, "log_errors": true}
+
+// moved adds the metrics of an instance that are not zero now.
+func moved(e *Entry, seen map[string]bool) {
+	for _, m := range e.metrics.All() {
+		var v struct{ Total int }
+		text := m.Var.String()
+		quantiles := strings.Contains(text, `"total"`)
+		if quantiles && (json.Unmarshal([]byte(text), &v) != nil || v.Total == 0) {
+			continue
+		}
+		if text != "0" && text != "{}" {
+			seen[m.Name] = true
+		}
+	}
+}
+
+// Guards against documented metrics that nothing sets, and against starts that two instances count.
+func TestEveryMetricMoves(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, "blackstone")
+	home, near := s.start("blackstone", "b1"), s.start("blackstone", "b2")
+	s.until("both have slots", func() bool {
+		return home.engine.Load().FreeSlots > 0 && near.engine.Load().FreeSlots > 0 && len(home.members.View().Live()) == 1
+	})
+	single := s.identity(home, surveyToken)
+	is.Equal(s.do(home, surveyToken, "POST", "/v1/jobs", job(single, 1, 10)).Code, result.Complete)
+	is.Equal(s.do(near, surveyToken, "POST", "/v1/jobs", job(single, 1, 10)).Code, result.Complete) // forwarded
+	refused := s.do(near, surveyToken, "POST", "/v1/jobs", job(single, 2, 10))
+	is.Equal(refused.Code, result.IdentityReused)
+	large := s.identity(home, surveyToken)
+	is.Equal(s.do(home, surveyToken, "POST", "/v1/jobs?wait_ms=0", job(large, 160, 100)).Code, result.Running)
+	s.publishNext(document+"limits: {queued_tasks: 40000}\n", 2)
+	_, err := near.Fetch(context.Background(), "blackstone/b1")
+	is.NoErr(err)
+
+	seen := map[string]bool{}
+	missing := func() (names []string) {
+		moved(home, seen)
+		for _, m := range home.metrics.All() {
+			if !seen[m.Name] && !faultMetrics[m.Name] {
+				names = append(names, m.Name)
+			}
+		}
+		return names
+	}
+	defer func() { t.Log("not moved:", missing()) }()
+	s.until("the metrics have moved", func() bool { return len(missing()) == 0 })
+	is.Equal(s.do(home, surveyToken, "GET", "/v1/jobs/"+large+"?wait_ms=20000", nil).Code, result.Complete)
+	is.Equal(home.metrics.Starts.Value()+near.metrics.Starts.Value(), int64(161))
+	is.Equal(home.metrics.Refusals.Value(result.IdentityReused), int64(1))
+	is.Equal(near.metrics.Refusals.Value(result.IdentityReused), int64(0)) // counted by the home
+	is.Equal(home.metrics.Resubmitted.Value(), int64(1))
+	is.Equal(near.metrics.Forwards.Value(metric.Sent), int64(2))
+	is.Equal(home.metrics.Forwards.Value(metric.Received), int64(2))
+	is.Equal(home.metrics.Delegations.Value(metric.Sent), near.metrics.Delegations.Value(metric.Received))
+	is.True(near.metrics.Delegations.Value(metric.Received) > 0)
+	s.until("the copies arrive", func() bool { return near.metrics.Copies.Value(metric.Received) == 2 })
+	for _, kind := range []metric.Kind{
+		metric.ControlHeartbeats, metric.ControlUsage, metric.ControlSharing, metric.ControlHandover, metric.ControlConfig,
+		metric.ControlLeases, metric.ControlList, metric.ControlLog,
+	} {
+		s.until("control bytes of "+string(kind), func() bool { return home.metrics.ControlBytes.Value(kind) > 0 })
+	}
+	home.faults.log.set(true)
+	defer home.faults.log.set(false)
+	s.until("a failed call of the log is counted", func() bool { return home.metrics.LogErrors.Value() > 0 })
+}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -14,8 +14,10 @@
 type observer struct{ set *metric.Set }
 
 // Started implements engine.Observer.
-func (o observer) Started(_, _ string, wait time.Duration) {
-	o.set.Starts.Add(1)
+func (o observer) Started(_, _ string, wait time.Duration, delegated bool) {
+	if !delegated { // the peer counts it
+		o.set.Starts.Add(1)
+	}
 	o.set.QueueWait.AddDuration(wait)
 }
 
@@ -27,14 +29,26 @@
 	o.set.Answers.Add(a.Code)
 	if run := j.LongestRun(); a.Code == result.Complete && run > 0 {
 		o.set.ResponseRatio.Add(float64(took) / float64(run))
+		if !j.Waited() {
+			o.set.Overhead.AddDuration(took - run)
+		}
 	}
 }
 
 // Wasted implements engine.Observer.
-func (o observer) Wasted(kind string) { o.set.Wasted.Add(metric.Kind(kind), 1) }
+func (o observer) Wasted(kind metric.Kind) { o.set.Wasted.Add(kind, 1) }
 
 // Delegated implements engine.Observer.
 func (o observer) Delegated(n int) { o.set.Delegations.Add(metric.Sent, int64(n)) }
 
 // Lent implements engine.Observer.
-func (o observer) Lent(_, _ string) { o.set.Delegations.Add(metric.Received, 1) }
+func (o observer) Lent(_, _ string) {
+	o.set.Starts.Add(1)
+	o.set.Delegations.Add(metric.Received, 1)
+}
+
+// DelegationLost implements engine.Observer.
+func (o observer) DelegationLost() { o.set.Delegations.Add(metric.Lost, 1) }
+
+// Replaced implements engine.Observer.
+func (o observer) Replaced() { o.set.Replaced.Add(1) }
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -61,6 +61,7 @@
 		f.e.log.WithError(err).WithField("home", r.ID.Home.Instance).WithField("identity", r.Identity).Warn("request not forwarded")
 		return false
 	}
+	r.Relayed = true
 	r.Answer(&a)
 	return true
 }
@@ -120,7 +121,10 @@
 	}
 	e.metrics.Forwards.Add(metric.Received, 1)
 	answers := make(chan *api.Answer, 1)
-	r := filter.NewRequest(func(a *api.Answer) { answers <- a }, func(*api.Identities) { answers <- nil })
+	r := filter.NewRequest(func(a *api.Answer) {
+		countRefusal(e.metrics, a.Code)
+		answers <- a
+	}, func(*api.Identities) { answers <- nil })
 	r.Forwarded, r.Arrived = true, e.clock.Now()
 	r.Principal = filter.Principal{Team: m.Team, Name: m.Caller}
 	r.Body = m.Body
--- a/internal/filter/dedup/dedup.go
+++ b/internal/filter/dedup/dedup.go
@@ -28,6 +28,8 @@
 	Now      func() time.Time
 	// Fenced is true when others may have answered for this instance; it must not answer then. It may be nil.
 	Fenced func(now time.Time) bool
+	// Resubmitted counts the submissions of known jobs. It may be nil.
+	Resubmitted func()
 }
 
 // Name returns the filter's name.
@@ -79,7 +81,9 @@
 	if expired {
 		if !f.Registry.Watch(r.ID.Seq, r.Wait > 0, r.Answer) {
 			r.Refuse(api.Errorf(result.IdentityExpired, "identity", "the identity is older than %s", f.Issuer.Validity()))
+			return
 		}
+		f.resubmitted()
 		return
 	}
 	// The reply is attached by the claim, so that the answer cannot be missed; the time-out answers a waiting caller.
@@ -87,6 +91,7 @@
 	case registry.Reused:
 		r.Refuse(api.Errorf(result.IdentityReused, "identity", "another body was submitted under this identity"))
 	case registry.Attached:
+		f.resubmitted()
 		limitWait(r)
 		if r.Wait == 0 {
 			r.OnAccepted()
@@ -97,6 +102,12 @@
 	}
 }
 
+func (f Filter) resubmitted() {
+	if f.Resubmitted != nil {
+		f.Resubmitted()
+	}
+}
+
 func (f Filter) watch(r *filter.Request, next filter.Handler, expired bool) {
 	if r.Action == filter.Cancel {
 		next.Handle(r)
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -51,6 +51,8 @@
 
 	// OnAccepted answers a submission that does not wait, once the engine has queued it. It may be nil.
 	OnAccepted func()
+	// Relayed says that the answer is that of the identity's home.
+	Relayed bool
 
 	answered atomic.Bool
 	timer    atomic.Pointer[time.Timer]
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -14,7 +14,7 @@
 // Kind labels one part of a counter.
 type Kind string
 
-// The kinds of wasted messages: messages about slots and tasks that led to no start.
+// The kinds of wasted messages: messages about slots and tasks that led to no start or answer.
 const (
 	WastedGrantReturned    Kind = "grant_returned"    // the home had no work left for granted slots
 	WastedGrantExpired     Kind = "grant_expired"     // a grant was not used in time
@@ -23,6 +23,8 @@
 	WastedEndpointMissed   Kind = "endpoint_missed"   // no byte reached the endpoint
 	WastedDelegationFailed Kind = "delegation_failed" // a delegated task came back without a start
 	WastedForwardFailed    Kind = "forward_failed"    // a forwarded request did not reach its home
+	WastedFetch            Kind = "fetch"             // a task whose call brought no answer was asked after
+	WastedLateAnswer       Kind = "late_answer"       // the answer to a task that was given up came late
 )
 
 // The kinds of delegations, forwards and copies.
@@ -33,6 +35,18 @@
 	Lost     Kind = "lost"   // the fate is unknown
 )
 
+// The kinds of control messages.
+const (
+	ControlHeartbeats Kind = "heartbeats"
+	ControlUsage      Kind = "usage"    // the teams' use of slots
+	ControlSharing    Kind = "sharing"  // backlogs, grants and stops of delegated tasks
+	ControlHandover   Kind = "handover" // claims and handovers of workers
+	ControlConfig     Kind = "config"   // configuration between instances
+	ControlLeases     Kind = "leases"   // renewals, stops and reports of the workers
+	ControlList       Kind = "list"     // the instance list
+	ControlLog        Kind = "log"      // the log service
+)
+
 // The kinds of member changes.
 const (
 	MemberJoined  Kind = "joined"
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -225,6 +225,7 @@
 			return 0, fmt.Errorf("%w: %w", ErrUnreached, err)
 		}
 		w.start = start
+		c.node.opts.Count(m, headerBytes+len(body))
 	}
 	c.calls[id] = w
 	return id, nil
@@ -255,6 +256,7 @@
 	if _, err := c.out[classOf(len(body))].add(h, body); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreached, err)
 	}
+	c.node.opts.Count(h.method, headerBytes+len(body))
 	return nil
 }
 
@@ -269,6 +271,7 @@
 		if c.cut.Load() {
 			continue
 		}
+		c.node.opts.Count(h.method, headerBytes+len(body))
 		c.dispatch(h, body)
 	}
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -66,17 +66,19 @@
 
 // Options configures a Node. Zero values take the defaults.
 type Options struct {
-	Listen       string // UDP address
-	TLS          *secure.TLS
-	Log          logrus.FieldLogger
-	MaxMessage   int
-	MaxPending   int
-	MaxInFlight  int
-	KeepAlive    time.Duration
-	IdleTimeout  time.Duration
-	DialTimeout  time.Duration
-	BackoffMin   time.Duration
-	BackoffMax   time.Duration
+	Listen      string // UDP address
+	TLS         *secure.TLS
+	Log         logrus.FieldLogger
+	MaxMessage  int
+	MaxPending  int
+	MaxInFlight int
+	KeepAlive   time.Duration
+	IdleTimeout time.Duration
+	DialTimeout time.Duration
+	BackoffMin  time.Duration
+	BackoffMax  time.Duration
+	// Count is told the bytes of each frame that is sent or received, without those of QUIC. It may be nil.
+	Count        func(m Method, bytes int)
 	EnableFaults bool // allows SetCut; for tests and debug runs only
 }
 
@@ -89,6 +91,9 @@
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.BackoffMin, DefaultBackoffMin)
 	setDefault(&o.BackoffMax, DefaultBackoffMax)
+	if o.Count == nil {
+		o.Count = func(Method, int) {}
+	}
 	if o.Log == nil {
 		o.Log = logrus.StandardLogger()
 	}
--- a/internal/platform/httpx/client.go
+++ b/internal/platform/httpx/client.go
@@ -28,6 +28,7 @@
 	path   string
 	body   []byte
 	fresh  bool // use a new connection
+	output bool // the response may hold a task's output, which is no control message
 }
 
 type reply struct {
@@ -60,7 +61,11 @@
 		return reply{}, &callError{cause: withContext(ctx, err)}
 	}
 	var resp fasthttp.Response
-	wrote, err := exchangeContext(ctx, cn, c.encode(k), &resp, c.opts.MaxResponseBytes)
+	request := c.encode(k)
+	wrote, err := exchangeContext(ctx, cn, request, &resp, c.opts.MaxResponseBytes)
+	if wrote && !k.output {
+		c.opts.Count(len(request) + len(resp.Header.Header()) + len(resp.Body()))
+	}
 	if err != nil {
 		cn.Close()
 		c.closeIdle()
--- a/internal/platform/httpx/endpoint.go
+++ b/internal/platform/httpx/endpoint.go
@@ -97,7 +97,7 @@
 func (e *endpoint) Fetch(ctx context.Context, task string) (platform.TaskStatus, error) {
 	var status platform.TaskStatus
 	path := "/tasks/" + url.PathEscape(task)
-	r, err := e.control.do(ctx, call{method: fasthttp.MethodGet, path: path, fresh: true})
+	r, err := e.control.do(ctx, call{method: fasthttp.MethodGet, path: path, fresh: true, output: true})
 	if err != nil {
 		return status, fmt.Errorf("endpoint %s: %s: %w", e.address, path, err)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,7 @@
 	Retention time.Duration
 	MaxBytes  int
 	Clock     clockwork.Clock
+	Received  func(copies int) // counts the copies that peers send; may be nil
 }
 
 // Replicator sends this instance's answers to peers and keeps theirs. Its methods are safe for concurrent use.
@@ -233,6 +234,9 @@
 	if err := message.Decode(body, &b); err != nil {
 		return nil, err
 	}
+	if r.opts.Received != nil {
+		r.opts.Received(len(b.Copies))
+	}
 	now := r.opts.Clock.Now()
 	for i := range b.Copies {
 		r.store.put(now, &b.Copies[i])
--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -268,5 +268,6 @@
 		Slots:     s.slots,
 		FreeSlots: s.free,
 		Workers:   len(s.workers),
+		HeldOff:   s.quarantine.count,
 	}
 }
--- a/internal/sched/fair/fault_test.go
+++ b/internal/sched/fair/fault_test.go
@@ -103,6 +103,7 @@
 	// One row of failures on four slots, then one start after each of 1, 2, 4 and 8 s.
 	is.True(r.starts["w3"] <= 12)
 	is.True(r.starts["w4"] > 200)
+	is.True(r.s.Stats().HeldOff >= 4)
 	is.True(r.s.Dump().Workers[3].HoldOff > 4)
 	// Once repaired, it returns with one slot and then in full.
 	r.result = func(sched.Assignment) (time.Duration, platform.Outcome) {
--- a/internal/sched/fair/health.go
+++ b/internal/sched/fair/health.go
@@ -37,9 +37,10 @@
 
 // quarantine is the set of workers out of service.
 type quarantine struct {
-	list []*worker
-	next float64 // earliest return
-	rate float64 // moving share of failures over all workers
+	list  []*worker
+	next  float64 // earliest return
+	rate  float64 // moving share of failures over all workers
+	count int     // workers taken out of service so far
 }
 
 func (q *quarantine) remove(w *worker) {
@@ -158,6 +159,7 @@
 	h.holdOff = min(longestHoldOff, max(firstHoldOff, 2*h.holdOff))
 	h.away, h.back = true, now+h.holdOff
 	h.rate, h.samples = 0, 0
+	s.quarantine.count++
 	if len(s.quarantine.list) == 0 || h.back < s.quarantine.next {
 		s.quarantine.next = h.back
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -112,6 +112,7 @@
 	Slots     int `json:"slots"`
 	FreeSlots int `json:"free_slots"`
 	Workers   int `json:"workers"`
+	HeldOff   int `json:"held_off"` // times that a worker was taken out of service so far
 }
 
 // Team is a customer's share of the resources. Zero values mean weight 1, no quota and no limit.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/result"
 )
@@ -53,6 +54,7 @@
 	Limits  func() Limits
 	Handler Handler
 	Refuse  Refuser
+	Log     logrus.FieldLogger // of the event loops' own messages; nil discards them
 }
 
 // Server is a running listener.
@@ -78,10 +80,16 @@
 	if s.opts.Limits == nil {
 		s.opts.Limits = DefaultLimits
 	}
+	if s.opts.Log == nil {
+		discard := logrus.New()
+		discard.SetOutput(io.Discard)
+		s.opts.Log = discard
+	}
 	go func() {
 		s.stopped <- gnet.Run(s, "tcp://"+opts.Address,
 			gnet.WithMulticore(opts.Loops == 0), gnet.WithNumEventLoop(opts.Loops), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-			gnet.WithTicker(true), gnet.WithReuseAddr(true), gnet.WithLogLevel(logging.ErrorLevel))
+			gnet.WithTicker(true), gnet.WithReuseAddr(true), // Without a logger gnet writes to the standard output.
+			gnet.WithLogger(s.opts.Log.WithField("event", "gnet")))
 	}()
 	select {
 	case <-s.booted:
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/engine"
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/peer"
 	"github.com/savorypass/savorypass/internal/peer/message"
 	"github.com/savorypass/savorypass/internal/platform"
@@ -53,6 +54,7 @@
 	Spill     func() Spill
 	Log       logrus.FieldLogger
 	Now       func() time.Time
+	Wasted    func(metric.Kind) // counts messages that led to no start; may be nil
 }
 
 const (
@@ -68,6 +70,7 @@
 	opts    Options
 	engine  *engine.Engine
 	pending pending
+	open    reports
 	told    map[string]bool // peers that hold a report of this instance; owned by the engine's loop
 	remote  time.Time       // last report to other availability zones
 }
@@ -76,7 +79,10 @@
 
 // New returns a service without an engine; Serve gives it one.
 func New(opts Options) *Service {
-	return &Service{opts: opts, told: map[string]bool{}, pending: pending{tasks: map[string]*entry{}}}
+	if opts.Wasted == nil {
+		opts.Wasted = func(metric.Kind) {}
+	}
+	return &Service{opts: opts, open: reports{peers: map[string]bool{}}, told: map[string]bool{}, pending: pending{tasks: map[string]*entry{}}}
 }
 
 // Serve registers the handlers of messages from peers.
@@ -115,6 +121,7 @@
 		}
 		if s.opts.Transport.Notify(m.Addr, peer.Backlog, body) == nil {
 			s.told[m.Name] = true
+			s.superseded(m.Name, true)
 		}
 	}
 }
@@ -126,6 +133,7 @@
 			s.opts.Transport.Notify(m.Addr, peer.Backlog, body)
 		}
 		delete(s.told, name)
+		s.superseded(name, false)
 	}
 }
 
@@ -154,6 +162,7 @@
 	if err := message.Decode(body, &m); err != nil {
 		return nil, err
 	}
+	s.open.set(Name(from), false)
 	s.engine.Granted(Name(from), m.ID, m.Slots, func(used int) {
 		if used == 0 {
 			back := message.Encode(&message.GrantReturn{ID: m.ID, Slots: m.Slots})
