Limits: connections_per_caller and quota_exceeded take effect

Cause: limits.connections_per_caller was validated and did nothing, and the codes quota_exceeded and no_worker were produced by nothing.

Change: a connection counts for the last authenticated caller that sent a request on it. The bookkeeping is one map entry per caller with open connections, changed in constant time and released when the connection closes. A caller beyond its limit gets too_many_connections on a request for identities; other requests get home_unreachable, because "not run" would be untrue for a job submitted before over another connection. The connection is then closed. The default goes from 200 to 2000: a connection carries one waiting job, and 200 open jobs of one caller at an instance are reached in a burst.

A job is refused with quota_exceeded when the declared size of a task exceeds its team's hard limit; it would wait until its deadline. Its status is 422 and its advice that of never_fits. no_worker is removed.

--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -100,7 +100,7 @@
 	HeaderBytes                int     `yaml:"header_bytes" json:"header_bytes" validate:"min=256,max=65536" doc:"largest header of a request, in bytes"`
 	TasksPerJob                int     `yaml:"tasks_per_job" json:"tasks_per_job" validate:"min=1,max=160" doc:"most tasks of a job"`
 	QueuedTasks                int     `yaml:"queued_tasks" json:"queued_tasks" validate:"min=1,max=10000000" doc:"most tasks queued at an entry instance; not below tasks_per_job"`
-	ConnectionsPerCaller       int     `yaml:"connections_per_caller" json:"connections_per_caller" validate:"min=1,max=1000000" doc:"most connections of a caller to an entry instance"`
+	ConnectionsPerCaller       int     `yaml:"connections_per_caller" json:"connections_per_caller" validate:"min=1,max=1000000" doc:"most open connections of a caller to an entry instance, each of which waits for one job at a time"`
 	RequestsPerSecondPerCaller float64 `yaml:"requests_per_second_per_caller" json:"requests_per_second_per_caller" validate:"min=0.001,max=1000000" doc:"most requests per second of a caller at an entry instance"`
 }
 
@@ -134,11 +134,12 @@
 func Default() *Config {
 	return &Config{
 		Limits: Limits{
-			BodyBytes:                  4 << 20,
-			HeaderBytes:                8 << 10,
-			TasksPerJob:                160,
-			QueuedTasks:                50_000,
-			ConnectionsPerCaller:       200,
+			BodyBytes:   4 << 20,
+			HeaderBytes: 8 << 10,
+			TasksPerJob: 160,
+			QueuedTasks: 50_000,
+			// A connection carries one waiting job, so a limit below a burst's open jobs of one caller would refuse them.
+			ConnectionsPerCaller:       2000,
 			RequestsPerSecondPerCaller: 1000,
 		},
 		Order:     Order{ShortReserve: 0.1, ShortThreshold: 2 * time.Second, AgeingRate: 0.05},
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -172,7 +172,7 @@
 	case result.Running, result.HomeUnreachable:
 		c.app.notef("%s; asking again", a.Name)
 		return true
-	case result.QueueFull, result.DeadlineUnreachable, result.RateLimited, result.QuotaExceeded, result.NotReady, result.TooManyConnections:
+	case result.QueueFull, result.DeadlineUnreachable, result.RateLimited, result.NotReady, result.TooManyConnections:
 		if c.Retry {
 			c.app.notef("%s; submitting again after %v", a.Name, millis(a.RetryAfterMS))
 		}
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -34,6 +35,13 @@
 	if s == nil {
 		return api.NewAnswer(result.NotReady, "the instance has no configuration yet")
 	}
+	if team := s.teams[j.Team]; team != nil && team.HardLimit != nil {
+		for i := range j.Shape.Tasks {
+			if exceeds(j.Shape.Tasks[i].Size, team.HardLimit.Platform()) {
+				return api.NewAnswer(result.QuotaExceeded, fmt.Sprintf("task %d alone exceeds hard_limit of team %s", i, j.Team))
+			}
+		}
+	}
 	bounds := sched.Bounds{
 		MaxQueued: s.config.Limits.QueuedTasks, MaxWait: s.config.Admission.MaxWait,
 		MaxDrain: s.config.Admission.MaxDrain,
@@ -47,3 +55,10 @@
 	a.RetryAfterMS = v.Retry.Milliseconds()
 	return a
 }
+
+// exceeds reports whether a task can never start under a team's limit. A zero dimension of the limit is no limit.
+func exceeds(task, limit sched.Size) bool {
+	return limit.Cores > 0 && task.Cores > limit.Cores ||
+		limit.MemoryMB > 0 && task.MemoryMB > limit.MemoryMB ||
+		limit.Accelerators > 0 && task.Accelerators > limit.Accelerators
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -16,6 +16,8 @@
 type callers struct {
 	chain   filter.Handler
 	metrics *metric.Set
+	// connections returns the most connections of one caller.
+	connections func() int
 }
 
 // Serve implements server.Handler.
@@ -33,6 +35,7 @@
 			x.Reply(result.Complete.Info().Status, encode(ids), 0)
 		})
 	r.Arrived = x.Arrived
+	r.Claim = func(p filter.Principal) bool { return x.Claim(p.Team+"/"+p.Name, c.connections()) }
 	r.Method = string(x.Request.Header.Method())
 	r.Path = string(x.Request.RequestURI())
 	if token, ok := secure.BearerToken(x.Request.Header.Peek("Authorization")); ok {
--- a/internal/entry/doors_test.go
+++ b/internal/entry/doors_test.go
@@ -355,3 +355,33 @@
 	s.until("it has the configuration", func() bool { return alone.config.Version() == 1 })
 	is.Equal(s.do(alone, surveyToken, "POST", "/v1/identities", api.IdentityRequest{Count: 1}).Code, result.NotReady)
 }
+
+// Guards against limits of teams and callers that are configured and have no effect.
+func TestHardLimitAndConnectionsOfACaller(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, "blackstone")
+	e := s.start("blackstone", "b1")
+	limited := strings.Replace(document, "{name: desk,", "{name: desk, hard_limit: {cores: 2},", 1)
+	s.replace(2, limited+"limits: {connections_per_caller: 1}\n")
+	s.ready(e)
+	large := job(s.identity(e, deskToken), 2, 10)
+	large.Tasks[1].Cores = 3
+	a := s.do(e, deskToken, "POST", "/v1/jobs", large)
+	is.Equal(a.Code, result.QuotaExceeded)
+	is.True(strings.Contains(a.Message, "task 1"))
+	is.Equal(s.do(e, deskToken, "POST", "/v1/jobs", job(large.Identity, 1, 10)).Code, result.Complete) // the identity was given back
+	http.DefaultClient.CloseIdleConnections()
+	s.until("the connections are closed", func() bool { return e.server.Connections() == 0 })
+	held, err := net.Dial("tcp", e.server.Address())
+	is.NoErr(err)
+	defer held.Close()
+	ask := "POST /v1/identities HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + deskToken + "\r\nContent-Length: 11\r\n\r\n{\"count\":1}"
+	_, err = held.Write([]byte(ask))
+	is.NoErr(err)
+	_, err = held.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(strings.Contains(s.raw(e, ask), `"name":"too_many_connections"`))
+	s.identity(e, surveyToken) // another caller is not affected
+	held.Close()
+	s.until("the connection is released", func() bool { return !strings.Contains(s.raw(e, ask), "too_many_connections") })
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -220,7 +220,7 @@
 	e.ops = e.newOps()
 	go e.ops.Serve(listener)
 	defer e.ops.Shutdown(context.Background())
-	fromCallers := callers{e.handler, e.metrics}
+	fromCallers := callers{e.handler, e.metrics, e.connectionsPerCaller}
 	e.server, err = server.Start(server.Options{
 		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: fromCallers, Refuse: fromCallers.refuse, Log: e.log,
 	})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -75,13 +75,11 @@
 	return s
 }
 
-func (s *system) publish(doc string) { s.publishNext(doc, 1) }
-
-func (s *system) publishNext(doc string, version uint64) {
+func (s *system) publish(doc string) {
 	l := httpx.NewLog(s.log.Address(), httpx.Options{})
 	defer l.Close()
 	r := config.Record{
-		Kind: config.KindPublish, Schema: 1, Version: version, Replaces: version - 1, Nonce: fmt.Sprint("n", version), Author: "test", Document: doc,
+		Kind: config.KindPublish, Schema: 1, Version: 1, Nonce: "first", Author: "test", Document: doc,
 		Digest: config.DocumentDigest([]byte(doc)),
 	}
 	data, err := r.Encode()
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -45,7 +45,7 @@
 	is.Equal(refused.Code, result.IdentityReused)
 	large := s.identity(home, surveyToken)
 	is.Equal(s.do(home, surveyToken, "POST", "/v1/jobs?wait_ms=0", job(large, 160, 100)).Code, result.Running)
-	s.publishNext(document+"limits: {queued_tasks: 40000}\n", 2)
+	s.replace(2, document+"limits: {queued_tasks: 40000}\n")
 	_, err := near.Fetch(context.Background(), "blackstone/b1")
 	is.NoErr(err)
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -51,6 +51,11 @@
 	return s
 }
 
+// connectionsPerCaller is asked for authenticated callers only, so there is a configuration.
+func (e *Entry) connectionsPerCaller() int {
+	return e.current.Load().config.Limits.ConnectionsPerCaller
+}
+
 // callerTokens returns the callers' token digests of a configuration.
 func callerTokens(c *config.Config) ([]secure.Entry, error) {
 	var entries []secure.Entry
--- a/internal/filter/authn/authn.go
+++ b/internal/filter/authn/authn.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if f.Ready != nil && !f.Ready() {
-		notReady(r)
+		refuse(r, result.NotReady, "the instance has no configuration yet")
 		return
 	}
 	p, ok := f.Tokens.Caller(r.Token)
@@ -43,17 +43,23 @@
 		return
 	}
 	r.Principal = p
+	if r.Claim != nil && !r.Claim(p) {
+		refuse(r, result.TooManyConnections, "the caller has limits.connections_per_caller connections to the instance")
+		return
+	}
 	next.Handle(r)
 }
 
-// notReady answers while no token can be known. A request about an identity must not get a refusal that says "not run",
-// since the job may have been submitted through another instance.
-func notReady(r *filter.Request) {
+// refuse answers a request that is not looked at any further. A request about an identity must not get a refusal that
+// says "not run", since the job may have been submitted before, here or through another instance.
+func refuse(r *filter.Request, code result.Code, reason string) {
 	if r.Path == decode.PathIdentities {
-		r.Refuse(api.Errorf(result.NotReady, "", "the instance has no configuration yet"))
+		a := api.NewAnswer(code, reason)
+		a.RetryAfterMS = retryAfter.Milliseconds()
+		r.Answer(a)
 		return
 	}
-	a := api.NewAnswer(result.HomeUnreachable, "the instance has no configuration yet and cannot ask the home of the identity")
+	a := api.NewAnswer(result.HomeUnreachable, reason+"; the home of the identity was not asked")
 	a.RetryAfterMS = retryAfter.Milliseconds()
 	r.Answer(a)
 }
--- a/internal/filter/authn/authn_test.go
+++ b/internal/filter/authn/authn_test.go
@@ -10,6 +10,10 @@
 	"github.com/savorypass/savorypass/internal/result"
 )
 
+type anyToken struct{}
+
+func (anyToken) Caller(string) (filter.Principal, bool) { return filter.Principal{Team: "t"}, true }
+
 type noTokens struct{}
 
 func (noTokens) Caller(string) (filter.Principal, bool) { return filter.Principal{}, false }
@@ -30,3 +34,17 @@
 	ready = true
 	is.Equal(ask("/v1/jobs").Code, result.Unauthenticated)
 }
+
+// Guards against a limit of connections that says "not run" of a job that another connection may have submitted.
+func TestTooManyConnectionsAreRefused(t *testing.T) {
+	is := is.New(t)
+	ask := func(path string) (got *api.Answer) {
+		r := filter.NewRequest(func(a *api.Answer) { got = a }, nil)
+		r.Path, r.Claim = path, func(filter.Principal) bool { return false }
+		Filter{Tokens: anyToken{}}.Handle(r, nil)
+		return got
+	}
+	is.Equal(ask("/v1/identities").Code, result.TooManyConnections)
+	is.Equal(ask("/v1/jobs").Execution, result.MayHaveRun)
+	is.Equal(ask("/v1/jobs").Final, false)
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -73,7 +73,7 @@
 	IdentityExpired  Code = 406
 	HomeUnreachable  Code = 407
 	AnswerDropped    Code = 408
-	NoWorker         Code = 409
+	// 409 was never produced; it stays free.
 )
 
 // Codes of operators' requests. They make no claim about jobs; NotRun means that nothing was changed.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -47,9 +47,9 @@
 	RateLimited:         {"rate_limited", 429, NotRun, false, "the caller exceeds its request rate", retryLater},
 	Draining:            {"draining", 503, NotRun, false, "the instance is stopping", "get a new identity on a new connection and submit there"},
 	NeverFits:           {"never_fits", 422, NotRun, false, "a task is larger than every worker", fixRequest},
-	QuotaExceeded:       {"quota_exceeded", 429, NotRun, false, "the team is at its hard limit", retryLater},
+	QuotaExceeded:       {"quota_exceeded", 422, NotRun, false, "a task is larger than the team's hard limit", fixRequest},
 	NotReady:            {"not_ready", 503, NotRun, false, "the instance has no configuration or no worker yet", retryLater},
-	TooManyConnections:  {"too_many_connections", 503, NotRun, false, "the caller's address has too many connections", "reuse connections"},
+	TooManyConnections:  {"too_many_connections", 503, NotRun, false, "the instance or the caller has its maximum of connections", "reuse connections, or ask again later"},
 
 	TaskFailed:       {"task_failed", 502, Ran, true, "a task was run and reported a failure", newIdentity},
 	WorkerLost:       {"worker_lost", 502, MayHaveRun, true, "a worker was lost while a task was on it", checkFirst},
@@ -60,7 +60,6 @@
 	IdentityExpired:  {"identity_expired", 410, MayHaveRun, true, "the identity is older than its validity", checkFirst},
 	HomeUnreachable:  {"home_unreachable", 503, MayHaveRun, false, "the instance that issued the identity cannot be reached now", askAgain},
 	AnswerDropped:    {"answer_dropped", 410, Ran, true, "the job completed and its answer is no longer kept", newIdentity},
-	NoWorker:         {"no_worker", 503, NotRun, true, "no worker could take the job before its deadline", newIdentity},
 
 	ConfigInvalid:     {"config_invalid", 422, NotRun, false, "the configuration document has errors; nothing was published", "correct every listed problem and publish again"},
 	ConfigConflict:    {"config_conflict", 409, NotRun, false, "another version was published since the one that the request replaces", "read the current version, apply the change to it and publish again"},
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -30,6 +30,7 @@
 	gone   atomic.Bool  // the connection is closed
 	since  atomic.Int64 // arrival of the first byte of an incomplete request, Unix ns; 0 when there is none
 	need   int          // bytes of the request in progress; 0 until its header is read
+	user   string       // that has claimed the connection; guarded by server.mu
 	told   bool         // 100 Continue was sent for the request in progress
 }
 
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -15,11 +15,22 @@
 	Arrived time.Time
 	conn    *conn
 	replied bool
+	last    bool // the connection is closed after the answer
 }
 
 // Gone reports whether the caller has closed the connection.
 func (x *Exchange) Gone() bool { return x.conn.gone.Load() }
 
+// Claim counts the connection for a user, which must not be empty, until it is closed or another user claims it. It
+// returns false if the user has its maximum of other connections; the connection is then closed after the answer.
+func (x *Exchange) Claim(user string, limit int) bool {
+	if x.conn.server.claim(x.conn, user, limit) {
+		return true
+	}
+	x.last = true
+	return false
+}
+
 // Reply sends a JSON body. retryAfter above 0 adds a Retry-After header, rounded up to seconds.
 func (x *Exchange) Reply(status int, body []byte, retryAfter time.Duration) {
 	if x.replied {
@@ -27,7 +38,7 @@
 	}
 	x.replied = true
 	c := x.conn
-	last := x.Request.ConnectionClose() || c.server.closing.Load()
+	last := x.last || x.Request.ConnectionClose() || c.server.closing.Load()
 	var b bytes.Buffer
 	b.Grow(len(body) + 160)
 	writeResponse(&b, status, body, retryAfter, last)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -70,13 +70,14 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	users map[string]int // connections by the user that has claimed them
 }
 
 const tick = time.Second
 
 // Start listens and serves until Stop.
 func Start(opts Options) (*Server, error) {
-	s := &Server{opts: opts, booted: make(chan struct{}), stopped: make(chan error, 1), conns: map[*conn]struct{}{}}
+	s := &Server{opts: opts, booted: make(chan struct{}), stopped: make(chan error, 1), conns: map[*conn]struct{}{}, users: map[string]int{}}
 	if s.opts.Limits == nil {
 		s.opts.Limits = DefaultLimits
 	}
@@ -169,11 +170,42 @@
 		cn.gone.Store(true)
 		s.mu.Lock()
 		delete(s.conns, cn)
+		s.release(cn)
 		s.mu.Unlock()
 	}
 	return gnet.None
 }
 
+// claim counts a connection for a user. It returns false if the user has its maximum of others.
+func (s *Server) claim(c *conn, user string, limit int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.user == user {
+		return true
+	}
+	if _, open := s.conns[c]; !open {
+		return true // closed meanwhile; nothing would release the claim
+	}
+	if s.users[user] >= limit {
+		return false
+	}
+	s.release(c)
+	c.user = user
+	s.users[user]++
+	return true
+}
+
+// release takes back the claim of a connection. s.mu is held.
+func (s *Server) release(c *conn) {
+	if c.user == "" {
+		return
+	}
+	if s.users[c.user]--; s.users[c.user] == 0 {
+		delete(s.users, c.user)
+	}
+	c.user = ""
+}
+
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
 	cn := c.Context().(*conn)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -136,6 +136,53 @@
 	is.Equal(body, `{"code":308}`)
 }
 
+// Guards against a user that takes all connections, and against claims that outlive their connections.
+func TestClaimsAreCountedByUserAndReleased(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, HandlerFunc(func(x *Exchange) {
+		status := 200
+		if !x.Claim(string(x.Request.Header.Peek("User")), 1) {
+			status = 503
+		}
+		x.Reply(status, nil, 0)
+	}))
+	ask := func(c net.Conn, user string) *http.Response {
+		c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\nUser: " + user + "\r\n\r\n"))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		return resp
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", s.Address())
+		is.NoErr(err)
+		return c
+	}
+	first, second := dial(), dial()
+	is.Equal(ask(first, "a").StatusCode, 200)
+	is.Equal(ask(first, "a").StatusCode, 200)
+	is.Equal(ask(second, "b").StatusCode, 200) // another user
+	over := ask(second, "a")
+	is.Equal(over.StatusCode, 503)
+	is.True(over.Close)
+	claims := func(user string) int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.users[user]
+	}
+	first.Close()
+	second.Close()
+	for s.Connections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(claims("a")+claims("b"), 0)
+	is.Equal(len(s.users), 0)
+	third := dial()
+	defer third.Close()
+	is.Equal(ask(third, "b").StatusCode, 200)
+	is.Equal(ask(third, "a").StatusCode, 200) // the connection changes hands
+	is.Equal(claims("b"), 0)
+}
+
 // Guards against cutting off a request during a planned stop.
 func TestDrainAnswersAndCloses(t *testing.T) {
 	is := is.New(t)
