Log: every line has one event key

Change: the key is added; the line of entry about membership is dropped, since that of member says the same. TestEveryMetricMoves fails on a line without the key.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -221,7 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.status.LogError == "" {
-		c.opts.Logger.WithError(err).WithField("version", c.state.Version).Warn("config log cannot be read")
+		c.opts.Logger.WithField("event", "config_log_failed").WithError(err).WithField("version", c.state.Version).Warn("config log cannot be read")
 	}
 	c.status.LogError = err.Error()
 }
@@ -265,7 +265,7 @@
 	if batch.Next < c.cursor {
 		// The log lost its records and counts from 0 again. Folding from there is safe: a record that is already
 		// included replaces a lower version and loses.
-		c.opts.Logger.WithField("next", batch.Next).WithField("cursor", c.cursor).Error("config log has restarted")
+		c.opts.Logger.WithField("event", "config_log_restarted").WithField("next", batch.Next).WithField("cursor", c.cursor).Error("config log has restarted")
 		c.status.LogRestarted++
 		c.state.Next, c.cursor = 0, batch.First
 		return
@@ -321,7 +321,7 @@
 	}
 	c.config = cfg
 	c.remember()
-	c.opts.Logger.WithField("version", c.state.Version).WithField("author", c.state.Author).Info("config in force")
+	c.opts.Logger.WithField("event", "config_in_force").WithField("version", c.state.Version).WithField("author", c.state.Author).Info("config in force")
 }
 
 // announce calls the subscribers. c.notify is held and c.mu is not.
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -106,7 +106,7 @@
 	c.enter(before)
 	u := Update{State: c.state, Config: c.config}
 	c.mu.Unlock()
-	c.opts.Logger.WithField("peer", peer).WithField("version", u.State.Version).Info("config state from peer")
+	c.opts.Logger.WithField("event", "config_from_peer").WithField("peer", peer).WithField("version", u.State.Version).Info("config state from peer")
 	if u.State.Version > before.Version {
 		c.announce([]Update{u})
 	}
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -68,7 +68,7 @@
 }
 
 func (e *Engine) renewFailed(now time.Time, w *worker, err error) {
-	e.log.WithError(err).WithField("worker", w.instance.Name).Debug("leases not renewed")
+	e.log.WithField("event", "renewal_failed").WithError(err).WithField("worker", w.instance.Name).Debug("leases not renewed")
 	if now.Sub(w.renewedAt) >= e.opts.Timing.Lease {
 		e.loseAll(now, w, "no answer from the worker for the time of its lease")
 	}
@@ -130,7 +130,7 @@
 	}
 	f.fetching = true
 	e.opts.Observe.Wasted(metric.WastedFetch)
-	e.log.WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
+	e.log.WithField("event", "task_fetch").WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
 	e.opts.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 		defer cancel()
@@ -219,7 +219,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 			defer cancel()
 			if err := w.target.stop(ctx, tasks); err != nil {
-				e.log.WithError(err).WithField("worker", w.instance.Name).Warn("tasks could not be stopped")
+				e.log.WithField("event", "stop_failed").WithError(err).WithField("worker", w.instance.Name).Warn("tasks could not be stopped")
 			}
 		})
 	}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -123,7 +123,7 @@
 	if w.state == s {
 		return
 	}
-	e.log.WithField("worker", w.instance.Name).WithField("state", s.String()).WithField("reason", reason).Info("worker state changed")
+	e.log.WithField("event", "worker_state").WithField("worker", w.instance.Name).WithField("state", s.String()).WithField("reason", reason).Info("worker state changed")
 	w.state = s
 	e.publish(now, w)
 }
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -13,7 +13,7 @@
 func (e *Entry) apply(u config.Update) {
 	if err := e.applyTokens(u.Config); err != nil {
 		// Validation has accepted the digests, so this is a fault of the program. The old tokens stay.
-		e.log.WithError(err).WithField("version", u.State.Version).Error("tokens not replaced")
+		e.log.WithField("event", "tokens_not_replaced").WithError(err).WithField("version", u.State.Version).Error("tokens not replaced")
 	}
 	// Records are kept longer before identities are valid longer, so that a valid identity never lacks its record.
 	e.registry.Retain(u.Config.Retention.IdentityValidity+recordMargin, u.Config.Retention.AnswerRetention)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -295,7 +295,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := e.node.Close(ctx); err != nil {
-		e.log.WithError(err).Warn("connections to peers cut off")
+		e.log.WithField("event", "peers_cut_off").WithError(err).Warn("connections to peers cut off")
 	}
 }
 
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -14,7 +14,7 @@
 	log := daemon.NewLogger(os.Stderr, opts.LogOptions)
 	e, err := New(opts, log)
 	if err != nil {
-		log.WithError(err).Error("entry instance not started")
+		log.WithField("event", "start_failed").WithError(err).Error("entry instance not started")
 		return daemon.ExitFault
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -22,7 +22,7 @@
 	signals := daemon.Signals{Log: log, Drain: e.Drain, Kill: cancel, Reload: e.Reload, Dump: e.Dumps(), Output: os.Stderr}
 	go signals.Run(ctx)
 	if err := e.Run(ctx); err != nil {
-		log.WithError(err).Error("entry instance failed")
+		log.WithField("event", "failed").WithError(err).Error("entry instance failed")
 		return daemon.ExitFault
 	}
 	return daemon.ExitOK
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/result"
@@ -30,10 +32,13 @@
 	}
 }
 
-// Guards against documented metrics that nothing sets, and against starts that two instances count.
+// Guards against documented metrics that nothing sets, against starts that two instances count, and against log lines
+// without an event.
 func TestEveryMetricMoves(t *testing.T) {
 	is := is.New(t)
 	s := newSystem(t, "blackstone")
+	lines := &events{}
+	s.hooks = append(s.hooks, lines)
 	home, near := s.start("blackstone", "b1"), s.start("blackstone", "b2")
 	s.until("both have slots", func() bool {
 		return home.engine.Load().FreeSlots > 0 && near.engine.Load().FreeSlots > 0 && len(home.members.View().Live()) == 1
@@ -80,4 +85,26 @@
 	home.faults.log.set(true)
 	defer home.faults.log.set(false)
 	s.until("a failed call of the log is counted", func() bool { return home.metrics.LogErrors.Value() > 0 })
+	lines.mu.Lock()
+	defer lines.mu.Unlock()
+	is.Equal(lines.without, nil)
+}
+
+// events collects the log lines without an event key.
+type events struct {
+	mu      sync.Mutex
+	without []string
+}
+
+// Levels implements logrus.Hook.
+func (*events) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h *events) Fire(e *logrus.Entry) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := e.Data["event"]; !ok {
+		h.without = append(h.without, e.Message)
+	}
+	return nil
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -58,7 +58,6 @@
 	}
 	if kind, ok := memberMetrics[ev.Kind]; ok {
 		e.metrics.MemberChanges.Add(kind, 1)
-		e.log.WithField("event", "member_"+string(ev.Kind)).WithField("member", name).Info("membership changed")
 	}
 }
 
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -58,7 +58,7 @@
 	}
 	if err != nil {
 		f.e.metrics.Wasted.Add(metric.WastedForwardFailed, 1)
-		f.e.log.WithError(err).WithField("home", r.ID.Home.Instance).WithField("identity", r.Identity).Warn("request not forwarded")
+		f.e.log.WithField("event", "forward_failed").WithError(err).WithField("home", r.ID.Home.Instance).WithField("identity", r.Identity).Warn("request not forwarded")
 		return false
 	}
 	r.Relayed = true
@@ -107,7 +107,7 @@
 	}
 	var a api.Answer
 	if err := json.Unmarshal(data, &a); err != nil {
-		e.log.WithError(err).WithField("identity", identity).Error("copy of an answer cannot be read")
+		e.log.WithField("event", "copy_unreadable").WithError(err).WithField("identity", identity).Error("copy of an answer cannot be read")
 		return nil, false
 	}
 	return &a, true
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -322,7 +322,7 @@
 	}
 	c.newer = true
 	c.gate.stop()
-	c.opts.Log.WithField("incarnation", incarnation).Error("a newer incarnation of this instance exists; dispatching stops")
+	c.opts.Log.WithField("event", "dispatch_stopped").WithField("incarnation", incarnation).Error("a newer incarnation of this instance exists; dispatching stops")
 	c.pending = append(c.pending, Event{Kind: Superseded})
 }
 
--- a/internal/ops/server.go
+++ b/internal/ops/server.go
@@ -96,7 +96,7 @@
 type quietLogger struct{ log *logrus.Logger }
 
 func (q quietLogger) Printf(format string, args ...any) {
-	q.log.Debugf("event=ops_http "+format, args...)
+	q.log.WithField("event", "ops_http").Debugf(format, args...)
 }
 
 // call is one request with what was found out about it.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -175,7 +175,7 @@
 	}
 	if err != nil {
 		q.CloseWithError(codeProtocol, "setup failed")
-		n.opts.Log.WithError(err).WithField("addr", q.RemoteAddr()).Warn("peer connection refused")
+		n.opts.Log.WithField("event", "peer_refused").WithError(err).WithField("addr", q.RemoteAddr()).Warn("peer connection refused")
 		return
 	}
 	n.adopt(c)
@@ -192,7 +192,7 @@
 	n.conns[c] = struct{}{}
 	l := n.linkLocked(c.quic.RemoteAddr().(*net.UDPAddr))
 	n.mu.Unlock()
-	n.opts.Log.WithFields(map[string]any{"peer": c.from.Name.String(), "addr": c.from.Addr}).Info("peer connected")
+	n.opts.Log.WithField("event", "peer_connected").WithFields(map[string]any{"peer": c.from.Name.String(), "addr": c.from.Addr}).Info("peer connected")
 	c.start()
 	n.applyCut(c)
 	l.use(c)
@@ -204,7 +204,7 @@
 	delete(n.conns, c)
 	n.mu.Unlock()
 	n.unlink(c)
-	n.opts.Log.WithError(err).WithField("peer", c.from.Name.String()).Info("peer connection ended")
+	n.opts.Log.WithField("event", "peer_ended").WithError(err).WithField("peer", c.from.Name.String()).Info("peer connection ended")
 }
 
 // unlink lets later calls use another connection.
--- a/internal/share/link.go
+++ b/internal/share/link.go
@@ -191,7 +191,7 @@
 		if err == nil {
 			return
 		}
-		o.service.opts.Log.WithError(err).WithField("peer", o.addr).Debug("results of delegated tasks not delivered")
+		o.service.opts.Log.WithField("event", "results_not_delivered").WithError(err).WithField("peer", o.addr).Debug("results of delegated tasks not delivered")
 		time.Sleep(resultRetry)
 	}
 }
