--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -11,6 +12,8 @@
 // maxFetches bounds the tries to learn the fate of one task; with time-outs of 1 s it stays below the lease.
 const maxFetches = 3
 
+const reasonSilent = "the connection is silent"
+
 // renewDue starts the renewal of leases for each worker whose interval has passed.
 func (e *Engine) renewDue(now time.Time) {
 	for _, w := range e.workers {
@@ -77,7 +80,7 @@
 }
 
 func (e *Engine) renewFailed(now time.Time, w *worker, err error) {
-	e.log.WithError(err).WithField("worker", w.instance.Name).Debug("leases not renewed")
+	e.log.WithField("event", "renewal_failed").WithError(err).WithField("worker", w.instance.Name).Debug("leases not renewed")
 	if now.Sub(w.renewedAt) >= e.opts.Timing.Lease {
 		e.loseAll(now, w, "no answer from the worker for the time of its lease")
 	}
@@ -127,7 +130,7 @@
 
 func (e *Engine) recheck(now time.Time, w *worker, f *flight) {
 	if !f.settled && !f.reported.IsZero() && e.workers[w.instance.Name] == w {
-		e.resolve(now, f, "the connection is silent")
+		e.resolve(now, f, reasonSilent)
 	}
 }
 
@@ -142,8 +145,8 @@
 		return true
 	}
 	f.fetching = true
-	e.opts.Observe.Wasted("fetch")
-	e.log.WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
+	e.opts.Observe.Wasted(metric.WastedFetch)
+	e.log.WithField("event", "task_fetch").WithField("worker", w.instance.Name).WithField("task", f.task).WithField("reason", reason).Warn("fetching the state of a task")
 	e.opts.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 		defer cancel()
@@ -173,6 +176,9 @@
 	case st.State == platform.TaskFailed:
 		r = platform.RunResult{Outcome: platform.Failed, Output: st.Output}
 	}
+	if reason == reasonSilent && r.Outcome != platform.Lost {
+		e.opts.Observe.Replaced()
+	}
 	e.cutOff(f)
 	e.settle(now, f, &r)
 }
@@ -235,7 +241,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timing.ControlTimeout)
 			defer cancel()
 			if err := w.target.stop(ctx, tasks); err != nil {
-				e.log.WithError(err).WithField("worker", w.instance.Name).Warn("tasks could not be stopped")
+				e.log.WithField("event", "stop_failed").WithError(err).WithField("worker", w.instance.Name).Warn("tasks could not be stopped")
 			}
 		})
 	}
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -13,13 +13,16 @@
 func (e *Entry) apply(u config.Update) {
 	if err := e.applyTokens(u.Config); err != nil {
 		// Validation has accepted the digests, so this is a fault of the program. The old tokens stay.
-		e.log.WithError(err).WithField("version", u.State.Version).Error("tokens not replaced")
+		e.log.WithField("event", "tokens_not_replaced").WithError(err).WithField("version", u.State.Version).Error("tokens not replaced")
 	}
 	// Records are kept longer before identities are valid longer, so that a valid identity never lacks its record.
 	e.registry.Retain(u.Config.Retention.IdentityValidity+recordMargin, u.Config.Retention.AnswerRetention)
 	e.issuer.SetValidity(u.Config.Retention.IdentityValidity)
 	e.current.Store(newSnapshot(u.State.Version, u.Config))
 	e.metrics.ConfigVersion.Set(int64(u.State.Version))
+	if u.Logged.After(e.started) { // earlier records were in force elsewhere before this process started
+		e.metrics.ConfigLag.AddDuration(e.clock.Since(u.Logged))
+	}
 	opts := schedulerOptions(u.Config)
 	e.engine.Configure(func(_ time.Time, s sched.Scheduler) {
 		if f, ok := s.(*fair.Scheduler); ok {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,6 +6,7 @@
 
 	"github.com/savorypass/savorypass/internal/api"
 	"github.com/savorypass/savorypass/internal/filter"
+	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/secure"
 	"github.com/savorypass/savorypass/internal/server"
@@ -13,15 +14,28 @@
 
 // callers turns HTTP exchanges into requests for the filter chain.
 type callers struct {
-	chain filter.Handler
+	chain   filter.Handler
+	metrics *metric.Set
+	// connections returns the most connections of one caller.
+	connections func() int
 }
 
 // Serve implements server.Handler.
 func (c callers) Serve(x *server.Exchange) {
-	r := filter.NewRequest(
-		func(a *api.Answer) { reply(x, a) },
-		func(ids *api.Identities) { x.Reply(result.Complete.Info().Status, encode(ids), 0) })
+	var r *filter.Request
+	r = filter.NewRequest(
+		func(a *api.Answer) {
+			if !r.Relayed {
+				countRefusal(c.metrics, a.Code)
+			}
+			reply(x, a)
+		},
+		func(ids *api.Identities) {
+			c.metrics.Identities.Add(int64(len(ids.Identities)))
+			x.Reply(result.Complete.Info().Status, encode(ids), 0)
+		})
 	r.Arrived = x.Arrived
+	r.Claim = func(p filter.Principal) bool { return x.Claim(p.Team+"/"+p.Name, c.connections()) }
 	r.Method = string(x.Request.Header.Method())
 	r.Path = string(x.Request.RequestURI())
 	if token, ok := secure.BearerToken(x.Request.Header.Peek("Authorization")); ok {
@@ -36,7 +50,8 @@
 }
 
 // refuse writes the answer to a request that the server could not read.
-func refuse(code result.Code, message string) []byte {
+func (c callers) refuse(code result.Code, message string) []byte {
+	countRefusal(c.metrics, code)
 	return encode(api.NewAnswer(code, message))
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,7 @@
 	replicas *replica.Replicator
 	dialer   platform.Dialer
 	usage    *usage
+	listRead atomic.Pointer[time.Time] // end of the last good read of the instance list
 	handler  filter.Handler
 	server   *server.Server
 	ops      *ops.Server
@@ -113,7 +114,7 @@
 	if e.tls, err = secure.LoadTLS(e.tlsSettings()); err != nil {
 		return nil, merry.Prepend(err, "TLS material")
 	}
-	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: e.tls, Log: log, EnableFaults: opts.EnableFaults}); err != nil {
+	if e.node, err = peer.New(peer.Options{Listen: opts.Peers, TLS: e.tls, Log: log, Count: e.countPeer, EnableFaults: opts.EnableFaults}); err != nil {
 		return nil, merry.Prependf(err, "listen for peers on %s", opts.Peers)
 	}
 	e.faults = newFaults(e.node)
@@ -140,13 +141,13 @@
 // makeControllers makes the parts that follow the platform and the peers.
 func (e *Entry) makeControllers() {
 	opts, clock := e.opts, e.clock
-	web := httpx.Options{Zone: opts.Zone}
 	home := identity.Home{Zone: opts.Zone, Instance: opts.Name, Incarnation: e.incarnation}
 	e.issuer = identity.NewIssuer(home, defaultValidity, func() time.Duration { return clock.Since(e.started) })
 	e.registry = newRegistry()
-	e.list = cutList{httpx.NewInstanceList(address(opts.InstancesURL), web), e.faults.list}
+	e.list = e.watchList(cutList{httpx.NewInstanceList(address(opts.InstancesURL), e.web(metric.ControlList)), e.faults.list})
 	e.config = config.New(config.Options{
-		Log: cutLog{httpx.NewLog(address(opts.LogURL), web), e.faults.log}, Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: e.log,
+		Log:  watchedLog{cutLog{httpx.NewLog(address(opts.LogURL), e.web(metric.ControlLog)), e.faults.log}, &e.metrics.LogErrors},
+		Peer: e, Name: opts.Zone + "/" + opts.Name, Clock: clock, Logger: e.log,
 		Retention: opts.LogRetention, Live: e.liveNames, SchemaSupport: e.schemaSupport,
 	})
 	e.members = member.New(member.Options{
@@ -154,15 +155,19 @@
 	})
 	e.owner = e.newOwner()
 	e.usage = newUsage(clock.Now)
-	e.replicas = replica.New(replica.Options{View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock})
+	e.replicas = replica.New(replica.Options{
+		View: e.members.View, Transport: e.node, Retention: defaultRetention, Clock: clock,
+		Received: func(n int) { e.metrics.Copies.Add(metric.Received, int64(n)) },
+	})
 }
 
 // makeEngine makes the engine and its sharing of slots, which need the membership.
 func (e *Entry) makeEngine() {
 	e.sharing = share.New(share.Options{
 		Zone: e.opts.Zone, Transport: e.node, Members: sharers{e}, Spill: e.spill, Log: e.log, Now: e.clock.Now,
+		Wasted: observer{e.metrics}.Wasted,
 	})
-	e.dialer = httpx.NewDialer(httpx.Options{Zone: e.opts.Zone})
+	e.dialer = httpx.NewDialer(e.web(metric.ControlLeases))
 	e.engine = engine.New(engine.Options{
 		Scheduler: newScheduler(e.opts.Scheduler), Dialer: e.dialer, Clock: e.clock, Log: e.log,
 		Admit: e.admitJob, Observe: observer{e.metrics}, MayStart: e.mayStart, Fenced: e.members.Fenced, Sharing: e.sharing,
@@ -201,7 +206,8 @@
 	return filter.Chain(
 		authn.Filter{Tokens: tokens{e.tokens}, Ready: func() bool { return e.current.Load() != nil }},
 		decode.Filter{},
-		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now, Fenced: e.fenced},
+		dedup.Filter{Issuer: e.issuer, Registry: e.registry, Remote: remote{e}, Now: now, Fenced: e.fenced,
+			Resubmitted: func() { e.metrics.Resubmitted.Add(1) }},
 		validate.Filter{Views: views, Registry: e.registry},
 		admit.Filter{Limiter: limits, Gate: gate, Registry: e.registry, Now: now},
 		dispatch.Filter{Engine: e.engine, Issuer: e.issuer, Registry: e.registry, Finished: e.copyAnswer, Now: now},
@@ -218,8 +224,9 @@
 		return err
 	}
 	defer e.ops.Shutdown(context.Background())
+	fromCallers := callers{e.handler, e.metrics, e.connectionsPerCaller}
 	e.server, err = server.Start(server.Options{
-		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: callers{e.handler}, Refuse: refuse,
+		Address: e.opts.Callers, Loops: e.opts.EventLoops, Limits: e.limits, Handler: fromCallers, Refuse: fromCallers.refuse, Log: e.log,
 	})
 	if err != nil {
 		return err
@@ -251,6 +258,7 @@
 	go e.replicas.Run(ctx)
 	go e.reportUsage(ctx)
 	go e.expireRecords(ctx)
+	go e.followLevels(ctx)
 }
 
 // serveOperators opens the operators' listener and returns its address.
@@ -318,7 +326,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := e.node.Close(ctx); err != nil {
-		e.log.WithError(err).Warn("connections to peers cut off")
+		e.log.WithField("event", "peers_cut_off").WithError(err).Warn("connections to peers cut off")
 	}
 }
 
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -58,9 +58,10 @@
 	}
 	if err != nil {
 		f.e.metrics.Wasted.Add(metric.WastedForwardFailed, 1)
-		f.e.log.WithError(err).WithField("home", r.ID.Home.Instance).WithField("identity", r.Identity).Warn("request not forwarded")
+		f.e.log.WithField("event", "forward_failed").WithError(err).WithField("home", r.ID.Home.Instance).WithField("identity", r.Identity).Warn("request not forwarded")
 		return false
 	}
+	r.Relayed = true
 	r.Answer(&a)
 	return true
 }
@@ -106,7 +107,7 @@
 	}
 	var a api.Answer
 	if err := json.Unmarshal(data, &a); err != nil {
-		e.log.WithError(err).WithField("identity", identity).Error("copy of an answer cannot be read")
+		e.log.WithField("event", "copy_unreadable").WithError(err).WithField("identity", identity).Error("copy of an answer cannot be read")
 		return nil, false
 	}
 	return &a, true
@@ -120,7 +121,10 @@
 	}
 	e.metrics.Forwards.Add(metric.Received, 1)
 	answers := make(chan *api.Answer, 1)
-	r := filter.NewRequest(func(a *api.Answer) { answers <- a }, func(*api.Identities) { answers <- nil })
+	r := filter.NewRequest(func(a *api.Answer) {
+		countRefusal(e.metrics, a.Code)
+		answers <- a
+	}, func(*api.Identities) { answers <- nil })
 	r.Forwarded, r.Arrived = true, e.clock.Now()
 	r.Principal = filter.Principal{Team: m.Team, Name: m.Caller}
 	r.Body = m.Body
--- a/internal/filter/dedup/dedup.go
+++ b/internal/filter/dedup/dedup.go
@@ -28,6 +28,8 @@
 	Now      func() time.Time
 	// Fenced is true when others may have answered for this instance; it must not answer then. It may be nil.
 	Fenced func(now time.Time) bool
+	// Resubmitted counts the submissions of known jobs. It may be nil.
+	Resubmitted func()
 }
 
 // Name returns the filter's name.
@@ -83,6 +85,7 @@
 	case registry.Reused:
 		r.Refuse(api.Errorf(result.IdentityReused, "identity", "another body was submitted under this identity"))
 	case registry.Attached:
+		f.resubmitted()
 		limitWait(r)
 		if r.Wait == 0 {
 			r.OnAccepted()
@@ -104,6 +107,12 @@
 	r.Refuse(api.Errorf(result.IdentityExpired, "identity", "the identity is older than %s", f.Issuer.Validity()))
 }
 
+func (f Filter) resubmitted() {
+	if f.Resubmitted != nil {
+		f.Resubmitted()
+	}
+}
+
 func (f Filter) watch(r *filter.Request, next filter.Handler, expired bool) {
 	if r.Action == filter.Cancel {
 		limitWait(r)
--- a/internal/platform/httpx/client.go
+++ b/internal/platform/httpx/client.go
@@ -29,6 +29,7 @@
 	body   []byte
 	fresh  bool   // use a new connection
 	etag   string // of the version that the caller has; the server may answer 304
+	output bool   // the response may hold a task's output, which is no control message
 }
 
 type reply struct {
@@ -62,7 +63,11 @@
 		return reply{}, &callError{cause: withContext(ctx, err)}
 	}
 	var resp fasthttp.Response
-	wrote, err := exchangeContext(ctx, cn, c.encode(k), &resp, c.opts.MaxResponseBytes)
+	request := c.encode(k)
+	wrote, err := exchangeContext(ctx, cn, request, &resp, c.opts.MaxResponseBytes)
+	if wrote && !k.output {
+		c.opts.Count(len(request) + len(resp.Header.Header()) + len(resp.Body()))
+	}
 	if err != nil {
 		cn.Close()
 		c.closeIdle()
