--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -266,12 +266,38 @@
 	return bytes
 }
 
-// ControlCPU is the idle cost of one instance in cores: what does not depend on workers or peers, the workers that it
-// owns, and its peers above the two that the first term contains.
+// SpreadWorkers is the number of workers in the sizes of the dimension spread.
+const SpreadWorkers = 400
+
+// IdleCost splits an idle instance's use of a quantity by what it depends on.
+type IdleCost struct {
+	Base   float64 // without workers
+	Listed float64 // of each worker in the list
+	Owned  float64 // of each worker that the instance owns
+}
+
+// SplitIdle reads two lines of sums over the instances. Over n instances at w workers the sum is n times the base and the
+// listed workers, and once the owned ones: the line over n has the intercept w*Owned, and the line over w the slope
+// n*Listed + Owned.
+func SplitIdle(workers, spread Fit) IdleCost {
+	owned := max(0, spread.Intercept) / SpreadWorkers
+	owned = min(owned, max(0, workers.Slope))
+	return IdleCost{
+		Base:   workers.Intercept / slopeEntries,
+		Listed: max(0, workers.Slope-owned) / slopeEntries,
+		Owned:  owned,
+	}
+}
+
+func (m *Model) idle(quantity string) (IdleCost, float64) {
+	c := SplitIdle(m.Slopes.of("workers", roleEntry, quantity), m.Slopes.of("spread", roleEntry, quantity))
+	return c, c.Base + c.Listed*float64(m.Workers) + c.Owned*m.OwnedWorkers()
+}
+
+// ControlCPU is the idle cost of one instance in cores, with its peers above the two that the slopes contain.
 func (m *Model) ControlCPU() float64 {
-	f := m.Slopes.of("workers", roleEntry, "idle CPU")
-	peers := float64(m.Instances - slopeEntries)
-	return (f.Intercept/slopeEntries+max(0, f.Slope)*m.OwnedWorkers())/cpuUnit + m.PeerCPU(max(0, peers))
+	_, idle := m.idle("idle CPU")
+	return idle/cpuUnit + m.PeerCPU(max(0, float64(m.Instances-slopeEntries)))
 }
 
 // PeerCPU is the cost of membership in cores, in proportion to the number of peers.
@@ -279,17 +305,10 @@
 	return m.Benchmarks.of(controlBenchmark, "%core/instance") / 100 * peers / 19
 }
 
-// ControlMemory is the resident memory of an idle instance in MB, when the slope is due to the workers that an instance
-// owns. In the sizes of make slopes each of three instances owns a third.
+// ControlMemory is the resident memory of an idle instance in MB.
 func (m *Model) ControlMemory() float64 {
-	f := m.Slopes.of("workers", roleEntry, "idle memory")
-	return f.Intercept/slopeEntries + max(0, f.Slope)*m.OwnedWorkers()
-}
-
-// ListMemory is the same when the slope is due to the list of all workers, which each instance holds: an upper bound.
-func (m *Model) ListMemory() float64 {
-	f := m.Slopes.of("workers", roleEntry, "idle memory")
-	return (f.Intercept + max(0, f.Slope)*float64(m.Workers)) / slopeEntries
+	_, idle := m.idle("idle memory")
+	return idle
 }
 
 // NodeControl is the mean control traffic of a node in bytes per second, over entry instances and workers.
@@ -342,8 +361,8 @@
 	needed := float64(InstancesNeeded(m.Starts, perInstance, m.Zones))
 	return []Limit{
 		{"control traffic of an entry instance", sumFlows(m.Control()) / 1000, boundControlBytes / 1000, "KB/s", "control table"},
-		{"control processor time of an entry instance", m.ControlCPU() * 100, boundControlCPU * 100, "% of a core", "slope workers, " + controlBenchmark},
-		{"memory of an idle entry instance", m.ControlMemory(), boundControlMemory, "MB", "slope workers, by owned workers"},
+		{"control processor time of an entry instance", m.ControlCPU() * 100, boundControlCPU * 100, "% of a core", "slopes workers and spread, " + controlBenchmark},
+		{"memory of an idle entry instance", m.ControlMemory(), boundControlMemory, "MB", "slopes workers and spread"},
 		{"slots in use at the mean run time", m.Wanted(), float64(m.Workers * m.Slots), "slots", "System.Wanted"},
 		{"log appends", m.Appends(), boundLogAppends, "per second", "changes, checkpoints"},
 		{"copies of answers", m.CopyBytes() / memoryUnit, replica.DefaultMaxBytes / memoryUnit, "MB", "state table"},
--- a/internal/bench/capacity_table.go
+++ b/internal/bench/capacity_table.go
@@ -25,6 +25,7 @@
 // needed are the lines without which the model has no figures.
 var needed = [][3]string{
 	{"workers", roleEntry, "idle CPU"}, {"workers", roleEntry, "idle memory"}, {"workers", roleEntry, "idle TCP"}, {"tasks", roleEntry, "load CPU"},
+	{"spread", roleEntry, "idle CPU"}, {"spread", roleEntry, "idle memory"}, {"spread", roleEntry, "idle TCP"},
 }
 
 // ReadSlopes reads the file that Slopes has written.
@@ -238,13 +239,20 @@
 
 func (t *table) entry() {
 	t.head("Entry instance: processor and memory", "figure", "source")
-	t.row("control, % of a core", func(m *Model) float64 { return m.ControlCPU() * 100 }, "slope workers: idle CPU; "+controlBenchmark)
+	t.row("control, % of a core", func(m *Model) float64 { return m.ControlCPU() * 100 }, "slopes workers, spread: idle CPU; "+controlBenchmark)
 	t.row("of it peers, % of a core", func(m *Model) float64 { return m.PeerCPU(float64(m.Instances-1)) * 100 }, controlBenchmark)
-	t.row("idle memory by owned workers, MB", (*Model).ControlMemory, "slope workers: idle memory")
-	t.row("idle memory by all workers, MB (upper bound)", (*Model).ListMemory, "slope workers: idle memory")
+	t.row("idle memory, MB", (*Model).ControlMemory, "slopes workers, spread: idle memory")
+	t.row("of it listed workers, MB", func(m *Model) float64 {
+		c, _ := m.idle("idle memory")
+		return c.Listed * float64(m.Workers)
+	}, "slopes workers, spread: idle memory")
+	t.row("of it owned workers, MB", func(m *Model) float64 {
+		c, _ := m.idle("idle memory")
+		return c.Owned * m.OwnedWorkers()
+	}, "slope spread: idle memory")
 	t.row("control per node over all nodes, B/s", (*Model).NodeControl, "control table, worker table")
 	t.row("control with renewals that name no tasks, every 2 s, B/s", (*Model).LeanControl, "control table")
-	t.row("idle TCP by slope, B/s", func(m *Model) float64 { return m.idleTCP() }, "slope workers: idle TCP; compare with the control table without peers")
+	t.row("idle TCP by slope, B/s", func(m *Model) float64 { return m.idleTCP() }, "slopes workers, spread: idle TCP; compare with the control table without peers")
 	t.row("task, us", (*Model).TaskCPU, "slope tasks: load CPU")
 	t.row("tasks, cores of an instance", func(m *Model) float64 { return m.Share(m.Starts) * m.TaskCPU() / cpuUnit }, "slope tasks: load CPU")
 	t.row("choosing, cores of the engine loop", (*Model).LoopUse, startBenchmark)
@@ -261,8 +269,8 @@
 
 // idleTCP extrapolates what an idle instance reads and writes over TCP.
 func (m *Model) idleTCP() float64 {
-	f := m.Slopes.of("workers", roleEntry, "idle TCP")
-	return f.Intercept/slopeEntries + max(0, f.Slope)*m.OwnedWorkers()
+	_, bytes := m.idle("idle TCP")
+	return bytes
 }
 
 func (t *table) worker() {
--- a/internal/bench/capacity_test.go
+++ b/internal/bench/capacity_test.go
@@ -20,6 +20,8 @@
 		Slopes: SlopeTable{
 			{"workers", roleEntry, "idle CPU"}:    {Slope: 100, Intercept: 30_000},
 			{"workers", roleEntry, "idle memory"}: {Slope: 0.3, Intercept: 75},
+			{"spread", roleEntry, "idle CPU"}:     {Slope: 20_000, Intercept: 16_000},
+			{"spread", roleEntry, "idle memory"}:  {Slope: 60, Intercept: 24},
 			{"tasks", roleEntry, "load CPU"}:      {Slope: 100},
 		},
 		Benchmarks: Benchmarks{
@@ -61,9 +63,8 @@
 	is.True(near(flowNamed(t, d, "copies of answers, by task").Bytes(), 4*100*100))
 	is.True(near(m.CopyBytes(), 2*10*60*(160+140)+2*100*60*100))
 	is.True(near(m.Holds()[1].Bytes(), 10*600*400))
-	is.True(near(m.ControlCPU(), 0.01+0.001+0.0095*7/19))
-	is.True(near(m.ControlMemory(), 25+3))
-	is.True(near(m.ListMemory(), 25+10))
+	is.True(near(m.ControlCPU(), 0.01+20e-6*100+40e-6*10+0.0095*7/19)) // 16,000/400 owned, (100-40)/3 listed
+	is.True(near(m.ControlMemory(), 25+0.08*100+0.06*10))              // 24/400 owned, (0.3-0.06)/3 listed
 	is.True(near(m.LoopUse(), 0.0005))
 	is.True(near(PeerOverhead(8000, 28, 100, 19), 2400.0/19))
 	is.True(near(StartsPerInstance(4, 0.6, 100), 24_000))
--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -203,7 +203,7 @@
 type measureCommand struct {
 	outOptions
 	dirOption
-	Vary   string        `long:"vary" required:"true" choice:"workers" choice:"teams" choice:"tasks" choice:"instances" description:"dimension of which this is one size"`
+	Vary   string        `long:"vary" required:"true" choice:"workers" choice:"teams" choice:"tasks" choice:"instances" choice:"spread" description:"dimension of which this is one size"`
 	Tasks  int           `long:"tasks" default:"400" description:"tasks per second under load"`
 	Length time.Duration `long:"length" default:"6s" description:"length of each of the two measurements"`
 }
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -157,6 +157,8 @@
 	{"teams", func(s *Size) int { return s.Teams }},
 	{"tasks", func(s *Size) int { return s.Tasks }},
 	{"instances", func(s *Size) int { return s.Instances }},
+	// At many workers: the intercept is the cost of owning them, since the sum over the instances contains it once.
+	{"spread", func(s *Size) int { return s.Instances }},
 }
 
 // quantity is one kind of cost with the unit of the table.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -98,6 +98,9 @@
 base_tasks=400
 base_instances=3
 
+# Workers while the instances that share them are varied; SpreadWorkers in internal/bench.
+spread_workers=400
+
 run_slopes() {
 	local n
 	rm -f "$OUT/sizes.jsonl"
@@ -105,6 +108,7 @@
 	for n in 4 12 24 43; do size teams $base_workers "$n" $base_tasks $base_instances || return; done
 	for n in 200 400 800 1600; do size tasks $base_workers $base_teams "$n" $base_instances || return; done
 	for n in 2 4 6 8; do size instances $base_workers $base_teams $base_tasks "$n" || return; done
+	for n in 2 4 6 8; do size spread $spread_workers $base_teams $base_tasks "$n" || return; done
 	bench slopes --out "$OUT"
 }
 
