bench: bound the idle cost by the workers of a zone

Cause: owner assigns all workers of its zone at each tick, so that a part of the slope over workers belongs to the zone and not to the list.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -46,6 +46,7 @@
 	checkpoints  = 48   // a day, at half of a retention of one hour
 	logPolls     = 2    // per second and instance
 	usageSeconds = 2
+	slopeZones   = 2 // of all sizes of make slopes
 	slopeEntries = 3 // entry instances of the sizes of make slopes, unless they are what varies
 	day          = 86400.0
 )
@@ -294,6 +295,12 @@
 	return c, c.Base + c.Listed*float64(m.Workers) + c.Owned*m.OwnedWorkers()
 }
 
+// zoneIdle is the idle use when the listed workers cost only in their own zone: the clusters of make slopes have two zones.
+func (m *Model) zoneIdle(quantity string) float64 {
+	c, _ := m.idle(quantity)
+	return c.Base + c.Listed*float64(m.Workers)*slopeZones/float64(m.Zones) + c.Owned*m.OwnedWorkers()
+}
+
 // ControlCPU is the idle cost of one instance in cores, with its peers above the two that the slopes contain.
 func (m *Model) ControlCPU() float64 {
 	_, idle := m.idle("idle CPU")
--- a/internal/bench/capacity_table.go
+++ b/internal/bench/capacity_table.go
@@ -250,6 +250,12 @@
 		c, _ := m.idle("idle memory")
 		return c.Owned * m.OwnedWorkers()
 	}, "slope spread: idle memory")
+	t.row("idle memory if listed workers cost only in their zone, MB", func(m *Model) float64 {
+		return m.zoneIdle("idle memory")
+	}, "the same")
+	t.row("control if listed workers cost only in their zone, % of a core", func(m *Model) float64 {
+		return (m.zoneIdle("idle CPU")/cpuUnit + m.PeerCPU(max(0, float64(m.Instances-slopeEntries)))) * 100
+	}, "the same")
 	t.row("control per node over all nodes, B/s", (*Model).NodeControl, "control table, worker table")
 	t.row("control with renewals that name no tasks, every 2 s, B/s", (*Model).LeanControl, "control table")
 	t.row("idle TCP by slope, B/s", func(m *Model) float64 { return m.idleTCP() }, "slopes workers, spread: idle TCP; compare with the control table without peers")
--- a/internal/bench/capacity_test.go
+++ b/internal/bench/capacity_test.go
@@ -65,6 +65,7 @@
 	is.True(near(m.Holds()[1].Bytes(), 10*600*400))
 	is.True(near(m.ControlCPU(), 0.01+20e-6*100+40e-6*10+0.0095*7/19)) // 16,000/400 owned, (100-40)/3 listed
 	is.True(near(m.ControlMemory(), 25+0.08*100+0.06*10))              // 24/400 owned, (0.3-0.06)/3 listed
+	is.True(near(m.zoneIdle("idle memory"), 25+0.08*40+0.06*10))       // 100 workers in 5 zones are 20 in one, as 40 in 2 are
 	is.True(near(m.LoopUse(), 0.0005))
 	is.True(near(PeerOverhead(8000, 28, 100, 19), 2400.0/19))
 	is.True(near(StartsPerInstance(4, 0.6, 100), 24_000))
