--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -88,12 +88,21 @@
 	return Problems{{Code: result.MalformedBody, Bound: err.Error()}}
 }
 
+// catchUpPolls is how many poll intervals a publication waits for an instance that misses records. Peers that have
+// folded them are asked once in each interval.
+const catchUpPolls = 4
+
 // base reads the log and returns the state to publish on, or the outcome if there is none.
 func (c *Controller) base(ctx context.Context, p Publication) (State, *Outcome) {
 	if err := c.poll(ctx); err != nil {
 		out := notAccepted("the log cannot be read: %v", err)
 		return State{}, &out
 	}
+	for range catchUpPolls {
+		if !c.missesRecords() || !c.pause(ctx) {
+			break
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out Outcome
@@ -112,6 +121,12 @@
 	return State{}, &out
 }
 
+func (c *Controller) missesRecords() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.behind()
+}
+
 // replaced returns the outcome of a publication whose base is not the current version any more. It has won if it is a
 // repetition of the publication that replaced the base. c.mu is held.
 func (c *Controller) replaced(p Publication) Outcome {
