--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -29,7 +29,7 @@
 	Output       int     // bytes of a task
 }
 
-// The bounds of the users' letter and of the platform, and assumptions of the extrapolation.
+// The users' bounds at the target, those of the platform, and assumptions of the extrapolation.
 const (
 	boundControlCPU    = 0.028  // of a core, per node
 	boundControlMemory = 32     // MB, per node
@@ -51,7 +51,7 @@
 	day          = 86400.0
 )
 
-// Today and the target of the users' letter, in jobs of 160 tasks and in jobs of 10.
+// Today and the users' target, in jobs of 160 tasks and in jobs of 10.
 var systems = []System{
 	{Name: "today", Workers: 50, Slots: 8, Instances: 6, Zones: 3, Regions: 1, Teams: 8, Services: 4, Starts: 1300, JobTasks: 10,
 		RunTime: 300 * time.Millisecond, Changes: 10, Events: 2, Payload: 256, Output: 128},
