Admission: the bound of queued work spares jobs that are served ahead of it; late backlog reports

At 80% load 0.0587 messages per start were wasted, half of them backlog reports withdrawn before a grant. Change: the bound applies only to jobs whose own expected wait exceeds it; a backlog is reported after 5 ms. The bound at the crest is 700 ms again, because with 1.2 s the system was back to normal after 2.4 s.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -28,7 +28,7 @@
 	rackSize          = 8
 
 	// admission is the section that the questionnaire gives to a deployment whose top priority is the crest.
-	admission = "max_wait: 10s, max_drain: 1200ms"
+	admission = "max_wait: 10s, max_drain: 700ms"
 )
 
 // quickServices and longService are the services of the generated jobs. plainService is the one of jobs that are not
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -122,6 +122,7 @@
 	foreignEnded []string // in the order of their ends
 	reported     int      // tasks in the last backlog report
 	reportedAt   time.Time
+	backlogSince time.Time  // zero without a backlog
 	reportedSize sched.Size // that granted slots have room for
 	loadedAt     time.Time
 	tickedAt     time.Time
--- a/internal/engine/lend.go
+++ b/internal/engine/lend.go
@@ -24,6 +24,7 @@
 	Margin    float64       // seconds by which a peer's rank must beat the own best one
 	Report    time.Duration // shortest time between two reports
 	Repeat    time.Duration // repetition of a report while the backlog lasts
+	MinAge    time.Duration // a backlog that lasts less is not reported
 }
 
 // DefaultLending returns the intervals of the design page.
@@ -31,6 +32,8 @@
 	return Lending{
 		Expiry: 50 * time.Millisecond, DemandTTL: 500 * time.Millisecond, Margin: 0.05,
 		Report: 2 * time.Millisecond, Repeat: 100 * time.Millisecond,
+		// At 80% load half of the reports were withdrawn before they brought a grant.
+		MinAge: 5 * time.Millisecond,
 	}
 }
 
@@ -299,7 +302,14 @@
 		return
 	}
 	b := e.sharer.Backlog(now)
+	if b.Queued == 0 {
+		e.backlogSince = time.Time{}
+	} else if e.backlogSince.IsZero() {
+		e.backlogSince = now
+	}
 	switch {
+	case b.Queued > 0 && now.Sub(e.backlogSince) < e.opts.Lending.MinAge:
+		return
 	case b.Queued > 0 && (e.reported == 0 || now.Sub(e.reportedAt) >= e.opts.Lending.Repeat || b.Queued > 2*e.reported):
 	case b.Queued == 0 && e.reported > 0:
 	default:
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -74,7 +74,9 @@
 	if b.MaxWait > 0 && e.Wait > b.MaxWait {
 		return WaitTooLong, e.Wait - b.MaxWait
 	}
-	if b.MaxDrain > 0 && e.Drain > b.MaxDrain {
+	// A job that is served ahead of the queue does not wait for it and adds little to it; refusing it made small jobs
+	// come back many times at 95% load.
+	if b.MaxDrain > 0 && e.Drain > b.MaxDrain && e.Wait+e.Spread > b.MaxDrain {
 		return Backlogged, e.Drain - b.MaxDrain
 	}
 	if !deadline.IsZero() {
--- a/internal/sched/admit_test.go
+++ b/internal/sched/admit_test.go
@@ -28,6 +28,7 @@
 		{busy, 1, 0, Bounds{MaxQueued: 100}, QueueFull},
 		{busy, 1, 0, Bounds{MaxWait: time.Second}, WaitTooLong},
 		{busy, 1, 0, Bounds{MaxDrain: time.Second}, Backlogged},
+		{Estimate{Feasible: true, Slots: 8, Queued: 100, Wait: 100 * time.Millisecond, Run: time.Second, Drain: 4 * time.Second}, 1, 0, Bounds{MaxDrain: time.Second}, Admitted},
 		{Estimate{Slots: 8}, 1, 0, Bounds{}, NoFit},
 		{Estimate{Feasible: true}, 1, 0, Bounds{}, NoSlots},
 	} {
--- a/internal/setup/derive.go
+++ b/internal/setup/derive.go
@@ -34,7 +34,7 @@
 	maxReserve         = 0.6 // more would leave long work too few slots to keep up
 	shortFactor        = 4   // a task is long from this multiple of the typical run time on
 	minShortThreshold  = 100 * time.Millisecond
-	crestDrain         = 1200 * time.Millisecond
+	crestDrain         = 700 * time.Millisecond
 	waitingDrain       = 10 * time.Second
 	minQueueJobs       = 100 // the queue holds at least this many jobs of full size
 	maxQueuedTasks     = 1_000_000
