--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -115,7 +115,7 @@
 type Admission struct {
 	SafetyFactor float64       `yaml:"safety_factor" json:"safety_factor" validate:"min=0.1,max=10" doc:"factor on the expected wait and run time before they are compared with the deadline"`
 	MaxWait      time.Duration `yaml:"max_wait" json:"max_wait" validate:"min=1ms,max=10m" doc:"a job that is expected to wait longer than this is refused, whatever its deadline"`
-	MaxDrain     time.Duration `yaml:"max_drain" json:"max_drain" validate:"min=1ms,max=10m" doc:"jobs are refused while the queued work would take longer than this to start; bounds how long a burst is felt after its end"`
+	MaxDrain     time.Duration `yaml:"max_drain" json:"max_drain" validate:"min=1ms,max=10m" doc:"jobs that would wait longer than this are refused while the queued work would take longer than this to start; bounds how long a burst is felt after its end"`
 }
 
 // Spill tunes the delegation of tasks to another availability zone.
