--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,361 @@
+// Package gateway answers callers: it finds the queue of a request, hands jobs to the dispatcher of a zone and answers
+// when they have ended.
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/server"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// Durability says what becomes of an accepted job when the instances that know it are lost.
+type Durability int
+
+// The kinds of durability.
+const (
+	BestEffort Durability = iota // the caller submits it again; it is answered at its end
+	Stored                       // it is kept in the store
+)
+
+// Codec translates the callers' bodies.
+type Codec interface {
+	DecodeJob(id string, body []byte) (*work.Job, Durability, error)
+	EncodeState(s work.State) []byte
+	EncodePending(n int) []byte
+	EncodeError(message string) []byte
+	// Patience returns how long the caller waits for the answer.
+	Patience(header func(name string) []byte) (time.Duration, bool)
+}
+
+// Path leads to the dispatchers of zones.
+type Path interface {
+	// Zones returns the zones to try for a new job, in order.
+	Zones() []string
+	// Submit hands a job to a zone's dispatcher. It returns false if none can be reached.
+	Submit(zone string, s *relay.Submit) (Route, bool)
+	// Moved tells that a zone's dispatcher says that it is not the dispatcher any more.
+	Moved(zone string)
+}
+
+// Route is the connection over which a dispatcher was given a job. Routes are compared by identity.
+type Route interface {
+	// Cancel takes a job back.
+	Cancel(id work.JobID)
+}
+
+const (
+	// defaultPatience stands in for a caller that does not say how long it waits.
+	defaultPatience = 30 * time.Second
+	// noConfigRetry is when a caller should come back to an instance that has no configuration yet.
+	noConfigRetry = time.Second
+	// retryNoDispatcher is when a caller should come back after no dispatcher was reached; a new one takes over sooner.
+	retryNoDispatcher  = 2 * time.Second
+	reasonNoDispatcher = "no_dispatcher"
+)
+
+// Options configures a Gateway.
+type Options struct {
+	Config  *catalog.Current
+	Codec   Codec
+	Path    Path
+	Log     logrus.FieldLogger
+	Metrics *Metrics
+}
+
+// Metrics are the gateway's counters and times.
+type Metrics struct {
+	Answered   metric.Counter
+	Refused    metric.Counter
+	Abandoned  metric.Counter
+	TimedOut   metric.Counter
+	ResponseMS *metric.Quantiles
+}
+
+// Gateway is the callers' side of an instance. Its methods may be called concurrently.
+type Gateway struct {
+	opts Options
+
+	mu   sync.Mutex
+	jobs map[work.JobID]*pending
+}
+
+// pending is a job that is not answered yet.
+type pending struct {
+	job      *work.Job
+	exchange *server.Exchange
+	arrived  time.Time
+	until    time.Time // end of the caller's patience
+	zone     string    // whose dispatcher has it, or had it
+	route    Route     // to the dispatcher that has it; nil while none has
+	left     []string  // zones that have not been tried
+	orphaned bool      // the dispatcher that had it is lost; only the zone's next one may go on with it
+}
+
+// New returns a gateway without jobs.
+func New(o Options) *Gateway { return &Gateway{opts: o, jobs: map[work.JobID]*pending{}} }
+
+// Serve implements server.Handler.
+func (g *Gateway) Serve(x *server.Exchange) {
+	config := g.opts.Config.Load()
+	if config == nil {
+		g.refuse(x, 503, "no configuration yet", noConfigRetry)
+		return
+	}
+	path := string(x.Request.URI().Path())
+	queue := config.Match(string(x.Request.Header.Host()), path)
+	if queue == nil {
+		g.reply(x, 404, g.opts.Codec.EncodeError("no such queue"), 0)
+		return
+	}
+	id := path[len(queue.Prefix):]
+	switch method := string(x.Request.Header.Method()); {
+	case method == "POST":
+		g.submit(x, queue, id)
+	case method == "GET" && id == "":
+		g.reply(x, 200, g.opts.Codec.EncodePending(g.pendingOf(queue.Name)), 0)
+	case method == "GET":
+		g.state(x, work.JobID(id))
+	case method == "DELETE":
+		g.remove(x, work.JobID(id))
+	default:
+		g.reply(x, 405, g.opts.Codec.EncodeError("method not allowed"), 0)
+	}
+}
+
+func (g *Gateway) reply(x *server.Exchange, status int, body []byte, retryAfter time.Duration) {
+	x.Reply(status, body, retryAfter)
+}
+
+func (g *Gateway) refuse(x *server.Exchange, status int, message string, retryAfter time.Duration) {
+	g.opts.Metrics.Refused.Add(1)
+	g.reply(x, status, g.opts.Codec.EncodeError(message), retryAfter)
+}
+
+// pendingOf returns the jobs of a queue that are not answered here.
+func (g *Gateway) pendingOf(queue string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.jobs {
+		if p.job.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gateway) state(x *server.Exchange, id work.JobID) {
+	g.mu.Lock()
+	known := g.jobs[id] != nil
+	g.mu.Unlock()
+	if !known {
+		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+		return
+	}
+	g.reply(x, 200, g.opts.Codec.EncodeState(work.Running), 0)
+}
+
+// remove cancels a job at its caller's wish.
+func (g *Gateway) remove(x *server.Exchange, id work.JobID) {
+	g.mu.Lock()
+	p := g.jobs[id]
+	if p != nil {
+		g.forget(p)
+	}
+	g.mu.Unlock()
+	if p == nil {
+		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+		return
+	}
+	g.answer(p, 200, work.Cancelled)
+	g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
+}
+
+func (g *Gateway) submit(x *server.Exchange, queue *catalog.Queue, id string) {
+	job, durability, err := g.opts.Codec.DecodeJob(id, x.Request.Body())
+	switch {
+	case err != nil:
+		g.refuse(x, 400, err.Error(), 0)
+		return
+	case durability == Stored || queue.Advised:
+		// Stored jobs and advised queues are not served yet; such a job never runs.
+		g.refuse(x, 503, "jobs of this kind are not served", time.Minute)
+		return
+	}
+	job.Queue, job.Service, job.Objective = queue.Name, queue.Service, queue.Objective
+	patience, ok := g.opts.Codec.Patience(x.Request.Header.Peek)
+	if !ok {
+		patience = defaultPatience
+	}
+	p := &pending{job: job, exchange: x, arrived: x.Arrived, until: x.Arrived.Add(patience), left: g.opts.Path.Zones()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old := g.jobs[job.ID]; old != nil {
+		g.attach(old, p)
+		return
+	}
+	g.jobs[job.ID] = p
+	x.OnGone(func() { go g.gone(p) })
+	g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
+}
+
+// attach lets a repeated submission take the place of the one before, whose connection is not read any more.
+func (g *Gateway) attach(old, repeated *pending) {
+	before := old.exchange
+	old.exchange, old.until = repeated.exchange, repeated.until
+	old.exchange.OnGone(func() { go g.gone(old) })
+	before.Reply(502, g.opts.Codec.EncodeError("submitted again"), 0)
+}
+
+// place hands a job to the next zone that has a dispatcher. It returns false if there is none. g.mu is held.
+func (g *Gateway) place(p *pending) bool {
+	p.route = nil
+	for len(p.left) > 0 {
+		p.zone, p.left = p.left[0], p.left[1:]
+		if route, ok := g.opts.Path.Submit(p.zone, &relay.Submit{Job: *p.job}); ok {
+			p.route = route
+			return true
+		}
+	}
+	return false
+}
+
+// placeOrRefuse is place for a job that has not run anywhere.
+func (g *Gateway) placeOrRefuse(p *pending, status int, why string, retryAfter time.Duration) {
+	if g.place(p) {
+		return
+	}
+	g.forget(p)
+	g.refused(p, status, why, retryAfter)
+}
+
+func (g *Gateway) forget(p *pending) {
+	if g.jobs[p.job.ID] != p {
+		return
+	}
+	delete(g.jobs, p.job.ID)
+	if p.route != nil {
+		p.route.Cancel(p.job.ID)
+	}
+}
+
+func (g *Gateway) gone(p *pending) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.jobs[p.job.ID] != p {
+		return
+	}
+	g.forget(p)
+	g.opts.Metrics.Abandoned.Add(1)
+	g.log(p, "caller_gone", 0)
+	g.reply(p.exchange, 504, nil, 0) // reaches nobody; it ends the exchange
+}
+
+// Answer takes the last word on a job that came over a route.
+func (g *Gateway) Answer(route Route, a *relay.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.jobs[a.Job]
+	if p == nil || p.route != route {
+		return
+	}
+	p.route = nil
+	switch {
+	case a.Refused == pool.ReasonNone:
+		g.forget(p)
+		g.answer(p, 200, a.State)
+	case a.Refused == pool.ReasonNotLeader:
+		g.opts.Path.Moved(p.zone)
+		g.orphan(p)
+	case !p.orphaned:
+		g.placeOrRefuse(p, 429, string(a.Refused), a.RetryAfter)
+	}
+	// A job that was refused after it may have run elsewhere ends with its caller's patience.
+}
+
+// orphan notes that the dispatcher that had a job is lost. The zone's next dispatcher finds out what ran.
+func (g *Gateway) orphan(p *pending) {
+	p.route = nil
+	p.orphaned = true
+	g.log(p, "dispatcher_lost", 0)
+}
+
+// Lost tells that a route has ended. sent is false if no job has left over it.
+func (g *Gateway) Lost(route Route, sent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.jobs {
+		switch {
+		case p.route != route:
+		case sent || p.orphaned:
+			g.orphan(p)
+		default:
+			g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
+		}
+	}
+}
+
+// Resubmit hands the jobs whose dispatcher was lost to the zone's next one.
+func (g *Gateway) Resubmit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.jobs {
+		if !p.orphaned || p.route != nil {
+			continue
+		}
+		if route, ok := g.opts.Path.Submit(p.zone, &relay.Submit{Job: *p.job, Resumed: true}); ok {
+			p.route = route
+		}
+	}
+}
+
+// answer sends the end of a job. g.mu need not be held.
+func (g *Gateway) answer(p *pending, status int, s work.State) {
+	g.opts.Metrics.Answered.Add(1)
+	g.opts.Metrics.ResponseMS.AddDuration(time.Since(p.arrived))
+	g.log(p, string(s), status)
+	g.reply(p.exchange, status, g.opts.Codec.EncodeState(s), 0)
+}
+
+func (g *Gateway) refused(p *pending, status int, why string, retryAfter time.Duration) {
+	g.log(p, why, status)
+	g.refuse(p.exchange, status, why, retryAfter)
+}
+
+func (g *Gateway) log(p *pending, outcome string, status int) {
+	g.opts.Log.WithFields(logrus.Fields{
+		"event": "request", "job": p.job.ID, "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
+		"status": status, "zone": p.zone, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
+	}).Info("request")
+}
+
+// Sweep ends the jobs whose caller's patience has ended.
+func (g *Gateway) Sweep() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for _, p := range g.jobs {
+		if now.Before(p.until) {
+			continue
+		}
+		g.forget(p)
+		g.opts.Metrics.TimedOut.Add(1)
+		g.log(p, "timed_out", 504)
+		g.reply(p.exchange, 504, g.opts.Codec.EncodeError("no end in time; it may have run"), 0)
+	}
+}
+
+// Active returns the number of jobs that are not answered.
+func (g *Gateway) Active() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.jobs)
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -194,6 +194,9 @@
 	return s
 }
 
+// NewMilliseconds returns quantiles of times in milliseconds over the last minute.
+func NewMilliseconds() *Quantiles { return newQuantiles(time.Now, microsPerMilli, maxMilliseconds) }
+
 // All returns every metric with its published name, in the order of the documentation.
 func (s *Set) All() []Named { return s.byName }
 
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,320 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/follow"
+	"github.com/savorypass/savorypass/internal/gateway"
+	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/result"
+	"github.com/savorypass/savorypass/internal/server"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const (
+	// configWait is the longest wait of a read for a configuration. A connection to the store that has gone silent is
+	// found after it.
+	configWait = 700 * time.Millisecond
+	// endpointsInterval is the pause between reads of the registrations, which change many times a second.
+	endpointsInterval = 400 * time.Millisecond
+	upkeepInterval    = 50 * time.Millisecond
+	// drainMinimum is the time in which the load balancer notices that the instance takes no new connections.
+	drainMinimum = 2500 * time.Millisecond
+	// drainReserve is the part of the time to stop that is kept for the end of the process.
+	drainReserve = 500 * time.Millisecond
+	// reservedDescriptors are kept for files, links and endpoints.
+	reservedDescriptors = 900
+	minConnections      = 256
+)
+
+// Records are the names and formats of the store's records that others write.
+type Records interface {
+	ConfigTopic() (topic, key string)
+	EndpointsTopic() string
+	LeadersTopic(zone string) string
+	DecodeConfig(raw []byte) (*catalog.Config, error)
+	DecodeEndpoint(key string, raw []byte) (work.Endpoint, error)
+}
+
+// Options configures a Node.
+type Options struct {
+	Settings Settings
+	Store    store.Store
+	Records  Records
+	Codec    gateway.Codec
+	Dialer   work.Dialer
+	Log      *logrus.Logger
+}
+
+// Node is one instance.
+type Node struct {
+	opts    Options
+	log     logrus.FieldLogger
+	config  catalog.Current
+	lead    *lead.Controller
+	shard   *shard.Shard
+	gateway *gateway.Gateway
+	paths   *paths
+	server  *server.Server
+	drain   chan struct{}
+	started time.Time
+	terms   chan lead.Term
+	metrics gateway.Metrics
+}
+
+// New returns an instance that is not running.
+func New(o Options) *Node {
+	n := &Node{opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16)}
+	s := o.Settings
+	n.lead = lead.New(lead.Options{
+		Store: o.Store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
+		TTL: s.MemberTTL, Log: o.Log, Changed: func(t lead.Term) { n.terms <- t },
+	})
+	n.shard = shard.New(shard.Options{
+		Zone: s.Zone, Lease: s.Lease, Dialer: o.Dialer, Fenced: n.lead.Verify, Log: o.Log,
+		Now: func() time.Duration { return time.Since(n.started) },
+	})
+	n.paths = &paths{
+		own: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shard: n.shard, log: o.Log,
+		local: newLocalRoute(n.shard), links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
+	}
+	n.metrics.ResponseMS = metric.NewMilliseconds()
+	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Path: n.paths, Log: o.Log, Metrics: &n.metrics})
+	n.paths.gateway, n.paths.local.gateway = n.gateway, n.gateway
+	return n
+}
+
+// otherZones returns the zones besides the own one, beginning with a different one for each zone, so that the overflow
+// of all does not go to the same one.
+func otherZones(s Settings) []string {
+	zones := append([]string(nil), s.Zones...)
+	sortZones(zones)
+	at := 0
+	for i, z := range zones {
+		if z == s.Zone {
+			at = i
+		}
+	}
+	var others []string
+	for i := 1; i < len(zones); i++ {
+		others = append(others, zones[(at+i)%len(zones)])
+	}
+	return others
+}
+
+// Drain begins the planned stop.
+func (n *Node) Drain() {
+	select {
+	case <-n.drain:
+	default:
+		close(n.drain)
+	}
+}
+
+// Run serves until ctx ends or a planned stop has completed.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relays, err := relay.Listen(n.opts.Settings.RelayAddress(), n.shard, n.log)
+	if err != nil {
+		return err
+	}
+	go relays.Run(ctx)
+	go n.paths.local.run(ctx.Done())
+	go n.followTerms(ctx)
+	go n.followConfig(ctx)
+	go n.lead.Run(ctx)
+	go n.lead.Follow(ctx, n.paths.Zones(), n.paths.reached)
+	go n.upkeep(ctx)
+	health, err := n.serveHealth()
+	if err != nil {
+		return err
+	}
+	defer health.Shutdown()
+	n.server, err = server.Start(server.Options{
+		Address: n.opts.Settings.Callers, Loops: 1, Limits: n.limits, Handler: n.gateway, Log: n.log,
+		Refuse: func(_ result.Code, message string) []byte { return n.opts.Codec.EncodeError(message) },
+	})
+	if err != nil {
+		return err
+	}
+	defer n.server.Stop(context.Background())
+	n.log.WithFields(logrus.Fields{"event": "started", "instance": n.opts.Settings.Instance, "zone": n.opts.Settings.Zone}).Info("started")
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+		n.stop(ctx)
+	}
+	n.log.WithField("event", "stopped").Info("stopped")
+	return nil
+}
+
+// followTerms starts and ends the work of a dispatcher.
+func (n *Node) followTerms(ctx context.Context) {
+	endTerm := func() {}
+	leading := false
+	for {
+		var t lead.Term
+		select {
+		case <-ctx.Done():
+			endTerm()
+			return
+		case t = <-n.terms:
+		}
+		if t.Leading {
+			n.shard.Begin(t.Fence)
+		}
+		if t.Leading && !leading {
+			endTerm = n.beginTerm(ctx)
+		}
+		if !t.Leading && leading {
+			endTerm()
+			n.shard.End()
+		}
+		leading = t.Leading
+	}
+}
+
+// beginTerm follows the registrations until the function that it returns is called.
+func (n *Node) beginTerm(ctx context.Context) (end func()) {
+	term, end := context.WithCancel(ctx)
+	go n.followEndpoints(term)
+	return end
+}
+
+// followEndpoints keeps the registrations up to date during a term.
+func (n *Node) followEndpoints(ctx context.Context) {
+	follow.New(follow.Options{
+		Store: n.opts.Store, Topic: n.opts.Records.EndpointsTopic(), Interval: endpointsInterval, Log: n.log,
+		Apply: func(records []store.Record, whole bool) { n.applyEndpoints(records, whole) },
+	}).Run(ctx)
+}
+
+func (n *Node) applyEndpoints(records []store.Record, whole bool) {
+	newest := map[string]store.Record{}
+	for _, r := range records {
+		newest[r.Key] = r
+	}
+	var changed []work.Endpoint
+	var removed []work.EndpointID
+	for key, r := range newest {
+		if len(r.Value) == 0 {
+			removed = append(removed, work.EndpointID(key))
+			continue
+		}
+		e, err := n.opts.Records.DecodeEndpoint(key, r.Value)
+		if err != nil {
+			n.log.WithFields(logrus.Fields{"event": "registration_ignored", "endpoint": key, "offset": r.Offset}).WithError(err).
+				Warn("an unreadable registration names no endpoint to use")
+			removed = append(removed, work.EndpointID(key))
+			continue
+		}
+		changed = append(changed, e)
+	}
+	n.shard.Endpoints(changed, removed, whole)
+}
+
+func (n *Node) followConfig(ctx context.Context) {
+	topic, key := n.opts.Records.ConfigTopic()
+	follow.New(follow.Options{
+		Store: n.opts.Store, Topic: topic, Wait: configWait, Log: n.log,
+		Apply: func(records []store.Record, _ bool) {
+			for _, r := range records {
+				if r.Key == key && len(r.Value) > 0 {
+					n.applyConfig(r)
+				}
+			}
+		},
+	}).Run(ctx)
+}
+
+func (n *Node) applyConfig(r store.Record) {
+	c, err := n.opts.Records.DecodeConfig(r.Value)
+	if err != nil {
+		n.log.WithFields(logrus.Fields{"event": "config_unreadable", "offset": r.Offset}).WithError(err).Error("the configuration stays as it is")
+		return
+	}
+	taken := n.config.Offer(c)
+	n.log.WithFields(logrus.Fields{
+		"event": "config", "version": c.Version, "offset": r.Offset, "queues": c.Queues(), "in_force": taken,
+	}).Info("configuration read")
+}
+
+// upkeep makes the gateway's regular checks.
+func (n *Node) upkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.gateway.Sweep()
+			n.gateway.Resubmit()
+		}
+	}
+}
+
+func (n *Node) limits() server.Limits {
+	l := server.DefaultLimits()
+	l.Connections = max(n.opts.Settings.Descriptors-reservedDescriptors, minConnections)
+	c := n.config.Load()
+	if c == nil {
+		return l
+	}
+	if c.Limits.HeaderBytes > 0 {
+		l.HeaderBytes = c.Limits.HeaderBytes
+	}
+	if c.Limits.BodyBytes > 0 {
+		l.BodyBytes = c.Limits.BodyBytes
+	}
+	if c.Limits.HeaderTimeout > 0 {
+		l.RequestTimeout = c.Limits.HeaderTimeout
+	}
+	return l
+}
+
+// draining reports whether the planned stop has begun.
+func (n *Node) draining() bool {
+	select {
+	case <-n.drain:
+		return true
+	default:
+		return false
+	}
+}
+
+// ready reports whether the instance can serve callers.
+func (n *Node) ready() bool {
+	return n.config.Load() != nil && !n.draining()
+}
+
+// stop is the planned stop: the term goes to another instance, and the requests in progress are answered.
+func (n *Node) stop(ctx context.Context) {
+	n.log.WithFields(logrus.Fields{"event": "draining", "active": n.gateway.Active()}).Info("planned stop")
+	n.server.Drain()
+	begun := time.Now()
+	end := begun.Add(n.opts.Settings.Grace - drainReserve)
+	go n.lead.Leave()
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for time.Now().Before(end) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if time.Since(begun) > drainMinimum && n.gateway.Active() == 0 && n.server.Active() == 0 {
+			break
+		}
+	}
+	n.log.WithFields(logrus.Fields{"event": "drained", "active": n.gateway.Active(), "ms": time.Since(begun).Milliseconds()}).Info("planned stop completed")
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,62 @@
+// Package node assembles one instance that serves a deployment on the users' platform.
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Settings are what an instance is told at its start.
+type Settings struct {
+	Instance    string
+	Zone        string
+	Zones       []string // of the deployment
+	IP          string   // of the instance, for its own listeners
+	Callers     string   // host:port of the callers' listener
+	Health      string   // host:port of the load balancer's health checks
+	Store       string   // host:port
+	FirstPort   int      // free for connections between instances, first and last
+	LastPort    int
+	Descriptors int // open files and connections that the process may have
+	MemoryMB    int
+	Grace       time.Duration // from the order to stop to the kill
+	Lease       time.Duration // longest lease of an endpoint's runs
+	MemberTTL   time.Duration // shortest time to live of a member of a group
+	Resubmit    time.Duration // after which callers repeat a job that got no answer
+}
+
+// Validate returns every problem of the settings in one error.
+func (s *Settings) Validate() error {
+	var problems []error
+	for _, f := range []struct{ name, value string }{
+		{"the instance's name", s.Instance}, {"the zone", s.Zone}, {"the instance's IP address", s.IP},
+	} {
+		if f.value == "" {
+			problems = append(problems, fmt.Errorf("%s is missing", f.name))
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"the callers' address", s.Callers}, {"the health checks' address", s.Health}, {"the store's address", s.Store},
+	} {
+		if _, _, err := net.SplitHostPort(f.value); err != nil {
+			problems = append(problems, fmt.Errorf("%s is %q, must be HOST:PORT", f.name, f.value))
+		}
+	}
+	if s.FirstPort <= 0 || s.LastPort < s.FirstPort || s.LastPort > 65535 {
+		problems = append(problems, fmt.Errorf("the ports between instances are %d to %d, must be a range within 1 to 65535", s.FirstPort, s.LastPort))
+	}
+	for _, f := range []struct {
+		name  string
+		value time.Duration
+	}{{"the time to stop", s.Grace}, {"the lease", s.Lease}, {"the members' time to live", s.MemberTTL}} {
+		if f.value <= 0 {
+			problems = append(problems, fmt.Errorf("%s is %v, must be above 0", f.name, f.value))
+		}
+	}
+	return errors.Join(problems...)
+}
+
+// RelayAddress returns the address of the listener for other instances.
+func (s *Settings) RelayAddress() string { return fmt.Sprintf("%s:%d", s.IP, s.FirstPort) }
--- /dev/null
+++ b/internal/pool/submit.go
@@ -0,0 +1,302 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// Reason tells why a job was not taken.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone      Reason = ""
+	ReasonNoRoom    Reason = "no_room"     // its objective cannot be met behind the work that is waiting
+	ReasonTooLarge  Reason = "too_large"   // no endpoint could ever run one of its tasks
+	ReasonNoPool    Reason = "no_endpoint" // no endpoint of its service is usable now
+	ReasonNotLeader Reason = "not_leader"  // this instance does not dispatch for the shard
+	ReasonWaited    Reason = "waited"      // it was taken, and did not start in time
+)
+
+// Verdict is the decision on a submission.
+type Verdict struct {
+	Reason     Reason        // ReasonNone if it was taken
+	RetryAfter time.Duration // after which room is expected, for a refusal
+	Wait       time.Duration // expected wait of its last task
+	Slack      time.Duration // wait that its objective allows
+}
+
+// Taken reports whether the job was taken.
+func (v Verdict) Taken() bool { return v.Reason == ReasonNone }
+
+const (
+	// usableShare is the part of the endpoints' processors that tasks of odd sizes can fill.
+	usableShare = 0.85
+	// waitShare is the part of a job's slack that the expected wait may take; the rest is for work that arrives later
+	// and goes first.
+	waitShare = 0.8
+	// minRetryAfter keeps refused callers from coming back within the same burst.
+	minRetryAfter = time.Second
+)
+
+// Submit decides on a job and takes it or not. mayRun, for a job that another dispatcher may have started, is the time
+// until which its tasks may run on endpoints that have not reported yet; 0 for a new job.
+//
+// It answers demand that swings above capacity within seconds: a job that would miss its objective behind the work that
+// goes before it is refused at once, so that the work that was taken is still worth its run time.
+func (p *Pool) Submit(w *work.Job, now, mayRun time.Duration) (Verdict, []Outcome) {
+	if p.jobs[w.ID] != nil {
+		return Verdict{}, nil
+	}
+	j := p.newJob(w, now, mayRun)
+	v := p.judge(j, now, mayRun > 0)
+	if !v.Taken() {
+		return v, nil
+	}
+	p.jobs[w.ID] = j
+	p.adopt(j)
+	if j.left == 0 {
+		p.finish(j)
+		return v, []Outcome{{Job: j.ID, State: work.Completed}}
+	}
+	if j.hasWaiting() {
+		p.enqueue(j)
+	}
+	return v, nil
+}
+
+// Settle lets the jobs start that waited for endpoints to report.
+func (p *Pool) Settle() {
+	for _, j := range p.jobs {
+		j.mayRun = 0
+	}
+}
+
+func (p *Pool) newJob(w *work.Job, now, mayRun time.Duration) *job {
+	j := &job{Job: w, arrived: now, mayRun: mayRun, runs: map[work.TaskID]*Run{}, failures: map[work.TaskID]int{}}
+	for i, s := range w.Steps {
+		st := stepState{left: s.Count}
+		for index := 0; index < s.Count; index++ {
+			st.waiting = append(st.waiting, index)
+		}
+		j.left += s.Count
+		j.steps = append(j.steps, st)
+		j.expected = max(j.expected, p.chain(w, i))
+	}
+	j.latest = now + slack(w.Objective, j.expected)
+	return j
+}
+
+// chain returns the expected run time of the longest chain of steps that ends with a step.
+func (p *Pool) chain(w *work.Job, step int) time.Duration {
+	longest := time.Duration(0)
+	for _, d := range w.Steps[step].DependsOn {
+		longest = max(longest, p.chain(w, d))
+	}
+	return longest + p.estimates.of(w.Queue, w.Steps[step].Estimate)
+}
+
+// slack returns how long a job may wait without missing its objective.
+func slack(o work.Objective, expected time.Duration) time.Duration {
+	return time.Duration(math.Max(o.Stretch-1, 0)*float64(expected)) + o.Extra
+}
+
+func (j *job) hasWaiting() bool {
+	for i := range j.steps {
+		if len(j.steps[i].waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) judge(j *job, now time.Duration, resumed bool) Verdict {
+	v := Verdict{Slack: j.latest - now}
+	possible, total := p.room(j)
+	if possible != ReasonNone {
+		v.Reason, v.RetryAfter = possible, minRetryAfter
+		return v
+	}
+	if resumed {
+		return v
+	}
+	own := p.waitingWork(j)
+	ahead := p.ahead(j)
+	if ahead == 0 && p.freeFor(j) {
+		return v
+	}
+	rate := float64(total.MilliCPU) * usableShare
+	v.Wait = time.Duration((ahead + own/2) / rate)
+	if float64(v.Wait) > waitShare*float64(v.Slack) {
+		v.Reason = ReasonNoRoom
+		v.RetryAfter = max(minRetryAfter, time.Duration((p.queuedWork()+own)/rate))
+	}
+	return v
+}
+
+// room checks that each step fits some endpoint, and returns the size of the endpoints of the job's service.
+func (p *Pool) room(j *job) (Reason, work.Size) {
+	var total work.Size
+	for _, e := range p.order {
+		if e.Service == j.Service && e.usable && !e.Draining {
+			total = total.Plus(e.Size)
+		}
+	}
+	if total.MilliCPU == 0 {
+		return ReasonNoPool, total
+	}
+	for i := range j.Steps {
+		if !p.possible(j, &j.Steps[i]) {
+			return ReasonTooLarge, total
+		}
+	}
+	return ReasonNone, total
+}
+
+func (p *Pool) possible(j *job, s *work.Step) bool {
+	for _, e := range p.order {
+		if e.Service == j.Service && s.Size.Fits(e.Size) && e.HasLabel(s.Label) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingWork returns the work of a job's unstarted tasks, in thousandths of a core times nanoseconds.
+func (p *Pool) waitingWork(j *job) float64 {
+	sum := 0.0
+	for i := range j.steps {
+		s := &j.Steps[i]
+		run := p.estimates.of(j.Queue, s.Estimate)
+		sum += float64(len(j.steps[i].waiting)) * float64(s.Size.MilliCPU) * float64(run)
+	}
+	return sum
+}
+
+// ahead returns the waiting work that goes before a job.
+func (p *Pool) ahead(j *job) float64 {
+	sum := 0.0
+	for _, q := range p.queue {
+		if !before(q, j) {
+			break
+		}
+		sum += p.waitingWork(q)
+	}
+	return sum
+}
+
+func (p *Pool) queuedWork() float64 {
+	sum := 0.0
+	for _, q := range p.queue {
+		sum += p.waitingWork(q)
+	}
+	return sum
+}
+
+// freeFor reports whether all first tasks of a job fit into the free room now.
+func (p *Pool) freeFor(j *job) bool {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if len(s.DependsOn) > 0 || s.Size.MilliCPU == 0 {
+			continue
+		}
+		places := 0
+		for _, e := range p.order {
+			if e.Service == j.Service && e.usable && !e.Draining {
+				places += max(0, (e.Size.MilliCPU-e.used.MilliCPU)/s.Size.MilliCPU)
+			}
+		}
+		if places < s.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt attaches runs that another dispatcher has started.
+func (p *Pool) adopt(j *job) {
+	for task, r := range p.runs {
+		if task.Job != j.ID || r.State == Stopping || !j.has(task) {
+			continue
+		}
+		p.resize(r, j.Steps[task.Step].Size)
+		r.job = j
+		j.runs[task] = r
+		j.started = true
+		j.removeWaiting(task)
+	}
+	p.adoptEnds(j)
+}
+
+// adoptEnds counts the tasks that have succeeded under another dispatcher.
+func (p *Pool) adoptEnds(j *job) {
+	for task := range p.past {
+		if task.Job == j.ID && j.has(task) && j.removeWaiting(task) {
+			j.started = true
+			j.left--
+			j.steps[task.Step].left--
+		}
+	}
+}
+
+// resize corrects the room that a run takes.
+func (p *Pool) resize(r *Run, size work.Size) {
+	if e := p.endpoints[r.Endpoint]; e != nil {
+		e.used = e.used.Minus(r.Size).Plus(size)
+	}
+	r.Size = size
+}
+
+func (j *job) has(task work.TaskID) bool {
+	return task.Occurrence == 0 && task.Step < len(j.Steps) && task.Index < j.Steps[task.Step].Count
+}
+
+func (j *job) removeWaiting(task work.TaskID) bool {
+	waiting := j.steps[task.Step].waiting
+	for i, index := range waiting {
+		if index == task.Index {
+			j.steps[task.Step].waiting = append(waiting[:i], waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Found records a run that an endpoint lists and that this pool has not ordered. It takes room until it ends.
+func (p *Pool) Found(id work.EndpointID, found work.Run, now time.Duration) *Run {
+	e := p.endpoints[id]
+	if e == nil || p.runs[found.Task] != nil {
+		return nil
+	}
+	// The size is not known here, so the run counts as the whole endpoint until it ends or its job is submitted.
+	r := &Run{
+		Task: found.Task, Number: found.Run, Endpoint: id, State: Confirmed, Size: e.Size.Minus(e.used),
+		Ordered: now, Percent: found.Percent, Moved: now,
+	}
+	p.runs[found.Task] = r
+	p.numbers[found.Task] = max(p.numbers[found.Task], found.Run)
+	e.used = e.used.Plus(r.Size)
+	e.runs++
+	return r
+}
+
+// Unstarted returns the jobs that were taken and can no longer meet three times their objective without having started.
+func (p *Pool) Unstarted(now time.Duration) []work.JobID {
+	var late []work.JobID
+	for _, j := range p.queue {
+		if !j.started && now-j.arrived > maxLate(j) {
+			late = append(late, j.ID)
+		}
+	}
+	return late
+}
+
+// lateFactor is the multiple of the objective up to which a late answer is still of use to a caller.
+const lateFactor = 3
+
+func maxLate(j *job) time.Duration {
+	objective := j.expected + slack(j.Objective, j.expected)
+	return lateFactor*objective - j.expected
+}
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -32,6 +32,7 @@
 	need   int          // bytes of the request in progress; 0 until its header is read
 	user   string       // that has claimed the connection; guarded by server.mu
 	told   bool         // 100 Continue was sent for the request in progress
+	onGone atomic.Pointer[func()]
 }
 
 // read takes one request from the buffer if it is complete and hands it to the handler.
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -21,6 +21,18 @@
 // Gone reports whether the caller has closed the connection.
 func (x *Exchange) Gone() bool { return x.conn.gone.Load() }
 
+// OnGone calls f when the caller closes the connection before the answer. f must not block. If the connection is closed
+// already, it is called at once.
+func (x *Exchange) OnGone(f func()) {
+	c := x.conn
+	c.onGone.Store(&f)
+	if c.gone.Load() {
+		if f := c.onGone.Swap(nil); f != nil {
+			(*f)()
+		}
+	}
+}
+
 // Claim counts the connection for a user, which must not be empty, until it is closed or another user claims it. It
 // returns false if the user has its maximum of other connections; the connection is then closed after the answer.
 func (x *Exchange) Claim(user string, limit int) bool {
@@ -38,6 +50,7 @@
 	}
 	x.replied = true
 	c := x.conn
+	c.onGone.Store(nil)
 	last := x.last || x.Request.ConnectionClose() || c.server.closing.Load()
 	var b bytes.Buffer
 	b.Grow(len(body) + 160)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -168,6 +168,9 @@
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if cn, ok := c.Context().(*conn); ok {
 		cn.gone.Store(true)
+		if f := cn.onGone.Swap(nil); f != nil {
+			(*f)()
+		}
 		s.mu.Lock()
 		delete(s.conns, cn)
 		s.release(cn)
--- /dev/null
+++ b/internal/shard/session.go
@@ -0,0 +1,358 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const (
+	// busyWait and idleWait are the longest waits of a look at an endpoint. With the time of a lost call on top they stay
+	// well below the lease.
+	busyWait = 200 * time.Millisecond
+	idleWait = 450 * time.Millisecond
+	// retryPause keeps an endpoint that refuses connections from being called in a tight loop.
+	retryPause = 50 * time.Millisecond
+	// goneAfter is the silence after which an endpoint without a registration is dropped.
+	goneAfter = 3 * time.Second
+	// stopTime is how long an endpoint may take to stop a run.
+	stopTime = 60 * time.Millisecond
+)
+
+// session is the connection to one endpoint during a term. Fields are guarded by the shard's lock.
+type session struct {
+	shard    *Shard
+	endpoint work.Endpoint
+	orders   work.Orders
+	cancel   context.CancelFunc
+
+	listed       bool // registered
+	reported     bool // has reported during the term
+	answering    bool // the last call was answered
+	failures     int  // calls in a row that were not answered
+	acknowledged int64
+	born         int64
+	clock        time.Duration // of the endpoint, at clockAt
+	clockAt      time.Duration
+	extended     time.Duration // when an order that extends the lease was last sent
+	heard        time.Duration // last answer
+	cleared      bool          // what ran there was given up after its lease
+	// settledAt is the time from which a report without the run shows that it is over, by run.
+	settledAt map[*pool.Run]time.Duration
+}
+
+func newSession(s *Shard, e work.Endpoint) *session {
+	return &session{
+		shard: s, endpoint: e, orders: s.opts.Dialer.Dial(e), listed: true, born: e.Born, heard: s.opts.Now(),
+		extended: s.opts.Now(), settledAt: map[*pool.Run]time.Duration{},
+	}
+}
+
+// usable reports whether the endpoint may get new runs. The shard's lock is held.
+func (x *session) usable() bool { return x.listed && x.reported && x.answering && !x.endpoint.Draining }
+
+// run looks at the endpoint again and again until the term or the endpoint ends.
+func (x *session) run(ctx context.Context) {
+	x.shard.mu.Lock()
+	ctx, x.cancel = context.WithCancel(ctx)
+	x.shard.mu.Unlock()
+	for ctx.Err() == nil {
+		if !x.look(ctx) {
+			pause(ctx, retryPause)
+		}
+	}
+	x.orders.Close()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// look makes one report. It returns false if there was none.
+func (x *session) look(ctx context.Context) bool {
+	sent, order := x.prepare()
+	report, refusal, err := x.orders.Hold(ctx, order)
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return true
+	}
+	now := s.opts.Now()
+	switch {
+	case err != nil:
+		x.silent(now, err)
+		return false
+	case refusal != work.Done:
+		x.refused(refusal)
+		return false
+	}
+	x.apply(report, sent, now)
+	s.dispatch()
+	return true
+}
+
+// extendingTries is how many unanswered looks in a row still extend the lease. Later ones do not, so that it is known
+// when what runs on a silent endpoint has lapsed.
+const extendingTries = 2
+
+// prepare returns the next order to report. One to an endpoint that does not answer does not wait.
+func (x *session) prepare() (time.Duration, work.HoldOrder) {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Now()
+	order := work.HoldOrder{Fence: s.fence, Acknowledged: x.acknowledged}
+	busy := s.pool.Busy(x.endpoint.ID)
+	if x.reported && busy && x.failures < extendingTries {
+		order.Until = x.until(now)
+		x.extended = now
+	}
+	switch {
+	case !x.answering:
+	case busy:
+		order.Wait = busyWait
+	default:
+		order.Wait = idleWait
+	}
+	return now, order
+}
+
+// until returns the end of a full lease on the endpoint's clock.
+func (x *session) until(now time.Duration) time.Duration {
+	return x.clock + (now - x.clockAt) + x.shard.opts.Lease
+}
+
+func (x *session) silent(now time.Duration, err error) {
+	s := x.shard
+	if x.answering {
+		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_silent", "endpoint": x.endpoint.ID}).WithError(err).
+			Warn("the endpoint does not answer")
+	}
+	x.answering = false
+	x.failures++
+	s.pool.SetUsable(x.endpoint.ID, false)
+	if !x.cleared && now-x.extended > s.lapse() && now-x.heard > s.lapse() {
+		x.cleared = true
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "endpoint_lapsed", "endpoint": x.endpoint.ID, "runs": len(s.pool.RunsOn(x.endpoint.ID)),
+			"silent_ms": (now - x.heard).Milliseconds(),
+		}).Warn("the lease of a silent endpoint has ended")
+		s.finish(s.pool.Clear(x.endpoint.ID, now))
+		s.dispatch()
+	}
+	if !x.listed && now-x.heard > goneAfter {
+		s.drop(x, "silent and not registered")
+	}
+}
+
+func (x *session) refused(r work.Refusal) {
+	s := x.shard
+	switch r {
+	case work.Fenced:
+		s.opts.Log.WithFields(logrus.Fields{"event": "fenced", "endpoint": x.endpoint.ID, "fence": s.fence}).
+			Warn("the endpoint has seen a higher fence")
+		s.pool.SetUsable(x.endpoint.ID, false)
+		x.answering = false
+		s.opts.Fenced()
+	case work.OtherLife:
+		s.drop(x, "another process answers at the address")
+	}
+}
+
+// apply takes a report of the endpoint that was asked for at a time.
+func (x *session) apply(report work.Report, sent, now time.Duration) {
+	s := x.shard
+	if x.reborn(report) {
+		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.Born}).
+			Warn("the endpoint's process started again")
+		x.acknowledged = 0
+		s.finish(s.pool.Clear(x.endpoint.ID, now))
+	}
+	if !x.answering {
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "endpoint_back", "endpoint": x.endpoint.ID, "running": len(report.Running), "fence": s.fence,
+		}).Info("the endpoint answers")
+	}
+	x.born, x.clock, x.clockAt, x.heard = report.Born, report.Clock, now, now
+	x.answering, x.cleared, x.failures = true, false, 0
+	x.applyRuns(report, now)
+	for _, end := range report.Ended {
+		if end.Number > x.acknowledged {
+			x.acknowledged = end.Number
+			x.applyEnd(end, now)
+		}
+	}
+	x.applyMissing(report, sent, now)
+	x.reported = true
+	s.pool.SetUsable(x.endpoint.ID, x.usable())
+}
+
+func (x *session) reborn(report work.Report) bool {
+	if x.born != 0 && report.Born != 0 {
+		return report.Born != x.born
+	}
+	return x.reported && report.Clock < x.clock
+}
+
+func (x *session) applyRuns(report work.Report, now time.Duration) {
+	p := x.shard.pool
+	for _, run := range report.Running {
+		known := p.Run(run.Task)
+		switch {
+		case known == nil:
+			if found := p.Found(x.endpoint.ID, run, now); found != nil {
+				x.settledAt[found] = now
+			}
+		case known.Endpoint != x.endpoint.ID || known.Number != run.Run:
+			x.stopStray(run, known)
+		default:
+			p.Progress(run.Task, run.Run, run.Percent, now)
+		}
+	}
+}
+
+// stopStray stops a run beside the one that counts.
+func (x *session) stopStray(run work.Run, known *pool.Run) {
+	s := x.shard
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "stray_run", "task": run.Task.String(), "run": run.Run, "endpoint": x.endpoint.ID,
+		"other_run": known.Number, "other_endpoint": known.Endpoint,
+	}).Warn("a run that was given up still runs and is stopped")
+	go x.stop(&pool.Run{Task: run.Task, Number: run.Run, Endpoint: x.endpoint.ID}, s.fence)
+}
+
+func (x *session) applyEnd(end work.End, now time.Duration) {
+	s := x.shard
+	if r := s.pool.Run(end.Task); r != nil {
+		delete(x.settledAt, r)
+	}
+	if end.Reason != work.EndSucceeded {
+		s.Counts.BadEnds.Add(1)
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "run_ended", "task": end.Task.String(), "run": end.Run, "endpoint": x.endpoint.ID, "reason": end.Reason,
+		}).Info("a run ended without success")
+	}
+	s.finish(s.pool.Ended(x.endpoint.ID, end, now))
+}
+
+// applyMissing ends the runs that a report would list if they were there.
+func (x *session) applyMissing(report work.Report, sent, now time.Duration) {
+	s := x.shard
+	listed := make(map[work.TaskID]int, len(report.Running))
+	for _, run := range report.Running {
+		listed[run.Task] = run.Run
+	}
+	for _, r := range s.pool.RunsOn(x.endpoint.ID) {
+		if listed[r.Task] == r.Number {
+			continue
+		}
+		at, ok := x.settledAt[r]
+		if !ok {
+			at = r.Ordered + s.lapse()
+		}
+		if sent < at {
+			continue
+		}
+		delete(x.settledAt, r)
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "run_missing", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
+			"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
+		}).Info("the endpoint does not list the run any more")
+		s.finish(s.pool.Gone(r, now))
+	}
+}
+
+// start orders a run.
+func (x *session) start(r *pool.Run, spec string, fence int64) {
+	s := x.shard
+	s.mu.Lock()
+	now := s.opts.Now()
+	x.extended = now
+	order := work.StartOrder{Task: r.Task, Run: r.Number, Spec: spec, Until: x.until(now), Fence: fence}
+	s.mu.Unlock()
+	refusal, clock, err := x.orders.Start(context.Background(), order)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
+		return
+	}
+	now = s.opts.Now()
+	if clock > 0 && !errors.Is(err, work.ErrNoResponse) {
+		x.clock, x.clockAt = clock, now
+	}
+	switch {
+	case err != nil:
+		x.unanswered(r, now, err)
+	case refusal == work.Done:
+		x.settledAt[r] = now
+		s.pool.Started(r)
+	default:
+		x.startRefused(r, refusal, now)
+	}
+	s.dispatch()
+}
+
+// unanswered handles a start that may have been carried out, or may be later: it is stopped, and its task starts
+// elsewhere when the endpoint has confirmed that.
+func (x *session) unanswered(r *pool.Run, now time.Duration, err error) {
+	s := x.shard
+	s.Counts.Unanswered.Add(1)
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "start_unanswered", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
+		"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
+	}).WithError(err).Warn("it is not known whether the run started")
+	if r.State == pool.Ordered {
+		s.stopAll([]*pool.Run{s.pool.Withdraw(r)})
+	}
+}
+
+func (x *session) startRefused(r *pool.Run, refusal work.Refusal, now time.Duration) {
+	s := x.shard
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "start_refused", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
+		"refusal": refusal.String(), "fence": s.fence,
+	}).Info("the endpoint did not start the run")
+	switch refusal {
+	case work.Fenced:
+		s.opts.Fenced()
+		x.answering = false
+		s.pool.SetUsable(x.endpoint.ID, false)
+	case work.NoRoom, work.TooLate:
+		// The next report corrects what is believed of the endpoint.
+		x.answering = false
+		s.pool.SetUsable(x.endpoint.ID, false)
+	case work.OtherLife:
+		s.drop(x, "another process answers at the address")
+		return
+	case work.BadOrder:
+		s.finish(s.pool.Impossible(r))
+		return
+	}
+	s.pool.Refused(r, refusal, now)
+}
+
+// stop orders the end of a run. A report that is asked for later and does not list it shows that it is over.
+func (x *session) stop(r *pool.Run, fence int64) {
+	refusal, err := x.orders.Stop(context.Background(), r.Task, r.Number, fence)
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || refusal != work.Done {
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "stop_failed", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "refusal": refusal.String(),
+		}).WithError(err).Warn("the stop is not confirmed and is repeated")
+		return
+	}
+	x.settledAt[r] = s.opts.Now() + stopTime
+}
--- /dev/null
+++ b/internal/shard/shard.go
@@ -0,0 +1,386 @@
+// Package shard dispatches for the endpoints of a zone while this instance has the term: it holds their leases, orders
+// the starts that the pool decides on and answers the instances whose jobs it runs.
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const (
+	// tick is the interval of the checks that no event triggers.
+	tick = 50 * time.Millisecond
+	// orphanGrace is how long runs of an earlier dispatcher may wait for their job to be submitted again.
+	orphanGrace = 1500 * time.Millisecond
+	// pastKept is how long successes of an earlier dispatcher are kept for their job.
+	pastKept = 5 * time.Second
+	// stallLimit is the time without progress after which a run is stopped and its task starts elsewhere.
+	stallLimit = 900 * time.Millisecond
+	// stopRepeat is the pause between two orders to stop the same run.
+	stopRepeat = 150 * time.Millisecond
+	// clockRate is how much slower an endpoint's clock may run than ours.
+	clockRate = 1.02
+	// leaseMargin covers the delivery of the order that extended a lease last.
+	leaseMargin = 60 * time.Millisecond
+)
+
+// Options configures a Shard.
+type Options struct {
+	Zone   string
+	Lease  time.Duration // longest lease that endpoints accept
+	Dialer work.Dialer
+	// Fenced is called when an endpoint has seen a higher fence than this instance's.
+	Fenced func()
+	Log    logrus.FieldLogger
+	Now    func() time.Duration // monotonic
+}
+
+// Shard is the dispatcher of a zone. Its methods may be called concurrently.
+type Shard struct {
+	opts Options
+
+	mu       sync.Mutex
+	leading  bool
+	fence    int64
+	since    time.Duration // start of the term
+	settled  bool          // what ran before the term is known
+	pool     *pool.Pool
+	sessions map[work.EndpointID]*session
+	clients  map[work.JobID]relay.Client
+	stops    map[work.TaskID]time.Duration // last order to stop the run of a task
+	cancel   context.CancelFunc
+	ctx      context.Context
+	Counts   Counts
+}
+
+// New returns a shard without a term.
+func New(o Options) *Shard {
+	s := &Shard{opts: o}
+	s.reset()
+	return s
+}
+
+func (s *Shard) reset() {
+	s.pool = pool.New()
+	s.sessions = map[work.EndpointID]*session{}
+	s.clients = map[work.JobID]relay.Client{}
+	s.stops = map[work.TaskID]time.Duration{}
+}
+
+// Begin starts a term, or goes on with a higher fence.
+func (s *Shard) Begin(fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fence = fence
+	if s.leading {
+		return
+	}
+	s.leading = true
+	s.settled = false
+	s.since = s.opts.Now()
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	go s.watch(s.ctx)
+}
+
+// End ends the term. Jobs in progress are answered as not led here, so that their instances submit them again.
+func (s *Shard) End() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leading {
+		return
+	}
+	s.leading = false
+	s.cancel()
+	for id, client := range s.clients {
+		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader})
+	}
+	for _, x := range s.sessions {
+		x.orders.Close()
+	}
+	s.reset()
+}
+
+// Leading reports whether this instance has the term.
+func (s *Shard) Leading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leading
+}
+
+// Endpoints replaces (whole) or updates the registrations of the zone's endpoints.
+func (s *Shard) Endpoints(changed []work.Endpoint, removed []work.EndpointID, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leading {
+		return
+	}
+	listed := map[work.EndpointID]bool{}
+	for _, e := range changed {
+		if e.Zone != s.opts.Zone {
+			continue
+		}
+		listed[e.ID] = true
+		s.update(e)
+	}
+	for _, id := range removed {
+		s.unlist(id)
+	}
+	if whole {
+		for id := range s.sessions {
+			if !listed[id] {
+				s.unlist(id)
+			}
+		}
+	}
+	s.dispatch()
+}
+
+func (s *Shard) update(e work.Endpoint) {
+	x := s.sessions[e.ID]
+	if x != nil && x.endpoint.Address != e.Address {
+		s.drop(x, "moved")
+		x = nil
+	}
+	s.pool.Update(e)
+	if x != nil {
+		if x.endpoint.Draining != e.Draining || !x.listed {
+			s.opts.Log.WithFields(logrus.Fields{"event": "endpoint", "endpoint": e.ID, "draining": e.Draining}).Info("registration changed")
+		}
+		x.endpoint, x.listed = e, true
+		s.pool.SetUsable(e.ID, x.usable())
+		return
+	}
+	x = newSession(s, e)
+	s.sessions[e.ID] = x
+	go x.run(s.ctx)
+}
+
+// unlist takes new work from an endpoint whose registration has ended. What runs there is still watched.
+func (s *Shard) unlist(id work.EndpointID) {
+	x := s.sessions[id]
+	if x == nil || !x.listed {
+		return
+	}
+	x.listed = false
+	s.pool.SetUsable(id, false)
+	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_unlisted", "endpoint": id}).Info("registration ended")
+}
+
+// drop ends a session whose endpoint is known to run nothing.
+func (s *Shard) drop(x *session, why string) {
+	if s.sessions[x.endpoint.ID] != x {
+		return
+	}
+	delete(s.sessions, x.endpoint.ID)
+	x.cancel()
+	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_dropped", "endpoint": x.endpoint.ID, "why": why}).Info("endpoint dropped")
+	s.finish(s.pool.Remove(x.endpoint.ID, s.opts.Now()))
+}
+
+// Submit implements relay.Dispatcher.
+func (s *Shard) Submit(from relay.Client, m *relay.Submit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	job := &m.Job
+	if !s.leading {
+		from.Answer(&relay.Answer{Job: job.ID, Refused: pool.ReasonNotLeader})
+		return
+	}
+	now := s.opts.Now()
+	known := s.pool.Known(job.ID)
+	verdict, outcomes := s.pool.Submit(job, now, s.mayRun(m.Resumed))
+	s.logVerdict(job, verdict, m.Resumed, known)
+	if !verdict.Taken() {
+		s.Counts.Refused.Add(1)
+		from.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
+		return
+	}
+	s.clients[job.ID] = from
+	s.finish(outcomes)
+	s.dispatch()
+}
+
+// mayRun returns the time until which a resumed job waits for endpoints that have not reported.
+func (s *Shard) mayRun(resumed bool) time.Duration {
+	if !resumed {
+		return 0
+	}
+	if s.settled {
+		return 1 // resumed, but nothing is left to wait for
+	}
+	return s.since + s.lapse()
+}
+
+// lapse is the time after which a lease that was extended now has surely ended.
+func (s *Shard) lapse() time.Duration {
+	return time.Duration(float64(s.opts.Lease)*clockRate) + leaseMargin
+}
+
+func (s *Shard) logVerdict(job *work.Job, v pool.Verdict, resumed, known bool) {
+	outcome := "taken"
+	if !v.Taken() {
+		outcome = string(v.Reason)
+	}
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "submit", "job": job.ID, "queue": job.Queue, "tasks": job.Tasks(), "outcome": outcome, "resumed": resumed,
+		"known": known, "wait_ms": v.Wait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.fence,
+	}).Info("submission decided")
+}
+
+// Cancel implements relay.Dispatcher.
+func (s *Shard) Cancel(from relay.Client, id work.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clients[id] != from {
+		return
+	}
+	s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id}).Info("the caller has left")
+	s.abandon(id)
+	s.dispatch()
+}
+
+// Gone implements relay.Dispatcher.
+func (s *Shard) Gone(from relay.Client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, client := range s.clients {
+		if client != from {
+			continue
+		}
+		s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id, "client": from.Name()}).
+			Info("the instance of the caller is gone")
+		s.abandon(id)
+	}
+	if s.leading {
+		s.dispatch()
+	}
+}
+
+// abandon forgets a job and stops its runs.
+func (s *Shard) abandon(id work.JobID) {
+	delete(s.clients, id)
+	s.stopAll(s.pool.Cancel(id))
+}
+
+// finish answers the jobs that have ended.
+func (s *Shard) finish(outcomes []pool.Outcome) {
+	for _, o := range outcomes {
+		client := s.clients[o.Job]
+		if client != nil {
+			client.Answer(&relay.Answer{Job: o.Job, State: o.State})
+		}
+		s.opts.Log.WithFields(logrus.Fields{"event": "job_ended", "job": o.Job, "state": o.State}).Info("job ended")
+		s.abandon(o.Job)
+	}
+}
+
+// dispatch orders the starts that are possible now.
+func (s *Shard) dispatch() {
+	for _, r := range s.pool.Next(s.opts.Now()) {
+		x := s.sessions[r.Endpoint]
+		if x == nil {
+			continue // the endpoint is dropped together with its runs
+		}
+		s.Counts.Starts.Add(1)
+		go x.start(r, s.pool.Spec(r), s.fence)
+	}
+}
+
+// watch makes the checks that no event triggers, until the term ends.
+func (s *Shard) watch(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.check(ctx)
+		}
+	}
+}
+
+func (s *Shard) check(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	now := s.opts.Now()
+	s.settle(now)
+	s.refuseLate(now)
+	for _, r := range s.pool.Stalled(now-stallLimit, now) {
+		s.Counts.Stalled.Add(1)
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "run_stalled", "task": r.Task.String(), "run": r.Number, "endpoint": r.Endpoint, "percent": r.Percent,
+			"unchanged_ms": (now - r.Moved).Milliseconds(),
+		}).Warn("a run makes no progress and is stopped")
+	}
+	s.stopAll(s.pool.Unwanted(now - orphanGrace))
+	s.pool.Forget(now - pastKept)
+	s.dispatch()
+}
+
+// settle notes when all that ran before the term is known, or has lapsed.
+func (s *Shard) settle(now time.Duration) {
+	if s.settled {
+		return
+	}
+	if now < s.since+s.lapse() && !s.allReported() {
+		return
+	}
+	s.settled = true
+	s.pool.Settle()
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "settled", "endpoints": len(s.sessions), "fence": s.fence, "after_ms": (now - s.since).Milliseconds(),
+	}).Info("what ran before this term is known")
+}
+
+func (s *Shard) allReported() bool {
+	for _, x := range s.sessions {
+		if x.listed && !x.reported {
+			return false
+		}
+	}
+	return len(s.sessions) > 0
+}
+
+// refuseLate answers jobs that have not started and whose answer would be of no use any more.
+func (s *Shard) refuseLate(now time.Duration) {
+	for _, id := range s.pool.Unstarted(now) {
+		if client := s.clients[id]; client != nil {
+			client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonWaited, RetryAfter: time.Second})
+		}
+		s.Counts.Refused.Add(1)
+		s.opts.Log.WithFields(logrus.Fields{"event": "refuse_waiting", "job": id}).Info("the job did not start in time")
+		s.abandon(id)
+	}
+}
+
+// stopAll orders the stop of runs, at most once in a while for each.
+func (s *Shard) stopAll(runs []*pool.Run) {
+	now := s.opts.Now()
+	for _, r := range runs {
+		if last, ok := s.stops[r.Task]; ok && now-last < stopRepeat {
+			continue
+		}
+		x := s.sessions[r.Endpoint]
+		if x == nil {
+			continue
+		}
+		s.stops[r.Task] = now
+		go x.stop(r, s.fence)
+	}
+	for task, at := range s.stops {
+		if now-at > pastKept {
+			delete(s.stops, task)
+		}
+	}
+}
--- /dev/null
+++ b/internal/work/work.go
@@ -0,0 +1,113 @@
+// Package work defines the jobs, tasks and endpoints that instances exchange and decide on, free of any wire format.
+package work
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// JobID names a job. The caller chooses it.
+type JobID string
+
+// Size is an amount of the resources that a task uses or an endpoint has.
+type Size struct {
+	MilliCPU     int `msgpack:"c" json:"milli_cpu"` // thousandths of a core
+	MemoryMB     int `msgpack:"m" json:"memory_mb"`
+	Accelerators int `msgpack:"a" json:"accelerators"`
+}
+
+// Plus returns the sum of two amounts.
+func (s Size) Plus(o Size) Size {
+	return Size{s.MilliCPU + o.MilliCPU, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference of two amounts.
+func (s Size) Minus(o Size) Size {
+	return Size{s.MilliCPU - o.MilliCPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether the amount is at most o in every resource.
+func (s Size) Fits(o Size) bool {
+	return s.MilliCPU <= o.MilliCPU && s.MemoryMB <= o.MemoryMB && s.Accelerators <= o.Accelerators
+}
+
+// Step is a set of like tasks of a job.
+type Step struct {
+	Count     int           `msgpack:"n"`
+	Size      Size          `msgpack:"s"`           // that each task asks for
+	Estimate  time.Duration `msgpack:"e"`           // rough run time of one task, as the caller says
+	DependsOn []int         `msgpack:"d,omitempty"` // steps whose tasks must all have succeeded before
+	Label     string        `msgpack:"l,omitempty"` // that the endpoint must have; empty for any
+	DataRack  string        `msgpack:"r,omitempty"` // rack near the task's data; empty for any
+	Spread    int           `msgpack:"p,omitempty"` // most tasks of the step on one endpoint; 0 for any number
+}
+
+// Objective is what a queue promises about the response time of its jobs.
+type Objective struct {
+	Stretch  float64       `msgpack:"s"` // multiple of the longest chain of run times
+	Extra    time.Duration `msgpack:"e"` // added to it
+	Priority int           `msgpack:"p"` // 0 comes first
+	Attempts int           `msgpack:"a"` // failed runs of a task after which its job has failed
+}
+
+// Job is a submission with all that is needed to run it.
+type Job struct {
+	ID        JobID     `msgpack:"i"`
+	Queue     string    `msgpack:"q"`
+	Service   string    `msgpack:"v"`
+	Spec      string    `msgpack:"x"`
+	Steps     []Step    `msgpack:"t"`
+	Objective Objective `msgpack:"o"`
+}
+
+// Tasks returns the number of tasks of all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// TaskID names one task of a job. Its text form is JOB.OCCURRENCE.STEP.INDEX.
+type TaskID struct {
+	Job        JobID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the text form.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID reads the text form. ok is false for any other text.
+func ParseTaskID(s string) (id TaskID, ok bool) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, false
+	}
+	var n [3]int
+	for i, p := range parts[1:] {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return TaskID{}, false
+		}
+		n[i] = v
+	}
+	return TaskID{JobID(parts[0]), n[0], n[1], n[2]}, true
+}
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of jobs.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
