Takeover: endpoints with runs of unknown size take nothing, resumed jobs wait out leases

Cause: a run found at a takeover took the whole remaining room, a second one on the same endpoint none; when the job of the first came back, its room was corrected and the endpoint overfilled. A job was started again 0.16 s after a takeover because the endpoint that ran its task was not registered at that moment. Change: an endpoint with a run of unknown size gets no starts; tasks of a resumed job that were not found start when all leases of the earlier dispatcher have ended.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,6 +32,7 @@
 	Percent  int           // progress, as last reported
 	Moved    time.Duration // when the progress last changed
 	job      *job          // nil when nobody waits for the result
+	unsized  bool          // Size is not known
 }
 
 // Wanted reports whether a job waits for the run.
@@ -39,10 +40,11 @@
 
 type endpoint struct {
 	work.Endpoint
-	usable bool // it answers and what runs there is known
-	used   work.Size
-	runs   int
-	health health
+	usable  bool // it answers and what runs there is known
+	used    work.Size
+	runs    int
+	unsized int // runs whose size is not known
+	health  health
 }
 
 type job struct {
@@ -231,6 +233,9 @@
 	if e := p.endpoints[r.Endpoint]; e != nil {
 		e.used = e.used.Minus(r.Size)
 		e.runs--
+		if r.unsized {
+			e.unsized--
+		}
 	}
 	if r.job != nil {
 		delete(r.job.runs, r.Task)
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -241,12 +241,16 @@
 	}
 }
 
-// resize corrects the room that a run takes.
+// resize sets the room that a found run takes.
 func (p *Pool) resize(r *Run, size work.Size) {
+	if !r.unsized {
+		return
+	}
 	if e := p.endpoints[r.Endpoint]; e != nil {
-		e.used = e.used.Minus(r.Size).Plus(size)
+		e.used = e.used.Plus(size)
+		e.unsized--
 	}
-	r.Size = size
+	r.Size, r.unsized = size, false
 }
 
 func (j *job) has(task work.TaskID) bool {
@@ -264,21 +268,21 @@
 	return false
 }
 
-// Found records a run that an endpoint lists and that this pool has not ordered. It takes room until it ends.
+// Found records a run that an endpoint lists and that this pool has not ordered. Its size is not known, so the endpoint
+// takes nothing more until the run has ended or its job is submitted.
 func (p *Pool) Found(id work.EndpointID, found work.Run, now time.Duration) *Run {
 	e := p.endpoints[id]
 	if e == nil || p.runs[found.Task] != nil {
 		return nil
 	}
-	// The size is not known here, so the run counts as the whole endpoint until it ends or its job is submitted.
 	r := &Run{
-		Task: found.Task, Number: found.Run, Endpoint: id, State: Confirmed, Size: e.Size.Minus(e.used),
-		Ordered: now, Percent: found.Percent, Moved: now,
+		Task: found.Task, Number: found.Run, Endpoint: id, State: Confirmed, Ordered: now, Percent: found.Percent, Moved: now,
+		unsized: true,
 	}
 	p.runs[found.Task] = r
 	p.numbers[found.Task] = max(p.numbers[found.Task], found.Run)
-	e.used = e.used.Plus(r.Size)
 	e.runs++
+	e.unsized++
 	return r
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -27,6 +27,8 @@
 	stopRepeat = 150 * time.Millisecond
 	// clockRate is how much slower an endpoint's clock may run than ours.
 	clockRate = 1.02
+	// noticeTime is the time in which a dispatcher whose term has ended learns of it.
+	noticeTime = 350 * time.Millisecond
 	// leaseMargin covers the delivery of the order that extended a lease last.
 	leaseMargin = 60 * time.Millisecond
 )
@@ -215,9 +217,13 @@
 	if s.settled {
 		return 1 // resumed, but nothing is left to wait for
 	}
-	return s.since + s.lapse()
+	return s.since + s.takeover()
 }
 
+// takeover is the time after the start of a term at which runs of an earlier dispatcher have reported or lapsed, on
+// endpoints that are not registered or not reached as well.
+func (s *Shard) takeover() time.Duration { return s.lapse() + noticeTime }
+
 // lapse is the time after which a lease that was extended now has surely ended.
 func (s *Shard) lapse() time.Duration {
 	return time.Duration(float64(s.opts.Lease)*clockRate) + leaseMargin
@@ -328,12 +334,13 @@
 	s.dispatch()
 }
 
-// settle notes when all that ran before the term is known, or has lapsed.
+// settle notes when all that ran before the term has reported or lapsed. A list of all endpoints would not do, since
+// registrations can be missing while their endpoints run.
 func (s *Shard) settle(now time.Duration) {
 	if s.settled {
 		return
 	}
-	if now < s.since+s.lapse() && !s.allReported() {
+	if now < s.since+s.takeover() {
 		return
 	}
 	s.settled = true
@@ -343,15 +350,6 @@
 	}).Info("what ran before this term is known")
 }
 
-func (s *Shard) allReported() bool {
-	for _, x := range s.sessions {
-		if x.listed && !x.reported {
-			return false
-		}
-	}
-	return len(s.sessions) > 0
-}
-
 // refuseLate answers jobs that have not started and whose answer would be of no use any more.
 func (s *Shard) refuseLate(now time.Duration) {
 	for _, id := range s.pool.Unstarted(now) {
