Tests of pool and shard with a stand-in of the endpoints; stops are confirmed once; forecast of waits

Cause: TestLateOrders, written for orders without an answer, showed runs that stayed in the state stopping for ever: each repeated stop moved the time from which a report without the run counts. The admission estimate counted a job's own work as a wait on endpoints with room. Change: the first confirmation of a stop counts; admission plays the waiting work on the endpoints' expected ends.

--- /dev/null
+++ b/internal/pool/forecast.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const (
+	// minProgress is the progress, in percent, from which a run's own speed tells its end better than the estimate.
+	minProgress = 5
+	// overdueShare is the part of its expected run time that a run without known progress still takes when that is over.
+	overdueShare = 0.25
+)
+
+// release is room that becomes free.
+type release struct {
+	at       time.Duration
+	milliCPU int
+}
+
+// releases is a heap with the earliest release first.
+type releases []release
+
+func (h releases) Len() int           { return len(h) }
+func (h releases) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h releases) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *releases) Push(x any) { *h = append(*h, x.(release)) }
+
+// Pop implements heap.Interface.
+func (h *releases) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// forecast plays the waiting work of a service on its endpoints, taken as one, to tell when tasks start.
+type forecast struct {
+	pool     *Pool
+	now      time.Duration
+	free     int // thousandths of a core
+	releases releases
+}
+
+// forecast begins with the room that tasks of a size find on the endpoints of a service.
+func (p *Pool) forecast(service string, task work.Size, now time.Duration) *forecast {
+	f := &forecast{pool: p, now: now}
+	serves := map[work.EndpointID]bool{}
+	for _, e := range p.order {
+		if e.Service != service || !e.usable || e.Draining || e.unsized > 0 || now < e.health.until {
+			continue
+		}
+		serves[e.ID] = true
+		left := e.Size.MilliCPU - e.used.MilliCPU
+		f.free += left - left%max(task.MilliCPU, 1)
+	}
+	for _, r := range p.runs {
+		if serves[r.Endpoint] {
+			f.releases = append(f.releases, release{now + r.remaining(now), r.Size.MilliCPU})
+		}
+	}
+	heap.Init(&f.releases)
+	return f
+}
+
+// remaining returns the expected rest of a run.
+func (r *Run) remaining(now time.Duration) time.Duration {
+	elapsed := now - r.Ordered
+	if r.Percent >= minProgress {
+		total := elapsed * 100 / time.Duration(r.Percent)
+		return max(total-elapsed, 0)
+	}
+	if elapsed < r.Expected {
+		return r.Expected - elapsed
+	}
+	return time.Duration(overdueShare * float64(r.Expected))
+}
+
+// add starts the waiting tasks of a job when there is room and returns when the last one does.
+func (f *forecast) add(j *job) time.Duration {
+	last := f.now
+	for i := range j.steps {
+		s := &j.Steps[i]
+		run := f.pool.estimates.of(j.Queue, s.Estimate)
+		for range j.steps[i].waiting {
+			last = f.start(s.Size.MilliCPU, run, last)
+		}
+	}
+	return last
+}
+
+func (f *forecast) start(milliCPU int, run, earliest time.Duration) time.Duration {
+	at := earliest
+	for f.free < milliCPU && len(f.releases) > 0 {
+		next := heap.Pop(&f.releases).(release)
+		f.free += next.milliCPU
+		at = max(at, next.at)
+	}
+	f.free -= milliCPU
+	heap.Push(&f.releases, release{at + run, milliCPU})
+	return at
+}
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -32,8 +32,6 @@
 func (v Verdict) Taken() bool { return v.Reason == ReasonNone }
 
 const (
-	// usableShare is the part of the endpoints' processors that tasks of odd sizes can fill.
-	usableShare = 0.85
 	// waitShare is the part of a job's slack that the expected wait may take; the rest is for work that arrives later
 	// and goes first.
 	waitShare = 0.8
@@ -122,20 +120,31 @@
 	if resumed {
 		return v
 	}
-	own := p.waitingWork(j)
-	ahead := p.ahead(j)
-	if ahead == 0 && p.freeFor(j) {
-		return v
+	f := p.forecast(j.Service, j.largest(), now)
+	for _, q := range p.queue {
+		if q.Service == j.Service && before(q, j) {
+			f.add(q)
+		}
 	}
-	rate := float64(total.MilliCPU) * usableShare
-	v.Wait = time.Duration((ahead + own/2) / rate)
+	v.Wait = f.add(j) - now
 	if float64(v.Wait) > waitShare*float64(v.Slack) {
 		v.Reason = ReasonNoRoom
-		v.RetryAfter = max(minRetryAfter, time.Duration((p.queuedWork()+own)/rate))
+		v.RetryAfter = max(minRetryAfter, time.Duration(p.queuedWork()/float64(total.MilliCPU)))
 	}
 	return v
 }
 
+// largest returns the size of a job's largest task.
+func (j *job) largest() work.Size {
+	var largest work.Size
+	for i := range j.Steps {
+		if j.Steps[i].Size.MilliCPU > largest.MilliCPU {
+			largest = j.Steps[i].Size
+		}
+	}
+	return largest
+}
+
 // room checks that each step fits some endpoint, and returns the size of the endpoints of the job's service.
 func (p *Pool) room(j *job) (Reason, work.Size) {
 	var total work.Size
@@ -175,18 +184,7 @@
 	return sum
 }
 
-// ahead returns the waiting work that goes before a job.
-func (p *Pool) ahead(j *job) float64 {
-	sum := 0.0
-	for _, q := range p.queue {
-		if !before(q, j) {
-			break
-		}
-		sum += p.waitingWork(q)
-	}
-	return sum
-}
-
+// queuedWork returns the work of all unstarted tasks, in thousandths of a core times nanoseconds.
 func (p *Pool) queuedWork() float64 {
 	sum := 0.0
 	for _, q := range p.queue {
@@ -195,26 +193,6 @@
 	return sum
 }
 
-// freeFor reports whether all first tasks of a job fit into the free room now.
-func (p *Pool) freeFor(j *job) bool {
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		if len(s.DependsOn) > 0 || s.Size.MilliCPU == 0 {
-			continue
-		}
-		places := 0
-		for _, e := range p.order {
-			if e.Service == j.Service && e.usable && !e.Draining {
-				places += max(0, (e.Size.MilliCPU-e.used.MilliCPU)/s.Size.MilliCPU)
-			}
-		}
-		if places < s.Count {
-			return false
-		}
-	}
-	return true
-}
-
 // adopt attaches runs that another dispatcher has started.
 func (p *Pool) adopt(j *job) {
 	for task, r := range p.runs {
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -44,15 +44,22 @@
 	cleared      bool          // what ran there was given up after its lease
 	// settledAt is the time from which a report without the run shows that it is over, by run.
 	settledAt map[*pool.Run]time.Duration
+	stopped   map[*pool.Run]bool // whose stop the endpoint has confirmed
 }
 
 func newSession(s *Shard, e work.Endpoint) *session {
 	return &session{
 		shard: s, endpoint: e, orders: s.opts.Dialer.Dial(e), listed: true, born: e.Born, heard: s.opts.Now(),
-		extended: s.opts.Now(), settledAt: map[*pool.Run]time.Duration{},
+		extended: s.opts.Now(), settledAt: map[*pool.Run]time.Duration{}, stopped: map[*pool.Run]bool{},
 	}
 }
 
+// forget drops what is noted of a run that is over.
+func (x *session) forget(r *pool.Run) {
+	delete(x.settledAt, r)
+	delete(x.stopped, r)
+}
+
 // usable reports whether the endpoint may get new runs. The shard's lock is held.
 func (x *session) usable() bool { return x.listed && x.reported && x.answering && !x.endpoint.Draining }
 
@@ -148,7 +155,7 @@
 			"event": "endpoint_lapsed", "endpoint": x.endpoint.ID, "runs": len(s.pool.RunsOn(x.endpoint.ID)),
 			"silent_ms": (now - x.heard).Milliseconds(),
 		}).Warn("the lease of a silent endpoint has ended")
-		s.finish(s.pool.Clear(x.endpoint.ID, now))
+		x.clear(now)
 		s.dispatch()
 	}
 	if !x.listed && now-x.heard > goneAfter {
@@ -177,7 +184,7 @@
 		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.Born}).
 			Warn("the endpoint's process started again")
 		x.acknowledged = 0
-		s.finish(s.pool.Clear(x.endpoint.ID, now))
+		x.clear(now)
 	}
 	if !x.answering {
 		s.opts.Log.WithFields(logrus.Fields{
@@ -198,6 +205,13 @@
 	s.pool.SetUsable(x.endpoint.ID, x.usable())
 }
 
+// clear gives up all runs of an endpoint that is known to run nothing.
+func (x *session) clear(now time.Duration) {
+	clear(x.settledAt)
+	clear(x.stopped)
+	x.shard.finish(x.shard.pool.Clear(x.endpoint.ID, now))
+}
+
 func (x *session) reborn(report work.Report) bool {
 	if x.born != 0 && report.Born != 0 {
 		return report.Born != x.born
@@ -235,7 +249,7 @@
 func (x *session) applyEnd(end work.End, now time.Duration) {
 	s := x.shard
 	if r := s.pool.Run(end.Task); r != nil {
-		delete(x.settledAt, r)
+		x.forget(r)
 	}
 	if end.Reason != work.EndSucceeded {
 		s.Counts.BadEnds.Add(1)
@@ -264,7 +278,7 @@
 		if sent < at {
 			continue
 		}
-		delete(x.settledAt, r)
+		x.forget(r)
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "run_missing", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
 			"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
@@ -354,5 +368,8 @@
 		}).WithError(err).Warn("the stop is not confirmed and is repeated")
 		return
 	}
-	x.settledAt[r] = s.opts.Now() + stopTime
+	if !x.stopped[r] {
+		x.stopped[r] = true
+		x.settledAt[r] = s.opts.Now() + stopTime
+	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -366,11 +366,11 @@
 func (s *Shard) stopAll(runs []*pool.Run) {
 	now := s.opts.Now()
 	for _, r := range runs {
-		if last, ok := s.stops[r.Task]; ok && now-last < stopRepeat {
+		x := s.sessions[r.Endpoint]
+		if x == nil || x.stopped[r] {
 			continue
 		}
-		x := s.sessions[r.Endpoint]
-		if x == nil {
+		if last, ok := s.stops[r.Task]; ok && now-last < stopRepeat {
 			continue
 		}
 		s.stops[r.Task] = now
@@ -382,3 +382,18 @@
 		}
 	}
 }
+
+// Dump is the state of a shard for operators.
+type Dump struct {
+	Leading bool      `json:"leading"`
+	Fence   int64     `json:"fence"`
+	Settled bool      `json:"settled"`
+	Pool    pool.Dump `json:"pool"`
+}
+
+// Dump returns the whole state.
+func (s *Shard) Dump() Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Dump{Leading: s.leading, Fence: s.fence, Settled: s.settled, Pool: s.pool.Dump()}
+}
--- /dev/null
+++ b/internal/shard/shard_test.go
@@ -0,0 +1,303 @@
+package shard_test
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/standin/fleet"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// lease is longer than a look at an endpoint with a lost call.
+const lease = time.Second
+
+// client records a dispatcher's answers.
+type client struct {
+	mu      sync.Mutex
+	answers map[work.JobID]*relay.Answer
+}
+
+func newClient() *client { return &client{answers: map[work.JobID]*relay.Answer{}} }
+
+func (c *client) Name() string { return "test" }
+
+func (c *client) Answer(a *relay.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers[a.Job] = a
+}
+
+func (c *client) answer(id work.JobID) *relay.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers[id]
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func newShard(f *fleet.Fleet, fenced func()) *shard.Shard {
+	started := time.Now()
+	return shard.New(shard.Options{
+		Zone: "north", Lease: lease, Dialer: f, Fenced: fenced, Log: quiet(),
+		Now: func() time.Duration { return time.Since(started) },
+	})
+}
+
+func endpoints(n int) []work.Endpoint {
+	var all []work.Endpoint
+	for i := range n {
+		all = append(all, work.Endpoint{
+			ID: work.EndpointID(fmt.Sprintf("e%d", i)), Service: "survey", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "north",
+			Size: work.Size{MilliCPU: 2000, MemoryMB: 1024},
+		})
+	}
+	return all
+}
+
+func newFleet(n int, run time.Duration) (*fleet.Fleet, []work.Endpoint) {
+	f := fleet.New(run)
+	all := endpoints(n)
+	for _, e := range all {
+		f.Add(e)
+	}
+	return f, all
+}
+
+func jobOf(id string, tasks int, estimate time.Duration) work.Job {
+	return work.Job{
+		ID: work.JobID(id), Queue: "q", Service: "survey", Spec: "text",
+		Steps:     []work.Step{{Count: tasks, Size: work.Size{MilliCPU: 1000, MemoryMB: 64}, Estimate: estimate}},
+		Objective: work.Objective{Stretch: 3, Extra: time.Second, Attempts: 2},
+	}
+}
+
+// eventually waits for a state that is sure to come; the limit only ends a test that has failed.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("did not come: %s", what)
+}
+
+func submitUntilTaken(t *testing.T, s *shard.Shard, c *client, m *relay.Submit) {
+	t.Helper()
+	eventually(t, "the job is taken", func() bool {
+		s.Submit(c, m)
+		a := c.answer(m.Job.ID)
+		if a != nil && a.Refused != pool.ReasonNone {
+			c.mu.Lock()
+			delete(c.answers, m.Job.ID)
+			c.mu.Unlock()
+			return false
+		}
+		return true
+	})
+}
+
+func completed(c *client, id work.JobID) func() bool {
+	return func() bool { a := c.answer(id); return a != nil && a.State == work.Completed }
+}
+
+// Guards against a job that is answered before its last task has ended or whose tasks start twice.
+func TestJobCompletes(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(3, 30*time.Millisecond)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	t.Cleanup(s.End)
+	s.Endpoints(all, nil, true)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 9, 30*time.Millisecond)})
+	eventually(t, "the job completes", completed(c, "a"))
+	is.Equal(len(f.Starts()), 9)
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against two runs at a time of a task whose order to start got no answer and is carried out later.
+func TestLateOrders(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(3, 80*time.Millisecond)
+	n := 0
+	f.Lose = func(call string) (bool, time.Duration) {
+		if call != "start" {
+			return false, 0
+		}
+		n++
+		return n%3 == 0, time.Duration(n%4) * 100 * time.Millisecond
+	}
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	t.Cleanup(s.End)
+	s.Endpoints(all, nil, true)
+	for i := range 6 {
+		submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf(fmt.Sprint("late", i), 4, 80*time.Millisecond)})
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("%+v", s.Dump())
+		}
+	})
+	for i := range 6 {
+		eventually(t, "the job completes", completed(c, work.JobID(fmt.Sprint("late", i))))
+	}
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against tasks that run twice when a dispatcher takes over from one that does not know it, and against the loss
+// of what the earlier one had done.
+func TestTakeover(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(4, 400*time.Millisecond)
+	before, c1 := newShard(f, func() {}), newClient()
+	before.Begin(1)
+	before.Endpoints(all, nil, true)
+	m := relay.Submit{Job: jobOf("a", 8, 400*time.Millisecond)}
+	submitUntilTaken(t, before, c1, &m)
+	eventually(t, "all tasks run", func() bool { return f.Running() == 8 })
+	after, c2 := newShard(f, func() {}), newClient()
+	after.Begin(2)
+	defer after.End()
+	after.Endpoints(all, nil, true)
+	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
+	eventually(t, "the job completes at the new dispatcher", completed(c2, "a"))
+	is.Equal(len(f.Starts()), 8) // nothing was started again
+	is.Equal(f.Overlaps(), "")
+	before.End()
+}
+
+// Guards against a second run of a task on an endpoint that is not registered at the moment of a takeover.
+func TestTakeoverUnregistered(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(2, 300*time.Millisecond)
+	before, c1 := newShard(f, func() {}), newClient()
+	before.Begin(1)
+	before.Endpoints(all, nil, true)
+	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
+	submitUntilTaken(t, before, c1, &m)
+	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	before.End()
+	after, c2 := newShard(f, func() {}), newClient()
+	after.Begin(2)
+	defer after.End()
+	after.Endpoints(all[:1], nil, true) // the other one is missing
+	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
+	eventually(t, "the job completes", completed(c2, "a"))
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against tasks that are lost, or run twice, when an endpoint falls silent and its leases end.
+func TestSilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(2, 300*time.Millisecond)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	t.Cleanup(s.End)
+	s.Endpoints(all, nil, true)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)})
+	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	f.Silence(all[0].Address, true)
+	eventually(t, "the job completes", completed(c, "a"))
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against waiting for runs that an endpoint has lost in a restart under the same name.
+func TestRebornEndpoint(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(2, 200*time.Millisecond)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	t.Cleanup(s.End)
+	s.Endpoints(all, nil, true)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 200*time.Millisecond)})
+	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	f.Restart(all[0].Address)
+	eventually(t, "the job completes", completed(c, "a"))
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against tasks that stand still for ever on an endpoint that answers.
+func TestHungEndpoint(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(2, 50*time.Millisecond)
+	f.Hang(all[0].Address)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	t.Cleanup(s.End)
+	s.Endpoints(all, nil, true)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 50*time.Millisecond)})
+	eventually(t, "the job completes", completed(c, "a"))
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against runs that nobody waits for: the caller has left, or its instance is gone.
+func TestCancelStopsRuns(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(2, time.Minute)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	t.Cleanup(s.End)
+	s.Endpoints(all, nil, true)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
+	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	s.Cancel(c, "a")
+	eventually(t, "the cancelled job's runs are stopped", func() bool { return f.Running() == 2 })
+	s.Gone(c)
+	eventually(t, "no run is left", func() bool { return f.Running() == 0 })
+	is.Equal(c.answer("a"), nil)
+}
+
+// Guards against a dispatcher that goes on giving orders after another one has a higher fence.
+func TestFenced(t *testing.T) {
+	f, all := newFleet(1, 10*time.Millisecond)
+	fenced := make(chan struct{}, 1000)
+	before := newShard(f, func() {
+		select {
+		case fenced <- struct{}{}:
+		default:
+		}
+	})
+	before.Begin(1)
+	defer before.End()
+	before.Endpoints(all, nil, true)
+	after, c := newShard(f, func() {}), newClient()
+	after.Begin(2)
+	defer after.End()
+	after.Endpoints(all, nil, true)
+	submitUntilTaken(t, after, c, &relay.Submit{Job: jobOf("a", 2, 10*time.Millisecond)})
+	eventually(t, "the job completes", completed(c, "a"))
+	select {
+	case <-fenced:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the earlier dispatcher did not notice the higher fence")
+	}
+}
+
+// Guards against answers that name a refusal although the term's end leaves tasks running.
+func TestEndOfTerm(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(1, time.Second)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1)
+	s.Endpoints(all, nil, true)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
+	s.End()
+	is.Equal(c.answer("a").Refused, pool.ReasonNotLeader)
+	s.Submit(c, &relay.Submit{Job: jobOf("b", 1, time.Second)})
+	is.Equal(c.answer("b").Refused, pool.ReasonNotLeader)
+}
