Leadership outlasts lost joins; dead dispatchers are taken out; takeovers settle by reports

Change: joins do not wait for each other, a member lives three times the shortest time, an instance that finds the dispatcher dead takes it out of the group; jobs that have started nothing are placed anew; a term settles when all endpoints of the last half minute have reported.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,8 +23,8 @@
 	Topic string
 	// Wait is the longest that a read waits for a record. 0 reads without waiting.
 	Wait time.Duration
-	// Interval is the pause between reads, for topics that change too often to be told of each record.
-	Interval time.Duration
+	// Interval returns the pause between reads, for topics that change too often to be told of each record. Nil means none.
+	Interval func() time.Duration
 	// Apply takes records in order. whole means that keys without a record among them do not exist.
 	Apply func(records []store.Record, whole bool)
 	Log   logrus.FieldLogger
@@ -52,7 +52,9 @@
 		}
 		c.reportBack()
 		backoff = minBackoff
-		sleep(ctx, c.opts.Interval)
+		if c.opts.Interval != nil {
+			sleep(ctx, c.opts.Interval())
+		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,9 @@
 	// retryNoDispatcher is when a caller should come back after no dispatcher was reached; a new one takes over sooner.
 	retryNoDispatcher  = 2 * time.Second
 	reasonNoDispatcher = "no_dispatcher"
+	// retryStopping is when a caller should come back after an instance that stops has refused it; another one answers.
+	retryStopping  = time.Second
+	reasonStopping = "stopping"
 )
 
 // Options configures a Gateway.
@@ -83,8 +86,9 @@
 type Gateway struct {
 	opts Options
 
-	mu   sync.Mutex
-	jobs map[work.JobID]*pending
+	mu     sync.Mutex
+	jobs   map[work.JobID]*pending
+	closed bool // no new jobs are taken
 }
 
 // pending is a job that is not answered yet.
@@ -204,6 +208,11 @@
 	}
 	g.jobs[job.ID] = p
 	x.OnGone(func() { go g.gone(p) })
+	if g.closed {
+		g.forget(p)
+		g.refused(p, 503, reasonStopping, retryStopping)
+		return
+	}
 	g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
 }
 
@@ -274,13 +283,22 @@
 		g.answer(p, 200, a.State)
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Path.Moved(p.zone)
-		g.orphan(p)
+		g.moved(p, a.Started)
 	case !p.orphaned:
 		g.placeOrRefuse(p, 429, string(a.Refused), a.RetryAfter)
 	}
 	// A job that was refused after it may have run elsewhere ends with its caller's patience.
 }
 
+// moved handles a job whose dispatcher's term has ended. One that has started nothing is placed like a new one.
+func (g *Gateway) moved(p *pending, started bool) {
+	if started || p.orphaned {
+		g.orphan(p)
+		return
+	}
+	g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
+}
+
 // orphan notes that the dispatcher that had a job is lost. The zone's next dispatcher finds out what ran.
 func (g *Gateway) orphan(p *pending) {
 	p.route = nil
@@ -353,6 +371,13 @@
 	}
 }
 
+// Close refuses all jobs that come from now on.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
 // Active returns the number of jobs that are not answered.
 func (g *Gateway) Active() int {
 	g.mu.Lock()
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -16,11 +16,16 @@
 
 const (
 	dispatcherPartition = 0
-	joinsPerTTL         = 4 // a member keeps its place although two joins in a row are lost
-	ownersInterval      = 2 * time.Second
-	searchInterval      = 150 * time.Millisecond // while the dispatcher is not known or not reached
-	memberSeparator     = "|"
-	leaveTimeout        = 500 * time.Millisecond
+	joinInterval        = 250 * time.Millisecond
+	joinsInFlight       = 4 // joins do not wait for the answers of those before, which may be lost or slow
+	// ttlFactor times the shortest time to live makes a member outlast joins that are lost or carried out late. A member
+	// that is known to be gone is taken out by the others sooner.
+	ttlFactor       = 3
+	deposePause     = 2 * time.Second // between two attempts to take out the same member
+	ownersInterval  = 2 * time.Second
+	searchInterval  = 150 * time.Millisecond // while the dispatcher is not known or not reached
+	memberSeparator = "|"
+	leaveTimeout    = 500 * time.Millisecond
 )
 
 // Options configures a Controller.
@@ -32,7 +37,8 @@
 	Address  string // for links of other instances
 	TTL      time.Duration
 	Log      logrus.FieldLogger
-	// Changed tells that this instance begins, goes on with a higher fence, or ends to dispatch. Calls are made in order.
+	// Changed tells that this instance begins, goes on with a higher fence, or ends to dispatch. Calls are made in order;
+	// they must not block or call the controller.
 	Changed func(term Term)
 }
 
@@ -53,23 +59,29 @@
 	generation int64
 	leaving    bool
 	lost       bool
-	dispatcher map[string]string // address by zone
+	joining    int                  // joins without an answer
+	member     string               // that dispatches for the own zone
+	deposed    map[string]time.Time // last attempt by member
+	dispatcher map[string]string    // address by zone
 }
 
 // New returns a controller that is not running.
 func New(o Options) *Controller {
 	return &Controller{
 		opts: o, verify: make(chan struct{}, 1), search: make(chan struct{}, 1), dispatcher: map[string]string{},
+		deposed: map[string]time.Time{},
 	}
 }
 
 // Run keeps the membership until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.leave(ctx) // an earlier life of this instance may still be a member; its fence must not be used again
-	ticker := time.NewTicker(c.opts.TTL / joinsPerTTL)
+	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for {
-		c.join(ctx)
+		if c.mayJoin() {
+			go c.join(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -106,15 +118,25 @@
 	topic := c.opts.Topic(c.opts.Zone)
 	return store.Membership{
 		Group: topic, Topic: topic, Member: c.opts.Instance + memberSeparator + c.opts.Address,
-		TTL: c.opts.TTL, Generation: c.generation,
+		TTL: ttlFactor * c.opts.TTL, Generation: c.generation,
 	}
 }
 
-func (c *Controller) join(ctx context.Context) {
-	if c.isLeaving() || ctx.Err() != nil {
-		return
+func (c *Controller) mayJoin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving || c.joining >= joinsInFlight {
+		return false
 	}
+	c.joining++
+	return true
+}
+
+func (c *Controller) join(ctx context.Context) {
 	share, err := c.opts.Store.Join(ctx, c.membership())
+	c.mu.Lock()
+	c.joining--
+	c.mu.Unlock()
 	if err != nil {
 		c.reportLost(err)
 		return
@@ -126,45 +148,38 @@
 			term = Term{Leading: true, Fence: share.Generation}
 		}
 	}
-	c.mu.Lock()
-	c.generation = share.Generation
-	if c.leaving {
-		term = Term{}
-	}
-	c.mu.Unlock()
-	c.setTerm(term)
+	c.setTerm(term, share.Generation)
 }
 
-func (c *Controller) setTerm(term Term) {
+// setTerm takes the term of a generation. Answers that were overtaken by those to later joins are left out.
+func (c *Controller) setTerm(term Term, generation int64) {
 	c.mu.Lock()
-	changed := c.term != term
+	defer c.mu.Unlock()
+	if generation < c.generation || c.leaving && term.Leading {
+		return
+	}
+	c.generation = generation
+	if c.term == term {
+		return
+	}
 	c.term = term
 	if term.Leading {
 		c.dispatcher[c.opts.Zone] = c.opts.Address
-	} else if changed {
+	} else {
 		delete(c.dispatcher, c.opts.Zone)
 	}
-	c.mu.Unlock()
-	if !changed {
-		return
-	}
-	c.opts.Log.WithFields(logrus.Fields{"event": "term", "leading": term.Leading, "fence": term.Fence}).
+	c.opts.Log.WithFields(logrus.Fields{"event": "term", "leading": term.Leading, "fence": term.Fence, "generation": generation}).
 		Info("this instance's term as dispatcher changed")
 	c.opts.Changed(term)
 }
 
-func (c *Controller) isLeaving() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaving
-}
-
 // Leave ends the membership for good, so that another instance dispatches.
 func (c *Controller) Leave() {
 	c.mu.Lock()
 	c.leaving = true
+	generation := c.generation
 	c.mu.Unlock()
-	c.setTerm(Term{})
+	c.setTerm(Term{}, generation)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	c.leave(ctx)
@@ -235,16 +250,20 @@
 	if err != nil {
 		return // join reports the loss of the store; the last address stays
 	}
-	address := ""
+	member := ""
 	for _, o := range owners {
 		if o.Partition == dispatcherPartition {
-			address = o.Member[strings.LastIndex(o.Member, memberSeparator)+1:]
+			member = o.Member
 		}
 	}
+	address := member[strings.LastIndex(member, memberSeparator)+1:]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if zone == c.opts.Zone && c.term.Leading {
-		return
+	if zone == c.opts.Zone {
+		if c.term.Leading {
+			return
+		}
+		c.member = member
 	}
 	if c.dispatcher[zone] != address {
 		c.opts.Log.WithFields(logrus.Fields{"event": "dispatcher", "zone": zone, "address": address}).
@@ -252,3 +271,25 @@
 	}
 	c.dispatcher[zone] = address
 }
+
+// Depose takes the own zone's dispatcher at an address out of the group, because this instance has found it dead or
+// silent. Should it live, its orders are fenced by its successor's, and it joins again.
+func (c *Controller) Depose(ctx context.Context, address string) {
+	m := c.membership()
+	c.mu.Lock()
+	member := c.member
+	recent := time.Since(c.deposed[member]) < deposePause
+	if c.leaving || recent || !strings.HasSuffix(member, memberSeparator+address) {
+		c.mu.Unlock()
+		return
+	}
+	c.deposed[member] = time.Now()
+	c.mu.Unlock()
+	m.Member = member
+	c.opts.Log.WithFields(logrus.Fields{"event": "depose", "member": member}).Warn("the zone's dispatcher is not reached and is taken out of the group")
+	if err := c.opts.Store.Leave(ctx, m); err != nil {
+		c.opts.Log.WithFields(logrus.Fields{"event": "depose_failed", "member": member}).WithError(err).Warn("the dispatcher stays until its time to live ends")
+	}
+	c.Verify()
+	c.Search()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,9 @@
 	configWait = 700 * time.Millisecond
 	// endpointsInterval is the pause between reads of the registrations, which change many times a second.
 	endpointsInterval = 400 * time.Millisecond
-	upkeepInterval    = 50 * time.Millisecond
+	// idleEndpointsInterval is the pause on instances that do not dispatch. They keep the registrations for their next term.
+	idleEndpointsInterval = 1500 * time.Millisecond
+	upkeepInterval        = 50 * time.Millisecond
 	// drainMinimum is the time in which the load balancer notices that the instance takes no new connections.
 	drainMinimum = 2500 * time.Millisecond
 	// drainReserve is the part of the time to stop that is kept for the end of the process.
@@ -131,6 +133,7 @@
 	go n.paths.local.run(ctx.Done())
 	go n.followTerms(ctx)
 	go n.followConfig(ctx)
+	go n.followEndpoints(ctx)
 	go n.lead.Run(ctx)
 	go n.lead.Follow(ctx, n.paths.Zones(), n.paths.reached)
 	go n.upkeep(ctx)
@@ -159,42 +162,30 @@
 
 // followTerms starts and ends the work of a dispatcher.
 func (n *Node) followTerms(ctx context.Context) {
-	endTerm := func() {}
-	leading := false
 	for {
-		var t lead.Term
 		select {
 		case <-ctx.Done():
-			endTerm()
 			return
-		case t = <-n.terms:
-		}
-		if t.Leading {
-			n.shard.Begin(t.Fence)
-		}
-		if t.Leading && !leading {
-			endTerm = n.beginTerm(ctx)
-		}
-		if !t.Leading && leading {
-			endTerm()
-			n.shard.End()
+		case t := <-n.terms:
+			if t.Leading {
+				n.shard.Begin(t.Fence)
+			} else {
+				n.shard.End()
+			}
 		}
-		leading = t.Leading
 	}
 }
 
-// beginTerm follows the registrations until the function that it returns is called.
-func (n *Node) beginTerm(ctx context.Context) (end func()) {
-	term, end := context.WithCancel(ctx)
-	go n.followEndpoints(term)
-	return end
-}
-
-// followEndpoints keeps the registrations up to date during a term.
+// followEndpoints keeps the registrations up to date.
 func (n *Node) followEndpoints(ctx context.Context) {
 	follow.New(follow.Options{
-		Store: n.opts.Store, Topic: n.opts.Records.EndpointsTopic(), Interval: endpointsInterval, Log: n.log,
-		Apply: func(records []store.Record, whole bool) { n.applyEndpoints(records, whole) },
+		Store: n.opts.Store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints,
+		Interval: func() time.Duration {
+			if n.shard.Leading() {
+				return endpointsInterval
+			}
+			return idleEndpointsInterval
+		},
 	}).Run(ctx)
 }
 
@@ -312,7 +303,12 @@
 			return
 		case <-ticker.C:
 		}
-		if time.Since(begun) > drainMinimum && n.gateway.Active() == 0 && n.server.Active() == 0 {
+		if time.Since(begun) < drainMinimum {
+			continue
+		}
+		n.gateway.Close()
+		n.server.CloseIdle()
+		if n.gateway.Active() == 0 && n.server.Active() == 0 && n.server.Connections() == 0 {
 			break
 		}
 	}
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -16,6 +18,9 @@
 // redialPause keeps an address that could not be reached from being tried for every job.
 const redialPause = 300 * time.Millisecond
 
+// confirmTimeout is the time in which a live dispatcher accepts a connection.
+const confirmTimeout = 150 * time.Millisecond
+
 // paths leads to the dispatchers of all zones. It implements gateway.Path.
 type paths struct {
 	own     string   // zone
@@ -100,7 +105,18 @@
 	p.gateway.Lost(route, sent)
 	if route.zone == p.own {
 		p.lead.Search()
+		go p.replace(route.uplink.Address)
+	}
+}
+
+// replace takes the own zone's dispatcher out of its group if it is not reached at a second try either.
+func (p *paths) replace(address string) {
+	conn, err := net.DialTimeout("tcp", address, confirmTimeout)
+	if err == nil {
+		conn.Close()
+		return
 	}
+	p.lead.Depose(context.Background(), address)
 }
 
 // Moved implements gateway.Path.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -174,6 +174,12 @@
 	return n
 }
 
+// HasStarted reports whether a task of a job has been ordered to start.
+func (p *Pool) HasStarted(id work.JobID) bool {
+	j := p.jobs[id]
+	return j != nil && j.started
+}
+
 // Known reports whether a job is here.
 func (p *Pool) Known(id work.JobID) bool { return p.jobs[id] != nil }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -34,6 +34,8 @@
 	// Refused says why the job was not taken; no task of it has started.
 	Refused    pool.Reason   `msgpack:"r,omitempty"`
 	RetryAfter time.Duration `msgpack:"a,omitempty"`
+	// Started tells, with a refusal by a dispatcher whose term has ended, that tasks of the job may have started.
+	Started bool `msgpack:"t,omitempty"`
 }
 
 // beat keeps a connection known to be alive.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -116,6 +116,17 @@
 // Drain makes each further answer close its connection, so that callers move to other instances.
 func (s *Server) Drain() { s.closing.Store(true) }
 
+// CloseIdle closes the connections on which no request is in progress or has begun to arrive.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cn := range s.conns {
+		if !cn.busy.Load() && cn.since.Load() == 0 {
+			cn.raw.Close()
+		}
+	}
+}
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop(ctx context.Context) error {
 	return s.engine.Stop(ctx)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -27,6 +27,11 @@
 	stopRepeat = 150 * time.Millisecond
 	// clockRate is how much slower an endpoint's clock may run than ours.
 	clockRate = 1.02
+	// listedMemory is how long an ended registration counts at the start of a term.
+	listedMemory = 30 * time.Second
+	// minMemory is how long the registrations must have been followed before they count as complete. An endpoint whose
+	// registration ended earlier has been given nothing since, and what it had was mostly shorter.
+	minMemory = 8 * time.Second
 	// noticeTime is the time in which a dispatcher whose term has ended learns of it.
 	noticeTime = 350 * time.Millisecond
 	// leaseMargin covers the delivery of the order that extended a lease last.
@@ -51,24 +56,35 @@
 	mu       sync.Mutex
 	leading  bool
 	fence    int64
-	since    time.Duration // start of the term
-	settled  bool          // what ran before the term is known
+	since    time.Duration            // start of the term
+	settled  bool                     // what ran before the term is known
+	listed   map[work.EndpointID]seen // registrations of the zone, also of the past
 	pool     *pool.Pool
 	sessions map[work.EndpointID]*session
 	clients  map[work.JobID]relay.Client
 	stops    map[work.TaskID]time.Duration // last order to stop the run of a task
-	cancel   context.CancelFunc
-	ctx      context.Context
-	Counts   Counts
+	// followed tells that all registrations have been seen, since followedFrom.
+	followed     bool
+	followedFrom time.Duration
+	cancel       context.CancelFunc
+	ctx          context.Context
+	Counts       Counts
 }
 
 // New returns a shard without a term.
 func New(o Options) *Shard {
-	s := &Shard{opts: o}
+	s := &Shard{opts: o, listed: map[work.EndpointID]seen{}}
 	s.reset()
 	return s
 }
 
+// seen is a registration and when it was last there.
+type seen struct {
+	endpoint work.Endpoint
+	present  bool
+	last     time.Duration
+}
+
 func (s *Shard) reset() {
 	s.pool = pool.New()
 	s.sessions = map[work.EndpointID]*session{}
@@ -88,6 +104,16 @@
 	s.settled = false
 	s.since = s.opts.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	for id, e := range s.listed {
+		if !e.present && s.since-e.last > listedMemory {
+			delete(s.listed, id)
+			continue
+		}
+		s.update(e.endpoint)
+		if !e.present {
+			s.unlist(id)
+		}
+	}
 	go s.watch(s.ctx)
 }
 
@@ -101,7 +127,7 @@
 	s.leading = false
 	s.cancel()
 	for id, client := range s.clients {
-		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader})
+		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
 	}
 	for _, x := range s.sessions {
 		x.orders.Close()
@@ -116,32 +142,38 @@
 	return s.leading
 }
 
-// Endpoints replaces (whole) or updates the registrations of the zone's endpoints.
+// Endpoints replaces (whole) or updates the registrations of the zone's endpoints. They are kept between terms, so that a
+// term begins with all endpoints that an earlier dispatcher may have used.
 func (s *Shard) Endpoints(changed []work.Endpoint, removed []work.EndpointID, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.leading {
-		return
-	}
-	listed := map[work.EndpointID]bool{}
+	present := map[work.EndpointID]bool{}
 	for _, e := range changed {
 		if e.Zone != s.opts.Zone {
 			continue
 		}
-		listed[e.ID] = true
-		s.update(e)
-	}
-	for _, id := range removed {
-		s.unlist(id)
+		present[e.ID] = true
+		s.listed[e.ID] = seen{e, true, s.opts.Now()}
+		if s.leading {
+			s.update(e)
+		}
 	}
 	if whole {
-		for id := range s.sessions {
-			if !listed[id] {
-				s.unlist(id)
+		if !s.followed {
+			s.followed, s.followedFrom = true, s.opts.Now()
+		}
+		for id := range s.listed {
+			if !present[id] {
+				removed = append(removed, id)
 			}
 		}
 	}
-	s.dispatch()
+	for _, id := range removed {
+		s.unlist(id)
+	}
+	if s.leading {
+		s.dispatch()
+	}
 }
 
 func (s *Shard) update(e work.Endpoint) {
@@ -166,6 +198,9 @@
 
 // unlist takes new work from an endpoint whose registration has ended. What runs there is still watched.
 func (s *Shard) unlist(id work.EndpointID) {
+	if e, ok := s.listed[id]; ok && e.present {
+		s.listed[id] = seen{e.endpoint, false, s.opts.Now()}
+	}
 	x := s.sessions[id]
 	if x == nil || !x.listed {
 		return
@@ -334,13 +369,15 @@
 	s.dispatch()
 }
 
-// settle notes when all that ran before the term has reported or lapsed. A list of all endpoints would not do, since
-// registrations can be missing while their endpoints run.
+// settle notes when all that ran before the term has reported or lapsed. An endpoint that has seen this term's fence
+// takes no more orders of an earlier one. Registrations can be missing while their endpoints run, so those of the last
+// half minute count.
 func (s *Shard) settle(now time.Duration) {
 	if s.settled {
 		return
 	}
-	if now < s.since+s.takeover() {
+	known := s.followed && now-s.followedFrom >= minMemory
+	if now < s.since+s.takeover() && !(known && s.allReported()) {
 		return
 	}
 	s.settled = true
@@ -350,6 +387,15 @@
 	}).Info("what ran before this term is known")
 }
 
+func (s *Shard) allReported() bool {
+	for id := range s.listed {
+		if x := s.sessions[id]; x != nil && !x.reported {
+			return false
+		}
+	}
+	return len(s.sessions) > 0
+}
+
 // refuseLate answers jobs that have not started and whose answer would be of no use any more.
 func (s *Shard) refuseLate(now time.Duration) {
 	for _, id := range s.pool.Unstarted(now) {
