A term settles early only with registrations that were read during it

Change: the registrations are read again at the start of a term, and only then do the endpoints' reports settle it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,20 +25,40 @@
 	Wait time.Duration
 	// Interval returns the pause between reads, for topics that change too often to be told of each record. Nil means none.
 	Interval func() time.Duration
-	// Apply takes records in order. whole means that keys without a record among them do not exist.
-	Apply func(records []store.Record, whole bool)
+	// Apply takes the records of each read in order, also of one that found none.
+	Apply func(Update)
 	Log   logrus.FieldLogger
 }
 
+// Update is the result of one read.
+type Update struct {
+	Records []store.Record
+	// Whole means that keys without a record in the update do not exist.
+	Whole bool
+	// AsOf is when the read began: every record that the store had then is known now.
+	AsOf time.Time
+}
+
 // Controller follows one topic.
 type Controller struct {
 	opts Options
+	now  chan struct{} // asks for a read without a pause
 	next int64
 	lost bool // the last read failed
 }
 
 // New returns a controller that is not running.
-func New(o Options) *Controller { return &Controller{opts: o, next: -1} }
+func New(o Options) *Controller {
+	return &Controller{opts: o, now: make(chan struct{}, 1), next: -1}
+}
+
+// Refresh asks for a read without a pause.
+func (c *Controller) Refresh() {
+	select {
+	case c.now <- struct{}{}:
+	default:
+	}
+}
 
 // Run follows the topic until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
@@ -46,14 +66,14 @@
 	for ctx.Err() == nil {
 		if err := c.step(ctx); err != nil {
 			c.reportLost(err)
-			sleep(ctx, backoff/2+rand.N(backoff))
+			c.pause(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		c.reportBack()
 		backoff = minBackoff
 		if c.opts.Interval != nil {
-			sleep(ctx, c.opts.Interval())
+			c.pause(ctx, c.opts.Interval())
 		}
 	}
 }
@@ -62,6 +82,7 @@
 	if c.next < 0 {
 		return c.reload(ctx)
 	}
+	asOf := time.Now()
 	b, err := c.opts.Store.Read(ctx, c.opts.Topic, 0, c.next, c.opts.Wait)
 	if errors.Is(err, store.ErrTruncated) {
 		c.next = -1
@@ -71,19 +92,18 @@
 		return err
 	}
 	c.next = b.Next
-	if len(b.Records) > 0 {
-		c.opts.Apply(b.Records, false)
-	}
+	c.opts.Apply(Update{Records: b.Records, AsOf: asOf})
 	return nil
 }
 
 func (c *Controller) reload(ctx context.Context) error {
+	asOf := time.Now()
 	b, err := c.opts.Store.Newest(ctx, c.opts.Topic)
 	if err != nil {
 		return err
 	}
 	c.next = b.Next
-	c.opts.Apply(b.Records, true)
+	c.opts.Apply(Update{Records: b.Records, Whole: true, AsOf: asOf})
 	return nil
 }
 
@@ -105,7 +125,7 @@
 		Info("the store's topic can be read again")
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func (c *Controller) pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -114,5 +134,6 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-c.now:
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,12 +64,14 @@
 	lead    *lead.Controller
 	shard   *shard.Shard
 	gateway *gateway.Gateway
-	paths   *paths
-	server  *server.Server
-	drain   chan struct{}
-	started time.Time
-	terms   chan lead.Term
-	metrics gateway.Metrics
+	// endpoints follows the registrations.
+	endpoints *follow.Controller
+	paths     *paths
+	server    *server.Server
+	drain     chan struct{}
+	started   time.Time
+	terms     chan lead.Term
+	metrics   gateway.Metrics
 }
 
 // New returns an instance that is not running.
@@ -90,6 +92,7 @@
 	}
 	n.metrics.ResponseMS = metric.NewMilliseconds()
 	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Path: n.paths, Log: o.Log, Metrics: &n.metrics})
+	n.endpoints = n.endpointsFollower()
 	n.paths.gateway, n.paths.local.gateway = n.gateway, n.gateway
 	return n
 }
@@ -133,7 +136,7 @@
 	go n.paths.local.run(ctx.Done())
 	go n.followTerms(ctx)
 	go n.followConfig(ctx)
-	go n.followEndpoints(ctx)
+	go n.endpoints.Run(ctx)
 	go n.lead.Run(ctx)
 	go n.lead.Follow(ctx, n.paths.Zones(), n.paths.reached)
 	go n.upkeep(ctx)
@@ -169,6 +172,7 @@
 		case t := <-n.terms:
 			if t.Leading {
 				n.shard.Begin(t.Fence)
+				n.endpoints.Refresh()
 			} else {
 				n.shard.End()
 			}
@@ -176,9 +180,9 @@
 	}
 }
 
-// followEndpoints keeps the registrations up to date.
-func (n *Node) followEndpoints(ctx context.Context) {
-	follow.New(follow.Options{
+// endpointsFollower returns the controller that keeps the registrations up to date.
+func (n *Node) endpointsFollower() *follow.Controller {
+	return follow.New(follow.Options{
 		Store: n.opts.Store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints,
 		Interval: func() time.Duration {
 			if n.shard.Leading() {
@@ -186,12 +190,12 @@
 			}
 			return idleEndpointsInterval
 		},
-	}).Run(ctx)
+	})
 }
 
-func (n *Node) applyEndpoints(records []store.Record, whole bool) {
+func (n *Node) applyEndpoints(u follow.Update) {
 	newest := map[string]store.Record{}
-	for _, r := range records {
+	for _, r := range u.Records {
 		newest[r.Key] = r
 	}
 	var changed []work.Endpoint
@@ -210,15 +214,15 @@
 		}
 		changed = append(changed, e)
 	}
-	n.shard.Endpoints(changed, removed, whole)
+	n.shard.Endpoints(shard.Registrations{Changed: changed, Removed: removed, Whole: u.Whole, AsOf: u.AsOf.Sub(n.started)})
 }
 
 func (n *Node) followConfig(ctx context.Context) {
 	topic, key := n.opts.Records.ConfigTopic()
 	follow.New(follow.Options{
 		Store: n.opts.Store, Topic: topic, Wait: configWait, Log: n.log,
-		Apply: func(records []store.Record, _ bool) {
-			for _, r := range records {
+		Apply: func(u follow.Update) {
+			for _, r := range u.Records {
 				if r.Key == key && len(r.Value) > 0 {
 					n.applyConfig(r)
 				}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -66,6 +66,7 @@
 	// followed tells that all registrations have been seen, since followedFrom.
 	followed     bool
 	followedFrom time.Duration
+	readAt       time.Duration // beginning of the last read of the registrations
 	cancel       context.CancelFunc
 	ctx          context.Context
 	Counts       Counts
@@ -142,13 +143,23 @@
 	return s.leading
 }
 
-// Endpoints replaces (whole) or updates the registrations of the zone's endpoints. They are kept between terms, so that a
-// term begins with all endpoints that an earlier dispatcher may have used.
-func (s *Shard) Endpoints(changed []work.Endpoint, removed []work.EndpointID, whole bool) {
+// Registrations is what a read of the registrations has found.
+type Registrations struct {
+	Changed []work.Endpoint
+	Removed []work.EndpointID
+	Whole   bool          // endpoints that are not in Changed are not registered
+	AsOf    time.Duration // when the read began
+}
+
+// Endpoints takes the registrations. They are kept between terms, so that a term begins with all endpoints that an
+// earlier dispatcher may have used.
+func (s *Shard) Endpoints(r Registrations) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	present := map[work.EndpointID]bool{}
-	for _, e := range changed {
+	s.readAt = r.AsOf
+	removed := r.Removed
+	for _, e := range r.Changed {
 		if e.Zone != s.opts.Zone {
 			continue
 		}
@@ -158,7 +169,7 @@
 			s.update(e)
 		}
 	}
-	if whole {
+	if r.Whole {
 		if !s.followed {
 			s.followed, s.followedFrom = true, s.opts.Now()
 		}
@@ -376,7 +387,7 @@
 	if s.settled {
 		return
 	}
-	known := s.followed && now-s.followedFrom >= minMemory
+	known := s.followed && now-s.followedFrom >= minMemory && s.readAt > s.since
 	if now < s.since+s.takeover() && !(known && s.allReported()) {
 		return
 	}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -121,7 +121,7 @@
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
 	t.Cleanup(s.End)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 9, 30*time.Millisecond)})
 	eventually(t, "the job completes", completed(c, "a"))
 	is.Equal(len(f.Starts()), 9)
@@ -143,7 +143,7 @@
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
 	t.Cleanup(s.End)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	for i := range 6 {
 		submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf(fmt.Sprint("late", i), 4, 80*time.Millisecond)})
 	}
@@ -165,14 +165,14 @@
 	f, all := newFleet(4, 400*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
 	before.Begin(1)
-	before.Endpoints(all, nil, true)
+	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	m := relay.Submit{Job: jobOf("a", 8, 400*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	eventually(t, "all tasks run", func() bool { return f.Running() == 8 })
 	after, c2 := newShard(f, func() {}), newClient()
 	after.Begin(2)
 	defer after.End()
-	after.Endpoints(all, nil, true)
+	after.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
 	eventually(t, "the job completes at the new dispatcher", completed(c2, "a"))
 	is.Equal(len(f.Starts()), 8) // nothing was started again
@@ -186,7 +186,7 @@
 	f, all := newFleet(2, 300*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
 	before.Begin(1)
-	before.Endpoints(all, nil, true)
+	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
@@ -194,7 +194,43 @@
 	after, c2 := newShard(f, func() {}), newClient()
 	after.Begin(2)
 	defer after.End()
-	after.Endpoints(all[:1], nil, true) // the other one is missing
+	after.Endpoints(shard.Registrations{Changed: all[:1], Whole: true}) // the other one is missing
+	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
+	eventually(t, "the job completes", completed(c2, "a"))
+	is.Equal(f.Overlaps(), "")
+}
+
+// Guards against a second run of a task on an endpoint that the new dispatcher has not heard of, because its last read of
+// the registrations was before the term.
+func TestTakeoverStaleRegistrations(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(2, 300*time.Millisecond)
+	before, c1 := newShard(f, func() {}), newClient()
+	clock := struct {
+		sync.Mutex
+		ahead time.Duration
+	}{}
+	started := time.Now()
+	after, c2 := shard.New(shard.Options{
+		Zone: "north", Lease: lease, Dialer: f, Fenced: func() {}, Log: quiet(),
+		Now: func() time.Duration {
+			clock.Lock()
+			defer clock.Unlock()
+			return time.Since(started) + clock.ahead
+		},
+	}), newClient()
+	after.Endpoints(shard.Registrations{Changed: all[:1], Whole: true})
+	clock.Lock()
+	clock.ahead = time.Minute // for so long it has followed the registrations
+	clock.Unlock()
+	before.Begin(1)
+	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
+	submitUntilTaken(t, before, c1, &m)
+	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	before.End()
+	after.Begin(2)
+	t.Cleanup(after.End)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
 	eventually(t, "the job completes", completed(c2, "a"))
 	is.Equal(f.Overlaps(), "")
@@ -207,7 +243,7 @@
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
 	t.Cleanup(s.End)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)})
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
 	f.Silence(all[0].Address, true)
@@ -222,7 +258,7 @@
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
 	t.Cleanup(s.End)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 200*time.Millisecond)})
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
 	f.Restart(all[0].Address)
@@ -238,7 +274,7 @@
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
 	t.Cleanup(s.End)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 50*time.Millisecond)})
 	eventually(t, "the job completes", completed(c, "a"))
 	is.Equal(f.Overlaps(), "")
@@ -251,7 +287,7 @@
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
 	t.Cleanup(s.End)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
@@ -274,11 +310,11 @@
 	})
 	before.Begin(1)
 	defer before.End()
-	before.Endpoints(all, nil, true)
+	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	after, c := newShard(f, func() {}), newClient()
 	after.Begin(2)
 	defer after.End()
-	after.Endpoints(all, nil, true)
+	after.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, after, c, &relay.Submit{Job: jobOf("a", 2, 10*time.Millisecond)})
 	eventually(t, "the job completes", completed(c, "a"))
 	select {
@@ -294,7 +330,7 @@
 	f, all := newFleet(1, time.Second)
 	s, c := newShard(f, func() {}), newClient()
 	s.Begin(1)
-	s.Endpoints(all, nil, true)
+	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	s.End()
 	is.Equal(c.answer("a").Refused, pool.ReasonNotLeader)
