--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,73 @@
+package follow
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/standin/keyed"
+)
+
+func start(t *testing.T, s *keyed.Store) <-chan Update {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	updates := make(chan Update, 1000)
+	c := New(Options{Store: s, Topic: "t", Wait: 20 * time.Millisecond, Log: log, Apply: func(u Update) {
+		if len(u.Records) > 0 || u.Whole {
+			updates <- u
+		}
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	return updates
+}
+
+func next(t *testing.T, updates <-chan Update) Update {
+	t.Helper()
+	select {
+	case u := <-updates:
+		return u
+	case <-time.After(20 * time.Second):
+		t.Fatal("no update came")
+		return Update{}
+	}
+}
+
+// Guards against a reader that misses records written before or after its start.
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	s.Put("t", "a", []byte("1"))
+	updates := start(t, s)
+	u := next(t, updates)
+	is.True(u.Whole)
+	is.Equal(string(u.Records[0].Value), "1")
+	s.Put("t", "a", []byte("2"))
+	u = next(t, updates)
+	is.True(!u.Whole)
+	is.Equal(string(u.Records[0].Value), "2")
+}
+
+// Guards against a reader that stops when the store is down from the start or forgets its history.
+func TestOutageAndForgottenHistory(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	s.SetDown(true)
+	updates := start(t, s)
+	s.Put("t", "a", []byte("1"))
+	s.SetDown(false)
+	is.True(next(t, updates).Whole)
+	s.SetLose(true)
+	s.Put("t", "a", []byte("2"))
+	s.Put("t", "b", []byte("3"))
+	s.Forget("t")
+	s.SetLose(false)
+	u := next(t, updates)
+	is.True(u.Whole)
+	is.Equal(len(u.Records), 2)
+}
--- /dev/null
+++ b/internal/lead/lead_test.go
@@ -0,0 +1,124 @@
+package lead
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/standin/keyed"
+)
+
+// member is one instance of a zone.
+type member struct {
+	*Controller
+	stop context.CancelFunc
+	mu   sync.Mutex
+	past []Term
+}
+
+func (m *member) terms() []Term {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]Term(nil), m.past...)
+}
+
+func join(t *testing.T, s *keyed.Store, name string) *member {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m := &member{}
+	m.Controller = New(Options{
+		Store: s, Zone: "north", Topic: func(zone string) string { return "lead." + zone }, Instance: name, Address: name + ":1",
+		TTL: 300 * time.Millisecond, Log: log,
+		Changed: func(term Term) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.past = append(m.past, term)
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	t.Cleanup(cancel)
+	go m.Run(ctx)
+	go m.Follow(ctx, []string{"north"}, func() bool { return false })
+	return m
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("did not come: %s", what)
+}
+
+func leading(m *member) func() bool { return func() bool { return m.Term().Leading } }
+
+// Guards against a zone without a dispatcher after one has died, and against a successor with the same fence.
+func TestSuccession(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	eventually(t, "the first member leads", leading(a))
+	b := join(t, s, "b")
+	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north") == "a:1" })
+	before := a.Term().Fence
+	a.stop()
+	eventually(t, "the second member leads", leading(b))
+	is.True(b.Term().Fence > before)
+}
+
+// Guards against waiting for the time to live of a dispatcher that the others have found dead.
+func TestDepose(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	eventually(t, "the first member leads", leading(a))
+	b := join(t, s, "b")
+	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north") == "a:1" })
+	before := a.Term().Fence
+	b.Depose(context.Background(), "c:1") // not the dispatcher
+	is.Equal(b.Dispatcher("north"), "a:1")
+	b.Depose(context.Background(), "a:1")
+	eventually(t, "the second member leads", leading(b))
+	is.True(b.Term().Fence > before)
+	eventually(t, "the first member learns it", func() bool { return !a.Term().Leading })
+}
+
+// Guards against losing the term while the store is away, and against a term that outlives a planned stop.
+func TestOutageAndLeave(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	eventually(t, "the member leads", leading(a))
+	s.SetDown(true)
+	a.Verify()
+	time.Sleep(20 * time.Millisecond) // a failed join must change nothing
+	is.True(a.Term().Leading)
+	s.SetDown(false)
+	a.Leave()
+	is.True(!a.Term().Leading)
+	last := a.terms()
+	is.True(!last[len(last)-1].Leading)
+}
+
+// Guards against a membership that ends because the answers to joins are lost while the joins are carried out.
+func TestLostAnswers(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	eventually(t, "the first member leads", leading(a))
+	s.SetLose(true)
+	join(t, s, "b")
+	time.Sleep(1500 * time.Millisecond) // longer than the time to live
+	s.SetLose(false)
+	a.Verify()
+	time.Sleep(100 * time.Millisecond)
+	is.True(a.Term().Leading)
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// echo is a dispatcher that completes every job at once, except those that it keeps.
+type echo struct {
+	cancelled chan work.JobID
+	gone      chan Client
+}
+
+func (e *echo) Submit(from Client, s *Submit) {
+	if s.Job.Queue != "kept" {
+		from.Answer(&Answer{Job: s.Job.ID, State: work.Completed})
+	}
+}
+func (e *echo) Cancel(_ Client, id work.JobID) { e.cancelled <- id }
+func (e *echo) Gone(from Client)               { e.gone <- from }
+
+func listen(t *testing.T) (*Server, *echo) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := &echo{cancelled: make(chan work.JobID, 10), gone: make(chan Client, 10)}
+	s, err := Listen("127.0.0.1:0", e, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+	return s, e
+}
+
+func receive[T any](t *testing.T, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+// Guards against jobs, answers or cancellations that are lost on a sound connection, also before it is made.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	s, e := listen(t)
+	answers := make(chan *Answer, 10)
+	ended := make(chan bool, 1)
+	u := Dial(s.Address(), func(a *Answer) { answers <- a }, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	u.Submit(&Submit{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 2}}}})
+	is.Equal(receive(t, answers).Job, work.JobID("a"))
+	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
+	u.Cancel("b")
+	is.Equal(receive(t, e.cancelled), work.JobID("b"))
+	u.Close()
+	receive(t, e.gone) // the dispatcher learns that nobody waits any more
+	is.True(receive(t, ended))
+}
+
+// Guards against jobs that wait for a dispatcher that cannot be reached.
+func TestUnreached(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	l.Close()
+	ended := make(chan bool, 1)
+	Dial(address, func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	is.True(!receive(t, ended))
+}
+
+// Guards against connections that have gone silent without an end.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil { // accepted and never written to
+				return
+			}
+		}
+	}()
+	ended := make(chan bool, 1)
+	Dial(l.Addr().String(), func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	is.True(receive(t, ended))
+}
+
+// Guards against messages that change on their way.
+func TestCodec(t *testing.T) {
+	is := is.New(t)
+	in := &Submit{Resumed: true, Job: work.Job{
+		ID: "x", Queue: "q", Service: "s", Spec: "text", Objective: work.Objective{Stretch: 1.5, Extra: time.Second, Attempts: 3},
+		Steps: []work.Step{{Count: 3, Size: work.Size{MilliCPU: 5}, DependsOn: []int{0}, Label: "l", DataRack: "r", Spread: 2}},
+	}}
+	frame, err := encode(in)
+	is.NoErr(err)
+	out, err := read(bytes.NewReader(frame))
+	is.NoErr(err)
+	is.Equal(out, in)
+	answer := &Answer{Job: "x", Refused: pool.ReasonNoRoom, RetryAfter: time.Second, Started: true}
+	frame, err = encode(answer)
+	is.NoErr(err)
+	out, err = read(bytes.NewReader(frame))
+	is.NoErr(err)
+	is.Equal(out, answer)
+}
+
+// Guards against bytes from a broken peer that end the process or take its memory.
+func FuzzRead(f *testing.F) {
+	frame, _ := encode(&Submit{Job: work.Job{ID: "x", Steps: []work.Step{{Count: 1}}}})
+	f.Add(frame)
+	f.Add([]byte{255, 255, 255, 255, 1})
+	f.Fuzz(func(_ *testing.T, raw []byte) { read(bytes.NewReader(raw)) })
+}
