--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
-// Package gateway answers callers: it finds the queue of a request, hands jobs to the dispatcher of a zone and answers
-// when they have ended.
+// Package gateway answers callers: it finds the queue of a request, hands jobs to a dispatcher and answers when they
+// have ended.
 package gateway
 
 import (
@@ -35,20 +35,26 @@
 	Patience(header func(name string) []byte) (time.Duration, bool)
 }
 
-// Path leads to the dispatchers of zones.
+// Target names a dispatcher by what it dispatches for.
+type Target struct {
+	Zone      string
+	Partition int
+}
+
+// Path leads to the dispatchers.
 type Path interface {
-	// Zones returns the zones to try for a new job, in order.
-	Zones() []string
-	// Submit hands a job to a zone's dispatcher. It returns false if none can be reached.
-	Submit(zone string, s *relay.Submit) (Route, bool)
-	// Moved tells that a zone's dispatcher says that it is not the dispatcher any more.
-	Moved(zone string)
+	// Targets returns the dispatchers to try for a new job, in order.
+	Targets(id work.JobID) []Target
+	// Submit hands a job to a dispatcher. It returns false if none can be reached.
+	Submit(to Target, s *relay.Submit) (Route, bool)
+	// Moved tells that a dispatcher says that it is not the dispatcher any more.
+	Moved(from Target)
 }
 
 // Route is the connection over which a dispatcher was given a job. Routes are compared by identity.
 type Route interface {
-	// Cancel takes a job back.
-	Cancel(id work.JobID)
+	// Cancel takes a job back from a dispatcher.
+	Cancel(from Target, id work.JobID)
 }
 
 const (
@@ -97,9 +103,9 @@
 	exchange *server.Exchange
 	arrived  time.Time
 	until    time.Time // end of the caller's patience
-	zone     string    // whose dispatcher has it, or had it
+	target   Target    // dispatcher that has it, or had it
 	route    Route     // to the dispatcher that has it; nil while none has
-	left     []string  // zones that have not been tried
+	left     []Target  // dispatchers that have not been tried
 	orphaned bool      // the dispatcher that had it is lost; only the zone's next one may go on with it
 }
 
@@ -199,7 +205,7 @@
 	if !ok {
 		patience = defaultPatience
 	}
-	p := &pending{job: job, exchange: x, arrived: x.Arrived, until: x.Arrived.Add(patience), left: g.opts.Path.Zones()}
+	p := &pending{job: job, exchange: x, arrived: x.Arrived, until: x.Arrived.Add(patience), left: g.opts.Path.Targets(job.ID)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if old := g.jobs[job.ID]; old != nil {
@@ -224,12 +230,12 @@
 	before.Reply(502, g.opts.Codec.EncodeError("submitted again"), 0)
 }
 
-// place hands a job to the next zone that has a dispatcher. It returns false if there is none. g.mu is held.
+// place hands a job to the next dispatcher that can be reached. It returns false if there is none. g.mu is held.
 func (g *Gateway) place(p *pending) bool {
 	p.route = nil
 	for len(p.left) > 0 {
-		p.zone, p.left = p.left[0], p.left[1:]
-		if route, ok := g.opts.Path.Submit(p.zone, &relay.Submit{Job: *p.job}); ok {
+		p.target, p.left = p.left[0], p.left[1:]
+		if route, ok := g.opts.Path.Submit(p.target, &relay.Submit{Job: *p.job, Partition: p.target.Partition}); ok {
 			p.route = route
 			return true
 		}
@@ -252,7 +258,7 @@
 	}
 	delete(g.jobs, p.job.ID)
 	if p.route != nil {
-		p.route.Cancel(p.job.ID)
+		p.route.Cancel(p.target, p.job.ID)
 	}
 }
 
@@ -282,7 +288,7 @@
 		g.forget(p)
 		g.answer(p, 200, a.State)
 	case a.Refused == pool.ReasonNotLeader:
-		g.opts.Path.Moved(p.zone)
+		g.opts.Path.Moved(p.target)
 		g.moved(p, a.Started)
 	case !p.orphaned:
 		g.placeOrRefuse(p, 429, string(a.Refused), a.RetryAfter)
@@ -299,7 +305,7 @@
 	g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
 }
 
-// orphan notes that the dispatcher that had a job is lost. The zone's next dispatcher finds out what ran.
+// orphan notes that the dispatcher that had a job is lost. Its successor finds out what ran.
 func (g *Gateway) orphan(p *pending) {
 	p.route = nil
 	p.orphaned = true
@@ -321,7 +327,7 @@
 	}
 }
 
-// Resubmit hands the jobs whose dispatcher was lost to the zone's next one.
+// Resubmit hands the jobs whose dispatcher was lost to its successor.
 func (g *Gateway) Resubmit() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -329,7 +335,7 @@
 		if !p.orphaned || p.route != nil {
 			continue
 		}
-		if route, ok := g.opts.Path.Submit(p.zone, &relay.Submit{Job: *p.job, Resumed: true}); ok {
+		if route, ok := g.opts.Path.Submit(p.target, &relay.Submit{Job: *p.job, Partition: p.target.Partition, Resumed: true}); ok {
 			p.route = route
 		}
 	}
@@ -351,7 +357,7 @@
 func (g *Gateway) log(p *pending, outcome string, status int) {
 	g.opts.Log.WithFields(logrus.Fields{
 		"event": "request", "job": p.job.ID, "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
-		"status": status, "zone": p.zone, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
+		"status": status, "zone": p.target.Zone, "partition": p.target.Partition, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
 	}).Info("request")
 }
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -1,10 +1,12 @@
-// Package lead decides which instance dispatches for an availability zone. The instances of a zone share the partitions
-// of a topic as a group of the store; the holder of partition 0 is the dispatcher. The group's generation, which rises
-// with each change, is the fence of its orders.
+// Package lead decides which instances dispatch for an availability zone. The instances of a zone share the partitions of
+// a topic as a group of the store; the holder of a partition dispatches for the endpoints that belong to it. The group's
+// generation, which rises with each change, makes the fence of its orders.
 package lead
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,15 +17,14 @@
 )
 
 const (
-	dispatcherPartition = 0
-	joinInterval        = 250 * time.Millisecond
-	joinsInFlight       = 4 // joins do not wait for the answers of those before, which may be lost or slow
+	joinInterval  = 250 * time.Millisecond
+	joinsInFlight = 4 // joins do not wait for the answers of those before, which may be lost or slow
 	// ttlFactor times the shortest time to live makes a member outlast joins that are lost or carried out late. A member
 	// that is known to be gone is taken out by the others sooner.
 	ttlFactor       = 3
 	deposePause     = 2 * time.Second // between two attempts to take out the same member
 	ownersInterval  = 2 * time.Second
-	searchInterval  = 150 * time.Millisecond // while the dispatcher is not known or not reached
+	searchInterval  = 150 * time.Millisecond // while a dispatcher is not known or not reached
 	memberSeparator = "|"
 	leaveTimeout    = 500 * time.Millisecond
 )
@@ -37,15 +38,21 @@
 	Address  string // for links of other instances
 	TTL      time.Duration
 	Log      logrus.FieldLogger
-	// Changed tells that this instance begins, goes on with a higher fence, or ends to dispatch. Calls are made in order;
-	// they must not block or call the controller.
+	// Changed tells this instance's new term. Calls are made in order; they must not block or call the controller.
 	Changed func(term Term)
 }
 
-// Term says whether this instance dispatches, and with which fence.
+// Term says which partitions this instance holds.
 type Term struct {
-	Leading bool
-	Fence   int64
+	Generation int64 // of the group
+	Partitions []int // in ascending order
+}
+
+// Holds reports whether a partition is held.
+func (t Term) Holds(partition int) bool { return slices.Contains(t.Partitions, partition) }
+
+func (t Term) equal(o Term) bool {
+	return t.Generation == o.Generation && slices.Equal(t.Partitions, o.Partitions)
 }
 
 // Controller holds the membership of one instance.
@@ -54,21 +61,19 @@
 	verify chan struct{} // asks for a join now
 	search chan struct{} // asks for the dispatcher's address now
 
-	mu         sync.Mutex
-	term       Term
-	generation int64
-	leaving    bool
-	lost       bool
-	joining    int                  // joins without an answer
-	member     string               // that dispatches for the own zone
-	deposed    map[string]time.Time // last attempt by member
-	dispatcher map[string]string    // address by zone
+	mu      sync.Mutex
+	term    Term
+	leaving bool
+	lost    bool
+	joining int                       // joins without an answer
+	deposed map[string]time.Time      // last attempt by member
+	holders map[string]map[int]string // member by zone and partition
 }
 
 // New returns a controller that is not running.
 func New(o Options) *Controller {
 	return &Controller{
-		opts: o, verify: make(chan struct{}, 1), search: make(chan struct{}, 1), dispatcher: map[string]string{},
+		opts: o, verify: make(chan struct{}, 1), search: make(chan struct{}, 1), holders: map[string]map[int]string{},
 		deposed: map[string]time.Time{},
 	}
 }
@@ -117,11 +122,17 @@
 	defer c.mu.Unlock()
 	topic := c.opts.Topic(c.opts.Zone)
 	return store.Membership{
-		Group: topic, Topic: topic, Member: c.opts.Instance + memberSeparator + c.opts.Address,
-		TTL: ttlFactor * c.opts.TTL, Generation: c.generation,
+		Group: topic, Topic: topic, Member: c.member(), TTL: ttlFactor * c.opts.TTL, Generation: c.term.Generation,
 	}
 }
 
+// member returns this instance's name in its group.
+func (c *Controller) member() string { return c.opts.Instance + memberSeparator + c.opts.Address }
+
+func addressOf(member string) string {
+	return member[strings.LastIndex(member, memberSeparator)+1:]
+}
+
 func (c *Controller) mayJoin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,34 +153,20 @@
 		return
 	}
 	c.reportBack()
-	term := Term{}
-	for _, part := range share.Partitions {
-		if part == dispatcherPartition {
-			term = Term{Leading: true, Fence: share.Generation}
-		}
-	}
-	c.setTerm(term, share.Generation)
+	slices.Sort(share.Partitions)
+	c.setTerm(Term{share.Generation, share.Partitions})
 }
 
 // setTerm takes the term of a generation. Answers that were overtaken by those to later joins are left out.
-func (c *Controller) setTerm(term Term, generation int64) {
+func (c *Controller) setTerm(term Term) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if generation < c.generation || c.leaving && term.Leading {
-		return
-	}
-	c.generation = generation
-	if c.term == term {
+	if term.Generation < c.term.Generation || c.leaving && len(term.Partitions) > 0 || c.term.equal(term) {
 		return
 	}
 	c.term = term
-	if term.Leading {
-		c.dispatcher[c.opts.Zone] = c.opts.Address
-	} else {
-		delete(c.dispatcher, c.opts.Zone)
-	}
-	c.opts.Log.WithFields(logrus.Fields{"event": "term", "leading": term.Leading, "fence": term.Fence, "generation": generation}).
-		Info("this instance's term as dispatcher changed")
+	c.opts.Log.WithFields(logrus.Fields{"event": "term", "generation": term.Generation, "partitions": term.Partitions}).
+		Info("this instance's partitions changed")
 	c.opts.Changed(term)
 }
 
@@ -177,9 +174,9 @@
 func (c *Controller) Leave() {
 	c.mu.Lock()
 	c.leaving = true
-	generation := c.generation
+	generation := c.term.Generation
 	c.mu.Unlock()
-	c.setTerm(Term{}, generation)
+	c.setTerm(Term{Generation: generation})
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	c.leave(ctx)
@@ -211,15 +208,22 @@
 	}
 }
 
-// Dispatcher returns the address of a zone's dispatcher, or "" while it is not known.
-func (c *Controller) Dispatcher(zone string) string {
+// Dispatcher returns the address of the holder of a zone's partition, or "" while it is not known.
+func (c *Controller) Dispatcher(zone string, partition int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.dispatcher[zone]
+	if zone == c.opts.Zone && c.term.Holds(partition) {
+		return c.opts.Address
+	}
+	holder := c.holders[zone][partition]
+	if holder == c.member() {
+		return "" // the store says so, and this instance has not heard of it yet
+	}
+	return addressOf(holder)
 }
 
 // Follow keeps the addresses of the zones' dispatchers up to date until ctx ends. settled tells that the own zone's
-// dispatcher is known and reached.
+// dispatchers are known and reached.
 func (c *Controller) Follow(ctx context.Context, zones []string, settled func() bool) {
 	due := map[string]time.Time{}
 	for ctx.Err() == nil {
@@ -250,45 +254,46 @@
 	if err != nil {
 		return // join reports the loss of the store; the last address stays
 	}
-	member := ""
+	holders := map[int]string{}
 	for _, o := range owners {
-		if o.Partition == dispatcherPartition {
-			member = o.Member
-		}
+		holders[o.Partition] = o.Member
 	}
-	address := member[strings.LastIndex(member, memberSeparator)+1:]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if zone == c.opts.Zone {
-		if c.term.Leading {
-			return
-		}
-		c.member = member
+	if !maps.Equal(holders, c.holders[zone]) {
+		c.opts.Log.WithFields(logrus.Fields{"event": "dispatchers", "zone": zone, "members": members(holders)}).
+			Info("the zone's dispatchers changed")
 	}
-	if c.dispatcher[zone] != address {
-		c.opts.Log.WithFields(logrus.Fields{"event": "dispatcher", "zone": zone, "address": address}).
-			Info("the zone's dispatcher changed")
-	}
-	c.dispatcher[zone] = address
+	c.holders[zone] = holders
+}
+
+func members(holders map[int]string) []string {
+	all := slices.Collect(maps.Values(holders))
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
-// Depose takes the own zone's dispatcher at an address out of the group, because this instance has found it dead or
-// silent. Should it live, its orders are fenced by its successor's, and it joins again.
+// Depose takes the own zone's member at an address out of the group, because this instance has found it dead or silent.
+// Should it live, its orders are fenced by its successors', and it joins again.
 func (c *Controller) Depose(ctx context.Context, address string) {
 	m := c.membership()
 	c.mu.Lock()
-	member := c.member
-	recent := time.Since(c.deposed[member]) < deposePause
-	if c.leaving || recent || !strings.HasSuffix(member, memberSeparator+address) {
+	m.Member = ""
+	for _, holder := range c.holders[c.opts.Zone] {
+		if addressOf(holder) == address {
+			m.Member = holder
+		}
+	}
+	recent := time.Since(c.deposed[m.Member]) < deposePause
+	if c.leaving || recent || m.Member == "" || m.Member == c.member() {
 		c.mu.Unlock()
 		return
 	}
-	c.deposed[member] = time.Now()
+	c.deposed[m.Member] = time.Now()
 	c.mu.Unlock()
-	m.Member = member
-	c.opts.Log.WithFields(logrus.Fields{"event": "depose", "member": member}).Warn("the zone's dispatcher is not reached and is taken out of the group")
+	c.opts.Log.WithFields(logrus.Fields{"event": "depose", "member": m.Member}).Warn("a dispatcher is not reached and is taken out of the group")
 	if err := c.opts.Store.Leave(ctx, m); err != nil {
-		c.opts.Log.WithFields(logrus.Fields{"event": "depose_failed", "member": member}).WithError(err).Warn("the dispatcher stays until its time to live ends")
+		c.opts.Log.WithFields(logrus.Fields{"event": "depose_failed", "member": m.Member}).WithError(err).Warn("the dispatcher stays until its time to live ends")
 	}
 	c.Verify()
 	c.Search()
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -58,7 +58,7 @@
 	t.Fatalf("did not come: %s", what)
 }
 
-func leading(m *member) func() bool { return func() bool { return m.Term().Leading } }
+func leading(m *member) func() bool { return func() bool { return m.Term().Holds(0) } }
 
 // Guards against a zone without a dispatcher after one has died, and against a successor with the same fence.
 func TestSuccession(t *testing.T) {
@@ -67,11 +67,11 @@
 	a := join(t, s, "a")
 	eventually(t, "the first member leads", leading(a))
 	b := join(t, s, "b")
-	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north") == "a:1" })
-	before := a.Term().Fence
+	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
+	before := a.Term().Generation
 	a.stop()
 	eventually(t, "the second member leads", leading(b))
-	is.True(b.Term().Fence > before)
+	is.True(b.Term().Generation > before)
 }
 
 // Guards against waiting for the time to live of a dispatcher that the others have found dead.
@@ -81,14 +81,14 @@
 	a := join(t, s, "a")
 	eventually(t, "the first member leads", leading(a))
 	b := join(t, s, "b")
-	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north") == "a:1" })
-	before := a.Term().Fence
+	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
+	before := a.Term().Generation
 	b.Depose(context.Background(), "c:1") // not the dispatcher
-	is.Equal(b.Dispatcher("north"), "a:1")
+	is.Equal(b.Dispatcher("north", 0), "a:1")
 	b.Depose(context.Background(), "a:1")
 	eventually(t, "the second member leads", leading(b))
-	is.True(b.Term().Fence > before)
-	eventually(t, "the first member learns it", func() bool { return !a.Term().Leading })
+	is.True(b.Term().Generation > before)
+	eventually(t, "the first member learns it", func() bool { return !a.Term().Holds(0) })
 }
 
 // Guards against losing the term while the store is away, and against a term that outlives a planned stop.
@@ -100,12 +100,12 @@
 	s.SetDown(true)
 	a.Verify()
 	time.Sleep(20 * time.Millisecond) // a failed join must change nothing
-	is.True(a.Term().Leading)
+	is.True(a.Term().Holds(0))
 	s.SetDown(false)
 	a.Leave()
-	is.True(!a.Term().Leading)
+	is.True(!a.Term().Holds(0))
 	last := a.terms()
-	is.True(!last[len(last)-1].Leading)
+	is.True(len(last[len(last)-1].Partitions) == 0)
 }
 
 // Guards against a membership that ends because the answers to joins are lost while the joins are carried out.
@@ -120,5 +120,5 @@
 	s.SetLose(false)
 	a.Verify()
 	time.Sleep(100 * time.Millisecond)
-	is.True(a.Term().Leading)
+	is.True(a.Term().Holds(0))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,11 +22,11 @@
 const (
 	// configWait is the longest wait of a read for a configuration. A connection to the store that has gone silent is
 	// found after it.
-	configWait = 700 * time.Millisecond
+	configWait = 1200 * time.Millisecond
 	// endpointsInterval is the pause between reads of the registrations, which change many times a second.
-	endpointsInterval = 400 * time.Millisecond
+	endpointsInterval = 500 * time.Millisecond
 	// idleEndpointsInterval is the pause on instances that do not dispatch. They keep the registrations for their next term.
-	idleEndpointsInterval = 1500 * time.Millisecond
+	idleEndpointsInterval = 3 * time.Second
 	upkeepInterval        = 50 * time.Millisecond
 	// drainMinimum is the time in which the load balancer notices that the instance takes no new connections.
 	drainMinimum = 2500 * time.Millisecond
@@ -62,7 +62,7 @@
 	log     logrus.FieldLogger
 	config  catalog.Current
 	lead    *lead.Controller
-	shard   *shard.Shard
+	shards  *shards
 	gateway *gateway.Gateway
 	// endpoints follows the registrations.
 	endpoints *follow.Controller
@@ -82,13 +82,16 @@
 		Store: o.Store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
 		TTL: s.MemberTTL, Log: o.Log, Changed: func(t lead.Term) { n.terms <- t },
 	})
-	n.shard = shard.New(shard.Options{
-		Zone: s.Zone, Lease: s.Lease, Dialer: o.Dialer, Fenced: n.lead.Verify, Log: o.Log,
-		Now: func() time.Duration { return time.Since(n.started) },
+	directory := shard.NewDirectory()
+	n.shards = newShards(s.Zone, directory, func(part int) *shard.Shard {
+		return shard.New(shard.Options{
+			Zone: s.Zone, Partition: part, Directory: directory, Lease: s.Lease, Dialer: o.Dialer, Fenced: n.lead.Verify,
+			Log: n.log.WithField("partition", part), Now: n.now,
+		})
 	})
 	n.paths = &paths{
-		own: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shard: n.shard, log: o.Log,
-		local: newLocalRoute(n.shard), links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
+		own: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, directory: directory,
+		log: o.Log, local: newLocalRoute(n.shards), links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 	}
 	n.metrics.ResponseMS = metric.NewMilliseconds()
 	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Path: n.paths, Log: o.Log, Metrics: &n.metrics})
@@ -97,6 +100,9 @@
 	return n
 }
 
+// now returns the time since the process's start.
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
 // otherZones returns the zones besides the own one, beginning with a different one for each zone, so that the overflow
 // of all does not go to the same one.
 func otherZones(s Settings) []string {
@@ -128,7 +134,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	relays, err := relay.Listen(n.opts.Settings.RelayAddress(), n.shard, n.log)
+	relays, err := relay.Listen(n.opts.Settings.RelayAddress(), n.shards, n.log)
 	if err != nil {
 		return err
 	}
@@ -138,7 +144,7 @@
 	go n.followConfig(ctx)
 	go n.endpoints.Run(ctx)
 	go n.lead.Run(ctx)
-	go n.lead.Follow(ctx, n.paths.Zones(), n.paths.reached)
+	go n.lead.Follow(ctx, append([]string{n.opts.Settings.Zone}, n.paths.others...), n.paths.reached)
 	go n.upkeep(ctx)
 	health, err := n.serveHealth()
 	if err != nil {
@@ -170,12 +176,8 @@
 		case <-ctx.Done():
 			return
 		case t := <-n.terms:
-			if t.Leading {
-				n.shard.Begin(t.Fence)
-				n.endpoints.Refresh()
-			} else {
-				n.shard.End()
-			}
+			n.shards.setTerm(t)
+			n.endpoints.Refresh()
 		}
 	}
 }
@@ -185,7 +187,7 @@
 	return follow.New(follow.Options{
 		Store: n.opts.Store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints,
 		Interval: func() time.Duration {
-			if n.shard.Leading() {
+			if n.shards.leading(anyPartition) {
 				return endpointsInterval
 			}
 			return idleEndpointsInterval
@@ -214,7 +216,7 @@
 		}
 		changed = append(changed, e)
 	}
-	n.shard.Endpoints(shard.Registrations{Changed: changed, Removed: removed, Whole: u.Whole, AsOf: u.AsOf.Sub(n.started)})
+	n.shards.endpoints(shard.Registrations{Changed: changed, Removed: removed, Whole: u.Whole, AsOf: u.AsOf.Sub(n.started)}, n.now())
 }
 
 func (n *Node) followConfig(ctx context.Context) {
@@ -254,6 +256,7 @@
 		case <-ticker.C:
 			n.gateway.Sweep()
 			n.gateway.Resubmit()
+			n.paths.closeUnused()
 		}
 	}
 }
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -23,48 +23,79 @@
 
 // paths leads to the dispatchers of all zones. It implements gateway.Path.
 type paths struct {
-	own     string   // zone
-	others  []string // zones, in the order in which they are tried
-	address string   // of this instance's relay listener
-	lead    *lead.Controller
-	shard   *shard.Shard
-	gateway *gateway.Gateway // set before use
-	log     logrus.FieldLogger
-	local   *localRoute
+	own       string   // zone
+	others    []string // zones, in the order in which they are tried
+	address   string   // of this instance's relay listener
+	lead      *lead.Controller
+	shards    *shards
+	directory *shard.Directory
+	gateway   *gateway.Gateway // set before use
+	log       logrus.FieldLogger
+	local     *localRoute
 
 	mu     sync.Mutex
-	links  map[string]*uplinkRoute // by zone
+	links  map[string]*uplinkRoute // by address
 	failed map[string]time.Time    // by address
 }
 
 // uplinkRoute is the route over a connection to another instance.
-type uplinkRoute struct {
-	zone   string
-	uplink *relay.Uplink
-}
+type uplinkRoute struct{ uplink *relay.Uplink }
 
 // Cancel implements gateway.Route.
-func (r *uplinkRoute) Cancel(id work.JobID) { r.uplink.Cancel(id) }
+func (r *uplinkRoute) Cancel(from gateway.Target, id work.JobID) {
+	r.uplink.Cancel(&relay.Cancel{Job: id, Partition: from.Partition})
+}
+
+// Targets implements gateway.Path. Of two partitions of the own zone, which the job's name gives, the less busy one comes
+// first; a job that comes again therefore finds the same ones. One partition of each other zone follows.
+func (p *paths) Targets(id work.JobID) []gateway.Target {
+	n := p.directory.Partitions(p.own)
+	first := gateway.Target{Zone: p.own, Partition: shard.PartitionOf(string(id), n)}
+	targets := []gateway.Target{first}
+	if n > 1 {
+		second := gateway.Target{Zone: p.own, Partition: (first.Partition + n/2) % n}
+		targets = append(targets, second)
+		if p.pressure(second) < p.pressure(first) {
+			targets[0], targets[1] = second, first
+		}
+	}
+	for _, zone := range p.others {
+		targets = append(targets, gateway.Target{Zone: zone, Partition: shard.PartitionOf(string(id), p.directory.Partitions(zone))})
+	}
+	return targets
+}
 
-// Zones implements gateway.Path.
-func (p *paths) Zones() []string {
-	return append([]string{p.own}, p.others...)
+// unknownPressure is the pressure of a dispatcher that is not connected: behind those that have room.
+const unknownPressure = 90
+
+func (p *paths) pressure(t gateway.Target) int {
+	address := p.lead.Dispatcher(t.Zone, t.Partition)
+	if address == p.address {
+		return p.shards.pressure(t.Partition)
+	}
+	p.mu.Lock()
+	route := p.links[address]
+	p.mu.Unlock()
+	if route == nil {
+		return unknownPressure
+	}
+	return route.uplink.Pressure(t.Partition)
 }
 
 // Submit implements gateway.Path.
-func (p *paths) Submit(zone string, s *relay.Submit) (gateway.Route, bool) {
-	address := p.lead.Dispatcher(zone)
+func (p *paths) Submit(to gateway.Target, s *relay.Submit) (gateway.Route, bool) {
+	address := p.lead.Dispatcher(to.Zone, to.Partition)
 	if address == "" {
 		return nil, false
 	}
 	if address == p.address {
-		if !p.shard.Leading() {
+		if !p.shards.leading(to.Partition) {
 			return nil, false
 		}
-		p.shard.Submit(p.local, s)
+		p.shards.Submit(p.local, s)
 		return p.local, true
 	}
-	route := p.link(zone, address)
+	route := p.link(address)
 	if route == nil {
 		return nil, false
 	}
@@ -72,44 +103,40 @@
 	return route, true
 }
 
-// link returns the connection to a zone's dispatcher, a new one if there is none.
-func (p *paths) link(zone, address string) *uplinkRoute {
+// link returns the connection to an address, a new one if there is none.
+func (p *paths) link(address string) *uplinkRoute {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if route := p.links[zone]; route != nil {
-		if route.uplink.Address == address {
-			return route
-		}
-		go route.uplink.Close() // the jobs sent over it are resubmitted when it has ended
+	if route := p.links[address]; route != nil {
+		return route
 	}
 	if time.Since(p.failed[address]) < redialPause {
 		return nil
 	}
-	route := &uplinkRoute{zone: zone}
+	route := &uplinkRoute{}
 	route.uplink = relay.Dial(address,
 		func(a *relay.Answer) { p.gateway.Answer(route, a) },
 		func(_ *relay.Uplink, sent bool, err error) { p.down(route, sent, err) })
-	p.links[zone] = route
+	p.links[address] = route
 	return route
 }
 
 func (p *paths) down(route *uplinkRoute, sent bool, err error) {
+	address := route.uplink.Address
 	p.mu.Lock()
-	if p.links[route.zone] == route {
-		delete(p.links, route.zone)
+	if p.links[address] == route {
+		delete(p.links, address)
 	}
-	p.failed[route.uplink.Address] = time.Now()
+	p.failed[address] = time.Now()
 	p.mu.Unlock()
-	p.log.WithFields(logrus.Fields{"event": "dispatcher_lost", "zone": route.zone, "address": route.uplink.Address, "connected": sent}).
+	p.log.WithFields(logrus.Fields{"event": "dispatcher_lost", "address": address, "connected": sent}).
 		WithError(err).Warn("the connection to a dispatcher has ended")
 	p.gateway.Lost(route, sent)
-	if route.zone == p.own {
-		p.lead.Search()
-		go p.replace(route.uplink.Address)
-	}
+	p.lead.Search()
+	go p.replace(address)
 }
 
-// replace takes the own zone's dispatcher out of its group if it is not reached at a second try either.
+// replace takes a dispatcher of the own zone out of its group if it is not reached at a second try either.
 func (p *paths) replace(address string) {
 	conn, err := net.DialTimeout("tcp", address, confirmTimeout)
 	if err == nil {
@@ -120,38 +147,60 @@
 }
 
 // Moved implements gateway.Path.
-func (p *paths) Moved(zone string) {
-	if zone == p.own {
+func (p *paths) Moved(from gateway.Target) {
+	if from.Zone == p.own {
 		p.lead.Verify()
 		p.lead.Search()
 	}
 }
 
-// reached reports whether the own zone's dispatcher is known and connected. It connects if it can.
+// reached reports whether the own zone's dispatchers are known and connected. It connects where it can.
 func (p *paths) reached() bool {
-	address := p.lead.Dispatcher(p.own)
-	if address == "" {
-		return false
+	all := true
+	for part := range p.directory.Partitions(p.own) {
+		address := p.lead.Dispatcher(p.own, part)
+		switch {
+		case address == "":
+			all = false
+		case address == p.address:
+			all = all && p.shards.leading(part)
+		default:
+			route := p.link(address)
+			all = all && route != nil && route.uplink.Connected()
+		}
 	}
-	if address == p.address {
-		return p.shard.Leading()
+	return all
+}
+
+// closeUnused closes the connections to instances that dispatch for nothing any more.
+func (p *paths) closeUnused() {
+	used := map[string]bool{}
+	for _, zone := range append([]string{p.own}, p.others...) {
+		for part := range p.directory.Partitions(zone) {
+			used[p.lead.Dispatcher(zone, part)] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, route := range p.links {
+		if !used[address] {
+			go route.uplink.Close() // the jobs that were sent over it are resubmitted when it has ended
+		}
 	}
-	route := p.link(p.own, address)
-	return route != nil && route.uplink.Connected()
 }
 
-// localRoute is the route to this instance's own shard. Answers go through a queue, because the shard gives them while
-// it holds its lock.
+// localRoute is the route to this instance's own shards. Answers go through a queue, because a shard gives them while it
+// holds its lock.
 type localRoute struct {
-	shard   *shard.Shard
+	shards  *shards
 	gateway *gateway.Gateway
 	mu      sync.Mutex
 	answers []*relay.Answer
 	wake    chan struct{}
 }
 
-func newLocalRoute(s *shard.Shard) *localRoute {
-	return &localRoute{shard: s, wake: make(chan struct{}, 1)}
+func newLocalRoute(s *shards) *localRoute {
+	return &localRoute{shards: s, wake: make(chan struct{}, 1)}
 }
 
 // Answer implements relay.Client.
@@ -169,7 +218,9 @@
 func (r *localRoute) Name() string { return "local" }
 
 // Cancel implements gateway.Route.
-func (r *localRoute) Cancel(id work.JobID) { r.shard.Cancel(r, id) }
+func (r *localRoute) Cancel(from gateway.Target, id work.JobID) {
+	r.shards.Cancel(r, &relay.Cancel{Job: id, Partition: from.Partition})
+}
 
 func (r *localRoute) run(done <-chan struct{}) {
 	for {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -145,6 +145,27 @@
 	return largest
 }
 
+// Pressure returns the processors that are taken or waited for, in percent of the usable ones. Without any it is high.
+func (p *Pool) Pressure() int {
+	const noRoom = 1000
+	total, wanted := 0, 0
+	for _, e := range p.order {
+		if e.usable && !e.Draining {
+			total += e.Size.MilliCPU
+			wanted += e.used.MilliCPU
+		}
+	}
+	for _, j := range p.queue {
+		for i := range j.steps {
+			wanted += len(j.steps[i].waiting) * j.Steps[i].Size.MilliCPU
+		}
+	}
+	if total == 0 {
+		return noRoom
+	}
+	return 100 * wanted / total
+}
+
 // room checks that each step fits some endpoint, and returns the size of the endpoints of the job's service.
 func (p *Pool) room(j *job) (Reason, work.Size) {
 	var total work.Size
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -21,16 +21,17 @@
 
 // link is one connection with its sender. It is closed by the first error.
 type link struct {
-	conn net.Conn
-	out  chan []byte
+	conn  net.Conn
+	out   chan []byte
+	loads func() []Load // for the beats; nil for none
 
 	once sync.Once
 	done chan struct{}
 	err  error
 }
 
-func newLink(conn net.Conn) *link {
-	l := &link{conn: conn, out: make(chan []byte, maxUnsent), done: make(chan struct{})}
+func newLink(conn net.Conn, loads func() []Load) *link {
+	l := &link{conn: conn, loads: loads, out: make(chan []byte, maxUnsent), done: make(chan struct{})}
 	go l.write()
 	return l
 }
@@ -63,11 +64,6 @@
 func (l *link) write() {
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
-	alive, err := encode(&beat{})
-	if err != nil {
-		l.close(err)
-		return
-	}
 	buffered := bufio.NewWriter(l.conn)
 	for {
 		var frame []byte
@@ -76,7 +72,7 @@
 			return
 		case frame = <-l.out:
 		case <-ticker.C:
-			frame = alive
+			frame = l.beat()
 		}
 		l.conn.SetWriteDeadline(time.Now().Add(SilenceLimit))
 		if err := l.writeAll(buffered, frame); err != nil {
@@ -86,6 +82,18 @@
 	}
 }
 
+func (l *link) beat() []byte {
+	b := &beat{}
+	if l.loads != nil {
+		b.Loads = l.loads()
+	}
+	frame, err := encode(b)
+	if err != nil {
+		l.close(err)
+	}
+	return frame
+}
+
 // writeAll writes a frame and those that wait behind it in one piece.
 func (l *link) writeAll(buffered *bufio.Writer, frame []byte) error {
 	for {
@@ -110,8 +118,6 @@
 			l.close(err)
 			return l.err
 		}
-		if _, ok := message.(*beat); !ok {
-			handle(message)
-		}
+		handle(message)
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -17,13 +17,16 @@
 // Submit asks a dispatcher to run a job, or to go on with it.
 type Submit struct {
 	Job work.Job `msgpack:"j"`
+	// Partition is the part of the zone whose dispatcher is meant.
+	Partition int `msgpack:"p,omitempty"`
 	// Resumed tells that another dispatcher may have started tasks of the job.
 	Resumed bool `msgpack:"r,omitempty"`
 }
 
 // Cancel tells a dispatcher that nobody waits for a job any more.
 type Cancel struct {
-	Job work.JobID `msgpack:"j"`
+	Job       work.JobID `msgpack:"j"`
+	Partition int        `msgpack:"p,omitempty"`
 }
 
 // Answer is a dispatcher's last word on a job.
@@ -38,8 +41,17 @@
 	Started bool `msgpack:"t,omitempty"`
 }
 
-// beat keeps a connection known to be alive.
-type beat struct{}
+// Load tells how much work a dispatcher has.
+type Load struct {
+	Partition int `msgpack:"p"`
+	// Pressure is the room that is taken or waited for, in percent of the whole.
+	Pressure int `msgpack:"l"`
+}
+
+// beat keeps a connection known to be alive. A dispatcher's beat carries its loads.
+type beat struct {
+	Loads []Load `msgpack:"l,omitempty"`
+}
 
 type kind byte
 
@@ -109,7 +121,7 @@
 	var message any
 	switch k {
 	case kindBeat:
-		return &beat{}, nil
+		message = &beat{}
 	case kindSubmit:
 		message = &Submit{}
 	case kindCancel:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,8 +6,6 @@
 	"sync"
 
 	"github.com/sirupsen/logrus"
-
-	"github.com/savorypass/savorypass/internal/work"
 )
 
 // Client is whom a dispatcher answers: an instance that has taken jobs from callers. Clients are compared by identity.
@@ -21,7 +19,9 @@
 // Dispatcher takes jobs. Calls do not block.
 type Dispatcher interface {
 	Submit(from Client, s *Submit)
-	Cancel(from Client, id work.JobID)
+	Cancel(from Client, c *Cancel)
+	// Loads returns the loads of the partitions that are dispatched here.
+	Loads() []Load
 	// Gone tells that a client cannot be reached any more.
 	Gone(from Client)
 }
@@ -70,7 +70,7 @@
 func (c *remoteClient) Name() string { return c.link.conn.RemoteAddr().String() }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	l := newLink(conn)
+	l := newLink(conn, s.dispatcher.Loads)
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
 	client := &remoteClient{l}
@@ -79,7 +79,7 @@
 		case *Submit:
 			s.dispatcher.Submit(client, m)
 		case *Cancel:
-			s.dispatcher.Cancel(client, m.Job)
+			s.dispatcher.Cancel(client, m)
 		}
 	})
 	s.dispatcher.Gone(client)
@@ -94,7 +94,8 @@
 	mu      sync.Mutex
 	link    *link
 	ended   bool
-	early   []any // messages sent before the connection was made
+	loads   map[int]int // pressure by partition
+	early   []any       // messages sent before the connection was made
 }
 
 // Dial returns a connection that is being made. answer takes the dispatcher's words; down is called once, when the
@@ -125,7 +126,7 @@
 }
 
 func (u *Uplink) receive(conn net.Conn, answer func(*Answer)) error {
-	l := newLink(conn)
+	l := newLink(conn, nil)
 	u.mu.Lock()
 	u.link = l
 	for _, m := range u.early {
@@ -138,8 +139,11 @@
 		l.close(net.ErrClosed)
 	}
 	return l.receive(func(message any) {
-		if a, ok := message.(*Answer); ok {
-			answer(a)
+		switch m := message.(type) {
+		case *Answer:
+			answer(m)
+		case *beat:
+			u.setLoads(m.Loads)
 		}
 	})
 }
@@ -148,7 +152,23 @@
 func (u *Uplink) Submit(s *Submit) { u.send(s) }
 
 // Cancel takes a job back.
-func (u *Uplink) Cancel(id work.JobID) { u.send(&Cancel{id}) }
+func (u *Uplink) Cancel(c *Cancel) { u.send(c) }
+
+func (u *Uplink) setLoads(loads []Load) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.loads = make(map[int]int, len(loads))
+	for _, l := range loads {
+		u.loads[l.Partition] = l.Pressure
+	}
+}
+
+// Pressure returns the last known pressure of a partition, 0 while none is known.
+func (u *Uplink) Pressure(partition int) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.loads[partition]
+}
 
 func (u *Uplink) send(message any) {
 	u.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,8 +26,9 @@
 		from.Answer(&Answer{Job: s.Job.ID, State: work.Completed})
 	}
 }
-func (e *echo) Cancel(_ Client, id work.JobID) { e.cancelled <- id }
-func (e *echo) Gone(from Client)               { e.gone <- from }
+func (e *echo) Cancel(_ Client, c *Cancel) { e.cancelled <- c.Job }
+func (e *echo) Gone(from Client)           { e.gone <- from }
+func (e *echo) Loads() []Load              { return []Load{{Partition: 3, Pressure: 77}} }
 
 func listen(t *testing.T) (*Server, *echo) {
 	log := logrus.New()
@@ -64,8 +65,13 @@
 	u.Submit(&Submit{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 2}}}})
 	is.Equal(receive(t, answers).Job, work.JobID("a"))
 	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
-	u.Cancel("b")
+	u.Cancel(&Cancel{Job: "b"})
 	is.Equal(receive(t, e.cancelled), work.JobID("b"))
+	for end := time.Now().Add(20 * time.Second); u.Pressure(3) != 77; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no load came")
+		}
+	}
 	u.Close()
 	receive(t, e.gone) // the dispatcher learns that nobody waits any more
 	is.True(receive(t, ended))
--- /dev/null
+++ b/internal/shard/directory.go
@@ -0,0 +1,147 @@
+package shard
+
+import (
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const (
+	// listedMemory is how long an ended registration counts at the start of a term.
+	listedMemory = 30 * time.Second
+	// minMemory is how long the registrations must have been followed before they count as complete. An endpoint whose
+	// registration ended earlier has been given nothing since, and what it had was mostly shorter.
+	minMemory = 8 * time.Second
+	// endpointsPerPartition is how many endpoints one dispatcher looks after. A small instance orders the starts of so
+	// many, and they are enough for jobs of usual widths.
+	endpointsPerPartition = 20
+	// MaxPartitions is the most partitions of a zone.
+	MaxPartitions = 16
+)
+
+// Registrations is what a read of the registrations has found.
+type Registrations struct {
+	Changed []work.Endpoint
+	Removed []work.EndpointID
+	Whole   bool          // endpoints that are not in Changed are not registered
+	AsOf    time.Duration // when the read began
+}
+
+// Directory holds the registrations of all zones, also ended ones, so that a term begins with all endpoints that an
+// earlier dispatcher may have used. It is safe for concurrent use.
+type Directory struct {
+	mu           sync.Mutex
+	listed       map[work.EndpointID]seen
+	splits       map[string]int // partitions by zone
+	followed     bool           // all registrations have been seen, since followedFrom
+	followedFrom time.Duration
+	readAt       time.Duration // beginning of the last read
+}
+
+// seen is a registration and when it was last there.
+type seen struct {
+	endpoint work.Endpoint
+	present  bool
+	last     time.Duration
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{listed: map[work.EndpointID]seen{}, splits: map[string]int{}}
+}
+
+// Apply takes the result of a read and returns the endpoints whose registrations it has ended.
+func (d *Directory) Apply(r Registrations, now time.Duration) []work.EndpointID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.readAt = r.AsOf
+	present := map[work.EndpointID]bool{}
+	for _, e := range r.Changed {
+		present[e.ID] = true
+		d.listed[e.ID] = seen{e, true, now}
+	}
+	removed := slices.Clone(r.Removed)
+	if r.Whole {
+		if !d.followed {
+			d.followed, d.followedFrom = true, now
+		}
+		for id := range d.listed {
+			if !present[id] {
+				removed = append(removed, id)
+			}
+		}
+	}
+	for _, id := range removed {
+		if e, ok := d.listed[id]; ok && e.present {
+			d.listed[id] = seen{e.endpoint, false, now}
+		}
+	}
+	d.forget(now)
+	d.split()
+	return removed
+}
+
+func (d *Directory) forget(now time.Duration) {
+	for id, e := range d.listed {
+		if !e.present && now-e.last > listedMemory {
+			delete(d.listed, id)
+		}
+	}
+}
+
+// split raises the number of partitions of zones that have grown. It does not fall while the process lives, so that a
+// wave of endpoints that leave and come back does not move the others between dispatchers.
+func (d *Directory) split() {
+	count := map[string]int{}
+	for _, e := range d.listed {
+		if e.present {
+			count[e.endpoint.Zone]++
+		}
+	}
+	for zone, n := range count {
+		parts := 1
+		for parts < MaxPartitions && n > parts*endpointsPerPartition {
+			parts *= 2
+		}
+		d.splits[zone] = max(d.splits[zone], parts)
+	}
+}
+
+// Partitions returns the number of partitions of a zone, a power of 2.
+func (d *Directory) Partitions(zone string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.splits[zone], 1)
+}
+
+// PartitionOf returns the partition of a name among a number of partitions.
+func PartitionOf(name string, partitions int) int {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	sum := h.Sum32()
+	return int((sum ^ sum>>16) % uint32(partitions))
+}
+
+// known returns the registrations that a filter accepts.
+func (d *Directory) known(accept func(work.Endpoint) bool) []seen {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []seen
+	for _, e := range d.listed {
+		if accept(e.endpoint) {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// complete reports whether the registrations were read after a time and have been followed long enough to name every
+// endpoint that an earlier dispatcher may have used.
+func (d *Directory) complete(after, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.followed && now-d.followedFrom >= minMemory && d.readAt > after
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -1,5 +1,5 @@
-// Package shard dispatches for the endpoints of a zone while this instance has the term: it holds their leases, orders
-// the starts that the pool decides on and answers the instances whose jobs it runs.
+// Package shard dispatches for the endpoints of one partition of a zone while this instance has the term: it holds their
+// leases, orders the starts that the pool decides on and answers the instances whose jobs it runs.
 package shard
 
 import (
@@ -17,8 +17,9 @@
 const (
 	// tick is the interval of the checks that no event triggers.
 	tick = 50 * time.Millisecond
-	// orphanGrace is how long runs of an earlier dispatcher may wait for their job to be submitted again.
-	orphanGrace = 1500 * time.Millisecond
+	// orphanGrace is how long runs of an earlier dispatcher may wait for their job to be submitted again. It is shorter
+	// than the time after which a job that finds none of its runs starts its tasks again.
+	orphanGrace = time.Second
 	// pastKept is how long successes of an earlier dispatcher are kept for their job.
 	pastKept = 5 * time.Second
 	// stallLimit is the time without progress after which a run is stopped and its task starts elsewhere.
@@ -27,11 +28,6 @@
 	stopRepeat = 150 * time.Millisecond
 	// clockRate is how much slower an endpoint's clock may run than ours.
 	clockRate = 1.02
-	// listedMemory is how long an ended registration counts at the start of a term.
-	listedMemory = 30 * time.Second
-	// minMemory is how long the registrations must have been followed before they count as complete. An endpoint whose
-	// registration ended earlier has been given nothing since, and what it had was mostly shorter.
-	minMemory = 8 * time.Second
 	// noticeTime is the time in which a dispatcher whose term has ended learns of it.
 	noticeTime = 350 * time.Millisecond
 	// leaseMargin covers the delivery of the order that extended a lease last.
@@ -40,9 +36,11 @@
 
 // Options configures a Shard.
 type Options struct {
-	Zone   string
-	Lease  time.Duration // longest lease that endpoints accept
-	Dialer work.Dialer
+	Zone      string
+	Partition int // of the zone
+	Directory *Directory
+	Lease     time.Duration // longest lease that endpoints accept
+	Dialer    work.Dialer
 	// Fenced is called when an endpoint has seen a higher fence than this instance's.
 	Fenced func()
 	Log    logrus.FieldLogger
@@ -56,36 +54,26 @@
 	mu       sync.Mutex
 	leading  bool
 	fence    int64
-	since    time.Duration            // start of the term
-	settled  bool                     // what ran before the term is known
-	listed   map[work.EndpointID]seen // registrations of the zone, also of the past
+	since    time.Duration // start of the term
+	settled  bool          // what ran before the term is known
+	split    int           // partitions of the zone in the term
+	resplit  bool          // the number of partitions has changed in this process's life
 	pool     *pool.Pool
 	sessions map[work.EndpointID]*session
 	clients  map[work.JobID]relay.Client
 	stops    map[work.TaskID]time.Duration // last order to stop the run of a task
-	// followed tells that all registrations have been seen, since followedFrom.
-	followed     bool
-	followedFrom time.Duration
-	readAt       time.Duration // beginning of the last read of the registrations
-	cancel       context.CancelFunc
-	ctx          context.Context
-	Counts       Counts
+	cancel   context.CancelFunc
+	ctx      context.Context
+	Counts   Counts
 }
 
 // New returns a shard without a term.
 func New(o Options) *Shard {
-	s := &Shard{opts: o, listed: map[work.EndpointID]seen{}}
+	s := &Shard{opts: o}
 	s.reset()
 	return s
 }
 
-// seen is a registration and when it was last there.
-type seen struct {
-	endpoint work.Endpoint
-	present  bool
-	last     time.Duration
-}
-
 func (s *Shard) reset() {
 	s.pool = pool.New()
 	s.sessions = map[work.EndpointID]*session{}
@@ -93,38 +81,44 @@
 	s.stops = map[work.TaskID]time.Duration{}
 }
 
-// Begin starts a term, or goes on with a higher fence.
-func (s *Shard) Begin(fence int64) {
+// Begin starts a term with a number of partitions of the zone, or goes on with a higher fence.
+func (s *Shard) Begin(fence int64, split int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leading && s.split != split {
+		s.resplit = true
+		s.end()
+	}
 	s.fence = fence
 	if s.leading {
 		return
 	}
-	s.leading = true
-	s.settled = false
-	s.since = s.opts.Now()
+	s.leading, s.settled, s.split, s.since = true, false, split, s.opts.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	for id, e := range s.listed {
-		if !e.present && s.since-e.last > listedMemory {
-			delete(s.listed, id)
-			continue
-		}
+	for _, e := range s.opts.Directory.known(s.owns) {
 		s.update(e.endpoint)
 		if !e.present {
-			s.unlist(id)
+			s.unlist(e.endpoint.ID)
 		}
 	}
 	go s.watch(s.ctx)
 }
 
+// owns reports whether an endpoint belongs to this shard.
+func (s *Shard) owns(e work.Endpoint) bool {
+	return e.Zone == s.opts.Zone && PartitionOf(string(e.ID), s.split) == s.opts.Partition
+}
+
 // End ends the term. Jobs in progress are answered as not led here, so that their instances submit them again.
 func (s *Shard) End() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.leading {
-		return
+	if s.leading {
+		s.end()
 	}
+}
+
+func (s *Shard) end() {
 	s.leading = false
 	s.cancel()
 	for id, client := range s.clients {
@@ -143,48 +137,22 @@
 	return s.leading
 }
 
-// Registrations is what a read of the registrations has found.
-type Registrations struct {
-	Changed []work.Endpoint
-	Removed []work.EndpointID
-	Whole   bool          // endpoints that are not in Changed are not registered
-	AsOf    time.Duration // when the read began
-}
-
-// Endpoints takes the registrations. They are kept between terms, so that a term begins with all endpoints that an
-// earlier dispatcher may have used.
-func (s *Shard) Endpoints(r Registrations) {
+// Endpoints takes new registrations, and the endpoints whose registrations have ended.
+func (s *Shard) Endpoints(changed []work.Endpoint, removed []work.EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := map[work.EndpointID]bool{}
-	s.readAt = r.AsOf
-	removed := r.Removed
-	for _, e := range r.Changed {
-		if e.Zone != s.opts.Zone {
-			continue
-		}
-		present[e.ID] = true
-		s.listed[e.ID] = seen{e, true, s.opts.Now()}
-		if s.leading {
-			s.update(e)
-		}
+	if !s.leading {
+		return
 	}
-	if r.Whole {
-		if !s.followed {
-			s.followed, s.followedFrom = true, s.opts.Now()
-		}
-		for id := range s.listed {
-			if !present[id] {
-				removed = append(removed, id)
-			}
+	for _, e := range changed {
+		if s.owns(e) {
+			s.update(e)
 		}
 	}
 	for _, id := range removed {
 		s.unlist(id)
 	}
-	if s.leading {
-		s.dispatch()
-	}
+	s.dispatch()
 }
 
 func (s *Shard) update(e work.Endpoint) {
@@ -209,9 +177,6 @@
 
 // unlist takes new work from an endpoint whose registration has ended. What runs there is still watched.
 func (s *Shard) unlist(id work.EndpointID) {
-	if e, ok := s.listed[id]; ok && e.present {
-		s.listed[id] = seen{e.endpoint, false, s.opts.Now()}
-	}
 	x := s.sessions[id]
 	if x == nil || !x.listed {
 		return
@@ -387,8 +352,7 @@
 	if s.settled {
 		return
 	}
-	known := s.followed && now-s.followedFrom >= minMemory && s.readAt > s.since
-	if now < s.since+s.takeover() && !(known && s.allReported()) {
+	if now < s.since+s.takeover() && !s.allReported(now) {
 		return
 	}
 	s.settled = true
@@ -398,13 +362,17 @@
 	}).Info("what ran before this term is known")
 }
 
-func (s *Shard) allReported() bool {
-	for id := range s.listed {
-		if x := s.sessions[id]; x != nil && !x.reported {
+// allReported reports whether every endpoint that an earlier dispatcher may have used for this partition has reported.
+func (s *Shard) allReported(now time.Duration) bool {
+	if s.resplit || len(s.sessions) == 0 || !s.opts.Directory.complete(s.since, now) {
+		return false
+	}
+	for _, e := range s.opts.Directory.known(s.owns) {
+		if x := s.sessions[e.endpoint.ID]; x != nil && !x.reported {
 			return false
 		}
 	}
-	return len(s.sessions) > 0
+	return true
 }
 
 // refuseLate answers jobs that have not started and whose answer would be of no use any more.
@@ -440,17 +408,25 @@
 	}
 }
 
+// Pressure returns the room that is taken or waited for, in percent of the whole.
+func (s *Shard) Pressure() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Pressure()
+}
+
 // Dump is the state of a shard for operators.
 type Dump struct {
-	Leading bool      `json:"leading"`
-	Fence   int64     `json:"fence"`
-	Settled bool      `json:"settled"`
-	Pool    pool.Dump `json:"pool"`
+	Partition int       `json:"partition"`
+	Leading   bool      `json:"leading"`
+	Fence     int64     `json:"fence"`
+	Settled   bool      `json:"settled"`
+	Pool      pool.Dump `json:"pool"`
 }
 
 // Dump returns the whole state.
 func (s *Shard) Dump() Dump {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Dump{Leading: s.leading, Fence: s.fence, Settled: s.settled, Pool: s.pool.Dump()}
+	return Dump{Partition: s.opts.Partition, Leading: s.leading, Fence: s.fence, Settled: s.settled, Pool: s.pool.Dump()}
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -48,12 +48,36 @@
 	return log
 }
 
-func newShard(f *fleet.Fleet, fenced func()) *shard.Shard {
+// dispatcher is a shard with a directory and a clock of its own.
+type dispatcher struct {
+	*shard.Shard
+	directory *shard.Directory
+	mu        sync.Mutex
+	ahead     time.Duration // of the real time
+}
+
+func newShard(f *fleet.Fleet, fenced func()) *dispatcher {
+	d := &dispatcher{directory: shard.NewDirectory()}
 	started := time.Now()
-	return shard.New(shard.Options{
-		Zone: "north", Lease: lease, Dialer: f, Fenced: fenced, Log: quiet(),
-		Now: func() time.Duration { return time.Since(started) },
+	d.Shard = shard.New(shard.Options{
+		Zone: "north", Directory: d.directory, Lease: lease, Dialer: f, Fenced: fenced, Log: quiet(),
+		Now: func() time.Duration { return time.Since(started) + d.skip(0) },
 	})
+	return d
+}
+
+// skip moves the shard's clock forward and returns how far it is ahead.
+func (d *dispatcher) skip(by time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ahead += by
+	return d.ahead
+}
+
+// register gives the shard all registrations.
+func (d *dispatcher) register(all []work.Endpoint) {
+	removed := d.directory.Apply(shard.Registrations{Changed: all, Whole: true}, d.skip(0))
+	d.Endpoints(all, removed)
 }
 
 func endpoints(n int) []work.Endpoint {
@@ -95,7 +119,7 @@
 	t.Fatalf("did not come: %s", what)
 }
 
-func submitUntilTaken(t *testing.T, s *shard.Shard, c *client, m *relay.Submit) {
+func submitUntilTaken(t *testing.T, s *dispatcher, c *client, m *relay.Submit) {
 	t.Helper()
 	eventually(t, "the job is taken", func() bool {
 		s.Submit(c, m)
@@ -119,9 +143,9 @@
 	is := is.New(t)
 	f, all := newFleet(3, 30*time.Millisecond)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
+	s.Begin(1, 1)
 	t.Cleanup(s.End)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 9, 30*time.Millisecond)})
 	eventually(t, "the job completes", completed(c, "a"))
 	is.Equal(len(f.Starts()), 9)
@@ -141,9 +165,9 @@
 		return n%3 == 0, time.Duration(n%4) * 100 * time.Millisecond
 	}
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
+	s.Begin(1, 1)
 	t.Cleanup(s.End)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.register(all)
 	for i := range 6 {
 		submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf(fmt.Sprint("late", i), 4, 80*time.Millisecond)})
 	}
@@ -164,15 +188,15 @@
 	is := is.New(t)
 	f, all := newFleet(4, 400*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
-	before.Begin(1)
-	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	before.Begin(1, 1)
+	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 8, 400*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	eventually(t, "all tasks run", func() bool { return f.Running() == 8 })
 	after, c2 := newShard(f, func() {}), newClient()
-	after.Begin(2)
+	after.Begin(2, 1)
 	defer after.End()
-	after.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	after.register(all)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
 	eventually(t, "the job completes at the new dispatcher", completed(c2, "a"))
 	is.Equal(len(f.Starts()), 8) // nothing was started again
@@ -185,16 +209,16 @@
 	is := is.New(t)
 	f, all := newFleet(2, 300*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
-	before.Begin(1)
-	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	before.Begin(1, 1)
+	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
 	before.End()
 	after, c2 := newShard(f, func() {}), newClient()
-	after.Begin(2)
+	after.Begin(2, 1)
 	defer after.End()
-	after.Endpoints(shard.Registrations{Changed: all[:1], Whole: true}) // the other one is missing
+	after.register(all[:1]) // the other one is missing
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
 	eventually(t, "the job completes", completed(c2, "a"))
 	is.Equal(f.Overlaps(), "")
@@ -206,30 +230,16 @@
 	is := is.New(t)
 	f, all := newFleet(2, 300*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
-	clock := struct {
-		sync.Mutex
-		ahead time.Duration
-	}{}
-	started := time.Now()
-	after, c2 := shard.New(shard.Options{
-		Zone: "north", Lease: lease, Dialer: f, Fenced: func() {}, Log: quiet(),
-		Now: func() time.Duration {
-			clock.Lock()
-			defer clock.Unlock()
-			return time.Since(started) + clock.ahead
-		},
-	}), newClient()
-	after.Endpoints(shard.Registrations{Changed: all[:1], Whole: true})
-	clock.Lock()
-	clock.ahead = time.Minute // for so long it has followed the registrations
-	clock.Unlock()
-	before.Begin(1)
-	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	after, c2 := newShard(f, func() {}), newClient()
+	after.register(all[:1])
+	after.skip(time.Minute) // for so long it has followed the registrations
+	before.Begin(1, 1)
+	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
 	before.End()
-	after.Begin(2)
+	after.Begin(2, 1)
 	t.Cleanup(after.End)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
 	eventually(t, "the job completes", completed(c2, "a"))
@@ -241,9 +251,9 @@
 	is := is.New(t)
 	f, all := newFleet(2, 300*time.Millisecond)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
+	s.Begin(1, 1)
 	t.Cleanup(s.End)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)})
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
 	f.Silence(all[0].Address, true)
@@ -256,9 +266,9 @@
 	is := is.New(t)
 	f, all := newFleet(2, 200*time.Millisecond)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
+	s.Begin(1, 1)
 	t.Cleanup(s.End)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 200*time.Millisecond)})
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
 	f.Restart(all[0].Address)
@@ -272,9 +282,9 @@
 	f, all := newFleet(2, 50*time.Millisecond)
 	f.Hang(all[0].Address)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
+	s.Begin(1, 1)
 	t.Cleanup(s.End)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 50*time.Millisecond)})
 	eventually(t, "the job completes", completed(c, "a"))
 	is.Equal(f.Overlaps(), "")
@@ -285,9 +295,9 @@
 	is := is.New(t)
 	f, all := newFleet(2, time.Minute)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
+	s.Begin(1, 1)
 	t.Cleanup(s.End)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
 	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
@@ -308,13 +318,13 @@
 		default:
 		}
 	})
-	before.Begin(1)
+	before.Begin(1, 1)
 	defer before.End()
-	before.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	before.register(all)
 	after, c := newShard(f, func() {}), newClient()
-	after.Begin(2)
+	after.Begin(2, 1)
 	defer after.End()
-	after.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	after.register(all)
 	submitUntilTaken(t, after, c, &relay.Submit{Job: jobOf("a", 2, 10*time.Millisecond)})
 	eventually(t, "the job completes", completed(c, "a"))
 	select {
@@ -329,8 +339,8 @@
 	is := is.New(t)
 	f, all := newFleet(1, time.Second)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1)
-	s.Endpoints(shard.Registrations{Changed: all, Whole: true})
+	s.Begin(1, 1)
+	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	s.End()
 	is.Equal(c.answer("a").Refused, pool.ReasonNotLeader)
