--- a/cmd/savorypass/main.go
+++ b/cmd/savorypass/main.go
@@ -3,6 +3,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
 	"os"
 
 	"github.com/sirupsen/logrus"
@@ -12,27 +15,61 @@
 	"github.com/savorypass/savorypass/platform"
 )
 
+// options are the settings of the process that the platform does not give.
+type options struct {
+	daemon.LogOptions
+	Settings      string `long:"settings" description:"path of the settings file; by default the one that the platform names"`
+	OperatorsPort int    `long:"operators-port" env:"SAVORY_OPERATORS_PORT" default:"9464" description:"port of metrics and dump; 0 for none"`
+	Check         bool   `long:"check" description:"read the settings, print every problem and end"`
+}
+
+// Validate implements daemon.Options.
+func (o *options) Validate() []error {
+	var c daemon.Checks
+	c.Add(o.LogOptions.Validate()...)
+	c.Int("operators-port", o.OperatorsPort, 0, 65535)
+	return c.Problems()
+}
+
 func main() {
+	var o options
+	daemon.MustLoad("savorypass", &o)
+	if o.Settings == "" {
+		o.Settings = platform.SettingsPath()
+	}
+	if o.Check {
+		os.Exit(check(o))
+	}
 	out := daemon.NewAsyncWriter(os.Stdout)
-	log := daemon.NewLogger(out, daemon.LogOptions{Level: "info"})
-	code := run(out, log)
+	log := daemon.NewPlainLogger(out, o.LogOptions)
+	code := run(o, log)
 	out.Flush()
 	os.Exit(code)
 }
 
-func run(out *daemon.AsyncWriter, log *logrus.Logger) int {
-	settings, err := platform.ReadSettings(platform.SettingsPath())
+func check(o options) int {
+	settings, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return daemon.ExitUsage
+	}
+	fmt.Printf("%+v\n", settings)
+	return daemon.ExitOK
+}
+
+func run(o options, log *logrus.Logger) int {
+	settings, err := platform.ReadSettings(o.Settings)
 	if err != nil {
 		log.WithField("event", "start_failed").WithError(err).Error("the settings cannot be used")
 		return daemon.ExitUsage
 	}
 	n := node.New(node.Options{
 		Settings: settings, Store: platform.NewStore(settings.Store), Records: platform.Names{}, Codec: platform.Callers{},
-		Dialer: platform.Dialer{}, Log: log,
+		Dialer: platform.Dialer{}, Log: log, Operators: operatorsAddress(settings, o.OperatorsPort),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := daemon.Signals{Log: log, Drain: n.Drain, Kill: cancel, Reload: reload(log), Output: out}
+	signals := daemon.Signals{Log: log, Drain: n.Drain, Kill: cancel, Reload: reload(o, log), Dump: dump{n}}
 	go signals.Run(ctx)
 	if err := n.Run(ctx); err != nil {
 		log.WithField("event", "failed").WithError(err).Error("the instance failed")
@@ -41,11 +78,31 @@
 	return daemon.ExitOK
 }
 
+func operatorsAddress(s node.Settings, port int) string {
+	if port == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s:%d", s.IP, port)
+}
+
+// dump writes the state of an instance.
+type dump struct{ node *node.Node }
+
+// WriteTo implements io.WriterTo.
+func (d dump) WriteTo(w io.Writer) (int64, error) {
+	raw, err := json.Marshal(d.node.Dump())
+	if err != nil {
+		return 0, err
+	}
+	n, err := w.Write(append(raw, '\n'))
+	return int64(n), err
+}
+
 // reload checks the settings file again. What an instance is told at its start does not change during its life; new
 // values are taken at the next start.
-func reload(log *logrus.Logger) func() error {
+func reload(o options, log *logrus.Logger) func() error {
 	return func() error {
-		settings, err := platform.ReadSettings(platform.SettingsPath())
+		settings, err := platform.ReadSettings(o.Settings)
 		if err != nil {
 			return err
 		}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -44,8 +44,8 @@
 
 // Term says which partitions this instance holds.
 type Term struct {
-	Generation int64 // of the group
-	Partitions []int // in ascending order
+	Generation int64 `json:"generation"` // of the group
+	Partitions []int `json:"partitions"` // in ascending order
 }
 
 // Holds reports whether a partition is held.
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/store"
+)
+
+// The paths of the operators' listener.
+const (
+	MetricsPath = "/metrics"
+	DumpPath    = "/dump"
+)
+
+// Kinds of calls to the store.
+const (
+	callRead   metric.Kind = "read"
+	callNewest metric.Kind = "newest"
+	callJoin   metric.Kind = "join"
+	callLeave  metric.Kind = "leave"
+	callOwners metric.Kind = "owners"
+)
+
+// countedStore counts the calls to a store and those that failed.
+type countedStore struct {
+	store.Store
+	calls  metric.Counters
+	failed metric.Counters
+}
+
+func (c *countedStore) count(k metric.Kind, err error) {
+	c.calls.Add(k, 1)
+	if err != nil {
+		c.failed.Add(k, 1)
+	}
+}
+
+// Read implements store.Store.
+func (c *countedStore) Read(ctx context.Context, topic string, part int, from int64, wait time.Duration) (store.Batch, error) {
+	b, err := c.Store.Read(ctx, topic, part, from, wait)
+	c.count(callRead, err)
+	return b, err
+}
+
+// Newest implements store.Store.
+func (c *countedStore) Newest(ctx context.Context, topic string) (store.Batch, error) {
+	b, err := c.Store.Newest(ctx, topic)
+	c.count(callNewest, err)
+	return b, err
+}
+
+// Join implements store.Store.
+func (c *countedStore) Join(ctx context.Context, m store.Membership) (store.Share, error) {
+	share, err := c.Store.Join(ctx, m)
+	c.count(callJoin, err)
+	return share, err
+}
+
+// Leave implements store.Store.
+func (c *countedStore) Leave(ctx context.Context, m store.Membership) error {
+	err := c.Store.Leave(ctx, m)
+	c.count(callLeave, err)
+	return err
+}
+
+// Owners implements store.Store.
+func (c *countedStore) Owners(ctx context.Context, group string) ([]store.Owner, error) {
+	owners, err := c.Store.Owners(ctx, group)
+	c.count(callOwners, err)
+	return owners, err
+}
+
+// level is a metric that is read when it is asked for.
+func level(read func() int64) expvar.Var { return expvar.Func(func() any { return read() }) }
+
+// namedMetrics returns the metrics with their names. docs/OPERATIONS.md describes them.
+func (n *Node) namedMetrics() []metric.Named {
+	m, c := &n.metrics, &n.counts
+	return []metric.Named{
+		{Name: "requests_answered", Var: &m.Answered}, {Name: "requests_refused", Var: &m.Refused},
+		{Name: "requests_abandoned", Var: &m.Abandoned}, {Name: "requests_timed_out", Var: &m.TimedOut},
+		{Name: "response_ms", Var: m.ResponseMS},
+		{Name: "requests_active", Var: level(func() int64 { return int64(n.gateway.Active()) })},
+		{Name: "runs_ordered", Var: &c.Starts}, {Name: "jobs_refused", Var: &c.Refused},
+		{Name: "starts_unanswered", Var: &c.Unanswered}, {Name: "runs_stalled", Var: &c.Stalled},
+		{Name: "runs_without_success", Var: &c.BadEnds}, {Name: "run_ms", Var: c.RunMS}, {Name: "wait_ms", Var: c.WaitMS},
+		{Name: "partitions_held", Var: level(func() int64 { return int64(len(n.lead.Term().Partitions)) })},
+		{Name: "generation", Var: level(func() int64 { return n.lead.Term().Generation })},
+		{Name: "config_version", Var: level(n.configVersion)},
+		{Name: "store_calls", Var: &n.store.calls}, {Name: "store_failures", Var: &n.store.failed},
+		{Name: "ready", Var: expvar.Func(func() any { return n.ready() })},
+	}
+}
+
+func (n *Node) configVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Dump is the state of an instance.
+type Dump struct {
+	Instance      string       `json:"instance"`
+	Zone          string       `json:"zone"`
+	UptimeMS      int64        `json:"uptime_ms"`
+	Ready         bool         `json:"ready"`
+	Draining      bool         `json:"draining"`
+	ConfigVersion int64        `json:"config_version"`
+	Active        int          `json:"active_jobs"`
+	Term          lead.Term    `json:"term"`
+	Shards        []shard.Dump `json:"shards"`
+}
+
+// Dump returns the state of the instance.
+func (n *Node) Dump() Dump {
+	return Dump{
+		Instance: n.opts.Settings.Instance, Zone: n.opts.Settings.Zone, UptimeMS: n.now().Milliseconds(), Ready: n.ready(),
+		Draining: n.draining(), ConfigVersion: n.configVersion(), Active: n.gateway.Active(), Term: n.lead.Term(),
+		Shards: n.shards.dump(),
+	}
+}
+
+// serveOperators answers the readers of metrics and dumps. An empty address serves nobody.
+func (n *Node) serveOperators(address string) (*fasthttp.Server, error) {
+	if address == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &fasthttp.Server{Handler: n.operators, NoDefaultServerHeader: true, ReadBufferSize: 2048}
+	go func() {
+		if err := s.Serve(l); err != nil {
+			n.log.WithField("event", "operators_listener_failed").WithError(err).Error("metrics are not served")
+		}
+	}()
+	return s, nil
+}
+
+func (n *Node) operators(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case MetricsPath:
+		ctx.SetContentType("text/plain; charset=utf-8")
+		ctx.SetBody(n.metricsText())
+	case DumpPath:
+		raw, err := json.MarshalIndent(n.Dump(), "", "  ")
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(raw)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// metricsText returns one line for each metric: its name and its value, which is JSON for groups and quantiles.
+func (n *Node) metricsText() []byte {
+	var b bytes.Buffer
+	for _, m := range n.namedMetrics() {
+		fmt.Fprintf(&b, "%s %s\n", m.Name, m.Var.String())
+	}
+	return b.Bytes()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,8 @@
 	Codec    gateway.Codec
 	Dialer   work.Dialer
 	Log      *logrus.Logger
+	// Operators is the host:port of the listener for metrics and dumps; empty for none.
+	Operators string
 }
 
 // Node is one instance.
@@ -69,6 +71,8 @@
 	paths     *paths
 	server    *server.Server
 	drain     chan struct{}
+	counts    shard.Counts
+	store     *countedStore
 	started   time.Time
 	terms     chan lead.Term
 	metrics   gateway.Metrics
@@ -77,16 +81,18 @@
 // New returns an instance that is not running.
 func New(o Options) *Node {
 	n := &Node{opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16)}
+	n.store = &countedStore{Store: o.Store}
+	n.counts = shard.NewCounts()
 	s := o.Settings
 	n.lead = lead.New(lead.Options{
-		Store: o.Store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
+		Store: n.store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
 		TTL: s.MemberTTL, Log: o.Log, Changed: func(t lead.Term) { n.terms <- t },
 	})
 	directory := shard.NewDirectory()
 	n.shards = newShards(s.Zone, directory, func(part int) *shard.Shard {
 		return shard.New(shard.Options{
 			Zone: s.Zone, Partition: part, Directory: directory, Lease: s.Lease, Dialer: o.Dialer, Fenced: n.lead.Verify,
-			Log: n.log.WithField("partition", part), Now: n.now,
+			Counts: &n.counts, Log: n.log.WithField("partition", part), Now: n.now,
 		})
 	})
 	n.paths = &paths{
@@ -151,6 +157,13 @@
 		return err
 	}
 	defer health.Shutdown()
+	operators, err := n.serveOperators(n.opts.Operators)
+	if err != nil {
+		return err
+	}
+	if operators != nil {
+		defer operators.Shutdown()
+	}
 	n.server, err = server.Start(server.Options{
 		Address: n.opts.Settings.Callers, Loops: 1, Limits: n.limits, Handler: n.gateway, Log: n.log,
 		Refuse: func(_ result.Code, message string) []byte { return n.opts.Codec.EncodeError(message) },
@@ -185,7 +198,7 @@
 // endpointsFollower returns the controller that keeps the registrations up to date.
 func (n *Node) endpointsFollower() *follow.Controller {
 	return follow.New(follow.Options{
-		Store: n.opts.Store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints,
+		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints,
 		Interval: func() time.Duration {
 			if n.shards.leading(anyPartition) {
 				return endpointsInterval
@@ -222,7 +235,7 @@
 func (n *Node) followConfig(ctx context.Context) {
 	topic, key := n.opts.Records.ConfigTopic()
 	follow.New(follow.Options{
-		Store: n.opts.Store, Topic: topic, Wait: configWait, Log: n.log,
+		Store: n.store, Topic: topic, Wait: configWait, Log: n.log,
 		Apply: func(u follow.Update) {
 			for _, r := range u.Records {
 				if r.Key == key && len(r.Value) > 0 {
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -288,6 +288,14 @@
 	return r.job.Job.Spec
 }
 
+// Waited returns the time from the submission of a run's job to its order.
+func (p *Pool) Waited(r *Run) time.Duration {
+	if r.job == nil {
+		return 0
+	}
+	return r.Ordered - r.job.arrived
+}
+
 // Withdraw marks a run that is not known to have started as one to be stopped. Its task starts again when it is gone.
 func (p *Pool) Withdraw(r *Run) *Run {
 	r.State = Stopping
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -250,9 +250,12 @@
 	s := x.shard
 	if r := s.pool.Run(end.Task); r != nil {
 		x.forget(r)
+		if end.Reason == work.EndSucceeded {
+			s.opts.Counts.RunMS.AddDuration(now - r.Ordered)
+		}
 	}
 	if end.Reason != work.EndSucceeded {
-		s.Counts.BadEnds.Add(1)
+		s.opts.Counts.BadEnds.Add(1)
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "run_ended", "task": end.Task.String(), "run": end.Run, "endpoint": x.endpoint.ID, "reason": end.Reason,
 		}).Info("a run ended without success")
@@ -321,7 +324,7 @@
 // elsewhere when the endpoint has confirmed that.
 func (x *session) unanswered(r *pool.Run, now time.Duration, err error) {
 	s := x.shard
-	s.Counts.Unanswered.Add(1)
+	s.opts.Counts.Unanswered.Add(1)
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "start_unanswered", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
 		"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -43,6 +43,7 @@
 	Dialer    work.Dialer
 	// Fenced is called when an endpoint has seen a higher fence than this instance's.
 	Fenced func()
+	Counts *Counts
 	Log    logrus.FieldLogger
 	Now    func() time.Duration // monotonic
 }
@@ -64,7 +65,6 @@
 	stops    map[work.TaskID]time.Duration // last order to stop the run of a task
 	cancel   context.CancelFunc
 	ctx      context.Context
-	Counts   Counts
 }
 
 // New returns a shard without a term.
@@ -211,7 +211,7 @@
 	verdict, outcomes := s.pool.Submit(job, now, s.mayRun(m.Resumed))
 	s.logVerdict(job, verdict, m.Resumed, known)
 	if !verdict.Taken() {
-		s.Counts.Refused.Add(1)
+		s.opts.Counts.Refused.Add(1)
 		from.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
 		return
 	}
@@ -305,7 +305,8 @@
 		if x == nil {
 			continue // the endpoint is dropped together with its runs
 		}
-		s.Counts.Starts.Add(1)
+		s.opts.Counts.Starts.Add(1)
+		s.opts.Counts.WaitMS.AddDuration(s.pool.Waited(r))
 		go x.start(r, s.pool.Spec(r), s.fence)
 	}
 }
@@ -334,7 +335,7 @@
 	s.settle(now)
 	s.refuseLate(now)
 	for _, r := range s.pool.Stalled(now-stallLimit, now) {
-		s.Counts.Stalled.Add(1)
+		s.opts.Counts.Stalled.Add(1)
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "run_stalled", "task": r.Task.String(), "run": r.Number, "endpoint": r.Endpoint, "percent": r.Percent,
 			"unchanged_ms": (now - r.Moved).Milliseconds(),
@@ -381,7 +382,7 @@
 		if client := s.clients[id]; client != nil {
 			client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonWaited, RetryAfter: time.Second})
 		}
-		s.Counts.Refused.Add(1)
+		s.opts.Counts.Refused.Add(1)
 		s.opts.Log.WithFields(logrus.Fields{"event": "refuse_waiting", "job": id}).Info("the job did not start in time")
 		s.abandon(id)
 	}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -59,8 +59,9 @@
 func newShard(f *fleet.Fleet, fenced func()) *dispatcher {
 	d := &dispatcher{directory: shard.NewDirectory()}
 	started := time.Now()
+	counts := shard.NewCounts()
 	d.Shard = shard.New(shard.Options{
-		Zone: "north", Directory: d.directory, Lease: lease, Dialer: f, Fenced: fenced, Log: quiet(),
+		Zone: "north", Directory: d.directory, Lease: lease, Dialer: f, Fenced: fenced, Counts: &counts, Log: quiet(),
 		Now: func() time.Duration { return time.Since(started) + d.skip(0) },
 	})
 	return d
