Tests of a whole instance on the stand-ins

Change: tests of serving, planned stop, a killed dispatcher, an outage of the store and the configuration, with two instances on loopback.

--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,257 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/node"
+	"github.com/savorypass/savorypass/internal/standin/fleet"
+	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/work"
+	"github.com/savorypass/savorypass/platform"
+)
+
+// deployment is a zone with instances in this process, on the stand-ins of the store and the endpoints.
+type deployment struct {
+	t     *testing.T
+	store *keyed.Store
+	fleet *fleet.Fleet
+}
+
+const configText = `{"version":%d,"routes":[{"name":"q","host":"h.example","prefix":"/p/","service":"survey","attempts":2,
+	"stretch":3,"slo_ms":2000}],"services":[{"name":"survey"}]}`
+
+func deploy(t *testing.T, endpoints int, run time.Duration) *deployment {
+	d := &deployment{t, keyed.New(), fleet.New(run)}
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, 1))
+	for i := range endpoints {
+		e := work.Endpoint{
+			ID: work.EndpointID(fmt.Sprint("e", i)), Service: "survey", Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: "north",
+			Size: work.Size{MilliCPU: 4000, MemoryMB: 1000},
+		}
+		d.fleet.Add(e)
+		d.store.Put("keyed.servers", string(e.ID), fmt.Appendf(nil, `{"service":"survey","addr":%q,"zone":"north","state":"ready",
+			"capacity":{"cpu":4000,"mem_mb":1000}}`, e.Address))
+	}
+	return d
+}
+
+// instance is one running instance.
+type instance struct {
+	*node.Node
+	url       string
+	health    string
+	operators string
+	kill      context.CancelFunc
+	ended     chan error
+}
+
+func (d *deployment) start(name string) *instance {
+	d.t.Helper()
+	ports := freePorts(d.t, 4)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := node.Settings{
+		Instance: name, Zone: "north", Zones: []string{"north"}, IP: "127.0.0.1", Callers: ports[0], Health: ports[1],
+		Store: "127.0.0.1:1", FirstPort: portOf(ports[2]), LastPort: portOf(ports[2]), Grace: 6 * time.Second,
+		Lease: time.Second, MemberTTL: 400 * time.Millisecond,
+	}
+	i := &instance{url: "http://" + ports[0], health: "http://" + ports[1], operators: "http://" + ports[3], ended: make(chan error, 1)}
+	i.Node = node.New(node.Options{
+		Settings: s, Store: d.store, Records: platform.Names{}, Codec: platform.Callers{}, Dialer: d.fleet, Log: log, Operators: ports[3],
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	i.kill = cancel
+	d.t.Cleanup(cancel)
+	go func() { i.ended <- i.Run(ctx) }()
+	return i
+}
+
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+func portOf(address string) int {
+	a, _ := net.ResolveTCPAddr("tcp", address)
+	return a.Port
+}
+
+func (d *deployment) eventually(what string, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	d.t.Fatalf("did not come: %s", what)
+}
+
+func (i *instance) post(id string, tasks int) (int, string) {
+	body := fmt.Sprintf(`{"spec":"x","best_effort":true,"phases":[{"count":%d,"cpu":1000,"mem_mb":10,"estimate_ms":300}]}`, tasks)
+	req, err := http.NewRequest("POST", i.url+"/p/"+id, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = "h.example"
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw)
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+func (d *deployment) served(i *instance, n int) func() bool {
+	return func() bool {
+		n += 1000
+		status, _ := i.post(id(n), 1)
+		return status == 200
+	}
+}
+
+func get(url string) (int, string) {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw)
+}
+
+// Guards against a path that does not hold together, and against metrics and dumps that do not show it.
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, 20*time.Millisecond)
+	a, b := d.start("a"), d.start("b")
+	d.eventually("the first instance serves", d.served(a, 1))
+	d.eventually("the second instance serves", d.served(b, 2))
+	d.eventually("the instance is ready", func() bool { status, _ := get(a.health + platform.HealthPath); return status == 200 })
+	status, body := a.post(id(3), 9)
+	is.Equal(status, 200)
+	is.Equal(body, `{"state":"completed"}`)
+	is.Equal(d.fleet.Overlaps(), "")
+	_, text := get(a.operators + node.MetricsPath)
+	is.True(strings.Contains(text, "requests_answered ") && strings.Contains(text, "response_ms {"))
+	_, text = get(a.operators + node.DumpPath)
+	var dump node.Dump
+	is.NoErr(json.Unmarshal([]byte(text), &dump))
+	is.Equal(dump.Instance, "a")
+	is.Equal(dump.ConfigVersion, int64(1))
+}
+
+// Guards against jobs that are lost or run twice when the dispatcher stops as planned, and against a stop that does not
+// end.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, 600*time.Millisecond)
+	a := d.start("a")
+	d.eventually("the first instance serves", d.served(a, 1))
+	b := d.start("b")
+	d.eventually("the second instance serves", d.served(b, 2))
+	answers := make(chan int, 8)
+	for n := range 8 {
+		go func() {
+			from := a
+			if n%2 == 0 {
+				from = b
+			}
+			status, _ := from.post(id(10+n), 1)
+			answers <- status
+		}()
+	}
+	d.eventually("the jobs run", func() bool { return d.fleet.Running() >= 8 })
+	a.Drain()
+	for range 8 {
+		is.Equal(<-answers, 200)
+	}
+	select {
+	case err := <-a.ended:
+		is.NoErr(err)
+	case <-time.After(6 * time.Second):
+		t.Fatal("the stop did not end within the time to stop")
+	}
+	is.Equal(d.fleet.Overlaps(), "")
+	d.eventually("the other instance serves", d.served(b, 3))
+}
+
+// Guards against jobs of other instances that are lost or run twice when the dispatcher is killed.
+func TestDispatcherKilled(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, 800*time.Millisecond)
+	a := d.start("a")
+	d.eventually("the first instance serves", d.served(a, 1))
+	b := d.start("b")
+	d.eventually("the second instance serves", d.served(b, 2))
+	var wg sync.WaitGroup
+	statuses := make([]int, 6)
+	for n := range statuses {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			statuses[n], _ = b.post(id(20+n), 1)
+		}()
+	}
+	d.eventually("the jobs run", func() bool { return d.fleet.Running() >= len(statuses) })
+	a.kill()
+	wg.Wait()
+	for _, status := range statuses {
+		is.Equal(status, 200)
+	}
+	is.Equal(d.fleet.Overlaps(), "")
+}
+
+// Guards against an outage of the store that stops accepted work or new work.
+func TestStoreDown(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, 20*time.Millisecond)
+	a, b := d.start("a"), d.start("b")
+	d.eventually("the first instance serves", d.served(a, 1))
+	d.eventually("the second instance serves", d.served(b, 2))
+	d.store.SetDown(true)
+	for n := range 20 {
+		status, _ := a.post(id(30+n), 2)
+		is.Equal(status, 200)
+		status, _ = b.post(id(60+n), 2)
+		is.Equal(status, 200)
+	}
+}
+
+// Guards against a configuration that does not come into force, or goes back.
+func TestConfiguration(t *testing.T) {
+	d := deploy(t, 1, 10*time.Millisecond)
+	a := d.start("a")
+	d.eventually("the instance serves", d.served(a, 1))
+	d.store.Put("keyed.op", "config", []byte(`{"version":5,"routes":[]}`))
+	d.eventually("the queue is gone", func() bool { status, _ := a.post(id(2), 1); return status == 404 })
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, 4))
+	d.store.Put("keyed.op", "config", []byte("unreadable"))
+	d.store.Put("keyed.op", "other", []byte("{}"))
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, 6))
+	d.eventually("the queue is back", d.served(a, 3))
+}
