--- a/internal/ops/docs_test.go
+++ b/internal/ops/docs_test.go
@@ -13,7 +13,7 @@
 	is := is.New(t)
 	design, err := os.ReadFile("../../docs/design.md")
 	is.NoErr(err)
-	guide, err := os.ReadFile("../../docs/operations.md")
+	guide, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	headings := strings.ToLower(string(guide))
 	_, section, _ := strings.Cut(string(design), "\n## 14. Failures\n")
@@ -26,7 +26,7 @@
 		rows++
 		name := strings.TrimSpace(strings.Split(line, "|")[1])
 		if !strings.Contains(headings, "\n## "+name+"\n") {
-			t.Errorf("docs/operations.md has no section %q", name)
+			t.Errorf("docs/OPERATIONS.md has no section %q", name)
 		}
 	}
 	is.True(rows > 10)
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -16,12 +16,18 @@
 	// well below the lease.
 	busyWait = 200 * time.Millisecond
 	idleWait = 450 * time.Millisecond
+	// lossyWait is the longest wait while orders get no answers: an end waits for the next look if a look is lost.
+	lossyWait = 60 * time.Millisecond
+	// lossyMemory is how long an unanswered order counts.
+	lossyMemory = 3 * time.Second
 	// retryPause keeps an endpoint that refuses connections from being called in a tight loop.
 	retryPause = 50 * time.Millisecond
 	// goneAfter is the silence after which an endpoint without a registration is dropped.
 	goneAfter = 3 * time.Second
-	// stopTime is how long an endpoint may take to stop a run.
+	// stopTime is how long an endpoint may take to stop a run. Until then a report may list neither the run nor its end.
 	stopTime = 60 * time.Millisecond
+	// clockSlack is how far an endpoint's clock may seem to go back without a restart of its process.
+	clockSlack = 2 * time.Second
 )
 
 // session is the connection to one endpoint during a term. Fields are guarded by the shard's lock.
@@ -39,6 +45,7 @@
 	born         int64
 	clock        time.Duration // of the endpoint, at clockAt
 	clockAt      time.Duration
+	reportClock  time.Duration // clock of the newest report
 	extended     time.Duration // when an order that extends the lease was last sent
 	heard        time.Duration // last answer
 	cleared      bool          // what ran there was given up after its lease
@@ -109,6 +116,9 @@
 	return true
 }
 
+// tolerated is the number of unanswered looks in a row from which an endpoint gets no new runs.
+const tolerated = 2
+
 // extendingTries is how many unanswered looks in a row still extend the lease. Later ones do not, so that it is known
 // when what runs on a silent endpoint has lapsed.
 const extendingTries = 2
@@ -126,7 +136,9 @@
 		x.extended = now
 	}
 	switch {
-	case !x.answering:
+	case !x.answering || x.failures > 0:
+	case busy && s.lossy && now-s.lostAt < lossyMemory:
+		order.Wait = lossyWait
 	case busy:
 		order.Wait = busyWait
 	default:
@@ -142,12 +154,16 @@
 
 func (x *session) silent(now time.Duration, err error) {
 	s := x.shard
+	x.failures++
+	s.lossy, s.lostAt = true, now
+	if x.answering && x.failures < tolerated {
+		return // one lost answer says little
+	}
 	if x.answering {
 		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_silent", "endpoint": x.endpoint.ID}).WithError(err).
 			Warn("the endpoint does not answer")
 	}
 	x.answering = false
-	x.failures++
 	s.pool.SetUsable(x.endpoint.ID, false)
 	if !x.cleared && now-x.extended > s.lapse() && now-x.heard > s.lapse() {
 		x.cleared = true
@@ -177,13 +193,14 @@
 	}
 }
 
-// apply takes a report of the endpoint that was asked for at a time.
+// apply takes a report of the endpoint that was asked for at a time. Of a report that a newer one has overtaken only the
+// ends count.
 func (x *session) apply(report work.Report, sent, now time.Duration) {
 	s := x.shard
 	if x.reborn(report) {
 		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.Born}).
 			Warn("the endpoint's process started again")
-		x.acknowledged = 0
+		x.acknowledged, x.reportClock = 0, 0
 		x.clear(now)
 	}
 	if !x.answering {
@@ -191,16 +208,22 @@
 			"event": "endpoint_back", "endpoint": x.endpoint.ID, "running": len(report.Running), "fence": s.fence,
 		}).Info("the endpoint answers")
 	}
-	x.born, x.clock, x.clockAt, x.heard = report.Born, report.Clock, now, now
+	overtaken := report.Clock < x.reportClock
+	x.born, x.heard = report.Born, now
 	x.answering, x.cleared, x.failures = true, false, 0
-	x.applyRuns(report, now)
+	if !overtaken {
+		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
+		x.applyRuns(report, now)
+	}
 	for _, end := range report.Ended {
 		if end.Number > x.acknowledged {
 			x.acknowledged = end.Number
 			x.applyEnd(end, now)
 		}
 	}
-	x.applyMissing(report, sent, now)
+	if !overtaken {
+		x.applyMissing(report, sent, now)
+	}
 	x.reported = true
 	s.pool.SetUsable(x.endpoint.ID, x.usable())
 }
@@ -216,7 +239,7 @@
 	if x.born != 0 && report.Born != 0 {
 		return report.Born != x.born
 	}
-	return x.reported && report.Clock < x.clock
+	return x.reported && report.Clock+clockSlack < x.reportClock
 }
 
 func (x *session) applyRuns(report work.Report, now time.Duration) {
@@ -325,6 +348,7 @@
 func (x *session) unanswered(r *pool.Run, now time.Duration, err error) {
 	s := x.shard
 	s.opts.Counts.Unanswered.Add(1)
+	s.lossy, s.lostAt = true, now
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "start_unanswered", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
 		"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
@@ -359,9 +383,29 @@
 	s.pool.Refused(r, refusal, now)
 }
 
-// stop orders the end of a run. A report that is asked for later and does not list it shows that it is over.
+// stop orders the end of a run and asks for a report: one that does not list the run shows that it is over.
 func (x *session) stop(r *pool.Run, fence int64) {
 	refusal, err := x.orders.Stop(context.Background(), r.Task, r.Number, fence)
+	if !x.stopAnswered(r, refusal, err) {
+		return
+	}
+	time.Sleep(stopTime)
+	sent, order := x.glance()
+	report, refusal, err := x.orders.Hold(context.Background(), order)
+	if err != nil || refusal != work.Done {
+		return // the next look brings the report
+	}
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[x.endpoint.ID] == x {
+		x.apply(report, sent, s.opts.Now())
+		s.dispatch()
+	}
+}
+
+// stopAnswered notes the answer to a stop and returns whether it was confirmed.
+func (x *session) stopAnswered(r *pool.Run, refusal work.Refusal, err error) bool {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -369,10 +413,19 @@
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "stop_failed", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "refusal": refusal.String(),
 		}).WithError(err).Warn("the stop is not confirmed and is repeated")
-		return
+		return false
 	}
-	if !x.stopped[r] {
+	if s.pool.Run(r.Task) == r && !x.stopped[r] {
 		x.stopped[r] = true
 		x.settledAt[r] = s.opts.Now() + stopTime
 	}
+	return true
+}
+
+// glance returns an order for a report that neither waits nor extends the lease.
+func (x *session) glance() (time.Duration, work.HoldOrder) {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.Now(), work.HoldOrder{Fence: s.fence, Acknowledged: x.acknowledged}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -58,7 +58,9 @@
 	since    time.Duration // start of the term
 	settled  bool          // what ran before the term is known
 	split    int           // partitions of the zone in the term
-	resplit  bool          // the number of partitions has changed in this process's life
+	lossy    bool          // an order got no answer, last at lostAt
+	lostAt   time.Duration
+	resplit  bool // the number of partitions has changed in this process's life
 	pool     *pool.Pool
 	sessions map[work.EndpointID]*session
 	clients  map[work.JobID]relay.Client
