Endpoints that start again under their name are filled by their own registration only

Two ways to it were found in the code: a process that starts again under its name may have less room than its registration says until the next one is read, and runs that were given up and still run took no room. Change: an endpoint is used only while its registration is of the process that answers, and gets nothing while it lists runs beside those that count; the end of a connection takes it out at once, a time-out at the second. Figures: TestRebornSmaller and TestStraysBlockTheirEndpoint fail before and pass after.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -50,7 +50,7 @@
 	f := &forecast{pool: p, now: now}
 	serves := map[work.EndpointID]bool{}
 	for _, e := range p.order {
-		if e.Service != service || !e.usable || e.Draining || e.unsized > 0 || now < e.health.until {
+		if e.Service != service || !e.usable || e.Draining || e.unsized+e.strays > 0 || now < e.health.until {
 			continue
 		}
 		serves[e.ID] = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -44,6 +44,7 @@
 	used    work.Size
 	runs    int
 	unsized int // runs whose size is not known
+	strays  int // runs beside those that count, which are being stopped
 	health  health
 }
 
@@ -110,6 +111,14 @@
 	}
 }
 
+// SetStrays notes how many runs an endpoint lists beside those that count. It gets no new ones until they are gone, since
+// their sizes are not known.
+func (p *Pool) SetStrays(id work.EndpointID, n int) {
+	if e, ok := p.endpoints[id]; ok {
+		e.strays = n
+	}
+}
+
 // Remove forgets an endpoint that has ended, together with all that ran there.
 func (p *Pool) Remove(id work.EndpointID, now time.Duration) []Outcome {
 	outcomes := p.Clear(id, now)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -65,6 +65,17 @@
 	is.Equal(starts[0].Task.Job, work.JobID("new"))
 }
 
+// Guards against starts beside a run that was given up and still takes room.
+func TestStraysBlockTheirEndpoint(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	p.SetStrays("a", 1)
+	take(t, p, patient("x", 1000), 0)
+	is.Equal(len(p.Next(0)), 0)
+	p.SetStrays("a", 0)
+	is.Equal(len(p.Next(0)), 1)
+}
+
 // Guards against counting a success of an earlier dispatcher twice, or not at all.
 func TestSuccessBeforeSubmission(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -98,7 +98,7 @@
 
 func (p *Pool) feasible(j *job, step int, e *endpoint, now time.Duration) bool {
 	s := &j.Steps[step]
-	if e.Service != j.Service || !e.usable || e.Draining || e.unsized > 0 || !e.health.trusted(now, e.runs) {
+	if e.Service != j.Service || !e.usable || e.Draining || e.unsized+e.strays > 0 || !e.health.trusted(now, e.runs) {
 		return false
 	}
 	if !e.HasLabel(s.Label) || !e.used.Plus(s.Size).Fits(e.Size) {
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -56,7 +56,7 @@
 
 func newSession(s *Shard, e work.Endpoint) *session {
 	return &session{
-		shard: s, endpoint: e, orders: s.opts.Dialer.Dial(e), listed: true, born: e.Born, heard: s.opts.Now(),
+		shard: s, endpoint: e, orders: s.opts.Dialer.Dial(e), listed: true, heard: s.opts.Now(),
 		extended: s.opts.Now(), settledAt: map[*pool.Run]time.Duration{}, stopped: map[*pool.Run]bool{},
 	}
 }
@@ -68,7 +68,15 @@
 }
 
 // usable reports whether the endpoint may get new runs. The shard's lock is held.
-func (x *session) usable() bool { return x.listed && x.reported && x.answering && !x.endpoint.Draining }
+func (x *session) usable() bool {
+	return x.listed && x.reported && x.answering && !x.endpoint.Draining && x.registrationHolds()
+}
+
+// registrationHolds reports whether the registration is of the process that answers. A process that has started again
+// under the same name may have less room than the one before.
+func (x *session) registrationHolds() bool {
+	return x.endpoint.Born == 0 || x.born == 0 || x.endpoint.Born == x.born
+}
 
 // run looks at the endpoint again and again until the term or the endpoint ends.
 func (x *session) run(ctx context.Context) {
@@ -156,8 +164,8 @@
 	s := x.shard
 	x.failures++
 	s.lossy, s.lostAt = true, now
-	if x.answering && x.failures < tolerated {
-		return // one lost answer says little
+	if x.answering && x.failures < tolerated && errors.Is(err, work.ErrTimeout) {
+		return // one lost answer says little; the end of a connection may be the end of the process
 	}
 	if x.answering {
 		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_silent", "endpoint": x.endpoint.ID}).WithError(err).
@@ -244,6 +252,7 @@
 
 func (x *session) applyRuns(report work.Report, now time.Duration) {
 	p := x.shard.pool
+	strays := 0
 	for _, run := range report.Running {
 		known := p.Run(run.Task)
 		switch {
@@ -252,11 +261,13 @@
 				x.settledAt[found] = now
 			}
 		case known.Endpoint != x.endpoint.ID || known.Number != run.Run:
+			strays++
 			x.stopStray(run, known)
 		default:
 			p.Progress(run.Task, run.Run, run.Percent, now)
 		}
 	}
+	p.SetStrays(x.endpoint.ID, strays)
 }
 
 // stopStray stops a run beside the one that counts.
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -348,3 +348,29 @@
 	s.Submit(c, &relay.Submit{Job: jobOf("b", 1, time.Second)})
 	is.Equal(c.answer("b").Refused, pool.ReasonNotLeader)
 }
+
+// Guards against an endpoint that starts again under its name with less room and is filled by its old registration.
+func TestRebornSmaller(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(1, 30*time.Millisecond)
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(1, 1)
+	t.Cleanup(s.End)
+	all[0] = f.Resize(all[0].Address, all[0].Size) // registered with its start
+	s.register(all)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, 30*time.Millisecond)})
+	eventually(t, "the first job completes", completed(c, "a"))
+	f.Silence(all[0].Address, true)
+	eventually(t, "the endpoint gets no new runs", func() bool { return s.Pressure() > 100 })
+	f.Restart(all[0].Address)
+	smaller := f.Resize(all[0].Address, work.Size{MilliCPU: 1000, MemoryMB: 1024})
+	for i := range 10 {
+		s.Submit(c, &relay.Submit{Job: jobOf(fmt.Sprint("b", i), 2, 30*time.Millisecond)})
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
+	s.register([]work.Endpoint{smaller})
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("c", 2, 30*time.Millisecond)})
+	eventually(t, "a job completes on the smaller endpoint", completed(c, "c"))
+	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -47,6 +47,7 @@
 	stopped map[work.TaskID]int
 	ends    []work.End
 	ended   int64
+	most    int // runs at the same time
 	silent  bool
 	hung    bool
 	changed chan struct{}
@@ -77,6 +78,28 @@
 	f.endpoints[address] = f.fresh(old.reg)
 }
 
+// Resize changes the room of an endpoint, as a new process on another machine does, and returns its registration.
+func (f *Fleet) Resize(address string, size work.Size) work.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[address]
+	e.reg.Size, e.reg.Born = size, e.born.UnixMilli()
+	return e.reg
+}
+
+// Overfilled returns a description of the first endpoint that has held more than its room, with each task taking a size,
+// or "".
+func (f *Fleet) Overfilled(task work.Size) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, e := range f.endpoints {
+		if e.most*task.MilliCPU > e.reg.Size.MilliCPU {
+			return fmt.Sprintf("%s held %d tasks of %+v in %+v", address, e.most, task, e.reg.Size)
+		}
+	}
+	return ""
+}
+
 // Silence makes an endpoint leave all calls without an answer, or answer again.
 func (f *Fleet) Silence(address string, silent bool) {
 	f.mu.Lock()
@@ -167,7 +190,7 @@
 	case <-ctx.Done():
 	case <-time.After(callTimeout):
 	}
-	return answer, fmt.Errorf("%w: %s", work.ErrNoResponse, call)
+	return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
 }
 
 func (e *endpoint) clock() time.Duration { return time.Since(e.born) }
@@ -199,6 +222,7 @@
 	e.extend(s.Until)
 	run := &Start{Task: s.Task, Run: s.Run, Endpoint: e.reg.ID, Begun: time.Now()}
 	e.runs[s.Task] = run
+	e.most = max(e.most, len(e.runs))
 	e.fleet.starts = append(e.fleet.starts, run)
 	if !e.hung {
 		time.AfterFunc(e.fleet.WorkFor(s.Task), func() { e.end(run, work.EndSucceeded) })
--- a/internal/work/endpoint.go
+++ b/internal/work/endpoint.go
@@ -103,6 +103,9 @@
 // ErrNoResponse is wrapped by errors of orders that may have been carried out, or may be later.
 var ErrNoResponse = errors.New("no response from the endpoint")
 
+// ErrTimeout is wrapped, besides ErrNoResponse, by errors of orders on a connection that was not seen to end.
+var ErrTimeout = errors.New("time-out")
+
 // Orders gives orders to one endpoint. Errors wrap ErrNoResponse. Calls may be made concurrently.
 type Orders interface {
 	// Start orders a run and returns the endpoint's clock if it said so.
