--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -18,8 +17,8 @@
 // redialPause keeps an address that could not be reached from being tried for every job.
 const redialPause = 300 * time.Millisecond
 
-// confirmTimeout is the time in which a live dispatcher accepts a connection.
-const confirmTimeout = 150 * time.Millisecond
+// confirmTimeout is the time in which a live dispatcher accepts a connection, and in which its first message comes.
+const confirmTimeout = 250 * time.Millisecond
 
 // paths leads to the dispatchers of all zones. It implements gateway.Path.
 type paths struct {
@@ -136,14 +135,11 @@
 	go p.replace(address)
 }
 
-// replace takes a dispatcher of the own zone out of its group if it is not reached at a second try either.
+// replace takes a dispatcher of the own zone out of its group if it does not answer at a second try either.
 func (p *paths) replace(address string) {
-	conn, err := net.DialTimeout("tcp", address, confirmTimeout)
-	if err == nil {
-		conn.Close()
-		return
+	if !relay.Probe(address, confirmTimeout) {
+		p.lead.Depose(context.Background(), address)
 	}
-	p.lead.Depose(context.Background(), address)
 }
 
 // Moved implements gateway.Path.
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -65,8 +65,13 @@
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
 	buffered := bufio.NewWriter(l.conn)
+	frame := l.beat() // at once, so that the peer knows that the process lives
 	for {
-		var frame []byte
+		l.conn.SetWriteDeadline(time.Now().Add(SilenceLimit))
+		if err := l.writeAll(buffered, frame); err != nil {
+			l.close(err)
+			return
+		}
 		select {
 		case <-l.done:
 			return
@@ -74,11 +79,6 @@
 		case <-ticker.C:
 			frame = l.beat()
 		}
-		l.conn.SetWriteDeadline(time.Now().Add(SilenceLimit))
-		if err := l.writeAll(buffered, frame); err != nil {
-			l.close(err)
-			return
-		}
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -87,6 +88,19 @@
 		Info("an instance that sent jobs is not connected any more")
 }
 
+// Probe reports whether a dispatcher at an address answers in time. A process that stands still does not, although its
+// machine accepts connections.
+func Probe(address string, timeout time.Duration) bool {
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetReadDeadline(time.Now().Add(timeout))
+	_, err = read(conn)
+	return err == nil
+}
+
 // Uplink is the connection to a dispatcher at an address. It connects when it is made and ends for good with the
 // connection.
 type Uplink struct {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,6 +105,9 @@
 	ended := make(chan bool, 1)
 	Dial(l.Addr().String(), func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
 	is.True(receive(t, ended))
+	is.True(!Probe(l.Addr().String(), 50*time.Millisecond)) // a machine that accepts connections for a process that stands still
+	sound, _ := listen(t)
+	is.True(Probe(sound.Address(), 20*time.Second))
 }
 
 // Guards against messages that change on their way.
