--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/follow"
@@ -31,7 +32,11 @@
 	// drainMinimum is the time in which the load balancer notices that the instance takes no new connections.
 	drainMinimum = 2500 * time.Millisecond
 	// drainReserve is the part of the time to stop that is kept for the end of the process.
-	drainReserve = 500 * time.Millisecond
+	drainReserve = time.Second
+	// serverStopTimeout is the time for the callers' event loops to end; they look for it twice a second.
+	serverStopTimeout = 600 * time.Millisecond
+	// shutDownTimeout is the time in which a listener ends; what matters has been answered before.
+	shutDownTimeout = 100 * time.Millisecond
 	// reservedDescriptors are kept for files, links and endpoints.
 	reservedDescriptors = 900
 	minConnections      = 256
@@ -156,13 +161,13 @@
 	if err != nil {
 		return err
 	}
-	defer health.Shutdown()
+	defer shutDown(health)
 	operators, err := n.serveOperators(n.opts.Operators)
 	if err != nil {
 		return err
 	}
 	if operators != nil {
-		defer operators.Shutdown()
+		defer shutDown(operators)
 	}
 	n.server, err = server.Start(server.Options{
 		Address: n.opts.Settings.Callers, Loops: 1, Limits: n.limits, Handler: n.gateway, Log: n.log,
@@ -171,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	defer n.server.Stop(context.Background())
+	defer n.stopServer()
 	n.log.WithFields(logrus.Fields{"event": "started", "instance": n.opts.Settings.Instance, "zone": n.opts.Settings.Zone}).Info("started")
 	select {
 	case <-ctx.Done():
@@ -182,6 +187,22 @@
 	return nil
 }
 
+// stopServer closes the callers' listener. The process ends after it, whether the event loops have stopped or not.
+func (n *Node) stopServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), serverStopTimeout)
+	defer cancel()
+	if err := n.server.Stop(ctx); err != nil {
+		n.log.WithField("event", "server_stop").WithError(err).Warn("the callers' listener did not stop in time")
+	}
+}
+
+// shutDown closes a small listener. It does not wait for connections that their clients keep open.
+func shutDown(s *fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutDownTimeout)
+	defer cancel()
+	s.ShutdownWithContext(ctx) // the only error is that connections are left
+}
+
 // followTerms starts and ends the work of a dispatcher.
 func (n *Node) followTerms(ctx context.Context) {
 	for {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -186,6 +186,7 @@
 		}()
 	}
 	d.eventually("the jobs run", func() bool { return d.fleet.Running() >= 8 })
+	get(a.health + platform.HealthPath) // leaves its connection open, as the load balancer does
 	a.Drain()
 	for range 8 {
 		is.Equal(<-answers, 200)
