--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,30 +229,6 @@
 	})
 }
 
-func (n *Node) applyEndpoints(u follow.Update) {
-	newest := map[string]store.Record{}
-	for _, r := range u.Records {
-		newest[r.Key] = r
-	}
-	var changed []work.Endpoint
-	var removed []work.EndpointID
-	for key, r := range newest {
-		if len(r.Value) == 0 {
-			removed = append(removed, work.EndpointID(key))
-			continue
-		}
-		e, err := n.opts.Records.DecodeEndpoint(key, r.Value)
-		if err != nil {
-			n.log.WithFields(logrus.Fields{"event": "registration_ignored", "endpoint": key, "offset": r.Offset}).WithError(err).
-				Warn("an unreadable registration names no endpoint to use")
-			removed = append(removed, work.EndpointID(key))
-			continue
-		}
-		changed = append(changed, e)
-	}
-	n.shards.endpoints(shard.Registrations{Changed: changed, Removed: removed, Whole: u.Whole, AsOf: u.AsOf.Sub(n.started)}, n.now())
-}
-
 func (n *Node) followConfig(ctx context.Context) {
 	topic, key := n.opts.Records.ConfigTopic()
 	follow.New(follow.Options{
--- /dev/null
+++ b/internal/node/registrations.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/follow"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+func (n *Node) applyEndpoints(u follow.Update) {
+	n.shards.endpoints(n.registrations(u), n.now())
+}
+
+// registrations reads the registrations of an update. An endpoint that was registered and removed within it is named as
+// both, since another dispatcher may have used it meanwhile.
+func (n *Node) registrations(u follow.Update) shard.Registrations {
+	changed := map[string]work.Endpoint{}
+	removed := map[string]bool{}
+	for _, r := range u.Records {
+		removed[r.Key] = true
+		if len(r.Value) == 0 {
+			continue
+		}
+		e, err := n.opts.Records.DecodeEndpoint(r.Key, r.Value)
+		if err != nil {
+			n.log.WithFields(logrus.Fields{"event": "registration_ignored", "endpoint": r.Key, "offset": r.Offset}).WithError(err).
+				Warn("an unreadable registration names no endpoint to use")
+			continue
+		}
+		changed[r.Key] = e
+		removed[r.Key] = false
+	}
+	all := shard.Registrations{Whole: u.Whole, AsOf: u.AsOf.Sub(n.started)}
+	for _, e := range changed {
+		all.Changed = append(all.Changed, e)
+	}
+	for key, gone := range removed {
+		if gone {
+			all.Removed = append(all.Removed, work.EndpointID(key))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/node/registrations_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/follow"
+	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// records reads every registration but "unreadable".
+type records struct{}
+
+func (records) ConfigTopic() (topic, key string)             { return "", "" }
+func (records) EndpointsTopic() string                       { return "" }
+func (records) LeadersTopic(string) string                   { return "" }
+func (records) DecodeConfig([]byte) (*catalog.Config, error) { return nil, nil }
+
+func (records) DecodeEndpoint(key string, raw []byte) (work.Endpoint, error) {
+	if string(raw) == "unreadable" {
+		return work.Endpoint{}, errors.New("unreadable")
+	}
+	return work.Endpoint{ID: work.EndpointID(key)}, nil
+}
+
+// Guards against an endpoint that was registered and removed between two reads and is not waited for at a takeover.
+func TestRegistrationsOfOneUpdate(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{opts: Options{Records: records{}}, log: log}
+	record := func(key, value string) store.Record { return store.Record{Key: key, Value: []byte(value)} }
+	for _, c := range []struct {
+		name             string
+		records          []store.Record
+		changed, removed int
+	}{
+		{"registered", []store.Record{record("a", "x")}, 1, 0},
+		{"registered and removed", []store.Record{record("a", "x"), record("a", "")}, 1, 1},
+		{"removed and registered", []store.Record{record("a", ""), record("a", "x")}, 1, 0},
+		{"unreadable", []store.Record{record("a", "unreadable")}, 0, 1},
+		{"registered and unreadable", []store.Record{record("a", "x"), record("a", "unreadable")}, 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := n.registrations(follow.Update{Records: c.records})
+			is.Equal(len(r.Changed), c.changed)
+			is.Equal(len(r.Removed), c.removed)
+		})
+	}
+}
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -65,9 +65,8 @@
 	}
 	removed := slices.Clone(r.Removed)
 	if r.Whole {
-		if !d.followed {
-			d.followed, d.followedFrom = true, now
-		}
+		// What was registered and removed since the read before is not known.
+		d.followed, d.followedFrom = true, now
 		for id := range d.listed {
 			if !present[id] {
 				removed = append(removed, id)
