--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -98,6 +98,9 @@
 	if route == nil {
 		return nil, false
 	}
+	if to.Zone != p.own && !route.uplink.Connected() {
+		return nil, false // a job must not wait for a zone that may be cut off; the connection is there for later ones
+	}
 	route.uplink.Submit(s)
 	return route, true
 }
