--- a/cmd/savorypass/main.go
+++ b/cmd/savorypass/main.go
@@ -64,7 +64,7 @@
 		return daemon.ExitUsage
 	}
 	n := node.New(node.Options{
-		Settings: settings, Store: platform.NewStore(settings.Store), Records: platform.Names{}, Codec: platform.Callers{},
+		Settings: settings, Store: platform.NewStore(settings.Store), Records: platform.Records{}, Codec: platform.Callers{},
 		Dialer: platform.Dialer{}, Log: log, Operators: operatorsAddress(settings, o.OperatorsPort),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/server"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -167,12 +168,7 @@
 
 func (f *fixture) eventually(what string, ok func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	f.t.Fatalf("did not come: %s", what)
+	wait.For(f.t, what, ok)
 }
 
 // post submits a job and waits until a dispatcher has it.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 )
 
 // member is one instance of a zone.
@@ -48,16 +49,6 @@
 	return m
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("did not come: %s", what)
-}
-
 func leading(m *member) func() bool { return func() bool { return m.Term().Holds(0) } }
 
 // Guards against a zone without a dispatcher after one has died, and against a successor with the same fence.
@@ -65,12 +56,12 @@
 	is := is.New(t)
 	s := keyed.New()
 	a := join(t, s, "a")
-	eventually(t, "the first member leads", leading(a))
+	wait.For(t, "the first member leads", leading(a))
 	b := join(t, s, "b")
-	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
+	wait.For(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
 	before := a.Term().Generation
 	a.stop()
-	eventually(t, "the second member leads", leading(b))
+	wait.For(t, "the second member leads", leading(b))
 	is.True(b.Term().Generation > before)
 }
 
@@ -79,16 +70,16 @@
 	is := is.New(t)
 	s := keyed.New()
 	a := join(t, s, "a")
-	eventually(t, "the first member leads", leading(a))
+	wait.For(t, "the first member leads", leading(a))
 	b := join(t, s, "b")
-	eventually(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
+	wait.For(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
 	before := a.Term().Generation
 	b.Depose(context.Background(), "c:1") // not the dispatcher
 	is.Equal(b.Dispatcher("north", 0), "a:1")
 	b.Depose(context.Background(), "a:1")
-	eventually(t, "the second member leads", leading(b))
+	wait.For(t, "the second member leads", leading(b))
 	is.True(b.Term().Generation > before)
-	eventually(t, "the first member learns it", func() bool { return !a.Term().Holds(0) })
+	wait.For(t, "the first member learns it", func() bool { return !a.Term().Holds(0) })
 }
 
 // Guards against losing the term while the store is away, and against a term that outlives a planned stop.
@@ -96,7 +87,7 @@
 	is := is.New(t)
 	s := keyed.New()
 	a := join(t, s, "a")
-	eventually(t, "the member leads", leading(a))
+	wait.For(t, "the member leads", leading(a))
 	s.SetDown(true)
 	a.Verify()
 	time.Sleep(20 * time.Millisecond) // a failed join must change nothing
@@ -113,7 +104,7 @@
 	is := is.New(t)
 	s := keyed.New()
 	a := join(t, s, "a")
-	eventually(t, "the first member leads", leading(a))
+	wait.For(t, "the first member leads", leading(a))
 	s.SetLose(true)
 	join(t, s, "b")
 	time.Sleep(1500 * time.Millisecond) // longer than the time to live
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,6 +19,7 @@
 	"github.com/savorypass/savorypass/internal/node"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/work"
 	"github.com/savorypass/savorypass/platform"
 )
@@ -70,7 +71,7 @@
 	}
 	i := &instance{url: "http://" + ports[0], health: "http://" + ports[1], operators: "http://" + ports[3], ended: make(chan error, 1)}
 	i.Node = node.New(node.Options{
-		Settings: s, Store: d.store, Records: platform.Names{}, Codec: platform.Callers{}, Dialer: d.fleet, Log: log, Operators: ports[3],
+		Settings: s, Store: d.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: d.fleet, Log: log, Operators: ports[3],
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.kill = cancel
@@ -100,12 +101,7 @@
 
 func (d *deployment) eventually(what string, ok func() bool) {
 	d.t.Helper()
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	d.t.Fatalf("did not come: %s", what)
+	wait.For(d.t, what, ok)
 }
 
 func (i *instance) post(id string, tasks int) (int, string) {
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -16,6 +16,7 @@
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/store"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -38,9 +39,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go l.Follow(ctx, []string{"south"}, func() bool { return true })
-	for end := time.Now().Add(20 * time.Second); l.Dispatcher("south", 0) == ""; time.Sleep(time.Millisecond) {
-		is.True(time.Now().Before(end)) // the dispatcher becomes known
-	}
+	wait.For(t, "the dispatcher is known", func() bool { return l.Dispatcher("south", 0) != "" })
 	p := &paths{
 		own: "north", others: []string{"south"}, lead: l, directory: shard.NewDirectory(), log: log,
 		links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -20,7 +20,6 @@
 type estimate struct {
 	mean  float64 // of the run times, geometric, as a logarithm of nanoseconds
 	ratio float64 // of the run time to the caller's estimate, as a logarithm
-	known bool
 }
 
 // of returns the expected run time of a task with a caller's estimate: halfway, on a logarithmic scale, between the
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -14,6 +14,7 @@
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -101,6 +102,16 @@
 	return f, all
 }
 
+// leading returns a fleet, its registrations, a dispatcher that leads it and a client.
+func leading(t *testing.T, n int, run time.Duration) (*fleet.Fleet, []work.Endpoint, *dispatcher, *client) {
+	f, all := newFleet(n, run)
+	s := newShard(f, func() {})
+	s.Begin(1, 1)
+	t.Cleanup(s.End)
+	s.register(all)
+	return f, all, s, newClient()
+}
+
 func jobOf(id string, tasks int, estimate time.Duration) work.Job {
 	return work.Job{
 		ID: work.JobID(id), Queue: "q", Service: "survey", Spec: "text",
@@ -109,20 +120,9 @@
 	}
 }
 
-// eventually waits for a state that is sure to come; the limit only ends a test that has failed.
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("did not come: %s", what)
-}
-
 func submitUntilTaken(t *testing.T, s *dispatcher, c *client, m *relay.Submit) {
 	t.Helper()
-	eventually(t, "the job is taken", func() bool {
+	wait.For(t, "the job is taken", func() bool {
 		s.Submit(c, m)
 		a := c.answer(m.Job.ID)
 		if a != nil && a.Refused != pool.ReasonNone {
@@ -142,13 +142,9 @@
 // Guards against a job that is answered before its last task has ended or whose tasks start twice.
 func TestJobCompletes(t *testing.T) {
 	is := is.New(t)
-	f, all := newFleet(3, 30*time.Millisecond)
-	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
-	t.Cleanup(s.End)
-	s.register(all)
+	f, _, s, c := leading(t, 3, 30*time.Millisecond)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 9, 30*time.Millisecond)})
-	eventually(t, "the job completes", completed(c, "a"))
+	wait.For(t, "the job completes", completed(c, "a"))
 	is.Equal(len(f.Starts()), 9)
 	is.Equal(f.Overlaps(), "")
 }
@@ -178,7 +174,7 @@
 		}
 	})
 	for i := range 6 {
-		eventually(t, "the job completes", completed(c, work.JobID(fmt.Sprint("late", i))))
+		wait.For(t, "the job completes", completed(c, work.JobID(fmt.Sprint("late", i))))
 	}
 	is.Equal(f.Overlaps(), "")
 }
@@ -193,13 +189,13 @@
 	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 8, 400*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
-	eventually(t, "all tasks run", func() bool { return f.Running() == 8 })
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 8 })
 	after, c2 := newShard(f, func() {}), newClient()
 	after.Begin(2, 1)
 	defer after.End()
 	after.register(all)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
-	eventually(t, "the job completes at the new dispatcher", completed(c2, "a"))
+	wait.For(t, "the job completes at the new dispatcher", completed(c2, "a"))
 	is.Equal(len(f.Starts()), 8) // nothing was started again
 	is.Equal(f.Overlaps(), "")
 	before.End()
@@ -214,14 +210,14 @@
 	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
-	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	before.End()
 	after, c2 := newShard(f, func() {}), newClient()
 	after.Begin(2, 1)
 	defer after.End()
 	after.register(all[:1]) // the other one is missing
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
-	eventually(t, "the job completes", completed(c2, "a"))
+	wait.For(t, "the job completes", completed(c2, "a"))
 	is.Equal(f.Overlaps(), "")
 }
 
@@ -238,42 +234,34 @@
 	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
-	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	before.End()
 	after.Begin(2, 1)
 	t.Cleanup(after.End)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
-	eventually(t, "the job completes", completed(c2, "a"))
+	wait.For(t, "the job completes", completed(c2, "a"))
 	is.Equal(f.Overlaps(), "")
 }
 
 // Guards against tasks that are lost, or run twice, when an endpoint falls silent and its leases end.
 func TestSilentEndpoint(t *testing.T) {
 	is := is.New(t)
-	f, all := newFleet(2, 300*time.Millisecond)
-	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
-	t.Cleanup(s.End)
-	s.register(all)
+	f, all, s, c := leading(t, 2, 300*time.Millisecond)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)})
-	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	f.Silence(all[0].Address, true)
-	eventually(t, "the job completes", completed(c, "a"))
+	wait.For(t, "the job completes", completed(c, "a"))
 	is.Equal(f.Overlaps(), "")
 }
 
 // Guards against waiting for runs that an endpoint has lost in a restart under the same name.
 func TestRebornEndpoint(t *testing.T) {
 	is := is.New(t)
-	f, all := newFleet(2, 200*time.Millisecond)
-	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
-	t.Cleanup(s.End)
-	s.register(all)
+	f, all, s, c := leading(t, 2, 200*time.Millisecond)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 200*time.Millisecond)})
-	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	f.Restart(all[0].Address)
-	eventually(t, "the job completes", completed(c, "a"))
+	wait.For(t, "the job completes", completed(c, "a"))
 	is.Equal(f.Overlaps(), "")
 }
 
@@ -287,25 +275,21 @@
 	t.Cleanup(s.End)
 	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 50*time.Millisecond)})
-	eventually(t, "the job completes", completed(c, "a"))
+	wait.For(t, "the job completes", completed(c, "a"))
 	is.Equal(f.Overlaps(), "")
 }
 
 // Guards against runs that nobody waits for: the caller has left, or its instance is gone.
 func TestCancelStopsRuns(t *testing.T) {
 	is := is.New(t)
-	f, all := newFleet(2, time.Minute)
-	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
-	t.Cleanup(s.End)
-	s.register(all)
+	f, _, s, c := leading(t, 2, time.Minute)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
-	eventually(t, "all tasks run", func() bool { return f.Running() == 4 })
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	s.Cancel(c, "a")
-	eventually(t, "the cancelled job's runs are stopped", func() bool { return f.Running() == 2 })
+	wait.For(t, "the cancelled job's runs are stopped", func() bool { return f.Running() == 2 })
 	s.Gone(c)
-	eventually(t, "no run is left", func() bool { return f.Running() == 0 })
+	wait.For(t, "no run is left", func() bool { return f.Running() == 0 })
 	is.Equal(c.answer("a"), nil)
 }
 
@@ -327,7 +311,7 @@
 	defer after.End()
 	after.register(all)
 	submitUntilTaken(t, after, c, &relay.Submit{Job: jobOf("a", 2, 10*time.Millisecond)})
-	eventually(t, "the job completes", completed(c, "a"))
+	wait.For(t, "the job completes", completed(c, "a"))
 	select {
 	case <-fenced:
 	case <-time.After(20 * time.Second):
@@ -359,9 +343,9 @@
 	all[0] = f.Resize(all[0].Address, all[0].Size) // registered with its start
 	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, 30*time.Millisecond)})
-	eventually(t, "the first job completes", completed(c, "a"))
+	wait.For(t, "the first job completes", completed(c, "a"))
 	f.Silence(all[0].Address, true)
-	eventually(t, "the endpoint gets no new runs", func() bool { return s.Pressure() > 100 })
+	wait.For(t, "the endpoint gets no new runs", func() bool { return s.Pressure() > 100 })
 	f.Restart(all[0].Address)
 	smaller := f.Resize(all[0].Address, work.Size{MilliCPU: 1000, MemoryMB: 1024})
 	for i := range 10 {
@@ -371,6 +355,6 @@
 	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
 	s.register([]work.Endpoint{smaller})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("c", 2, 30*time.Millisecond)})
-	eventually(t, "a job completes on the smaller endpoint", completed(c, "c"))
+	wait.For(t, "a job completes on the smaller endpoint", completed(c, "c"))
 	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
 }
