--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -2,13 +2,10 @@
 
 import (
 	"net"
-	"sort"
 
 	"github.com/valyala/fasthttp"
 )
 
-func sortZones(zones []string) { sort.Strings(zones) }
-
 // serveHealth answers the load balancer's health checks.
 func (n *Node) serveHealth() (*fasthttp.Server, error) {
 	l, err := net.Listen("tcp", n.opts.Settings.Health)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -117,8 +118,7 @@
 // otherZones returns the zones besides the own one, beginning with a different one for each zone, so that the overflow
 // of all does not go to the same one.
 func otherZones(s Settings) []string {
-	zones := append([]string(nil), s.Zones...)
-	sortZones(zones)
+	zones := slices.Sorted(slices.Values(s.Zones))
 	at := 0
 	for i, z := range zones {
 		if z == s.Zone {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -24,7 +24,6 @@
 	Grace       time.Duration // from the order to stop to the kill
 	Lease       time.Duration // longest lease of an endpoint's runs
 	MemberTTL   time.Duration // shortest time to live of a member of a group
-	Resubmit    time.Duration // after which callers repeat a job that got no answer
 }
 
 // Validate returns every problem of the settings in one error.
