Checkpoints wait for the members and are repeated when the log has dropped them

Four instances that start together each took themselves for the only one and wrote a checkpoint; with two records kept, that dropped a record before anybody had folded it, and no instance could publish any more. TestNoCheckpointWhileMembersAreNotKnown and TestCheckpointPushedOutOfTheLog failed without their halves.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -34,7 +34,8 @@
 	Log  platform.Log
 	Peer Peer
 	Name string // of this entry instance
-	// Live returns the names of the live entry instances, this one included. They share the writing of checkpoints.
+	// Live returns the names of the live entry instances, this one included, or none while they are not known. They share
+	// the writing of checkpoints.
 	Live func() []string
 	// SchemaSupport returns the highest schema version that all live entry instances read.
 	SchemaSupport  func() int
@@ -96,9 +97,10 @@
 	mu         sync.Mutex
 	state      State
 	config     *Config
-	cursor     int64 // next offset to read; above state.Next while records are missing
-	newer      int   // schema version that this program cannot read, 0 if none was met
-	checkpoint time.Time
+	cursor     int64     // next offset to read; above state.Next while records are missing
+	newer      int       // schema version that this program cannot read, 0 if none was met
+	checkpoint time.Time // of the newest one that was seen
+	retained   retained
 	seen       map[string]uint64 // versions that peers have shown
 	history    []Version
 	status     status
@@ -122,7 +124,7 @@
 func New(opts Options) *Controller {
 	opts.setDefaults()
 	return &Controller{
-		opts: opts, wake: make(chan struct{}, 1), seen: map[string]uint64{},
+		opts: opts, wake: make(chan struct{}, 1), seen: map[string]uint64{}, retained: retained{checkpoint: noCheckpoint},
 		// Without a checkpoint in the log one is due from the chosen instance at once, from the others after their delay.
 		checkpoint: opts.Clock.Now().Add(-opts.Retention / checkpointFraction),
 	}
@@ -236,6 +238,7 @@
 		return false // a peer's state was adopted meanwhile
 	}
 	c.status.LogError, c.status.LastRead = "", c.opts.Clock.Now()
+	c.retained.read(batch.First, c.opts.Clock.Now())
 	c.moveCursor(batch, truncated)
 	var updates []Update
 	for _, r := range batch.Records {
@@ -268,6 +271,7 @@
 		c.opts.Logger.WithField("event", "config_log_restarted").WithField("next", batch.Next).WithField("cursor", c.cursor).Error("config log has restarted")
 		c.status.LogRestarted++
 		c.state.Next, c.cursor = 0, batch.First
+		c.retained.checkpoint = noCheckpoint
 		return
 	}
 	if truncated && batch.First > c.cursor {
@@ -292,6 +296,7 @@
 		c.newer = schemaOf(r)
 	}
 	if verdict == Rebased || verdict == Redundant {
+		c.retained.checkpoint = r.Offset
 		c.sawCheckpoint(r.Time)
 	}
 	c.state = next
--- a/internal/config/controller_test.go
+++ b/internal/config/controller_test.go
@@ -326,6 +326,51 @@
 	w.is.Equal(len(got), 0)
 }
 
+// Guards against instances that start together, do not know each other yet and all write a checkpoint: a log that keeps
+// few records then drops ones that nobody has folded.
+func TestNoCheckpointWhileMembersAreNotKnown(t *testing.T) {
+	w := newWorld(t)
+	known := false
+	c := quiet(Options{Log: w.log, Peer: w.peers, Name: "a", Clock: w.clock, Live: func() []string {
+		if known {
+			return []string{"a"}
+		}
+		return nil
+	}})
+	w.is.Equal(w.publish(c, 1).Ending, Won)
+	c.writeCheckpoint(w.ctx)
+	w.is.Equal(len(w.log.records), 1) // the publication
+	known = true
+	c.writeCheckpoint(w.ctx)
+	w.is.Equal(len(w.log.records), 2)
+}
+
+// Guards against a restart of all that finds no base, because publications have pushed the newest checkpoint out of a log
+// that keeps few records.
+func TestCheckpointPushedOutOfTheLog(t *testing.T) {
+	w := newWorld(t)
+	c := quiet(Options{Log: w.log, Peer: w.peers, Name: "a", Clock: w.clock, Live: func() []string { return []string{"a"} }})
+	follow := func() {
+		w.is.NoErr(c.poll(w.ctx))
+		c.writeCheckpoint(w.ctx)
+	}
+	w.is.Equal(w.publish(c, 1).Ending, Won)
+	follow() // the first checkpoint
+	w.is.Equal(w.publish(c, 2).Ending, Won)
+	w.is.Equal(w.publish(c, 3).Ending, Won)
+	follow()
+	w.is.Equal(len(w.log.records), 4) // the checkpoint is still there
+	w.log.set(func() { w.log.first = 2 })
+	follow()
+	w.is.Equal(len(w.log.records), 5)
+	follow()
+	w.is.Equal(len(w.log.records), 5) // one is enough
+	w.log.set(func() { w.log.first = 4 })
+	restarted := w.instance("a")
+	w.is.NoErr(restarted.poll(w.ctx))
+	w.is.Equal(restarted.Version(), uint64(3))
+}
+
 // Guards against a base that the retention drops before a checkpoint holds it, also while the chosen instance is down.
 func TestCheckpoints(t *testing.T) {
 	w := newWorld(t)
@@ -335,7 +380,7 @@
 		for range 6 {
 			for _, c := range all {
 				w.is.NoErr(c.poll(w.ctx))
-				if c.checkpointRank(1) != skipped {
+				if c.checkpointRank(c.opts.Live(), 1) != skipped {
 					c.writeCheckpoint(w.ctx)
 				}
 			}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -135,8 +135,12 @@
 
 // liveNames returns the names of the live entry instances, this one included.
 func (e *Entry) liveNames() []string {
+	view := e.members.View()
+	if !view.Settled {
+		return nil
+	}
 	names := []string{e.opts.Zone + "/" + e.opts.Name}
-	for _, m := range e.members.View().Live() {
+	for _, m := range view.Live() {
 		names = append(names, m.Zone+"/"+m.Instance)
 	}
 	return names
