Wide jobs try further partitions of their zone before they are refused

Change: two further partitions of the own zone, least busy first, and of the other zones the less busy of two; a dispatcher that has not told its load counts as unknown, not as idle. The order is a pure function (targetsOf).

--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -45,26 +45,24 @@
 	r.uplink.Cancel(&relay.Cancel{Job: id, Partition: from.Partition})
 }
 
-// Targets implements gateway.Path. Of two partitions of the own zone, which the job's name gives, the less busy one comes
-// first; a job that comes again therefore finds the same ones. One partition of each other zone follows.
+// Targets implements gateway.Path.
 func (p *paths) Targets(id work.JobID) []gateway.Target {
-	n := p.directory.Partitions(p.own)
-	first := gateway.Target{Zone: p.own, Partition: shard.PartitionOf(string(id), n)}
-	targets := []gateway.Target{first}
-	if n > 1 {
-		second := gateway.Target{Zone: p.own, Partition: (first.Partition + n/2) % n}
-		targets = append(targets, second)
-		if p.pressure(second) < p.pressure(first) {
-			targets[0], targets[1] = second, first
-		}
-	}
+	var others []zoneLoad
 	for _, zone := range p.others {
-		targets = append(targets, gateway.Target{Zone: zone, Partition: shard.PartitionOf(string(id), p.directory.Partitions(zone))})
+		others = append(others, p.load(zone))
+	}
+	return targetsOf(id, p.load(p.own), others)
+}
+
+func (p *paths) load(zone string) zoneLoad {
+	l := zoneLoad{zone, make([]int, p.directory.Partitions(zone))}
+	for part := range l.pressure {
+		l.pressure[part] = p.pressure(gateway.Target{Zone: zone, Partition: part})
 	}
-	return targets
+	return l
 }
 
-// unknownPressure is the pressure of a dispatcher that is not connected: behind those that have room.
+// unknownPressure is the pressure of a dispatcher that is not connected or has not told its load: behind those that have room.
 const unknownPressure = 90
 
 func (p *paths) pressure(t gateway.Target) int {
@@ -78,7 +76,10 @@
 	if route == nil {
 		return unknownPressure
 	}
-	return route.uplink.Pressure(t.Partition)
+	if pressure, ok := route.uplink.Pressure(t.Partition); ok {
+		return pressure
+	}
+	return unknownPressure
 }
 
 // Submit implements gateway.Path.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -177,11 +177,12 @@
 	}
 }
 
-// Pressure returns the last known pressure of a partition, 0 while none is known.
-func (u *Uplink) Pressure(partition int) int {
+// Pressure returns the last known pressure of a partition. ok is false while none is known.
+func (u *Uplink) Pressure(partition int) (pressure int, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.loads[partition]
+	pressure, ok = u.loads[partition]
+	return pressure, ok
 }
 
 func (u *Uplink) send(message any) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -67,7 +67,11 @@
 	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
 	u.Cancel(&Cancel{Job: "b"})
 	is.Equal(receive(t, e.cancelled), work.JobID("b"))
-	for end := time.Now().Add(20 * time.Second); u.Pressure(3) != 77; time.Sleep(time.Millisecond) {
+	pressure := func() int {
+		pressure, _ := u.Pressure(3)
+		return pressure
+	}
+	for end := time.Now().Add(20 * time.Second); pressure() != 77; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("no load came")
 		}
