Partitions of 40 endpoints instead of 20

Cause: a washout check of 16 tasks of half an endpoint each needs half of a partition of 17 endpoints free at once, so wide jobs were refused while the zone had room.

--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -17,7 +17,7 @@
 	minMemory = 8 * time.Second
 	// endpointsPerPartition is how many endpoints one dispatcher looks after. A small instance orders the starts of so
 	// many, and they are enough for jobs of usual widths.
-	endpointsPerPartition = 20
+	endpointsPerPartition = 40
 	// MaxPartitions is the most partitions of a zone.
 	MaxPartitions = 16
 )
