Fewer calls to the store: dispatchers are looked up when one is lost, longer polls

Change: the own zone is looked at every 5 s, others every 10 s; a zone whose dispatcher is lost or says that it is none is looked at soon (other zones at most once a second). Polls of the configuration wait 2 s. TestSearchOfAnotherZone.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -21,12 +21,16 @@
 	joinsInFlight = 4 // joins do not wait for the answers of those before, which may be lost or slow
 	// ttlFactor times the shortest time to live makes a member outlast joins that are lost or carried out late. A member
 	// that is known to be gone is taken out by the others sooner.
-	ttlFactor       = 3
-	deposePause     = 2 * time.Second // between two attempts to take out the same member
-	ownersInterval  = 2 * time.Second
-	searchInterval  = 150 * time.Millisecond // while a dispatcher is not known or not reached
-	memberSeparator = "|"
-	leaveTimeout    = 500 * time.Millisecond
+	ttlFactor   = 3
+	deposePause = 2 * time.Second // between two attempts to take out the same member
+	// ownersInterval and otherOwnersInterval are the pauses between two looks at the dispatchers of the own and of another
+	// zone that nothing asks for. A dispatcher that is lost or has changed is searched at once.
+	ownersInterval      = 5 * time.Second
+	otherOwnersInterval = 10 * time.Second
+	searchInterval      = 150 * time.Millisecond // while a dispatcher of the own zone is not known or not reached
+	otherSearchInterval = time.Second            // between two searches in a zone that may be cut off
+	memberSeparator     = "|"
+	leaveTimeout        = 500 * time.Millisecond
 )
 
 // Options configures a Controller.
@@ -59,7 +63,7 @@
 type Controller struct {
 	opts   Options
 	verify chan struct{} // asks for a join now
-	search chan struct{} // asks for the dispatcher's address now
+	search chan struct{} // tells that a zone is wanted
 
 	mu      sync.Mutex
 	term    Term
@@ -68,13 +72,14 @@
 	joining int                       // joins without an answer
 	deposed map[string]time.Time      // last attempt by member
 	holders map[string]map[int]string // member by zone and partition
+	wanted  map[string]bool           // zones whose dispatchers are to be looked up now
 }
 
 // New returns a controller that is not running.
 func New(o Options) *Controller {
 	return &Controller{
 		opts: o, verify: make(chan struct{}, 1), search: make(chan struct{}, 1), holders: map[string]map[int]string{},
-		deposed: map[string]time.Time{},
+		deposed: map[string]time.Time{}, wanted: map[string]bool{},
 	}
 }
 
@@ -100,8 +105,13 @@
 // reason.
 func (c *Controller) Verify() { poke(c.verify) }
 
-// Search asks the store at once who dispatches.
-func (c *Controller) Search() { poke(c.search) }
+// Search asks the store soon who dispatches for a zone.
+func (c *Controller) Search(zone string) {
+	c.mu.Lock()
+	c.wanted[zone] = true
+	c.mu.Unlock()
+	poke(c.search)
+}
 
 func poke(ch chan struct{}) {
 	select {
@@ -225,31 +235,47 @@
 // Follow keeps the addresses of the zones' dispatchers up to date until ctx ends. settled tells that the own zone's
 // dispatchers are known and reached.
 func (c *Controller) Follow(ctx context.Context, zones []string, settled func() bool) {
-	due := map[string]time.Time{}
+	last := map[string]time.Time{}
 	for ctx.Err() == nil {
+		unsettled := !settled()
 		for _, zone := range zones {
-			if time.Now().Before(due[zone]) {
+			if time.Since(last[zone]) < c.pauseOf(zone, unsettled) {
 				continue
 			}
 			c.find(ctx, zone)
-			due[zone] = time.Now().Add(ownersInterval)
+			last[zone] = time.Now()
 		}
-		wait := searchInterval
-		if !settled() {
-			due[c.opts.Zone] = time.Time{}
-		}
-		t := time.NewTimer(wait)
+		t := time.NewTimer(searchInterval)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
 		case <-c.search:
-			due[c.opts.Zone] = time.Time{}
 		}
 		t.Stop()
 	}
 }
 
+// pauseOf returns the time after the last look at a zone's dispatchers from which the next one is due.
+func (c *Controller) pauseOf(zone string, unsettled bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch own, wanted := zone == c.opts.Zone, c.wanted[zone]; {
+	case own && wanted:
+		return 0
+	case own && unsettled:
+		return searchInterval
+	case own:
+		return ownersInterval
+	case wanted:
+		return otherSearchInterval
+	}
+	return otherOwnersInterval
+}
+
 func (c *Controller) find(ctx context.Context, zone string) {
+	c.mu.Lock()
+	delete(c.wanted, zone)
+	c.mu.Unlock()
 	owners, err := c.opts.Store.Owners(ctx, c.opts.Topic(zone))
 	if err != nil {
 		return // join reports the loss of the store; the last address stays
@@ -296,5 +322,5 @@
 		c.opts.Log.WithFields(logrus.Fields{"event": "depose_failed", "member": m.Member}).WithError(err).Warn("the dispatcher stays until its time to live ends")
 	}
 	c.Verify()
-	c.Search()
+	c.Search(c.opts.Zone)
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorypass/savorypass/internal/standin/keyed"
 	"github.com/savorypass/savorypass/internal/standin/wait"
+	"github.com/savorypass/savorypass/internal/store"
 )
 
 // member is one instance of a zone.
@@ -82,6 +83,28 @@
 	wait.For(t, "the first member learns it", func() bool { return !a.Term().Holds(0) })
 }
 
+// Guards against jobs for another zone that go to a dispatcher that is gone until the next regular look.
+func TestSearchOfAnotherZone(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	other := store.Membership{Group: "lead.south", Topic: "lead.south", Member: "x|x:1", TTL: time.Hour}
+	_, err := s.Join(t.Context(), other)
+	is.NoErr(err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := New(Options{Store: s, Zone: "north", Topic: func(zone string) string { return "lead." + zone }, Log: log})
+	go c.Follow(t.Context(), []string{"north", "south"}, func() bool { return true })
+	wait.For(t, "the dispatcher is known", func() bool { return c.Dispatcher("south", 0) == "x:1" })
+	is.NoErr(s.Leave(t.Context(), other))
+	other.Member = "y|y:1"
+	_, err = s.Join(t.Context(), other)
+	is.NoErr(err)
+	begun := time.Now()
+	c.Search("south")
+	wait.For(t, "its successor is known", func() bool { return c.Dispatcher("south", 0) == "y:1" })
+	is.True(time.Since(begun) < otherOwnersInterval/2)
+}
+
 // Guards against losing the term while the store is away, and against a term that outlives a planned stop.
 func TestOutageAndLeave(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,7 @@
 const (
 	// configWait is the longest wait of a read for a configuration. A connection to the store that has gone silent is
 	// found after it.
-	configWait = 1200 * time.Millisecond
+	configWait = 2 * time.Second
 	// endpointsInterval is the pause between reads of the registrations, which change many times a second.
 	endpointsInterval = 500 * time.Millisecond
 	// idleEndpointsInterval is the pause on instances that do not dispatch. They keep the registrations for their next term.
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -38,7 +38,10 @@
 }
 
 // uplinkRoute is the route over a connection to another instance.
-type uplinkRoute struct{ uplink *relay.Uplink }
+type uplinkRoute struct {
+	uplink *relay.Uplink
+	zone   string // for which it was made
+}
 
 // Cancel implements gateway.Route.
 func (r *uplinkRoute) Cancel(from gateway.Target, id work.JobID) {
@@ -95,7 +98,7 @@
 		p.shards.Submit(p.local, s)
 		return p.local, true
 	}
-	route := p.link(address)
+	route := p.link(address, to.Zone)
 	if route == nil {
 		return nil, false
 	}
@@ -106,8 +109,8 @@
 	return route, true
 }
 
-// link returns the connection to an address, a new one if there is none.
-func (p *paths) link(address string) *uplinkRoute {
+// link returns the connection to an address of a zone, a new one if there is none.
+func (p *paths) link(address, zone string) *uplinkRoute {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if route := p.links[address]; route != nil {
@@ -116,7 +119,7 @@
 	if time.Since(p.failed[address]) < redialPause {
 		return nil
 	}
-	route := &uplinkRoute{}
+	route := &uplinkRoute{zone: zone}
 	route.uplink = relay.Dial(address,
 		func(a *relay.Answer) { p.gateway.Answer(route, a) },
 		func(_ *relay.Uplink, sent bool, err error) { p.down(route, sent, err) })
@@ -135,7 +138,7 @@
 	p.log.WithFields(logrus.Fields{"event": "dispatcher_lost", "address": address, "connected": sent}).
 		WithError(err).Warn("the connection to a dispatcher has ended")
 	p.gateway.Lost(route, sent)
-	p.lead.Search()
+	p.lead.Search(route.zone)
 	go p.replace(address)
 }
 
@@ -150,8 +153,8 @@
 func (p *paths) Moved(from gateway.Target) {
 	if from.Zone == p.own {
 		p.lead.Verify()
-		p.lead.Search()
 	}
+	p.lead.Search(from.Zone)
 }
 
 // reached reports whether the own zone's dispatchers are known and connected. It connects where it can.
@@ -165,7 +168,7 @@
 		case address == p.address:
 			all = all && p.shards.leading(part)
 		default:
-			route := p.link(address)
+			route := p.link(address, p.own)
 			all = all && route != nil && route.uplink.Connected()
 		}
 	}
