Connections to other zones are made before the own zone overflows

Change: an instance connects to the dispatchers of the other zones when the mean pressure of its own zone is 60 or more. Tests choose ports in one place, below the range of outgoing connections; the tests of whole instances show their logs when they fail. TestConnectedBeforeOverflow. TestStoreDown failed once in the first run of this change ("the second instance serves" did not come in 30 s) and passed 16 of 16 after it; its ports came from the range of outgoing connections, which is not shown to be the cause.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,6 +267,7 @@
 			n.gateway.Sweep()
 			n.gateway.Resubmit()
 			n.paths.closeUnused()
+			n.paths.prepare()
 		}
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/node"
+	"github.com/savorypass/savorypass/internal/standin/address"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
 	"github.com/savorypass/savorypass/internal/standin/wait"
@@ -61,37 +62,51 @@
 
 func (d *deployment) start(name string) *instance {
 	d.t.Helper()
-	ports := freePorts(d.t, 4)
+	callers, health, relays, operators := address.Free(), address.Free(), address.Free(), address.Free()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	written := &output{}
+	log.SetOutput(written)
 	s := node.Settings{
-		Instance: name, Zone: "north", Zones: []string{"north"}, IP: "127.0.0.1", Callers: ports[0], Health: ports[1],
-		Store: "127.0.0.1:1", FirstPort: portOf(ports[2]), LastPort: portOf(ports[2]), Grace: 6 * time.Second,
+		Instance: name, Zone: "north", Zones: []string{"north"}, IP: "127.0.0.1", Callers: callers, Health: health,
+		Store: "127.0.0.1:1", FirstPort: portOf(relays), LastPort: portOf(relays), Grace: 6 * time.Second,
 		Lease: time.Second, MemberTTL: 400 * time.Millisecond,
 	}
-	i := &instance{url: "http://" + ports[0], health: "http://" + ports[1], operators: "http://" + ports[3], ended: make(chan error, 1)}
+	i := &instance{url: "http://" + callers, health: "http://" + health, operators: "http://" + operators, ended: make(chan error, 1)}
 	i.Node = node.New(node.Options{
-		Settings: s, Store: d.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: d.fleet, Log: log, Operators: ports[3],
+		Settings: s, Store: d.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: d.fleet, Log: log, Operators: operators,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.kill = cancel
 	d.t.Cleanup(cancel)
-	go func() { i.ended <- i.Run(ctx) }()
+	d.t.Cleanup(func() {
+		if d.t.Failed() {
+			d.t.Logf("instance %s:\n%s", name, written)
+		}
+	})
+	go func() {
+		err := i.Run(ctx)
+		log.WithField("event", "run_ended").WithError(err).Info("instance ended")
+		i.ended <- err
+	}()
 	return i
 }
 
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
+// output keeps what an instance logs, to be shown when its test fails.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(line []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(line)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
 }
 
 func portOf(address string) int {
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -60,15 +60,20 @@
 func (p *paths) load(zone string) zoneLoad {
 	l := zoneLoad{zone, make([]int, p.directory.Partitions(zone))}
 	for part := range l.pressure {
-		l.pressure[part] = p.pressure(gateway.Target{Zone: zone, Partition: part})
+		l.pressure[part] = unknownPressure
+		if pressure, ok := p.pressure(gateway.Target{Zone: zone, Partition: part}); ok {
+			l.pressure[part] = pressure
+		}
 	}
 	return l
 }
 
-// unknownPressure is the pressure of a dispatcher that is not connected or has not told its load: behind those that have room.
+// unknownPressure is the pressure of a dispatcher that is not connected or has not told its load: behind those that have
+// room.
 const unknownPressure = 90
 
-func (p *paths) pressure(t gateway.Target) int {
+// pressure returns the last known pressure of a dispatcher. ok is false while none is known.
+func (p *paths) pressure(t gateway.Target) (pressure int, ok bool) {
 	address := p.lead.Dispatcher(t.Zone, t.Partition)
 	if address == p.address {
 		return p.shards.pressure(t.Partition)
@@ -77,12 +82,34 @@
 	route := p.links[address]
 	p.mu.Unlock()
 	if route == nil {
-		return unknownPressure
+		return 0, false
 	}
-	if pressure, ok := route.uplink.Pressure(t.Partition); ok {
-		return pressure
+	return route.uplink.Pressure(t.Partition)
+}
+
+// overflowPressure is the mean pressure of the own zone from which its jobs are likely to need other zones soon.
+const overflowPressure = 60
+
+// prepare connects to the dispatchers of the other zones when the own zone fills up, because a job does not wait for a
+// connection.
+func (p *paths) prepare() {
+	sum, known := 0, 0
+	for part := range p.directory.Partitions(p.own) {
+		if pressure, ok := p.pressure(gateway.Target{Zone: p.own, Partition: part}); ok {
+			sum += pressure
+			known++
+		}
+	}
+	if known == 0 || sum/known < overflowPressure {
+		return
+	}
+	for _, zone := range p.others {
+		for part := range p.directory.Partitions(zone) {
+			if address := p.lead.Dispatcher(zone, part); address != "" {
+				p.link(address, zone)
+			}
+		}
 	}
-	return unknownPressure
 }
 
 // Submit implements gateway.Path.
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,56 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
+// Guards against refusing the first job that the own zone has no room for, because the connection to another zone's
+// dispatcher is only then made.
+func TestConnectedBeforeOverflow(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dispatchers := &loadedDispatcher{}
+	servers := map[string]*relay.Server{}
+	s := keyed.New()
+	for _, zone := range []string{"north", "south"} {
+		server, err := relay.Listen("127.0.0.1:0", dispatchers, log)
+		is.NoErr(err)
+		servers[zone] = server
+		go server.Run(t.Context())
+		_, err = s.Join(t.Context(), store.Membership{Group: zone, Topic: zone, Member: zone + "|" + server.Address(), TTL: time.Hour})
+		is.NoErr(err)
+	}
+	l := lead.New(lead.Options{Store: s, Zone: "north", Topic: func(zone string) string { return zone }, Log: log, Address: "127.0.0.1:1"})
+	p := &paths{
+		own: "north", others: []string{"south"}, lead: l, directory: shard.NewDirectory(), log: log, address: "127.0.0.1:1",
+		links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
+		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
+	}
+	go l.Follow(t.Context(), []string{"north", "south"}, p.reached)
+	pressure := func(zone string) int {
+		pressure, _ := p.pressure(gateway.Target{Zone: zone})
+		return pressure
+	}
+	dispatchers.pressure.Store(30)
+	wait.For(t, "the own zone's load is known", func() bool { return pressure("north") == 30 })
+	p.prepare()
+	is.Equal(p.links[servers["south"].Address()], nil) // there is room
+	dispatchers.pressure.Store(80)
+	wait.For(t, "the own zone is loaded", func() bool { return pressure("north") == 80 })
+	p.prepare()
+	wait.For(t, "the other zone is connected", func() bool { return pressure("south") == 80 })
+	_, ok := p.Submit(gateway.Target{Zone: "south"}, &relay.Submit{Job: work.Job{ID: "x"}})
+	is.True(ok)
+}
+
+// loadedDispatcher tells a pressure and takes no jobs.
+type loadedDispatcher struct{ pressure atomic.Int64 }
+
+func (d *loadedDispatcher) Submit(relay.Client, *relay.Submit) {}
+func (d *loadedDispatcher) Cancel(relay.Client, *relay.Cancel) {}
+func (d *loadedDispatcher) Gone(relay.Client)                  {}
+func (d *loadedDispatcher) Loads() []relay.Load {
+	return []relay.Load{{Pressure: int(d.pressure.Load())}}
+}
+
 // Guards against jobs that wait for the dispatcher of another zone that is cut off, instead of being refused at once.
 func TestNoWaitForOtherZones(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -95,11 +95,13 @@
 	return false
 }
 
-func (s *shards) pressure(part int) int {
-	if x := s.get(part); x != nil {
-		return x.Pressure()
+// pressure returns the pressure of a partition. ok is false if this instance does not dispatch for it.
+func (s *shards) pressure(part int) (pressure int, ok bool) {
+	x := s.get(part)
+	if x == nil || !x.Leading() {
+		return 0, false
 	}
-	return unknownPressure
+	return x.Pressure(), true
 }
 
 // endpoints takes the result of a read of the registrations.
--- a/internal/scenario/system.go
+++ b/internal/scenario/system.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 
 	"github.com/savorypass/savorypass/internal/config"
 	"github.com/savorypass/savorypass/internal/secure"
+	"github.com/savorypass/savorypass/internal/standin/address"
 	"github.com/savorypass/savorypass/internal/standin/instances"
 	"github.com/savorypass/savorypass/internal/standin/logservice"
 	"github.com/savorypass/savorypass/internal/standin/worker"
@@ -134,9 +134,9 @@
 	if keep == 0 {
 		keep = 10_000
 	}
-	s.Log = &Program{Name: "log", Kind: "savory-log", Control: freeAddress("tcp")}
+	s.Log = &Program{Name: "log", Kind: "savory-log", Control: address.Free()}
 	s.Log.args = []string{"--listen", s.Log.Control, "--retention-count", strconv.Itoa(keep)}
-	s.List = &Program{Name: "list", Kind: "savory-instances", Control: freeAddress("tcp")}
+	s.List = &Program{Name: "list", Kind: "savory-instances", Control: address.Free()}
 	s.List.args = []string{"--listen", s.List.Control, "--lag", s.opts.Lag.String()}
 	for _, e := range s.Entries {
 		peers := e.args[slices.Index(e.args, "--peers")+1]
@@ -145,7 +145,7 @@
 	}
 	for _, zone := range s.opts.Zones {
 		for i := range s.opts.Workers {
-			w := &Program{Name: fmt.Sprintf("%s-w%d", zone, i+1), Zone: zone, Kind: "savory-worker", Control: freeAddress("tcp")}
+			w := &Program{Name: fmt.Sprintf("%s-w%d", zone, i+1), Zone: zone, Kind: "savory-worker", Control: address.Free()}
 			w.args = []string{
 				"--listen", w.Control, "--name", w.Name, "--zone", zone, "--instances", s.List.Control,
 				"--slots", strconv.Itoa(s.opts.Slots), "--run-time", "10ms",
@@ -160,9 +160,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Program{Name: name, Zone: zone, Kind: program, Callers: freeAddress("tcp"), Control: freeAddress("tcp")}
+	p := &Program{Name: name, Zone: zone, Kind: program, Callers: address.Free(), Control: address.Free()}
 	p.args = []string{
-		"--name", name, "--zone", zone, "--callers", p.Callers, "--operators", p.Control, "--peers", freeAddress("udp"),
+		"--name", name, "--zone", zone, "--callers", p.Callers, "--operators", p.Control, "--peers", address.Free(),
 		"--staff-tokens", filepath.Join(s.opts.Dir, "staff"), "--enable-faults", "--event-loops", "1", "--drain-timeout", "30s",
 	}
 	for flag, text := range map[string]string{"tls-cert": settings.Certificate, "tls-key": settings.Key, "tls-ca": settings.CA} {
@@ -175,39 +175,6 @@
 	return p, nil
 }
 
-// Ports below the range that systems give to outgoing connections, so that a port which is free when it is chosen is
-// still free when its program is started or restarted.
-const (
-	firstPort = 11000
-	lastPort  = 32000
-)
-
-var taken sync.Map
-
-func freeAddress(network string) string {
-	for {
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort))
-		if _, used := taken.LoadOrStore(address, true); !used && isFree(network, address) {
-			return address
-		}
-	}
-}
-
-func isFree(network, address string) bool {
-	if network == "udp" {
-		c, err := net.ListenPacket(network, address)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	}
-	l, err := net.Listen(network, address)
-	if err == nil {
-		l.Close()
-	}
-	return err == nil
-}
-
 func (s *System) launch(p *Program) error {
 	r, err := s.opts.Launch(p.Name, p.Kind, p.args)
 	if err != nil {
--- a/internal/tour/tour_test.go
+++ b/internal/tour/tour_test.go
@@ -4,13 +4,10 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +18,7 @@
 	"github.com/savorypass/savorypass/internal/entry"
 	"github.com/savorypass/savorypass/internal/setup"
 	"github.com/savorypass/savorypass/internal/standin"
+	"github.com/savorypass/savorypass/internal/standin/address"
 	"github.com/savorypass/savorypass/internal/standin/instances"
 	"github.com/savorypass/savorypass/internal/standin/logservice"
 	"github.com/savorypass/savorypass/internal/standin/worker"
@@ -63,23 +61,10 @@
 	})
 }
 
-// addresses NAME... sets variables to free addresses, below the ports that systems give to outgoing connections.
+// addresses NAME... sets variables to free addresses.
 func addresses(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		for ts.Getenv(name) == "" {
-			address := "127.0.0.1:" + strconv.Itoa(11000+rand.IntN(21000))
-			tcp, err := net.Listen("tcp", address)
-			if err != nil {
-				continue
-			}
-			tcp.Close()
-			udp, err := net.ListenPacket("udp", address)
-			if err != nil {
-				continue
-			}
-			udp.Close()
-			ts.Setenv(name, address)
-		}
+		ts.Setenv(name, address.Free())
 	}
 }
 
