Partitions change hands sooner: members confirm a new generation at once

Change: an instance joins again at once when the generation has risen, and every 60 ms for a second after it. The stand-in of the store keeps a partition with its holder until then, as the platform does. TestPartitionsChangeHandsSoon (virtual clock) failed without the change.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -17,8 +17,12 @@
 )
 
 const (
-	joinInterval  = 250 * time.Millisecond
-	joinsInFlight = 4 // joins do not wait for the answers of those before, which may be lost or slow
+	joinInterval = 250 * time.Millisecond
+	// settleInterval is the pause between joins for settleTime after a change of the group. A partition goes to its next
+	// holder only after a join of the one before, and each learns of it from a join of its own.
+	settleInterval = 60 * time.Millisecond
+	settleTime     = time.Second
+	joinsInFlight  = 4 // joins do not wait for the answers of those before, which may be lost or slow
 	// ttlFactor times the shortest time to live makes a member outlast joins that are lost or carried out late. A member
 	// that is known to be gone is taken out by the others sooner.
 	ttlFactor   = 3
@@ -67,6 +71,7 @@
 
 	mu      sync.Mutex
 	term    Term
+	changed time.Time // when the group's generation last rose
 	leaving bool
 	lost    bool
 	joining int                       // joins without an answer
@@ -86,19 +91,29 @@
 // Run keeps the membership until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.leave(ctx) // an earlier life of this instance may still be a member; its fence must not be used again
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
 	for {
 		if c.mayJoin() {
 			go c.join(ctx)
 		}
+		t := time.NewTimer(c.joinPause())
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return
-		case <-ticker.C:
+		case <-t.C:
 		case <-c.verify:
 		}
+		t.Stop()
+	}
+}
+
+func (c *Controller) joinPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.changed) < settleTime {
+		return settleInterval
 	}
+	return joinInterval
 }
 
 // Verify asks the store at once whether this instance still dispatches. An endpoint that has seen a higher fence is a
@@ -174,6 +189,10 @@
 	if term.Generation < c.term.Generation || c.leaving && len(term.Partitions) > 0 || c.term.equal(term) {
 		return
 	}
+	if term.Generation > c.term.Generation {
+		c.changed = time.Now()
+		c.Verify() // a join with this generation gives back what has gone to others
+	}
 	c.term = term
 	c.opts.Log.WithFields(logrus.Fields{"event": "term", "generation": term.Generation, "partitions": term.Partitions}).
 		Info("this instance's partitions changed")
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -83,6 +84,22 @@
 	wait.For(t, "the first member learns it", func() bool { return !a.Term().Holds(0) })
 }
 
+// Guards against partitions without a dispatcher for several rounds of joins while members come one after the other: each
+// hands over only with a join that names the new generation. The clock is virtual.
+func TestPartitionsChangeHandsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := keyed.New()
+		a := join(t, s, "a")
+		time.Sleep(settleTime + time.Second)
+		b := join(t, s, "b")
+		time.Sleep(joinInterval + 2*settleInterval)
+		is.New(t).True(len(b.Term().Partitions) == keyed.Partitions/2)
+		is.New(t).True(len(a.Term().Partitions) == keyed.Partitions/2)
+		a.stop()
+		b.stop()
+	})
+}
+
 // Guards against jobs for another zone that go to a dispatcher that is gone until the next regular look.
 func TestSearchOfAnotherZone(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/keyed/keyed.go
+++ b/internal/standin/keyed/keyed.go
@@ -34,6 +34,8 @@
 	generation int64
 	expires    map[string]time.Time // by member
 	members    []string
+	joined     map[string]int64 // generation that the member's last join named
+	held       [Partitions]string
 }
 
 // New returns an empty store.
@@ -150,7 +152,7 @@
 func (s *Store) group(name string) *group {
 	g := s.groups[name]
 	if g == nil {
-		g = &group{expires: map[string]time.Time{}}
+		g = &group{expires: map[string]time.Time{}, joined: map[string]int64{}}
 		s.groups[name] = g
 	}
 	for member, at := range g.expires {
@@ -158,6 +160,7 @@
 			g.remove(member)
 		}
 	}
+	g.settle()
 	return g
 }
 
@@ -166,6 +169,7 @@
 		return
 	}
 	delete(g.expires, member)
+	delete(g.joined, member)
 	for i, m := range g.members {
 		if m == member {
 			g.members = append(g.members[:i], g.members[i+1:]...)
@@ -175,13 +179,25 @@
 	g.generation++
 }
 
-func (g *group) owner(part int) string {
+// target returns the member that is to hold a partition.
+func (g *group) target(part int) string {
 	if len(g.members) == 0 {
 		return ""
 	}
 	return g.members[part%len(g.members)]
 }
 
+// settle hands partitions to the members that are to hold them. One that another member holds stays with it until that
+// member has joined with the present generation or is gone.
+func (g *group) settle() {
+	for part, holder := range g.held {
+		_, member := g.expires[holder]
+		if !member || g.joined[holder] >= g.generation {
+			g.held[part] = g.target(part)
+		}
+	}
+}
+
 // Join implements store.Store.
 func (s *Store) Join(_ context.Context, m store.Membership) (store.Share, error) {
 	s.mu.Lock()
@@ -195,12 +211,14 @@
 		g.generation++
 	}
 	g.expires[m.Member] = time.Now().Add(m.TTL)
+	g.joined[m.Member] = m.Generation
+	g.settle()
 	if s.lose {
 		return store.Share{}, store.ErrUnknown
 	}
 	share := store.Share{Generation: g.generation}
 	for part := range Partitions {
-		if g.owner(part) == m.Member {
+		if g.held[part] == m.Member && g.target(part) == m.Member {
 			share.Partitions = append(share.Partitions, part)
 		}
 	}
@@ -214,7 +232,9 @@
 	if s.down {
 		return store.ErrUnavailable
 	}
-	s.group(m.Group).remove(m.Member)
+	g := s.group(m.Group)
+	g.remove(m.Member)
+	g.settle()
 	if s.lose {
 		return store.ErrUnknown
 	}
@@ -231,7 +251,7 @@
 	g := s.group(name)
 	var owners []store.Owner
 	for part := range Partitions {
-		if o := g.owner(part); o != "" {
+		if o := g.held[part]; o != "" {
 			owners = append(owners, store.Owner{Partition: part, Member: o})
 		}
 	}
