Time on the way counts in the forecast; refusals say what reached dispatchers said

Change: the refusal with the shortest time to come back is kept and answered; a submission carries the time since the caller's request. A job that need not wait is taken also late, unless its answer would be of no use.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,11 +102,12 @@
 	job      *work.Job
 	exchange *server.Exchange
 	arrived  time.Time
-	until    time.Time // end of the caller's patience
-	target   Target    // dispatcher that has it, or had it
-	route    Route     // to the dispatcher that has it; nil while none has
-	left     []Target  // dispatchers that have not been tried
-	orphaned bool      // the dispatcher that had it is lost; only the zone's next one may go on with it
+	until    time.Time     // end of the caller's patience
+	target   Target        // dispatcher that has it, or had it
+	route    Route         // to the dispatcher that has it; nil while none has
+	left     []Target      // dispatchers that have not been tried
+	orphaned bool          // the dispatcher that had it is lost; only the zone's next one may go on with it
+	refusal  *relay.Answer // with the shortest time to come back, of the dispatchers that had no room; nil if there was none
 }
 
 // New returns a gateway without jobs.
@@ -219,7 +220,7 @@
 		g.refused(p, 503, reasonStopping, retryStopping)
 		return
 	}
-	g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
+	g.placeOrRefuse(p)
 }
 
 // attach lets a repeated submission take the place of the one before, whose connection is not read any more.
@@ -235,7 +236,7 @@
 	p.route = nil
 	for len(p.left) > 0 {
 		p.target, p.left = p.left[0], p.left[1:]
-		if route, ok := g.opts.Path.Submit(p.target, &relay.Submit{Job: *p.job, Partition: p.target.Partition}); ok {
+		if route, ok := g.opts.Path.Submit(p.target, p.submission(false)); ok {
 			p.route = route
 			return true
 		}
@@ -243,13 +244,23 @@
 	return false
 }
 
-// placeOrRefuse is place for a job that has not run anywhere.
-func (g *Gateway) placeOrRefuse(p *pending, status int, why string, retryAfter time.Duration) {
+// placeOrRefuse is place for a job that has not run anywhere. The caller learns what the dispatchers that were reached have
+// said.
+func (g *Gateway) placeOrRefuse(p *pending) {
 	if g.place(p) {
 		return
 	}
 	g.forget(p)
-	g.refused(p, status, why, retryAfter)
+	if p.refusal != nil {
+		g.refused(p, 429, string(p.refusal.Refused), p.refusal.RetryAfter)
+		return
+	}
+	g.refused(p, 503, reasonNoDispatcher, retryNoDispatcher)
+}
+
+// submission returns the message that hands a job to a dispatcher.
+func (p *pending) submission(resumed bool) *relay.Submit {
+	return &relay.Submit{Job: *p.job, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived)}
 }
 
 func (g *Gateway) forget(p *pending) {
@@ -291,7 +302,10 @@
 		g.opts.Path.Moved(p.target)
 		g.moved(p, a.Started)
 	case !p.orphaned:
-		g.placeOrRefuse(p, 429, string(a.Refused), a.RetryAfter)
+		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
+			p.refusal = a
+		}
+		g.placeOrRefuse(p)
 	}
 	// A job that was refused after it may have run elsewhere ends with its caller's patience.
 }
@@ -302,7 +316,7 @@
 		g.orphan(p)
 		return
 	}
-	g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
+	g.placeOrRefuse(p)
 }
 
 // orphan notes that the dispatcher that had a job is lost. Its successor finds out what ran.
@@ -322,7 +336,7 @@
 		case sent || p.orphaned:
 			g.orphan(p)
 		default:
-			g.placeOrRefuse(p, 503, reasonNoDispatcher, retryNoDispatcher)
+			g.placeOrRefuse(p)
 		}
 	}
 }
@@ -335,7 +349,7 @@
 		if !p.orphaned || p.route != nil {
 			continue
 		}
-		if route, ok := g.opts.Path.Submit(p.target, &relay.Submit{Job: *p.job, Partition: p.target.Partition, Resumed: true}); ok {
+		if route, ok := g.opts.Path.Submit(p.target, p.submission(true)); ok {
 			p.route = route
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -211,6 +211,27 @@
 	is.Equal(r.retryAfter, "2")
 }
 
+// Guards against a caller that is told that no dispatcher is there, with a time to come back that does not fit, when one
+// has said that it has no room.
+func TestRefusalOfAReachedDispatcher(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	f.path.setDown(south, true)
+	a := f.post("a")
+	f.Answer(f.path, &relay.Answer{Job: "a", Refused: pool.ReasonNoRoom, RetryAfter: 3 * time.Second})
+	r := f.receive(a)
+	is.Equal(r.status, 429)
+	is.Equal(r.retryAfter, "3")
+	f.path.setDown(south, false)
+	b := f.post("b")
+	f.Answer(f.path, &relay.Answer{Job: "b", Refused: pool.ReasonNoRoom, RetryAfter: 2 * time.Second})
+	f.Answer(f.path, &relay.Answer{Job: "b", Refused: pool.ReasonNotLeader})
+	r = f.receive(b)
+	is.Equal(r.status, 429)
+	is.Equal(r.retryAfter, "2")
+	is.True(f.path.sent()[2].s.Waited >= f.path.sent()[1].s.Waited)
+}
+
 // Guards against a job that may have run and is refused as not run, or is started beside its first runs.
 func TestLostDispatcher(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -44,7 +44,7 @@
 
 func take(t *testing.T, p *Pool, j *work.Job, now time.Duration) {
 	t.Helper()
-	if v, _ := p.Submit(j, now, 0); !v.Taken() {
+	if v, _ := p.Submit(j, now, now, 0); !v.Taken() {
 		t.Fatalf("job %s was not taken: %+v", j.ID, v)
 	}
 }
@@ -93,7 +93,7 @@
 func TestResumedJobWaits(t *testing.T) {
 	is := is.New(t)
 	p := poolOf(endpointOf("a", 16000))
-	v, _ := p.Submit(jobOf("x", 1, 1000, 100*ms), 0, time.Second)
+	v, _ := p.Submit(jobOf("x", 1, 1000, 100*ms), 0, 0, time.Second)
 	is.True(v.Taken())
 	is.Equal(len(p.Next(999*ms)), 0)
 	is.Equal(len(p.Next(time.Second)), 1)
@@ -124,7 +124,7 @@
 	now := 100 * ms
 	p.Ended("a", work.End{Task: first.Task, Run: 1, Reason: work.EndSucceeded}, now)
 	for i := 0; i < 100; i++ {
-		p.Submit(jobOf(fmt.Sprint("short", i), 1, 1000, 50*ms), now, 0)
+		p.Submit(jobOf(fmt.Sprint("short", i), 1, 1000, 50*ms), now, now, 0)
 		for _, r := range p.Next(now) {
 			if r.Task.Job == "long" {
 				is.True(now < time.Second)
@@ -143,7 +143,7 @@
 	p := poolOf(endpointOf("a", 4000))
 	taken := 0
 	for i := range 50 {
-		v, _ := p.Submit(jobOf(fmt.Sprint("j", i), 4, 1000, 100*ms), 0, 0)
+		v, _ := p.Submit(jobOf(fmt.Sprint("j", i), 4, 1000, 100*ms), 0, 0, 0)
 		if v.Taken() {
 			taken++
 			continue
@@ -154,15 +154,33 @@
 	is.True(taken >= 1 && taken <= 3) // 160 ms of objective hold one job at a time and little more
 }
 
+// Guards against a forecast that forgets the time that a job has spent on its way, and against refusing a late one that
+// need not wait.
+func TestTimeOnTheWayCounts(t *testing.T) {
+	is := is.New(t)
+	busy := poolOf(endpointOf("a", 1000))
+	take(t, busy, jobOf("first", 1, 1000, 50*ms), 1000*ms)
+	busy.Next(1000 * ms)
+	v, _ := busy.Submit(jobOf("late", 1, 1000, 50*ms), 1000*ms, 950*ms, 0) // 90 ms of slack, 50 are gone, it waits for 50
+	is.Equal(v.Reason, ReasonNoRoom)
+	v, _ = busy.Submit(jobOf("fresh", 1, 1000, 50*ms), 1000*ms, 1000*ms, 0)
+	is.True(v.Taken())
+	idle := poolOf(endpointOf("a", 1000))
+	v, _ = idle.Submit(jobOf("late", 1, 1000, 50*ms), 1000*ms, 800*ms, 0)
+	is.True(v.Taken())
+	v, _ = idle.Submit(jobOf("useless", 1, 1000, 50*ms), 1000*ms, 500*ms, 0) // three times its objective are 420 ms
+	is.Equal(v.Reason, ReasonNoRoom)
+}
+
 // Guards against a task that no endpoint can ever hold and that waits for ever.
 func TestTooLarge(t *testing.T) {
 	is := is.New(t)
 	p := poolOf(endpointOf("a", 4000))
-	v, _ := p.Submit(jobOf("x", 1, 5000, 100*ms), 0, 0)
+	v, _ := p.Submit(jobOf("x", 1, 5000, 100*ms), 0, 0, 0)
 	is.Equal(v.Reason, ReasonTooLarge)
 	other := jobOf("y", 1, 1000, 100*ms)
 	other.Steps[0].Label = "gpu"
-	v, _ = p.Submit(other, 0, 0)
+	v, _ = p.Submit(other, 0, 0, 0)
 	is.Equal(v.Reason, ReasonTooLarge)
 }
 
@@ -269,7 +287,7 @@
 		id := work.JobID(fmt.Sprint("j", i))
 		j := jobOf(string(id), rapid.IntRange(1, 5).Draw(t, "tasks"), 100*rapid.IntRange(1, 30).Draw(t, "size"), 100*ms)
 		j.Objective.Extra = time.Hour
-		if v, _ := m.p.Submit(j, now, 0); v.Taken() {
+		if v, _ := m.p.Submit(j, now, now, 0); v.Taken() {
 			m.jobs = append(m.jobs, id)
 		}
 	case 1:
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -39,16 +39,17 @@
 	minRetryAfter = time.Second
 )
 
-// Submit decides on a job and takes it or not. mayRun, for a job that another dispatcher may have started, is the time
+// Submit decides on a job whose caller's request arrived at a time, and takes it or not. mayRun, for a job that another dispatcher may have started, is the time
 // until which its tasks may run on endpoints that have not reported yet; 0 for a new job.
 //
 // It answers demand that swings above capacity within seconds: a job that would miss its objective behind the work that
-// goes before it is refused at once, so that the work that was taken is still worth its run time.
-func (p *Pool) Submit(w *work.Job, now, mayRun time.Duration) (Verdict, []Outcome) {
+// goes before it is refused at once, so that the work that was taken is still worth its run time. A job that need not
+// wait is taken even if it comes late, as from an instance that was slow, unless its answer would be of no use any more.
+func (p *Pool) Submit(w *work.Job, now, arrived, mayRun time.Duration) (Verdict, []Outcome) {
 	if p.jobs[w.ID] != nil {
 		return Verdict{}, nil
 	}
-	j := p.newJob(w, now, mayRun)
+	j := p.newJob(w, arrived, mayRun)
 	v := p.judge(j, now, mayRun > 0)
 	if !v.Taken() {
 		return v, nil
@@ -72,8 +73,8 @@
 	}
 }
 
-func (p *Pool) newJob(w *work.Job, now, mayRun time.Duration) *job {
-	j := &job{Job: w, arrived: now, mayRun: mayRun, runs: map[work.TaskID]*Run{}, failures: map[work.TaskID]int{}}
+func (p *Pool) newJob(w *work.Job, arrived, mayRun time.Duration) *job {
+	j := &job{Job: w, arrived: arrived, mayRun: mayRun, runs: map[work.TaskID]*Run{}, failures: map[work.TaskID]int{}}
 	for i, s := range w.Steps {
 		st := stepState{left: s.Count}
 		for index := 0; index < s.Count; index++ {
@@ -83,7 +84,7 @@
 		j.steps = append(j.steps, st)
 		j.expected = max(j.expected, p.chain(w, i))
 	}
-	j.latest = now + slack(w.Objective, j.expected)
+	j.latest = arrived + slack(w.Objective, j.expected)
 	return j
 }
 
@@ -127,7 +128,7 @@
 		}
 	}
 	v.Wait = f.add(j) - now
-	if float64(v.Wait) > waitShare*float64(v.Slack) {
+	if v.Wait > 0 && float64(v.Wait) > waitShare*float64(v.Slack) || now-j.arrived > maxLate(j) {
 		v.Reason = ReasonNoRoom
 		v.RetryAfter = max(minRetryAfter, time.Duration(p.queuedWork()/float64(total.MilliCPU)))
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -21,6 +21,8 @@
 	Partition int `msgpack:"p,omitempty"`
 	// Resumed tells that another dispatcher may have started tasks of the job.
 	Resumed bool `msgpack:"r,omitempty"`
+	// Waited is the time since the caller's request arrived.
+	Waited time.Duration `msgpack:"w,omitempty"`
 }
 
 // Cancel tells a dispatcher that nobody waits for a job any more.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -210,7 +210,7 @@
 	}
 	now := s.opts.Now()
 	known := s.pool.Known(job.ID)
-	verdict, outcomes := s.pool.Submit(job, now, s.mayRun(m.Resumed))
+	verdict, outcomes := s.pool.Submit(job, now, now-m.Waited, s.mayRun(m.Resumed))
 	s.logVerdict(job, verdict, m.Resumed, known)
 	if !verdict.Taken() {
 		s.opts.Counts.Refused.Add(1)
