The line of each submission names the room that its decision saw

Cause: from a refusal's line it could not be told whether endpoints were full, held off or missing. Change: usable endpoints, free room, jobs ahead and the time on the way stand in it.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -39,10 +39,11 @@
 
 // forecast plays the waiting work of a service on its endpoints, taken as one, to tell when tasks start.
 type forecast struct {
-	pool     *Pool
-	now      time.Duration
-	free     int // thousandths of a core
-	releases releases
+	pool      *Pool
+	now       time.Duration
+	free      int // thousandths of a core
+	endpoints int // that the room is on
+	releases  releases
 }
 
 // forecast begins with the room that tasks of a size find on the endpoints of a service.
@@ -57,6 +58,7 @@
 		left := e.Size.MilliCPU - e.used.MilliCPU
 		f.free += left - left%max(task.MilliCPU, 1)
 	}
+	f.endpoints = len(serves)
 	for _, r := range p.runs {
 		if serves[r.Endpoint] {
 			f.releases = append(f.releases, release{now + r.remaining(now), r.Size.MilliCPU})
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -26,6 +26,9 @@
 	RetryAfter time.Duration // after which room is expected, for a refusal
 	Wait       time.Duration // expected wait of its last task
 	Slack      time.Duration // wait that its objective allows
+	Endpoints  int           // endpoints of its service that take new runs now
+	Free       int           // their free room in thousandths of a core, in pieces of the job's largest task
+	Ahead      int           // jobs that go before it
 }
 
 // Taken reports whether the job was taken.
@@ -122,9 +125,11 @@
 		return v
 	}
 	f := p.forecast(j.Service, j.largest(), now)
+	v.Endpoints, v.Free = f.endpoints, f.free
 	for _, q := range p.queue {
 		if q.Service == j.Service && before(q, j) {
 			f.add(q)
+			v.Ahead++
 		}
 	}
 	v.Wait = f.add(j) - now
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -211,7 +211,7 @@
 	now := s.opts.Now()
 	known := s.pool.Known(job.ID)
 	verdict, outcomes := s.pool.Submit(job, now, now-m.Waited, s.mayRun(m.Resumed))
-	s.logVerdict(job, verdict, m.Resumed, known)
+	s.logVerdict(m, verdict, known)
 	if !verdict.Taken() {
 		s.opts.Counts.Refused.Add(1)
 		from.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
@@ -242,7 +242,8 @@
 	return time.Duration(float64(s.opts.Lease)*clockRate) + leaseMargin
 }
 
-func (s *Shard) logVerdict(job *work.Job, v pool.Verdict, resumed, known bool) {
+func (s *Shard) logVerdict(m *relay.Submit, v pool.Verdict, known bool) {
+	job, resumed, waited := &m.Job, m.Resumed, m.Waited
 	outcome := "taken"
 	if !v.Taken() {
 		outcome = string(v.Reason)
@@ -250,6 +251,7 @@
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "submit", "job": job.ID, "queue": job.Queue, "tasks": job.Tasks(), "outcome": outcome, "resumed": resumed,
 		"known": known, "wait_ms": v.Wait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.fence,
+		"endpoints": v.Endpoints, "free_milli_cpu": v.Free, "ahead": v.Ahead, "waited_ms": waited.Milliseconds(),
 	}).Info("submission decided")
 }
 
