Steps whose turn has not come take no room in the forecast

Change: only steps whose turn has come are waiting work, in the forecast and in the pressure; the room of a run counts as free when the steps after it have ended too, since they take it over. TestLaterStepsTakeNoRoom and TestRoomOfLaterStepsIsNotPromised failed before.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -61,7 +61,7 @@
 	f.endpoints = len(serves)
 	for _, r := range p.runs {
 		if serves[r.Endpoint] {
-			f.releases = append(f.releases, release{now + r.remaining(now), r.Size.MilliCPU})
+			f.releases = append(f.releases, release{now + r.remaining(now) + r.after(), r.Size.MilliCPU})
 		}
 	}
 	heap.Init(&f.releases)
@@ -81,12 +81,24 @@
 	return time.Duration(overdueShare * float64(r.Expected))
 }
 
-// add starts the waiting tasks of a job when there is room and returns when the last one does.
+// after returns the expected run time of the steps that follow the run's in its job. They take the room that it leaves.
+func (r *Run) after() time.Duration {
+	if r.job == nil {
+		return 0
+	}
+	return r.job.steps[r.Task.Step].after
+}
+
+// add starts the waiting tasks of a job when there is room and returns when the last one does. Those of steps whose turn
+// has not come take the room of the steps before.
 func (f *forecast) add(j *job) time.Duration {
 	last := f.now
 	for i := range j.steps {
+		if !j.ready(i) {
+			continue
+		}
 		s := &j.Steps[i]
-		run := f.pool.estimates.of(j.Queue, s.Estimate)
+		run := f.pool.estimates.of(j.Queue, s.Estimate) + j.steps[i].after
 		for range j.steps[i].waiting {
 			last = f.start(s.Size.MilliCPU, run, last)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -62,8 +62,9 @@
 }
 
 type stepState struct {
-	waiting []int // indices of tasks to start, in order
-	left    int   // tasks that have not succeeded
+	waiting []int         // indices of tasks to start, in order
+	left    int           // tasks that have not succeeded
+	after   time.Duration // expected run time of the steps that follow it
 }
 
 // Pool is the state of a shard. It is not safe for concurrent use.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -172,6 +172,40 @@
 	is.Equal(v.Reason, ReasonNoRoom)
 }
 
+// inSteps returns a job of steps that follow one another.
+func inSteps(id string, steps, tasks int, estimate time.Duration) *work.Job {
+	j := jobOf(id, tasks, 1000, estimate)
+	for i := 1; i < steps; i++ {
+		next := j.Steps[0]
+		next.DependsOn = []int{i - 1}
+		j.Steps = append(j.Steps, next)
+	}
+	return j
+}
+
+// Guards against refusing jobs although there is room, because steps whose turn has not come count as waiting work.
+func TestLaterStepsTakeNoRoom(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 4000))
+	take(t, p, inSteps("steps", 3, 2, 50*ms), 0)
+	p.Next(0)
+	v, _ := p.Submit(jobOf("other", 2, 1000, 200*ms), 0, 0, 0) // 180 ms of slack, behind the first one's 150 ms
+	is.True(v.Taken())
+	is.Equal(v.Wait, time.Duration(0))
+	is.Equal(p.Pressure(), 100) // of 4 pieces 2 are taken and 2 are wanted now
+}
+
+// Guards against promising room that the next step of the job that leaves it will take.
+func TestRoomOfLaterStepsIsNotPromised(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 2000))
+	take(t, p, inSteps("steps", 2, 2, 100*ms), 0)
+	p.Next(0)
+	v, _ := p.Submit(jobOf("other", 2, 1000, 200*ms), 0, 0, 0) // 180 ms of slack; the room is free after 200 ms
+	is.Equal(v.Reason, ReasonNoRoom)
+	is.Equal(v.Wait, 200*ms)
+}
+
 // Guards against a task that no endpoint can ever hold and that waits for ever.
 func TestTooLarge(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -87,10 +87,21 @@
 		j.steps = append(j.steps, st)
 		j.expected = max(j.expected, p.chain(w, i))
 	}
+	p.setAfter(j)
 	j.latest = arrived + slack(w.Objective, j.expected)
 	return j
 }
 
+// setAfter computes the run time that follows each step. Steps depend on earlier ones only.
+func (p *Pool) setAfter(j *job) {
+	for i := len(j.steps) - 1; i >= 0; i-- {
+		run := p.estimates.of(j.Queue, j.Steps[i].Estimate) + j.steps[i].after
+		for _, d := range j.Steps[i].DependsOn {
+			j.steps[d].after = max(j.steps[d].after, run)
+		}
+	}
+}
+
 // chain returns the expected run time of the longest chain of steps that ends with a step.
 func (p *Pool) chain(w *work.Job, step int) time.Duration {
 	longest := time.Duration(0)
@@ -114,6 +125,16 @@
 	return false
 }
 
+// hasReady reports whether a task of the job may start now.
+func (j *job) hasReady() bool {
+	for i := range j.steps {
+		if len(j.steps[i].waiting) > 0 && j.ready(i) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) judge(j *job, now time.Duration, resumed bool) Verdict {
 	v := Verdict{Slack: j.latest - now}
 	possible, total := p.room(j)
@@ -127,7 +148,7 @@
 	f := p.forecast(j.Service, j.largest(), now)
 	v.Endpoints, v.Free = f.endpoints, f.free
 	for _, q := range p.queue {
-		if q.Service == j.Service && before(q, j) {
+		if q.Service == j.Service && q.hasReady() && before(q, j) {
 			f.add(q)
 			v.Ahead++
 		}
@@ -163,7 +184,9 @@
 	}
 	for _, j := range p.queue {
 		for i := range j.steps {
-			wanted += len(j.steps[i].waiting) * j.Steps[i].Size.MilliCPU
+			if j.ready(i) {
+				wanted += len(j.steps[i].waiting) * j.Steps[i].Size.MilliCPU
+			}
 		}
 	}
 	if total == 0 {
