The forecast keeps the order of time

Cause: room that became free while earlier work was played counted as free now for the jobs behind it, so jobs were taken that came late. Change: the forecast's time does not go back between jobs. TestForecastKeepsTheOrderOfTime failed before.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -40,15 +40,15 @@
 // forecast plays the waiting work of a service on its endpoints, taken as one, to tell when tasks start.
 type forecast struct {
 	pool      *Pool
-	now       time.Duration
-	free      int // thousandths of a core
-	endpoints int // that the room is on
+	at        time.Duration // to which the work before has been played; room that it left is free from then on
+	free      int           // thousandths of a core
+	endpoints int           // that the room is on
 	releases  releases
 }
 
 // forecast begins with the room that tasks of a size find on the endpoints of a service.
 func (p *Pool) forecast(service string, task work.Size, now time.Duration) *forecast {
-	f := &forecast{pool: p, now: now}
+	f := &forecast{pool: p, at: now}
 	serves := map[work.EndpointID]bool{}
 	for _, e := range p.order {
 		if e.Service != service || !e.usable || e.Draining || e.unsized+e.strays > 0 || now < e.health.until {
@@ -92,7 +92,6 @@
 // add starts the waiting tasks of a job when there is room and returns when the last one does. Those of steps whose turn
 // has not come take the room of the steps before.
 func (f *forecast) add(j *job) time.Duration {
-	last := f.now
 	for i := range j.steps {
 		if !j.ready(i) {
 			continue
@@ -100,20 +99,19 @@
 		s := &j.Steps[i]
 		run := f.pool.estimates.of(j.Queue, s.Estimate) + j.steps[i].after
 		for range j.steps[i].waiting {
-			last = f.start(s.Size.MilliCPU, run, last)
+			f.start(s.Size.MilliCPU, run)
 		}
 	}
-	return last
+	return f.at
 }
 
-func (f *forecast) start(milliCPU int, run, earliest time.Duration) time.Duration {
-	at := earliest
+// start starts one task as soon as there is room, not before those that go first.
+func (f *forecast) start(milliCPU int, run time.Duration) {
 	for f.free < milliCPU && len(f.releases) > 0 {
 		next := heap.Pop(&f.releases).(release)
 		f.free += next.milliCPU
-		at = max(at, next.at)
+		f.at = max(f.at, next.at)
 	}
 	f.free -= milliCPU
-	heap.Push(&f.releases, release{at + run, milliCPU})
-	return at
+	heap.Push(&f.releases, release{f.at + run, milliCPU})
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -206,6 +206,18 @@
 	is.Equal(v.Wait, 200*ms)
 }
 
+// Guards against taking a job for room that the jobs before it leave only later.
+func TestForecastKeepsTheOrderOfTime(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 3000))
+	take(t, p, jobOf("running", 1, 2000, 200*ms), 0)
+	take(t, p, jobOf("running too", 1, 1000, 300*ms), 0)
+	p.Next(0)
+	take(t, p, jobOf("first", 1, 1000, 200*ms), 100*ms) // starts after 100 ms and leaves half of the room
+	v, _ := p.Submit(jobOf("second", 1, 1000, 300*ms), 100*ms, 100*ms, 0)
+	is.Equal(v.Wait, 100*ms)
+}
+
 // Guards against a task that no endpoint can ever hold and that waits for ever.
 func TestTooLarge(t *testing.T) {
 	is := is.New(t)
