A failed renewal closes the idle connections to its worker

Change: a renewal or stop without an answer closes the worker's idle connections, so that the next task opens a new one. TestFailedRenewalCloses- IdleConnections fails without the change.

--- a/internal/platform/httpx/endpoint.go
+++ b/internal/platform/httpx/endpoint.go
@@ -88,11 +88,20 @@
 	}
 	r, err := e.control.do(ctx, call{method: fasthttp.MethodPost, path: path, body: body})
 	if err != nil {
+		e.closeIdle()
 		return status, fmt.Errorf("endpoint %s: %s: %w", e.address, path, err)
 	}
 	return status, e.decode(r, path, &status)
 }
 
+// closeIdle closes the connections without a call. What silences one connection to a worker often silences all, and a
+// task that is written to a silent one counts as perhaps run.
+func (e *endpoint) closeIdle() {
+	for i := range e.lanes {
+		e.lanes[i].sweep(0)
+	}
+}
+
 // Fetch returns the state of a task over a new connection.
 func (e *endpoint) Fetch(ctx context.Context, task string) (platform.TaskStatus, error) {
 	var status platform.TaskStatus
--- a/internal/platform/httpx/lane_test.go
+++ b/internal/platform/httpx/lane_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -139,6 +140,22 @@
 }
 
 // BenchmarkRun measures one call over loopback. The server runs in the same process, so the time covers both sides.
+// Guards against a task that is written to an idle connection which went silent together with the one of a renewal, and
+// therefore counts as perhaps run.
+func TestFailedRenewalClosesIdleConnections(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
+	e := open(t, s.Addr().String())
+	is.Equal(e.Run(0, request).Outcome, platform.Succeeded)
+	is.Equal(s.conns.Load(), int64(1))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := e.Renew(ended, nil)
+	is.True(err != nil)
+	is.Equal(e.Run(0, request).Outcome, platform.Succeeded)
+	is.Equal(s.conns.Load(), int64(2))
+}
+
 func BenchmarkRun(b *testing.B) {
 	s := serve(b, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
 	e := open(b, s.Addr().String())
