An endpoint gets runs only after a report to the dispatcher's present fence

A dispatcher that goes on with a higher fence kept what it believed of its endpoints and ordered starts into room that the other one had used in between. The same can happen when a partition is away and back between two answered joins. Change: a rise of the fence makes every endpoint unusable until it has reported to that fence; each is looked at at once. What is refused for this instance's own newer fence is no reason to ask the store.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -37,10 +37,11 @@
 	orders   work.Orders
 	cancel   context.CancelFunc
 
-	listed       bool // registered
-	reported     bool // has reported during the term
-	answering    bool // the last call was answered
-	failures     int  // calls in a row that were not answered
+	listed       bool  // registered
+	reported     bool  // has reported during the term
+	reportedTo   int64 // fence of the newest report
+	answering    bool  // the last call was answered
+	failures     int   // calls in a row that were not answered
 	acknowledged int64
 	born         int64
 	clock        time.Duration // of the endpoint, at clockAt
@@ -67,9 +68,10 @@
 	delete(x.stopped, r)
 }
 
-// usable reports whether the endpoint may get new runs. The shard's lock is held.
+// usable reports whether the endpoint may get new runs. The shard's lock is held. A report to the present fence is needed:
+// another dispatcher may have used the endpoint under a fence in between.
 func (x *session) usable() bool {
-	return x.listed && x.reported && x.answering && !x.endpoint.Draining && x.registrationHolds()
+	return x.listed && x.reported && x.reportedTo == x.shard.fence && x.answering && !x.endpoint.Draining && x.registrationHolds()
 }
 
 // registrationHolds reports whether the registration is of the process that answers. A process that has started again
@@ -116,10 +118,9 @@
 		x.silent(now, err)
 		return false
 	case refusal != work.Done:
-		x.refused(refusal)
-		return false
+		return x.refused(refusal, order.Fence)
 	}
-	x.apply(report, sent, now)
+	x.apply(report, order.Fence, sent, now)
 	s.dispatch()
 	return true
 }
@@ -187,23 +188,27 @@
 	}
 }
 
-func (x *session) refused(r work.Refusal) {
+// refused handles an answer without a report to a look with a fence. It returns whether the next look may follow at once.
+func (x *session) refused(r work.Refusal, fence int64) bool {
 	s := x.shard
-	switch r {
-	case work.Fenced:
+	switch {
+	case r == work.Fenced && fence < s.fence:
+		return true // refused for this instance's own newer fence
+	case r == work.Fenced:
 		s.opts.Log.WithFields(logrus.Fields{"event": "fenced", "endpoint": x.endpoint.ID, "fence": s.fence}).
 			Warn("the endpoint has seen a higher fence")
 		s.pool.SetUsable(x.endpoint.ID, false)
 		x.answering = false
 		s.opts.Fenced()
-	case work.OtherLife:
+	case r == work.OtherLife:
 		s.drop(x, "another process answers at the address")
 	}
+	return false
 }
 
-// apply takes a report of the endpoint that was asked for at a time. Of a report that a newer one has overtaken only the
+// apply takes a report of the endpoint that was asked for with a fence at a time. Of a report that a newer one has overtaken only the
 // ends count.
-func (x *session) apply(report work.Report, sent, now time.Duration) {
+func (x *session) apply(report work.Report, fence int64, sent, now time.Duration) {
 	s := x.shard
 	if x.reborn(report) {
 		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.Born}).
@@ -221,6 +226,7 @@
 	x.answering, x.cleared, x.failures = true, false, 0
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
+		x.reportedTo = fence
 		x.applyRuns(report, now)
 	}
 	for _, end := range report.Ended {
@@ -349,7 +355,7 @@
 		x.settledAt[r] = now
 		s.pool.Started(r)
 	default:
-		x.startRefused(r, refusal, now)
+		x.startRefused(r, refusal, fence, now)
 	}
 	s.dispatch()
 }
@@ -369,14 +375,17 @@
 	}
 }
 
-func (x *session) startRefused(r *pool.Run, refusal work.Refusal, now time.Duration) {
+func (x *session) startRefused(r *pool.Run, refusal work.Refusal, fence int64, now time.Duration) {
 	s := x.shard
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "start_refused", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
-		"refusal": refusal.String(), "fence": s.fence,
+		"refusal": refusal.String(), "fence": fence,
 	}).Info("the endpoint did not start the run")
 	switch refusal {
 	case work.Fenced:
+		if fence < s.fence {
+			break // refused for this instance's own newer fence
+		}
 		s.opts.Fenced()
 		x.answering = false
 		s.pool.SetUsable(x.endpoint.ID, false)
@@ -401,16 +410,21 @@
 		return
 	}
 	time.Sleep(stopTime)
+	x.check()
+}
+
+// check asks for a report beside the regular looks. If there is none, the next look brings it.
+func (x *session) check() {
 	sent, order := x.glance()
 	report, refusal, err := x.orders.Hold(context.Background(), order)
 	if err != nil || refusal != work.Done {
-		return // the next look brings the report
+		return
 	}
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions[x.endpoint.ID] == x {
-		x.apply(report, sent, s.opts.Now())
+		x.apply(report, order.Fence, sent, s.opts.Now())
 		s.dispatch()
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -91,10 +91,11 @@
 		s.resplit = true
 		s.end()
 	}
-	s.fence = fence
 	if s.leading {
+		s.raise(fence)
 		return
 	}
+	s.fence = fence
 	s.leading, s.settled, s.split, s.since = true, false, split, s.opts.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	for _, e := range s.opts.Directory.known(s.owns) {
@@ -106,6 +107,19 @@
 	go s.watch(s.ctx)
 }
 
+// raise goes on with a higher fence. Another dispatcher may have had the partition meanwhile, so each endpoint is looked at
+// with it before it gets new runs.
+func (s *Shard) raise(fence int64) {
+	if fence <= s.fence {
+		return
+	}
+	s.fence = fence
+	for id, x := range s.sessions {
+		s.pool.SetUsable(id, x.usable())
+		go x.check()
+	}
+}
+
 // owns reports whether an endpoint belongs to this shard.
 func (s *Shard) owns(e work.Endpoint) bool {
 	return e.Zone == s.opts.Zone && PartitionOf(string(e.ID), s.split) == s.opts.Partition
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -358,3 +358,27 @@
 	wait.For(t, "a job completes on the smaller endpoint", completed(c, "c"))
 	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
 }
+
+// Guards against starts by a dispatcher that goes on with a higher fence, on endpoints that another one has filled
+// between its two fences.
+func TestUsedByAnotherBetweenTwoFences(t *testing.T) {
+	is := is.New(t)
+	f, all, s, c := leading(t, 1, time.Second)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, time.Second)})
+	wait.For(t, "the first job has ended", func() bool { return c.answer("a") != nil })
+	other := f.Dial(all[0])
+	report, refusal, err := other.Hold(t.Context(), work.HoldOrder{Fence: 2})
+	is.NoErr(err)
+	is.Equal(refusal, work.Done)
+	for i := range 2 {
+		refusal, _, err = other.Start(t.Context(), work.StartOrder{
+			Task: work.TaskID{Job: "other", Index: i}, Run: 1, Spec: "text", Until: report.Clock + lease, Fence: 2,
+		})
+		is.NoErr(err)
+		is.Equal(refusal, work.Done)
+	}
+	s.Begin(3, 1)
+	s.Submit(c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
+	wait.For(t, "the job has run", func() bool { return c.answer("b") != nil || len(f.Starts()) > 3 })
+	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
+}
