--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -88,13 +88,14 @@
 // hands over only with a join that names the new generation. The clock is virtual.
 func TestPartitionsChangeHandsSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		s := keyed.New()
 		a := join(t, s, "a")
 		time.Sleep(settleTime + time.Second)
 		b := join(t, s, "b")
 		time.Sleep(joinInterval + 2*settleInterval)
-		is.New(t).True(len(b.Term().Partitions) == keyed.Partitions/2)
-		is.New(t).True(len(a.Term().Partitions) == keyed.Partitions/2)
+		is.Equal(len(b.Term().Partitions), keyed.Partitions/2)
+		is.Equal(len(a.Term().Partitions), keyed.Partitions/2)
 		a.stop()
 		b.stop()
 	})
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -53,7 +53,9 @@
 	dispatchers.pressure.Store(30)
 	wait.For(t, "the own zone's load is known", func() bool { return pressure("north") == 30 })
 	p.prepare()
+	p.mu.Lock()
 	is.Equal(p.links[servers["south"].Address()], nil) // there is room
+	p.mu.Unlock()
 	dispatchers.pressure.Store(80)
 	wait.For(t, "the own zone is loaded", func() bool { return pressure("north") == 80 })
 	p.prepare()
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -104,6 +104,9 @@
 			s.unlist(e.endpoint.ID)
 		}
 	}
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "dispatching", "fence": fence, "partitions": split, "endpoints": len(s.sessions),
+	}).Info("this instance dispatches for the partition")
 	go s.watch(s.ctx)
 }
 
@@ -135,6 +138,9 @@
 }
 
 func (s *Shard) end() {
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "dispatching_ended", "fence": s.fence, "partitions": s.split, "jobs": len(s.clients),
+	}).Info("this instance does not dispatch for the partition any more")
 	s.leading = false
 	s.cancel()
 	for id, client := range s.clients {
