A dispatcher that is fenced looks at its endpoints rarely and writes one line

Change: 250 ms between such looks, one line for each fence and endpoint. A rise of the own fence looks at once.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -22,6 +22,9 @@
 	lossyMemory = 3 * time.Second
 	// retryPause keeps an endpoint that refuses connections from being called in a tight loop.
 	retryPause = 50 * time.Millisecond
+	// fencedPause is the pause after a look that was refused for a higher fence. It takes a rise of this dispatcher's own
+	// fence, which looks at once, to change that.
+	fencedPause = 250 * time.Millisecond
 	// goneAfter is the silence after which an endpoint without a registration is dropped.
 	goneAfter = 3 * time.Second
 	// stopTime is how long an endpoint may take to stop a run. Until then a report may list neither the run nor its end.
@@ -40,6 +43,7 @@
 	listed       bool  // registered
 	reported     bool  // has reported during the term
 	reportedTo   int64 // fence of the newest report
+	outrankedAt  int64 // this dispatcher's fence when the endpoint last refused it for a higher one
 	answering    bool  // the last call was answered
 	failures     int   // calls in a row that were not answered
 	acknowledged int64
@@ -86,14 +90,15 @@
 	ctx, x.cancel = context.WithCancel(ctx)
 	x.shard.mu.Unlock()
 	for ctx.Err() == nil {
-		if !x.look(ctx) {
-			pause(ctx, retryPause)
-		}
+		pause(ctx, x.look(ctx))
 	}
 	x.orders.Close()
 }
 
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -102,27 +107,27 @@
 	}
 }
 
-// look makes one report. It returns false if there was none.
-func (x *session) look(ctx context.Context) bool {
+// look asks for one report and returns the pause before the next look.
+func (x *session) look(ctx context.Context) time.Duration {
 	sent, order := x.prepare()
 	report, refusal, err := x.orders.Hold(ctx, order)
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
-		return true
+		return 0
 	}
 	now := s.opts.Now()
 	switch {
 	case err != nil:
 		x.silent(now, err)
-		return false
+		return retryPause
 	case refusal != work.Done:
 		return x.refused(refusal, order.Fence)
 	}
 	x.apply(report, order.Fence, sent, now)
 	s.dispatch()
-	return true
+	return 0
 }
 
 // tolerated is the number of unanswered looks in a row from which an endpoint gets no new runs.
@@ -188,22 +193,32 @@
 	}
 }
 
-// refused handles an answer without a report to a look with a fence. It returns whether the next look may follow at once.
-func (x *session) refused(r work.Refusal, fence int64) bool {
+// refused handles an answer without a report to a look with a fence. It returns the pause before the next look.
+func (x *session) refused(r work.Refusal, fence int64) time.Duration {
 	s := x.shard
 	switch {
 	case r == work.Fenced && fence < s.fence:
-		return true // refused for this instance's own newer fence
+		return 0 // refused for this instance's own newer fence
 	case r == work.Fenced:
-		s.opts.Log.WithFields(logrus.Fields{"event": "fenced", "endpoint": x.endpoint.ID, "fence": s.fence}).
-			Warn("the endpoint has seen a higher fence")
-		s.pool.SetUsable(x.endpoint.ID, false)
-		x.answering = false
-		s.opts.Fenced()
+		x.outranked()
+		return fencedPause
 	case r == work.OtherLife:
 		s.drop(x, "another process answers at the address")
 	}
-	return false
+	return retryPause
+}
+
+// outranked notes that the endpoint has seen a higher fence than this dispatcher's.
+func (x *session) outranked() {
+	s := x.shard
+	if x.outrankedAt != s.fence {
+		s.opts.Log.WithFields(logrus.Fields{"event": "fenced", "endpoint": x.endpoint.ID, "fence": s.fence}).
+			Warn("the endpoint has seen a higher fence")
+	}
+	x.outrankedAt = s.fence
+	x.answering = false
+	s.pool.SetUsable(x.endpoint.ID, false)
+	s.opts.Fenced()
 }
 
 // apply takes a report of the endpoint that was asked for with a fence at a time. Of a report that a newer one has overtaken only the
@@ -386,9 +401,7 @@
 		if fence < s.fence {
 			break // refused for this instance's own newer fence
 		}
-		s.opts.Fenced()
-		x.answering = false
-		s.pool.SetUsable(x.endpoint.ID, false)
+		x.outranked()
 	case work.NoRoom, work.TooLate:
 		// The next report corrects what is believed of the endpoint.
 		x.answering = false
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -382,3 +382,28 @@
 	wait.For(t, "the job has run", func() bool { return c.answer("b") != nil || len(f.Starts()) > 3 })
 	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
 }
+
+// Guards against a stream of refused looks and log lines from a dispatcher that the store does not tell of its successor.
+func TestFencedDispatcherLooksRarely(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(1, time.Second)
+	fenced := make(chan struct{}, 100)
+	s := newShard(f, func() { fenced <- struct{}{} })
+	s.Begin(1, 1)
+	t.Cleanup(s.End)
+	s.register(all)
+	wait.For(t, "the endpoint is looked at", func() bool { return f.Looks() > 0 })
+	_, _, err := f.Dial(all[0]).Hold(t.Context(), work.HoldOrder{Fence: 2})
+	is.NoErr(err)
+	<-fenced
+	begun := time.Now()
+	const more = 3
+	for range more {
+		<-fenced
+	}
+	is.True(time.Since(begun) > (more-1)*200*time.Millisecond) // a slow machine only makes it longer
+	c := newClient()
+	s.Begin(3, 1)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, time.Second)})
+	wait.For(t, "the job has run under the next fence", func() bool { return c.answer("a") != nil })
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -26,6 +26,7 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint // by address
 	starts    []*Start
+	looks     int
 	// WorkFor returns the run time of a task. It is set before use.
 	WorkFor func(work.TaskID) time.Duration
 	// Lose decides whether an order gets no answer, and after which delay it is carried out; below 0 it never is.
@@ -125,6 +126,13 @@
 	return all
 }
 
+// Looks returns the number of looks that endpoints have answered, refused ones included.
+func (f *Fleet) Looks() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.looks
+}
+
 // Running returns the number of runs on all endpoints.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -305,6 +313,7 @@
 }
 
 func (e *endpoint) hold(h work.HoldOrder) held {
+	e.fleet.looks++
 	if h.Fence < e.fence {
 		return held{refusal: work.Fenced}
 	}
