A late answer to a look with an earlier fence does not make an endpoint unusable

After a rise of the fence an endpoint reports to it at once; the look that was waiting there with the earlier fence answers later and set the note of the report back, so the endpoint got nothing until the next look, up to 0.45 s. Change: the highest fence that was answered with a report counts.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -42,7 +42,7 @@
 
 	listed       bool  // registered
 	reported     bool  // has reported during the term
-	reportedTo   int64 // fence of the newest report
+	reportedTo   int64 // highest fence of a look that was answered with a report
 	outrankedAt  int64 // this dispatcher's fence when the endpoint last refused it for a higher one
 	answering    bool  // the last call was answered
 	failures     int   // calls in a row that were not answered
@@ -221,8 +221,8 @@
 	s.opts.Fenced()
 }
 
-// apply takes a report of the endpoint that was asked for with a fence at a time. Of a report that a newer one has overtaken only the
-// ends count.
+// apply takes a report of the endpoint that was asked for with a fence at a time. Of a report that a newer one has
+// overtaken only the ends count.
 func (x *session) apply(report work.Report, fence int64, sent, now time.Duration) {
 	s := x.shard
 	if x.reborn(report) {
@@ -241,7 +241,7 @@
 	x.answering, x.cleared, x.failures = true, false, 0
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
-		x.reportedTo = fence
+		x.reportedTo = max(x.reportedTo, fence)
 		x.applyRuns(report, now)
 	}
 	for _, end := range report.Ended {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -407,3 +407,21 @@
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, time.Second)})
 	wait.For(t, "the job has run under the next fence", func() bool { return c.answer("a") != nil })
 }
+
+// Guards against an endpoint that gets nothing until the look after next, because the answer to a look with the earlier
+// fence comes after the report to the present one.
+func TestAnswerToTheEarlierFenceComesLate(t *testing.T) {
+	is := is.New(t)
+	_, _, s, _ := leading(t, 1, time.Second)
+	usable := func() bool {
+		all := s.Dump().Pool.Endpoints
+		return len(all) == 1 && all[0].Usable
+	}
+	wait.For(t, "the endpoint is usable", usable)
+	time.Sleep(20 * time.Millisecond) // the next look waits at the endpoint by now
+	s.Begin(2, 1)
+	wait.For(t, "it has reported to the present fence", usable)
+	for end := time.Now().Add(600 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		is.True(usable())
+	}
+}
