A higher fence begins anew: resumed jobs wait until every endpoint has reported to it

It counted what ran before its term as known, and started tasks of a resumed job at once although an endpoint that ran them had not reported to the new fence. Change: with each rise of the fence what ran before counts as unknown until all endpoints have reported to it or leases have lapsed; a line event=fence_raised tells of it. New jobs do not wait.

--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -55,8 +55,8 @@
 	mu       sync.Mutex
 	leading  bool
 	fence    int64
-	since    time.Duration // start of the term
-	settled  bool          // what ran before the term is known
+	since    time.Duration // start of the present fence
+	settled  bool          // what ran before the present fence is known
 	split    int           // partitions of the zone in the term
 	lossy    bool          // an order got no answer, last at lostAt
 	lostAt   time.Duration
@@ -111,12 +111,14 @@
 }
 
 // raise goes on with a higher fence. Another dispatcher may have had the partition meanwhile, so each endpoint is looked at
-// with it before it gets new runs.
+// with it before it gets new runs, and jobs that may have started elsewhere wait as at the start of a term.
 func (s *Shard) raise(fence int64) {
 	if fence <= s.fence {
 		return
 	}
-	s.fence = fence
+	s.fence, s.settled, s.since = fence, false, s.opts.Now()
+	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": fence, "partitions": s.split, "endpoints": len(s.sessions)}).
+		Info("this instance dispatches with a higher fence")
 	for id, x := range s.sessions {
 		s.pool.SetUsable(id, x.usable())
 		go x.check()
@@ -370,7 +372,7 @@
 	s.dispatch()
 }
 
-// settle notes when all that ran before the term has reported or lapsed. An endpoint that has seen this term's fence
+// settle notes when all that ran before the present fence has reported or lapsed. An endpoint that has seen the fence
 // takes no more orders of an earlier one. Registrations can be missing while their endpoints run, so those of the last
 // half minute count.
 func (s *Shard) settle(now time.Duration) {
@@ -384,7 +386,7 @@
 	s.pool.Settle()
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "settled", "endpoints": len(s.sessions), "fence": s.fence, "after_ms": (now - s.since).Milliseconds(),
-	}).Info("what ran before this term is known")
+	}).Info("what ran before this fence is known")
 }
 
 // allReported reports whether every endpoint that an earlier dispatcher may have used for this partition has reported.
@@ -393,7 +395,7 @@
 		return false
 	}
 	for _, e := range s.opts.Directory.known(s.owns) {
-		if x := s.sessions[e.endpoint.ID]; x != nil && !x.reported {
+		if x := s.sessions[e.endpoint.ID]; x != nil && x.reportedTo != s.fence {
 			return false
 		}
 	}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -425,3 +425,28 @@
 		is.True(usable())
 	}
 }
+
+// Guards against a second run of a task whose dispatcher had the partition between two terms of this one, which has not
+// heard of that: the endpoint that runs the task has not reported to the present fence yet.
+func TestResumedBetweenTwoFences(t *testing.T) {
+	is := is.New(t)
+	f, all, s, c := leading(t, 2, 300*time.Millisecond)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("first", 4, 300*time.Millisecond)})
+	wait.For(t, "the first job has ended", func() bool { return c.answer("first") != nil })
+	s.skip(time.Minute) // what ran before the term is known for long
+	other := f.Dial(all[0])
+	report, _, err := other.Hold(t.Context(), work.HoldOrder{Fence: 2})
+	is.NoErr(err)
+	refusal, _, err := other.Start(t.Context(), work.StartOrder{
+		Task: work.TaskID{Job: "a"}, Run: 1, Spec: "text", Until: report.Clock + lease, Fence: 2,
+	})
+	is.NoErr(err)
+	is.Equal(refusal, work.Done)
+	f.Silence(all[0].Address, true) // it does not report
+	s.Begin(4, 1)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, 300*time.Millisecond), Resumed: true})
+	time.Sleep(100 * time.Millisecond)
+	f.Silence(all[0].Address, false)
+	wait.For(t, "the job completes", completed(c, "a"))
+	is.Equal(f.Overlaps(), "")
+}
