The number of partitions of a zone is a record of the store

Cause: each instance divided its zone by the registrations that it found. Two dispatchers then used an endpoint by turns, or none did. Change: package division follows records of the store, one for each number that a zone has had, and raises them; nothing is dispatched before they are read. After a change resumed jobs wait also for the runs that another partition's dispatcher keeps. The store's interface gains Put.

--- /dev/null
+++ b/internal/division/division_test.go
@@ -0,0 +1,101 @@
+package division
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/standin/wait"
+)
+
+const topic = "keyed.divisions"
+
+// following returns a controller that follows a store, and the number of its calls of Changed.
+func following(t *testing.T, s *keyed.Store) (*Controller, *atomic.Int64) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	changed := &atomic.Int64{}
+	c := New(Options{Store: s, Topic: topic, Log: log, Changed: func() { changed.Add(1) }})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	return c, changed
+}
+
+// Guards against too many endpoints for one dispatcher, and against more partitions than a group can share.
+func TestWanted(t *testing.T) {
+	is := is.New(t)
+	for endpoints, parts := range map[int]int{0: 1, 16: 1, 40: 1, 41: 2, 117: 4, 400: 16, 5000: 16} {
+		is.Equal(Wanted(endpoints), parts)
+	}
+}
+
+// Guards against instances that divide a zone differently: one that has divided it by what it found registered, and one
+// that starts when most registrations are gone.
+func TestAllDivideAlike(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	before, _ := following(t, s)
+	wait.For(t, "the numbers are known", before.Known)
+	is.Equal(before.Partitions("north"), 1)
+	before.Raise(t.Context(), "north", 117)
+	wait.For(t, "the number has risen", func() bool { return before.Partitions("north") == 4 })
+	is.True(!before.ChangedAt("north").IsZero())
+	after, changed := following(t, s)
+	wait.For(t, "the numbers are known", after.Known)
+	is.Equal(after.Partitions("north"), 4)
+	is.Equal(after.Partitions("south"), 1)
+	is.True(after.ChangedAt("north").IsZero()) // it has not changed in this one's life
+	is.Equal(changed.Load(), int64(1))
+	after.Raise(t.Context(), "north", 3)
+	is.Equal(after.Partitions("north"), 4)
+}
+
+// Guards against a number that falls: a lower one is written late, or the history is dropped.
+func TestNumbersDoNotFall(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	s.Set(topic, formatKey("north", 8), []byte{1})
+	c, _ := following(t, s)
+	wait.For(t, "the number is known", func() bool { return c.Partitions("north") == 8 })
+	s.Set(topic, formatKey("north", 2), []byte{1})
+	s.Forget(topic)
+	s.Set(topic, formatKey("south", 2), []byte{1})
+	wait.For(t, "the later record is read", func() bool { return c.Partitions("south") == 2 })
+	is.Equal(c.Partitions("north"), 8)
+}
+
+// Guards against a zone that is divided by an instance alone while the store is away, and against a raise that is not
+// tried again.
+func TestRaiseWithoutStore(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	c, _ := following(t, s)
+	wait.For(t, "the numbers are known", c.Known)
+	s.SetDown(true)
+	c.Raise(t.Context(), "north", 117)
+	is.Equal(c.Partitions("north"), 1)
+	s.SetDown(false)
+	wait.For(t, "the number has risen", func() bool {
+		c.Raise(t.Context(), "north", 117)
+		return c.Partitions("north") == 4
+	})
+}
+
+// Guards against records that divide a zone into a number that nothing serves.
+func TestParseKey(t *testing.T) {
+	is := is.New(t)
+	zone, parts, err := parseKey(formatKey("canal/north", 16))
+	is.NoErr(err)
+	is.Equal(zone, "canal/north")
+	is.Equal(parts, 16)
+	for _, key := range []string{"", "north", "north/", "north/0", "north/3", "north/32", "north/-2", "north/x"} {
+		_, _, err := parseKey(key)
+		is.True(err != nil)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,7 @@
 const (
 	callRead   metric.Kind = "read"
 	callNewest metric.Kind = "newest"
+	callPut    metric.Kind = "put"
 	callJoin   metric.Kind = "join"
 	callLeave  metric.Kind = "leave"
 	callOwners metric.Kind = "owners"
@@ -60,6 +61,13 @@
 	return b, err
 }
 
+// Put implements store.Store.
+func (c *countedStore) Put(ctx context.Context, topic, key string, value []byte) error {
+	err := c.Store.Put(ctx, topic, key, value)
+	c.count(callPut, err)
+	return err
+}
+
 // Join implements store.Store.
 func (c *countedStore) Join(ctx context.Context, m store.Membership) (store.Share, error) {
 	share, err := c.Store.Join(ctx, m)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/follow"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
@@ -48,6 +49,7 @@
 	ConfigTopic() (topic, key string)
 	EndpointsTopic() string
 	LeadersTopic(zone string) string
+	DivisionsTopic() string
 	DecodeConfig(raw []byte) (*catalog.Config, error)
 	DecodeEndpoint(key string, raw []byte) (work.Endpoint, error)
 }
@@ -74,6 +76,8 @@
 	gateway *gateway.Gateway
 	// endpoints follows the registrations.
 	endpoints *follow.Controller
+	divisions *division.Controller
+	directory *shard.Directory
 	paths     *paths
 	server    *server.Server
 	drain     chan struct{}
@@ -94,15 +98,19 @@
 		Store: n.store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
 		TTL: s.MemberTTL, Log: o.Log, Changed: func(t lead.Term) { n.terms <- t },
 	})
-	directory := shard.NewDirectory()
-	n.shards = newShards(s.Zone, directory, func(part int) *shard.Shard {
+	n.directory = shard.NewDirectory()
+	n.shards = newShards(s.Zone, n.directory, n.started, func(part int) *shard.Shard {
 		return shard.New(shard.Options{
-			Zone: s.Zone, Partition: part, Directory: directory, Lease: s.Lease, Dialer: o.Dialer, Fenced: n.lead.Verify,
+			Zone: s.Zone, Partition: part, Directory: n.directory, Lease: s.Lease, Dialer: o.Dialer, Fenced: n.lead.Verify,
 			Counts: &n.counts, Log: n.log.WithField("partition", part), Now: n.now,
 		})
 	})
+	n.divisions = division.New(division.Options{
+		Store: n.store, Topic: o.Records.DivisionsTopic(), Changed: n.shards.reconcile, Log: o.Log,
+	})
+	n.shards.divisions = n.divisions
 	n.paths = &paths{
-		own: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, directory: directory,
+		own: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
 		log: o.Log, local: newLocalRoute(n.shards), links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 	}
 	n.metrics.ResponseMS = metric.NewMilliseconds()
@@ -154,6 +162,7 @@
 	go n.followTerms(ctx)
 	go n.followConfig(ctx)
 	go n.endpoints.Run(ctx)
+	go n.divisions.Run(ctx)
 	go n.lead.Run(ctx)
 	go n.lead.Follow(ctx, append([]string{n.opts.Settings.Zone}, n.paths.others...), n.paths.reached)
 	go n.upkeep(ctx)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -37,14 +37,14 @@
 
 func deploy(t *testing.T, endpoints int, run time.Duration) *deployment {
 	d := &deployment{t, keyed.New(), fleet.New(run)}
-	d.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, 1))
+	d.store.Set("keyed.op", "config", fmt.Appendf(nil, configText, 1))
 	for i := range endpoints {
 		e := work.Endpoint{
 			ID: work.EndpointID(fmt.Sprint("e", i)), Service: "survey", Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: "north",
 			Size: work.Size{MilliCPU: 4000, MemoryMB: 1000},
 		}
 		d.fleet.Add(e)
-		d.store.Put("keyed.servers", string(e.ID), fmt.Appendf(nil, `{"service":"survey","addr":%q,"zone":"north","state":"ready",
+		d.store.Set("keyed.servers", string(e.ID), fmt.Appendf(nil, `{"service":"survey","addr":%q,"zone":"north","state":"ready",
 			"capacity":{"cpu":4000,"mem_mb":1000}}`, e.Address))
 	}
 	return d
@@ -259,11 +259,11 @@
 	d := deploy(t, 1, 10*time.Millisecond)
 	a := d.start("a")
 	d.eventually("the instance serves", d.served(a, 1))
-	d.store.Put("keyed.op", "config", []byte(`{"version":5,"routes":[]}`))
+	d.store.Set("keyed.op", "config", []byte(`{"version":5,"routes":[]}`))
 	d.eventually("the queue is gone", func() bool { status, _ := a.post(id(2), 1); return status == 404 })
-	d.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, 4))
-	d.store.Put("keyed.op", "config", []byte("unreadable"))
-	d.store.Put("keyed.op", "other", []byte("{}"))
-	d.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, 6))
+	d.store.Set("keyed.op", "config", fmt.Appendf(nil, configText, 4))
+	d.store.Set("keyed.op", "config", []byte("unreadable"))
+	d.store.Set("keyed.op", "other", []byte("{}"))
+	d.store.Set("keyed.op", "config", fmt.Appendf(nil, configText, 6))
 	d.eventually("the queue is back", d.served(a, 3))
 }
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -7,10 +7,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
-	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -27,7 +27,7 @@
 	address   string   // of this instance's relay listener
 	lead      *lead.Controller
 	shards    *shards
-	directory *shard.Directory
+	divisions *division.Controller
 	gateway   *gateway.Gateway // set before use
 	log       logrus.FieldLogger
 	local     *localRoute
@@ -58,7 +58,7 @@
 }
 
 func (p *paths) load(zone string) zoneLoad {
-	l := zoneLoad{zone, make([]int, p.directory.Partitions(zone))}
+	l := zoneLoad{zone, make([]int, p.divisions.Partitions(zone))}
 	for part := range l.pressure {
 		l.pressure[part] = unknownPressure
 		if pressure, ok := p.pressure(gateway.Target{Zone: zone, Partition: part}); ok {
@@ -94,7 +94,7 @@
 // connection.
 func (p *paths) prepare() {
 	sum, known := 0, 0
-	for part := range p.directory.Partitions(p.own) {
+	for part := range p.divisions.Partitions(p.own) {
 		if pressure, ok := p.pressure(gateway.Target{Zone: p.own, Partition: part}); ok {
 			sum += pressure
 			known++
@@ -104,7 +104,7 @@
 		return
 	}
 	for _, zone := range p.others {
-		for part := range p.directory.Partitions(zone) {
+		for part := range p.divisions.Partitions(zone) {
 			if address := p.lead.Dispatcher(zone, part); address != "" {
 				p.link(address, zone)
 			}
@@ -187,7 +187,7 @@
 // reached reports whether the own zone's dispatchers are known and connected. It connects where it can.
 func (p *paths) reached() bool {
 	all := true
-	for part := range p.directory.Partitions(p.own) {
+	for part := range p.divisions.Partitions(p.own) {
 		address := p.lead.Dispatcher(p.own, part)
 		switch {
 		case address == "":
@@ -206,7 +206,7 @@
 func (p *paths) closeUnused() {
 	used := map[string]bool{}
 	for _, zone := range append([]string{p.own}, p.others...) {
-		for part := range p.directory.Partitions(zone) {
+		for part := range p.divisions.Partitions(zone) {
 			used[p.lead.Dispatcher(zone, part)] = true
 		}
 	}
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -12,10 +12,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
-	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
 	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/store"
@@ -41,7 +41,7 @@
 	}
 	l := lead.New(lead.Options{Store: s, Zone: "north", Topic: func(zone string) string { return zone }, Log: log, Address: "127.0.0.1:1"})
 	p := &paths{
-		own: "north", others: []string{"south"}, lead: l, directory: shard.NewDirectory(), log: log, address: "127.0.0.1:1",
+		own: "north", others: []string{"south"}, lead: l, divisions: division.New(division.Options{}), log: log, address: "127.0.0.1:1",
 		links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
 	}
@@ -94,7 +94,7 @@
 	go l.Follow(ctx, []string{"south"}, func() bool { return true })
 	wait.For(t, "the dispatcher is known", func() bool { return l.Dispatcher("south", 0) != "" })
 	p := &paths{
-		own: "north", others: []string{"south"}, lead: l, directory: shard.NewDirectory(), log: log,
+		own: "north", others: []string{"south"}, lead: l, divisions: division.New(division.Options{}), log: log,
 		links: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
 	}
--- a/internal/node/registrations.go
+++ b/internal/node/registrations.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/follow"
@@ -10,6 +12,9 @@
 
 func (n *Node) applyEndpoints(u follow.Update) {
 	n.shards.endpoints(n.registrations(u), n.now())
+	if zone := n.opts.Settings.Zone; n.shards.leading(anyPartition) {
+		go n.divisions.Raise(context.Background(), zone, n.directory.Count(zone))
+	}
 }
 
 // registrations reads the registrations of an update. An endpoint that was registered and removed within it is named as
--- a/internal/node/registrations_test.go
+++ b/internal/node/registrations_test.go
@@ -20,6 +20,7 @@
 func (records) ConfigTopic() (topic, key string)             { return "", "" }
 func (records) EndpointsTopic() string                       { return "" }
 func (records) LeadersTopic(string) string                   { return "" }
+func (records) DivisionsTopic() string                       { return "" }
 func (records) DecodeConfig([]byte) (*catalog.Config, error) { return nil, nil }
 
 func (records) DecodeEndpoint(key string, raw []byte) (work.Endpoint, error) {
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
@@ -14,6 +15,8 @@
 type shards struct {
 	zone      string
 	directory *shard.Directory
+	divisions *division.Controller
+	started   time.Time // of the process's clock
 	make      func(partition int) *shard.Shard
 
 	mu   sync.Mutex
@@ -21,8 +24,8 @@
 	all  map[int]*shard.Shard
 }
 
-func newShards(zone string, d *shard.Directory, make func(int) *shard.Shard) *shards {
-	return &shards{zone: zone, directory: d, make: make, all: map[int]*shard.Shard{}}
+func newShards(zone string, d *shard.Directory, started time.Time, make func(int) *shard.Shard) *shards {
+	return &shards{zone: zone, directory: d, started: started, make: make, all: map[int]*shard.Shard{}}
 }
 
 // setTerm takes this instance's partitions.
@@ -33,14 +36,18 @@
 	s.reconcile()
 }
 
-// reconcile begins and ends the terms of shards as the held partitions and the number of partitions say.
+// reconcile begins and ends the terms of shards as the held partitions and the number of partitions say. Nothing is
+// dispatched before that number is known.
 func (s *shards) reconcile() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	split := s.directory.Partitions(s.zone)
-	for part := range shard.MaxPartitions {
+	if !s.divisions.Known() {
+		return
+	}
+	t := s.shardTerm()
+	for part := range division.MaxPartitions {
 		x := s.all[part]
-		if !s.term.Holds(part) || part >= split {
+		if !s.term.Holds(part) || part >= t.Partitions {
 			if x != nil {
 				x.End()
 			}
@@ -50,14 +57,24 @@
 			x = s.make(part)
 			s.all[part] = x
 		}
-		x.Begin(fenceOf(s.term.Generation, split), split)
+		x.Begin(t)
+	}
+}
+
+// shardTerm returns the terms of the partitions that are held. s.mu is held.
+func (s *shards) shardTerm() shard.Term {
+	parts := s.divisions.Partitions(s.zone)
+	t := shard.Term{Fence: fenceOf(s.term.Generation, parts), Partitions: parts}
+	if at := s.divisions.ChangedAt(s.zone); !at.IsZero() {
+		t.DividedAt = at.Sub(s.started)
 	}
+	return t
 }
 
 // fenceOf returns the fence of a generation's orders. Instances that have not noticed yet that their zone is divided into
 // more partitions have a lower one.
-func fenceOf(generation int64, split int) int64 {
-	return generation*2*shard.MaxPartitions + int64(split)
+func fenceOf(generation int64, partitions int) int64 {
+	return generation*2*division.MaxPartitions + int64(partitions)
 }
 
 func (s *shards) get(part int) *shard.Shard {
@@ -70,7 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []*shard.Shard
-	for part := range shard.MaxPartitions {
+	for part := range division.MaxPartitions {
 		if x := s.all[part]; x != nil {
 			all = append(all, x)
 		}
@@ -140,7 +157,7 @@
 // Loads implements relay.Dispatcher.
 func (s *shards) Loads() []relay.Load {
 	var loads []relay.Load
-	for part := range shard.MaxPartitions {
+	for part := range division.MaxPartitions {
 		if x := s.get(part); x != nil && x.Leading() {
 			loads = append(loads, relay.Load{Partition: part, Pressure: x.Pressure()})
 		}
--- /dev/null
+++ b/internal/node/shards_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/standin/fleet"
+	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/standin/wait"
+)
+
+// Guards against an instance that starts when its zone's registrations are gone and takes the zone for undivided.
+func TestShardsOfFewRegistrations(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := keyed.New()
+	s.Set("divisions", "north/4", []byte{1})
+	counts := shard.NewCounts()
+	directory := shard.NewDirectory()
+	started := time.Now()
+	n := newShards("north", directory, started, func(part int) *shard.Shard {
+		return shard.New(shard.Options{
+			Zone: "north", Partition: part, Directory: directory, Lease: time.Second, Dialer: fleet.New(time.Second),
+			Fenced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
+		})
+	})
+	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", Log: log, Changed: n.reconcile})
+	n.setTerm(lead.Term{Generation: 3, Partitions: []int{2, 9}})
+	is.True(!n.leading(anyPartition)) // the division is not known yet
+	go n.divisions.Run(t.Context())
+	wait.For(t, "the partition is dispatched", func() bool { return n.leading(2) })
+	t.Cleanup(func() { n.setTerm(lead.Term{Generation: 4}) })
+	is.True(!n.leading(0))
+	is.True(!n.leading(9)) // beyond the zone's number
+	is.Equal(n.dump()[0].Fence, fenceOf(3, 4))
+}
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/work"
@@ -30,7 +31,7 @@
 // Guards against more messages than the bound, and against a partition that is tried twice.
 func TestTargetsAreBounded(t *testing.T) {
 	is := is.New(t)
-	for n := 1; n <= shard.MaxPartitions; n *= 2 {
+	for n := 1; n <= division.MaxPartitions; n *= 2 {
 		got := targetsOf("5c0e7a21d94b36f8", zoneLoad{"north", make([]int, n)}, []zoneLoad{{"south", make([]int, n)}})
 		seen := map[gateway.Target]bool{}
 		for _, target := range got {
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -15,11 +15,6 @@
 	// minMemory is how long the registrations must have been followed before they count as complete. An endpoint whose
 	// registration ended earlier has been given nothing since, and what it had was mostly shorter.
 	minMemory = 8 * time.Second
-	// endpointsPerPartition is how many endpoints one dispatcher looks after. A small instance orders the starts of so
-	// many, and they are enough for jobs of usual widths.
-	endpointsPerPartition = 40
-	// MaxPartitions is the most partitions of a zone.
-	MaxPartitions = 16
 )
 
 // Registrations is what a read of the registrations has found.
@@ -35,8 +30,7 @@
 type Directory struct {
 	mu           sync.Mutex
 	listed       map[work.EndpointID]seen
-	splits       map[string]int // partitions by zone
-	followed     bool           // all registrations have been seen, since followedFrom
+	followed     bool // all registrations have been seen, since followedFrom
 	followedFrom time.Duration
 	readAt       time.Duration // beginning of the last read
 }
@@ -50,7 +44,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{listed: map[work.EndpointID]seen{}, splits: map[string]int{}}
+	return &Directory{listed: map[work.EndpointID]seen{}}
 }
 
 // Apply takes the result of a read and returns the endpoints whose registrations it has ended.
@@ -79,7 +73,6 @@
 		}
 	}
 	d.forget(now)
-	d.split()
 	return removed
 }
 
@@ -91,29 +84,17 @@
 	}
 }
 
-// split raises the number of partitions of zones that have grown. It does not fall while the process lives, so that a
-// wave of endpoints that leave and come back does not move the others between dispatchers.
-func (d *Directory) split() {
-	count := map[string]int{}
+// Count returns the number of endpoints that are registered in a zone.
+func (d *Directory) Count(zone string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
 	for _, e := range d.listed {
-		if e.present {
-			count[e.endpoint.Zone]++
-		}
-	}
-	for zone, n := range count {
-		parts := 1
-		for parts < MaxPartitions && n > parts*endpointsPerPartition {
-			parts *= 2
+		if e.present && e.endpoint.Zone == zone {
+			n++
 		}
-		d.splits[zone] = max(d.splits[zone], parts)
 	}
-}
-
-// Partitions returns the number of partitions of a zone, a power of 2.
-func (d *Directory) Partitions(zone string) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return max(d.splits[zone], 1)
+	return n
 }
 
 // PartitionOf returns the partition of a name among a number of partitions.
--- a/internal/shard/directory_test.go
+++ b/internal/shard/directory_test.go
@@ -39,27 +39,24 @@
 	is.Equal(len(d.known(everywhere)), 0)
 }
 
-// Guards against too many endpoints for one dispatcher, and against partitions that move when endpoints leave for a while.
-func TestDirectorySplit(t *testing.T) {
+// Guards against partitions of very different sizes.
+func TestPartitionOf(t *testing.T) {
 	is := is.New(t)
-	d := NewDirectory()
-	var all []work.Endpoint
-	for i := range 117 {
-		all = append(all, work.Endpoint{ID: work.EndpointID(fmt.Sprint("e", i)), Zone: "north"})
-	}
-	is.Equal(d.Partitions("north"), 1)
-	d.Apply(Registrations{Changed: all[:16]}, 0)
-	is.Equal(d.Partitions("north"), 1)
-	d.Apply(Registrations{Changed: all}, 0)
-	is.Equal(d.Partitions("north"), 4)
-	d.Apply(Registrations{Whole: true}, 0)
-	is.Equal(d.Partitions("north"), 4)
-	is.Equal(d.Partitions("south"), 1)
 	sizes := map[int]int{}
-	for _, e := range all {
-		sizes[PartitionOf(string(e.ID), 4)]++
+	for i := range 117 {
+		sizes[PartitionOf(fmt.Sprint("e", i), 4)]++
 	}
 	for part := range 4 {
 		is.True(sizes[part] >= 15 && sizes[part] <= 45) // the names spread
 	}
 }
+
+// Guards against counting endpoints of other zones, and those whose registrations have ended, when a zone is divided.
+func TestDirectoryCount(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	d.Apply(Registrations{Changed: []work.Endpoint{{ID: "a", Zone: "north"}, {ID: "b", Zone: "north"}, {ID: "c", Zone: "south"}}}, 0)
+	is.Equal(d.Count("north"), 2)
+	d.Apply(Registrations{Removed: []work.EndpointID{"a"}}, 0)
+	is.Equal(d.Count("north"), 1)
+}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -75,7 +75,7 @@
 // usable reports whether the endpoint may get new runs. The shard's lock is held. A report to the present fence is needed:
 // another dispatcher may have used the endpoint under a fence in between.
 func (x *session) usable() bool {
-	return x.listed && x.reported && x.reportedTo == x.shard.fence && x.answering && !x.endpoint.Draining && x.registrationHolds()
+	return x.listed && x.reported && x.reportedTo == x.shard.term.Fence && x.answering && !x.endpoint.Draining && x.registrationHolds()
 }
 
 // registrationHolds reports whether the registration is of the process that answers. A process that has started again
@@ -143,7 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Now()
-	order := work.HoldOrder{Fence: s.fence, Acknowledged: x.acknowledged}
+	order := work.HoldOrder{Fence: s.term.Fence, Acknowledged: x.acknowledged}
 	busy := s.pool.Busy(x.endpoint.ID)
 	if x.reported && busy && x.failures < extendingTries {
 		order.Until = x.until(now)
@@ -197,7 +197,7 @@
 func (x *session) refused(r work.Refusal, fence int64) time.Duration {
 	s := x.shard
 	switch {
-	case r == work.Fenced && fence < s.fence:
+	case r == work.Fenced && fence < s.term.Fence:
 		return 0 // refused for this instance's own newer fence
 	case r == work.Fenced:
 		x.outranked()
@@ -211,11 +211,11 @@
 // outranked notes that the endpoint has seen a higher fence than this dispatcher's.
 func (x *session) outranked() {
 	s := x.shard
-	if x.outrankedAt != s.fence {
-		s.opts.Log.WithFields(logrus.Fields{"event": "fenced", "endpoint": x.endpoint.ID, "fence": s.fence}).
+	if x.outrankedAt != s.term.Fence {
+		s.opts.Log.WithFields(logrus.Fields{"event": "fenced", "endpoint": x.endpoint.ID, "fence": s.term.Fence}).
 			Warn("the endpoint has seen a higher fence")
 	}
-	x.outrankedAt = s.fence
+	x.outrankedAt = s.term.Fence
 	x.answering = false
 	s.pool.SetUsable(x.endpoint.ID, false)
 	s.opts.Fenced()
@@ -233,7 +233,7 @@
 	}
 	if !x.answering {
 		s.opts.Log.WithFields(logrus.Fields{
-			"event": "endpoint_back", "endpoint": x.endpoint.ID, "running": len(report.Running), "fence": s.fence,
+			"event": "endpoint_back", "endpoint": x.endpoint.ID, "running": len(report.Running), "fence": s.term.Fence,
 		}).Info("the endpoint answers")
 	}
 	overtaken := report.Clock < x.reportClock
@@ -298,7 +298,7 @@
 		"event": "stray_run", "task": run.Task.String(), "run": run.Run, "endpoint": x.endpoint.ID,
 		"other_run": known.Number, "other_endpoint": known.Endpoint,
 	}).Warn("a run that was given up still runs and is stopped")
-	go x.stop(&pool.Run{Task: run.Task, Number: run.Run, Endpoint: x.endpoint.ID}, s.fence)
+	go x.stop(&pool.Run{Task: run.Task, Number: run.Run, Endpoint: x.endpoint.ID}, s.term.Fence)
 }
 
 func (x *session) applyEnd(end work.End, now time.Duration) {
@@ -398,7 +398,7 @@
 	}).Info("the endpoint did not start the run")
 	switch refusal {
 	case work.Fenced:
-		if fence < s.fence {
+		if fence < s.term.Fence {
 			break // refused for this instance's own newer fence
 		}
 		x.outranked()
@@ -465,5 +465,5 @@
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opts.Now(), work.HoldOrder{Fence: s.fence, Acknowledged: x.acknowledged}
+	return s.opts.Now(), work.HoldOrder{Fence: s.term.Fence, Acknowledged: x.acknowledged}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -30,6 +30,9 @@
 	clockRate = 1.02
 	// noticeTime is the time in which a dispatcher whose term has ended learns of it.
 	noticeTime = 350 * time.Millisecond
+	// divisionMemory is how long a change of the zone's number of partitions counts at the start of a fence. A process
+	// that is younger has followed the registrations for too short a time to settle early.
+	divisionMemory = minMemory
 	// leaseMargin covers the delivery of the order that extended a lease last.
 	leaseMargin = 60 * time.Millisecond
 )
@@ -54,13 +57,11 @@
 
 	mu       sync.Mutex
 	leading  bool
-	fence    int64
 	since    time.Duration // start of the present fence
 	settled  bool          // what ran before the present fence is known
-	split    int           // partitions of the zone in the term
-	lossy    bool          // an order got no answer, last at lostAt
+	term     Term
+	lossy    bool // an order got no answer, last at lostAt
 	lostAt   time.Duration
-	resplit  bool // the number of partitions has changed in this process's life
 	pool     *pool.Pool
 	sessions map[work.EndpointID]*session
 	clients  map[work.JobID]relay.Client
@@ -83,20 +84,28 @@
 	s.stops = map[work.TaskID]time.Duration{}
 }
 
-// Begin starts a term with a number of partitions of the zone, or goes on with a higher fence.
-func (s *Shard) Begin(fence int64, split int) {
+// Term is what an instance's right to dispatch for a partition rests on.
+type Term struct {
+	Fence      int64
+	Partitions int // of the zone
+	// DividedAt is when the zone's number of partitions last changed, on the clock of Options.Now; 0 if it has not changed
+	// in this process's life.
+	DividedAt time.Duration
+}
+
+// Begin starts a term, or goes on with a higher fence.
+func (s *Shard) Begin(t Term) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leading && s.split != split {
-		s.resplit = true
+	if s.leading && s.term.Partitions != t.Partitions {
 		s.end()
 	}
 	if s.leading {
-		s.raise(fence)
+		s.raise(t)
 		return
 	}
-	s.fence = fence
-	s.leading, s.settled, s.split, s.since = true, false, split, s.opts.Now()
+	s.term = t
+	s.leading, s.settled, s.since = true, false, s.opts.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	for _, e := range s.opts.Directory.known(s.owns) {
 		s.update(e.endpoint)
@@ -105,19 +114,19 @@
 		}
 	}
 	s.opts.Log.WithFields(logrus.Fields{
-		"event": "dispatching", "fence": fence, "partitions": split, "endpoints": len(s.sessions),
+		"event": "dispatching", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions),
 	}).Info("this instance dispatches for the partition")
 	go s.watch(s.ctx)
 }
 
 // raise goes on with a higher fence. Another dispatcher may have had the partition meanwhile, so each endpoint is looked at
 // with it before it gets new runs, and jobs that may have started elsewhere wait as at the start of a term.
-func (s *Shard) raise(fence int64) {
-	if fence <= s.fence {
+func (s *Shard) raise(t Term) {
+	if t.Fence <= s.term.Fence {
 		return
 	}
-	s.fence, s.settled, s.since = fence, false, s.opts.Now()
-	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": fence, "partitions": s.split, "endpoints": len(s.sessions)}).
+	s.term, s.settled, s.since = t, false, s.opts.Now()
+	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions)}).
 		Info("this instance dispatches with a higher fence")
 	for id, x := range s.sessions {
 		s.pool.SetUsable(id, x.usable())
@@ -127,7 +136,7 @@
 
 // owns reports whether an endpoint belongs to this shard.
 func (s *Shard) owns(e work.Endpoint) bool {
-	return e.Zone == s.opts.Zone && PartitionOf(string(e.ID), s.split) == s.opts.Partition
+	return e.Zone == s.opts.Zone && PartitionOf(string(e.ID), s.term.Partitions) == s.opts.Partition
 }
 
 // End ends the term. Jobs in progress are answered as not led here, so that their instances submit them again.
@@ -141,7 +150,7 @@
 
 func (s *Shard) end() {
 	s.opts.Log.WithFields(logrus.Fields{
-		"event": "dispatching_ended", "fence": s.fence, "partitions": s.split, "jobs": len(s.clients),
+		"event": "dispatching_ended", "fence": s.term.Fence, "partitions": s.term.Partitions, "jobs": len(s.clients),
 	}).Info("this instance does not dispatch for the partition any more")
 	s.leading = false
 	s.cancel()
@@ -255,9 +264,21 @@
 	return s.since + s.takeover()
 }
 
-// takeover is the time after the start of a term at which runs of an earlier dispatcher have reported or lapsed, on
-// endpoints that are not registered or not reached as well.
-func (s *Shard) takeover() time.Duration { return s.lapse() + noticeTime }
+// takeover is the time after the start of a fence at which runs of an earlier dispatcher have reported or lapsed, on
+// endpoints that are not registered or not reached as well. After a change of the zone's number of partitions they may be on
+// endpoints of another partition, whose dispatcher keeps them for as long as their job may still come to it.
+func (s *Shard) takeover() time.Duration {
+	t := s.lapse() + noticeTime
+	if s.divided() {
+		t += orphanGrace + stopRepeat + stopTime
+	}
+	return t
+}
+
+// divided reports whether the zone's number of partitions changed shortly before the present fence.
+func (s *Shard) divided() bool {
+	return s.term.DividedAt > 0 && s.since-s.term.DividedAt < divisionMemory
+}
 
 // lapse is the time after which a lease that was extended now has surely ended.
 func (s *Shard) lapse() time.Duration {
@@ -272,7 +293,7 @@
 	}
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "submit", "job": job.ID, "queue": job.Queue, "tasks": job.Tasks(), "outcome": outcome, "resumed": resumed,
-		"known": known, "wait_ms": v.Wait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.fence,
+		"known": known, "wait_ms": v.Wait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.term.Fence,
 		"endpoints": v.Endpoints, "free_milli_cpu": v.Free, "ahead": v.Ahead, "waited_ms": waited.Milliseconds(),
 	}).Info("submission decided")
 }
@@ -333,7 +354,7 @@
 		}
 		s.opts.Counts.Starts.Add(1)
 		s.opts.Counts.WaitMS.AddDuration(s.pool.Waited(r))
-		go x.start(r, s.pool.Spec(r), s.fence)
+		go x.start(r, s.pool.Spec(r), s.term.Fence)
 	}
 }
 
@@ -385,17 +406,17 @@
 	s.settled = true
 	s.pool.Settle()
 	s.opts.Log.WithFields(logrus.Fields{
-		"event": "settled", "endpoints": len(s.sessions), "fence": s.fence, "after_ms": (now - s.since).Milliseconds(),
+		"event": "settled", "endpoints": len(s.sessions), "fence": s.term.Fence, "after_ms": (now - s.since).Milliseconds(),
 	}).Info("what ran before this fence is known")
 }
 
 // allReported reports whether every endpoint that an earlier dispatcher may have used for this partition has reported.
 func (s *Shard) allReported(now time.Duration) bool {
-	if s.resplit || len(s.sessions) == 0 || !s.opts.Directory.complete(s.since, now) {
+	if s.divided() || len(s.sessions) == 0 || !s.opts.Directory.complete(s.since, now) {
 		return false
 	}
 	for _, e := range s.opts.Directory.known(s.owns) {
-		if x := s.sessions[e.endpoint.ID]; x != nil && x.reportedTo != s.fence {
+		if x := s.sessions[e.endpoint.ID]; x != nil && x.reportedTo != s.term.Fence {
 			return false
 		}
 	}
@@ -426,7 +447,7 @@
 			continue
 		}
 		s.stops[r.Task] = now
-		go x.stop(r, s.fence)
+		go x.stop(r, s.term.Fence)
 	}
 	for task, at := range s.stops {
 		if now-at > pastKept {
@@ -455,5 +476,5 @@
 func (s *Shard) Dump() Dump {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Dump{Partition: s.opts.Partition, Leading: s.leading, Fence: s.fence, Settled: s.settled, Pool: s.pool.Dump()}
+	return Dump{Partition: s.opts.Partition, Leading: s.leading, Fence: s.term.Fence, Settled: s.settled, Pool: s.pool.Dump()}
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -57,13 +57,15 @@
 	ahead     time.Duration // of the real time
 }
 
-func newShard(f *fleet.Fleet, fenced func()) *dispatcher {
+func newShard(f *fleet.Fleet, fenced func()) *dispatcher { return newShardOf(f, 0, fenced) }
+
+func newShardOf(f *fleet.Fleet, partition int, fenced func()) *dispatcher {
 	d := &dispatcher{directory: shard.NewDirectory()}
 	started := time.Now()
 	counts := shard.NewCounts()
 	d.Shard = shard.New(shard.Options{
-		Zone: "north", Directory: d.directory, Lease: lease, Dialer: f, Fenced: fenced, Counts: &counts, Log: quiet(),
-		Now: func() time.Duration { return time.Since(started) + d.skip(0) },
+		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Fenced: fenced, Counts: &counts,
+		Log: quiet(), Now: func() time.Duration { return time.Since(started) + d.skip(0) },
 	})
 	return d
 }
@@ -106,7 +108,7 @@
 func leading(t *testing.T, n int, run time.Duration) (*fleet.Fleet, []work.Endpoint, *dispatcher, *client) {
 	f, all := newFleet(n, run)
 	s := newShard(f, func() {})
-	s.Begin(1, 1)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	s.register(all)
 	return f, all, s, newClient()
@@ -162,7 +164,7 @@
 		return n%3 == 0, time.Duration(n%4) * 100 * time.Millisecond
 	}
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	s.register(all)
 	for i := range 6 {
@@ -185,13 +187,13 @@
 	is := is.New(t)
 	f, all := newFleet(4, 400*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
-	before.Begin(1, 1)
+	before.Begin(shard.Term{Fence: 1, Partitions: 1})
 	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 8, 400*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	wait.For(t, "all tasks run", func() bool { return f.Running() == 8 })
 	after, c2 := newShard(f, func() {}), newClient()
-	after.Begin(2, 1)
+	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	defer after.End()
 	after.register(all)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
@@ -206,14 +208,14 @@
 	is := is.New(t)
 	f, all := newFleet(2, 300*time.Millisecond)
 	before, c1 := newShard(f, func() {}), newClient()
-	before.Begin(1, 1)
+	before.Begin(shard.Term{Fence: 1, Partitions: 1})
 	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	before.End()
 	after, c2 := newShard(f, func() {}), newClient()
-	after.Begin(2, 1)
+	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	defer after.End()
 	after.register(all[:1]) // the other one is missing
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
@@ -230,13 +232,13 @@
 	after, c2 := newShard(f, func() {}), newClient()
 	after.register(all[:1])
 	after.skip(time.Minute) // for so long it has followed the registrations
-	before.Begin(1, 1)
+	before.Begin(shard.Term{Fence: 1, Partitions: 1})
 	before.register(all)
 	m := relay.Submit{Job: jobOf("a", 4, 300*time.Millisecond)}
 	submitUntilTaken(t, before, c1, &m)
 	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
 	before.End()
-	after.Begin(2, 1)
+	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	t.Cleanup(after.End)
 	submitUntilTaken(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
 	wait.For(t, "the job completes", completed(c2, "a"))
@@ -271,7 +273,7 @@
 	f, all := newFleet(2, 50*time.Millisecond)
 	f.Hang(all[0].Address)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 4, 50*time.Millisecond)})
@@ -303,11 +305,11 @@
 		default:
 		}
 	})
-	before.Begin(1, 1)
+	before.Begin(shard.Term{Fence: 1, Partitions: 1})
 	defer before.End()
 	before.register(all)
 	after, c := newShard(f, func() {}), newClient()
-	after.Begin(2, 1)
+	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	defer after.End()
 	after.register(all)
 	submitUntilTaken(t, after, c, &relay.Submit{Job: jobOf("a", 2, 10*time.Millisecond)})
@@ -324,7 +326,7 @@
 	is := is.New(t)
 	f, all := newFleet(1, time.Second)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	s.register(all)
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	s.End()
@@ -338,7 +340,7 @@
 	is := is.New(t)
 	f, all := newFleet(1, 30*time.Millisecond)
 	s, c := newShard(f, func() {}), newClient()
-	s.Begin(1, 1)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	all[0] = f.Resize(all[0].Address, all[0].Size) // registered with its start
 	s.register(all)
@@ -377,7 +379,7 @@
 		is.NoErr(err)
 		is.Equal(refusal, work.Done)
 	}
-	s.Begin(3, 1)
+	s.Begin(shard.Term{Fence: 3, Partitions: 1})
 	s.Submit(c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
 	wait.For(t, "the job has run", func() bool { return c.answer("b") != nil || len(f.Starts()) > 3 })
 	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
@@ -389,7 +391,7 @@
 	f, all := newFleet(1, time.Second)
 	fenced := make(chan struct{}, 100)
 	s := newShard(f, func() { fenced <- struct{}{} })
-	s.Begin(1, 1)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	s.register(all)
 	wait.For(t, "the endpoint is looked at", func() bool { return f.Looks() > 0 })
@@ -403,7 +405,7 @@
 	}
 	is.True(time.Since(begun) > (more-1)*200*time.Millisecond) // a slow machine only makes it longer
 	c := newClient()
-	s.Begin(3, 1)
+	s.Begin(shard.Term{Fence: 3, Partitions: 1})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, time.Second)})
 	wait.For(t, "the job has run under the next fence", func() bool { return c.answer("a") != nil })
 }
@@ -419,7 +421,7 @@
 	}
 	wait.For(t, "the endpoint is usable", usable)
 	time.Sleep(20 * time.Millisecond) // the next look waits at the endpoint by now
-	s.Begin(2, 1)
+	s.Begin(shard.Term{Fence: 2, Partitions: 1})
 	wait.For(t, "it has reported to the present fence", usable)
 	for end := time.Now().Add(600 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		is.True(usable())
@@ -443,10 +445,40 @@
 	is.NoErr(err)
 	is.Equal(refusal, work.Done)
 	f.Silence(all[0].Address, true) // it does not report
-	s.Begin(4, 1)
+	s.Begin(shard.Term{Fence: 4, Partitions: 1})
 	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, 300*time.Millisecond), Resumed: true})
 	time.Sleep(100 * time.Millisecond)
 	f.Silence(all[0].Address, false)
 	wait.For(t, "the job completes", completed(c, "a"))
 	is.Equal(f.Overlaps(), "")
 }
+
+// Guards against a second run of a task whose first one is on an endpoint that belongs to another partition since the zone
+// was divided anew; that partition's dispatcher keeps it for a while.
+func TestResumedAfterDivision(t *testing.T) {
+	is := is.New(t)
+	const run = 1800 * time.Millisecond // beyond a lease and its notice
+	f, all := newFleet(12, run)         // half of them stay free
+	before, c := newShard(f, func() {}), newClient()
+	before.Begin(shard.Term{Fence: 1, Partitions: 1})
+	before.register(all)
+	m := relay.Submit{Job: jobOf("a", 12, run)}
+	submitUntilTaken(t, before, c, &m)
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 12 })
+	before.End()
+	divided := func(part int) *dispatcher {
+		d := newShardOf(f, part, func() {})
+		d.register(all)
+		d.skip(time.Minute) // for so long it has followed the registrations
+		d.Begin(shard.Term{Fence: 2, Partitions: 2, DividedAt: d.skip(0)})
+		d.register(all)
+		t.Cleanup(d.End)
+		return d
+	}
+	first := divided(0)
+	time.AfterFunc(600*time.Millisecond, func() { divided(1) }) // it hears of the division later, before the leases have ended
+	resumed := newClient()
+	submitUntilTaken(t, first, resumed, &relay.Submit{Job: m.Job, Resumed: true})
+	wait.For(t, "the job completes", completed(resumed, "a"))
+	is.Equal(f.Overlaps(), "")
+}
--- a/internal/standin/keyed/keyed.go
+++ b/internal/standin/keyed/keyed.go
@@ -71,10 +71,25 @@
 	return t
 }
 
-// Put writes a record; an empty value drops the key.
-func (s *Store) Put(name, key string, value []byte) {
+// Set writes a record in the name of others, also while the store is down; an empty value drops the key.
+func (s *Store) Set(name, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(name, key, value)
+}
+
+// Put implements store.Store.
+func (s *Store) Put(_ context.Context, name, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.ErrUnavailable
+	}
+	s.put(name, key, value)
+	return s.failure()
+}
+
+func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
 	r := store.Record{Offset: t.first + int64(len(t.records)), Key: key, Value: value}
 	t.records = append(t.records, r)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,8 @@
 	Read(ctx context.Context, topic string, part int, from int64, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key of a keyed topic. Reading goes on from Next.
 	Newest(ctx context.Context, topic string) (Batch, error)
+	// Put writes a record of a keyed topic. It is written, or not, as a whole; after ErrUnknown it may be written later.
+	Put(ctx context.Context, topic, key string, value []byte) error
 	// Join joins a group or keeps the member in it.
 	Join(ctx context.Context, m Membership) (Share, error)
 	// Leave takes a member out of a group.
