A dispatcher that most of its endpoints have outranked ends its term

Cause: an instance that the store refuses goes on as dispatcher after another one has taken its partition over. Change: when more than half of the endpoints have refused the present fence the term ends, the jobs are answered as not led here and go to the successor. The same fence does not begin again. The line dispatcher_lost of a request is written once. TestFencedDispatcherLooksRarely, whose only endpoint now ends the term, is replaced by two: the term ends and looks stop, and with one of three endpoints outranked it is looked at rarely.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -322,8 +322,10 @@
 // orphan notes that the dispatcher that had a job is lost. Its successor finds out what ran.
 func (g *Gateway) orphan(p *pending) {
 	p.route = nil
-	p.orphaned = true
-	g.log(p, "dispatcher_lost", 0)
+	if !p.orphaned {
+		p.orphaned = true
+		g.log(p, "dispatcher_lost", 0)
+	}
 }
 
 // Lost tells that a route has ended. sent is false if no job has left over it.
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -218,6 +218,7 @@
 	x.outrankedAt = s.term.Fence
 	x.answering = false
 	s.pool.SetUsable(x.endpoint.ID, false)
+	s.endIfOutranked()
 	s.opts.Fenced()
 }
 
@@ -402,6 +403,9 @@
 			break // refused for this instance's own newer fence
 		}
 		x.outranked()
+		if !s.leading {
+			return // the term has ended, and with it the pool that the run is of
+		}
 	case work.NoRoom, work.TooLate:
 		// The next report corrects what is believed of the endpoint.
 		x.answering = false
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -68,6 +68,9 @@
 	stops    map[work.TaskID]time.Duration // last order to stop the run of a task
 	cancel   context.CancelFunc
 	ctx      context.Context
+	// outranked is the fence under which most endpoints refused this dispatcher for a higher one. It does not begin again
+	// with it.
+	outranked int64
 }
 
 // New returns a shard without a term.
@@ -104,6 +107,9 @@
 		s.raise(t)
 		return
 	}
+	if t.Fence <= s.outranked {
+		return
+	}
 	s.term = t
 	s.leading, s.settled, s.since = true, false, s.opts.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -163,6 +169,25 @@
 	s.reset()
 }
 
+// endIfOutranked ends the term when most endpoints have seen a higher fence: another instance has the partition, also if
+// the store does not tell this one. The jobs move to the other one instead of waiting here.
+func (s *Shard) endIfOutranked() {
+	n := 0
+	for _, x := range s.sessions {
+		if x.outrankedAt == s.term.Fence {
+			n++
+		}
+	}
+	if 2*n <= len(s.sessions) {
+		return
+	}
+	s.outranked = s.term.Fence
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "outranked", "fence": s.term.Fence, "endpoints": len(s.sessions), "refusing": n,
+	}).Warn("most endpoints have seen a higher fence")
+	s.end()
+}
+
 // Leading reports whether this instance has the term.
 func (s *Shard) Leading() bool {
 	s.mu.Lock()
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -385,16 +385,44 @@
 	is.Equal(f.Overfilled(work.Size{MilliCPU: 1000}), "")
 }
 
-// Guards against a stream of refused looks and log lines from a dispatcher that the store does not tell of its successor.
-func TestFencedDispatcherLooksRarely(t *testing.T) {
+// Guards against a dispatcher that the store does not tell of its successor and that keeps the jobs, looks at its endpoints
+// and writes lines for nothing.
+func TestOutrankedDispatcherEnds(t *testing.T) {
 	is := is.New(t)
-	f, all := newFleet(1, time.Second)
+	f, all, s, c := leading(t, 3, time.Second)
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 6, time.Second)})
+	wait.For(t, "all tasks run", func() bool { return f.Running() == 6 })
+	seen := func(e work.Endpoint, fence int64) {
+		_, _, err := f.Dial(e).Hold(t.Context(), work.HoldOrder{Fence: fence})
+		is.NoErr(err)
+	}
+	seen(all[0], 2)
+	time.Sleep(300 * time.Millisecond)
+	is.True(s.Leading()) // one endpoint of three may have been another partition's
+	seen(all[1], 2)
+	wait.For(t, "the term ends", func() bool { return !s.Leading() })
+	is.Equal(c.answer("a").Refused, pool.ReasonNotLeader)
+	is.True(c.answer("a").Started)
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
+	is.True(!s.Leading()) // the same fence is refused again
+	before := f.Looks()
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(f.Looks(), before)
+	s.Begin(shard.Term{Fence: 3, Partitions: 1})
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("b", 1, 10*time.Millisecond)})
+	wait.For(t, "a job has run under the next fence", completed(c, "b"))
+}
+
+// Guards against a stream of refused looks and log lines for an endpoint that has seen a higher fence while most have not.
+func TestOutrankedEndpointIsLookedAtRarely(t *testing.T) {
+	is := is.New(t)
+	f, all := newFleet(3, time.Second)
 	fenced := make(chan struct{}, 100)
 	s := newShard(f, func() { fenced <- struct{}{} })
 	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	s.register(all)
-	wait.For(t, "the endpoint is looked at", func() bool { return f.Looks() > 0 })
+	wait.For(t, "the endpoints are looked at", func() bool { return f.Looks() > 2 })
 	_, _, err := f.Dial(all[0]).Hold(t.Context(), work.HoldOrder{Fence: 2})
 	is.NoErr(err)
 	<-fenced
@@ -406,7 +434,7 @@
 	is.True(time.Since(begun) > (more-1)*200*time.Millisecond) // a slow machine only makes it longer
 	c := newClient()
 	s.Begin(shard.Term{Fence: 3, Partitions: 1})
-	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 1, time.Second)})
+	submitUntilTaken(t, s, c, &relay.Submit{Job: jobOf("a", 6, time.Second)})
 	wait.For(t, "the job has run under the next fence", func() bool { return c.answer("a") != nil })
 }
 
