Endpoints whose registrations end with an outage of the store stay in use until they have had time to come back

Cause: a zone that is cut off from the store loses the registrations of all its endpoints. They answered all the while. Change: registrations that end while the store is away or within 2.5 s after are missing, not ended; the platform says that those of live endpoints are back within about two seconds. A line event=registrations_missing tells of them. Dead endpoints do not answer and get nothing, as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,6 +35,8 @@
 	Records []store.Record
 	// Whole means that keys without a record in the update do not exist.
 	Whole bool
+	// Recovered means that the read before has failed: the store was not reached for a while.
+	Recovered bool
 	// AsOf is when the read began: every record that the store had then is known now.
 	AsOf time.Time
 }
@@ -92,7 +94,7 @@
 		return err
 	}
 	c.next = b.Next
-	c.opts.Apply(Update{Records: b.Records, AsOf: asOf})
+	c.opts.Apply(Update{Records: b.Records, Recovered: c.lost, AsOf: asOf})
 	return nil
 }
 
@@ -103,7 +105,7 @@
 		return err
 	}
 	c.next = b.Next
-	c.opts.Apply(Update{Records: b.Records, Whole: true, AsOf: asOf})
+	c.opts.Apply(Update{Records: b.Records, Whole: true, Recovered: c.lost, AsOf: asOf})
 	return nil
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/store"
 )
 
 func start(t *testing.T, s *keyed.Store) <-chan Update {
@@ -71,3 +72,29 @@
 	is.True(u.Whole)
 	is.Equal(len(u.Records), 2)
 }
+
+// Guards against an update that does not tell of the outage before it, and against one that tells of it twice.
+func TestRecovered(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	updates := make(chan Update, 1000)
+	c := New(Options{Store: s, Topic: "t", Wait: time.Millisecond, Log: log, Apply: func(u Update) { updates <- u }})
+	is.True(!step(t, c, updates).Recovered)
+	s.SetDown(true)
+	is.True(c.step(t.Context()) != nil)
+	c.reportLost(store.ErrUnavailable)
+	s.SetDown(false)
+	is.True(step(t, c, updates).Recovered)
+	c.reportBack()
+	is.True(!step(t, c, updates).Recovered)
+}
+
+func step(t *testing.T, c *Controller, updates <-chan Update) Update {
+	t.Helper()
+	if err := c.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return next(t, updates)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	endpoints *follow.Controller
 	divisions *division.Controller
 	directory *shard.Directory
+	missing   int // endpoints without a registration that are used, as last told
 	paths     *paths
 	server    *server.Server
 	drain     chan struct{}
--- a/internal/node/registrations.go
+++ b/internal/node/registrations.go
@@ -12,11 +12,23 @@
 
 func (n *Node) applyEndpoints(u follow.Update) {
 	n.shards.endpoints(n.registrations(u), n.now())
+	n.reportMissing()
 	if zone := n.opts.Settings.Zone; n.shards.leading(anyPartition) {
 		go n.divisions.Raise(context.Background(), zone, n.directory.Count(zone))
 	}
 }
 
+// reportMissing tells how many endpoints are used although their registrations ended with an outage of the store.
+func (n *Node) reportMissing() {
+	missing := n.directory.Missing()
+	if missing == n.missing {
+		return
+	}
+	n.missing = missing
+	n.log.WithFields(logrus.Fields{"event": "registrations_missing", "endpoints": missing}).
+		Info("registrations that ended with an outage of the store are awaited")
+}
+
 // registrations reads the registrations of an update. An endpoint that was registered and removed within it is named as
 // both, since another dispatcher may have used it meanwhile.
 func (n *Node) registrations(u follow.Update) shard.Registrations {
@@ -36,7 +48,7 @@
 		changed[r.Key] = e
 		removed[r.Key] = false
 	}
-	all := shard.Registrations{Whole: u.Whole, AsOf: u.AsOf.Sub(n.started)}
+	all := shard.Registrations{Whole: u.Whole, Recovered: u.Recovered, AsOf: u.AsOf.Sub(n.started)}
 	for _, e := range changed {
 		all.Changed = append(all.Changed, e)
 	}
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -12,6 +12,9 @@
 const (
 	// listedMemory is how long an ended registration counts at the start of a term.
 	listedMemory = 30 * time.Second
+	// relistTime is how long after an outage of the store an endpoint may stay without a registration. Registrations that
+	// end during an outage come back within about two seconds if their endpoints live.
+	relistTime = 2500 * time.Millisecond
 	// minMemory is how long the registrations must have been followed before they count as complete. An endpoint whose
 	// registration ended earlier has been given nothing since, and what it had was mostly shorter.
 	minMemory = 8 * time.Second
@@ -21,8 +24,11 @@
 type Registrations struct {
 	Changed []work.Endpoint
 	Removed []work.EndpointID
-	Whole   bool          // endpoints that are not in Changed are not registered
-	AsOf    time.Duration // when the read began
+	// Whole means that endpoints that are not in Changed are not registered.
+	Whole bool
+	// Recovered means that the store was not reached before this read.
+	Recovered bool
+	AsOf      time.Duration // when the read began
 }
 
 // Directory holds the registrations of all zones, also ended ones, so that a term begins with all endpoints that an
@@ -33,12 +39,15 @@
 	followed     bool // all registrations have been seen, since followedFrom
 	followedFrom time.Duration
 	readAt       time.Duration // beginning of the last read
+	recovered    bool          // the store was not reached for a while, until recoveredAt
+	recoveredAt  time.Duration
 }
 
 // seen is a registration and when it was last there.
 type seen struct {
 	endpoint work.Endpoint
 	present  bool
+	missing  bool // counts as present, although it has ended, because it may come back after an outage
 	last     time.Duration
 }
 
@@ -47,32 +56,64 @@
 	return &Directory{listed: map[work.EndpointID]seen{}}
 }
 
-// Apply takes the result of a read and returns the endpoints whose registrations it has ended.
+// Apply takes the result of a read and returns the endpoints whose registrations have ended. Those that end while the store
+// is away, or soon after, count as present for relistTime: a zone that is cut off from the store loses the registrations of
+// all its endpoints, and they go on serving.
 func (d *Directory) Apply(r Registrations, now time.Duration) []work.EndpointID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.readAt = r.AsOf
+	if r.Recovered {
+		d.recovered, d.recoveredAt = true, now
+	}
 	present := map[work.EndpointID]bool{}
 	for _, e := range r.Changed {
 		present[e.ID] = true
-		d.listed[e.ID] = seen{e, true, now}
+		d.listed[e.ID] = seen{endpoint: e, present: true, last: now}
 	}
-	removed := slices.Clone(r.Removed)
+	removed := d.end(d.ended(r, present, now), now)
+	d.forget(now)
+	return removed
+}
+
+// ended returns the endpoints that a read does not list any more, and those that have been missing.
+func (d *Directory) ended(r Registrations, present map[work.EndpointID]bool, now time.Duration) []work.EndpointID {
+	ended := slices.Clone(r.Removed)
 	if r.Whole {
 		// What was registered and removed since the read before is not known.
 		d.followed, d.followedFrom = true, now
 		for id := range d.listed {
 			if !present[id] {
-				removed = append(removed, id)
+				ended = append(ended, id)
 			}
 		}
+		return ended
 	}
-	for _, id := range removed {
-		if e, ok := d.listed[id]; ok && e.present {
-			d.listed[id] = seen{e.endpoint, false, now}
+	for id, e := range d.listed {
+		if e.missing {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
+
+// end ends registrations, or marks them as missing if they may come back, and returns those that it has ended.
+func (d *Directory) end(ended []work.EndpointID, now time.Duration) []work.EndpointID {
+	awaited := d.recovered && now-d.recoveredAt < relistTime
+	var removed []work.EndpointID
+	for _, id := range ended {
+		e, ok := d.listed[id]
+		switch {
+		case !ok || !e.present:
+			removed = append(removed, id)
+		case awaited:
+			e.missing = true
+			d.listed[id] = e
+		default:
+			d.listed[id] = seen{endpoint: e.endpoint, last: now}
+			removed = append(removed, id)
 		}
 	}
-	d.forget(now)
 	return removed
 }
 
@@ -84,6 +125,19 @@
 	}
 }
 
+// Missing returns the number of endpoints that count as present although their registrations have ended.
+func (d *Directory) Missing() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, e := range d.listed {
+		if e.missing {
+			n++
+		}
+	}
+	return n
+}
+
 // Count returns the number of endpoints that are registered in a zone.
 func (d *Directory) Count(zone string) int {
 	d.mu.Lock()
--- a/internal/shard/directory_test.go
+++ b/internal/shard/directory_test.go
@@ -60,3 +60,32 @@
 	d.Apply(Registrations{Removed: []work.EndpointID{"a"}}, 0)
 	is.Equal(d.Count("north"), 1)
 }
+
+// Guards against a zone without endpoints for seconds after each outage of the store, whose end their registrations miss,
+// and against using endpoints for longer that have gone for good.
+func TestRegistrationsAfterOutage(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	a, b := work.Endpoint{ID: "a", Zone: "north"}, work.Endpoint{ID: "b", Zone: "north"}
+	d.Apply(Registrations{Changed: []work.Endpoint{a, b}}, 0)
+	back := time.Minute
+	is.Equal(len(d.Apply(Registrations{Removed: []work.EndpointID{"a"}, Recovered: true}, back)), 0)
+	is.Equal(len(d.Apply(Registrations{Removed: []work.EndpointID{"b"}}, back+time.Second)), 0)
+	is.Equal(d.Missing(), 2)
+	is.Equal(d.Count("north"), 2)
+	is.Equal(len(d.Apply(Registrations{Changed: []work.Endpoint{a}}, back+2*time.Second)), 0) // a is back
+	is.Equal(d.Apply(Registrations{}, back+relistTime), []work.EndpointID{"b"})
+	is.Equal(d.Missing(), 0)
+	is.Equal(d.Apply(Registrations{Removed: []work.EndpointID{"a"}}, back+relistTime), []work.EndpointID{"a"}) // no outage
+}
+
+// Guards against the same after an outage whose end drops the history.
+func TestRegistrationsAfterOutageWithoutHistory(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	a, b := work.Endpoint{ID: "a", Zone: "north"}, work.Endpoint{ID: "b", Zone: "north"}
+	d.Apply(Registrations{Changed: []work.Endpoint{a, b}, Whole: true}, 0)
+	is.Equal(len(d.Apply(Registrations{Changed: []work.Endpoint{a}, Whole: true, Recovered: true}, time.Minute)), 0)
+	is.Equal(d.Missing(), 1)
+	is.Equal(d.Apply(Registrations{}, time.Minute+relistTime), []work.EndpointID{"b"})
+}
