A job that reaches no dispatcher is tried again for 300 ms; connections between instances are given up after 150 ms

Change: such a job tries its targets again with each check until 300 ms after its arrival; a caller that is refused comes back after 2 s. A dial takes at most 150 ms. TestOtherRequests sets that time to 0 where it expects the refusal. Figures: TestJobSeeksDispatcher fails without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	defaultPatience = 30 * time.Second
 	// noConfigRetry is when a caller should come back to an instance that has no configuration yet.
 	noConfigRetry = time.Second
+	// seekTime is how long after its arrival a job waits for a dispatcher when none is reached. A partition changes hands
+	// within it; a caller that is refused comes back later than that.
+	seekTime = 300 * time.Millisecond
 	// retryNoDispatcher is when a caller should come back after no dispatcher was reached; a new one takes over sooner.
 	retryNoDispatcher  = 2 * time.Second
 	reasonNoDispatcher = "no_dispatcher"
@@ -94,7 +97,8 @@
 
 	mu     sync.Mutex
 	jobs   map[work.JobID]*pending
-	closed bool // no new jobs are taken
+	closed bool          // no new jobs are taken
+	seek   time.Duration // after its arrival a job waits for a dispatcher
 }
 
 // pending is a job that is not answered yet.
@@ -107,11 +111,14 @@
 	route    Route         // to the dispatcher that has it; nil while none has
 	left     []Target      // dispatchers that have not been tried
 	orphaned bool          // the dispatcher that had it is lost; only the zone's next one may go on with it
+	seeking  bool          // no dispatcher was reached yet
 	refusal  *relay.Answer // with the shortest time to come back, of the dispatchers that had no room; nil if there was none
 }
 
 // New returns a gateway without jobs.
-func New(o Options) *Gateway { return &Gateway{opts: o, jobs: map[work.JobID]*pending{}} }
+func New(o Options) *Gateway {
+	return &Gateway{opts: o, jobs: map[work.JobID]*pending{}, seek: seekTime}
+}
 
 // Serve implements server.Handler.
 func (g *Gateway) Serve(x *server.Exchange) {
@@ -245,9 +252,11 @@
 }
 
 // placeOrRefuse is place for a job that has not run anywhere. The caller learns what the dispatchers that were reached have
-// said.
+// said. If none was reached, as in the moments after a restart of all instances, the job is tried again for a short time.
 func (g *Gateway) placeOrRefuse(p *pending) {
-	if g.place(p) {
+	placed := g.place(p)
+	p.seeking = !placed && p.refusal == nil && time.Since(p.arrived) < g.seek
+	if placed || p.seeking {
 		return
 	}
 	g.forget(p)
@@ -343,16 +352,19 @@
 	}
 }
 
-// Resubmit hands the jobs whose dispatcher was lost to its successor.
+// Resubmit hands the jobs whose dispatcher was lost to its successor, and tries again to place those that have reached none.
 func (g *Gateway) Resubmit() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.jobs {
-		if !p.orphaned || p.route != nil {
-			continue
-		}
-		if route, ok := g.opts.Path.Submit(p.target, p.submission(true)); ok {
-			p.route = route
+		switch {
+		case p.seeking:
+			p.left = g.opts.Path.Targets(p.job.ID)
+			g.placeOrRefuse(p)
+		case p.orphaned && p.route == nil:
+			if route, ok := g.opts.Path.Submit(p.target, p.submission(true)); ok {
+				p.route = route
+			}
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -171,6 +171,13 @@
 	wait.For(f.t, what, ok)
 }
 
+// setSeek sets how long jobs wait for a dispatcher.
+func (f *fixture) setSeek(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seek = d
+}
+
 // post submits a job and waits until a dispatcher has it.
 func (f *fixture) post(id string) <-chan response {
 	f.t.Helper()
@@ -259,6 +266,35 @@
 	is.True(!f.path.sent()[1].s.Resumed)
 }
 
+// Guards against callers that are refused because the dispatchers are not known or reached in the first moments after a
+// restart, and against jobs that are held back for long or stay seeking after they were placed.
+func TestJobSeeksDispatcher(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	f.path.setDown(north, true)
+	f.path.setDown(south, true)
+	f.setSeek(time.Minute)
+	a := f.call(t.Context(), "POST", "/p/a", "job")
+	f.eventually("the job is seeking", func() bool { return f.Active() == 1 })
+	f.Resubmit()
+	f.path.setDown(north, false)
+	f.Resubmit()
+	is.Equal(len(f.path.sent()), 1)
+	is.True(!f.path.sent()[0].s.Resumed)
+	f.Resubmit()
+	is.Equal(len(f.path.sent()), 1)
+	f.Answer(f.path, &relay.Answer{Job: "a", State: work.Completed})
+	is.Equal(f.receive(a).status, 200)
+	f.path.setDown(north, true)
+	b := f.call(t.Context(), "POST", "/p/b", "job")
+	f.eventually("the job is seeking", func() bool { return f.Active() == 1 })
+	f.setSeek(0)
+	f.Resubmit()
+	r := f.receive(b)
+	is.Equal(r.status, 503)
+	is.Equal(r.retryAfter, "2")
+}
+
 // Guards against jobs of a dispatcher whose term has ended that are treated as started, or as not started, when they
 // are the other.
 func TestMovedDispatcher(t *testing.T) {
@@ -324,6 +360,7 @@
 	is.Equal(f.receive(f.call(background, "PUT", "/p/a", "")).status, 405)
 	f.path.setDown(north, true)
 	f.path.setDown(south, true)
+	f.setSeek(0)
 	r := f.receive(f.call(background, "POST", "/p/a", "job"))
 	is.Equal(r.status, 503)
 	is.True(r.retryAfter != "")
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -13,8 +13,10 @@
 	// SilenceLimit is the silence after which a connection counts as broken. A caller that repeats a job does so after
 	// more than a second; by then the dispatcher must have dropped what came over the broken connection.
 	SilenceLimit = 700 * time.Millisecond
-	dialTimeout  = 400 * time.Millisecond
-	maxUnsent    = 4096 // messages; a peer that reads this slowly is better served by a new connection
+	// dialTimeout is the time for a connection, which takes a few milliseconds. A job that waits for it to a machine that is
+	// off can still be taken elsewhere.
+	dialTimeout = 150 * time.Millisecond
+	maxUnsent   = 4096 // messages; a peer that reads this slowly is better served by a new connection
 )
 
 var errSlowPeer = errors.New("relay: the peer does not read")
