--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -46,6 +46,9 @@
 	Address  string // for links of other instances
 	TTL      time.Duration
 	Log      logrus.FieldLogger
+	// Informed reports whether this instance knows the zone's endpoints. One that does not yet leaves the partitions with
+	// the members that have them. Nil means always.
+	Informed func() bool
 	// Changed tells this instance's new term. Calls are made in order; they must not block or call the controller.
 	Changed func(term Term)
 }
@@ -73,6 +76,7 @@
 	term    Term
 	changed time.Time // when the group's generation last rose
 	leaving bool
+	joined  bool // at least once
 	lost    bool
 	joining int                       // joins without an answer
 	deposed map[string]time.Time      // last attempt by member
@@ -110,7 +114,7 @@
 func (c *Controller) joinPause() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.changed) < settleTime {
+	if time.Since(c.changed) < settleTime || c.waits() {
 		return settleInterval
 	}
 	return joinInterval
@@ -161,17 +165,36 @@
 func (c *Controller) mayJoin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leaving || c.joining >= joinsInFlight {
+	if c.leaving || c.joining >= joinsInFlight || c.waits() {
 		return false
 	}
 	c.joining++
 	return true
 }
 
+// waits reports whether this instance is to stay out of the group for now. It would take over partitions whose endpoints
+// it cannot know, as after an outage of the store in which registrations have ended. c.mu is held.
+func (c *Controller) waits() bool {
+	if c.joined || c.opts.Informed == nil || c.opts.Informed() {
+		return false
+	}
+	holders, found := c.holders[c.opts.Zone]
+	if !found {
+		return true // it is not known yet whether others hold them
+	}
+	for _, holder := range holders {
+		if holder != c.member() {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) join(ctx context.Context) {
 	share, err := c.opts.Store.Join(ctx, c.membership())
 	c.mu.Lock()
 	c.joining--
+	c.joined = c.joined || err == nil
 	c.mu.Unlock()
 	if err != nil {
 		c.reportLost(err)
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,13 +31,15 @@
 	return append([]Term(nil), m.past...)
 }
 
-func join(t *testing.T, s *keyed.Store, name string) *member {
+func join(t *testing.T, s *keyed.Store, name string) *member { return joinInformed(t, s, name, nil) }
+
+func joinInformed(t *testing.T, s *keyed.Store, name string, informed func() bool) *member {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m := &member{}
 	m.Controller = New(Options{
 		Store: s, Zone: "north", Topic: func(zone string) string { return "lead." + zone }, Instance: name, Address: name + ":1",
-		TTL: 300 * time.Millisecond, Log: log,
+		TTL: 300 * time.Millisecond, Log: log, Informed: informed,
 		Changed: func(term Term) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -154,3 +157,21 @@
 	time.Sleep(100 * time.Millisecond)
 	is.True(a.Term().Holds(0))
 }
+
+// Guards against partitions that go to an instance that does not know their endpoints while another one has them, and
+// against a zone that waits for such an instance although nobody else is there.
+func TestUninformedMemberWaits(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	var informed atomic.Bool
+	alone := joinInformed(t, s, "alone", informed.Load)
+	wait.For(t, "an instance that is alone leads", leading(alone))
+	is.Equal(len(alone.Term().Partitions), keyed.Partitions)
+	second := joinInformed(t, s, "second", informed.Load)
+	wait.For(t, "the second one knows the dispatcher", func() bool { return second.Dispatcher("north", 0) == "alone:1" })
+	time.Sleep(3 * settleInterval)
+	is.Equal(len(second.terms()), 0)
+	is.Equal(len(alone.Term().Partitions), keyed.Partitions)
+	informed.Store(true)
+	wait.For(t, "it takes its share", func() bool { return len(second.Term().Partitions) > 0 })
+}
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -38,6 +38,8 @@
 	listed       map[work.EndpointID]seen
 	followed     bool // all registrations have been seen, since followedFrom
 	followedFrom time.Duration
+	firstAfter   bool // the first read of this process's life came after an outage, at firstAt
+	firstAt      time.Duration
 	readAt       time.Duration // beginning of the last read
 	recovered    bool          // the store was not reached for a while, until recoveredAt
 	recoveredAt  time.Duration
@@ -80,6 +82,9 @@
 func (d *Directory) ended(r Registrations, present map[work.EndpointID]bool, now time.Duration) []work.EndpointID {
 	ended := slices.Clone(r.Removed)
 	if r.Whole {
+		if !d.followed {
+			d.firstAfter, d.firstAt = r.Recovered, now
+		}
 		// What was registered and removed since the read before is not known.
 		d.followed, d.followedFrom = true, now
 		for id := range d.listed {
@@ -125,6 +130,14 @@
 	}
 }
 
+// Informed reports whether the endpoints that live are known: their registrations have been read, and those that ended with
+// an outage before the first read have had time to come back.
+func (d *Directory) Informed(now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.followed && (!d.firstAfter || now-d.firstAt >= relistTime)
+}
+
 // Missing returns the number of endpoints that count as present although their registrations have ended.
 func (d *Directory) Missing() int {
 	d.mu.Lock()
--- a/internal/shard/directory_test.go
+++ b/internal/shard/directory_test.go
@@ -89,3 +89,18 @@
 	is.Equal(d.Missing(), 1)
 	is.Equal(d.Apply(Registrations{}, time.Minute+relistTime), []work.EndpointID{"b"})
 }
+
+// Guards against an instance that takes the registrations for complete although it started during an outage of the store.
+func TestDirectoryInformed(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	is.True(!d.Informed(0))
+	d.Apply(Registrations{Whole: true}, 0)
+	is.True(d.Informed(0))
+	d.Apply(Registrations{Whole: true, Recovered: true}, time.Minute)
+	is.True(d.Informed(time.Minute)) // what was known before the outage is still known
+	late := NewDirectory()
+	late.Apply(Registrations{Whole: true, Recovered: true}, 0)
+	is.True(!late.Informed(relistTime - 1))
+	is.True(late.Informed(relistTime))
+}
