An instance that stops keeps its partitions until the store has confirmed that they may go to another

Change: Leave asks the store again until it answers and keeps the term meanwhile, at most until a second before the end of the time to stop. The planned stop waits for it. Figures: TestLeaveWithoutStore fails without it.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -35,6 +35,7 @@
 	otherSearchInterval = time.Second            // between two searches in a zone that may be cut off
 	memberSeparator     = "|"
 	leaveTimeout        = 500 * time.Millisecond
+	leavePause          = 250 * time.Millisecond // between two attempts to leave
 )
 
 // Options configures a Controller.
@@ -222,22 +223,32 @@
 	c.opts.Changed(term)
 }
 
-// Leave ends the membership for good, so that another instance dispatches.
-func (c *Controller) Leave() {
+// Leave ends the membership for good, so that another instance dispatches. While the store does not answer this instance
+// keeps its term: nobody else could take it over. It returns when the store has answered, or when ctx ends.
+func (c *Controller) Leave(ctx context.Context) {
 	c.mu.Lock()
 	c.leaving = true
-	generation := c.term.Generation
 	c.mu.Unlock()
-	c.setTerm(Term{Generation: generation})
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	c.leave(ctx)
+	for !c.leave(ctx) && ctx.Err() == nil {
+		t := time.NewTimer(leavePause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	c.setTerm(Term{Generation: c.Term().Generation})
 }
 
-func (c *Controller) leave(ctx context.Context) {
-	if err := c.opts.Store.Leave(ctx, c.membership()); err != nil {
-		c.opts.Log.WithField("event", "leave_failed").WithError(err).Warn("the membership ends by its time to live")
+// leave asks the store once to end the membership, and returns whether it has answered.
+func (c *Controller) leave(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	err := c.opts.Store.Leave(ctx, c.membership())
+	if err != nil {
+		c.opts.Log.WithField("event", "leave_failed").WithError(err).Warn("the store does not confirm the end of the membership")
 	}
+	return err == nil
 }
 
 func (c *Controller) reportLost(err error) {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -137,7 +137,7 @@
 	time.Sleep(20 * time.Millisecond) // a failed join must change nothing
 	is.True(a.Term().Holds(0))
 	s.SetDown(false)
-	a.Leave()
+	a.Leave(t.Context())
 	is.True(!a.Term().Holds(0))
 	last := a.terms()
 	is.True(len(last[len(last)-1].Partitions) == 0)
@@ -175,3 +175,29 @@
 	informed.Store(true)
 	wait.For(t, "it takes its share", func() bool { return len(second.Term().Partitions) > 0 })
 }
+
+// Guards against a zone without a dispatcher because one that is stopped gives its partitions up while the store, which
+// alone could give them to another, is not reached.
+func TestLeaveWithoutStore(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	wait.For(t, "the member leads", leading(a))
+	s.SetDown(true)
+	left := make(chan struct{})
+	go func() {
+		a.Leave(t.Context())
+		close(left)
+	}()
+	time.Sleep(2 * leavePause)
+	is.True(a.Term().Holds(0))
+	s.SetDown(false)
+	<-left
+	is.True(!a.Term().Holds(0))
+	s.SetDown(true)
+	b := join(t, s, "b")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	b.Leave(ctx) // the time to stop is over
+	is.Equal(len(b.Term().Partitions), 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -317,13 +318,25 @@
 	return n.config.Load() != nil && !n.draining()
 }
 
+// leave gives the partitions up in the background, at the latest at a time, and returns whether that is done.
+func (n *Node) leave(ctx context.Context, latest time.Time) *atomic.Bool {
+	left := &atomic.Bool{}
+	ctx, cancel := context.WithDeadline(ctx, latest)
+	go func() {
+		defer cancel()
+		n.lead.Leave(ctx)
+		left.Store(true)
+	}()
+	return left
+}
+
 // stop is the planned stop: the term goes to another instance, and the requests in progress are answered.
 func (n *Node) stop(ctx context.Context) {
 	n.log.WithFields(logrus.Fields{"event": "draining", "active": n.gateway.Active()}).Info("planned stop")
 	n.server.Drain()
 	begun := time.Now()
 	end := begun.Add(n.opts.Settings.Grace - drainReserve)
-	go n.lead.Leave()
+	left := n.leave(ctx, end)
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	for time.Now().Before(end) {
@@ -337,7 +350,7 @@
 		}
 		n.gateway.Close()
 		n.server.CloseIdle()
-		if n.gateway.Active() == 0 && n.server.Active() == 0 && n.server.Connections() == 0 {
+		if left.Load() && n.gateway.Active() == 0 && n.server.Active() == 0 && n.server.Connections() == 0 {
 			break
 		}
 	}
