Runs and successes of a resumed job count also when their endpoint reports them after the job has come

The runs found later were not given to their job: they blocked their endpoints as of unknown size for a second, were stopped, and the tasks ran again from the start; of 16 endpoints 7 to 13 took new runs in that second. A success that was reported later ran again. Resumed jobs without a start were also refused as late every 50 ms, and their instances, for which that is no answer, handed them in again (28 times for one job). Change: a found run is attached to its job if that is here, a success counts, and resumed jobs are not refused as late.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,6 +52,7 @@
 	*work.Job
 	arrived  time.Duration
 	mayRun   time.Duration // until then, tasks of it may run on endpoints that have not reported yet
+	resumed  bool          // another dispatcher may have started tasks of it
 	steps    []stepState
 	left     int // tasks that have not succeeded
 	runs     map[work.TaskID]*Run
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -89,6 +89,45 @@
 	is.Equal(out, []Outcome{{Job: "x", State: work.Completed, Task: starts[0].Task}})
 }
 
+// Guards against runs of a resumed job that are stopped and done again, and block their endpoint meanwhile, because the
+// endpoint reports them after the job has come.
+func TestRunFoundAfterSubmission(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000))
+	j := jobOf("x", 2, 6000, 100*ms)
+	v, _ := p.Submit(j, 0, 0, time.Second)
+	is.True(v.Taken())
+	task := work.TaskID{Job: "x", Index: 1}
+	r := p.Found("a", work.Run{Task: task, Run: 1}, 0)
+	is.True(r.Wanted())
+	is.Equal(len(p.Unwanted(time.Hour)), 0)
+	take(t, p, patient("new", 10000), 0)
+	is.Equal(p.Next(0)[0].Endpoint, work.EndpointID("a")) // beside the found run, whose size is known
+	p.Settle()
+	starts := p.Next(time.Second)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Index, 0) // the other one runs
+	p.Started(starts[0])
+	is.Equal(len(p.Ended("a", work.End{Task: task, Run: 1, Reason: work.EndSucceeded}, time.Second)), 0)
+	last := p.Ended(starts[0].Endpoint, work.End{Task: starts[0].Task, Run: 1, Reason: work.EndSucceeded}, time.Second)
+	is.Equal(last, []Outcome{{Job: "x", State: work.Completed, Task: starts[0].Task}})
+}
+
+// Guards against a task that runs a second time although the endpoint reports its success after the job has come.
+func TestSuccessAfterSubmission(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	v, _ := p.Submit(jobOf("x", 2, 6000, 100*ms), 0, 0, time.Second)
+	is.True(v.Taken())
+	done := work.End{Task: work.TaskID{Job: "x"}, Run: 1, Reason: work.EndSucceeded}
+	is.Equal(len(p.Ended("a", done, 0)), 0)
+	is.Equal(len(p.Ended("a", done, 0)), 0) // listed again
+	p.Settle()
+	starts := p.Next(time.Second)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Index, 1)
+}
+
 // Guards against starting a resumed job while its tasks may run on endpoints that have not reported.
 func TestResumedJobWaits(t *testing.T) {
 	is := is.New(t)
@@ -99,6 +138,18 @@
 	is.Equal(len(p.Next(time.Second)), 1)
 }
 
+// Guards against a resumed job that is refused as not started, and handed in again by its instance, every few milliseconds.
+func TestResumedJobIsNotRefusedAsLate(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	v, _ := p.Submit(jobOf("x", 1, 1000, 100*ms), 0, 0, time.Second)
+	is.True(v.Taken())
+	take(t, p, patient("other", 1000), 0)
+	is.Equal(len(p.Unstarted(time.Minute)), 0)
+	p.Settle()
+	is.Equal(len(p.Unstarted(time.Minute)), 0)
+}
+
 // Guards against short work that waits behind long work.
 func TestShortOvertakesLong(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -175,8 +175,7 @@
 func (p *Pool) Ended(id work.EndpointID, end work.End, now time.Duration) []Outcome {
 	r := p.runs[end.Task]
 	if r == nil || r.Number != end.Run || r.Endpoint != id {
-		p.keep(end, now)
-		return nil
+		return p.endedElsewhere(end, now)
 	}
 	j := r.job
 	e := p.endpoints[id]
@@ -199,6 +198,21 @@
 	return nil
 }
 
+// endedElsewhere records the end of a run that this pool has not ordered or has given up. The task of a resumed job that
+// has succeeded does not start again.
+func (p *Pool) endedElsewhere(end work.End, now time.Duration) []Outcome {
+	j := p.jobs[end.Task.Job]
+	if end.Reason != work.EndSucceeded || p.runs[end.Task] != nil || j == nil || !j.countPast(end.Task) {
+		p.keep(end, now)
+		return nil
+	}
+	if j.left > 0 {
+		return nil
+	}
+	p.finish(j)
+	return []Outcome{{Job: j.ID, State: work.Completed, Task: end.Task}}
+}
+
 // keep remembers a success that no job has counted.
 func (p *Pool) keep(end work.End, now time.Duration) {
 	if end.Reason == work.EndSucceeded {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -77,7 +77,7 @@
 }
 
 func (p *Pool) newJob(w *work.Job, arrived, mayRun time.Duration) *job {
-	j := &job{Job: w, arrived: arrived, mayRun: mayRun, runs: map[work.TaskID]*Run{}, failures: map[work.TaskID]int{}}
+	j := &job{Job: w, arrived: arrived, mayRun: mayRun, resumed: mayRun > 0, runs: map[work.TaskID]*Run{}, failures: map[work.TaskID]int{}}
 	for i, s := range w.Steps {
 		st := stepState{left: s.Count}
 		for index := 0; index < s.Count; index++ {
@@ -246,29 +246,45 @@
 // adopt attaches runs that another dispatcher has started.
 func (p *Pool) adopt(j *job) {
 	for task, r := range p.runs {
-		if task.Job != j.ID || r.State == Stopping || !j.has(task) {
-			continue
+		if task.Job == j.ID && r.State != Stopping {
+			p.attach(j, r)
 		}
-		p.resize(r, j.Steps[task.Step].Size)
-		r.job = j
-		j.runs[task] = r
-		j.started = true
-		j.removeWaiting(task)
 	}
 	p.adoptEnds(j)
 }
 
+// attach gives a job the run of one of its tasks that another dispatcher has started.
+func (p *Pool) attach(j *job, r *Run) {
+	if !j.has(r.Task) || !j.removeWaiting(r.Task) {
+		return
+	}
+	s := &j.Steps[r.Task.Step]
+	p.resize(r, s.Size)
+	r.job, r.Expected = j, p.estimates.of(j.Queue, s.Estimate)
+	j.runs[r.Task] = r
+	j.started = true
+}
+
 // adoptEnds counts the tasks that have succeeded under another dispatcher.
 func (p *Pool) adoptEnds(j *job) {
 	for task := range p.past {
-		if task.Job == j.ID && j.has(task) && j.removeWaiting(task) {
-			j.started = true
-			j.left--
-			j.steps[task.Step].left--
+		if task.Job == j.ID {
+			j.countPast(task)
 		}
 	}
 }
 
+// countPast counts a task that has succeeded under another dispatcher, and returns whether the job waited for it.
+func (j *job) countPast(task work.TaskID) bool {
+	if !j.has(task) || !j.removeWaiting(task) {
+		return false
+	}
+	j.started = true
+	j.left--
+	j.steps[task.Step].left--
+	return true
+}
+
 // resize sets the room that a found run takes.
 func (p *Pool) resize(r *Run, size work.Size) {
 	if !r.unsized {
@@ -296,8 +312,8 @@
 	return false
 }
 
-// Found records a run that an endpoint lists and that this pool has not ordered. Its size is not known, so the endpoint
-// takes nothing more until the run has ended or its job is submitted.
+// Found records a run that an endpoint lists and that this pool has not ordered. While its job is not here its size is not
+// known, so the endpoint takes nothing more until the run has ended or its job is submitted.
 func (p *Pool) Found(id work.EndpointID, found work.Run, now time.Duration) *Run {
 	e := p.endpoints[id]
 	if e == nil || p.runs[found.Task] != nil {
@@ -311,14 +327,18 @@
 	p.numbers[found.Task] = max(p.numbers[found.Task], found.Run)
 	e.runs++
 	e.unsized++
+	if j := p.jobs[found.Task.Job]; j != nil {
+		p.attach(j, r)
+	}
 	return r
 }
 
 // Unstarted returns the jobs that were taken and can no longer meet three times their objective without having started.
+// Resumed jobs are not among them: whether they have run elsewhere is not known.
 func (p *Pool) Unstarted(now time.Duration) []work.JobID {
 	var late []work.JobID
 	for _, j := range p.queue {
-		if !j.started && now-j.arrived > maxLate(j) {
+		if !j.started && !j.resumed && now-j.arrived > maxLate(j) {
 			late = append(late, j.ID)
 		}
 	}
