Room that later steps of a job in progress will need is not promised to new jobs

Change: the forecast sets aside the room that later steps need beyond what their job's runs hold, for jobs that would still run when those steps begin. TestRoomOfEarlyTasksIsKeptForTheNextStep fails without the change.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -68,6 +68,49 @@
 	return f
 }
 
+// reserve takes the room that later steps of jobs in progress will need beyond what their runs hold, if they begin before a
+// time. Each gives it back at its job's expected end.
+//
+// It answers demand far above capacity by jobs of several steps: tasks of a step that end early leave room which a new job
+// would take, and the next step of the job in progress would come late.
+func (f *forecast) reserve(service string, now, until time.Duration) {
+	for _, j := range f.pool.jobs {
+		if j.Service != service || !j.started {
+			continue
+		}
+		c := j.claim(now)
+		if c.milliCPU <= 0 || c.begin >= until {
+			continue
+		}
+		f.free -= c.milliCPU
+		heap.Push(&f.releases, release{c.begin + c.run, c.milliCPU})
+	}
+}
+
+// claim is room that later steps of a job in progress will need beyond what its runs hold.
+type claim struct {
+	begin    time.Duration // when the steps in progress are expected to end
+	run      time.Duration // from then to the expected end of the job
+	milliCPU int
+}
+
+func (j *job) claim(now time.Duration) claim {
+	c := claim{begin: now}
+	held := 0
+	for _, r := range j.runs {
+		held += r.Size.MilliCPU
+		c.begin = max(c.begin, now+r.remaining(now))
+		c.run = max(c.run, r.after())
+	}
+	for i := range j.steps {
+		if waiting := len(j.steps[i].waiting) * j.Steps[i].Size.MilliCPU; !j.ready(i) {
+			c.milliCPU = max(c.milliCPU, waiting)
+		}
+	}
+	c.milliCPU -= held
+	return c
+}
+
 // remaining returns the expected rest of a run.
 func (r *Run) remaining(now time.Duration) time.Duration {
 	elapsed := now - r.Ordered
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -257,6 +257,26 @@
 	is.Equal(v.Wait, 200*ms)
 }
 
+// Guards against promising the room that tasks of a step leave early to a new job, although the next step of their own job
+// will need it.
+func TestRoomOfEarlyTasksIsKeptForTheNextStep(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 4000))
+	take(t, p, inSteps("x", 2, 4, 100*ms), 0)
+	starts := p.Next(0)
+	is.Equal(len(starts), 4)
+	for _, r := range starts {
+		p.Started(r)
+	}
+	for _, r := range starts[:3] { // one task is left and takes until 100 ms
+		p.Ended("a", work.End{Task: r.Task, Run: 1, Reason: work.EndSucceeded}, 50*ms)
+	}
+	v, _ := p.Submit(jobOf("long", 3, 1000, 100*ms), 50*ms, 50*ms, 0) // would run until 150 ms
+	is.Equal(v.Reason, ReasonNoRoom)
+	v, _ = p.Submit(jobOf("short", 3, 1000, 20*ms), 50*ms, 50*ms, 0) // ends before the next step begins
+	is.True(v.Taken())
+}
+
 // Guards against taking a job for room that the jobs before it leave only later.
 func TestForecastKeepsTheOrderOfTime(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -146,6 +146,7 @@
 		return v
 	}
 	f := p.forecast(j.Service, j.largest(), now)
+	f.reserve(j.Service, now, now+j.expected)
 	v.Endpoints, v.Free = f.endpoints, f.free
 	for _, q := range p.queue {
 		if q.Service == j.Service && q.hasReady() && before(q, j) {
