--- a/internal/pool/fairness_test.go
+++ b/internal/pool/fairness_test.go
@@ -68,7 +68,9 @@
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	next := make([]time.Duration, len(streams))
-	gap := func(s stream) time.Duration { return time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)) }
+	gap := func(s stream) time.Duration {
+		return time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second))
+	}
 	for i, s := range streams {
 		next[i] = gap(s)
 	}
