An instance that has left its group leaves again when a late join makes it a member once more

Cause: edge-blackstone-3 stopped while its zone was cut off and left when the store was back, at 11.39 s. Change: an instance that has left looks at the holders of its zone every 150 ms and leaves again if it is among them. Figures: TestLateJoinAfterLeave fails without it.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -77,6 +77,7 @@
 	term    Term
 	changed time.Time // when the group's generation last rose
 	leaving bool
+	left    bool // the store has confirmed the end of the membership
 	joined  bool // at least once
 	lost    bool
 	joining int                       // joins without an answer
@@ -237,6 +238,9 @@
 		}
 		t.Stop()
 	}
+	c.mu.Lock()
+	c.left = true
+	c.mu.Unlock()
 	c.setTerm(Term{Generation: c.Term().Generation})
 }
 
@@ -315,7 +319,7 @@
 	switch own, wanted := zone == c.opts.Zone, c.wanted[zone]; {
 	case own && wanted:
 		return 0
-	case own && unsettled:
+	case own && (unsettled || c.left):
 		return searchInterval
 	case own:
 		return ownersInterval
@@ -339,6 +343,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if zone == c.opts.Zone {
+		c.leaveAgain(ctx, holders)
+	}
 	if !maps.Equal(holders, c.holders[zone]) {
 		c.opts.Log.WithFields(logrus.Fields{"event": "dispatchers", "zone": zone, "members": members(holders)}).
 			Info("the zone's dispatchers changed")
@@ -346,6 +353,16 @@
 	c.holders[zone] = holders
 }
 
+// leaveAgain ends the membership once more if this instance has left and is a member again: a join that was on its way for
+// long, as over a connection that a cut had held up, was carried out after the end. c.mu is held.
+func (c *Controller) leaveAgain(ctx context.Context, holders map[int]string) {
+	if !c.left || !slices.Contains(slices.Collect(maps.Values(holders)), c.member()) {
+		return
+	}
+	c.opts.Log.WithField("event", "member_again").Warn("a late join has made this instance a member again; it leaves once more")
+	go c.leave(ctx)
+}
+
 func members(holders map[int]string) []string {
 	all := slices.Collect(maps.Values(holders))
 	slices.Sort(all)
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -201,3 +201,25 @@
 	b.Leave(ctx) // the time to stop is over
 	is.Equal(len(b.Term().Partitions), 0)
 }
+
+// Guards against a zone without a dispatcher because a join that was sent before the end of a membership is carried out
+// after it.
+func TestLateJoinAfterLeave(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	wait.For(t, "the member leads", leading(a))
+	a.Leave(t.Context())
+	late := a.membership()
+	late.TTL = time.Hour
+	_, err := s.Join(t.Context(), late)
+	is.NoErr(err)
+	held := func() int {
+		owners, err := s.Owners(t.Context(), late.Group)
+		is.NoErr(err)
+		return len(owners)
+	}
+	is.Equal(held(), keyed.Partitions)
+	wait.For(t, "the late member has left", func() bool { return held() == 0 })
+	is.Equal(len(a.Term().Partitions), 0)
+}
