savoryctl dispatchers shows who dispatches on the users' platform

Cause: the state of savorypass was only to be had instance by instance as JSON; which partition has no dispatcher, or two, had to be put together by hand. The dump's type moves to a package of its own and tells the divisions and the missing registrations.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -54,6 +54,13 @@
 			long: "Shows every entry instance with its own status, or how its peers see it when it does not answer.\n\n" +
 				"Examples:\n  savoryctl status\n  savoryctl -e 10.0.0.1:7002 -o json status",
 		},
+		{
+			name: "dispatchers", short: "Show who dispatches on the users' platform", data: &dispatchersCommand{app: a},
+			long: "Asks every named instance of savorypass on the users' platform for its state and shows which partitions it " +
+				"dispatches for, with their endpoints, jobs and room. Needs no token; name every instance.\n\n" +
+				"Examples:\n  savoryctl -e 10.1.0.20:9464 -e 10.1.0.21:9464 dispatchers\n" +
+				"  savoryctl -o json -e 10.1.0.20:9464 dispatchers",
+		},
 		{
 			name: "workers", short: "Show every worker with its owner", data: &workersCommand{app: a},
 			long: "Shows the workers that the instances own.\n\n" +
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -81,7 +81,11 @@
 	if a.Timeout <= 0 {
 		return usagef("--timeout is %v, must be more than 0", a.Timeout)
 	}
-	token, err := a.readToken()
+	var token secure.Secret
+	var err error
+	if _, ok := command.(*dispatchersCommand); !ok { // these listeners know no tokens
+		token, err = a.readToken()
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		s := v.Status
-		t.add(v.Zone, v.Instance, stateOf(s), readiness(s), s.ConfigVersion, s.Jobs, s.Queued, s.Running,
+		t.add(v.Zone, v.Instance, stateOf(s), yesOrNo(s.Ready), s.ConfigVersion, s.Jobs, s.Queued, s.Running,
 			s.Workers.FreeSlots, s.Workers.Slots, s.Workers.Owned, age(s.UptimeMS))
 	}
 	return t
@@ -85,13 +85,6 @@
 	return string(opsapi.MemberLive)
 }
 
-func readiness(s *opsapi.Status) string {
-	if s.Ready {
-		return "yes"
-	}
-	return "no"
-}
-
 type workersCommand struct {
 	app   *app
 	State string `long:"state" choice:"ready" choice:"leaving" choice:"suspect" choice:"held_off" description:"show only workers in this state"`
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -11,16 +11,15 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/dump"
 	"github.com/savorypass/savorypass/internal/metric"
-	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/store"
 )
 
 // The paths of the operators' listener.
 const (
 	MetricsPath = "/metrics"
-	DumpPath    = "/dump"
+	DumpPath    = dump.Path
 )
 
 // Kinds of calls to the store.
@@ -118,25 +117,17 @@
 	return 0
 }
 
-// Dump is the state of an instance.
-type Dump struct {
-	Instance      string       `json:"instance"`
-	Zone          string       `json:"zone"`
-	UptimeMS      int64        `json:"uptime_ms"`
-	Ready         bool         `json:"ready"`
-	Draining      bool         `json:"draining"`
-	ConfigVersion int64        `json:"config_version"`
-	Active        int          `json:"active_jobs"`
-	Term          lead.Term    `json:"term"`
-	Shards        []shard.Dump `json:"shards"`
-}
-
 // Dump returns the state of the instance.
-func (n *Node) Dump() Dump {
-	return Dump{
-		Instance: n.opts.Settings.Instance, Zone: n.opts.Settings.Zone, UptimeMS: n.now().Milliseconds(), Ready: n.ready(),
-		Draining: n.draining(), ConfigVersion: n.configVersion(), Active: n.gateway.Active(), Term: n.lead.Term(),
-		Shards: n.shards.dump(),
+func (n *Node) Dump() dump.Instance {
+	s := n.opts.Settings
+	partitions := map[string]int{}
+	for _, zone := range s.Zones {
+		partitions[zone] = n.divisions.Partitions(zone)
+	}
+	return dump.Instance{
+		Instance: s.Instance, Zone: s.Zone, UptimeMS: n.now().Milliseconds(), Ready: n.ready(), Draining: n.draining(),
+		ConfigVersion: n.configVersion(), Active: n.gateway.Active(), Partitions: partitions, Missing: n.directory.Missing(),
+		Term: n.lead.Term(), Shards: n.shards.dump(),
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/dump"
 	"github.com/savorypass/savorypass/internal/node"
 	"github.com/savorypass/savorypass/internal/standin/address"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
@@ -170,7 +171,7 @@
 	_, text := get(a.operators + node.MetricsPath)
 	is.True(strings.Contains(text, "requests_answered ") && strings.Contains(text, "response_ms {"))
 	_, text = get(a.operators + node.DumpPath)
-	var dump node.Dump
+	var dump dump.Instance
 	is.NoErr(json.Unmarshal([]byte(text), &dump))
 	is.Equal(dump.Instance, "a")
 	is.Equal(dump.ConfigVersion, int64(1))
