--- a/internal/ctl/dispatchers_test.go
+++ b/internal/ctl/dispatchers_test.go
@@ -46,7 +46,7 @@
 // that a partition has no dispatcher or two.
 func TestDispatchers(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t)
+	c := newCluster(t, "e1")
 	t.Setenv("SAVORY_TOKEN", "")
 	first, second := dumping(t, leadingDump("n1", 0)), dumping(t, leadingDump("n2", 1))
 	out, notes := c.run(ExitOK, "", "-e", second, "-e", first, "dispatchers")
