An instance that cannot read its zone's number of partitions leaves the zone to others, and guesses it after two seconds

Change: such an instance joins when it knows the number, unless nobody else is there. Until then it routes by a guess from the registered endpoints, as all did before, and dispatches by it two seconds after its start. A wrong guess counts as a change of the division. Figures: TestGuessWhileUnknown fails without it.

--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -24,6 +24,9 @@
 	endpointsPerPartition = 40
 	// readWait is the longest wait of a read for a new record. A connection that has gone silent is found after it.
 	readWait = 10 * time.Second
+	// patience is how long an instance that cannot read the numbers leaves its zone to others before it divides it by the
+	// endpoints that it knows.
+	patience = 2 * time.Second
 	// raisePause is the pause between two attempts to raise a zone's number.
 	raisePause = 500 * time.Millisecond
 	// raiseTimeout is the time for the store's answer to a raise.
@@ -58,13 +61,17 @@
 	mu      sync.Mutex
 	known   bool
 	parts   map[string]int
+	guessed map[string]int // by zone, while the numbers are not known
+	started time.Time
 	changed map[string]time.Time // last rise that was seen in this process's life, by zone
 	raised  time.Time            // last attempt to raise
 }
 
 // New returns a controller that is not running.
 func New(o Options) *Controller {
-	c := &Controller{opts: o, parts: map[string]int{}, changed: map[string]time.Time{}}
+	c := &Controller{
+		opts: o, parts: map[string]int{}, guessed: map[string]int{}, changed: map[string]time.Time{}, started: time.Now(),
+	}
 	c.follow = follow.New(follow.Options{Store: o.Store, Topic: o.Topic, Wait: readWait, Apply: c.apply, Log: o.Log})
 	return c
 }
@@ -79,13 +86,36 @@
 	return c.known
 }
 
-// Partitions returns the number of partitions of a zone, 1 if the store has none.
+// Usable reports whether zones may be divided by Partitions: the numbers are known, or could not be read for a while.
+func (c *Controller) Usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known || time.Since(c.started) >= patience
+}
+
+// Partitions returns the number of partitions of a zone, 1 if the store has none. While the numbers are not known it is a
+// guess from the endpoints of the zone.
 func (c *Controller) Partitions(zone string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.known {
+		return max(c.guessed[zone], 1)
+	}
 	return max(c.parts[zone], 1)
 }
 
+// Guess tells how many endpoints a zone has, for the time in which its number is not known.
+func (c *Controller) Guess(zone string, endpoints int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known || Wanted(endpoints) <= c.guessed[zone] {
+		return
+	}
+	c.guessed[zone] = Wanted(endpoints)
+	c.opts.Log.WithFields(logrus.Fields{"event": "division_guess", "zone": zone, "partitions": c.guessed[zone], "endpoints": endpoints}).
+		Info("the zone's number of partitions is not known and is guessed")
+}
+
 // ChangedAt returns when a zone's number last rose in this process's life; zero if it did not.
 func (c *Controller) ChangedAt(zone string) time.Time {
 	c.mu.Lock()
@@ -104,7 +134,8 @@
 func (c *Controller) take(u follow.Update) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	fresh := !c.known
+	first := !c.known
+	fresh := first
 	for _, r := range u.Records {
 		zone, parts, err := parseKey(r.Key)
 		if err != nil {
@@ -124,10 +155,22 @@
 		}
 		fresh = true
 	}
+	if first {
+		c.dropGuesses()
+	}
 	c.known = true
 	return fresh
 }
 
+// dropGuesses notes the zones that were divided by a guess which was wrong. c.mu is held.
+func (c *Controller) dropGuesses() {
+	for zone, parts := range c.guessed {
+		if parts != max(c.parts[zone], 1) {
+			c.changed[zone] = time.Now()
+		}
+	}
+}
+
 // Raise writes the number of partitions that a zone with so many endpoints needs, if the store has a lower one. All
 // instances, this one as well, divide the zone anew when they read it.
 func (c *Controller) Raise(ctx context.Context, zone string, endpoints int) {
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -17,14 +19,20 @@
 
 // following returns a controller that follows a store, and the number of its calls of Changed.
 func following(t *testing.T, s *keyed.Store) (*Controller, *atomic.Int64) {
+	c, changed, cancel := followingUntil(t, s)
+	t.Cleanup(cancel)
+	return c, changed
+}
+
+// followingUntil returns besides what ends the controller.
+func followingUntil(t *testing.T, s *keyed.Store) (*Controller, *atomic.Int64, context.CancelFunc) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	changed := &atomic.Int64{}
 	c := New(Options{Store: s, Topic: topic, Log: log, Changed: func() { changed.Add(1) }})
 	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
 	go c.Run(ctx)
-	return c, changed
+	return c, changed, cancel
 }
 
 // Guards against too many endpoints for one dispatcher, and against more partitions than a group can share.
@@ -99,3 +107,37 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against a zone without a dispatcher because the instances have started while the records of its division cannot be
+// read, and against a guess that stays in force when they can.
+func TestGuessWhileUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := keyed.New()
+		s.Set(topic, formatKey("north", 4), []byte{1})
+		s.Set(topic, formatKey("south", 2), []byte{1})
+		s.SetDown(true)
+		c, changed, cancel := followingUntil(t, s)
+		is.Equal(c.Partitions("north"), 1)
+		c.Guess("north", 60)
+		c.Guess("south", 60)
+		c.Guess("north", 10) // registrations end during the outage
+		is.Equal(c.Partitions("north"), 2)
+		time.Sleep(patience - time.Millisecond)
+		is.True(!c.Usable())
+		time.Sleep(time.Millisecond)
+		is.True(c.Usable())
+		is.True(!c.Known())
+		s.SetDown(false)
+		time.Sleep(time.Second)
+		is.True(c.Known())
+		is.Equal(changed.Load(), int64(1))
+		is.Equal(c.Partitions("north"), 4)
+		is.True(!c.ChangedAt("north").IsZero()) // the guess was wrong
+		is.True(c.ChangedAt("south").IsZero())
+		c.Guess("north", 400)
+		is.Equal(c.Partitions("north"), 4)
+		cancel()
+		time.Sleep(time.Second) // its last read ends
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,7 @@
 	n.lead = lead.New(lead.Options{
 		Store: n.store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
 		TTL: s.MemberTTL, Log: o.Log, Changed: func(t lead.Term) { n.terms <- t },
-		Informed: func() bool { return n.directory.Informed(n.now()) },
+		Informed: func() bool { return n.divisions.Known() && n.directory.Informed(n.now()) },
 	})
 	n.directory = shard.NewDirectory()
 	n.shards = newShards(s.Zone, n.directory, n.started, func(part int) *shard.Shard {
--- a/internal/node/registrations.go
+++ b/internal/node/registrations.go
@@ -12,6 +12,9 @@
 
 func (n *Node) applyEndpoints(u follow.Update) {
 	n.shards.endpoints(n.registrations(u), n.now())
+	for _, zone := range n.opts.Settings.Zones {
+		n.divisions.Guess(zone, n.directory.Count(zone))
+	}
 	n.reportMissing()
 	if zone := n.opts.Settings.Zone; n.shards.leading(anyPartition) {
 		go n.divisions.Raise(context.Background(), zone, n.directory.Count(zone))
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -41,7 +41,7 @@
 func (s *shards) reconcile() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.divisions.Known() {
+	if !s.divisions.Usable() {
 		return
 	}
 	t := s.shardTerm()
