--- a/internal/pool/fairness_test.go
+++ b/internal/pool/fairness_test.go
@@ -141,3 +141,16 @@
 	is.True(p.kept(own, 100000, 2*demandMemory) < asked/5)
 	is.Equal(p.kept(own, 100000, time.Minute), 0)
 }
+
+// Guards against room that is kept for jobs that no endpoint can ever run.
+func TestNothingIsKeptForImpossibleJobs(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 4000))
+	for i := range 10 {
+		v, _ := p.Submit(jobOf(fmt.Sprint("large", i), 1, 5000, 50*ms), 0, 0, 0)
+		is.Equal(v.Reason, ReasonTooLarge)
+	}
+	v, _ := p.Submit(jobOf("x", 4, 1000, 100*ms), 0, 0, 0)
+	is.True(v.Taken())
+	is.Equal(v.Kept, 0)
+}
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -55,7 +55,7 @@
 	}
 	j := p.newJob(w, arrived, mayRun)
 	v := p.judge(j, now, j.resumed)
-	if !j.resumed {
+	if !j.resumed && (v.Taken() || v.Reason == ReasonNoRoom) { // room that others leave does not help the rest
 		p.noteDemand(j, v.Taken(), now)
 	}
 	if !v.Taken() {
