--- a/internal/pool/fairness_test.go
+++ b/internal/pool/fairness_test.go
@@ -146,11 +146,12 @@
 func TestNothingIsKeptForImpossibleJobs(t *testing.T) {
 	is := is.New(t)
 	p := poolOf(endpointOf("a", 4000))
+	take(t, p, jobOf("first", 1, 1000, 100*ms), 0)
 	for i := range 10 {
 		v, _ := p.Submit(jobOf(fmt.Sprint("large", i), 1, 5000, 50*ms), 0, 0, 0)
 		is.Equal(v.Reason, ReasonTooLarge)
 	}
-	v, _ := p.Submit(jobOf("x", 4, 1000, 100*ms), 0, 0, 0)
+	v, _ := p.Submit(jobOf("second", 3, 1000, 100*ms), 0, 0, 0)
 	is.True(v.Taken())
 	is.Equal(v.Kept, 0)
 }
