--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -77,7 +77,7 @@
 	term    Term
 	changed time.Time // when the group's generation last rose
 	leaving bool
-	left    bool // the store has confirmed the end of the membership
+	left    bool // for good; a late join may still make this instance a member
 	joined  bool // at least once
 	lost    bool
 	joining int                       // joins without an answer
