An uplink counts as connected when its dispatcher has been heard on it

The kernel of a machine accepts a connection for a process that stands still; when that came before the check, the job was handed to a dispatcher of another zone that never answers, and would have waited for its caller's patience. The test met this only when the dial was quicker than the check. Change: the connection counts as made when the dispatcher's first message, which it sends at once, has come. The test waits for the accepted connection and submits again.

--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -100,4 +100,11 @@
 	}
 	_, ok := p.Submit(gateway.Target{Zone: "south"}, &relay.Submit{Job: work.Job{ID: "x"}})
 	is.True(!ok)
+	conn, err := silent.Accept() // the connection is made now, and nothing comes over it
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = conn.Read(make([]byte, 1)) // the other end has noticed it
+	is.NoErr(err)
+	_, ok = p.Submit(gateway.Target{Zone: "south"}, &relay.Submit{Job: work.Job{ID: "y"}})
+	is.True(!ok)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,6 +107,7 @@
 	Address string
 	mu      sync.Mutex
 	link    *link
+	heard   bool // the dispatcher has sent something
 	ended   bool
 	loads   map[int]int // pressure by partition
 	early   []any       // messages sent before the connection was made
@@ -132,11 +133,12 @@
 	down(u, sent, err)
 }
 
-// Connected reports whether the connection is made and has not ended.
+// Connected reports whether the connection is made, the dispatcher has been heard on it, and it has not ended. A machine
+// accepts connections for a process that stands still.
 func (u *Uplink) Connected() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.link != nil && !u.ended
+	return u.heard && !u.ended
 }
 
 func (u *Uplink) receive(conn net.Conn, answer func(*Answer)) error {
@@ -157,7 +159,7 @@
 		case *Answer:
 			answer(m)
 		case *beat:
-			u.setLoads(m.Loads)
+			u.setLoads(m.Loads) // the first message is one
 		}
 	})
 }
@@ -171,6 +173,7 @@
 func (u *Uplink) setLoads(loads []Load) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.heard = true
 	u.loads = make(map[int]int, len(loads))
 	for _, l := range loads {
 		u.loads[l.Partition] = l.Pressure
