Limit start requests in flight by the response time, and let timeouts follow it

Ruled out: registrations (16 KB/s of 250), configuration, joins and look-ups (each under 4 KB/s). Change: one window of start requests for all shards of an instance. It shrinks while the median response of eight takes over 20 ms and grows when it was used up; the other requests wait in the process, where a job that has ended takes them back unsent. Timeouts of requests to endpoints are decided in shard and grow with the response time. Metrics traffic and endpoint_requests, a line event=traffic every 10 s. What is left on thin links are the bytes of the start requests themselves.

--- a/cmd/savorypass/main.go
+++ b/cmd/savorypass/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/savorypass/savorypass/internal/daemon"
 	"github.com/savorypass/savorypass/internal/node"
+	"github.com/savorypass/savorypass/internal/traffic"
 	"github.com/savorypass/savorypass/platform"
 )
 
@@ -66,9 +67,10 @@
 		log.WithField("event", "start_failed").WithError(err).Error("the settings are invalid or cannot be read")
 		return daemon.ExitUsage
 	}
+	meter := traffic.New()
 	n := node.New(node.Options{
-		Settings: settings, Store: platform.NewStore(settings.Store), Records: platform.Records{}, Codec: platform.Callers{},
-		Dialer: platform.Dialer{}, Log: log, OperatorsAddress: operatorsAddress(settings, o.OperatorsPort),
+		Settings: settings, Store: platform.NewStore(settings.Store, meter), Records: platform.Records{}, Codec: platform.Callers{},
+		Dialer: platform.Dialer{Meter: meter}, Meter: meter, Log: log, OperatorsAddress: operatorsAddress(settings, o.OperatorsPort),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- /dev/null
+++ b/internal/congestion/window_test.go
@@ -0,0 +1,106 @@
+package congestion
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// use sends requests through a window as long as it admits them at once, and returns how many it admitted.
+func use(w *Window) int {
+	n := 0
+	for {
+		s := w.Status()
+		if s.InFlight >= s.Size {
+			return n
+		}
+		w.Acquire()
+		n++
+	}
+}
+
+// respond ends a number of requests that took a time each.
+func respond(w *Window, n int, took time.Duration) {
+	for range n {
+		w.Release(took)
+	}
+}
+
+// Guards against a queue on a congested link: when most responses are late, fewer requests may be in flight, until they come in
+// time again.
+func TestWindowFollowsTheLink(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 20 {
+		respond(w, use(w), 100*time.Millisecond)
+	}
+	is.Equal(w.Status().Size, int(minSize))
+	for range 100 {
+		respond(w, use(w), 2*time.Millisecond)
+	}
+	is.Equal(w.Status().Size, int(maxSize))
+}
+
+// Guards against a window that a few slow or silent endpoints make small, although the link is free.
+func TestSlowEndpointsDoNotShrinkTheWindow(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 40 {
+		n := use(w)
+		respond(w, n/4, 100*time.Millisecond)
+		respond(w, n-n/4, 2*time.Millisecond)
+	}
+	is.True(w.Status().Size >= int(initialSize))
+}
+
+// Guards against a window that grows while little is sent, so that the next burst fills the link's queue.
+func TestWindowGrowsOnlyWhenUsed(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 1000 {
+		w.Acquire()
+		w.Release(time.Millisecond)
+	}
+	is.Equal(w.Status().Size, int(initialSize))
+}
+
+// Guards against requests that wait although the window has capacity, and against requests that overtake each other.
+func TestRequestsAreAdmittedInOrder(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	n := use(w)
+	order := make(chan int, 2)
+	for i := range 2 {
+		go func() {
+			w.Acquire()
+			order <- i
+		}()
+		for w.Status().Waiting <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	is.Equal(len(order), 0)
+	w.Forgo()
+	is.Equal(<-order, 0)
+	w.Release(time.Millisecond)
+	is.Equal(<-order, 1)
+	is.Equal(w.Status().InFlight, n)
+}
+
+// Guards against timeouts that a congested link exceeds, and against timeouts that come near the length of a lease.
+func TestTimeoutFollowsTheDelay(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	base := 60 * time.Millisecond
+	is.Equal(w.Timeout(base), base)
+	for range batchSize {
+		w.Acquire()
+		w.Release(10 * time.Millisecond)
+	}
+	is.Equal(w.Timeout(base), base+timeoutFactor*10*time.Millisecond)
+	for range 10 {
+		respond(w, use(w), time.Second)
+	}
+	is.Equal(w.Timeout(base), base+maxExtraTimeout)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/server"
+	"github.com/savorypass/savorypass/internal/traffic"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -88,6 +89,7 @@
 	Router  Router
 	Log     logrus.FieldLogger
 	Metrics *Metrics
+	Meter   *traffic.Meter // counts the bytes of callers' bodies; nil for none
 }
 
 // Metrics are the gateway's counters of requests and its response times in milliseconds.
@@ -157,6 +159,7 @@
 }
 
 func (g *Gateway) reply(x *server.Exchange, status int, body []byte, retryAfter time.Duration) {
+	g.opts.Meter.Add(traffic.Callers, traffic.Counts{Calls: 1, Sent: int64(len(body)), Received: int64(len(x.Request.Body()))})
 	x.Reply(status, body, retryAfter)
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/savorypass/savorypass/internal/dump"
@@ -106,6 +107,8 @@
 		{Name: "generation", Var: gauge(func() int64 { return n.lead.Term().Generation })},
 		{Name: "config_version", Var: gauge(n.configVersion)},
 		{Name: "store_calls", Var: &n.store.calls}, {Name: "store_failures", Var: &n.store.failed},
+		{Name: "traffic", Var: n.opts.Meter},
+		{Name: "endpoint_requests", Var: expvar.Func(func() any { return n.window.Status() })},
 		{Name: "ready", Var: expvar.Func(func() any { return n.ready() })},
 	}
 }
@@ -131,6 +134,27 @@
 	}
 }
 
+// trafficInterval is the pause between two log lines on the instance's traffic.
+const trafficInterval = 10 * time.Second
+
+// reportTraffic logs the calls and bytes of each kind since the process started, at an interval and at the end of ctx.
+func (n *Node) reportTraffic(ctx context.Context) {
+	ticker := time.NewTicker(trafficInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		fields := logrus.Fields{"event": "traffic"}
+		for kind, counts := range n.opts.Meter.Snapshot() {
+			fields[string(kind)] = counts.String()
+		}
+		n.log.WithFields(fields).Info("calls, failed calls, bytes sent and bytes received by kind")
+	}
+}
+
 // serveOperators starts the listener for metrics and dumps. With an empty address it starts none and returns nil.
 func (n *Node) serveOperators(address string) (*fasthttp.Server, error) {
 	if address == "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/follow"
 	"github.com/savorypass/savorypass/internal/gateway"
@@ -20,6 +21,7 @@
 	"github.com/savorypass/savorypass/internal/server"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/traffic"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -68,7 +70,9 @@
 	Records  Records
 	Codec    gateway.Codec
 	Dialer   work.Dialer
-	Log      *logrus.Logger
+	// Meter counts the instance's traffic; the store, the dialer and the codec count into the same one. Nil for none.
+	Meter *traffic.Meter
+	Log   *logrus.Logger
 	// OperatorsAddress is the host:port of the listener for metrics and dumps; empty for none.
 	OperatorsAddress string
 }
@@ -94,11 +98,12 @@
 	started   time.Time
 	terms     chan lead.Term
 	metrics   gateway.Metrics
+	window    *congestion.Window // for requests to endpoints
 }
 
 // New returns an instance that is not running.
 func New(o Options) *Node {
-	n := &Node{opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16)}
+	n := &Node{opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16), window: congestion.New()}
 	n.store = &countedStore{Store: o.Store}
 	n.counts = shard.NewCounts()
 	s := o.Settings
@@ -110,7 +115,7 @@
 	n.directory = shard.NewDirectory()
 	n.shards = newShards(s.Zone, n.directory, n.started, func(part int) *shard.Shard {
 		return shard.New(shard.Options{
-			Zone: s.Zone, Partition: part, Directory: n.directory, Lease: s.Lease, Dialer: o.Dialer, OnFenced: n.lead.Verify,
+			Zone: s.Zone, Partition: part, Directory: n.directory, Lease: s.Lease, Dialer: o.Dialer, Window: n.window, OnFenced: n.lead.Verify,
 			Counts: &n.counts, Log: n.log.WithField("partition", part), Now: n.now,
 		})
 	})
@@ -120,10 +125,10 @@
 	n.shards.divisions = n.divisions
 	n.router = &router{
 		ownZone: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
-		log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
+		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 	}
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
-	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics})
+	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics, Meter: o.Meter})
 	n.endpoints = n.endpointsFollower()
 	n.router.gateway, n.router.local.gateway = n.gateway, n.gateway
 	return n
@@ -163,7 +168,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	relays, err := relay.Listen(n.opts.Settings.RelayAddress(), n.shards, n.log)
+	relays, err := relay.Listen(n.opts.Settings.RelayAddress(), n.shards, n.opts.Meter, n.log)
 	if err != nil {
 		return err
 	}
@@ -176,6 +181,7 @@
 	go n.lead.Run(ctx)
 	go n.lead.Follow(ctx, append([]string{n.opts.Settings.Zone}, n.router.others...), n.router.ownZoneConnected)
 	go n.runMaintenance(ctx)
+	go n.reportTraffic(ctx)
 	health, err := n.serveHealth()
 	if err != nil {
 		return err
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -11,6 +11,7 @@
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/traffic"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -30,6 +31,7 @@
 	shards    *shards
 	divisions *division.Controller
 	gateway   *gateway.Gateway // set before use
+	meter     *traffic.Meter
 	log       logrus.FieldLogger
 	local     *localRoute
 
@@ -152,7 +154,7 @@
 		return nil
 	}
 	route := &uplinkRoute{zone: zone}
-	route.uplink = relay.Dial(address,
+	route.uplink = relay.Dial(address, r.meter,
 		func(a *relay.Answer) { r.gateway.Answer(route, a) },
 		func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) })
 	r.routes[address] = route
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -32,7 +32,7 @@
 	servers := map[string]*relay.Server{}
 	s := keyed.New()
 	for _, zone := range []string{"north", "south"} {
-		server, err := relay.Listen("127.0.0.1:0", dispatchers, log)
+		server, err := relay.Listen("127.0.0.1:0", dispatchers, nil, log)
 		is.NoErr(err)
 		servers[zone] = server
 		go server.Run(t.Context())
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -140,6 +140,9 @@
 	return remoteDataFactor
 }
 
+// RunSent records that the request to start a run is sent now.
+func (p *Pool) RunSent(r *Run, now time.Duration) { r.Ordered, r.ProgressedAt = now, now }
+
 // RunStarted records that an endpoint has confirmed the start of a run.
 func (p *Pool) RunStarted(r *Run) {
 	if r.State == Ordered {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/traffic"
 )
 
 // Client is an instance that has sent jobs to a dispatcher and gets its answers. Clients are compared by identity.
@@ -31,16 +33,18 @@
 type Server struct {
 	listener   net.Listener
 	dispatcher Dispatcher
+	meter      *traffic.Meter
 	log        logrus.FieldLogger
 }
 
-// Listen returns a server for a dispatcher that listens on an address. Run must be called to serve.
-func Listen(address string, d Dispatcher, log logrus.FieldLogger) (*Server, error) {
+// Listen returns a server for a dispatcher that listens on an address. Run must be called to serve. The meter counts the
+// bytes of its connections; nil for none.
+func Listen(address string, d Dispatcher, meter *traffic.Meter, log logrus.FieldLogger) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{l, d, log}, nil
+	return &Server{l, d, meter, log}, nil
 }
 
 // Address returns the address that the server listens on.
@@ -71,7 +75,7 @@
 func (c *remoteClient) Name() string { return c.link.conn.RemoteAddr().String() }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	l := newLink(conn, s.dispatcher.Loads)
+	l := newLink(s.meter.Conn(conn, traffic.Downlink), s.dispatcher.Loads)
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
 	client := &remoteClient{l}
@@ -114,17 +118,17 @@
 
 // Dial returns an uplink whose connection is being opened in the background. onAnswer receives the dispatcher's
 // answers. onEnd is called once, when the connection has ended or could not be opened; sent is false if the connection
-// was never open, so that no message has been sent.
-func Dial(address string, onAnswer func(*Answer), onEnd func(u *Uplink, sent bool, err error)) *Uplink {
+// was never open, so that no message has been sent. The meter counts the connection's bytes; nil for none.
+func Dial(address string, meter *traffic.Meter, onAnswer func(*Answer), onEnd func(u *Uplink, sent bool, err error)) *Uplink {
 	u := &Uplink{Address: address}
-	go u.run(onAnswer, onEnd)
+	go u.run(meter, onAnswer, onEnd)
 	return u
 }
 
-func (u *Uplink) run(onAnswer func(*Answer), onEnd func(*Uplink, bool, error)) {
+func (u *Uplink) run(meter *traffic.Meter, onAnswer func(*Answer), onEnd func(*Uplink, bool, error)) {
 	conn, err := net.DialTimeout("tcp", u.Address, dialTimeout)
 	if err == nil {
-		err = u.receive(conn, onAnswer)
+		err = u.receive(meter.Conn(conn, traffic.Uplink), onAnswer)
 	}
 	u.mu.Lock()
 	u.ended = true
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -34,7 +34,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e := &echo{cancelled: make(chan work.JobID, 10), gone: make(chan Client, 10)}
-	s, err := Listen("127.0.0.1:0", e, log)
+	s, err := Listen("127.0.0.1:0", e, nil, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +62,7 @@
 	s, e := listen(t)
 	answers := make(chan *Answer, 10)
 	ended := make(chan bool, 1)
-	u := Dial(s.Address(), func(a *Answer) { answers <- a }, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	u := Dial(s.Address(), nil, func(a *Answer) { answers <- a }, func(_ *Uplink, sent bool, _ error) { ended <- sent })
 	u.Submit(&Submit{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 2}}}})
 	is.Equal(receive(t, answers).Job, work.JobID("a"))
 	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
@@ -91,7 +91,7 @@
 	address := l.Addr().String()
 	l.Close()
 	ended := make(chan bool, 1)
-	Dial(address, func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	Dial(address, nil, func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
 	is.True(!receive(t, ended))
 }
 
@@ -109,7 +109,7 @@
 		}
 	}()
 	ended := make(chan bool, 1)
-	Dial(l.Addr().String(), func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	Dial(l.Addr().String(), nil, func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
 	is.True(receive(t, ended))
 	is.True(!Probe(l.Addr().String(), 50*time.Millisecond)) // like a machine that accepts connections for a stopped process
 	live, _ := listen(t)
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -12,6 +12,12 @@
 )
 
 const (
+	// requestTimeout is how long a request to start or stop a run waits for its response when the link is not congested.
+	// Endpoints respond within a few milliseconds; a task whose request gets no response is delayed by this time.
+	requestTimeout = 60 * time.Millisecond
+	// renewalTimeout is how long a lease renewal waits for its response beyond the wait that it requests, when the link is
+	// not congested. It is short, since leases depend on renewals.
+	renewalTimeout = 100 * time.Millisecond
 	// busyPollWait and idlePollWait are how long a poll may wait at an endpoint with and without runs. Together with the
 	// timeout of a lost call they stay well below the lease.
 	busyPollWait = 200 * time.Millisecond
@@ -114,7 +120,7 @@
 // poll requests one report, applies it and returns the pause before the next poll.
 func (x *session) poll(ctx context.Context) time.Duration {
 	sent, request := x.preparePoll()
-	report, refusal, err := x.endpointClient.RenewLease(ctx, request)
+	report, refusal, err := x.renewLease(ctx, request)
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,6 +140,13 @@
 	return 0
 }
 
+// renewLease sends a renewal and waits for the report until its timeout.
+func (x *session) renewLease(ctx context.Context, request work.LeaseRequest) (work.Report, work.Refusal, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+x.shard.opts.Window.Timeout(renewalTimeout))
+	defer cancel()
+	return x.endpointClient.RenewLease(ctx, request)
+}
+
 // silentAfterPolls is the number of consecutive unanswered polls from which an endpoint gets no new runs.
 const silentAfterPolls = 2
 
@@ -353,21 +366,57 @@
 	}
 }
 
-// start sends the start request of a run to the endpoint and handles the answer.
-func (x *session) start(r *pool.Run, spec string, fence int64) {
+// start sends the start request of a run to the endpoint as soon as the window admits it, and handles the answer.
+func (x *session) start(r *pool.Run, fence int64) {
+	s := x.shard
+	s.opts.Window.Acquire()
+	request, ok := x.prepareStart(r, fence)
+	if !ok {
+		s.opts.Window.Forgo()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Window.Timeout(requestTimeout))
+	defer cancel()
+	sent := s.opts.Now()
+	refusal, clock, err := x.endpointClient.Start(ctx, request)
+	s.opts.Window.Release(s.opts.Now() - sent)
+	x.startAnswered(r, fence, refusal, clock, err)
+}
+
+// prepareStart returns the start request of a run. It returns false if the run must not start any more: its job has ended,
+// or the endpoint must not get new runs or has not reported to the current fence. The request was never sent, so the run is
+// over.
+func (x *session) prepareStart(r *pool.Run, fence int64) (work.StartRequest, bool) {
 	s := x.shard
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
+		return work.StartRequest{}, false
+	}
 	now := s.opts.Now()
+	if r.State != pool.Ordered || fence != s.term.Fence || !x.usable() {
+		s.opts.Log.WithFields(logrus.Fields{"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID}).
+			Info("start request not sent: the job has ended or the endpoint gets no new runs")
+		s.finish(s.pool.RunLost(r, now))
+		s.dispatch()
+		return work.StartRequest{}, false
+	}
+	s.pool.RunSent(r, now)
+	s.opts.Counts.Starts.Add(1)
+	s.opts.Counts.WaitMS.AddDuration(s.pool.QueueWait(r))
 	x.leaseExtendedAt = now
-	request := work.StartRequest{Task: r.Task, Run: r.Number, Spec: spec, LeaseEnd: x.leaseEnd(now), Fence: fence}
-	s.mu.Unlock()
-	refusal, clock, err := x.endpointClient.Start(context.Background(), request)
+	return work.StartRequest{Task: r.Task, Run: r.Number, Spec: s.pool.Spec(r), LeaseEnd: x.leaseEnd(now), Fence: fence}, true
+}
+
+// startAnswered handles the answer to a start request.
+func (x *session) startAnswered(r *pool.Run, fence int64, refusal work.Refusal, clock time.Duration, err error) {
+	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
 		return
 	}
-	now = s.opts.Now()
+	now := s.opts.Now()
 	if clock > 0 && !errors.Is(err, work.ErrNoResponse) {
 		x.clock, x.clockAt = clock, now
 	}
@@ -430,7 +479,9 @@
 // stop requests the stop of a run. If the endpoint confirms it, stop requests a report after maxStopTime: if the report
 // lacks the run, the run is over.
 func (x *session) stop(r *pool.Run, fence int64) {
-	refusal, err := x.endpointClient.Stop(context.Background(), r.Task, r.Number, fence)
+	ctx, cancel := context.WithTimeout(context.Background(), x.shard.opts.Window.Timeout(requestTimeout))
+	defer cancel()
+	refusal, err := x.endpointClient.Stop(ctx, r.Task, r.Number, fence)
 	if !x.stopAnswered(r, refusal, err) {
 		return
 	}
@@ -441,7 +492,7 @@
 // requestReport requests a report in addition to the regular polls. If the request fails, the next poll brings the report.
 func (x *session) requestReport() {
 	sent, request := x.reportRequest()
-	report, refusal, err := x.endpointClient.RenewLease(context.Background(), request)
+	report, refusal, err := x.renewLease(context.Background(), request)
 	if err != nil || refusal != work.Done {
 		return
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -20,6 +20,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
@@ -46,6 +47,8 @@
 	Directory *Directory
 	Lease     time.Duration // longest lease that endpoints accept
 	Dialer    work.Dialer
+	// Window limits the start requests in flight. All shards of an instance share it, since they share its link.
+	Window *congestion.Window
 	// OnFenced is called when an endpoint refuses a request because it has seen a higher fence than this instance's.
 	OnFenced func()
 	Counts   *Counts
@@ -240,9 +243,7 @@
 		if x == nil {
 			continue // the endpoint was dropped, and its runs with it
 		}
-		s.opts.Counts.Starts.Add(1)
-		s.opts.Counts.WaitMS.AddDuration(s.pool.QueueWait(r))
-		go x.start(r, s.pool.Spec(r), s.term.Fence)
+		go x.start(r, s.term.Fence)
 	}
 }
 
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -65,7 +68,7 @@
 	started := time.Now()
 	counts := shard.NewCounts()
 	d.Shard = shard.New(shard.Options{
-		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, OnFenced: fenced, Counts: &counts,
+		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Window: congestion.New(), OnFenced: fenced, Counts: &counts,
 		Log: discardLog(), Now: func() time.Duration { return time.Since(started) + d.skip(0) },
 	})
 	return d
@@ -152,6 +155,37 @@
 	is.Equal(f.OverlappingRuns(), "")
 }
 
+// Guards against start requests that wait in the queue of a thin link until they time out, so that runs are stopped and started
+// again and fill the link further. Two jobs of eight tasks with long specifications arrive every 250 ms; their requests take
+// 60% of the link, but those of two jobs take 150 ms, more than a request's timeout.
+func TestThinLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const jobs, tasks = 20, 8
+		f, all := newFleet(12, 50*time.Millisecond)
+		f.LinkBytesPerSecond = 250_000
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		s.register(all)
+		time.Sleep(time.Second)
+		for i := range jobs {
+			m := &relay.Submit{Job: jobOf(fmt.Sprint("thin", i), tasks, 50*time.Millisecond)}
+			m.Job.Spec = strings.Repeat("x", 2000)
+			s.Submit(c, m)
+			if i%2 == 1 {
+				time.Sleep(250 * time.Millisecond)
+			}
+		}
+		time.Sleep(time.Second)
+		for i := range jobs {
+			is.True(completed(c, work.JobID(fmt.Sprint("thin", i)))())
+		}
+		is.Equal(len(f.Starts()), jobs*tasks) // no run was started again
+		s.End()
+		time.Sleep(time.Second) // for the last calls to end
+	})
+}
+
 // Guards against two simultaneous runs of a task when a start request gets no answer and is carried out later.
 func TestLateStartRequest(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -43,6 +43,36 @@
 	// delay, or never if the delay is negative. The calls are "start", "stop", "hold" (a lease renewal) and "report" (the
 	// second part of a renewal that waits for an ended run).
 	LoseAnswer func(call string) (lost bool, delay time.Duration)
+	// LinkBytesPerSecond is the speed of the link between the dispatchers and the endpoints, over which requests pass one
+	// after the other; 0 for an unlimited one. A request whose sender stops waiting is still delivered.
+	LinkBytesPerSecond int
+	linkFreeAt         time.Time // when the link has delivered all requests so far
+}
+
+// requestBytes is the size of a request without a job's specification, including headers.
+const requestBytes = 300
+
+// deliver waits until the link has delivered a request of a number of bytes. It returns false if ctx ends first; the request
+// is then delivered later and passed to late.
+func (f *Fleet) deliver(ctx context.Context, bytes int, late func()) bool {
+	f.mu.Lock()
+	if f.LinkBytesPerSecond == 0 {
+		f.mu.Unlock()
+		return true
+	}
+	if now := time.Now(); f.linkFreeAt.Before(now) {
+		f.linkFreeAt = now
+	}
+	f.linkFreeAt = f.linkFreeAt.Add(time.Duration(bytes) * time.Second / time.Duration(f.LinkBytesPerSecond))
+	delivery := time.Until(f.linkFreeAt)
+	f.mu.Unlock()
+	select {
+	case <-time.After(delivery):
+		return true
+	case <-ctx.Done():
+		time.AfterFunc(delivery, late)
+		return false
+	}
 }
 
 // New returns a fleet without endpoints. All tasks have the run time run.
@@ -182,6 +212,15 @@
 // Close implements work.EndpointClient.
 func (c *client) Close() {}
 
+// transmit sends a call of a number of bytes over the link and carries it out on the endpoint.
+func transmit[T any](ctx context.Context, c *client, call string, bytes int, do func(e *endpoint) T) (answer T, err error) {
+	late := func() { send(context.Background(), c, call, do) } // nobody waits for the answer any more
+	if !c.fleet.deliver(ctx, bytes, late) {
+		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
+	}
+	return send(ctx, c, call, do)
+}
+
 // callTimeout is the time after which a call without a response fails.
 const callTimeout = 60 * time.Millisecond
 
@@ -226,7 +265,7 @@
 		refusal work.Refusal
 		clock   time.Duration
 	}
-	a, err := send(ctx, c, "start", func(e *endpoint) answer { return answer{e.start(s), e.clock()} })
+	a, err := transmit(ctx, c, "start", requestBytes+len(s.Spec), func(e *endpoint) answer { return answer{e.start(s), e.clock()} })
 	return a.refusal, a.clock, err
 }
 
@@ -297,7 +336,7 @@
 
 // Stop implements work.EndpointClient.
 func (c *client) Stop(ctx context.Context, task work.TaskID, run int, fence int64) (work.Refusal, error) {
-	return send(ctx, c, "stop", func(e *endpoint) work.Refusal {
+	return transmit(ctx, c, "stop", requestBytes, func(e *endpoint) work.Refusal {
 		if fence < e.fence {
 			return work.Fenced
 		}
@@ -319,7 +358,7 @@
 
 // RenewLease implements work.EndpointClient.
 func (c *client) RenewLease(ctx context.Context, lease work.LeaseRequest) (work.Report, work.Refusal, error) {
-	first, err := send(ctx, c, "hold", func(e *endpoint) renewal { return e.renewLease(lease) })
+	first, err := transmit(ctx, c, "hold", requestBytes, func(e *endpoint) renewal { return e.renewLease(lease) })
 	if err != nil || first.refusal != work.Done || first.changed == nil || lease.Wait == 0 {
 		return first.report, first.refusal, err
 	}
