Partitions by the speed of the link, spread over the members of the zone's group

Cause: the store deals all partitions of a group evenly, in blocks or in turns, and a zone uses the first ones only. A zone of 17 endpoints was also one partition however thin the link. Change: partition k of n stands at k times the distance plus an offset in the group, so that blocks and turns both spread them; a dispatcher gets at most 8 endpoints for each Mbit/s, between 8 and 40, as before from 5 Mbit/s on; never more partitions than the group has (a group of 4 left partitions without a dispatcher). Tests: TestPartitionsAreSpreadOverMembers (all on one member before), TestPartitionsOfSmallGroup, TestEndpointsPerPartition.

--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -20,9 +20,14 @@
 const (
 	// MaxPartitions is the maximum number of partitions of a zone.
 	MaxPartitions = 16
-	// endpointsPerPartition is the maximum number of endpoints per dispatcher, below MaxPartitions. A small instance can
+	// maxEndpointsPerPartition is the maximum number of endpoints per dispatcher, below MaxPartitions. A small instance can
 	// dispatch for that many, and they are enough for jobs of usual widths.
-	endpointsPerPartition = 40
+	maxEndpointsPerPartition = 40
+	// minEndpointsPerPartition keeps partitions large enough for jobs of usual widths however thin the link is.
+	minEndpointsPerPartition = 8
+	// endpointsPerMbps is the number of endpoints whose requests 1 Mbit/s of a dispatcher's link carries at the crest, with
+	// jobs of short tasks and long specifications.
+	endpointsPerMbps = 8
 	// readWait is how long a read waits for a new record. It limits the time until a silent connection is detected.
 	readWait = 10 * time.Second
 	// guessDelay is how long an instance that cannot read the numbers lets other instances dispatch for its zone before it
@@ -34,10 +39,20 @@
 	raiseTimeout = 700 * time.Millisecond
 )
 
-// PartitionsFor returns the number of partitions that a number of endpoints needs: a power of 2, at most MaxPartitions.
-func PartitionsFor(endpoints int) int {
+// EndpointsPerPartition returns the maximum number of endpoints for a dispatcher whose link carries a number of Mbit/s; 0
+// for a link of unknown speed.
+func EndpointsPerPartition(linkMbps float64) int {
+	if linkMbps <= 0 {
+		return maxEndpointsPerPartition
+	}
+	n := min(linkMbps*endpointsPerMbps, maxEndpointsPerPartition)
+	return max(int(n), minEndpointsPerPartition)
+}
+
+// PartitionsFor returns the number of partitions that a number of endpoints needs: a power of 2, at most most.
+func PartitionsFor(endpoints, perPartition, most int) int {
 	parts := 1
-	for parts < MaxPartitions && endpoints > parts*endpointsPerPartition {
+	for 2*parts <= most && endpoints > parts*perPartition {
 		parts *= 2
 	}
 	return parts
@@ -47,6 +62,10 @@
 type Options struct {
 	Store store.Store
 	Topic string
+	// EndpointsPerPartition is the maximum number of endpoints for which this instance can dispatch, below MaxPartitions.
+	EndpointsPerPartition int
+	// GroupPartitions is the number of partitions of a group's topic in the store; MaxPartitions if 0.
+	GroupPartitions int
 	// OnChange is called when the numbers are known for the first time and whenever a number has risen. It must not block.
 	OnChange func()
 	Log      logrus.FieldLogger
@@ -70,6 +89,9 @@
 
 // New returns a controller that is not running.
 func New(o Options) *Controller {
+	if o.GroupPartitions <= 0 {
+		o.GroupPartitions = MaxPartitions
+	}
 	c := &Controller{
 		opts: o, parts: map[string]int{}, guessed: map[string]int{}, changedAt: map[string]time.Time{}, startedAt: time.Now(),
 	}
@@ -105,15 +127,33 @@
 	return max(c.parts[zone], 1)
 }
 
+func (c *Controller) partitionsFor(endpoints int) int {
+	return PartitionsFor(endpoints, c.opts.EndpointsPerPartition, min(c.opts.GroupPartitions, MaxPartitions))
+}
+
+// GroupPartition returns the partition of the zone's group in the store whose holder dispatches for a partition of the zone.
+func (c *Controller) GroupPartition(zone string, partition int) int {
+	return groupPartition(partition, c.Partitions(zone), c.opts.GroupPartitions)
+}
+
+// groupPartition spreads the partitions of a zone over those of its group. The store deals all partitions of a group evenly
+// to the members, in blocks or in turns, so partitions that lie side by side or at a regular distance would often have the
+// same holder.
+func groupPartition(partition, partitions, groupPartitions int) int {
+	distance := max(groupPartitions/partitions, 1)
+	offset := 6*partition + 5*(partition/4) // differs in the remainders by the usual numbers of members
+	return partition*distance + offset%distance
+}
+
 // Guess sets the number of partitions that a zone with a number of endpoints needs as its guess. It does nothing if the
 // numbers are known or the present guess is not lower.
 func (c *Controller) Guess(zone string, endpoints int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.known || PartitionsFor(endpoints) <= c.guessed[zone] {
+	if c.known || c.partitionsFor(endpoints) <= c.guessed[zone] {
 		return
 	}
-	c.guessed[zone] = PartitionsFor(endpoints)
+	c.guessed[zone] = c.partitionsFor(endpoints)
 	c.opts.Log.WithFields(logrus.Fields{"event": "division_guess", "zone": zone, "partitions": c.guessed[zone], "endpoints": endpoints}).
 		Info("the zone's number of partitions is not known; using a guess")
 }
@@ -177,7 +217,7 @@
 // Raise writes the number of partitions that a zone with a number of endpoints needs to the store, if the present number is
 // lower. All instances, including this one, use the new number once they have read it.
 func (c *Controller) Raise(ctx context.Context, zone string, endpoints int) {
-	wanted := PartitionsFor(endpoints)
+	wanted := c.partitionsFor(endpoints)
 	c.mu.Lock()
 	due := c.known && wanted > max(c.parts[zone], 1) && time.Since(c.raiseTriedAt) >= raisePause
 	if due {
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -29,7 +29,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	changed := &atomic.Int64{}
-	c := New(Options{Store: s, Topic: topic, Log: log, OnChange: func() { changed.Add(1) }})
+	c := New(Options{Store: s, Topic: topic, EndpointsPerPartition: 40, Log: log, OnChange: func() { changed.Add(1) }})
 	ctx, cancel := context.WithCancel(t.Context())
 	go c.Run(ctx)
 	return c, changed, cancel
@@ -39,7 +39,71 @@
 func TestPartitionsFor(t *testing.T) {
 	is := is.New(t)
 	for endpoints, parts := range map[int]int{0: 1, 16: 1, 40: 1, 41: 2, 117: 4, 400: 16, 5000: 16} {
-		is.Equal(PartitionsFor(endpoints), parts)
+		is.Equal(PartitionsFor(endpoints, 40, MaxPartitions), parts)
+	}
+}
+
+// Guards against one dispatcher for so many endpoints that their start requests exceed its link, and against partitions that
+// are too small for wide jobs.
+func TestEndpointsPerPartition(t *testing.T) {
+	is := is.New(t)
+	for mbps, endpoints := range map[float64]int{0: 40, 1000: 40, 25: 40, 4: 32, 2: 16, 0.5: 8} {
+		is.Equal(EndpointsPerPartition(mbps), endpoints)
+	}
+	is.Equal(PartitionsFor(17, EndpointsPerPartition(2), 16), 2)
+	is.Equal(PartitionsFor(17, EndpointsPerPartition(25), 16), 1)
+}
+
+// Guards against more partitions than the group has, of which some would have no dispatcher.
+func TestPartitionsOfSmallGroup(t *testing.T) {
+	is := is.New(t)
+	is.Equal(PartitionsFor(400, 40, 4), 4)
+	is.Equal(PartitionsFor(400, 40, 6), 4)
+	is.Equal(PartitionsFor(400, 40, 1), 1)
+}
+
+// Guards against an instance that dispatches for most of its zone while others have no partition, although the store deals the
+// partitions of the group evenly: in blocks to the first members, or in turns.
+func TestPartitionsAreSpreadOverMembers(t *testing.T) {
+	is := is.New(t)
+	deals := map[string]func(groupPartition, members, groupPartitions int) int{
+		"in blocks": func(p, members, all int) int { return p * members / all },
+		"in turns":  func(p, members, _ int) int { return p % members },
+	}
+	for deal, holder := range deals {
+		for _, all := range []int{16, 32} {
+			for _, members := range []int{3, 4, 5, 8} {
+				for partitions := 2; partitions <= 8; partitions *= 2 {
+					held := map[int]int{}
+					busiest := 0
+					for part := range partitions {
+						p := groupPartition(part, partitions, all)
+						is.True(p < all)
+						h := holder(p, members, all)
+						held[h]++
+						busiest = max(busiest, held[h])
+					}
+					t.Log(deal, all, "group partitions,", members, "members,", partitions, "partitions: the busiest holds", busiest)
+					is.True(busiest <= (partitions+members-1)/members+1) // at most one more than an even share
+				}
+			}
+		}
+	}
+}
+
+// Guards against two partitions with the same place in the group.
+func TestGroupPartitionsDiffer(t *testing.T) {
+	is := is.New(t)
+	for _, all := range []int{1, 2, 4, 16, 20, 32, 100} {
+		for partitions := 1; partitions <= min(all, MaxPartitions); partitions *= 2 {
+			seen := map[int]bool{}
+			for part := range partitions {
+				p := groupPartition(part, partitions, all)
+				is.True(p < all)
+				is.True(!seen[p])
+				seen[p] = true
+			}
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,8 @@
 		})
 	})
 	n.divisions = division.New(division.Options{
-		Store: n.store, Topic: o.Records.DivisionsTopic(), OnChange: n.shards.reconcile, Log: o.Log,
+		Store: n.store, Topic: o.Records.DivisionsTopic(),
+		EndpointsPerPartition: division.EndpointsPerPartition(s.LinkMbps), GroupPartitions: s.GroupPartitions, OnChange: n.shards.reconcile, Log: o.Log,
 	})
 	n.shards.divisions = n.divisions
 	n.router = &router{
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -72,13 +72,18 @@
 	return l
 }
 
+// dispatcher returns the address of the instance that dispatches for a partition, or "" if it is not known.
+func (r *router) dispatcher(zone string, partition int) string {
+	return r.lead.Dispatcher(zone, r.divisions.GroupPartition(zone, partition))
+}
+
 // unknownPressure is the pressure, in percent, that is assumed for a dispatcher that is not connected or has not reported
 // its load. It sorts behind dispatchers that have capacity.
 const unknownPressure = 90
 
 // pressure returns the last known pressure of a dispatcher in percent. ok is false while none is known.
 func (r *router) pressure(t gateway.Target) (pressure int, ok bool) {
-	address := r.lead.Dispatcher(t.Zone, t.Partition)
+	address := r.dispatcher(t.Zone, t.Partition)
 	if address == r.address {
 		return r.shards.pressure(t.Partition)
 	}
@@ -110,7 +115,7 @@
 	}
 	for _, zone := range r.others {
 		for part := range r.divisions.Partitions(zone) {
-			if address := r.lead.Dispatcher(zone, part); address != "" {
+			if address := r.dispatcher(zone, part); address != "" {
 				r.routeTo(address, zone)
 			}
 		}
@@ -119,7 +124,7 @@
 
 // Submit implements gateway.Router.
 func (r *router) Submit(to gateway.Target, s *relay.Submit) (gateway.Route, bool) {
-	address := r.lead.Dispatcher(to.Zone, to.Partition)
+	address := r.dispatcher(to.Zone, to.Partition)
 	if address == "" {
 		return nil, false
 	}
@@ -199,7 +204,7 @@
 func (r *router) ownZoneConnected() bool {
 	all := true
 	for part := range r.divisions.Partitions(r.ownZone) {
-		address := r.lead.Dispatcher(r.ownZone, part)
+		address := r.dispatcher(r.ownZone, part)
 		switch {
 		case address == "":
 			all = false
@@ -218,7 +223,7 @@
 	used := map[string]bool{}
 	for _, zone := range append([]string{r.ownZone}, r.others...) {
 		for part := range r.divisions.Partitions(zone) {
-			used[r.lead.Dispatcher(zone, part)] = true
+			used[r.dispatcher(zone, part)] = true
 		}
 	}
 	r.mu.Lock()
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -23,20 +23,22 @@
 
 // Settings are the start-up settings of an instance.
 type Settings struct {
-	Instance    string
-	Zone        string
-	Zones       []string // all zones of the deployment
-	IP          string   // address of this instance, for its listeners
-	Callers     string   // host:port of the callers' listener
-	Health      string   // host:port of the listener for the load balancer's health checks
-	Store       string   // host:port of the store
-	FirstPort   int      // first port that is free for connections between instances
-	LastPort    int      // last port that is free for connections between instances
-	Descriptors int      // limit of the process's open files and connections
-	MemoryMB    int
-	Grace       time.Duration // time between the request to stop and the kill of the process
-	Lease       time.Duration // longest lease of a run on an endpoint
-	MemberTTL   time.Duration // shortest time to live of a membership in a group of the store
+	Instance        string
+	Zone            string
+	Zones           []string // all zones of the deployment
+	IP              string   // address of this instance, for its listeners
+	Callers         string   // host:port of the callers' listener
+	Health          string   // host:port of the listener for the load balancer's health checks
+	Store           string   // host:port of the store
+	FirstPort       int      // first port that is free for connections between instances
+	LastPort        int      // last port that is free for connections between instances
+	GroupPartitions int      // number of partitions of a group in the store; 0 if unknown
+	Descriptors     int      // limit of the process's open files and connections
+	MemoryMB        int
+	LinkMbps        float64       // speed of the instance's link in Mbit/s; 0 if unknown
+	Grace           time.Duration // time between the request to stop and the kill of the process
+	Lease           time.Duration // longest lease of a run on an endpoint
+	MemberTTL       time.Duration // shortest time to live of a membership in a group of the store
 }
 
 // Validate returns every problem of the settings in one error.
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -47,7 +47,7 @@
 	t := s.shardTerm()
 	for part := range division.MaxPartitions {
 		x := s.all[part]
-		if !s.term.Holds(part) || part >= t.Partitions {
+		if part >= t.Partitions || !s.term.Holds(s.divisions.GroupPartition(s.zone, part)) {
 			if x != nil {
 				x.End()
 			}
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -33,13 +33,14 @@
 			OnFenced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
 		})
 	})
-	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", Log: log, OnChange: n.reconcile})
-	n.setTerm(lead.Term{Generation: 3, Partitions: []int{2, 9}})
-	is.True(!n.leading(anyPartition)) // the division is not known yet
+	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
+	n.setTerm(lead.Term{Generation: 3, Partitions: []int{8, 9}}) // the group partition of 2, and none of this zone
+	is.True(!n.leading(anyPartition))                            // the division is not known yet
 	go n.divisions.Run(t.Context())
 	wait.For(t, "the partition is dispatched", func() bool { return n.leading(2) })
 	t.Cleanup(func() { n.setTerm(lead.Term{Generation: 4}) })
 	is.True(!n.leading(0))
 	is.True(!n.leading(9)) // the zone has only 4 partitions
+	is.True(!n.leading(1))
 	is.Equal(n.dump()[0].Fence, fenceOf(3, 4))
 }
