Zones without a known dispatcher are looked up every second

Each instance had looked up the other zones while their groups were still empty, and did so again only after 10 s. Change: as long as no holder of a zone's partitions is known, its look-ups repeat after a second. Test: TestZoneWithoutDispatchersIsLookedUpSoon failed before.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -40,7 +40,8 @@
 	// ownSearchInterval is the pause between look-ups while a dispatcher of this instance's zone is unknown or
 	// unreachable, and after Leave.
 	ownSearchInterval = 150 * time.Millisecond
-	// otherSearchInterval is the shortest pause between two look-ups of another zone, which may be cut off, for Search.
+	// otherSearchInterval is the pause between look-ups of another zone while no dispatcher of it is known, and the shortest
+	// pause for Search. It is longer than ownSearchInterval, since the zone may be cut off.
 	otherSearchInterval = time.Second
 	memberSeparator     = "|"
 	leaveTimeout        = 500 * time.Millisecond
@@ -336,7 +337,7 @@
 		return ownSearchInterval
 	case own:
 		return ownLookUpInterval
-	case lookUpSoon:
+	case lookUpSoon, len(c.holders[zone]) == 0:
 		return otherSearchInterval
 	}
 	return otherLookUpInterval
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -127,6 +127,26 @@
 	is.True(time.Since(begun) < otherLookUpInterval/2)
 }
 
+// Guards against a zone that gets no jobs of others for many seconds after all instances have started again, because its group
+// was still empty when they looked it up. The clock is virtual.
+func TestZoneWithoutDispatchersIsLookedUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := keyed.New()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c := New(Options{Store: s, Zone: "north", Topic: func(zone string) string { return "lead." + zone }, Log: log})
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Follow(ctx, []string{"north", "south"}, func() bool { return true })
+		time.Sleep(time.Second / 2) // the first look-up finds no member
+		_, err := s.Join(t.Context(), store.Membership{Group: "lead.south", Topic: "lead.south", Member: "x|x:1", TTL: time.Hour})
+		is.NoErr(err)
+		time.Sleep(otherSearchInterval + ownSearchInterval)
+		is.Equal(c.Dispatcher("south", 0), "x:1")
+		cancel()
+	})
+}
+
 // Guards against losing the term while the store cannot be reached, and against a term that continues after Leave.
 func TestOutageAndLeave(t *testing.T) {
 	is := is.New(t)
