Timeouts of start and stop requests follow the response times, from 20 ms on

Change: the timeout is the mean response time and four mean deviations, at least four times the median of the last batch and at least 20 ms, at most 200 ms. Timeouts count as response times, so they grow on a congested link.

--- a/internal/congestion/window.go
+++ b/internal/congestion/window.go
@@ -19,26 +19,36 @@
 	shrinkage   = 0.7
 	// batchSize is the number of responses after which the size is adjusted.
 	batchSize = 8
-	// timeoutFactor is the number of response times that a request waits beyond its base timeout.
-	timeoutFactor = 3
-	// maxExtraTimeout keeps timeouts well below the length of a lease.
-	maxExtraTimeout = 150 * time.Millisecond
+	// initialMean and initialDeviation give a timeout of 60 ms before the first responses, which suits a thin link.
+	initialMean      = 20 * time.Millisecond
+	initialDeviation = 10 * time.Millisecond
+	// maxTimeout keeps timeouts well below the length of a lease.
+	maxTimeout = 200 * time.Millisecond
+	// meanWeight and deviationWeight are the weights of one response in the moving averages, and deviations is the number of
+	// mean deviations by which the timeout exceeds the mean, as for retransmissions of TCP.
+	meanWeight      = 1.0 / 8
+	deviationWeight = 1.0 / 4
+	deviations      = 4
+	// medians is the least multiple of the median response time that a timeout lasts, for bursts on a congested link.
+	medians = 4
 )
 
 // Window limits the requests in flight. Its size follows the median response time of each batch of requests: a congested
 // link delays most responses, while a slow endpoint delays only its own. It is safe for concurrent use.
 type Window struct {
-	mu       sync.Mutex
-	size     float64
-	inFlight int
-	waiting  []chan struct{} // closed, in order of arrival, when the request may be sent
-	batch    []time.Duration // response times of the current batch
-	full     bool            // the window was full during the current batch
-	delay    time.Duration   // median response time of the last batch
+	mu        sync.Mutex
+	size      float64
+	inFlight  int
+	waiting   []chan struct{} // closed, in order of arrival, when the request may be sent
+	batch     []time.Duration // response times of the current batch
+	full      bool            // the window was full during the current batch
+	delay     time.Duration   // median response time of the last batch
+	mean      time.Duration   // moving average of the response times
+	deviation time.Duration   // moving average of their distance from the mean
 }
 
 // New returns a window without requests.
-func New() *Window { return &Window{size: initialSize} }
+func New() *Window { return &Window{size: initialSize, mean: initialMean, deviation: initialDeviation} }
 
 // Acquire waits until a request may be sent. Requests are admitted in the order of their calls.
 func (w *Window) Acquire() {
@@ -75,6 +85,7 @@
 // record adds a response time to the batch and adjusts the size at its end. The size grows only if it was used up, since
 // otherwise the batch does not show that the link carries more. w.mu is held.
 func (w *Window) record(took time.Duration) {
+	w.average(took)
 	w.batch = append(w.batch, took)
 	if len(w.batch) < batchSize {
 		return
@@ -100,11 +111,19 @@
 	}
 }
 
-// Timeout returns how long to wait for a response that takes at most base on a free link.
-func (w *Window) Timeout(base time.Duration) time.Duration {
+// average adds a response time to the moving averages. A timeout counts with its length, so that timeouts that are too short
+// grow. w.mu is held.
+func (w *Window) average(took time.Duration) {
+	distance := (took - w.mean).Abs()
+	w.deviation += time.Duration(deviationWeight * float64(distance-w.deviation))
+	w.mean += time.Duration(meanWeight * float64(took-w.mean))
+}
+
+// Timeout returns how long to wait for a response, at least least. It follows the response times of earlier requests.
+func (w *Window) Timeout(least time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return base + min(timeoutFactor*w.delay, maxExtraTimeout)
+	return max(least, min(max(w.mean+deviations*w.deviation, medians*w.delay), maxTimeout))
 }
 
 // Status describes a window for operators.
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// requestTimeout is how long a request to start or stop a run waits for its response when the link is not congested.
-	// Endpoints respond within a few milliseconds; a task whose request gets no response is delayed by this time.
-	requestTimeout = 60 * time.Millisecond
-	// renewalTimeout is how long a lease renewal waits for its response beyond the wait that it requests, when the link is
-	// not congested. It is short, since leases depend on renewals.
+	// requestTimeout is the shortest time that a request to start or stop a run waits for its response. Endpoints respond
+	// within a few milliseconds; a task whose request gets no response is delayed by this time.
+	requestTimeout = 20 * time.Millisecond
+	// renewalTimeout is the shortest time that a lease renewal waits for its response beyond the wait that it requests. It is
+	// short, since leases depend on renewals.
 	renewalTimeout = 100 * time.Millisecond
 	// busyPollWait and idlePollWait are how long a poll may wait at an endpoint with and without runs. Together with the
 	// timeout of a lost call they stay well below the lease.
