--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,6 +72,6 @@
 	Join(ctx context.Context, m Membership) (Assignment, error)
 	// Leave removes a member from a group.
 	Leave(ctx context.Context, m Membership) error
-	// Owners returns the members that hold the partitions of a group.
+	// Owners returns the members that hold the partitions of a group, without the partitions that nobody holds.
 	Owners(ctx context.Context, group string) ([]Owner, error)
 }
