A report right after a confirmed stop tells whether the run was there

Cause: after an order without an answer the run is stopped, and its task waited 60 ms more before a report was asked for, since it was thought that a report may lack a run that is being stopped. Change: the report is requested at once; the run is over if that report lacks it. If it contains the run, the poll brings its end, and a second report is requested after 60 ms. Tests: TestUnansweredStartIsRepeatedSoon failed before; TestRunThatIsBeingStoppedStillCounts with a stand-in whose stops take 50 ms.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -33,8 +33,8 @@
 	fencedPause = 250 * time.Millisecond
 	// unregisteredTimeout is how long an endpoint without a registration may be silent before it is dropped.
 	unregisteredTimeout = 3 * time.Second
-	// maxStopTime is how long an endpoint may take to stop a run. During that time a report may contain neither the run
-	// nor its end.
+	// maxStopTime is how long an endpoint may take to stop a run. During that time its reports contain the run; the report of
+	// the end comes with the next poll.
 	maxStopTime = 60 * time.Millisecond
 	// clockTolerance is how far an endpoint's clock may go back between reports before this counts as a restart of its
 	// process.
@@ -476,8 +476,9 @@
 	s.pool.RunRefused(r, refusal, now)
 }
 
-// stop requests the stop of a run. If the endpoint confirms it, stop requests a report after maxStopTime: if the report
-// lacks the run, the run is over.
+// stop requests the stop of a run. If the endpoint confirms it, stop requests a report: if the report lacks the run, the run
+// was never there or is over. If the report contains the run, another report is requested after maxStopTime, in case the poll
+// that brings the end is lost.
 func (x *session) stop(r *pool.Run, fence int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), x.shard.opts.Window.Timeout(requestTimeout))
 	defer cancel()
@@ -485,8 +486,18 @@
 	if !x.stopAnswered(r, refusal, err) {
 		return
 	}
-	time.Sleep(maxStopTime)
 	x.requestReport()
+	if x.follows(r) {
+		time.Sleep(maxStopTime)
+		x.requestReport()
+	}
+}
+
+// follows reports whether a run may still be on the endpoint.
+func (x *session) follows(r *pool.Run) bool {
+	x.shard.mu.Lock()
+	defer x.shard.mu.Unlock()
+	return x.shard.pool.Run(r.Task) == r
 }
 
 // requestReport requests a report in addition to the regular polls. If the request fails, the next poll brings the report.
@@ -518,7 +529,7 @@
 	}
 	if s.pool.Run(r.Task) == r && !x.stopConfirmed[r] {
 		x.stopConfirmed[r] = true
-		x.visibleFrom[r] = s.opts.Now() + maxStopTime
+		x.visibleFrom[r] = s.opts.Now()
 	}
 	return true
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -155,6 +155,64 @@
 	is.Equal(f.OverlappingRuns(), "")
 }
 
+// Guards against tasks that come late because a start request got no answer: finding out whether it was carried out may cost no more
+// than two timeouts of a request. The clock is virtual.
+func TestUnansweredStartIsRepeatedSoon(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"never carried out": -1, "carried out 3 s later": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, all := newFleet(4, 50*time.Millisecond)
+				first := true
+				f.LoseAnswer = func(call string) (bool, time.Duration) {
+					lost := call == "start" && first
+					first = first && !lost
+					return lost, delay
+				}
+				s, c := newShard(f, func() {}), newClient()
+				s.Begin(shard.Term{Fence: 1, Partitions: 1})
+				s.register(all)
+				time.Sleep(time.Second)
+				s.Submit(c, &relay.Submit{Job: jobOf("a", 4, 50*time.Millisecond)})
+				time.Sleep(2*60*time.Millisecond + 50*time.Millisecond)
+				is.True(completed(c, "a")())
+				time.Sleep(4 * time.Second)
+				is.Equal(f.OverlappingRuns(), "")
+				s.End()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a second run beside one that is being stopped: the endpoint has carried out a start request without an answer,
+// and its stop takes a while. The clock is virtual.
+func TestRunThatIsBeingStoppedStillCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(4, 400*time.Millisecond)
+		f.StopTime = 50 * time.Millisecond
+		n := 0
+		f.LoseAnswer = func(call string) (bool, time.Duration) {
+			n++
+			return call == "start" && n%3 == 0, 0
+		}
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		s.register(all)
+		time.Sleep(time.Second)
+		for i := range 6 {
+			s.Submit(c, &relay.Submit{Job: jobOf(fmt.Sprint("a", i), 4, 400*time.Millisecond)})
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(f.OverlappingRuns(), "")
+		is.Equal(f.OverCapacity(work.Size{MilliCPU: 1000, MemoryMB: 64}), "")
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against start requests that wait in the queue of a thin link until they time out, so that runs are stopped and started
 // again and fill the link further. Two jobs of eight tasks with long specifications arrive every 250 ms; their requests take
 // 60% of the link, but those of two jobs take 150 ms, more than a request's timeout.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -43,6 +43,8 @@
 	// delay, or never if the delay is negative. The calls are "start", "stop", "hold" (a lease renewal) and "report" (the
 	// second part of a renewal that waits for an ended run).
 	LoseAnswer func(call string) (lost bool, delay time.Duration)
+	// StopTime is how long the stop of a run takes. Until it has ended, reports contain the run.
+	StopTime time.Duration
 	// LinkBytesPerSecond is the speed of the link between the dispatchers and the endpoints, over which requests pass one
 	// after the other; 0 for an unlimited one. A request whose sender stops waiting is still delivered.
 	LinkBytesPerSecond int
@@ -295,6 +297,15 @@
 	return work.Done
 }
 
+// stopRun ends a run after the fleet's StopTime. The caller holds the fleet's mu.
+func (e *endpoint) stopRun(run *Start) {
+	if e.fleet.StopTime == 0 {
+		e.finish(run.Task, work.EndStopped)
+		return
+	}
+	time.AfterFunc(e.fleet.StopTime, func() { e.endRun(run, work.EndStopped) })
+}
+
 // endRun ends a run if it is still in progress.
 func (e *endpoint) endRun(run *Start, reason work.EndReason) {
 	e.fleet.mu.Lock()
@@ -343,7 +354,7 @@
 		e.fence = fence
 		e.lastEndedRun[task] = max(e.lastEndedRun[task], run)
 		if r := e.runs[task]; r != nil && r.Run <= run {
-			e.finish(task, work.EndStopped)
+			e.stopRun(r)
 		}
 		return work.Done
 	})
