Unanswered stops and reports are repeated at once

A stop without an answer was repeated after 150 ms, a report without one came with the next poll, and a poll whose answer was lost was given up 160 ms after it was sent: settling a lost order took 163 ms and more for a quarter of them, and ends of runs were learned late. The requests to start and stop runs have a file of their own (shard/requests.go). Test: TestUnansweredStopIsRepeatedAtOnce fails with a single attempt.

--- /dev/null
+++ b/internal/shard/requests.go
@@ -0,0 +1,183 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// start sends the start request of a run to the endpoint as soon as the window admits it, and handles the answer.
+func (x *session) start(r *pool.Run, fence int64) {
+	s := x.shard
+	s.opts.Window.Acquire()
+	request, ok := x.prepareStart(r, fence)
+	if !ok {
+		s.opts.Window.Forgo()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Window.Timeout(requestTimeout))
+	defer cancel()
+	sent := s.opts.Now()
+	refusal, clock, err := x.endpointClient.Start(ctx, request)
+	s.opts.Window.Release(s.opts.Now()-sent, err == nil)
+	x.startAnswered(r, fence, refusal, clock, err)
+}
+
+// prepareStart returns the start request of a run. It returns false if the run must not start any more: its job has ended,
+// or the endpoint must not get new runs or has not reported to the current fence. The request was never sent, so the run is
+// over.
+func (x *session) prepareStart(r *pool.Run, fence int64) (work.StartRequest, bool) {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
+		return work.StartRequest{}, false
+	}
+	now := s.opts.Now()
+	if r.State != pool.Ordered || fence != s.term.Fence || !x.usable() {
+		s.opts.Log.WithFields(logrus.Fields{"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID}).
+			Info("start request not sent: the job has ended or the endpoint gets no new runs")
+		s.finish(s.pool.RunLost(r, now))
+		s.dispatch()
+		return work.StartRequest{}, false
+	}
+	s.pool.RunSent(r, now)
+	s.opts.Counts.Starts.Add(1)
+	s.opts.Counts.WaitMS.AddDuration(s.pool.QueueWait(r))
+	x.leaseExtendedAt = now
+	return work.StartRequest{Task: r.Task, Run: r.Number, Spec: s.pool.Spec(r), LeaseEnd: x.leaseEnd(now), Fence: fence}, true
+}
+
+// startAnswered handles the answer to a start request.
+func (x *session) startAnswered(r *pool.Run, fence int64, refusal work.Refusal, clock time.Duration, err error) {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
+		return
+	}
+	now := s.opts.Now()
+	if clock > 0 && !errors.Is(err, work.ErrNoResponse) {
+		x.clock, x.clockAt = clock, now
+	}
+	switch {
+	case err != nil:
+		x.unanswered(r, now, err)
+	case refusal == work.Done:
+		x.visibleFrom[r] = now
+		s.pool.RunStarted(r)
+	default:
+		x.startRefused(r, refusal, fence, now)
+	}
+	s.dispatch()
+}
+
+// unanswered handles a start request that may have been carried out, or may be carried out later: the run is stopped, and
+// its task starts again once the run is known not to run.
+func (x *session) unanswered(r *pool.Run, now time.Duration, err error) {
+	s := x.shard
+	s.opts.Counts.UnansweredStarts.Add(1)
+	s.callLost, s.callLostAt = true, now
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "start_unanswered", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
+		"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
+	}).WithError(err).Warn("start request got no answer; the run may have started")
+	if r.State == pool.Ordered {
+		s.stopAll([]*pool.Run{s.pool.Withdraw(r)})
+	}
+}
+
+func (x *session) startRefused(r *pool.Run, refusal work.Refusal, fence int64, now time.Duration) {
+	s := x.shard
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "start_refused", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
+		"refusal": refusal.String(), "fence": fence,
+	}).Info("endpoint refused to start the run")
+	switch refusal {
+	case work.Fenced:
+		if fence < s.term.Fence {
+			break // the higher fence is this dispatcher's own
+		}
+		x.handleOutranked()
+		if !s.leading {
+			return // the term has ended, and the pool that the run belongs to was replaced
+		}
+	case work.NoRoom, work.TooLate:
+		// The next report corrects this dispatcher's view of the endpoint.
+		x.answering = false
+		s.pool.SetUsable(x.endpoint.ID, false)
+	case work.OtherProcess:
+		s.drop(x, "another process answers at the address")
+		return
+	case work.InvalidRequest:
+		s.finish(s.pool.RunImpossible(r))
+		return
+	}
+	s.pool.RunRefused(r, refusal, now)
+}
+
+// stop requests the stop of a run. If the endpoint confirms it, stop requests a report: if the report lacks the run, the run
+// was never there or is over. If the report contains the run, another report is requested after maxStopTime, in case the poll
+// that brings the end is lost.
+func (x *session) stop(r *pool.Run, fence int64) {
+	confirmed := repeat(func() bool { return x.sendStop(r, fence) })
+	if !confirmed {
+		return
+	}
+	repeat(x.requestReport)
+	if x.follows(r) {
+		time.Sleep(maxStopTime)
+		x.requestReport()
+	}
+}
+
+// maxAttempts is how often a request that may be repeated without harm is sent at once when it gets no answer.
+const maxAttempts = 3
+
+// repeat calls send until it returns true, at most maxAttempts times, and returns the last result.
+func repeat(send func() bool) bool {
+	for range maxAttempts {
+		if send() {
+			return true
+		}
+	}
+	return false
+}
+
+// sendStop requests the stop of a run and returns whether the endpoint confirmed it.
+func (x *session) sendStop(r *pool.Run, fence int64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), x.shard.opts.Window.Timeout(requestTimeout))
+	defer cancel()
+	refusal, err := x.endpointClient.Stop(ctx, r.Task, r.Number, fence)
+	return x.stopAnswered(r, refusal, err)
+}
+
+// follows reports whether a run may still be on the endpoint.
+func (x *session) follows(r *pool.Run) bool {
+	x.shard.mu.Lock()
+	defer x.shard.mu.Unlock()
+	return x.shard.pool.Run(r.Task) == r
+}
+
+// stopAnswered handles the answer to a stop request and returns whether the endpoint confirmed the stop.
+func (x *session) stopAnswered(r *pool.Run, refusal work.Refusal, err error) bool {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || refusal != work.Done {
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "stop_failed", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "refusal": refusal.String(),
+		}).WithError(err).Warn("endpoint did not confirm the stop; retrying")
+		return false
+	}
+	if s.pool.Run(r.Task) == r && !x.stopConfirmed[r] {
+		x.stopConfirmed[r] = true
+		x.visibleFrom[r] = s.opts.Now()
+	}
+	return true
+}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -185,6 +185,29 @@
 	}
 }
 
+// Guards against tasks that wait for the next periodic check because the stop of a run got no answer either: the stop and the
+// report that follows it are repeated at once. The clock is virtual.
+func TestUnansweredStopIsRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(4, 50*time.Millisecond)
+		lost := map[string]int{"start": 1, "stop": 2}
+		f.LoseAnswer = func(call string) (bool, time.Duration) {
+			lost[call]--
+			return lost[call] >= 0, -1
+		}
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		s.register(all)
+		time.Sleep(time.Second)
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 50*time.Millisecond)})
+		time.Sleep(3*60*time.Millisecond + 60*time.Millisecond) // a timeout each for the start and two stops, and the run
+		is.True(completed(c, "a")())
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a second run beside one that is being stopped: the endpoint has carried out a start request without an answer,
 // and its stop takes a while. The clock is virtual.
 func TestRunThatIsBeingStoppedStillCounts(t *testing.T) {
