Short timeouts only while requests are being lost

Small instances handle some answers tens of milliseconds late; their runs were stopped and started again. Test: TestShortTimeoutsOnlyWhileRequestsAreLost.

--- a/internal/congestion/window.go
+++ b/internal/congestion/window.go
@@ -22,6 +22,13 @@
 	// initialMean and initialDeviation give a timeout of 60 ms before the first responses, which suits a thin link.
 	initialMean      = 20 * time.Millisecond
 	initialDeviation = 10 * time.Millisecond
+	// maxFloor is the shortest timeout while nothing is known of lost requests, and minFloor while requests are being lost. A
+	// busy instance handles some responses tens of milliseconds late.
+	maxFloor = 60 * time.Millisecond
+	minFloor = 20 * time.Millisecond
+	// floorFall and floorRise are the factors by which a lost and a late response change the shortest timeout.
+	floorFall = 0.8
+	floorRise = 1.5
 	// maxTimeout keeps timeouts well below the length of a lease.
 	maxTimeout = 200 * time.Millisecond
 	// meanWeight and deviationWeight are the weights of one response in the moving averages, and deviations is the number of
@@ -44,12 +51,15 @@
 	batch     []time.Duration // response times of the current batch
 	full      bool            // the window was full during the current batch
 	delay     time.Duration   // median response time of the last batch
+	floor     time.Duration   // shortest timeout
 	mean      time.Duration   // moving average of the response times
 	deviation time.Duration   // moving average of their distance from the mean
 }
 
 // New returns a window without requests.
-func New() *Window { return &Window{size: initialSize, mean: initialMean, deviation: initialDeviation} }
+func New() *Window {
+	return &Window{size: initialSize, floor: maxFloor, mean: initialMean, deviation: initialDeviation}
+}
 
 // Acquire waits until a request may be sent. Requests are admitted in the order of their calls.
 func (w *Window) Acquire() {
@@ -122,11 +132,24 @@
 	w.mean += time.Duration(meanWeight * float64(took-w.mean))
 }
 
-// Timeout returns how long to wait for a response, at least least. It follows the response times of earlier requests.
+// Lost records that a request without a response was not carried out.
+func (w *Window) Lost() { w.scaleFloor(floorFall) }
+
+// Late records that a request whose response did not come in time was carried out.
+func (w *Window) Late() { w.scaleFloor(floorRise) }
+
+func (w *Window) scaleFloor(factor float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.floor = min(max(time.Duration(factor*float64(w.floor)), minFloor), maxFloor)
+}
+
+// Timeout returns how long to wait for a response, at least least. It follows the response times of earlier requests, and is
+// shorter while requests are being lost.
 func (w *Window) Timeout(least time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return max(least, min(max(w.mean+deviations*w.deviation, medians*w.delay), maxTimeout))
+	return max(least, w.floor, min(max(w.mean+deviations*w.deviation, medians*w.delay), maxTimeout))
 }
 
 // Status describes a window for operators.
--- a/internal/congestion/window_test.go
+++ b/internal/congestion/window_test.go
@@ -27,6 +27,31 @@
 	}
 }
 
+// lose records so many lost requests that the shortest timeout is in force.
+func lose(w *Window) {
+	for range 20 {
+		w.Lost()
+	}
+}
+
+// Guards against timeouts of a busy instance that are shorter than its delays, so that runs are stopped that have started, and
+// against long timeouts while requests are being lost.
+func TestShortTimeoutsOnlyWhileRequestsAreLost(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 100 {
+		w.Acquire()
+		w.Release(2*time.Millisecond, true)
+	}
+	is.Equal(w.Timeout(0), maxFloor)
+	lose(w)
+	is.Equal(w.Timeout(0), minFloor)
+	for range 3 {
+		w.Late()
+	}
+	is.Equal(w.Timeout(0), maxFloor)
+}
+
 // Guards against a queue on a congested link: when most responses are late, fewer requests may be in flight, until they come in
 // time again.
 func TestWindowFollowsTheLink(t *testing.T) {
@@ -93,7 +118,8 @@
 func TestTimeoutFollowsTheResponseTimes(t *testing.T) {
 	is := is.New(t)
 	w := New()
-	least := 20 * time.Millisecond
+	least := minFloor
+	lose(w)
 	is.Equal(w.Timeout(least), 60*time.Millisecond)
 	answer := func(n int, took time.Duration) {
 		for range n {
@@ -116,7 +142,8 @@
 func TestLostRequestsDoNotLengthenTimeouts(t *testing.T) {
 	is := is.New(t)
 	w := New()
-	least := 20 * time.Millisecond
+	least := minFloor
+	lose(w)
 	for range 200 {
 		for i := range 10 {
 			lost := i%4 == 0
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -37,6 +37,7 @@
 	Expected     time.Duration // expected run time on an endpoint of normal speed; 0 if not known
 	Percent      int           // progress as last reported
 	ProgressedAt time.Duration // when the progress last changed
+	Unanswered   bool          // the request to start it got no answer
 	job          *job          // nil if no job waits for the result
 	unsized      bool          // Size is not known
 }
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -317,7 +317,7 @@
 // Withdraw marks a run whose start was not confirmed as Stopping and returns it. Its task starts again once the run is known
 // not to exist.
 func (p *Pool) Withdraw(r *Run) *Run {
-	r.State = Stopping
+	r.State, r.Unanswered = Stopping, true
 	return r
 }
 
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// requestTimeout is the shortest time that a request to start or stop a run waits for its response. Endpoints respond
-	// within a few milliseconds; a task whose request gets no response is delayed by this time.
+	// requestTimeout is the shortest time that a request to start or stop a run waits for its response, see
+	// congestion.Window.Timeout. Endpoints respond within a few milliseconds; a task whose request gets no response is delayed
+	// by this time.
 	requestTimeout = 20 * time.Millisecond
 	// renewalTimeout is the shortest time that a lease renewal waits for its response beyond the wait that it requests. It is
 	// short, since leases depend on renewals. After calls were lost it is requestTimeout.
@@ -356,6 +357,9 @@
 	s := x.shard
 	if r := s.pool.Run(end.Task); r != nil {
 		x.forget(r)
+		if r.Unanswered {
+			s.opts.Window.Late()
+		}
 		if end.Reason == work.EndSucceeded {
 			s.opts.Counts.RunMS.AddDuration(now - r.Ordered)
 		}
@@ -388,6 +392,9 @@
 			continue
 		}
 		x.forget(r)
+		if r.Unanswered {
+			s.opts.Window.Lost()
+		}
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "run_missing", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID,
 			"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
