Weak instances stay out of their zone's group while others have the capacity

Reads grew with instances times endpoints, memberships with instances. Change: an instance has a capacity by its processor share (1 partition below 0.4 of a core, else 2), told in its member name. Instances of capacity 2 join at once. Others join when the capacity of the members has been below the number of partitions plus 2 for 0.6 to 2.1 s, or within 0.5 s when nobody is there, each after a fresh look-up. Registrations are read by members only, from the newest records on. Test: TestWeakInstancesStayOutOfTheGroup.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond // short, so that reading resumes soon after an outage
+	inactivePause = 100 * time.Millisecond // between two calls of Active
+	minBackoff    = 50 * time.Millisecond
+	maxBackoff    = 400 * time.Millisecond // short, so that reading resumes soon after an outage
 )
 
 // Options configures a Controller.
@@ -27,6 +28,8 @@
 	// Interval returns the pause between two reads, for topics that change too often for a read of each record. Nil
 	// means no pause.
 	Interval func() time.Duration
+	// Active reports whether to read; nil means always. A topic is read from its newest records when Active turns true.
+	Active func() bool
 	// Apply is called with the result of each successful read, in order, also when it has no records.
 	Apply func(Update)
 	Log   logrus.FieldLogger
@@ -69,6 +72,11 @@
 func (c *Controller) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if c.opts.Active != nil && !c.opts.Active() {
+			c.next = -1
+			c.pause(ctx, inactivePause)
+			continue
+		}
 		if err := c.step(ctx); err != nil {
 			c.reportFailure(err)
 			c.pause(ctx, backoff/2+rand.N(backoff))
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -11,7 +11,9 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,8 +46,18 @@
 	// pause for Search. It is longer than ownSearchInterval, since the zone may be cut off.
 	otherSearchInterval = time.Second
 	memberSeparator     = "|"
-	leaveTimeout        = 500 * time.Millisecond
-	leavePause          = 250 * time.Millisecond // pause between two attempts to leave
+	// strongCapacity is the capacity from which an instance joins its group at once.
+	strongCapacity = 2
+	// minPatience and extraPatience are how long the members of a zone must lack capacity before a weaker instance joins them:
+	// minPatience and a random part of extraPatience. Strong instances join meanwhile, and not all weaker ones at once. For a
+	// group without members it is a random part of maxEmptyPatience.
+	minPatience      = 600 * time.Millisecond
+	extraPatience    = 1500 * time.Millisecond
+	maxEmptyPatience = 500 * time.Millisecond
+	// maxLookUpAge is how old the knowledge of the members may be when an instance decides to join them.
+	maxLookUpAge = 200 * time.Millisecond
+	leaveTimeout = 500 * time.Millisecond
+	leavePause   = 250 * time.Millisecond // pause between two attempts to leave
 )
 
 // Options configures a Controller.
@@ -57,6 +69,11 @@
 	Address  string        // address at which other instances reach the dispatchers of this instance
 	TTL      time.Duration // a membership ends after ttlFactor times this without a join
 	Log      logrus.FieldLogger
+	// Capacity is the number of partitions that this instance should hold at most.
+	Capacity int
+	// CapacityNeeded returns the sum of capacities that the zone's group needs. Weak instances stay out of the group while its
+	// members have that much, so that few instances read the registrations and renew memberships. Nil means no limit.
+	CapacityNeeded func() int
 	// EndpointsKnown reports whether this instance knows the zone's endpoints. As long as it does not, the instance leaves
 	// the partitions to the members that hold them. Nil means always.
 	EndpointsKnown func() bool
@@ -88,8 +105,13 @@
 	term                Term
 	generationChangedAt time.Time // when the group's generation last rose
 	leaving             bool
-	hasLeft             bool // Leave has ended; a late join may still make this instance a member
-	joined              bool // a join has succeeded
+	hasLeft             bool          // Leave has ended; a late join may still make this instance a member
+	joined              bool          // a join has succeeded
+	candidate           bool          // this instance is to be a member
+	lookedUpAt          time.Time     // when the last successful look-up of the instance's zone began
+	lackingSince        time.Time     // since when the members' capacity is too low; zero while it is not
+	patience            time.Duration // how long it must be too low before this instance joins
+	emptyPatience       time.Duration // like patience, for a group without members
 	renewalFailing      bool
 	joinsPending        int                       // number of joins without an answer yet
 	deposedAt           map[string]time.Time      // last attempt to remove a member, by member
@@ -101,7 +123,8 @@
 func New(o Options) *Controller {
 	return &Controller{
 		opts: o, joinNow: make(chan struct{}, 1), lookUpNow: make(chan struct{}, 1), holders: map[string]map[int]string{},
-		deposedAt: map[string]time.Time{}, lookUpSoon: map[string]bool{},
+		deposedAt: map[string]time.Time{}, lookUpSoon: map[string]bool{}, patience: minPatience + rand.N(extraPatience),
+		emptyPatience: rand.N(maxEmptyPatience),
 	}
 }
 
@@ -169,12 +192,27 @@
 }
 
 // member returns this instance's name in its group.
-func (c *Controller) member() string { return c.opts.Instance + memberSeparator + c.opts.Address }
+func (c *Controller) member() string {
+	return strings.Join([]string{c.opts.Instance, strconv.Itoa(c.opts.Capacity), c.opts.Address}, memberSeparator)
+}
 
 func addressOf(member string) string {
 	return member[strings.LastIndex(member, memberSeparator)+1:]
 }
 
+// capacityOf returns the capacity in a member's name, 1 if it holds none.
+func capacityOf(member string) int {
+	parts := strings.Split(member, memberSeparator)
+	if len(parts) < 3 {
+		return 1
+	}
+	capacity, err := strconv.Atoi(parts[len(parts)-2])
+	if err != nil || capacity < 1 {
+		return 1
+	}
+	return capacity
+}
+
 // beginJoin reports whether a join may be sent now, and counts it as pending if so.
 func (c *Controller) beginJoin() bool {
 	c.mu.Lock()
@@ -190,7 +228,13 @@
 // another member holds partitions, or may hold some. Registrations may have ended, for example, during an outage of the
 // store. c.mu is held.
 func (c *Controller) mustWait() bool {
-	if c.joined || c.opts.EndpointsKnown == nil || c.opts.EndpointsKnown() {
+	if c.joined {
+		return false
+	}
+	if !c.isCandidate() {
+		return true
+	}
+	if c.opts.EndpointsKnown == nil || c.opts.EndpointsKnown() {
 		return false
 	}
 	holders, found := c.holders[c.opts.Zone]
@@ -205,6 +249,56 @@
 	return false
 }
 
+// Candidate reports whether this instance is a member of its zone's group or is about to join it.
+func (c *Controller) Candidate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isCandidate()
+}
+
+// isCandidate decides whether this instance is to be a member. Once it is, it stays one. c.mu is held.
+func (c *Controller) isCandidate() bool {
+	if c.candidate {
+		return true
+	}
+	capacity, known := c.membersCapacity()
+	patience := c.patience
+	if capacity == 0 { // nobody dispatches for the zone
+		patience = c.emptyPatience
+	}
+	switch {
+	case c.opts.CapacityNeeded == nil || c.opts.Capacity >= strongCapacity:
+	case !known:
+		return false
+	case capacity >= c.opts.CapacityNeeded():
+		c.lackingSince = time.Time{}
+		return false
+	case c.lackingSince.IsZero():
+		c.lackingSince = time.Now()
+		return false
+	case time.Since(c.lackingSince) < patience:
+		return false
+	case time.Since(c.lookedUpAt) > maxLookUpAge: // others may have joined meanwhile
+		c.lookUpSoon[c.opts.Zone] = true
+		notify(c.lookUpNow)
+		return false
+	}
+	c.candidate = true
+	c.opts.Log.WithFields(logrus.Fields{"event": "candidate", "capacity": c.opts.Capacity, "members_capacity": capacity}).
+		Info("this instance is to be a member of its zone's group")
+	return true
+}
+
+// membersCapacity returns the sum of the capacities of the members of this instance's zone that hold partitions. known is false
+// until the members have been looked up. c.mu is held.
+func (c *Controller) membersCapacity() (sum int, known bool) {
+	holders, known := c.holders[c.opts.Zone]
+	for _, member := range members(holders) {
+		sum += capacityOf(member)
+	}
+	return sum, known
+}
+
 func (c *Controller) join(ctx context.Context) {
 	share, err := c.opts.Store.Join(ctx, c.membership())
 	c.mu.Lock()
@@ -347,6 +441,7 @@
 	c.mu.Lock()
 	delete(c.lookUpSoon, zone)
 	c.mu.Unlock()
+	begun := time.Now()
 	owners, err := c.opts.Store.Owners(ctx, c.opts.Topic(zone))
 	if err != nil {
 		return // join logs failures of the store; the last addresses stay
@@ -358,6 +453,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if zone == c.opts.Zone {
+		c.lookedUpAt = begun
 		c.leaveAgain(ctx, holders)
 	}
 	if !maps.Equal(holders, c.holders[zone]) {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -244,3 +245,61 @@
 	wait.For(t, "the late member has left", func() bool { return held() == 0 })
 	is.Equal(len(a.Term().Partitions), 0)
 }
+
+// startWith starts a member with a capacity in a group that needs another one.
+func startWith(s *keyed.Store, name string, capacity, needed int) *member {
+	m := &member{stop: func() {}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m.Controller = New(Options{
+		Store: s, Zone: "north", Topic: func(zone string) string { return "lead." + zone }, Instance: name, Address: name + ":1",
+		TTL: time.Second, Log: log, OnChange: func(Term) {}, Capacity: capacity, CapacityNeeded: func() int { return needed },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go m.Run(ctx)
+	go m.Follow(ctx, []string{"north"}, func() bool { return true })
+	return m
+}
+
+// Guards against memberships and reads of the registrations that grow with the number of instances: weak instances stay out while
+// strong ones have the capacity that the zone needs, and join when these are gone. The clock is virtual.
+func TestWeakInstancesStayOutOfTheGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := keyed.New()
+		candidates := func(all []*member) int {
+			n := 0
+			for _, m := range all {
+				if m.Candidate() {
+					n++
+				}
+			}
+			return n
+		}
+		var strong, weak []*member
+		strong = append(strong, startWith(s, "strong", 2, 3))
+		for i := range 20 {
+			weak = append(weak, startWith(s, fmt.Sprint("weak", i), 1, 3))
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(candidates(strong), 1)
+		t.Log(candidates(weak), "of 20 weak instances joined; one is needed")
+		is.True(candidates(weak) >= 1 && candidates(weak) <= 10) // others may join before they see the first one
+		for _, m := range strong {
+			m.Leave(t.Context())
+			m.stop()
+		}
+		time.Sleep(5 * time.Second)
+		is.True(candidates(weak) >= 3)
+		held := 0
+		for _, m := range weak {
+			held += len(m.Term().Partitions)
+		}
+		is.Equal(held, keyed.Partitions) // the partitions have holders again
+		for _, m := range weak {
+			m.stop()
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,10 @@
 	// idleEndpointsInterval is the pause between reads of the endpoint registrations while this instance does not dispatch.
 	// It still reads them, so that it has them when it becomes a dispatcher.
 	idleEndpointsInterval = 3 * time.Second
-	maintenanceInterval   = 50 * time.Millisecond
+	// spareCapacity is the capacity that the members of a zone's group should have beyond one for each partition, for the loss
+	// of a member.
+	spareCapacity       = 2
+	maintenanceInterval = 50 * time.Millisecond
 	// minDrainTime is the time that the load balancer needs to detect that the instance is not ready any more. Until then
 	// the instance serves new requests.
 	minDrainTime = 2500 * time.Millisecond
@@ -109,7 +112,8 @@
 	s := o.Settings
 	n.lead = lead.New(lead.Options{
 		Store: n.store, Zone: s.Zone, Topic: o.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
-		TTL: s.MemberTTL, Log: o.Log, OnChange: func(t lead.Term) { n.terms <- t },
+		TTL: s.MemberTTL, Capacity: s.Capacity(), CapacityNeeded: n.capacityNeeded,
+		Log: o.Log, OnChange: func(t lead.Term) { n.terms <- t },
 		EndpointsKnown: func() bool { return n.divisions.Known() && n.directory.EndpointsKnown(n.now()) },
 	})
 	n.directory = shard.NewDirectory()
@@ -138,6 +142,16 @@
 // now returns the time since the node was created.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
+// capacityNeeded returns the sum of capacities that the members of the zone's group should have. Members without a partition
+// of the group are not seen, so it is no more than the group has partitions.
+func (n *Node) capacityNeeded() int {
+	needed := n.divisions.Partitions(n.opts.Settings.Zone) + spareCapacity
+	if all := n.opts.Settings.GroupPartitions; all > 0 {
+		return min(needed, all)
+	}
+	return needed
+}
+
 // otherZones returns the zones except the instance's zone, in alphabetical order, starting after the instance's zone and
 // wrapping around. The instances of each zone thus start with a different zone, so that the overflow of all zones does not
 // go to the same one.
@@ -245,7 +259,7 @@
 // endpointsFollower returns the controller that keeps the registrations up to date.
 func (n *Node) endpointsFollower() *follow.Controller {
 	return follow.New(follow.Options{
-		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints,
+		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints, Active: n.lead.Candidate,
 		Interval: func() time.Duration {
 			if n.shards.leading(anyPartition) {
 				return endpointsInterval
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -35,6 +35,7 @@
 	GroupPartitions int      // number of partitions of a group in the store; 0 if unknown
 	Descriptors     int      // limit of the process's open files and connections
 	MemoryMB        int
+	Cores           float64       // processors that the instance may use; 0 if unknown
 	LinkMbps        float64       // speed of the instance's link in Mbit/s; 0 if unknown
 	Grace           time.Duration // time between the request to stop and the kill of the process
 	Lease           time.Duration // longest lease of a run on an endpoint
@@ -74,3 +75,18 @@
 
 // RelayAddress returns the host:port of the listener for other instances.
 func (s *Settings) RelayAddress() string { return fmt.Sprintf("%s:%d", s.IP, s.FirstPort) }
+
+const (
+	// coresPerPartition is the processor share that a dispatcher of one partition needs at the crest.
+	coresPerPartition = 0.2
+	// maxCapacity keeps the partitions of a zone from lying with few instances.
+	maxCapacity = 2
+)
+
+// Capacity returns the number of partitions that the instance should dispatch for at most.
+func (s *Settings) Capacity() int {
+	if s.Cores <= 0 {
+		return maxCapacity
+	}
+	return min(max(int(s.Cores/coresPerPartition), 1), maxCapacity)
+}
