--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/store"
 )
 
@@ -74,19 +75,19 @@
 	for ctx.Err() == nil {
 		if c.opts.Active != nil && !c.opts.Active() {
 			c.next = -1
-			c.pause(ctx, inactivePause)
+			pause.For(ctx, inactivePause, c.refresh)
 			continue
 		}
 		if err := c.step(ctx); err != nil {
 			c.reportFailure(err)
-			c.pause(ctx, backoff/2+rand.N(backoff))
+			pause.For(ctx, backoff/2+rand.N(backoff), c.refresh)
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		c.reportRecovery()
 		backoff = minBackoff
 		if c.opts.Interval != nil {
-			c.pause(ctx, c.opts.Interval())
+			pause.For(ctx, c.opts.Interval(), c.refresh)
 		}
 	}
 }
@@ -140,17 +141,3 @@
 	c.opts.Log.WithFields(logrus.Fields{"event": "topic_back", "topic": c.opts.Topic, "offset": c.next}).
 		Info("a topic of the store can be read again")
 }
-
-// pause waits for d, or until ctx ends or Refresh is called.
-func (c *Controller) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-c.refresh:
-	}
-}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -20,6 +19,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/store"
 )
 
@@ -33,31 +33,11 @@
 	maxJoinsInFlight = 4 // a join does not wait for the answers to earlier ones, which may be lost or slow
 	// ttlFactor is the factor between Options.TTL and the time to live of a membership. It keeps a member in the group while
 	// joins are lost or carried out late. The other members remove a member that is known to have ended sooner.
-	ttlFactor   = 3
-	deposePause = 2 * time.Second // pause between two attempts to remove the same member
-	// ownLookUpInterval and otherLookUpInterval are the pauses between regular look-ups of the dispatchers of this
-	// instance's zone and of another zone. When a dispatcher is lost or has changed, Search triggers a look-up sooner.
-	ownLookUpInterval   = 5 * time.Second
-	otherLookUpInterval = 10 * time.Second
-	// ownSearchInterval is the pause between look-ups while a dispatcher of this instance's zone is unknown or
-	// unreachable, and after Leave.
-	ownSearchInterval = 150 * time.Millisecond
-	// otherSearchInterval is the pause between look-ups of another zone while no dispatcher of it is known, and the shortest
-	// pause for Search. It is longer than ownSearchInterval, since the zone may be cut off.
-	otherSearchInterval = time.Second
-	memberSeparator     = "|"
-	// strongCapacity is the capacity from which an instance joins its group at once.
-	strongCapacity = 2
-	// minPatience and extraPatience are how long the members of a zone must lack capacity before a weaker instance joins them:
-	// minPatience and a random part of extraPatience. Strong instances join meanwhile, and not all weaker ones at once. For a
-	// group without members it is a random part of maxEmptyPatience.
-	minPatience      = 600 * time.Millisecond
-	extraPatience    = 1500 * time.Millisecond
-	maxEmptyPatience = 500 * time.Millisecond
-	// maxLookUpAge is how old the knowledge of the members may be when an instance decides to join them.
-	maxLookUpAge = 200 * time.Millisecond
-	leaveTimeout = 500 * time.Millisecond
-	leavePause   = 250 * time.Millisecond // pause between two attempts to leave
+	ttlFactor       = 3
+	deposePause     = 2 * time.Second // pause between two attempts to remove the same member
+	memberSeparator = "|"
+	leaveTimeout    = 500 * time.Millisecond
+	leavePause      = 250 * time.Millisecond // pause between two attempts to leave
 )
 
 // Options configures a Controller.
@@ -131,19 +111,11 @@
 // Run renews the membership until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.leave(ctx) // an earlier process of this instance may still be a member; its fence must not be used again
-	for {
+	for ctx.Err() == nil {
 		if c.beginJoin() {
 			go c.join(ctx)
 		}
-		t := time.NewTimer(c.joinPause())
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		case <-c.joinNow:
-		}
-		t.Stop()
+		pause.For(ctx, c.joinPause(), c.joinNow)
 	}
 }
 
@@ -200,19 +172,6 @@
 	return member[strings.LastIndex(member, memberSeparator)+1:]
 }
 
-// capacityOf returns the capacity in a member's name, 1 if it holds none.
-func capacityOf(member string) int {
-	parts := strings.Split(member, memberSeparator)
-	if len(parts) < 3 {
-		return 1
-	}
-	capacity, err := strconv.Atoi(parts[len(parts)-2])
-	if err != nil || capacity < 1 {
-		return 1
-	}
-	return capacity
-}
-
 // beginJoin reports whether a join may be sent now, and counts it as pending if so.
 func (c *Controller) beginJoin() bool {
 	c.mu.Lock()
@@ -249,56 +208,6 @@
 	return false
 }
 
-// Candidate reports whether this instance is a member of its zone's group or is about to join it.
-func (c *Controller) Candidate() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isCandidate()
-}
-
-// isCandidate decides whether this instance is to be a member. Once it is, it stays one. c.mu is held.
-func (c *Controller) isCandidate() bool {
-	if c.candidate {
-		return true
-	}
-	capacity, known := c.membersCapacity()
-	patience := c.patience
-	if capacity == 0 { // nobody dispatches for the zone
-		patience = c.emptyPatience
-	}
-	switch {
-	case c.opts.CapacityNeeded == nil || c.opts.Capacity >= strongCapacity:
-	case !known:
-		return false
-	case capacity >= c.opts.CapacityNeeded():
-		c.lackingSince = time.Time{}
-		return false
-	case c.lackingSince.IsZero():
-		c.lackingSince = time.Now()
-		return false
-	case time.Since(c.lackingSince) < patience:
-		return false
-	case time.Since(c.lookedUpAt) > maxLookUpAge: // others may have joined meanwhile
-		c.lookUpSoon[c.opts.Zone] = true
-		notify(c.lookUpNow)
-		return false
-	}
-	c.candidate = true
-	c.opts.Log.WithFields(logrus.Fields{"event": "candidate", "capacity": c.opts.Capacity, "members_capacity": capacity}).
-		Info("this instance is to be a member of its zone's group")
-	return true
-}
-
-// membersCapacity returns the sum of the capacities of the members of this instance's zone that hold partitions. known is false
-// until the members have been looked up. c.mu is held.
-func (c *Controller) membersCapacity() (sum int, known bool) {
-	holders, known := c.holders[c.opts.Zone]
-	for _, member := range members(holders) {
-		sum += capacityOf(member)
-	}
-	return sum, known
-}
-
 func (c *Controller) join(ctx context.Context) {
 	share, err := c.opts.Store.Join(ctx, c.membership())
 	c.mu.Lock()
@@ -339,12 +248,7 @@
 	c.leaving = true
 	c.mu.Unlock()
 	for !c.leave(ctx) && ctx.Err() == nil {
-		t := time.NewTimer(leavePause)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		pause.For(ctx, leavePause, nil)
 	}
 	c.mu.Lock()
 	c.hasLeft = true
@@ -383,102 +287,6 @@
 	}
 }
 
-// Dispatcher returns the address of the instance that holds a zone's partition, or "" if it is not known.
-func (c *Controller) Dispatcher(zone string, partition int) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if zone == c.opts.Zone && c.term.Holds(partition) {
-		return c.opts.Address
-	}
-	holder := c.holders[zone][partition]
-	if holder == c.member() {
-		return "" // according to the store, but this instance has no term for it yet
-	}
-	return addressOf(holder)
-}
-
-// Follow keeps the addresses of the zones' dispatchers up to date until ctx ends. settled reports whether all dispatchers of
-// this instance's zone are known and can be reached.
-func (c *Controller) Follow(ctx context.Context, zones []string, settled func() bool) {
-	last := map[string]time.Time{}
-	for ctx.Err() == nil {
-		unsettled := !settled()
-		for _, zone := range zones {
-			if time.Since(last[zone]) < c.lookUpPause(zone, unsettled) {
-				continue
-			}
-			c.lookUp(ctx, zone)
-			last[zone] = time.Now()
-		}
-		t := time.NewTimer(ownSearchInterval)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		case <-c.lookUpNow:
-		}
-		t.Stop()
-	}
-}
-
-// lookUpPause returns the pause between the last look-up of a zone's dispatchers and the next one.
-func (c *Controller) lookUpPause(zone string, unsettled bool) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch own, lookUpSoon := zone == c.opts.Zone, c.lookUpSoon[zone]; {
-	case own && lookUpSoon:
-		return 0
-	case own && (unsettled || c.hasLeft):
-		return ownSearchInterval
-	case own:
-		return ownLookUpInterval
-	case lookUpSoon, len(c.holders[zone]) == 0:
-		return otherSearchInterval
-	}
-	return otherLookUpInterval
-}
-
-func (c *Controller) lookUp(ctx context.Context, zone string) {
-	c.mu.Lock()
-	delete(c.lookUpSoon, zone)
-	c.mu.Unlock()
-	begun := time.Now()
-	owners, err := c.opts.Store.Owners(ctx, c.opts.Topic(zone))
-	if err != nil {
-		return // join logs failures of the store; the last addresses stay
-	}
-	holders := map[int]string{}
-	for _, o := range owners {
-		holders[o.Partition] = o.Member
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if zone == c.opts.Zone {
-		c.lookedUpAt = begun
-		c.leaveAgain(ctx, holders)
-	}
-	if !maps.Equal(holders, c.holders[zone]) {
-		c.opts.Log.WithFields(logrus.Fields{"event": "dispatchers", "zone": zone, "members": members(holders)}).
-			Info("the zone's dispatchers changed")
-	}
-	c.holders[zone] = holders
-}
-
-// leaveAgain ends the membership once more if this instance has left and is a member again. This happens when a join is
-// delayed, for example on a connection that was interrupted, and carried out after the leave. c.mu is held.
-func (c *Controller) leaveAgain(ctx context.Context, holders map[int]string) {
-	if !c.hasLeft || !slices.Contains(slices.Collect(maps.Values(holders)), c.member()) {
-		return
-	}
-	c.opts.Log.WithField("event", "member_again").Warn("a delayed join has made this instance a member again; leaving once more")
-	go c.leave(ctx)
-}
-
-func members(holders map[int]string) []string {
-	all := slices.Collect(maps.Values(holders))
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 // Depose removes the member of this instance's zone at an address from the group, because this instance has found it dead or
 // silent. If the member is alive, the higher fence of its successors stops its orders, and it joins again.
 func (c *Controller) Depose(ctx context.Context, address string) {
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,22 @@
+// Package pause waits for a time that can end early.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For returns when d has passed, ctx has ended or a value has arrived on wake, which may be nil. It does not wait if d is not
+// positive.
+func For(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-wake:
+	}
+}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -101,23 +102,11 @@
 	ctx, x.cancel = context.WithCancel(ctx)
 	x.shard.mu.Unlock()
 	for ctx.Err() == nil {
-		pause(ctx, x.poll(ctx))
+		pause.For(ctx, x.poll(ctx), nil)
 	}
 	x.endpointClient.Close()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // poll requests one report, applies it and returns the pause before the next poll.
 func (x *session) poll(ctx context.Context) time.Duration {
 	sent, request := x.preparePoll()
