--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +55,34 @@
 	is.Equal(string(u.Records[0].Value), "2")
 }
 
+// Guards against reads by an instance that does not need the topic, and against one that begins with records which miss what was
+// written while it did not read.
+func TestInactive(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	s.Set("t", "a", []byte("1"))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	updates := make(chan Update, 1000)
+	active := &atomic.Bool{}
+	asked := make(chan struct{}, 1000)
+	c := New(Options{Store: s, Topic: "t", Log: log, Apply: func(u Update) { updates <- u }, Active: func() bool {
+		asked <- struct{}{}
+		return active.Load()
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	<-asked
+	<-asked // the first answer has been acted upon
+	is.Equal(len(updates), 0)
+	s.Set("t", "b", []byte("2"))
+	active.Store(true)
+	u := next(t, updates)
+	is.True(u.Snapshot)
+	is.Equal(len(u.Records), 2)
+}
+
 // Guards against a controller that stops when the store is down at its start, or when the records that it would read
 // next are no longer retained.
 func TestOutageAndDroppedHistory(t *testing.T) {
