One shortest timeout, and comments that said what the code does not

The window has a shortest timeout of its own, 20 to 60 ms, so the 20 ms that starts, stops and short polls passed to it could never take effect; a comment promised a log line at the end, and one named a kind of traffic that does not exist. Change: Window.Timeout takes no argument; only polls that wait longer keep their own shortest timeout. Tests call it without the argument and expect the same values. No value of any timeout changes. Conclusion: no behaviour change.

--- a/internal/congestion/window.go
+++ b/internal/congestion/window.go
@@ -144,12 +144,12 @@
 	w.floor = min(max(time.Duration(factor*float64(w.floor)), minFloor), maxFloor)
 }
 
-// Timeout returns how long to wait for a response, at least least. It follows the response times of earlier requests, and is
-// shorter while requests are being lost.
-func (w *Window) Timeout(least time.Duration) time.Duration {
+// Timeout returns how long to wait for a response. It follows the response times of earlier requests, and is shorter while
+// requests are being lost.
+func (w *Window) Timeout() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return max(least, w.floor, min(max(w.mean+deviations*w.deviation, medians*w.delay), maxTimeout))
+	return max(w.floor, min(max(w.mean+deviations*w.deviation, medians*w.delay), maxTimeout))
 }
 
 // Status describes a window for operators.
--- a/internal/congestion/window_test.go
+++ b/internal/congestion/window_test.go
@@ -43,13 +43,13 @@
 		w.Acquire()
 		w.Release(2*time.Millisecond, true)
 	}
-	is.Equal(w.Timeout(0), maxFloor)
+	is.Equal(w.Timeout(), maxFloor)
 	lose(w)
-	is.Equal(w.Timeout(0), minFloor)
+	is.Equal(w.Timeout(), minFloor)
 	for range 3 {
 		w.Late()
 	}
-	is.Equal(w.Timeout(0), maxFloor)
+	is.Equal(w.Timeout(), maxFloor)
 }
 
 // Guards against a queue on a congested link: when most responses are late, fewer requests may be in flight, until they come in
@@ -118,42 +118,40 @@
 func TestTimeoutFollowsTheResponseTimes(t *testing.T) {
 	is := is.New(t)
 	w := New()
-	least := minFloor
 	lose(w)
-	is.Equal(w.Timeout(least), 60*time.Millisecond)
+	is.Equal(w.Timeout(), 60*time.Millisecond)
 	answer := func(n int, took time.Duration) {
 		for range n {
 			w.Acquire()
-			timeout := w.Timeout(least)
+			timeout := w.Timeout()
 			w.Release(min(took, timeout), took < timeout)
 		}
 	}
 	answer(100, 2*time.Millisecond)
-	is.Equal(w.Timeout(least), least)
+	is.Equal(w.Timeout(), minFloor)
 	answer(30, 100*time.Millisecond) // the link is congested: requests time out until the timeouts have grown
-	is.True(w.Timeout(least) > 100*time.Millisecond)
+	is.True(w.Timeout() > 100*time.Millisecond)
 	answer(100, time.Second)
-	is.Equal(w.Timeout(least), maxTimeout)
+	is.Equal(w.Timeout(), maxTimeout)
 	answer(100, 2*time.Millisecond)
-	is.Equal(w.Timeout(least), least)
+	is.Equal(w.Timeout(), minFloor)
 }
 
 // Guards against timeouts that many lost requests make long, although the others are answered at once.
 func TestLostRequestsDoNotLengthenTimeouts(t *testing.T) {
 	is := is.New(t)
 	w := New()
-	least := minFloor
 	lose(w)
 	for range 200 {
 		for i := range 10 {
 			lost := i%4 == 0
 			took := 2 * time.Millisecond
 			if lost {
-				took = w.Timeout(least)
+				took = w.Timeout()
 			}
 			w.Acquire()
 			w.Release(took, !lost)
 		}
 	}
-	is.Equal(w.Timeout(least), least)
+	is.Equal(w.Timeout(), minFloor)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -137,7 +137,7 @@
 // trafficInterval is the pause between two log lines on the instance's traffic.
 const trafficInterval = 10 * time.Second
 
-// reportTraffic logs the calls and bytes of each kind since the process started, at an interval and at the end of ctx.
+// reportTraffic logs the calls and bytes of each kind since the process started, at an interval until ctx ends.
 func (n *Node) reportTraffic(ctx context.Context) {
 	ticker := time.NewTicker(trafficInterval)
 	defer ticker.Stop()
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -20,7 +20,7 @@
 		s.opts.Window.Forgo()
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Window.Timeout(requestTimeout))
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Window.Timeout())
 	defer cancel()
 	sent := s.opts.Now()
 	refusal, clock, err := x.endpointClient.Start(ctx, request)
@@ -151,7 +151,7 @@
 
 // sendStop requests the stop of a run and returns whether the endpoint confirmed it.
 func (x *session) sendStop(r *pool.Run, fence int64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), x.shard.opts.Window.Timeout(requestTimeout))
+	ctx, cancel := context.WithTimeout(context.Background(), x.shard.opts.Window.Timeout())
 	defer cancel()
 	refusal, err := x.endpointClient.Stop(ctx, r.Task, r.Number, fence)
 	return x.stopAnswered(r, refusal, err)
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -13,12 +13,8 @@
 )
 
 const (
-	// requestTimeout is the shortest time that a request to start or stop a run waits for its response, see
-	// congestion.Window.Timeout. Endpoints respond within a few milliseconds; a task whose request gets no response is delayed
-	// by this time.
-	requestTimeout = 20 * time.Millisecond
 	// renewalTimeout is the shortest time that a lease renewal waits for its response beyond the wait that it requests. It is
-	// short, since leases depend on renewals. After calls were lost it is requestTimeout.
+	// short, since leases depend on renewals. It does not apply to the short polls after calls were lost.
 	renewalTimeout = 100 * time.Millisecond
 	// busyPollWait and idlePollWait are how long a poll may wait at an endpoint with and without runs. Together with the
 	// timeout of a lost call they stay well below the lease.
@@ -132,11 +128,11 @@
 
 // renewLease sends a renewal and waits for the report until its timeout.
 func (x *session) renewLease(ctx context.Context, request work.LeaseRequest) (work.Report, work.Refusal, error) {
-	least := renewalTimeout
-	if request.Wait <= lossyPollWait {
-		least = requestTimeout
+	timeout := x.shard.opts.Window.Timeout()
+	if request.Wait > lossyPollWait {
+		timeout = max(timeout, renewalTimeout)
 	}
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+x.shard.opts.Window.Timeout(least))
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+timeout)
 	defer cancel()
 	return x.endpointClient.RenewLease(ctx, request)
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -9,7 +9,7 @@
 	"sync"
 )
 
-// Kind names a kind of call or message, for example "start" or "relay".
+// Kind names a kind of call or message, for example "start" or "uplink".
 type Kind string
 
 // The kinds of calls and messages.
@@ -31,11 +31,6 @@
 // Of returns the kind of calls about a topic.
 func (k Kind) Of(topic string) Kind { return k + "." + Kind(topic) }
 
-// String returns the counts as text: calls, failed calls, bytes sent and bytes received.
-func (c Counts) String() string {
-	return fmt.Sprintf("%d/%d/%d/%d", c.Calls, c.Failed, c.Sent, c.Received)
-}
-
 // Counts are the totals of one kind since the process started.
 type Counts struct {
 	Calls    int64 `json:"calls"`
@@ -44,6 +39,11 @@
 	Received int64 `json:"received"`         // bytes
 }
 
+// String returns the counts as text: calls, failed calls, bytes sent and bytes received.
+func (c Counts) String() string {
+	return fmt.Sprintf("%d/%d/%d/%d", c.Calls, c.Failed, c.Sent, c.Received)
+}
+
 // Meter counts by kind. It is safe for concurrent use. A nil Meter counts nothing.
 type Meter struct {
 	mu    sync.Mutex
