Log the tasks of lost endpoints and refused connections

Cause: three lines a crash named no task, so the log could not tell a task that crashes its endpoints from endpoints that are lost otherwise.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,6 +61,8 @@
 	leaseExtendedAt time.Duration // when a request that extends the lease was last sent
 	lastAnswerAt    time.Duration // time of the last answer
 	leaseExpired    bool          // the endpoint is silent, its lease has expired and the pool has ended its runs
+	// connectionRefused is true if a connection was refused since the last answer.
+	connectionRefused bool
 	// visibleFrom holds for each run the time from which reports contain the run while it runs: if a report that was
 	// requested later lacks the run, the run is over.
 	visibleFrom   map[*pool.Run]time.Duration
@@ -73,6 +76,21 @@
 	}
 }
 
+// maxLoggedRuns bounds the runs that one log line names.
+const maxLoggedRuns = 16
+
+// runNames returns the endpoint's runs as TASK:NUMBER for a log line, at most maxLoggedRuns. The shard's lock is held.
+func (x *session) runNames() []string {
+	var names []string
+	for _, r := range x.shard.pool.RunsOn(x.endpoint.ID) {
+		if len(names) == maxLoggedRuns {
+			break
+		}
+		names = append(names, fmt.Sprintf("%s:%d", r.Task, r.Number))
+	}
+	return names
+}
+
 // forget deletes the entries of a run that is over.
 func (x *session) forget(r *pool.Run) {
 	delete(x.visibleFrom, r)
@@ -209,16 +227,21 @@
 		return // a single timeout is weak evidence; a closed connection may mean that the process has ended
 	}
 	if x.answering {
-		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_silent", "endpoint": x.endpoint.ID}).WithError(err).
+		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_silent", "endpoint": x.endpoint.ID, "tasks": x.runNames()}).WithError(err).
 			Warn("endpoint does not answer; it gets no new runs")
 	}
+	if errors.Is(err, work.ErrRefused) && !x.connectionRefused {
+		x.connectionRefused = true
+		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_refuses", "endpoint": x.endpoint.ID, "tasks": x.runNames()}).WithError(err).
+			Warn("no process listens at the endpoint's address, or a firewall rejects the connection")
+	}
 	x.answering = false
 	s.pool.SetUsable(x.endpoint.ID, false)
 	if !x.leaseExpired && now-x.leaseExtendedAt > s.leaseExpiryTime() && now-x.lastAnswerAt > s.leaseExpiryTime() {
 		x.leaseExpired = true
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "endpoint_lapsed", "endpoint": x.endpoint.ID, "runs": len(s.pool.RunsOn(x.endpoint.ID)),
-			"silent_ms": (now - x.lastAnswerAt).Milliseconds(),
+			"silent_ms": (now - x.lastAnswerAt).Milliseconds(), "refused": x.connectionRefused, "tasks": x.runNames(),
 		}).Warn("lease of a silent endpoint has expired; its runs are over")
 		x.clear(now)
 		s.dispatch()
@@ -262,8 +285,9 @@
 func (x *session) applyReport(report work.Report, fence int64, sent, now time.Duration) {
 	s := x.shard
 	if x.restarted(report) {
-		s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.StartedUnixMS}).
-			Warn("endpoint's process was restarted; its runs are lost")
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.StartedUnixMS, "tasks": x.runNames(),
+		}).Warn("endpoint's process was restarted; its runs are lost")
 		x.acknowledged, x.reportClock = 0, 0
 		x.clear(now)
 	}
@@ -274,7 +298,7 @@
 	}
 	overtaken := report.Clock < x.reportClock
 	x.startedUnixMS, x.lastAnswerAt = report.StartedUnixMS, now
-	x.answering, x.leaseExpired, x.failures = true, false, 0
+	x.answering, x.leaseExpired, x.connectionRefused, x.failures = true, false, false, 0
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
 		x.reportedTo = max(x.reportedTo, fence)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -148,7 +148,8 @@
 	}
 	delete(s.sessions, x.endpoint.ID)
 	x.cancel()
-	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_dropped", "endpoint": x.endpoint.ID, "why": why}).Info("endpoint dropped")
+	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_dropped", "endpoint": x.endpoint.ID, "why": why, "tasks": x.runNames()}).
+		Info("endpoint dropped")
 	s.finish(s.pool.Remove(x.endpoint.ID, s.opts.Now()))
 }
 
--- a/internal/work/endpoint.go
+++ b/internal/work/endpoint.go
@@ -110,6 +110,10 @@
 // to close.
 var ErrTimeout = errors.New("time-out")
 
+// ErrRefused is wrapped, besides ErrNoResponse, by errors of requests whose connection was refused: the machine is
+// reachable and no process listens at the address. A firewall on the way can cause it as well.
+var ErrRefused = errors.New("connection refused")
+
 // EndpointClient sends requests to one endpoint. Errors wrap ErrNoResponse. Its methods may be called concurrently.
 type EndpointClient interface {
 	// Start starts a run. It returns the endpoint's clock, or 0 if the response does not hold it.
