--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -45,6 +45,12 @@
 	LoseAnswer func(call string) (lost bool, delay time.Duration)
 	// StopTime is how long the stop of a run takes. Until it has ended, reports contain the run.
 	StopTime time.Duration
+	// CrashTime, if not nil, returns after which run time a task crashes the process of its endpoint; 0 for a task that does not.
+	CrashTime func(work.TaskID) time.Duration
+	// DownTime is how long no process runs at an endpoint's address after a crash; connections are refused meanwhile. Another
+	// process with the same registration then starts.
+	DownTime time.Duration
+	crashes  map[work.TaskID]int // crashes by the task that caused them
 	// LinkBytesPerSecond is the speed of the link between the dispatchers and the endpoints, over which requests pass one
 	// after the other; 0 for an unlimited one. A request whose sender stops waiting is still delivered.
 	LinkBytesPerSecond int
@@ -79,7 +85,9 @@
 
 // New returns a fleet without endpoints. All tasks have the run time run.
 func New(run time.Duration) *Fleet {
-	return &Fleet{endpoints: map[string]*endpoint{}, RunTime: func(work.TaskID) time.Duration { return run }}
+	return &Fleet{
+		endpoints: map[string]*endpoint{}, crashes: map[work.TaskID]int{}, RunTime: func(work.TaskID) time.Duration { return run },
+	}
 }
 
 type endpoint struct {
@@ -94,6 +102,7 @@
 	lastSequence   int64                  // sequence number of the latest end
 	maxRunning     int                    // highest number of runs at the same time
 	silent         bool                   // answers no calls
+	down           bool                   // no process runs, so connections are refused
 	hangTasks      bool                   // new runs make no progress and never end
 	changed        chan struct{}          // closed and replaced when a run ends
 }
@@ -116,11 +125,52 @@
 func (f *Fleet) Restart(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old := f.endpoints[address]
-	for task := range old.runs {
-		old.finish(task, work.EndGangBroken)
+	f.restart(f.endpoints[address])
+}
+
+// restart replaces the process of an endpoint. The caller holds the fleet's mu, as for crash.
+func (f *Fleet) restart(old *endpoint) {
+	old.endAll()
+	f.endpoints[old.registration.Address] = f.newEndpoint(old.registration)
+}
+
+// endAll ends all runs because the process has ended.
+func (e *endpoint) endAll() {
+	for task := range e.runs {
+		e.finish(task, work.EndGangBroken)
 	}
-	f.endpoints[address] = f.newEndpoint(old.registration)
+}
+
+// crash ends the process of an endpoint under a task's run and starts another one after DownTime.
+func (f *Fleet) crash(e *endpoint, run *Start) {
+	if e.runs[run.Task] != run {
+		return
+	}
+	f.crashes[run.Task]++
+	e.endAll()
+	e.down = true
+	time.AfterFunc(f.DownTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.restart(e)
+	})
+}
+
+// Crashes returns how many processes a task has crashed.
+func (f *Fleet) Crashes(task work.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes[task]
+}
+
+// SetCapacity changes the size of an endpoint while its process runs, as its registration then tells, and returns the new
+// registration. OverCapacity counts only starts after the last change.
+func (f *Fleet) SetCapacity(address string, size work.Size) work.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[address]
+	e.registration.Size, e.maxRunning = size, 0
+	return e.registration
 }
 
 // Resize changes the size of an endpoint and sets the start of the process in its registration, as if a new process on
@@ -232,6 +282,10 @@
 	f := c.fleet
 	f.mu.Lock()
 	e := f.endpoints[c.address]
+	if e != nil && e.down {
+		f.mu.Unlock()
+		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrRefused, call)
+	}
 	silent := e == nil || e.silent
 	lost, delay := false, time.Duration(0)
 	if !silent && f.LoseAnswer != nil {
@@ -291,12 +345,27 @@
 	e.runs[s.Task] = run
 	e.maxRunning = max(e.maxRunning, len(e.runs))
 	e.fleet.starts = append(e.fleet.starts, run)
+	if after := e.fleet.crashTime(s.Task); after > 0 {
+		time.AfterFunc(after, func() {
+			e.fleet.mu.Lock()
+			defer e.fleet.mu.Unlock()
+			e.fleet.crash(e, run)
+		})
+		return work.Done
+	}
 	if !e.hangTasks {
 		time.AfterFunc(e.fleet.RunTime(s.Task), func() { e.endRun(run, work.EndSucceeded) })
 	}
 	return work.Done
 }
 
+func (f *Fleet) crashTime(task work.TaskID) time.Duration {
+	if f.CrashTime == nil {
+		return 0
+	}
+	return f.CrashTime(task)
+}
+
 // stopRun ends a run after the fleet's StopTime. The caller holds the fleet's mu.
 func (e *endpoint) stopRun(run *Start) {
 	if e.fleet.StopTime == 0 {
