Start requests are withheld when their endpoint has shrunk

Cause: a run is placed by the size that its endpoint had then, and its start request may wait for the instance's link. prepareStart checked again whether the endpoint may get runs, not whether the run still fits. Change: a waiting request is sent only if all runs on the endpoint fit its present size; the others go back into the queue. The forecast counts no capacity below zero.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		serves[e.ID] = true
-		freeMilliCPU := e.Size.MilliCPU - e.used.MilliCPU
+		freeMilliCPU := max(e.Size.MilliCPU-e.used.MilliCPU, 0) // the endpoint may have shrunk below what its runs use
 		f.free += freeMilliCPU - freeMilliCPU%max(task.MilliCPU, 1)
 	}
 	f.endpoints = len(serves)
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -143,6 +143,13 @@
 // RunSent records that the request to start a run is sent now.
 func (p *Pool) RunSent(r *Run, now time.Duration) { r.Ordered, r.ProgressedAt = now, now }
 
+// Fits reports whether the runs on a run's endpoint, the run included, are within the endpoint's size, which may have shrunk since
+// the run was ordered.
+func (p *Pool) Fits(r *Run) bool {
+	e := p.endpoints[r.Endpoint]
+	return e != nil && e.used.Fits(e.Size)
+}
+
 // RunStarted records that an endpoint has confirmed the start of a run.
 func (p *Pool) RunStarted(r *Run) {
 	if r.State == Ordered {
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -90,6 +90,8 @@
 		time.Sleep(20 * time.Millisecond) // the link delivers 100 requests a second; four are in flight or delivered, the others wait
 		small := f.SetCapacity(all[0].Address, work.Size{MilliCPU: 4000, MemoryMB: 16384})
 		s.register([]work.Endpoint{small})
+		time.Sleep(50 * time.Millisecond)
+		f.SetCapacity(all[0].Address, small.Size) // the requests in flight have been delivered; no further start is excused
 		time.Sleep(30 * time.Second)
 		is.Equal(f.OverCapacity(work.Size{MilliCPU: 1000, MemoryMB: 64}), "")
 		is.True(completed(c, "a")())
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -39,9 +39,10 @@
 		return work.StartRequest{}, false
 	}
 	now := s.opts.Now()
-	if r.State != pool.Ordered || fence != s.term.Fence || !x.usable() {
-		s.opts.Log.WithFields(logrus.Fields{"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID}).
-			Info("start request not sent: the job has ended or the endpoint gets no new runs")
+	if fits := s.pool.Fits(r); r.State != pool.Ordered || fence != s.term.Fence || !x.usable() || !fits {
+		s.opts.Log.WithFields(logrus.Fields{
+			"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fits": fits,
+		}).Info("start request not sent: the job has ended, the endpoint gets no new runs, or its capacity has shrunk")
 		s.finish(s.pool.RunLost(r, now))
 		s.dispatch()
 		return work.StartRequest{}, false
