--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,8 +12,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/server"
 	"github.com/savorypass/savorypass/internal/traffic"
@@ -89,6 +91,8 @@
 	Log     logrus.FieldLogger
 	Metrics *Metrics
 	Meter   *traffic.Meter // counts the bytes of callers' bodies; nil for none
+	// Attempts returns the known unsuccessful runs of a job's tasks, which its next dispatcher has to count.
+	Attempts func(work.JobID) []attempt.Attempt
 }
 
 // Metrics are the gateway's counters of requests and its response times in milliseconds.
@@ -96,6 +100,7 @@
 	Answered   metric.Counter
 	Refused    metric.Counter
 	Abandoned  metric.Counter // callers that closed their connection before the response
+	GivenUp    metric.Counter // jobs that their dispatcher gave up although they may have run in part
 	TimedOut   metric.Counter // jobs without a response within the timeout of their caller
 	ResponseMS *metric.Quantiles
 }
@@ -281,6 +286,13 @@
 	g.reply(p.exchange, status, g.opts.Codec.EncodeState(s), 0)
 }
 
+// gaveUp responds for a job that its dispatcher does not continue although it may have run in part.
+func (g *Gateway) gaveUp(p *pending) {
+	g.opts.Metrics.GivenUp.Add(1)
+	g.log(p, string(pool.ReasonGaveUp), 504)
+	g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job was given up after a crash of an endpoint; it may have run"), 0)
+}
+
 // refuseJob logs and sends the refusal of a job.
 func (g *Gateway) refuseJob(p *pending, status int, why string, retryAfter time.Duration) {
 	g.log(p, why, status)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/pool"
@@ -115,7 +116,7 @@
 	r := &router{targets: []Target{north, south}, down: map[Target]bool{}}
 	config := &catalog.Current{}
 	config.StoreIfNewer(catalog.New(1, []catalog.Queue{{Name: "q", Host: "h.example", Prefix: "/p/"}}, catalog.Limits{}))
-	g := New(Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}})
+	g := New(Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}, Attempts: knownAttempts})
 	s, err := server.Start(server.Options{
 		Address: "127.0.0.1:0", Loops: 1, Handler: g, EncodeRefusal: func(result.Code, string) []byte { return nil },
 	})
@@ -256,6 +257,24 @@
 	is.Equal(f.receive(a).status, 200)
 }
 
+// knownAttempts returns a crash under task 0 of every job, as if another dispatcher had reported it.
+func knownAttempts(id work.JobID) []attempt.Attempt {
+	return []attempt.Attempt{{Task: work.TaskID{Job: id}, Run: 1, Process: attempt.Process{Endpoint: "i"}, Outcome: attempt.Crashed}}
+}
+
+// Guards against a dispatcher that starts a task anew as often as those before it, because it does not learn of their crashes: a new
+// submission and one after the loss of the dispatcher carry them.
+func TestSubmissionsCarryAttempts(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	f.post("a")
+	f.RouteEnded(f.router, true)
+	f.Resubmit()
+	for _, sent := range f.router.sent() {
+		is.Equal(sent.s.Attempts, knownAttempts("a"))
+	}
+}
+
 // Guards against a job that waits for the successor of a dispatcher which never got the job.
 func TestUnsentJobGoesToOtherZone(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -13,7 +13,7 @@
 	p.route = nil
 	for len(p.untried) > 0 {
 		p.target, p.untried = p.untried[0], p.untried[1:]
-		if route, ok := g.opts.Router.Submit(p.target, p.submission(false)); ok {
+		if route, ok := g.opts.Router.Submit(p.target, g.submission(p, false)); ok {
 			p.route = route
 			return true
 		}
@@ -39,8 +39,10 @@
 }
 
 // submission returns the message that submits a job to a dispatcher.
-func (p *pending) submission(resumed bool) *relay.Submit {
-	return &relay.Submit{Job: *p.job, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived)}
+func (g *Gateway) submission(p *pending, resumed bool) *relay.Submit {
+	return &relay.Submit{
+		Job: *p.job, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived), Attempts: g.opts.Attempts(p.job.ID),
+	}
 }
 
 // Answer handles a dispatcher's answer, that is, the result or the refusal of a job. It ignores an answer that came over
@@ -60,6 +62,9 @@
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
 		g.dispatcherNotLeader(p, a.Started)
+	case a.Refused == pool.ReasonGaveUp:
+		g.discard(p)
+		g.gaveUp(p)
 	case !p.orphaned:
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
@@ -116,7 +121,7 @@
 			p.untried = g.opts.Router.Targets(p.job.ID)
 			g.placeOrRefuse(p)
 		case p.orphaned && p.route == nil:
-			if route, ok := g.opts.Router.Submit(p.target, p.submission(true)); ok {
+			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, true)); ok {
 				p.route = route
 			}
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -97,12 +97,15 @@
 	m, c := &n.metrics, &n.counts
 	return []metric.Named{
 		{Name: "requests_answered", Var: &m.Answered}, {Name: "requests_refused", Var: &m.Refused},
-		{Name: "requests_abandoned", Var: &m.Abandoned}, {Name: "requests_timed_out", Var: &m.TimedOut},
+		{Name: "requests_abandoned", Var: &m.Abandoned}, {Name: "requests_timed_out", Var: &m.TimedOut}, {Name: "requests_given_up", Var: &m.GivenUp},
 		{Name: "response_ms", Var: m.ResponseMS},
 		{Name: "requests_active", Var: gauge(func() int64 { return int64(n.gateway.Active()) })},
 		{Name: "runs_ordered", Var: &c.Starts}, {Name: "jobs_refused", Var: &c.Refused},
 		{Name: "starts_unanswered", Var: &c.UnansweredStarts}, {Name: "runs_stalled", Var: &c.Stalled},
-		{Name: "runs_without_success", Var: &c.UnsuccessfulRuns}, {Name: "run_ms", Var: c.RunMS}, {Name: "wait_ms", Var: c.WaitMS},
+		{Name: "runs_without_success", Var: &c.UnsuccessfulRuns}, {Name: "endpoint_crashes", Var: &c.Crashes},
+		{Name: "runs_crashed", Var: &c.CrashedRuns}, {Name: "jobs_given_up", Var: &c.GivenUp},
+		{Name: "tasks_with_attempts", Var: gauge(func() int64 { return int64(n.history.Tasks()) })},
+		{Name: "run_ms", Var: c.RunMS}, {Name: "wait_ms", Var: c.WaitMS},
 		{Name: "partitions_held", Var: gauge(func() int64 { return int64(len(n.lead.Term().Partitions)) })},
 		{Name: "generation", Var: gauge(func() int64 { return n.lead.Term().Generation })},
 		{Name: "config_version", Var: gauge(n.configVersion)},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/division"
@@ -102,11 +103,12 @@
 	terms     chan lead.Term
 	metrics   gateway.Metrics
 	window    *congestion.Window // for requests to endpoints
+	history   *attempt.History
 }
 
 // New returns an instance that is not running.
 func New(o Options) *Node {
-	n := &Node{opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16), window: congestion.New()}
+	n := &Node{opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16), window: congestion.New(), history: attempt.NewHistory()}
 	n.store = &countedStore{Store: o.Store}
 	n.counts = shard.NewCounts()
 	s := o.Settings
@@ -117,9 +119,9 @@
 		EndpointsKnown: func() bool { return n.divisions.Known() && n.directory.EndpointsKnown(n.now()) },
 	})
 	n.directory = shard.NewDirectory()
-	n.shards = newShards(s.Zone, n.directory, n.started, func(part int) *shard.Shard {
+	n.shards = newShards(s.Zone, n.directory, n.started, n.history, func(part int) *shard.Shard {
 		return shard.New(shard.Options{
-			Zone: s.Zone, Partition: part, Directory: n.directory, Lease: s.Lease, Dialer: o.Dialer, Window: n.window, OnFenced: n.lead.Verify,
+			Zone: s.Zone, Partition: part, Directory: n.directory, Lease: s.Lease, Dialer: o.Dialer, Window: n.window, History: n.history, OnFenced: n.lead.Verify,
 			Counts: &n.counts, Log: n.log.WithField("partition", part), Now: n.now,
 		})
 	})
@@ -133,7 +135,7 @@
 		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 	}
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
-	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics, Meter: o.Meter})
+	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics, Meter: o.Meter, Attempts: n.history.OfJob})
 	n.endpoints = n.endpointsFollower()
 	n.router.gateway, n.router.local.gateway = n.gateway, n.gateway
 	return n
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -159,9 +159,11 @@
 		return nil
 	}
 	route := &uplinkRoute{zone: zone}
-	route.uplink = relay.Dial(address, r.meter,
-		func(a *relay.Answer) { r.gateway.Answer(route, a) },
-		func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) })
+	route.uplink = relay.Dial(address, r.meter, relay.Handler{
+		Answer:   func(a *relay.Answer) { r.gateway.Answer(route, a) },
+		Attempts: r.shards.mergeAttempts,
+		End:      func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
+	})
 	r.routes[address] = route
 	return route
 }
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
@@ -67,6 +68,7 @@
 // loadedDispatcher reports a given pressure and ignores jobs.
 type loadedDispatcher struct{ pressure atomic.Int64 }
 
+func (d *loadedDispatcher) Attempts() []attempt.Attempt        { return nil }
 func (d *loadedDispatcher) Submit(relay.Client, *relay.Submit) {}
 func (d *loadedDispatcher) Cancel(relay.Client, *relay.Cancel) {}
 func (d *loadedDispatcher) ClientGone(relay.Client)            {}
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/pool"
@@ -17,6 +18,7 @@
 	directory *shard.Directory
 	divisions *division.Controller
 	started   time.Time // zero of the clock of shard.Options.Now
+	history   *attempt.History
 	make      func(partition int) *shard.Shard
 
 	mu   sync.Mutex
@@ -24,8 +26,8 @@
 	all  map[int]*shard.Shard // by partition; a shard stays after its term has ended
 }
 
-func newShards(zone string, d *shard.Directory, started time.Time, make func(int) *shard.Shard) *shards {
-	return &shards{zone: zone, directory: d, started: started, make: make, all: map[int]*shard.Shard{}}
+func newShards(zone string, d *shard.Directory, started time.Time, h *attempt.History, make func(int) *shard.Shard) *shards {
+	return &shards{zone: zone, directory: d, started: started, history: h, make: make, all: map[int]*shard.Shard{}}
 }
 
 // setTerm sets the partitions that this instance holds.
@@ -166,6 +168,16 @@
 	return loads
 }
 
+// Attempts implements relay.Dispatcher.
+func (s *shards) Attempts() []attempt.Attempt { return s.history.Recent(time.Since(s.started)) }
+
+// mergeAttempts records the unsuccessful runs that another instance has observed.
+func (s *shards) mergeAttempts(attempts []attempt.Attempt) {
+	if len(attempts) > 0 {
+		s.history.Merge(attempts, time.Since(s.started))
+	}
+}
+
 func (s *shards) dump() []shard.Dump {
 	var all []shard.Dump
 	for _, x := range s.each() {
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -27,10 +28,10 @@
 	counts := shard.NewCounts()
 	directory := shard.NewDirectory()
 	started := time.Now()
-	n := newShards("north", directory, started, func(part int) *shard.Shard {
+	n := newShards("north", directory, started, attempt.NewHistory(), func(part int) *shard.Shard {
 		return shard.New(shard.Options{
 			Zone: "north", Partition: part, Directory: directory, Lease: time.Second, Dialer: fleet.New(time.Second),
-			OnFenced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
+			History: attempt.NewHistory(), OnFenced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
 		})
 	})
 	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
--- /dev/null
+++ b/internal/pool/crash_test.go
@@ -0,0 +1,151 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// crash ends an endpoint's process and registers the next one at once.
+func crash(p *Pool, id work.EndpointID, now time.Duration) ([]CrashedRun, []Outcome) {
+	runs, outcomes := p.EndpointCrashed(id, attempt.Process{Endpoint: id, StartedUnixMS: int64(now) + 1}, now)
+	return runs, outcomes
+}
+
+// confirm marks runs as started.
+func confirm(p *Pool, runs []*Run, now time.Duration) {
+	for _, r := range runs {
+		p.RunSent(r, now)
+		p.RunStarted(r)
+	}
+}
+
+// Guards against a crash that takes other runs with it a second time: a task under which a process has crashed gets an endpoint of
+// its own, and no run joins it there.
+func TestSuspectsRunAlone(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 6000), 0)
+	mustSubmit(t, p, jobAllowingLongWait("y", 6000), 0)
+	first := p.Next(0)
+	is.Equal(first[0].Endpoint, first[1].Endpoint)
+	confirm(p, first, 0)
+	crashed, outcomes := crash(p, first[0].Endpoint, 10*ms)
+	is.Equal(len(crashed), 2)
+	is.Equal(len(outcomes), 0)
+	starts := p.Next(20 * ms)
+	is.Equal(len(starts), 1) // only one of the two endpoints is isolated
+	mustSubmit(t, p, jobAllowingLongWait("z", 1000), 20*ms)
+	others := p.Next(30 * ms)
+	is.Equal(len(others), 1)
+	is.True(others[0].Endpoint != starts[0].Endpoint)
+}
+
+// Guards against a suspect that never starts because its endpoints are never without runs at a crest: one of them gets no new runs
+// until the suspect has it.
+func TestSuspectGetsAnEndpointUnderLoad(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 16000), 0)
+	suspect := p.Next(0)
+	confirm(p, suspect, 0)
+	for i := range 20 {
+		mustSubmit(t, p, jobAllowingLongWait(fmt.Sprint("load", i), 8000), 0)
+	}
+	running := p.Next(0)
+	confirm(p, running, 0)
+	crash(p, suspect[0].Endpoint, 10*ms)
+	for now := 20 * ms; now < time.Second; now += 10 * ms {
+		for _, r := range p.Next(now) {
+			if r.Task.Job == "x" {
+				return
+			}
+			running = append(running, r)
+		}
+		r := running[0]
+		running = running[1:]
+		p.RunEnded(r.Endpoint, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now)
+	}
+	is.Fail() // the suspect has not started
+}
+
+// Guards against endpoints that are crashed at a crest for results that nobody can use any more, and against giving up while there is
+// capacity to spare.
+func TestLateSuspectsAreGivenUpOnlyWhenCapacityIsShort(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load int // tasks of half an endpoint that run beside the suspect
+		want GiveUp
+	}{{"short", 4, GiveUpTooLate}, {"to spare", 0, ""}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000), endpointOf("c", 16000))
+			mustSubmit(t, p, jobOf("x", 1, 16000, 50*ms), 0)
+			suspect := p.Next(0)
+			confirm(p, suspect, 0)
+			for i := range c.load {
+				mustSubmit(t, p, jobAllowingLongWait(fmt.Sprint("load", i), 8000), 0)
+			}
+			confirm(p, p.Next(0), 0)
+			p.SetUsable(suspect[0].Endpoint, false)
+			crashed, _ := crash(p, suspect[0].Endpoint, 1200*ms)
+			is.Equal(crashed[0].GivenUp, c.want)
+		})
+	}
+}
+
+// Guards against a run that counts as crashed although its start request was never sent.
+func TestRunThatWasNotSentIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 6000), 0)
+	p.Next(0)
+	crashed, _ := crash(p, "a", 10*ms)
+	is.Equal(len(crashed), 0)
+	is.Equal(len(p.Next(20*ms)), 1) // the run was ended, and its task starts again
+}
+
+// Guards against a partition that refuses short jobs although it is free, because resumed jobs wait for a takeover to settle.
+func TestResumedJobsKeepNoCapacityBeforeTheyMayStart(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	p.Submit(jobOf("resumed", 2, 8000, 700*ms), 0, 0, time.Second)
+	v, _ := p.Submit(jobOf("short", 2, 8000, 50*ms), 0, 0, 0)
+	is.True(v.Accepted())
+	v, _ = p.Submit(jobOf("long", 2, 8000, 900*ms), 0, 0, 0)
+	is.True(!v.Accepted())
+}
+
+// Guards against capacity below zero in the forecast when an endpoint has shrunk below what its runs use.
+func TestForecastOfAnEndpointThatHasShrunk(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 16000), 0)
+	r := p.Next(0)[0]
+	small := endpointOf(string(r.Endpoint), 2000)
+	p.Update(small)
+	is.True(!p.Fits(r))
+	v, _ := p.Submit(jobOf("new", 2, 8000, 50*ms), 0, 0, 0)
+	is.True(v.Accepted()) // the other endpoint is free
+}
+
+// Guards against a pool that refuses jobs because suspects wait: each of them gets an endpoint of its own, one after the other, and uses
+// no capacity of the others.
+func TestWaitingSuspectsTakeNoCapacityOfOthers(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000), endpointOf("c", 16000))
+	for i := range 4 {
+		j := jobOf(fmt.Sprint("suspect", i), 1, 8000, 100*ms)
+		p.history.Merge([]attempt.Attempt{{Task: work.TaskID{Job: j.ID}, Run: 1, Outcome: attempt.Crashed}}, 0)
+		v, _ := p.Submit(j, 0, 0, 1)
+		is.True(v.Accepted())
+	}
+	confirm(p, p.Next(0), 0)
+	v, _ := p.Submit(jobOf("new", 4, 8000, 50*ms), 0, 0, 0)
+	is.True(v.Accepted()) // two endpoints are free
+}
--- a/internal/pool/fairness_test.go
+++ b/internal/pool/fairness_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -60,7 +61,7 @@
 
 // simulate submits the jobs of the streams for a time and returns the accepted share of each stream's jobs.
 func simulate(endpoints int, streams []stream, during time.Duration) []float64 {
-	p := &simulation{Pool: New()}
+	p := &simulation{Pool: New(attempt.NewHistory())}
 	for i := range endpoints {
 		e := endpointOf(fmt.Sprintf("e%02d", i), 16000)
 		p.Update(e)
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -44,6 +44,7 @@
 	at        time.Duration // start of the last simulated task
 	free      int           // capacity that is free at that time, in thousandths of a core
 	endpoints int           // number of endpoints that the capacity belongs to
+	isolated  int           // number of further endpoints that are kept for suspects
 	releases  releases
 }
 
@@ -56,6 +57,10 @@
 		if e.Service != service || !e.usable || e.Draining || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
 			continue
 		}
+		if e.isolation.active() {
+			f.isolated++
+			continue
+		}
 		serves[e.ID] = true
 		freeMilliCPU := max(e.Size.MilliCPU-e.used.MilliCPU, 0) // the endpoint may have shrunk below what its runs use
 		f.free += freeMilliCPU - freeMilliCPU%max(task.MilliCPU, 1)
@@ -136,7 +141,8 @@
 }
 
 // add simulates the starts of a job's waiting tasks and returns when the last one starts. Tasks of steps that are not ready
-// need no additional capacity: they use that of the steps before.
+// need no additional capacity: they use that of the steps before. Suspects need none either, since they get endpoints of their own,
+// which do not count in the simulation.
 func (f *forecast) add(j *job) time.Duration {
 	for i := range j.steps {
 		if !j.ready(i) {
@@ -144,8 +150,10 @@
 		}
 		s := &j.Steps[i]
 		run := f.pool.estimates.of(j.Queue, s.Estimate) + j.steps[i].followingTime
-		for range j.steps[i].waiting {
-			f.start(s.Size.MilliCPU, run)
+		for _, index := range j.steps[i].waiting {
+			if !j.suspects[work.TaskID{Job: j.ID, Step: i, Index: index}] {
+				f.start(s.Size.MilliCPU, run)
+			}
 		}
 	}
 	return f.at
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -13,6 +13,7 @@
 	"sort"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -40,6 +41,7 @@
 	Unanswered   bool          // the request to start it got no answer
 	job          *job          // nil if no job waits for the result
 	unsized      bool          // Size is not known
+	sent         bool          // the request to start it was sent, so the endpoint may have started it
 }
 
 // Wanted reports whether a job waits for the run.
@@ -50,9 +52,11 @@
 	usable     bool // the endpoint may get new runs: it answers and its runs are known
 	used       work.Size
 	runs       int
-	unsized    int // number of runs whose size is not known
-	superseded int // number of superseded runs that the endpoint reports, see SetSupersededRuns; they are being stopped
+	unsized    int  // number of runs whose size is not known
+	superseded int  // number of superseded runs that the endpoint reports, see SetSupersededRuns; they are being stopped
+	silent     bool // the endpoint does not answer, so the progress of its runs is not known
 	health     health
+	isolation  isolation
 }
 
 type job struct {
@@ -63,7 +67,7 @@
 	steps       []stepState
 	remaining   int // tasks that have not succeeded
 	runs        map[work.TaskID]*Run
-	failures    map[work.TaskID]int
+	suspects    map[work.TaskID]bool // tasks under which an endpoint has crashed; they run alone
 	started     bool
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
@@ -85,14 +89,16 @@
 	numbers   map[work.TaskID]int // highest run number of each unfinished task
 	estimates estimates
 	demand    map[string]*demand // by queue
+	history   *attempt.History
 	// unclaimed holds the tasks that succeeded while their job was not here, with the time of the report. They count as done
 	// when the job is submitted again after the loss of its dispatcher.
 	unclaimed map[work.TaskID]time.Duration
 }
 
-// New returns an empty pool.
-func New() *Pool {
+// New returns an empty pool. The history holds the unsuccessful runs of tasks; it outlives the pool.
+func New(history *attempt.History) *Pool {
 	return &Pool{
+		history:   history,
 		endpoints: map[work.EndpointID]*endpoint{},
 		jobs:      map[work.JobID]*job{},
 		runs:      map[work.TaskID]*Run{},
@@ -122,6 +128,13 @@
 	}
 }
 
+// SetSilent sets whether an endpoint does not answer, so that its runs' progress is not known.
+func (p *Pool) SetSilent(id work.EndpointID, silent bool) {
+	if e, ok := p.endpoints[id]; ok {
+		e.silent = silent
+	}
+}
+
 // SetSupersededRuns sets how many runs an endpoint reports that the pool has replaced by other runs of the same tasks. The
 // endpoint gets no new runs while there are any, because their sizes are not known.
 func (p *Pool) SetSupersededRuns(id work.EndpointID, n int) {
@@ -207,8 +220,9 @@
 // submitted.
 type Outcome struct {
 	Job   work.JobID
-	State work.State // Completed or Failed
+	State work.State // Completed or Failed; empty if the job was given up without a result, see GiveUpTooLate
 	Task  work.TaskID
+	Why   GiveUp // why a failed job was given up; empty if a run of its task has just failed
 }
 
 // Cancel deletes a job and returns its runs, which the caller has to stop.
@@ -241,13 +255,17 @@
 	return toStop
 }
 
-// RunLost ends a run that certainly no longer runs and has no result. Its task starts again.
+// RunLost ends a run that certainly no longer runs and has no result. Its task starts again, unless its earlier attempts forbid it.
 func (p *Pool) RunLost(r *Run, now time.Duration) []Outcome {
 	j := r.job
 	p.release(r)
-	if j != nil {
-		p.requeue(j, r.Task)
+	if j == nil {
+		return nil
+	}
+	if out := p.exhausted(j, r.Task); out != nil {
+		return out
 	}
+	p.requeue(j, r.Task)
 	return nil
 }
 
@@ -260,6 +278,7 @@
 	if e := p.endpoints[r.Endpoint]; e != nil {
 		e.used = e.used.Minus(r.Size)
 		e.runs--
+		e.isolation.ended(r.Task)
 		if r.unsized {
 			e.unsized--
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -19,7 +20,7 @@
 }
 
 func poolOf(endpoints ...work.Endpoint) *Pool {
-	p := New()
+	p := New(attempt.NewHistory())
 	for _, e := range endpoints {
 		p.Update(e)
 		p.SetUsable(e.ID, true)
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -11,6 +12,7 @@
 // task that fits on no endpoint at the moment does not block the tasks behind it.
 func (p *Pool) Next(now time.Duration) []*Run {
 	var starts []*Run
+	p.releaseReservations()
 	for i := 0; i < len(p.queue); i++ {
 		j := p.queue[i]
 		if now < j.notBefore {
@@ -62,7 +64,7 @@
 		return nil
 	}
 	s := &j.Steps[step]
-	e := p.pickEndpoint(j, step, now)
+	e := p.pickEndpoint(j, task, now)
 	if e == nil {
 		return nil
 	}
@@ -76,12 +78,19 @@
 	j.started = true
 	e.used = e.used.Plus(s.Size)
 	e.runs++
+	if j.suspects[task] {
+		e.isolation.started(task)
+	}
 	return r
 }
 
 // pickEndpoint returns the endpoint for a task, or nil if none is feasible. Endpoints are ranked by the task's expected run
 // time on them, and then by the capacity that remains free, least first, so that large tasks still find room elsewhere.
-func (p *Pool) pickEndpoint(j *job, step int, now time.Duration) *endpoint {
+func (p *Pool) pickEndpoint(j *job, task work.TaskID, now time.Duration) *endpoint {
+	if j.suspects[task] {
+		return p.pickIsolated(j, task, now)
+	}
+	step := task.Step
 	s := &j.Steps[step]
 	var best *endpoint
 	var bestRank rank
@@ -99,7 +108,7 @@
 
 func (p *Pool) feasible(j *job, step int, e *endpoint, now time.Duration) bool {
 	s := &j.Steps[step]
-	if e.Service != j.Service || !e.usable || e.Draining || e.unsized+e.superseded > 0 || !e.health.available(now, e.runs) {
+	if e.isolation.active() || !e.accepts(j, now) {
 		return false
 	}
 	if !e.HasLabel(s.Label) || !e.used.Plus(s.Size).Fits(e.Size) {
@@ -108,6 +117,11 @@
 	return s.MaxPerEndpoint == 0 || j.runsOn(step, e.ID) < s.MaxPerEndpoint
 }
 
+// accepts reports whether an endpoint may get new runs of a job's service now.
+func (e *endpoint) accepts(j *job, now time.Duration) bool {
+	return e.Service == j.Service && e.usable && !e.Draining && e.unsized+e.superseded == 0 && e.health.available(now, e.runs)
+}
+
 func (j *job) runsOn(step int, id work.EndpointID) int {
 	n := 0
 	for task, r := range j.runs {
@@ -141,7 +155,7 @@
 }
 
 // RunSent records that the request to start a run is sent now.
-func (p *Pool) RunSent(r *Run, now time.Duration) { r.Ordered, r.ProgressedAt = now, now }
+func (p *Pool) RunSent(r *Run, now time.Duration) { r.Ordered, r.ProgressedAt, r.sent = now, now, true }
 
 // Fits reports whether the runs on a run's endpoint, the run included, are within the endpoint's size, which may have shrunk since
 // the run was ordered.
@@ -159,7 +173,7 @@
 
 // RunRefused ends a run that the endpoint has refused to start. After work.OldRun the next run number is runNumberGap
 // higher, because an earlier dispatcher has used numbers that this one does not know.
-func (p *Pool) RunRefused(r *Run, why work.Refusal, now time.Duration) {
+func (p *Pool) RunRefused(r *Run, why work.Refusal, now time.Duration) []Outcome {
 	const runNumberGap = 16
 	if why == work.OldRun {
 		p.numbers[r.Task] = r.Number + runNumberGap
@@ -167,7 +181,7 @@
 	if e := p.endpoints[r.Endpoint]; e != nil && why == work.Overloaded {
 		e.health.failed(now, r.Task.Job)
 	}
-	p.RunLost(r, now)
+	return p.RunLost(r, now)
 }
 
 // RunProgressed records the progress of a run in percent.
@@ -184,6 +198,9 @@
 
 // RunEnded records the end of a run, as reported by an endpoint. It returns the outcome of the job if the end decides it.
 func (p *Pool) RunEnded(id work.EndpointID, end work.End, now time.Duration) []Outcome {
+	if end.Reason == work.EndFailed {
+		p.history.Add(attempt.Attempt{Task: end.Task, Run: end.Run, Process: p.process(id), Outcome: attempt.Failed}, now)
+	}
 	r := p.runs[end.Task]
 	if r == nil || r.Number != end.Run || r.Endpoint != id {
 		return p.unknownRunEnded(end, now)
@@ -209,10 +226,21 @@
 	return nil
 }
 
+// process returns the registered process of an endpoint.
+func (p *Pool) process(id work.EndpointID) attempt.Process {
+	if e := p.endpoints[id]; e != nil {
+		return attempt.Process{Endpoint: id, StartedUnixMS: e.StartedUnixMS}
+	}
+	return attempt.Process{Endpoint: id}
+}
+
 // unknownRunEnded records the end of a run that this pool has not ordered or no longer tracks. If the run succeeded and
-// its task belongs to a resumed job, the task does not start again.
+// its task belongs to a resumed job, the task does not start again; if it failed, the run counts as an attempt of its task.
 func (p *Pool) unknownRunEnded(end work.End, now time.Duration) []Outcome {
 	j := p.jobs[end.Task.Job]
+	if end.Reason == work.EndFailed && j != nil && p.runs[end.Task] == nil {
+		return p.exhausted(j, end.Task)
+	}
 	if end.Reason != work.EndSucceeded || p.runs[end.Task] != nil || j == nil || !j.countSuccess(end.Task) {
 		p.keepSuccess(end, now)
 		return nil
@@ -245,14 +273,13 @@
 func (p *Pool) Stalled(since, now time.Duration) []*Run {
 	var stalled []*Run
 	for _, r := range p.runs {
-		if r.State != Confirmed || r.job == nil || r.ProgressedAt >= since {
+		e := p.endpoints[r.Endpoint]
+		if r.State != Confirmed || r.job == nil || r.ProgressedAt >= since || e == nil || e.silent {
 			continue
 		}
 		r.State = Stopping
 		stalled = append(stalled, r)
-		if e := p.endpoints[r.Endpoint]; e != nil {
-			e.health.startHoldOff(now)
-		}
+		e.health.startHoldOff(now)
 	}
 	sort.Slice(stalled, func(i, j int) bool { return stalled[i].Task.String() < stalled[j].Task.String() })
 	return stalled
@@ -297,12 +324,11 @@
 }
 
 func (p *Pool) failed(j *job, task work.TaskID) []Outcome {
-	j.failures[task]++
-	if j.failures[task] < j.Objective.Attempts {
-		p.requeue(j, task)
-		return nil
+	if out := p.exhausted(j, task); out != nil {
+		return out
 	}
-	return []Outcome{{Job: j.ID, State: work.Failed, Task: task}}
+	p.requeue(j, task)
+	return nil
 }
 
 // Spec returns the job's specification for a run, or "" if no job waits for the run.
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -18,6 +18,8 @@
 	ReasonNoEndpoint    Reason = "no_endpoint" // no endpoint of the job's service takes new runs now
 	ReasonNotLeader     Reason = "not_leader"  // this instance does not dispatch for the shard
 	ReasonWaitedTooLong Reason = "waited"      // the job was accepted and did not start in time
+	// ReasonGaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
+	ReasonGaveUp Reason = "gave_up"
 )
 
 // Verdict is the decision on a submission, with the figures that it rests on.
@@ -27,6 +29,7 @@
 	ExpectedWait     time.Duration // expected time until the job's last task starts
 	Slack            time.Duration // wait that the job's objective still allows
 	Endpoints        int           // number of endpoints of the service that take new runs now
+	Isolated         int           // number of endpoints of the service that are kept for suspects
 	FreeMilliCPU     int           // free capacity of Endpoints in 1/1000 core, counted in multiples of the job's largest task
 	JobsAhead        int           // number of queued jobs that start before the job
 	ReservedMilliCPU int           // capacity that is reserved for other queues, in thousandths of a core
@@ -56,6 +59,9 @@
 		return Verdict{}, nil
 	}
 	j := p.newJob(w, arrived, notBefore)
+	if out := p.givenUpBefore(j); out != nil {
+		return Verdict{}, out
+	}
 	v := p.decide(j, now, j.resumed)
 	if !j.resumed && (v.Accepted() || v.Reason == ReasonNoRoom) {
 		// Jobs refused for other reasons could not use reserved capacity.
@@ -84,7 +90,7 @@
 }
 
 func (p *Pool) newJob(w *work.Job, arrived, notBefore time.Duration) *job {
-	j := &job{Job: w, arrived: arrived, notBefore: notBefore, resumed: notBefore > 0, runs: map[work.TaskID]*Run{}, failures: map[work.TaskID]int{}}
+	j := &job{Job: w, arrived: arrived, notBefore: notBefore, resumed: notBefore > 0, runs: map[work.TaskID]*Run{}}
 	for i, s := range w.Steps {
 		st := stepState{remaining: s.Count}
 		for index := 0; index < s.Count; index++ {
@@ -156,9 +162,9 @@
 	f.reserve(j.Service, now, now+j.expected)
 	v.ReservedMilliCPU = p.reservedForOthers(j, total.MilliCPU, now)
 	f.free -= v.ReservedMilliCPU
-	v.Endpoints, v.FreeMilliCPU = f.endpoints, f.free
+	v.Endpoints, v.Isolated, v.FreeMilliCPU = f.endpoints, f.isolated, f.free
 	for _, q := range p.queue {
-		if q.Service == j.Service && q.hasReady() && before(q, j) {
+		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) {
 			f.add(q)
 			v.JobsAhead++
 		}
@@ -171,6 +177,14 @@
 	return v
 }
 
+// endsBefore reports whether a new job, started with its last slack, is expected to end before a resumed job may start. The resumed job
+// then needs no capacity that the new one would use.
+//
+// Without this, all capacity of a partition would be free and refused for a second after a takeover at a crest.
+func endsBefore(j, resumed *job, now time.Duration) bool {
+	return max(j.latestStart, now)+j.expected <= resumed.notBefore
+}
+
 // largest returns the size of the job's task with the most processors.
 func (j *job) largest() work.Size {
 	var largest work.Size
@@ -186,7 +200,15 @@
 // usable endpoint it returns 1000.
 func (p *Pool) Pressure() int {
 	const noEndpoint = 1000
-	total, wanted := 0, 0
+	total, wanted := p.load()
+	if total == 0 {
+		return noEndpoint
+	}
+	return 100 * wanted / total
+}
+
+// load returns the processors of the usable endpoints and those that are in use or waited for, in thousandths of a core.
+func (p *Pool) load() (total, wanted int) {
 	for _, e := range p.order {
 		if e.usable && !e.Draining {
 			total += e.Size.MilliCPU
@@ -200,10 +222,7 @@
 			}
 		}
 	}
-	if total == 0 {
-		return noEndpoint
-	}
-	return 100 * wanted / total
+	return total, wanted
 }
 
 // capacity checks that each step of a job fits on some endpoint. It returns the reason if not, and the total size of the
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -25,15 +25,15 @@
 type link struct {
 	conn  net.Conn
 	queue chan []byte
-	loads func() []Load // loads that heartbeats carry; nil for heartbeats without loads
+	state func() heartbeat // what a heartbeat carries; nil for empty heartbeats
 
 	once sync.Once
 	done chan struct{}
 	err  error
 }
 
-func newLink(conn net.Conn, loads func() []Load) *link {
-	l := &link{conn: conn, loads: loads, queue: make(chan []byte, maxQueued), done: make(chan struct{})}
+func newLink(conn net.Conn, state func() heartbeat) *link {
+	l := &link{conn: conn, state: state, queue: make(chan []byte, maxQueued), done: make(chan struct{})}
 	go l.writeLoop()
 	return l
 }
@@ -87,11 +87,11 @@
 }
 
 func (l *link) heartbeat() []byte {
-	b := &heartbeat{}
-	if l.loads != nil {
-		b.Loads = l.loads()
+	var b heartbeat
+	if l.state != nil {
+		b = l.state()
 	}
-	frame, err := encode(b)
+	frame, err := encode(&b)
 	if err != nil {
 		l.close(err)
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -12,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -25,6 +26,8 @@
 	Resumed bool `msgpack:"r,omitempty"`
 	// Waited is the time since the caller's request arrived.
 	Waited time.Duration `msgpack:"w,omitempty"`
+	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
+	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
 }
 
 // Cancel informs a dispatcher that no caller waits for a job any more.
@@ -42,7 +45,7 @@
 	Refused    pool.Reason   `msgpack:"r,omitempty"`
 	RetryAfter time.Duration `msgpack:"a,omitempty"`
 	// Started is true if tasks of the job may have started. It is set only in a refusal by a dispatcher whose term has
-	// ended.
+	// ended, and with pool.ReasonGaveUp.
 	Started bool `msgpack:"t,omitempty"`
 }
 
@@ -54,9 +57,10 @@
 }
 
 // heartbeat is sent at an interval, so that the peer can detect that the process is alive. A dispatcher's heartbeat
-// carries its loads.
+// carries its loads, and the unsuccessful runs that its instance has observed lately: they must not be lost with the instance.
 type heartbeat struct {
-	Loads []Load `msgpack:"l,omitempty"`
+	Loads    []Load            `msgpack:"l,omitempty"`
+	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
 }
 
 type kind byte
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/traffic"
 )
 
@@ -25,6 +26,8 @@
 	Cancel(from Client, c *Cancel)
 	// Loads returns the loads of the partitions for which this instance dispatches.
 	Loads() []Load
+	// Attempts returns the unsuccessful runs that this instance has observed lately.
+	Attempts() []attempt.Attempt
 	// ClientGone reports that the connection to a client has ended.
 	ClientGone(from Client)
 }
@@ -75,7 +78,9 @@
 func (c *remoteClient) Name() string { return c.link.conn.RemoteAddr().String() }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	l := newLink(s.meter.Conn(conn, traffic.Downlink), s.dispatcher.Loads)
+	l := newLink(s.meter.Conn(conn, traffic.Downlink), func() heartbeat {
+		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts()}
+	})
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
 	client := &remoteClient{l}
@@ -116,25 +121,35 @@
 	unsent    []any       // messages that wait until the connection is open
 }
 
-// Dial returns an uplink whose connection is being opened in the background. onAnswer receives the dispatcher's
-// answers. onEnd is called once, when the connection has ended or could not be opened; sent is false if the connection
-// was never open, so that no message has been sent. The meter counts the connection's bytes; nil for none.
-func Dial(address string, meter *traffic.Meter, onAnswer func(*Answer), onEnd func(u *Uplink, sent bool, err error)) *Uplink {
+// Handler receives what comes over an uplink. Its functions do not block.
+type Handler struct {
+	// Answer receives the dispatcher's answers.
+	Answer func(*Answer)
+	// Attempts receives the unsuccessful runs that the dispatcher has observed; each comes several times.
+	Attempts func([]attempt.Attempt)
+	// End is called once, when the connection has ended or could not be opened; sent is false if the connection was never
+	// open, so that no message has been sent.
+	End func(u *Uplink, sent bool, err error)
+}
+
+// Dial returns an uplink whose connection is being opened in the background. The meter counts the connection's bytes; nil
+// for none.
+func Dial(address string, meter *traffic.Meter, h Handler) *Uplink {
 	u := &Uplink{Address: address}
-	go u.run(meter, onAnswer, onEnd)
+	go u.run(meter, h)
 	return u
 }
 
-func (u *Uplink) run(meter *traffic.Meter, onAnswer func(*Answer), onEnd func(*Uplink, bool, error)) {
+func (u *Uplink) run(meter *traffic.Meter, h Handler) {
 	conn, err := net.DialTimeout("tcp", u.Address, dialTimeout)
 	if err == nil {
-		err = u.receive(meter.Conn(conn, traffic.Uplink), onAnswer)
+		err = u.receive(meter.Conn(conn, traffic.Uplink), h)
 	}
 	u.mu.Lock()
 	u.ended = true
 	sent := u.link != nil
 	u.mu.Unlock()
-	onEnd(u, sent, err)
+	h.End(u, sent, err)
 }
 
 // Connected reports whether the connection is open and the dispatcher has sent a message over it. An open connection
@@ -145,7 +160,7 @@
 	return u.responded && !u.ended
 }
 
-func (u *Uplink) receive(conn net.Conn, onAnswer func(*Answer)) error {
+func (u *Uplink) receive(conn net.Conn, h Handler) error {
 	l := newLink(conn, nil)
 	u.mu.Lock()
 	u.link = l
@@ -161,9 +176,10 @@
 	return l.receive(func(message any) {
 		switch m := message.(type) {
 		case *Answer:
-			onAnswer(m)
+			h.Answer(m)
 		case *heartbeat:
 			u.setLoads(m.Loads) // the first message on a connection is a heartbeat
+			h.Attempts(m.Attempts)
 		}
 	})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -29,6 +30,11 @@
 func (e *echo) Cancel(_ Client, c *Cancel) { e.cancelled <- c.Job }
 func (e *echo) ClientGone(from Client)     { e.gone <- from }
 func (e *echo) Loads() []Load              { return []Load{{Partition: 3, Pressure: 77}} }
+func (e *echo) Attempts() []attempt.Attempt {
+	return []attempt.Attempt{{
+		Task: work.TaskID{Job: "a", Step: 1, Index: 2}, Run: 3, Process: attempt.Process{Endpoint: "i", StartedUnixMS: 7}, Outcome: attempt.Crashed,
+	}}
+}
 
 func listen(t *testing.T) (*Server, *echo) {
 	log := logrus.New()
@@ -55,14 +61,18 @@
 	}
 }
 
-// Guards against jobs, answers, cancellations or loads that are lost on a working connection, also when they are sent
+// Guards against jobs, answers, cancellations, loads or unsuccessful runs that are lost on a working connection, also when they are sent
 // before it is open.
 func TestRelay(t *testing.T) {
 	is := is.New(t)
 	s, e := listen(t)
 	answers := make(chan *Answer, 10)
+	attempts := make(chan []attempt.Attempt, 100)
 	ended := make(chan bool, 1)
-	u := Dial(s.Address(), nil, func(a *Answer) { answers <- a }, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	u := Dial(s.Address(), nil, Handler{
+		Answer: func(a *Answer) { answers <- a }, Attempts: func(a []attempt.Attempt) { attempts <- a },
+		End: func(_ *Uplink, sent bool, _ error) { ended <- sent },
+	})
 	u.Submit(&Submit{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 2}}}})
 	is.Equal(receive(t, answers).Job, work.JobID("a"))
 	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
@@ -77,6 +87,7 @@
 			t.Fatal("no load received within 20 s")
 		}
 	}
+	is.Equal(receive(t, attempts), e.Attempts())
 	u.Close()
 	receive(t, e.gone) // the dispatcher is informed that the client is gone
 	is.True(receive(t, ended))
@@ -91,7 +102,7 @@
 	address := l.Addr().String()
 	l.Close()
 	ended := make(chan bool, 1)
-	Dial(address, nil, func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	Dial(address, nil, Handler{Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
 	is.True(!receive(t, ended))
 }
 
@@ -109,7 +120,7 @@
 		}
 	}()
 	ended := make(chan bool, 1)
-	Dial(l.Addr().String(), nil, func(*Answer) {}, func(_ *Uplink, sent bool, _ error) { ended <- sent })
+	Dial(l.Addr().String(), nil, Handler{Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
 	is.True(receive(t, ended))
 	is.True(!Probe(l.Addr().String(), 50*time.Millisecond)) // like a machine that accepts connections for a stopped process
 	live, _ := listen(t)
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -9,6 +9,9 @@
 	UnansweredStarts metric.Counter    // start requests that got no answer
 	Stalled          metric.Counter    // runs stopped for lack of progress
 	UnsuccessfulRuns metric.Counter    // runs that ended without success
+	Crashes          metric.Counter    // endpoints whose process ended without notice
+	CrashedRuns      metric.Counter    // runs on them
+	GivenUp          metric.Counter    // jobs that failed because a task is not started again
 	RunMS            *metric.Quantiles // time from the order to the end of a successful run
 	WaitMS           *metric.Quantiles // time from the arrival of a job to the order of a run
 }
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
@@ -72,6 +73,102 @@
 	})
 }
 
+// Guards against crashes that are forgotten when another dispatcher takes the partition over, when a job goes to another partition and
+// when it is submitted again after it was given up: the submission carries what the instance knows. The clock is virtual.
+func TestCrashesCountForTheNextDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newCrashingFleet(4)
+		before, c := newShard(f, func() {}), newClient()
+		before.Begin(shard.Term{Fence: 1, Partitions: 1})
+		before.register(all)
+		time.Sleep(time.Second)
+		before.Submit(c, &relay.Submit{Job: patientJob("crashing", 1)})
+		time.Sleep(1300 * time.Millisecond) // the first crash is known, and the second process has crashed or is about to
+		endAndSettle(before)
+		for fence := range int64(3) {
+			after, c := newShard(f, func() {}), newClient()
+			after.Begin(shard.Term{Fence: 2 + fence, Partitions: 1})
+			after.register(all)
+			time.Sleep(2 * time.Second)
+			after.Submit(c, &relay.Submit{Job: patientJob("crashing", 1), Resumed: fence == 0, Attempts: before.history.OfJob("crashing")})
+			time.Sleep(5 * time.Second)
+			a := c.answer("crashing")
+			is.True(a != nil && a.State == work.Failed)
+			before.history.Merge(after.history.OfJob("crashing"), 0)
+			endAndSettle(after)
+		}
+		is.True(f.Crashes(crashingTask) <= maxCrashes+1) // the crash that its dispatcher's end left uncounted is allowed for
+	})
+}
+
+// Guards against failures that are forgotten at a takeover, so that a task fails more often than its queue allows: the second
+// dispatcher finds the failed end in the endpoint's report or learns of it from the submission. The clock is virtual.
+func TestFailuresCountForTheNextDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(2, 100*time.Millisecond)
+		f.Fails = func(work.TaskID) bool { return true }
+		var known []attempt.Attempt
+		for fence := range int64(4) {
+			s, c := newShard(f, func() {}), newClient()
+			s.Begin(shard.Term{Fence: 1 + fence, Partitions: 1})
+			s.register(all)
+			time.Sleep(2 * time.Second)
+			s.Submit(c, &relay.Submit{Job: patientJob("failing", 1), Resumed: fence > 0, Attempts: known})
+			time.Sleep(130 * time.Millisecond) // one run has failed and the next has begun
+			endAndSettle(s)
+			known = s.history.OfJob("failing")
+		}
+		is.Equal(len(f.Starts()), 2)
+	})
+}
+
+// Guards against a task that is given up although no process has crashed: an endpoint that a firewall cuts off refuses connections
+// and answers again later. The clock is virtual.
+func TestRefusedConnectionsAreNoCrashOnceTheProcessAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(2, 3*time.Second)
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		defer endAndSettle(s)
+		s.register(all)
+		time.Sleep(time.Second)
+		s.Submit(c, &relay.Submit{Job: patientJob("a", 4)})
+		for i := range 4 {
+			time.Sleep(200 * time.Millisecond)
+			f.SetRefusing(all[i%2].Address, true)
+			time.Sleep(2 * time.Second)
+			f.SetRefusing(all[i%2].Address, false)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(20 * time.Second)
+		is.True(completed(c, "a")())
+		is.Equal(f.OverlappingRuns(), "")
+	})
+}
+
+// Guards against crashes that are not counted because the endpoint's machine is gone too, so that nothing refuses connections: another
+// process at the address shows later that the first one has ended. The clock is virtual.
+func TestSilentCrashesCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newCrashingFleet(6)
+		f.SilentCrashes = true
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		defer endAndSettle(s)
+		s.register(all)
+		time.Sleep(time.Second)
+		s.Submit(c, &relay.Submit{Job: patientJob("crashing", 1)})
+		time.Sleep(20 * time.Second)
+		is.True(f.Crashes(crashingTask) <= 4) // starts go on while the crashed processes are away for 3 s
+		a := c.answer("crashing")
+		is.True(a != nil && a.State == work.Failed)
+	})
+}
+
 // Guards against a start that was decided before its endpoint's capacity shrank and is sent afterwards: a thin link holds start
 // requests back while the registration with the smaller capacity arrives. The clock is virtual.
 func TestCapacityShrinksWhileStartsWait(t *testing.T) {
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -67,6 +67,8 @@
 		x.clock, x.clockAt = clock, now
 	}
 	switch {
+	case errors.Is(err, work.ErrRefused):
+		x.neverSent(r, now, err)
 	case err != nil:
 		x.unanswered(r, now, err)
 	case refusal == work.Done:
@@ -78,6 +80,17 @@
 	s.dispatch()
 }
 
+// neverSent handles a start request whose connection was refused: the run was not started. The endpoint gets no new runs until it
+// answers a poll.
+func (x *session) neverSent(r *pool.Run, now time.Duration, err error) {
+	s := x.shard
+	s.opts.Log.WithFields(logrus.Fields{"event": "start_not_sent", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID}).
+		WithError(err).Warn("connection refused; the run was not started")
+	x.answering = false
+	s.pool.SetUsable(x.endpoint.ID, false)
+	s.finish(s.pool.RunLost(r, now))
+}
+
 // unanswered handles a start request that may have been carried out, or may be carried out later: the run is stopped, and
 // its task starts again once the run is known not to run.
 func (x *session) unanswered(r *pool.Run, now time.Duration, err error) {
@@ -113,13 +126,14 @@
 		x.answering = false
 		s.pool.SetUsable(x.endpoint.ID, false)
 	case work.OtherProcess:
-		s.drop(x, "another process answers at the address")
+		s.finish(s.pool.RunRefused(r, refusal, now))
+		s.drop(x, "another process answers at the address", true)
 		return
 	case work.InvalidRequest:
 		s.finish(s.pool.RunImpossible(r))
 		return
 	}
-	s.pool.RunRefused(r, refusal, now)
+	s.finish(s.pool.RunRefused(r, refusal, now))
 }
 
 // stop requests the stop of a run. If the endpoint confirms it, stop requests a report: if the report lacks the run, the run
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/work"
@@ -63,6 +64,9 @@
 	leaseExpired    bool          // the endpoint is silent, its lease has expired and the pool has ended its runs
 	// connectionRefused is true if a connection was refused since the last answer.
 	connectionRefused bool
+	// lost holds the runs that were ended when the lease of the silent endpoint expired, until it is known whether its process has
+	// ended or was only cut off.
+	lost []attempt.Attempt
 	// visibleFrom holds for each run the time from which reports contain the run while it runs: if a report that was
 	// requested later lacks the run, the run is over.
 	visibleFrom   map[*pool.Run]time.Duration
@@ -237,17 +241,23 @@
 	}
 	x.answering = false
 	s.pool.SetUsable(x.endpoint.ID, false)
+	s.pool.SetSilent(x.endpoint.ID, true)
 	if !x.leaseExpired && now-x.leaseExtendedAt > s.leaseExpiryTime() && now-x.lastAnswerAt > s.leaseExpiryTime() {
 		x.leaseExpired = true
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "endpoint_lapsed", "endpoint": x.endpoint.ID, "runs": len(s.pool.RunsOn(x.endpoint.ID)),
 			"silent_ms": (now - x.lastAnswerAt).Milliseconds(), "refused": x.connectionRefused, "tasks": x.runNames(),
 		}).Warn("lease of a silent endpoint has expired; its runs are over")
-		x.clear(now)
+		if x.connectionRefused && !x.endpoint.Draining {
+			x.crashed(now)
+		} else {
+			x.lost = x.startedRuns()
+			x.clear(now)
+		}
 		s.dispatch()
 	}
 	if !x.registered && now-x.lastAnswerAt > unregisteredTimeout {
-		s.drop(x, "silent and not registered")
+		s.drop(x, "silent and not registered", false)
 	}
 }
 
@@ -261,7 +271,7 @@
 		x.handleOutranked()
 		return fencedPause
 	case r == work.OtherProcess:
-		s.drop(x, "another process answers at the address")
+		s.drop(x, "another process answers at the address", true)
 	}
 	return retryPause
 }
@@ -289,7 +299,9 @@
 			"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.StartedUnixMS, "tasks": x.runNames(),
 		}).Warn("endpoint's process was restarted; its runs are lost")
 		x.acknowledged, x.reportClock = 0, 0
-		x.clear(now)
+		x.processEnded(now)
+	} else if x.leaseExpired {
+		x.withdrawCrashes()
 	}
 	if !x.answering {
 		s.opts.Log.WithFields(logrus.Fields{
@@ -298,7 +310,8 @@
 	}
 	overtaken := report.Clock < x.reportClock
 	x.startedUnixMS, x.lastAnswerAt = report.StartedUnixMS, now
-	x.answering, x.leaseExpired, x.connectionRefused, x.failures = true, false, false, 0
+	x.answering, x.leaseExpired, x.connectionRefused, x.failures, x.lost = true, false, false, 0, nil
+	s.pool.SetSilent(x.endpoint.ID, false)
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
 		x.reportedTo = max(x.reportedTo, fence)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -20,6 +20,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
@@ -47,6 +48,8 @@
 	Directory *Directory
 	Lease     time.Duration // longest lease that endpoints accept
 	Dialer    work.Dialer
+	// History holds the unsuccessful runs of tasks. All shards of an instance share it, and it outlives their terms.
+	History *attempt.History
 	// Window limits the start requests in flight. All shards of an instance share it, since they share its link.
 	Window *congestion.Window
 	// OnFenced is called when an endpoint refuses a request because it has seen a higher fence than this instance's.
@@ -86,7 +89,7 @@
 }
 
 func (s *Shard) reset() {
-	s.pool = pool.New()
+	s.pool = pool.New(s.opts.History)
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]relay.Client{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
@@ -113,7 +116,7 @@
 func (s *Shard) updateEndpoint(e work.Endpoint) {
 	x := s.sessions[e.ID]
 	if x != nil && x.endpoint.Address != e.Address {
-		s.drop(x, "moved")
+		s.drop(x, "moved", false)
 		x = nil
 	}
 	s.pool.Update(e)
@@ -141,8 +144,9 @@
 	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_unlisted", "endpoint": id}).Info("registration ended")
 }
 
-// drop ends the session of an endpoint that is known to run nothing, and its runs with it.
-func (s *Shard) drop(x *session, why string) {
+// drop ends the session of an endpoint that is known to run nothing, and its runs with it. crashed is true if its process has ended
+// without notice.
+func (s *Shard) drop(x *session, why string, crashed bool) {
 	if s.sessions[x.endpoint.ID] != x {
 		return
 	}
@@ -150,6 +154,9 @@
 	x.cancel()
 	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_dropped", "endpoint": x.endpoint.ID, "why": why, "tasks": x.runNames()}).
 		Info("endpoint dropped")
+	if crashed {
+		x.processEnded(s.opts.Now())
+	}
 	s.finish(s.pool.Remove(x.endpoint.ID, s.opts.Now()))
 }
 
@@ -163,6 +170,7 @@
 		return
 	}
 	now := s.opts.Now()
+	s.opts.History.Merge(m.Attempts, now)
 	known := s.pool.HasJob(job.ID)
 	verdict, outcomes := s.pool.Submit(job, now, now-m.Waited, s.notBefore(m.Resumed))
 	s.logVerdict(m, verdict, known)
@@ -185,7 +193,7 @@
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "submit", "job": job.ID, "queue": job.Queue, "tasks": job.Tasks(), "outcome": outcome, "resumed": resumed,
 		"known": known, "wait_ms": v.ExpectedWait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.term.Fence,
-		"endpoints": v.Endpoints, "free_milli_cpu": v.FreeMilliCPU, "ahead": v.JobsAhead, "kept_milli_cpu": v.ReservedMilliCPU,
+		"endpoints": v.Endpoints, "isolated": v.Isolated, "free_milli_cpu": v.FreeMilliCPU, "ahead": v.JobsAhead, "kept_milli_cpu": v.ReservedMilliCPU,
 		"waited_ms": waited.Milliseconds(),
 	}).Info("submission decided")
 }
@@ -229,14 +237,38 @@
 func (s *Shard) finish(outcomes []pool.Outcome) {
 	for _, o := range outcomes {
 		client := s.clients[o.Job]
+		if client == nil && !s.pool.HasJob(o.Job) {
+			continue // the end of another task has ended the job already
+		}
 		if client != nil {
-			client.Answer(&relay.Answer{Job: o.Job, State: o.State})
+			client.Answer(answerOf(o))
 		}
-		s.opts.Log.WithFields(logrus.Fields{"event": "job_ended", "job": o.Job, "state": o.State}).Info("job ended")
+		s.logEnd(o)
 		s.abandon(o.Job)
 	}
 }
 
+// answerOf returns the answer for a job that has ended.
+func answerOf(o pool.Outcome) *relay.Answer {
+	if o.State == "" {
+		return &relay.Answer{Job: o.Job, Refused: pool.ReasonGaveUp, Started: true}
+	}
+	return &relay.Answer{Job: o.Job, State: o.State}
+}
+
+func (s *Shard) logEnd(o pool.Outcome) {
+	fields := logrus.Fields{"event": "job_ended", "job": o.Job, "state": o.State}
+	if o.Why == "" {
+		s.opts.Log.WithFields(fields).Info("job ended")
+		return
+	}
+	s.opts.Counts.GivenUp.Add(1)
+	fields["task"], fields["why"] = o.Task.String(), o.Why
+	fields["crashes"] = s.opts.History.Count(o.Task, attempt.Crashed)
+	fields["failures"] = s.opts.History.Count(o.Task, attempt.Failed)
+	s.opts.Log.WithFields(fields).Warn("job given up: one of its tasks is not started again")
+}
+
 // dispatch orders the starts that are possible now. s.mu is held.
 func (s *Shard) dispatch() {
 	for _, r := range s.pool.Next(s.opts.Now()) {
@@ -300,7 +332,7 @@
 	now := s.opts.Now()
 	for _, r := range runs {
 		x := s.sessions[r.Endpoint]
-		if x == nil || x.stopConfirmed[r] {
+		if x == nil || x.stopConfirmed[r] || x.connectionRefused {
 			continue
 		}
 		if last, ok := s.stopRequestedAt[r.Task]; ok && now-last < stopRetryPause {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
@@ -57,6 +58,7 @@
 type dispatcher struct {
 	*shard.Shard
 	directory *shard.Directory
+	history   *attempt.History
 	mu        sync.Mutex
 	ahead     time.Duration // how far the clock is ahead of real time
 }
@@ -64,11 +66,11 @@
 func newShard(f *fleet.Fleet, fenced func()) *dispatcher { return newShardOf(f, 0, fenced) }
 
 func newShardOf(f *fleet.Fleet, partition int, fenced func()) *dispatcher {
-	d := &dispatcher{directory: shard.NewDirectory()}
+	d := &dispatcher{directory: shard.NewDirectory(), history: attempt.NewHistory()}
 	started := time.Now()
 	counts := shard.NewCounts()
 	d.Shard = shard.New(shard.Options{
-		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Window: congestion.New(), OnFenced: fenced, Counts: &counts,
+		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Window: congestion.New(), History: d.history, OnFenced: fenced, Counts: &counts,
 		Log: discardLog(), Now: func() time.Duration { return time.Since(started) + d.skip(0) },
 	})
 	return d
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -50,7 +50,11 @@
 	// DownTime is how long no process runs at an endpoint's address after a crash; connections are refused meanwhile. Another
 	// process with the same registration then starts.
 	DownTime time.Duration
-	crashes  map[work.TaskID]int // crashes by the task that caused them
+	// SilentCrashes makes calls to an endpoint without a process get no response, as if its machine were off.
+	SilentCrashes bool
+	crashes       map[work.TaskID]int // crashes by the task that caused them
+	// Fails, if not nil, tells whether the runs of a task end as failed.
+	Fails func(work.TaskID) bool
 	// LinkBytesPerSecond is the speed of the link between the dispatchers and the endpoints, over which requests pass one
 	// after the other; 0 for an unlimited one. A request whose sender stops waiting is still delivered.
 	LinkBytesPerSecond int
@@ -102,7 +106,8 @@
 	lastSequence   int64                  // sequence number of the latest end
 	maxRunning     int                    // highest number of runs at the same time
 	silent         bool                   // answers no calls
-	down           bool                   // no process runs, so connections are refused
+	down           bool                   // no process runs
+	refusing       bool                   // a firewall refuses connections
 	hangTasks      bool                   // new runs make no progress and never end
 	changed        chan struct{}          // closed and replaced when a run ends
 }
@@ -203,6 +208,13 @@
 	f.endpoints[address].silent = silent
 }
 
+// SetRefusing sets whether connections to an endpoint are refused although its process goes on.
+func (f *Fleet) SetRefusing(address string, refusing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endpoints[address].refusing = refusing
+}
+
 // HangTasks makes the runs that an endpoint starts from now on hang: they make no progress and do not end by themselves.
 func (f *Fleet) HangTasks(address string) {
 	f.mu.Lock()
@@ -282,11 +294,11 @@
 	f := c.fleet
 	f.mu.Lock()
 	e := f.endpoints[c.address]
-	if e != nil && e.down {
+	if e != nil && (e.refusing || e.down && !f.SilentCrashes) {
 		f.mu.Unlock()
 		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrRefused, call)
 	}
-	silent := e == nil || e.silent
+	silent := e == nil || e.silent || e.down
 	lost, delay := false, time.Duration(0)
 	if !silent && f.LoseAnswer != nil {
 		lost, delay = f.LoseAnswer(call)
@@ -354,7 +366,11 @@
 		return work.Done
 	}
 	if !e.hangTasks {
-		time.AfterFunc(e.fleet.RunTime(s.Task), func() { e.endRun(run, work.EndSucceeded) })
+		reason := work.EndSucceeded
+		if e.fleet.Fails != nil && e.fleet.Fails(s.Task) {
+			reason = work.EndFailed
+		}
+		time.AfterFunc(e.fleet.RunTime(s.Task), func() { e.endRun(run, reason) })
 	}
 	return work.Done
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -74,12 +74,12 @@
 
 // TaskID identifies one task of a job. Its text form is JOB.OCCURRENCE.STEP.INDEX, with decimal numbers.
 type TaskID struct {
-	Job JobID
+	Job JobID `msgpack:"j"`
 	// Occurrence is the number, from 0, of the repetition of a job that repeats on a schedule. It is 0 for all other jobs.
 	// Repeating jobs are not supported yet.
-	Occurrence int
-	Step       int
-	Index      int
+	Occurrence int `msgpack:"o,omitempty"`
+	Step       int `msgpack:"s,omitempty"`
+	Index      int `msgpack:"i,omitempty"`
 }
 
 // String returns the text form.
