Tasks whose result would be of no use are not started again after a crash

Cause: a task under which a process had crashed was started again while the loss of one more endpoint would leave enough capacity. Just before a crest that is nearly always so, and the endpoint is missing at the crest. Change: the rule that refuses accepted jobs which can no longer start in time for any use holds for suspects too: they are given up at once (504, since they may have run), whatever the capacity.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -18,8 +18,8 @@
 const (
 	GiveUpCrashes  GiveUp = "crashes"  // attempt.MaxCrashes processes have crashed under the task
 	GiveUpFailures GiveUp = "failures" // the task has failed as often as its queue allows
-	// GiveUpTooLate means that a process has crashed under the task, that its result would be of no use any more and that capacity is
-	// short. The job has not failed; it ends without a result.
+	// GiveUpTooLate means that a process has crashed under the task and that its result would be of no use any more. The job has not
+	// failed; it ends without a result.
 	GiveUpTooLate GiveUp = "too_late"
 )
 
@@ -143,7 +143,7 @@
 	if p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes {
 		return GiveUpCrashes
 	}
-	if now-j.arrived > maxWait(j) && p.short() {
+	if now-j.arrived > maxWait(j) {
 		return GiveUpTooLate
 	}
 	j.suspect(task)
@@ -151,18 +151,6 @@
 	return ""
 }
 
-// short reports whether the loss of one more endpoint would leave less capacity than the running and waiting tasks need.
-func (p *Pool) short() bool {
-	total, wanted := p.load()
-	largest := 0
-	for _, e := range p.order {
-		if e.usable && !e.Draining {
-			largest = max(largest, e.Size.MilliCPU)
-		}
-	}
-	return total-largest < wanted
-}
-
 // Suspect records that a process has crashed under an earlier run of a task. If the task starts again, it starts alone. It returns the
 // failure of the job if the task has to be given up.
 func (p *Pool) Suspect(task work.TaskID) []Outcome {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -200,15 +200,7 @@
 // usable endpoint it returns 1000.
 func (p *Pool) Pressure() int {
 	const noEndpoint = 1000
-	total, wanted := p.load()
-	if total == 0 {
-		return noEndpoint
-	}
-	return 100 * wanted / total
-}
-
-// load returns the processors of the usable endpoints and those that are in use or waited for, in thousandths of a core.
-func (p *Pool) load() (total, wanted int) {
+	total, wanted := 0, 0
 	for _, e := range p.order {
 		if e.usable && !e.Draining {
 			total += e.Size.MilliCPU
@@ -222,7 +214,10 @@
 			}
 		}
 	}
-	return total, wanted
+	if total == 0 {
+		return noEndpoint
+	}
+	return 100 * wanted / total
 }
 
 // capacity checks that each step of a job fits on some endpoint. It returns the reason if not, and the total size of the
