The window of start requests tells congestion from distance

Cause, two faults: a response time above 20 ms counted as congestion whatever the path, so the window shrank to 2 requests for good; and the window counted as used up only by requests that were admitted at once, so with requests waiting all the time it never grew. Beside them, the first poll of an endpoint farther than 30 ms timed out for ever, and the endpoint was never used. Change: a response is congested by its growth over the shortest one of its own endpoint. A batch is a round trip. Bases are learned anew when the smallest window stays congested. Requests that are admitted late use the window up as well. The first report of a term may take 400 ms, and first polls give the first timeouts. Evidence: TestLongPaths (5, 12 and 40 ms each way) failed at 12 ms before, and at 40 ms until all four were mended; TestWindowGrowsWhileRequestsWait, TestDistanceIsNotCongestion, TestFarPathsDoNotShrinkTheWindow, TestWindowRecoversFromLongerPaths and TestWindowFitsTheLink are new. TestWindowFollowsTheLink took responses that had always taken 100 ms for congestion, which is the fault; it now lets them grow from 2 ms and asks for the same sizes. TestThinLink holds unchanged.

--- a/internal/congestion/window_test.go
+++ b/internal/congestion/window_test.go
@@ -23,7 +23,7 @@
 // respond ends a number of requests that took a time each.
 func respond(w *Window, n int, took time.Duration) {
 	for range n {
-		w.Release(took, true)
+		w.Release("path", took, true)
 	}
 }
 
@@ -41,7 +41,7 @@
 	w := New()
 	for range 100 {
 		w.Acquire()
-		w.Release(2*time.Millisecond, true)
+		w.Release("path", 2*time.Millisecond, true)
 	}
 	is.Equal(w.Timeout(), maxFloor)
 	lose(w)
@@ -57,6 +57,10 @@
 func TestWindowFollowsTheLink(t *testing.T) {
 	is := is.New(t)
 	w := New()
+	for range 20 {
+		respond(w, use(w), 2*time.Millisecond)
+	}
+	is.True(w.Status().Size > int(initialSize))
 	for range 20 {
 		respond(w, use(w), 100*time.Millisecond)
 	}
@@ -67,6 +71,84 @@
 	is.Equal(w.Status().Size, int(maxSize))
 }
 
+// Guards against a long path that counts as congested: responses that always take long say nothing about a queue.
+func TestDistanceIsNotCongestion(t *testing.T) {
+	for _, took := range []time.Duration{10 * time.Millisecond, 24 * time.Millisecond, 80 * time.Millisecond} {
+		is := is.New(t)
+		w := New()
+		for range 100 {
+			respond(w, use(w), took)
+		}
+		is.Equal(w.Status().Size, int(maxSize))
+	}
+}
+
+// Guards against a far or slow part of the endpoints that makes the window small for the others, and against bases that are mixed up
+// between paths.
+func TestFarPathsDoNotShrinkTheWindow(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 100 {
+		n := use(w)
+		for i := range n {
+			if i%4 == 0 {
+				w.Release("near", time.Millisecond, true)
+			} else {
+				w.Release("far", 80*time.Millisecond, true)
+			}
+		}
+	}
+	is.Equal(w.Status().Size, int(maxSize))
+}
+
+// Guards against a window that stays small for good when all paths have become longer, as after a change of the route.
+func TestWindowRecoversFromLongerPaths(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 20 {
+		respond(w, use(w), 2*time.Millisecond)
+	}
+	for range 200 {
+		respond(w, use(w), 60*time.Millisecond)
+	}
+	is.Equal(w.Status().Size, int(maxSize))
+}
+
+// queue is a link that delivers one request a service time, behind a path of a length.
+type queue struct{ path, service time.Duration }
+
+// round sends a full window through the link and returns the longest response time.
+func (q queue) round(w *Window) time.Duration {
+	n := use(w)
+	for i := range n {
+		w.Release("path", q.path+time.Duration(i+1)*q.service, true)
+	}
+	return q.path + time.Duration(n)*q.service
+}
+
+// Guards against a window that keeps a queue on a link because the base was learned while the link was congested, and against one that
+// is too small for the link: it holds what the link carries in a round trip and minQueueDelay more, within a factor.
+func TestWindowFitsTheLink(t *testing.T) {
+	for _, q := range []queue{
+		{2 * time.Millisecond, 8 * time.Millisecond}, {24 * time.Millisecond, 2 * time.Millisecond}, {80 * time.Millisecond, time.Millisecond},
+	} {
+		is := is.New(t)
+		w := New()
+		for range 10 {
+			w.Acquire()
+			w.Release("path", q.path+10*q.service, true) // a queue stands when the instance starts
+		}
+		longest := time.Duration(0)
+		for i := range 300 {
+			if took := q.round(w); i > 100 {
+				longest = max(longest, took)
+			}
+		}
+		is.True(longest <= 3*(q.path+minQueueDelay)+q.service)
+		is.True(w.Status().Size >= int(minSize) && float64(w.Status().Size) >= 0.5*float64(q.path)/float64(q.service))
+	}
+}
+
 // Guards against a window that a few slow or silent endpoints make small, although the link is free.
 func TestSlowEndpointsDoNotShrinkTheWindow(t *testing.T) {
 	is := is.New(t)
@@ -79,13 +161,31 @@
 	is.True(w.Status().Size >= int(initialSize))
 }
 
+// Guards against a window that never grows while requests wait all the time: those that are admitted late use it up like the others.
+func TestWindowGrowsWhileRequestsWait(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	use(w)
+	const waiting = 400
+	for i := range waiting {
+		go w.Acquire()
+		for w.Status().Waiting <= i {
+			time.Sleep(10 * time.Microsecond)
+		}
+	}
+	for w.Status().Waiting > 0 {
+		w.Release("path", time.Millisecond, true)
+	}
+	is.True(w.Status().Size > 2*int(initialSize))
+}
+
 // Guards against a window that grows while little is sent, so that the next burst fills the link's queue.
 func TestWindowGrowsOnlyWhenUsed(t *testing.T) {
 	is := is.New(t)
 	w := New()
 	for range 1000 {
 		w.Acquire()
-		w.Release(time.Millisecond, true)
+		w.Release("path", time.Millisecond, true)
 	}
 	is.Equal(w.Status().Size, int(initialSize))
 }
@@ -108,7 +208,7 @@
 	is.Equal(len(order), 0)
 	w.Forgo()
 	is.Equal(<-order, 0)
-	w.Release(time.Millisecond, true)
+	w.Release("path", time.Millisecond, true)
 	is.Equal(<-order, 1)
 	is.Equal(w.Status().InFlight, n)
 }
@@ -124,7 +224,7 @@
 		for range n {
 			w.Acquire()
 			timeout := w.Timeout()
-			w.Release(min(took, timeout), took < timeout)
+			w.Release("path", min(took, timeout), took < timeout)
 		}
 	}
 	answer(100, 2*time.Millisecond)
@@ -150,7 +250,7 @@
 				took = w.Timeout()
 			}
 			w.Acquire()
-			w.Release(took, !lost)
+			w.Release("path", took, !lost)
 		}
 	}
 	is.Equal(w.Timeout(), minFloor)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -155,9 +155,19 @@
 			fields[string(kind)] = counts.String()
 		}
 		n.log.WithFields(fields).Info("calls, failed calls, bytes sent and bytes received by kind")
+		n.logWindow()
 	}
 }
 
+// logWindow logs the state of the window for start requests, so that work that waits for the window can be told from work that waits for
+// endpoints.
+func (n *Node) logWindow() {
+	w := n.window.Status()
+	n.log.WithFields(logrus.Fields{
+		"event": "endpoint_requests", "size": w.Size, "in_flight": w.InFlight, "waiting": w.Waiting, "delay_ms": w.DelayMS, "base_ms": w.BaseMS,
+	}).Info("start requests in flight and waiting, and their response times")
+}
+
 // serveOperators starts the listener for metrics and dumps. With an empty address it starts none and returns nil.
 func (n *Node) serveOperators(address string) (*fasthttp.Server, error) {
 	if address == "" {
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -24,7 +24,7 @@
 	defer cancel()
 	sent := s.opts.Now()
 	refusal, clock, err := x.endpointClient.Start(ctx, request)
-	s.opts.Window.Release(s.opts.Now()-sent, err == nil)
+	s.opts.Window.Release(x.path, s.opts.Now()-sent, err == nil)
 	x.startAnswered(r, fence, refusal, clock, err)
 }
 
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -18,6 +18,9 @@
 	// renewalTimeout is the shortest time that a lease renewal waits for its response beyond the wait that it requests. It is
 	// short, since leases depend on renewals. It does not apply to the short polls after calls were lost.
 	renewalTimeout = 100 * time.Millisecond
+	// firstReportTimeout is the shortest time that the first poll of a term waits for its response. It covers a connection and a
+	// request on any path within a region; nothing depends on the poll yet.
+	firstReportTimeout = 400 * time.Millisecond
 	// busyPollWait and idlePollWait are how long a poll may wait at an endpoint with and without runs. Together with the
 	// timeout of a lost call they stay well below the lease.
 	busyPollWait = 200 * time.Millisecond
@@ -47,6 +50,7 @@
 	endpoint       work.Endpoint
 	endpointClient work.EndpointClient
 	cancel         context.CancelFunc
+	path           string // names the way to the endpoint in the window of start requests; constant
 
 	registered      bool          // the endpoint is registered
 	reported        bool          // the endpoint has reported during the term
@@ -75,7 +79,7 @@
 
 func newSession(s *Shard, e work.Endpoint) *session {
 	return &session{
-		shard: s, endpoint: e, endpointClient: s.opts.Dialer.Dial(e), registered: true, lastAnswerAt: s.opts.Now(),
+		shard: s, endpoint: e, endpointClient: s.opts.Dialer.Dial(e), path: string(e.ID), registered: true, lastAnswerAt: s.opts.Now(),
 		leaseExtendedAt: s.opts.Now(), visibleFrom: map[*pool.Run]time.Duration{}, stopConfirmed: map[*pool.Run]bool{},
 	}
 }
@@ -148,21 +152,35 @@
 	return 0
 }
 
+// reportRequest is a lease renewal as a session sends it.
+type reportRequest struct {
+	work.LeaseRequest
+	First bool // the endpoint has not reported in this term, so its response time is not known
+}
+
 // renewLease sends a renewal and waits for the report until its timeout.
-func (x *session) renewLease(ctx context.Context, request work.LeaseRequest) (work.Report, work.Refusal, error) {
+func (x *session) renewLease(ctx context.Context, request reportRequest) (work.Report, work.Refusal, error) {
 	timeout := x.shard.opts.Window.Timeout()
-	if request.Wait > lossyPollWait {
+	switch {
+	case request.First:
+		timeout = max(timeout, firstReportTimeout)
+	case request.Wait > lossyPollWait:
 		timeout = max(timeout, renewalTimeout)
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+timeout)
 	defer cancel()
-	return x.endpointClient.RenewLease(ctx, request)
+	sent := x.shard.opts.Now()
+	report, refusal, err := x.endpointClient.RenewLease(ctx, request.LeaseRequest)
+	if err == nil && request.Wait == 0 {
+		x.shard.opts.Window.Observe(x.path, x.shard.opts.Now()-sent)
+	}
+	return report, refusal, err
 }
 
 // requestReport requests a report in addition to the regular polls and returns whether one came. If none does, the next poll
 // brings the report.
 func (x *session) requestReport() bool {
-	sent, request := x.reportRequest()
+	sent, request := x.prepareReport()
 	report, refusal, err := x.renewLease(context.Background(), request)
 	if err != nil || refusal != work.Done {
 		return false
@@ -177,12 +195,12 @@
 	return true
 }
 
-// reportRequest returns the time and a request for a report that neither waits nor extends the lease.
-func (x *session) reportRequest() (time.Duration, work.LeaseRequest) {
+// prepareReport returns the time and a request for a report that neither waits nor extends the lease.
+func (x *session) prepareReport() (time.Duration, reportRequest) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opts.Now(), work.LeaseRequest{Fence: s.term.Fence, Acknowledged: x.acknowledged}
+	return s.opts.Now(), reportRequest{First: !x.reported, LeaseRequest: work.LeaseRequest{Fence: s.term.Fence, Acknowledged: x.acknowledged}}
 }
 
 // silentAfterPolls is the number of consecutive unanswered polls from which an endpoint gets no new runs.
@@ -194,12 +212,12 @@
 
 // preparePoll returns the time and the request of the next poll. The poll does not wait at an endpoint that did not answer
 // the last one.
-func (x *session) preparePoll() (time.Duration, work.LeaseRequest) {
+func (x *session) preparePoll() (time.Duration, reportRequest) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Now()
-	request := work.LeaseRequest{Fence: s.term.Fence, Acknowledged: x.acknowledged}
+	request := reportRequest{First: !x.reported, LeaseRequest: work.LeaseRequest{Fence: s.term.Fence, Acknowledged: x.acknowledged}}
 	busy := s.pool.Busy(x.endpoint.ID)
 	if x.reported && busy && x.failures < maxExtendingPolls {
 		request.LeaseEnd = x.leaseEnd(now)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -152,6 +152,7 @@
 	}
 	delete(s.sessions, x.endpoint.ID)
 	x.cancel()
+	s.opts.Window.Forget(x.path)
 	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_dropped", "endpoint": x.endpoint.ID, "why": why, "tasks": x.runNames()}).
 		Info("endpoint dropped")
 	if crashed {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -269,6 +269,36 @@
 	})
 }
 
+// Guards against start requests that collapse on longer paths between an instance and its endpoints: nothing is congested, so a job
+// takes the time of the path longer, and no run is started again. The clock is virtual.
+func TestLongPaths(t *testing.T) {
+	for _, oneWay := range []time.Duration{5 * time.Millisecond, 12 * time.Millisecond, 40 * time.Millisecond} {
+		t.Run(oneWay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const jobs, tasks, run = 100, 8, 50 * time.Millisecond
+				f, all := newFleet(48, run)
+				f.PathDelay = oneWay
+				s, c := newShard(f, func() {}), newClient()
+				s.Begin(shard.Term{Fence: 1, Partitions: 1})
+				s.register(all)
+				time.Sleep(2 * time.Second)
+				for i := range jobs {
+					s.Submit(c, &relay.Submit{Job: jobOf(fmt.Sprint("far", i), tasks, run)})
+					time.Sleep(40 * time.Millisecond)
+				}
+				time.Sleep(run + 6*oneWay) // the last job has three round trips: a start, the end of a poll before it, and its report
+				for i := range jobs {
+					is.True(completed(c, work.JobID(fmt.Sprint("far", i)))())
+				}
+				is.True(len(f.Starts()) <= jobs*tasks+tasks) // only the first requests may time out, before response times are known
+				s.End()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against two simultaneous runs of a task when a start request gets no answer and is carried out later.
 func TestLateStartRequest(t *testing.T) {
 	is := is.New(t)
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -103,6 +103,7 @@
 		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
 	}
 	for _, x := range s.sessions {
+		s.opts.Window.Forget(x.path)
 		x.endpointClient.Close()
 	}
 	s.reset()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -58,7 +58,9 @@
 	// LinkBytesPerSecond is the speed of the link between the dispatchers and the endpoints, over which requests pass one
 	// after the other; 0 for an unlimited one. A request whose sender stops waiting is still delivered.
 	LinkBytesPerSecond int
-	linkFreeAt         time.Time // when the link has delivered all requests so far
+	// PathDelay is the time that a request and an answer take one way, besides the link.
+	PathDelay  time.Duration
+	linkFreeAt time.Time // when the link has delivered all requests so far
 }
 
 // requestBytes is the size of a request without a job's specification, including headers.
@@ -67,22 +69,42 @@
 // deliver waits until the link has delivered a request of a number of bytes. It returns false if ctx ends first; the request
 // is then delivered later and passed to late.
 func (f *Fleet) deliver(ctx context.Context, bytes int, late func()) bool {
+	delivery := f.deliveryTime(bytes)
+	if delivery == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delivery):
+		return true
+	case <-ctx.Done():
+		time.AfterFunc(delivery, late)
+		return false
+	}
+}
+
+// deliveryTime returns how long a request of a number of bytes that is sent now takes to the endpoint.
+func (f *Fleet) deliveryTime(bytes int) time.Duration {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.LinkBytesPerSecond == 0 {
-		f.mu.Unlock()
-		return true
+		return f.PathDelay
 	}
 	if now := time.Now(); f.linkFreeAt.Before(now) {
 		f.linkFreeAt = now
 	}
 	f.linkFreeAt = f.linkFreeAt.Add(time.Duration(bytes) * time.Second / time.Duration(f.LinkBytesPerSecond))
-	delivery := time.Until(f.linkFreeAt)
-	f.mu.Unlock()
+	return time.Until(f.linkFreeAt) + f.PathDelay
+}
+
+// wayBack waits until an answer has come back. It returns false if ctx ends first.
+func (f *Fleet) wayBack(ctx context.Context) bool {
+	if f.PathDelay == 0 {
+		return true
+	}
 	select {
-	case <-time.After(delivery):
+	case <-time.After(f.PathDelay):
 		return true
 	case <-ctx.Done():
-		time.AfterFunc(delivery, late)
 		return false
 	}
 }
@@ -282,7 +304,11 @@
 	if !c.fleet.deliver(ctx, bytes, late) {
 		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
 	}
-	return send(ctx, c, call, do)
+	answer, err = send(ctx, c, call, do)
+	if err == nil && !c.fleet.wayBack(ctx) {
+		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
+	}
+	return answer, err
 }
 
 // callTimeout is the time after which a call without a response fails.
