Read the registrations at once when another process answers at an address

Cause: an endpoint that comes back after a crash answers under another name; its registration was read up to half a second later, which is an eighth of the time for which a crash takes an endpoint away. Change: the session that meets another process makes the next read of the registrations begin at once.

--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -31,7 +31,7 @@
 	n := newShards("north", directory, started, attempt.NewHistory(), func(part int) *shard.Shard {
 		return shard.New(shard.Options{
 			Zone: "north", Partition: part, Directory: directory, Lease: time.Second, Dialer: fleet.New(time.Second),
-			History: attempt.NewHistory(), OnFenced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
+			History: attempt.NewHistory(), OnFenced: func() {}, OnReplaced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
 		})
 	})
 	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -53,6 +53,7 @@
 // has ended, under its present runs or under those that were ended when its lease expired.
 func (x *session) processEnded(now time.Duration) {
 	s := x.shard
+	s.opts.OnReplaced()
 	if x.endpoint.Draining {
 		x.lost = nil
 		x.clear(now)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -54,9 +54,11 @@
 	Window *congestion.Window
 	// OnFenced is called when an endpoint refuses a request because it has seen a higher fence than this instance's.
 	OnFenced func()
-	Counts   *Counts
-	Log      logrus.FieldLogger
-	Now      func() time.Duration // monotonic clock
+	// OnReplaced is called when another process answers at an endpoint's address. Its registration is in the store or comes soon.
+	OnReplaced func()
+	Counts     *Counts
+	Log        logrus.FieldLogger
+	Now        func() time.Duration // monotonic clock
 }
 
 // Shard is the dispatcher of one partition. Its methods may be called concurrently.
@@ -144,8 +146,8 @@
 	s.opts.Log.WithFields(logrus.Fields{"event": "endpoint_unlisted", "endpoint": id}).Info("registration ended")
 }
 
-// drop ends the session of an endpoint that is known to run nothing, and its runs with it. crashed is true if its process has ended
-// without notice.
+// drop ends the session of an endpoint that is known to run nothing, and its runs with it. crashed is true if another process answers in
+// place of its own.
 func (s *Shard) drop(x *session, why string, crashed bool) {
 	if s.sessions[x.endpoint.ID] != x {
 		return
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,7 @@
 	*shard.Shard
 	directory *shard.Directory
 	history   *attempt.History
+	replaced  atomic.Int32 // calls of OnReplaced
 	mu        sync.Mutex
 	ahead     time.Duration // how far the clock is ahead of real time
 }
@@ -70,7 +72,7 @@
 	started := time.Now()
 	counts := shard.NewCounts()
 	d.Shard = shard.New(shard.Options{
-		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Window: congestion.New(), History: d.history, OnFenced: fenced, Counts: &counts,
+		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Window: congestion.New(), History: d.history, OnFenced: fenced, OnReplaced: func() { d.replaced.Add(1) }, Counts: &counts,
 		Log: discardLog(), Now: func() time.Duration { return time.Since(started) + d.skip(0) },
 	})
 	return d
@@ -404,7 +406,7 @@
 	is.Equal(f.OverlappingRuns(), "")
 }
 
-// Guards against waiting for runs that an endpoint lost when it was restarted under the same name.
+// Guards against waiting for runs that an endpoint lost when it was restarted under the same name, and for its new registration.
 func TestRestartedEndpoint(t *testing.T) {
 	is := is.New(t)
 	f, all, s, c := newLeadingDispatcher(t, 2, 200*time.Millisecond)
@@ -413,6 +415,7 @@
 	f.Restart(all[0].Address)
 	wait.For(t, "the job completes", completed(c, "a"))
 	is.Equal(f.OverlappingRuns(), "")
+	is.Equal(s.replaced.Load(), int32(1)) // the registrations are read again, since the new process may have another one
 }
 
 // Guards against tasks that wait forever for runs without progress on an endpoint that still answers.
