A report requested at the instant of a start's confirmation does not end the run

What callers could see: a task that runs on two endpoints at once. Cause: a report that lacks a run ends it if the report was requested at or after the time from which reports list the run. With equal times the report may be the older one. On clocks of nanoseconds equal times do not happen; on coarse or simulated clocks they do. Change: the report has to be requested later. Evidence: found by TestCrashingTaskIsGivenUp, which failed once in 72 runs (run 2 on another endpoint at the instant of run 1) and once before that without a kept message. TestReportOfTheSameInstant, where starts, ends and polls share instants, failed in 3 of 3 runs before and passes in 25 of 25.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -428,7 +428,7 @@
 		if !ok {
 			at = r.Ordered + s.leaseExpiryTime()
 		}
-		if sent < at {
+		if sent <= at {
 			continue
 		}
 		x.forget(r)
