--- a/internal/scenario/script_expect_test.go
+++ b/internal/scenario/script_expect_test.go
@@ -9,9 +9,11 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/savorypass/savorypass/internal/ops/opsapi"
 )
 
-// until implements "until ready", "until started JOBS N", "until sees E F live|suspect|gone" and "until ended|unlisted
+// until implements "until ready", "until started JOBS N", "until received JOBS N", "until sees E F live|suspect|gone" and "until ended|unlisted
 // NAME": it waits until the deployment is in the named state.
 func until(sc *script, args []string) error {
 	if err := requireArgs(args, 1, "until STATE"); err != nil {
@@ -32,6 +34,8 @@
 			return fmt.Sprintf("%d tasks started, error %v", n, err)
 		}
 		return ""
+	case args[0] == "received" && len(args) == 3:
+		return sc.missingForReceived(args[1], args[2])
 	case args[0] == "sees" && len(args) == 4:
 		return sc.missingForSees(args[1], args[2], args[3])
 	case args[0] == "ended" && len(args) == 2:
@@ -58,6 +62,29 @@
 	return n, err
 }
 
+// missingForReceived returns "" if the homes of a group of jobs have received the submissions of a number of them.
+func (sc *script) missingForReceived(group, count string) string {
+	want, err := strconv.Atoi(count)
+	if err != nil {
+		return err.Error()
+	}
+	received := 0
+	for _, j := range sc.jobs[group] {
+		home, err := sc.sys.Find(j.Home)
+		if err != nil {
+			return err.Error()
+		}
+		var job opsapi.Job
+		if err := sc.sys.CallOperatorAPI(home, "GET", opsapi.PathJobs+"/"+j.Identity, nil, &job); err == nil {
+			received++
+		}
+	}
+	if received < want {
+		return fmt.Sprintf("%d submissions received", received)
+	}
+	return ""
+}
+
 // missingForSees returns "" if the instance observer sees the instance observed in the given state, and otherwise the state
 // that it sees. An instance that is not a member is gone.
 func (sc *script) missingForSees(observer, observed, state string) string {
