Tests: crash counts through both instances, and tests that could not fail

TestCrashesSurviveTheDispatcher kills the dispatcher that has seen a crash, in a deployment of two instances; the other one knows the crash from heartbeats, gives the task up and answers a second submission at once. Conclusion: no product code changed.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -240,6 +240,42 @@
 	is.Equal(d.fleet.OverlappingRuns(), "")
 }
 
+// Guards against crashes that are forgotten with the dispatcher that saw them, or when a caller submits its job again: the other instance
+// learns of the first crash from heartbeats, takes over and gives the task up.
+func TestCrashesSurviveTheDispatcher(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 6, 100*time.Millisecond)
+	task := work.TaskID{Job: work.JobID(id(50))}
+	d.fleet.DownTime = 3 * time.Second
+	d.fleet.CrashTime = func(started work.TaskID) time.Duration {
+		if started == task {
+			return 50 * time.Millisecond
+		}
+		return 0
+	}
+	a := d.start("a")
+	d.eventually("the first instance serves", d.served(a, 1))
+	b := d.start("b")
+	d.eventually("the second instance serves", d.served(b, 2))
+	answer := make(chan string, 1)
+	go func() {
+		status, body := b.post(id(50), 1)
+		answer <- fmt.Sprint(status, body)
+	}()
+	d.eventually("the second instance knows of the first crash", func() bool {
+		_, metrics := get(b.operators + node.MetricsPath)
+		return strings.Contains(metrics, "tasks_with_attempts 1\n")
+	})
+	a.kill()
+	failed := `200{"state":"failed"}`
+	is.Equal(<-answer, failed)
+	crashes := d.fleet.Crashes(task)
+	is.True(crashes <= 3) // the first dispatcher may have started the task once more before it was killed
+	status, body := b.post(id(50), 1)
+	is.Equal(fmt.Sprint(status, body), failed)
+	is.Equal(d.fleet.Crashes(task), crashes)
+}
+
 // Guards against an outage of the store that makes instances fail accepted or new jobs.
 func TestStoreDown(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -61,6 +61,7 @@
 	confirm(p, running, 0)
 	crash(p, suspect[0].Endpoint, 10*ms)
 	for now := 20 * ms; now < time.Second; now += 10 * ms {
+		mustSubmit(t, p, jobAllowingLongWait(fmt.Sprint("more", now), 8000), now)
 		for _, r := range p.Next(now) {
 			if r.Task.Job == "x" {
 				return
@@ -111,8 +112,9 @@
 func TestResumedJobsKeepNoCapacityBeforeTheyMayStart(t *testing.T) {
 	is := is.New(t)
 	p := poolOf(endpointOf("a", 16000))
-	p.Submit(jobOf("resumed", 2, 8000, 700*ms), 0, 0, time.Second)
-	v, _ := p.Submit(jobOf("short", 2, 8000, 50*ms), 0, 0, 0)
+	v, _ := p.Submit(jobOf("resumed", 2, 8000, 700*ms), 0, -600*ms, time.Second) // it goes first: its slack is used up
+	is.True(v.Accepted())
+	v, _ = p.Submit(jobOf("short", 2, 8000, 50*ms), 0, 0, 0)
 	is.True(v.Accepted())
 	v, _ = p.Submit(jobOf("long", 2, 8000, 900*ms), 0, 0, 0)
 	is.True(!v.Accepted())
@@ -128,7 +130,7 @@
 	p.Update(small)
 	is.True(!p.Fits(r))
 	v, _ := p.Submit(jobOf("new", 2, 8000, 50*ms), 0, 0, 0)
-	is.True(v.Accepted()) // the other endpoint is free
+	is.Equal(v.ExpectedWait, time.Duration(0)) // the other endpoint is free
 }
 
 // Guards against a pool that refuses jobs because suspects wait: each of them gets an endpoint of its own, one after the other, and uses
@@ -139,10 +141,22 @@
 	for i := range 4 {
 		j := jobOf(fmt.Sprint("suspect", i), 1, 8000, 100*ms)
 		p.history.Merge([]attempt.Attempt{{Task: work.TaskID{Job: j.ID}, Run: 1, Outcome: attempt.Crashed}}, 0)
-		v, _ := p.Submit(j, 0, 0, 1)
+		v, _ := p.Submit(j, 0, -200*ms, 1)
 		is.True(v.Accepted())
 	}
-	confirm(p, p.Next(0), 0)
-	v, _ := p.Submit(jobOf("new", 4, 8000, 50*ms), 0, 0, 0)
+	confirm(p, p.Next(1), 1)
+	v, _ := p.Submit(jobOf("new", 4, 8000, 50*ms), 1, 1, 0)
 	is.True(v.Accepted()) // two endpoints are free
 }
+
+// Guards against a task that starts again when its run is lost after two crashes have become known from other instances.
+func TestLostRunOfAGivenUpTask(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 6000), 0)
+	r := p.Next(0)[0]
+	for run := range attempt.MaxCrashes {
+		p.history.Merge([]attempt.Attempt{{Task: r.Task, Run: run + 2, Outcome: attempt.Crashed}}, 0)
+	}
+	is.Equal(p.RunLost(r, 10*ms), []Outcome{{Job: "x", State: work.Failed, Task: r.Task, Why: GiveUpCrashes}})
+}
