Split the stand-in fleet by job; one set-up for tests on a virtual clock; two leftovers

Change: link, faults and records of the fleet in files of their own; inBubble; the cancel mark is part of the job's description when it is made; the counter is gone. Conclusion: clean-up only.

--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -81,7 +81,6 @@
 	random *rand.Rand
 	idle   []*conn
 	shared []string // identities for use over any connection
-	opened int      // number of connections opened
 }
 
 func newCaller(token string, entries []Entry, seed uint64) *caller {
@@ -102,7 +101,6 @@
 		return cn, nil
 	}
 	e := c.entries[c.random.IntN(len(c.entries))]
-	c.opened++
 	c.mu.Unlock()
 	return dial(e.Callers)
 }
@@ -167,7 +165,6 @@
 	for range n {
 		c.mu.Lock()
 		e := c.entries[c.random.IntN(len(c.entries))]
-		c.opened++
 		c.mu.Unlock()
 		cn, err := dial(e.Callers)
 		if err != nil {
--- a/internal/scenario/chaos.go
+++ b/internal/scenario/chaos.go
@@ -276,12 +276,12 @@
 		token := []string{CallerToken, OtherTeamToken}[rng.IntN(2)]
 		first, second, third := pick(), pick(), pick()
 		twice, cancels := rng.IntN(3) == 0, rng.IntN(5) == 0
+		spec.ToCancel = cancels
 		j, err := r.s.NewJob(first, token, spec)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		j.ToCancel = cancels
 		var submission sync.WaitGroup
 		if twice {
 			submission.Go(func() { r.s.SendRequest(third, j, Submit, 500*time.Millisecond) })
--- a/internal/scenario/client.go
+++ b/internal/scenario/client.go
@@ -212,6 +212,7 @@
 	Cores         float64
 	DeadlineMS    int64
 	Fail          bool // every task fails
+	ToCancel      bool // the caller cancels the job during the run
 }
 
 // expectedOutput returns the output that a task of a job must have.
@@ -232,7 +233,7 @@
 		submission.Tasks = append(submission.Tasks, api.Task{Payload: string(payload), RunTimeMS: int64(spec.DeclaredRunMS), Cores: spec.Cores})
 	}
 	body, err := json.Marshal(&submission)
-	j := &Job{Identity: id, Home: e.Name, Token: token, Tasks: spec.Tasks, body: body}
+	j := &Job{Identity: id, Home: e.Name, Token: token, Tasks: spec.Tasks, ToCancel: spec.ToCancel, body: body}
 	s.History.addJob(j)
 	return j, err
 }
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -47,29 +47,50 @@
 	time.Sleep(5 * time.Second)
 }
 
+// inBubble runs a test on a virtual clock, with a dispatcher that has held the term for the endpoints of a new fleet for a second.
+func inBubble(t *testing.T, newFleet func() (*fleet.Fleet, []work.Endpoint), test func(b *bubble)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bubble{I: is.New(t), c: newClient()}
+		b.f, b.all = newFleet()
+		b.s = newShard(b.f, func() {})
+		b.s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		defer endAndSettle(b.s)
+		b.s.register(b.all)
+		time.Sleep(time.Second)
+		test(b)
+	})
+}
+
+// bubble is what a test in inBubble works with.
+type bubble struct {
+	*is.I
+	f   *fleet.Fleet
+	all []work.Endpoint
+	s   *dispatcher
+	c   *client
+}
+
+// failed reports whether a job was answered as failed.
+func (b *bubble) failed(id work.JobID) bool {
+	a := b.c.answer(id)
+	return a != nil && a.State == work.Failed
+}
+
 // Guards against a task that is started without end although it crashes each endpoint that runs it: it is given up after two crashes,
 // and the jobs whose tasks ran beside it complete. The clock is virtual.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f, all := newCrashingFleet(6)
-		s, c := newShard(f, func() {}), newClient()
-		s.Begin(shard.Term{Fence: 1, Partitions: 1})
-		defer endAndSettle(s)
-		s.register(all)
-		time.Sleep(time.Second)
-		s.Submit(c, &relay.Submit{Job: patientJob("crashing", 1)})
+	inBubble(t, func() (*fleet.Fleet, []work.Endpoint) { return newCrashingFleet(6) }, func(b *bubble) {
+		b.s.Submit(b.c, &relay.Submit{Job: patientJob("crashing", 1)})
 		for i := range 3 {
-			s.Submit(c, &relay.Submit{Job: patientJob(fmt.Sprint("other", i), 4)})
+			b.s.Submit(b.c, &relay.Submit{Job: patientJob(fmt.Sprint("other", i), 4)})
 		}
 		time.Sleep(15 * time.Second)
-		is.Equal(f.Crashes(crashingTask), maxCrashes)
-		a := c.answer("crashing")
-		is.True(a != nil && a.State == work.Failed)
+		b.Equal(b.f.Crashes(crashingTask), maxCrashes)
+		b.True(b.failed("crashing"))
 		for i := range 3 {
-			is.True(completed(c, work.JobID(fmt.Sprint("other", i)))())
+			b.True(completed(b.c, work.JobID(fmt.Sprint("other", i)))())
 		}
-		is.Equal(f.OverlappingRuns(), "")
+		b.Equal(b.f.OverlappingRuns(), "")
 	})
 }
 
@@ -127,70 +148,51 @@
 // Guards against a task that is given up although no process has crashed: an endpoint that a firewall cuts off refuses connections
 // and answers again later. The clock is virtual.
 func TestRefusedConnectionsAreNoCrashOnceTheProcessAnswers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f, all := newFleet(2, 3*time.Second)
-		s, c := newShard(f, func() {}), newClient()
-		s.Begin(shard.Term{Fence: 1, Partitions: 1})
-		defer endAndSettle(s)
-		s.register(all)
-		time.Sleep(time.Second)
-		s.Submit(c, &relay.Submit{Job: patientJob("a", 4)})
+	inBubble(t, func() (*fleet.Fleet, []work.Endpoint) { return newFleet(2, 3*time.Second) }, func(b *bubble) {
+		b.s.Submit(b.c, &relay.Submit{Job: patientJob("a", 4)})
 		for i := range 4 {
 			time.Sleep(200 * time.Millisecond)
-			f.SetRefusing(all[i%2].Address, true)
+			b.f.SetRefusing(b.all[i%2].Address, true)
 			time.Sleep(2 * time.Second)
-			f.SetRefusing(all[i%2].Address, false)
+			b.f.SetRefusing(b.all[i%2].Address, false)
 			time.Sleep(time.Second)
 		}
 		time.Sleep(20 * time.Second)
-		is.True(completed(c, "a")())
-		is.Equal(f.OverlappingRuns(), "")
+		b.True(completed(b.c, "a")())
+		b.Equal(b.f.OverlappingRuns(), "")
 	})
 }
 
 // Guards against crashes that are not counted because the endpoint's machine is gone too, so that nothing refuses connections: another
 // process at the address shows later that the first one has ended. The clock is virtual.
 func TestSilentCrashesCount(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f, all := newCrashingFleet(6)
-		f.SilentCrashes = true
-		s, c := newShard(f, func() {}), newClient()
-		s.Begin(shard.Term{Fence: 1, Partitions: 1})
-		defer endAndSettle(s)
-		s.register(all)
-		time.Sleep(time.Second)
-		s.Submit(c, &relay.Submit{Job: patientJob("crashing", 1)})
+	inBubble(t, func() (*fleet.Fleet, []work.Endpoint) { return newCrashingFleet(6) }, func(b *bubble) {
+		b.f.SilentCrashes = true
+		b.s.Submit(b.c, &relay.Submit{Job: patientJob("crashing", 1)})
 		time.Sleep(20 * time.Second)
-		is.True(f.Crashes(crashingTask) <= 4) // starts go on while the crashed processes are away for 3 s
-		a := c.answer("crashing")
-		is.True(a != nil && a.State == work.Failed)
+		b.True(b.f.Crashes(crashingTask) <= 4) // starts go on while the crashed processes are away for 3 s
+		b.True(b.failed("crashing"))
 	})
 }
 
 // Guards against a start that was decided before its endpoint's capacity shrank and is sent afterwards: a thin link holds start
 // requests back while the registration with the smaller capacity arrives. The clock is virtual.
 func TestCapacityShrinksWhileStartsWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+	large := func() (*fleet.Fleet, []work.Endpoint) {
 		f, all := newFleet(1, time.Second)
-		all[0].Size = work.Size{MilliCPU: 16000, MemoryMB: 16384}
-		f.SetCapacity(all[0].Address, all[0].Size)
+		all[0] = f.SetCapacity(all[0].Address, work.Size{MilliCPU: 16000, MemoryMB: 16384})
 		f.LinkBytesPerSecond = 30_000
-		s, c := newShard(f, func() {}), newClient()
-		s.Begin(shard.Term{Fence: 1, Partitions: 1})
-		defer endAndSettle(s)
-		s.register(all)
-		time.Sleep(time.Second)
-		s.Submit(c, &relay.Submit{Job: patientJob("a", 16)})
+		return f, all
+	}
+	inBubble(t, large, func(b *bubble) {
+		b.s.Submit(b.c, &relay.Submit{Job: patientJob("a", 16)})
 		time.Sleep(20 * time.Millisecond) // the link delivers 100 requests a second; four are in flight or delivered, the others wait
-		small := f.SetCapacity(all[0].Address, work.Size{MilliCPU: 4000, MemoryMB: 16384})
-		s.register([]work.Endpoint{small})
+		small := b.f.SetCapacity(b.all[0].Address, work.Size{MilliCPU: 4000, MemoryMB: 16384})
+		b.s.register([]work.Endpoint{small})
 		time.Sleep(50 * time.Millisecond)
-		f.SetCapacity(all[0].Address, small.Size) // the requests in flight have been delivered; no further start is excused
+		b.f.SetCapacity(b.all[0].Address, small.Size) // the requests in flight have been delivered; no further start is excused
 		time.Sleep(30 * time.Second)
-		is.Equal(f.OverCapacity(work.Size{MilliCPU: 1000, MemoryMB: 64}), "")
-		is.True(completed(c, "a")())
+		b.Equal(b.f.OverCapacity(work.Size{MilliCPU: 1000, MemoryMB: 64}), "")
+		b.True(completed(b.c, "a")())
 	})
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -305,22 +305,15 @@
 // clocks of low resolution: that report may be older than the run. The clock is virtual, so starts, ends and polls share instants.
 func TestReportOfTheSameInstant(t *testing.T) {
 	for range 10 {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f, all := newFleet(8, 100*time.Millisecond)
-			s, c := newShard(f, func() {}), newClient()
-			s.Begin(shard.Term{Fence: 1, Partitions: 1})
-			defer endAndSettle(s)
-			s.register(all)
-			time.Sleep(time.Second)
+		inBubble(t, func() (*fleet.Fleet, []work.Endpoint) { return newFleet(8, 100*time.Millisecond) }, func(b *bubble) {
 			for i := range 40 {
 				for k := range 4 {
-					s.Submit(c, &relay.Submit{Job: patientJob(fmt.Sprint("wave", i, "-", k), 4)})
+					b.s.Submit(b.c, &relay.Submit{Job: patientJob(fmt.Sprint("wave", i, "-", k), 4)})
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
 			time.Sleep(time.Second)
-			is.Equal(f.OverlappingRuns(), "")
+			b.Equal(b.f.OverlappingRuns(), "")
 		})
 	}
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -63,52 +62,6 @@
 	linkFreeAt time.Time // when the link has delivered all requests so far
 }
 
-// requestBytes is the size of a request without a job's specification, including headers.
-const requestBytes = 300
-
-// deliver waits until the link has delivered a request of a number of bytes. It returns false if ctx ends first; the request
-// is then delivered later and passed to late.
-func (f *Fleet) deliver(ctx context.Context, bytes int, late func()) bool {
-	delivery := f.deliveryTime(bytes)
-	if delivery == 0 {
-		return true
-	}
-	select {
-	case <-time.After(delivery):
-		return true
-	case <-ctx.Done():
-		time.AfterFunc(delivery, late)
-		return false
-	}
-}
-
-// deliveryTime returns how long a request of a number of bytes that is sent now takes to the endpoint.
-func (f *Fleet) deliveryTime(bytes int) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.LinkBytesPerSecond == 0 {
-		return f.PathDelay
-	}
-	if now := time.Now(); f.linkFreeAt.Before(now) {
-		f.linkFreeAt = now
-	}
-	f.linkFreeAt = f.linkFreeAt.Add(time.Duration(bytes) * time.Second / time.Duration(f.LinkBytesPerSecond))
-	return time.Until(f.linkFreeAt) + f.PathDelay
-}
-
-// wayBack waits until an answer has come back. It returns false if ctx ends first.
-func (f *Fleet) wayBack(ctx context.Context) bool {
-	if f.PathDelay == 0 {
-		return true
-	}
-	select {
-	case <-time.After(f.PathDelay):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // New returns a fleet without endpoints. All tasks have the run time run.
 func New(run time.Duration) *Fleet {
 	return &Fleet{
@@ -148,144 +101,6 @@
 	}
 }
 
-// Restart ends all runs of an endpoint and replaces its process by a new one with the same registration.
-func (f *Fleet) Restart(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.restart(f.endpoints[address])
-}
-
-// restart replaces the process of an endpoint. The caller holds the fleet's mu, as for crash.
-func (f *Fleet) restart(old *endpoint) {
-	old.endAll()
-	f.endpoints[old.registration.Address] = f.newEndpoint(old.registration)
-}
-
-// endAll ends all runs because the process has ended.
-func (e *endpoint) endAll() {
-	for task := range e.runs {
-		e.finish(task, work.EndGangBroken)
-	}
-}
-
-// crash ends the process of an endpoint under a task's run and starts another one after DownTime.
-func (f *Fleet) crash(e *endpoint, run *Start) {
-	if e.runs[run.Task] != run {
-		return
-	}
-	f.crashes[run.Task]++
-	e.endAll()
-	e.down = true
-	time.AfterFunc(f.DownTime, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.restart(e)
-	})
-}
-
-// Crashes returns how many processes a task has crashed.
-func (f *Fleet) Crashes(task work.TaskID) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.crashes[task]
-}
-
-// SetCapacity changes the size of an endpoint while its process runs, as its registration then tells, and returns the new
-// registration. OverCapacity counts only starts after the last change.
-func (f *Fleet) SetCapacity(address string, size work.Size) work.Endpoint {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.endpoints[address]
-	e.registration.Size, e.maxRunning = size, 0
-	return e.registration
-}
-
-// Resize changes the size of an endpoint and sets the start of the process in its registration, as if a new process on
-// another machine had registered. It returns the new registration.
-func (f *Fleet) Resize(address string, size work.Size) work.Endpoint {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.endpoints[address]
-	e.registration.Size, e.registration.StartedUnixMS = size, e.startedAt.UnixMilli()
-	return e.registration
-}
-
-// OverCapacity returns a description of an endpoint that has run more tasks at the same time than its CPU capacity allows,
-// or "" if there is none. It assumes that every task has the size taskSize.
-func (f *Fleet) OverCapacity(taskSize work.Size) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for address, e := range f.endpoints {
-		if e.maxRunning*taskSize.MilliCPU > e.registration.Size.MilliCPU {
-			return fmt.Sprintf("endpoint %s ran %d tasks of size %+v at the same time, its size is %+v", address, e.maxRunning, taskSize, e.registration.Size)
-		}
-	}
-	return ""
-}
-
-// SetSilent sets whether an endpoint is silent. A silent endpoint neither carries out calls nor answers them.
-func (f *Fleet) SetSilent(address string, silent bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endpoints[address].silent = silent
-}
-
-// SetRefusing sets whether connections to an endpoint are refused although its process goes on.
-func (f *Fleet) SetRefusing(address string, refusing bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endpoints[address].refusing = refusing
-}
-
-// HangTasks makes the runs that an endpoint starts from now on hang: they make no progress and do not end by themselves.
-func (f *Fleet) HangTasks(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endpoints[address].hangTasks = true
-}
-
-// Starts returns a copy of the record of all starts, oldest first.
-func (f *Fleet) Starts() []Start {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	all := make([]Start, len(f.starts))
-	for i, s := range f.starts {
-		all[i] = *s
-	}
-	return all
-}
-
-// Renewals returns the number of lease renewals that endpoints have received, refused ones included.
-func (f *Fleet) Renewals() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.renewals
-}
-
-// Running returns the number of runs in progress on all endpoints.
-func (f *Fleet) Running() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, e := range f.endpoints {
-		n += len(e.runs)
-	}
-	return n
-}
-
-// OverlappingRuns returns a description of the first two runs of a task that overlapped in time, or "" if there are none.
-func (f *Fleet) OverlappingRuns() string {
-	starts := f.Starts()
-	for i, a := range starts {
-		for _, b := range starts[i+1:] {
-			if a.Task == b.Task && (a.EndedAt.IsZero() || b.StartedAt.Before(a.EndedAt)) {
-				return fmt.Sprintf("%v: run %d on %s from %v to %v, run %d on %s from %v", a.Task, a.Run, a.Endpoint, a.StartedAt, a.EndedAt, b.Run, b.Endpoint, b.StartedAt)
-			}
-		}
-	}
-	return ""
-}
-
 // Dial implements work.Dialer.
 func (f *Fleet) Dial(e work.Endpoint) work.EndpointClient { return &client{f, e.Address} }
 
@@ -298,58 +113,6 @@
 // Close implements work.EndpointClient.
 func (c *client) Close() {}
 
-// transmit sends a call of a number of bytes over the link and carries it out on the endpoint.
-func transmit[T any](ctx context.Context, c *client, call string, bytes int, do func(e *endpoint) T) (answer T, err error) {
-	late := func() { send(context.Background(), c, call, do) } // nobody waits for the answer any more
-	if !c.fleet.deliver(ctx, bytes, late) {
-		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
-	}
-	answer, err = send(ctx, c, call, do)
-	if err == nil && !c.fleet.wayBack(ctx) {
-		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
-	}
-	return answer, err
-}
-
-// callTimeout is the time after which a call without a response fails.
-const callTimeout = 60 * time.Millisecond
-
-// send carries out a call on the endpoint and returns the answer. If the endpoint is silent or the call is lost, it returns
-// an error that wraps work.ErrNoResponse and work.ErrTimeout after callTimeout or when ctx is done.
-func send[T any](ctx context.Context, c *client, call string, do func(e *endpoint) T) (answer T, err error) {
-	f := c.fleet
-	f.mu.Lock()
-	e := f.endpoints[c.address]
-	if e != nil && (e.refusing || e.down && !f.SilentCrashes) {
-		f.mu.Unlock()
-		return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrRefused, call)
-	}
-	silent := e == nil || e.silent || e.down
-	lost, delay := false, time.Duration(0)
-	if !silent && f.LoseAnswer != nil {
-		lost, delay = f.LoseAnswer(call)
-	}
-	if !silent && !lost {
-		defer f.mu.Unlock()
-		return do(e), nil
-	}
-	f.mu.Unlock()
-	if lost && delay >= 0 {
-		time.AfterFunc(delay, func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if f.endpoints[c.address] == e {
-				do(e)
-			}
-		})
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(callTimeout):
-	}
-	return answer, fmt.Errorf("%w: %w: %s", work.ErrNoResponse, work.ErrTimeout, call)
-}
-
 // clock returns the endpoint's clock, the time since the start of its process.
 func (e *endpoint) clock() time.Duration { return time.Since(e.startedAt) }
 
@@ -401,13 +164,6 @@
 	return work.Done
 }
 
-func (f *Fleet) crashTime(task work.TaskID) time.Duration {
-	if f.CrashTime == nil {
-		return 0
-	}
-	return f.CrashTime(task)
-}
-
 // stopRun ends a run after the fleet's StopTime. The caller holds the fleet's mu.
 func (e *endpoint) stopRun(run *Start) {
 	if e.fleet.StopTime == 0 {
