Reports and events of a session are ordered by number, not by time

What callers could see: tasks that come up to 200 ms later after a lost start request, on clocks of low resolution. Change: requests for reports are numbered when they are prepared, under the lock; a run notes the number from which reports list it. Times cannot tie any more.

--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -72,7 +72,7 @@
 	case err != nil:
 		x.unanswered(r, now, err)
 	case refusal == work.Done:
-		x.visibleFrom[r] = now
+		x.listedFromNowOn(r)
 		s.pool.RunStarted(r)
 	default:
 		x.startRefused(r, refusal, fence, now)
@@ -192,7 +192,7 @@
 	}
 	if s.pool.Run(r.Task) == r && !x.stopConfirmed[r] {
 		x.stopConfirmed[r] = true
-		x.visibleFrom[r] = s.opts.Now()
+		x.listedFromNowOn(r)
 	}
 	return true
 }
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -44,6 +44,10 @@
 	clockTolerance = 2 * time.Second
 )
 
+// requestNumber numbers the requests for reports of a session in the order in which they are prepared. Times cannot take its place: on a
+// clock of low resolution a request and the event before it may have the same time.
+type requestNumber int64
+
 // session is the connection to one endpoint during a term. The shard's lock guards its fields.
 type session struct {
 	shard          *Shard
@@ -68,19 +72,20 @@
 	leaseExpired    bool          // the endpoint is silent, its lease has expired and the pool has ended its runs
 	// connectionRefused is true if a connection was refused since the last answer.
 	connectionRefused bool
+	requests          requestNumber // number of the last request for a report
 	// lost holds the runs that were ended when the lease of the silent endpoint expired, until it is known whether its process has
 	// ended or was only cut off.
 	lost []attempt.Attempt
-	// visibleFrom holds for each run the time from which reports contain the run while it runs: if a report that was
-	// requested later lacks the run, the run is over.
-	visibleFrom   map[*pool.Run]time.Duration
+	// visibleFrom holds for each run the first request whose report contains the run while it runs: if the report of that request or
+	// a later one lacks the run, the run is over.
+	visibleFrom   map[*pool.Run]requestNumber
 	stopConfirmed map[*pool.Run]bool // runs whose stop the endpoint has confirmed
 }
 
 func newSession(s *Shard, e work.Endpoint) *session {
 	return &session{
 		shard: s, endpoint: e, endpointClient: s.opts.Dialer.Dial(e), path: string(e.ID), registered: true, lastAnswerAt: s.opts.Now(),
-		leaseExtendedAt: s.opts.Now(), visibleFrom: map[*pool.Run]time.Duration{}, stopConfirmed: map[*pool.Run]bool{},
+		leaseExtendedAt: s.opts.Now(), visibleFrom: map[*pool.Run]requestNumber{}, stopConfirmed: map[*pool.Run]bool{},
 	}
 }
 
@@ -131,7 +136,7 @@
 
 // poll requests one report, applies it and returns the pause before the next poll.
 func (x *session) poll(ctx context.Context) time.Duration {
-	sent, request := x.preparePoll()
+	request := x.preparePoll()
 	report, refusal, err := x.renewLease(ctx, request)
 	s := x.shard
 	s.mu.Lock()
@@ -147,7 +152,7 @@
 	case refusal != work.Done:
 		return x.refused(refusal, request.Fence)
 	}
-	x.applyReport(report, request.Fence, sent, now)
+	x.applyReport(report, request, now)
 	s.dispatch()
 	return 0
 }
@@ -155,9 +160,22 @@
 // reportRequest is a lease renewal as a session sends it.
 type reportRequest struct {
 	work.LeaseRequest
-	First bool // the endpoint has not reported in this term, so its response time is not known
+	First  bool // the endpoint has not reported in this term, so its response time is not known
+	sent   time.Duration
+	number requestNumber
 }
 
+// newReportRequest returns the next request for a report. The shard's lock is held.
+func (x *session) newReportRequest(now time.Duration) reportRequest {
+	x.requests++
+	return reportRequest{
+		LeaseRequest: work.LeaseRequest{Fence: x.shard.term.Fence, Acknowledged: x.acknowledged}, First: !x.reported, sent: now, number: x.requests,
+	}
+}
+
+// listedFromNowOn records that the reports of all requests after this call list a run while it runs. The shard's lock is held.
+func (x *session) listedFromNowOn(r *pool.Run) { x.visibleFrom[r] = x.requests + 1 }
+
 // renewLease sends a renewal and waits for the report until its timeout.
 func (x *session) renewLease(ctx context.Context, request reportRequest) (work.Report, work.Refusal, error) {
 	timeout := x.shard.opts.Window.Timeout()
@@ -180,7 +198,7 @@
 // requestReport requests a report in addition to the regular polls and returns whether one came. If none does, the next poll
 // brings the report.
 func (x *session) requestReport() bool {
-	sent, request := x.prepareReport()
+	request := x.prepareReport()
 	report, refusal, err := x.renewLease(context.Background(), request)
 	if err != nil || refusal != work.Done {
 		return false
@@ -189,18 +207,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions[x.endpoint.ID] == x {
-		x.applyReport(report, request.Fence, sent, s.opts.Now())
+		x.applyReport(report, request, s.opts.Now())
 		s.dispatch()
 	}
 	return true
 }
 
-// prepareReport returns the time and a request for a report that neither waits nor extends the lease.
-func (x *session) prepareReport() (time.Duration, reportRequest) {
+// prepareReport returns a request for a report that neither waits nor extends the lease.
+func (x *session) prepareReport() reportRequest {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opts.Now(), reportRequest{First: !x.reported, LeaseRequest: work.LeaseRequest{Fence: s.term.Fence, Acknowledged: x.acknowledged}}
+	return x.newReportRequest(s.opts.Now())
 }
 
 // silentAfterPolls is the number of consecutive unanswered polls from which an endpoint gets no new runs.
@@ -210,14 +228,14 @@
 // end of the lease of a silent endpoint is known.
 const maxExtendingPolls = 2
 
-// preparePoll returns the time and the request of the next poll. The poll does not wait at an endpoint that did not answer
+// preparePoll returns the request of the next poll. The poll does not wait at an endpoint that did not answer
 // the last one.
-func (x *session) preparePoll() (time.Duration, reportRequest) {
+func (x *session) preparePoll() reportRequest {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Now()
-	request := reportRequest{First: !x.reported, LeaseRequest: work.LeaseRequest{Fence: s.term.Fence, Acknowledged: x.acknowledged}}
+	request := x.newReportRequest(now)
 	busy := s.pool.Busy(x.endpoint.ID)
 	if x.reported && busy && x.failures < maxExtendingPolls {
 		request.LeaseEnd = x.leaseEnd(now)
@@ -232,7 +250,7 @@
 	default:
 		request.Wait = idlePollWait
 	}
-	return now, request
+	return request
 }
 
 // leaseEnd returns the end of a full lease from now, on the endpoint's clock.
@@ -308,9 +326,9 @@
 	s.opts.OnFenced()
 }
 
-// applyReport applies a report that answers a request. The request was sent with a fence, at the time sent. If a newer
+// applyReport applies a report that answers a request. If a newer
 // report has been applied already, only the ends of runs are taken from this report.
-func (x *session) applyReport(report work.Report, fence int64, sent, now time.Duration) {
+func (x *session) applyReport(report work.Report, request reportRequest, now time.Duration) {
 	s := x.shard
 	if x.restarted(report) {
 		s.opts.Log.WithFields(logrus.Fields{
@@ -332,7 +350,7 @@
 	s.pool.SetSilent(x.endpoint.ID, false)
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
-		x.reportedTo = max(x.reportedTo, fence)
+		x.reportedTo = max(x.reportedTo, request.Fence)
 		x.applyRuns(report, now)
 	}
 	for _, end := range report.Ended {
@@ -342,7 +360,7 @@
 		}
 	}
 	if !overtaken {
-		x.applyMissing(report, sent, now)
+		x.applyMissing(report, request, now)
 	}
 	x.reported = true
 	s.pool.SetUsable(x.endpoint.ID, x.usable())
@@ -371,7 +389,7 @@
 		switch {
 		case known == nil:
 			if found := p.RunFound(x.endpoint.ID, run, now); found != nil {
-				x.visibleFrom[found] = now
+				x.listedFromNowOn(found)
 			}
 		case known.Endpoint != x.endpoint.ID || known.Number != run.Run:
 			superseded++
@@ -413,8 +431,16 @@
 	s.finish(s.pool.RunEnded(x.endpoint.ID, end, now))
 }
 
+// mustList reports whether the report of a request lists a run if it still runs.
+func (x *session) mustList(r *pool.Run, request reportRequest) bool {
+	if first, ok := x.visibleFrom[r]; ok {
+		return request.number >= first
+	}
+	return request.sent > r.Ordered+x.shard.leaseExpiryTime()
+}
+
 // applyMissing ends the runs that are missing from a report and would be in it if they were still running.
-func (x *session) applyMissing(report work.Report, sent, now time.Duration) {
+func (x *session) applyMissing(report work.Report, request reportRequest, now time.Duration) {
 	s := x.shard
 	listed := make(map[work.TaskID]int, len(report.Running))
 	for _, run := range report.Running {
@@ -424,11 +450,7 @@
 		if listed[r.Task] == r.Number {
 			continue
 		}
-		at, ok := x.visibleFrom[r]
-		if !ok {
-			at = r.Ordered + s.leaseExpiryTime()
-		}
-		if sent <= at {
+		if !x.mustList(r, request) {
 			continue
 		}
 		x.forget(r)
