--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/metric"
-	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/server"
 	"github.com/savorypass/savorypass/internal/traffic"
@@ -81,6 +80,7 @@
 	// instance takes the job then.
 	retryStopping  = time.Second
 	reasonStopping = "stopping"
+	outcomeGaveUp  = "gave_up" // in the log
 )
 
 // Options configures a Gateway.
@@ -289,7 +289,7 @@
 // gaveUp responds for a job that its dispatcher does not continue although it may have run in part.
 func (g *Gateway) gaveUp(p *pending) {
 	g.opts.Metrics.GivenUp.Add(1)
-	g.log(p, string(pool.ReasonGaveUp), 504)
+	g.log(p, outcomeGaveUp, 504)
 	g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job was given up after a crash of an endpoint; it may have run"), 0)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -275,6 +275,17 @@
 	}
 }
 
+// Guards against a job that is refused as not run, or submitted again without end, after its dispatcher has given it up: it may have run.
+func TestGivenUpJob(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	a := f.post("a")
+	f.Answer(f.router, &relay.Answer{Job: "a", Refused: pool.ReasonNotLeader, Started: true, GaveUp: true})
+	is.Equal(f.receive(a).status, 504)
+	f.Resubmit()
+	is.Equal(len(f.router.sent()), 1)
+}
+
 // Guards against a job that waits for the successor of a dispatcher which never got the job.
 func TestUnsentJobGoesToOtherZone(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -56,15 +56,15 @@
 	}
 	p.route = nil
 	switch {
+	case a.GaveUp:
+		g.discard(p)
+		g.gaveUp(p)
 	case a.Refused == pool.ReasonNone:
 		g.discard(p)
 		g.answerJob(p, 200, a.State)
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
 		g.dispatcherNotLeader(p, a.Started)
-	case a.Refused == pool.ReasonGaveUp:
-		g.discard(p)
-		g.gaveUp(p)
 	case !p.orphaned:
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -18,8 +18,6 @@
 	ReasonNoEndpoint    Reason = "no_endpoint" // no endpoint of the job's service takes new runs now
 	ReasonNotLeader     Reason = "not_leader"  // this instance does not dispatch for the shard
 	ReasonWaitedTooLong Reason = "waited"      // the job was accepted and did not start in time
-	// ReasonGaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
-	ReasonGaveUp Reason = "gave_up"
 )
 
 // Verdict is the decision on a submission, with the figures that it rests on.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -45,8 +45,11 @@
 	Refused    pool.Reason   `msgpack:"r,omitempty"`
 	RetryAfter time.Duration `msgpack:"a,omitempty"`
 	// Started is true if tasks of the job may have started. It is set only in a refusal by a dispatcher whose term has
-	// ended, and with pool.ReasonGaveUp.
+	// ended, and with GaveUp.
 	Started bool `msgpack:"t,omitempty"`
+	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
+	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
+	GaveUp bool `msgpack:"g,omitempty"`
 }
 
 // Load is the load of the dispatcher of one partition.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -254,7 +254,7 @@
 // answerOf returns the answer for a job that has ended.
 func answerOf(o pool.Outcome) *relay.Answer {
 	if o.State == "" {
-		return &relay.Answer{Job: o.Job, Refused: pool.ReasonGaveUp, Started: true}
+		return &relay.Answer{Job: o.Job, Refused: pool.ReasonNotLeader, Started: true, GaveUp: true}
 	}
 	return &relay.Answer{Job: o.Job, State: o.State}
 }
