Suspects leave endpoints that have become too small, and unsent runs end their jobs

What callers would see: no answer until their timeout. Cause, found by reading the change: a reservation ended when its endpoint got no new runs, not when it shrank below the suspect's size; and the outcome of a run that had not been sent when its endpoint crashed was dropped, so a job whose task must not start again had no end. Change: the reservation ends with the size; the outcome is returned. Evidence: TestReservedEndpointShrinks and TestUnsentRunOfAGivenUpTask fail without the change and pass with it.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -86,14 +86,16 @@
 	return nil
 }
 
-// releaseReservations ends the reservations of tasks that do not wait any more and of endpoints that get no new runs.
+// releaseReservations ends the reservations of tasks that do not wait any more, and of endpoints that get no new runs or have become
+// too small.
 func (p *Pool) releaseReservations() {
 	for _, e := range p.order {
 		if !e.isolation.reserved {
 			continue
 		}
-		j := p.jobs[e.isolation.task.Job]
-		if j == nil || !j.isWaiting(e.isolation.task) || !e.usable || e.Draining {
+		task := e.isolation.task
+		j := p.jobs[task.Job]
+		if j == nil || !j.isWaiting(task) || !e.usable || e.Draining || !j.Steps[task.Step].Size.Fits(e.Size) {
 			e.isolation = isolation{}
 		}
 	}
@@ -115,7 +117,7 @@
 	failed := map[work.JobID]bool{}
 	for _, r := range p.RunsOn(id) {
 		if !r.MayHaveStarted() {
-			p.RunLost(r, now)
+			outcomes = append(outcomes, p.RunLost(r, now)...)
 			continue
 		}
 		j := r.job
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -149,6 +149,40 @@
 	is.True(v.Accepted()) // two endpoints are free
 }
 
+// Guards against a suspect that waits for good for an endpoint that has become too small for it.
+func TestReservedEndpointShrinks(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 16000), 0)
+	suspect := p.Next(0)[0]
+	confirm(p, []*Run{suspect}, 0)
+	mustSubmit(t, p, jobAllowingLongWait("load", 10000), 0)
+	load := p.Next(0)[0]
+	confirm(p, []*Run{load}, 0)
+	crash(p, suspect.Endpoint, 10*ms)
+	p.SetUsable(suspect.Endpoint, false)
+	is.Equal(len(p.Next(20*ms)), 0) // the suspect reserves the other endpoint
+	p.Update(endpointOf(string(load.Endpoint), 2000))
+	p.SetUsable(suspect.Endpoint, true)
+	starts := p.Next(40 * ms)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Endpoint, suspect.Endpoint)
+}
+
+// Guards against a job without an end: a run that was not sent when its endpoint crashed belongs to a task that must not start again.
+func TestUnsentRunOfAGivenUpTask(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 6000), 0)
+	r := p.Next(0)[0]
+	for run := range attempt.MaxCrashes {
+		p.history.Merge([]attempt.Attempt{{Task: r.Task, Run: run + 2, Outcome: attempt.Crashed}}, 0)
+	}
+	_, outcomes := crash(p, "a", 10*ms)
+	is.Equal(len(outcomes), 1)
+	is.Equal(outcomes[0].State, work.Failed)
+}
+
 // Guards against a task that starts again when its run is lost after two crashes have become known from other instances.
 func TestLostRunOfAGivenUpTask(t *testing.T) {
 	is := is.New(t)
