--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -88,13 +88,17 @@
 	return true
 }
 
-// Merge records attempts that another instance has observed.
-func (h *History) Merge(attempts []Attempt, now time.Duration) {
+// Merge records attempts that another instance has observed and returns how many were not on record.
+func (h *History) Merge(attempts []Attempt, now time.Duration) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	added := 0
 	for _, a := range attempts {
-		h.insert(a, now)
+		if h.insert(a, now) {
+			added++
+		}
 	}
+	return added
 }
 
 // insert adds an attempt unless it is on record. h.mu is held.
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -24,8 +24,8 @@
 	failed.Outcome = Failed
 	is.True(h.Add(a, 0))
 	is.True(!h.Add(a, 0))
-	h.Merge([]Attempt{a, b, failed}, 0)
-	h.Merge([]Attempt{b}, 0)
+	is.Equal(h.Merge([]Attempt{a, b, failed}, 0), 2)
+	is.Equal(h.Merge([]Attempt{b}, 0), 0)
 	is.Equal(h.Count(a.Task, Crashed), 2)
 	is.Equal(h.Count(a.Task, Failed), 1)
 	is.Equal(h.Count(work.TaskID{Job: "other"}, Crashed), 0)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
@@ -161,13 +162,21 @@
 	route := &uplinkRoute{zone: zone}
 	route.uplink = relay.Dial(address, r.meter, relay.Handler{
 		Answer:   func(a *relay.Answer) { r.gateway.Answer(route, a) },
-		Attempts: r.shards.mergeAttempts,
+		Attempts: func(all []attempt.Attempt) { r.mergeAttempts(address, all) },
 		End:      func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
 	})
 	r.routes[address] = route
 	return route
 }
 
+// mergeAttempts records the unsuccessful runs that a dispatcher has observed.
+func (r *router) mergeAttempts(from string, attempts []attempt.Attempt) {
+	if added := r.shards.mergeAttempts(attempts); added > 0 {
+		r.log.WithFields(logrus.Fields{"event": "attempts_learned", "from": from, "attempts": added}).
+			Info("another instance has observed failed or crashed runs")
+	}
+}
+
 // connectionEnded removes a route whose connection has ended or could not be opened. It reports the end to the gateway,
 // looks for the zone's new dispatcher and checks whether the old one still answers.
 func (r *router) connectionEnded(route *uplinkRoute, sent bool, err error) {
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -171,11 +171,12 @@
 // Attempts implements relay.Dispatcher.
 func (s *shards) Attempts() []attempt.Attempt { return s.history.Recent(time.Since(s.started)) }
 
-// mergeAttempts records the unsuccessful runs that another instance has observed.
-func (s *shards) mergeAttempts(attempts []attempt.Attempt) {
-	if len(attempts) > 0 {
-		s.history.Merge(attempts, time.Since(s.started))
+// mergeAttempts records the unsuccessful runs that another instance has observed and returns how many were not on record.
+func (s *shards) mergeAttempts(attempts []attempt.Attempt) int {
+	if len(attempts) == 0 {
+		return 0
 	}
+	return s.history.Merge(attempts, time.Since(s.started))
 }
 
 func (s *shards) dump() []shard.Dump {
