The log tells crashed runs that no job waited for

Cause: run_crashed said starts_again_alone for runs whose job had ended, which nothing starts again. Change: outcome not_wanted. Conclusion: the line is true for every run.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -28,7 +28,8 @@
 	Task    work.TaskID
 	Run     int
 	Crashes int    // processes that have crashed under the task
-	GivenUp GiveUp // empty if the task starts again
+	Wanted  bool   // a job waited for the run
+	GivenUp GiveUp // empty if the task starts again, or if no job waited for the run
 }
 
 // isolation keeps an endpoint for one suspect task.
@@ -122,7 +123,7 @@
 		}
 		j := r.job
 		p.history.Add(attempt.Attempt{Task: r.Task, Run: r.Number, Process: process, Outcome: attempt.Crashed}, now)
-		c := CrashedRun{Task: r.Task, Run: r.Number, Crashes: p.history.Count(r.Task, attempt.Crashed)}
+		c := CrashedRun{Task: r.Task, Run: r.Number, Crashes: p.history.Count(r.Task, attempt.Crashed), Wanted: j != nil}
 		p.release(r)
 		if j != nil {
 			c.GivenUp = p.afterCrash(j, r.Task, now)
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -91,6 +91,7 @@
 			confirm(p, suspect, 0)
 			crashed, outcomes := crash(p, suspect[0].Endpoint, 1200*ms)
 			is.Equal(crashed[0].GivenUp, c.want)
+			is.True(crashed[0].Wanted)
 			is.Equal(len(outcomes) == 1, c.want != "")
 			is.True(len(outcomes) == 0 || outcomes[0].State == "") // one crash is no reason to show the job as failed
 		})
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -36,7 +36,10 @@
 
 // crashOutcome names for the log what becomes of the task of a run under which a process has crashed.
 func crashOutcome(r pool.CrashedRun) string {
-	if r.GivenUp != "" {
+	switch {
+	case !r.Wanted:
+		return "not_wanted"
+	case r.GivenUp != "":
 		return "given_up_" + string(r.GivenUp)
 	}
 	return "starts_again_alone"
