--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -11,6 +11,8 @@
 	UnsuccessfulRuns metric.Counter    // runs that ended without success
 	Crashes          metric.Counter    // endpoints whose process ended without notice
 	CrashedRuns      metric.Counter    // runs on them
+	FoundRuns        metric.Counter    // runs of other dispatchers that endpoints reported
+	StoppedRuns      metric.Counter    // runs whose stop was requested
 	GivenUp          metric.Counter    // jobs that failed because a task is not started again
 	RunMS            *metric.Quantiles // time from the order to the end of a successful run
 	WaitMS           *metric.Quantiles // time from the arrival of a job to the order of a run
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -102,7 +102,7 @@
 		"ordered_ms_ago": (now - r.Ordered).Milliseconds(),
 	}).WithError(err).Warn("start request got no answer; the run may have started")
 	if r.State == pool.Ordered {
-		s.stopAll([]*pool.Run{s.pool.Withdraw(r)})
+		s.stopAll([]*pool.Run{s.pool.Withdraw(r)}, stopUnanswered)
 	}
 }
 
@@ -151,6 +151,16 @@
 	}
 }
 
+// logStop logs the first request to stop a run, and for how long the lease of its endpoint lasts if the stop is not carried out.
+func (x *session) logStop(r *pool.Run, why stopReason, now time.Duration) {
+	s := x.shard
+	s.opts.Counts.StoppedRuns.Add(1)
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "stop", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "why": why,
+		"lease_left_ms": (x.leaseExtendedAt + s.leaseExpiryTime() - now).Milliseconds(),
+	}).Info("stopping a run")
+}
+
 // maxAttempts is how often a request that may be repeated without harm is sent at once when it gets no answer.
 const maxAttempts = 3
 
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -390,6 +390,7 @@
 		case known == nil:
 			if found := p.RunFound(x.endpoint.ID, run, now); found != nil {
 				x.listedFromNowOn(found)
+				x.logFound(found)
 			}
 		case known.Endpoint != x.endpoint.ID || known.Number != run.Run:
 			superseded++
@@ -401,6 +402,16 @@
 	p.SetSupersededRuns(x.endpoint.ID, superseded)
 }
 
+// logFound logs a run that another dispatcher, or an earlier term of this one, has started.
+func (x *session) logFound(r *pool.Run) {
+	s := x.shard
+	s.opts.Counts.FoundRuns.Add(1)
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "run_found", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fence": s.term.Fence,
+		"claimed": r.Wanted(),
+	}).Info("endpoint reports a run of another dispatcher")
+}
+
 // stopSuperseded stops a run that the pool has replaced by another run of its task.
 func (x *session) stopSuperseded(run work.Run, known *pool.Run) {
 	s := x.shard
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -209,7 +209,7 @@
 		return
 	}
 	s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id}).Info("job cancelled by its caller")
-	s.abandon(id)
+	s.abandon(id, stopCancelled)
 	s.dispatch()
 }
 
@@ -223,7 +223,7 @@
 		}
 		s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id, "client": from.Name()}).
 			Info("job cancelled: the connection to the instance that submitted it ended")
-		s.abandon(id)
+		s.abandon(id, stopClientGone)
 	}
 	if s.leading {
 		s.dispatch()
@@ -231,9 +231,9 @@
 }
 
 // abandon deletes a job and stops its runs.
-func (s *Shard) abandon(id work.JobID) {
+func (s *Shard) abandon(id work.JobID, why stopReason) {
 	delete(s.clients, id)
-	s.stopAll(s.pool.Cancel(id))
+	s.stopAll(s.pool.Cancel(id), why)
 }
 
 // finish answers and deletes the jobs that have ended.
@@ -247,7 +247,7 @@
 			client.Answer(answerOf(o))
 		}
 		s.logEnd(o)
-		s.abandon(o.Job)
+		s.abandon(o.Job, stopJobEnded)
 	}
 }
 
@@ -313,7 +313,7 @@
 			"unchanged_ms": (now - r.ProgressedAt).Milliseconds(),
 		}).Warn("run makes no progress; stopping it")
 	}
-	s.stopAll(s.pool.Unwanted(now - orphanGrace))
+	s.stopAll(s.pool.Unwanted(now-orphanGrace), stopUnwanted)
 	s.pool.ForgetSuccesses(now - successRetention)
 	s.dispatch()
 }
@@ -326,12 +326,24 @@
 		}
 		s.opts.Counts.Refused.Add(1)
 		s.opts.Log.WithFields(logrus.Fields{"event": "refuse_waiting", "job": id}).Info("job refused: it did not start in time")
-		s.abandon(id)
+		s.abandon(id, stopJobEnded)
 	}
 }
 
+// stopReason is why a run is stopped. The values are part of the log.
+type stopReason string
+
+// The reasons.
+const (
+	stopCancelled  stopReason = "cancelled"   // nobody waits for the job any more
+	stopClientGone stopReason = "client_gone" // the connection to the instance that submitted the job has ended
+	stopJobEnded   stopReason = "job_ended"   // the job has ended or was refused
+	stopUnanswered stopReason = "unanswered"  // the request to start the run got no answer
+	stopUnwanted   stopReason = "unwanted"    // no job has claimed the run, it makes no progress, or an earlier stop is not confirmed
+)
+
 // stopAll requests the stop of runs, for each at most once per stopRetryPause, until the endpoint has confirmed it.
-func (s *Shard) stopAll(runs []*pool.Run) {
+func (s *Shard) stopAll(runs []*pool.Run, why stopReason) {
 	now := s.opts.Now()
 	for _, r := range runs {
 		x := s.sessions[r.Endpoint]
@@ -341,6 +353,9 @@
 		if last, ok := s.stopRequestedAt[r.Task]; ok && now-last < stopRetryPause {
 			continue
 		}
+		if s.stopRequestedAt[r.Task] == 0 {
+			x.logStop(r, why, now)
+		}
 		s.stopRequestedAt[r.Task] = now
 		go x.stop(r, s.term.Fence)
 	}
