Failing tests: a job that its caller submits again while its first run goes on

Cause: a caller whose instance is lost submits its job again at another instance, which prefers the less loaded partition. Runs of the first submission may go on: a successor keeps what it finds for a second, and a lease is extended while a stop is not confirmed.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,9 +59,56 @@
 	health    string
 	operators string
 	kill      context.CancelFunc
+	endpoints *crashableDialer
 	ended     chan error
 }
 
+// crash ends the instance like a crash of its process: nothing that it does in reaction reaches an endpoint.
+func (i *instance) crash() {
+	i.endpoints.crashed.Store(true)
+	i.kill()
+}
+
+// crashableDialer creates clients of endpoints that send nothing after a crash of their instance.
+type crashableDialer struct {
+	work.Dialer
+	crashed atomic.Bool
+}
+
+// Dial implements work.Dialer.
+func (d *crashableDialer) Dial(e work.Endpoint) work.EndpointClient {
+	return &crashableClient{d.Dialer.Dial(e), d}
+}
+
+type crashableClient struct {
+	work.EndpointClient
+	dialer *crashableDialer
+}
+
+// Start implements work.EndpointClient.
+func (c *crashableClient) Start(ctx context.Context, s work.StartRequest) (work.Refusal, time.Duration, error) {
+	if c.dialer.crashed.Load() {
+		return work.Done, 0, work.ErrNoResponse
+	}
+	return c.EndpointClient.Start(ctx, s)
+}
+
+// Stop implements work.EndpointClient.
+func (c *crashableClient) Stop(ctx context.Context, task work.TaskID, run int, fence int64) (work.Refusal, error) {
+	if c.dialer.crashed.Load() {
+		return work.Done, work.ErrNoResponse
+	}
+	return c.EndpointClient.Stop(ctx, task, run, fence)
+}
+
+// RenewLease implements work.EndpointClient.
+func (c *crashableClient) RenewLease(ctx context.Context, lease work.LeaseRequest) (work.Report, work.Refusal, error) {
+	if c.dialer.crashed.Load() {
+		return work.Report{}, work.Done, work.ErrNoResponse
+	}
+	return c.EndpointClient.RenewLease(ctx, lease)
+}
+
 func (d *deployment) start(name string) *instance {
 	d.t.Helper()
 	callers, health, relays, operators := address.Free(), address.Free(), address.Free(), address.Free()
@@ -70,11 +118,12 @@
 	s := node.Settings{
 		Instance: name, Zone: "north", Zones: []string{"north"}, IP: "127.0.0.1", Callers: callers, Health: health,
 		Store: "127.0.0.1:1", FirstPort: portOf(relays), LastPort: portOf(relays), Grace: 6 * time.Second,
-		Lease: time.Second, MemberTTL: 400 * time.Millisecond,
+		Lease: time.Second, MemberTTL: 400 * time.Millisecond, GroupPartitions: keyed.Partitions,
 	}
 	i := &instance{url: "http://" + callers, health: "http://" + health, operators: "http://" + operators, ended: make(chan error, 1)}
+	i.endpoints = &crashableDialer{Dialer: d.fleet}
 	i.Node = node.New(node.Options{
-		Settings: s, Store: d.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: d.fleet, Log: log, OperatorsAddress: operators,
+		Settings: s, Store: d.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: i.endpoints, Log: log, OperatorsAddress: operators,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.kill = cancel
