A request whose caller has left before it was read is not handled

Cause: a process that was stopped for a while finds in its connections the requests of callers that have left meanwhile and have submitted their job to another instance. It submitted the job, read the end of the connection a millisecond later and stopped the runs. Change: before a request is handled, the server looks whether the peer has closed the connection. Evidence: the history of the soak shows the first submission 299 ms earlier by another dispatcher and outcome=caller_gone ms=1 for the second; the new test fails without the change (the handler runs 3 times in place of 2). Conclusion: the look costs one system call a request.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -110,12 +111,25 @@
 	c.raw.Discard(len(raw) - src.Len() - br.Buffered())
 	c.requestBytes, c.continueSent = 0, false
 	c.firstByteNS.Store(0)
+	if peerClosed(c.raw.Fd()) {
+		fasthttp.ReleaseRequest(req)
+		c.server.opts.Log.WithField("event", "request_left").Info("caller closed its connection before its request was read")
+		return gnet.Close
+	}
 	c.busy.Store(true)
 	c.server.active.Add(1)
 	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now()})
 	return gnet.None
 }
 
+// peerClosed reports whether the peer has closed a connection on which all received bytes have been read. A process that was stopped
+// for a while finds requests whose callers have left since and may have sent them to another instance.
+func peerClosed(fd int) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 // incomplete reports whether a parser failed because the input ended too early.
 func incomplete(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,9 +17,12 @@
 	"github.com/savorypass/savorypass/internal/result"
 )
 
-func startServer(t *testing.T, h Handler) *Server {
+func startServer(t *testing.T, h Handler) *Server { return startLoops(t, 2, h) }
+
+// startLoops starts a server with a number of event loops.
+func startLoops(t *testing.T, loops int, h Handler) *Server {
 	s, err := Start(Options{
-		Address: "127.0.0.1:0", Loops: 2, Handler: h,
+		Address: "127.0.0.1:0", Loops: loops, Handler: h,
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 1024, BodyBytes: 2048, Connections: 3, RequestTimeout: time.Hour}
 		},
@@ -201,3 +205,35 @@
 	x.Reply(200, []byte("late"), 0)
 	is.Equal(<-done, "late")
 }
+
+// Guards against work for a request whose caller has left while the process was stopped: the caller may have sent the
+// request to another instance, where its work runs at the same time.
+func TestRequestOfACallerThatHasLeft(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int32
+	stopped, proceed := make(chan struct{}), make(chan struct{})
+	s := startLoops(t, 1, HandlerFunc(func(x *Exchange) {
+		if string(x.Request.URI().Path()) == "/stop" {
+			close(stopped)
+			<-proceed // stops the event loop
+		}
+		handled.Add(1)
+		echo(x)
+	}))
+	answered := make(chan int)
+	go func() {
+		status, _ := send(t, s, "GET /stop HTTP/1.1\r\nHost: h\r\n\r\n")
+		answered <- status
+	}()
+	<-stopped
+	left, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	_, err = left.Write([]byte("POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"))
+	is.NoErr(err)
+	is.NoErr(left.Close())
+	close(proceed)
+	is.Equal(<-answered, 200)
+	status, _ := send(t, s, "GET /after HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.Equal(status, 200)
+	is.Equal(handled.Load(), int32(2))
+}
