A connection between instances that ends at once does not end the process

Cause: the goroutine that opens a connection can report its end before routeTo has stored the connection in its route. Change: connectionEnded takes the router's lock, which routeTo holds until then, before it reads the connection's address. This also keeps a route that has ended from being stored afterwards.

--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -180,8 +180,8 @@
 // connectionEnded removes a route whose connection has ended or could not be opened. It reports the end to the gateway,
 // looks for the zone's new dispatcher and checks whether the old one still answers.
 func (r *router) connectionEnded(route *uplinkRoute, sent bool, err error) {
+	r.mu.Lock() // also waits for routeTo, which sets route.uplink
 	address := route.uplink.Address
-	r.mu.Lock()
 	if r.routes[address] == route {
 		delete(r.routes, address)
 	}
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -110,3 +110,29 @@
 	_, ok = r.Submit(gateway.Target{Zone: "south"}, &relay.Submit{Job: work.Job{ID: "y"}})
 	is.True(!ok)
 }
+
+// Guards against a crash of the process, and a route that stays although its connection has ended, when a connection ends
+// before the function that opens it has returned.
+func TestConnectionEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &router{
+		lead: lead.New(lead.Options{Store: keyed.New(), Zone: "north", Topic: func(zone string) string { return zone }, Log: log}), log: log,
+		routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
+		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
+	}
+	route := &uplinkRoute{zone: "south"}
+	ended := make(chan struct{})
+	r.mu.Lock()
+	go func() {
+		r.connectionEnded(route, false, io.EOF)
+		close(ended)
+	}()
+	time.Sleep(10 * time.Millisecond) // lets connectionEnded begin; the test passes without the pause, too
+	route.uplink = &relay.Uplink{Address: "127.0.0.1:1"}
+	r.routes[route.uplink.Address] = route
+	r.mu.Unlock()
+	<-ended
+	is.Equal(len(r.routes), 0)
+}
