--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,6 +220,7 @@
 		return err
 	}
 	defer n.stopServer()
+	n.warnOfShortRetransmit()
 	n.log.WithFields(logrus.Fields{"event": "started", "instance": n.opts.Settings.Instance, "zone": n.opts.Settings.Zone}).Info("started")
 	select {
 	case <-ctx.Done():
@@ -230,6 +231,16 @@
 	return nil
 }
 
+// warnOfShortRetransmit logs a retransmit time that is too short for a lease to end within it.
+func (n *Node) warnOfShortRetransmit() {
+	retransmit := n.opts.Settings.Retransmit
+	if _, ok := shard.LeaseWithin(retransmit); ok || retransmit <= 0 {
+		return
+	}
+	n.log.WithFields(logrus.Fields{"event": "retransmit_short", "retransmit_ms": retransmit.Milliseconds()}).
+		Warn("callers submit a job again before its earlier runs are certain to be over; a task may run twice at the same time")
+}
+
 // stopServer closes the callers' listener. The process exits afterwards even if the event loops have not stopped.
 func (n *Node) stopServer() {
 	ctx, cancel := context.WithTimeout(context.Background(), serverStopTimeout)
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -15,3 +16,21 @@
 		is.Equal(s.Capacity(), capacity)
 	}
 }
+
+// Guards against leases that outlast the time after which callers submit a job again, and against longer ones than endpoints accept.
+func TestRunLease(t *testing.T) {
+	is := is.New(t)
+	for retransmit, want := range map[time.Duration]time.Duration{
+		0:                       time.Second, // not known
+		5 * time.Second:         time.Second,
+		1300 * time.Millisecond: time.Second,
+	} {
+		s := Settings{Lease: time.Second, Retransmit: retransmit}
+		is.Equal(s.RunLease(), want)
+	}
+	for _, retransmit := range []time.Duration{365 * time.Millisecond, 700 * time.Millisecond, time.Second} {
+		s := Settings{Lease: time.Second, Retransmit: retransmit}
+		slowest := time.Duration(float64(s.RunLease()) * 1.02) // endpoints' clocks may be 2 % slow
+		is.True(slowest < retransmit)
+	}
+}
