Remove the capacity tables of internal/bench, make slopes and make capacity

Change: they are gone, with the resident memory, the bytes of /proc/PID/io and the sum of control_bytes, which only they read. The table of losses, which describes savoryd and rests on no slope, stands in docs/proofs.md.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -188,19 +188,14 @@
 	is.Equal(bins, []float64{151e6, 150e6, 150e6})
 }
 
-// Guards against a wrong slope, and against figures that are read from the wrong field of /proc, for example when a command
-// name contains a parenthesis.
-func TestFitAndProc(t *testing.T) {
+// Guards against a CPU time that is read from the wrong field of /proc, for example when a command name contains a parenthesis.
+func TestParseStat(t *testing.T) {
 	is := is.New(t)
-	f := fit([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
-	is.True(math.Abs(f.Slope-2) < 1e-9 && math.Abs(f.Intercept-3) < 1e-9 && f.MaxResidual < 1e-9)
-	u, err := parseStat([]byte("7 (a) b) S 1 7 7 0 -1 4194560 9 0 0 0 150 50 0 0 20 0 9 0 100 1000 3 18446744073709551615"))
+	cpu, err := parseStat([]byte("7 (a) b) S 1 7 7 0 -1 4194560 9 0 0 0 150 50 0 0 20 0 9 0 100 1000 3 18446744073709551615"))
 	is.NoErr(err)
-	is.Equal(u.CPU, 2*time.Second)
-	is.True(u.Resident > 0 && u.Resident%3 == 0)
+	is.Equal(cpu, 2*time.Second)
 	_, err = parseStat([]byte("7 (a) S 1"))
 	is.True(err != nil)
-	is.Equal(parseIO([]byte("rchar: 10\nwchar: 5\nsyscr: 99\n")), int64(15))
 }
 
 // Guards against a cluster whose configuration the dispatcher refuses, and against two processes on one port.
@@ -214,6 +209,7 @@
 	is.Equal(c.Slots, 5200)
 	_, err = config.Decode(configDocument(c, 7))
 	is.NoErr(err)
+	is.True(len(configDocument(c, 7)) > 43*2*64) // one token digest per caller
 	used := map[string]bool{}
 	for _, a := range []string{c.Log, c.Instances} {
 		is.True(!used[a])
--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -4,10 +4,7 @@
 //   - an open-loop load generator, which submits each job at its time even if earlier jobs have not ended;
 //   - the comparison with the naive scheduler (package naive, the baseline: one queue in order of arrival) and with an ideal
 //     scheduler, a simulation that knows the true run time of every task and takes no time itself;
-//   - the cost of control, that is, the CPU time, memory and traffic that the cluster uses while idle and, above that, for
-//     each task. It is measured at several cluster sizes, and a line is fitted to the costs; its slope is the cost of one more
-//     worker, team, task per second or entry instance;
-//   - the extrapolation of these slopes to the target, the size of deployment that the users ask for.
+//   - the starts per second and core of the entry instances at several cluster sizes.
 //
 // The crest is a short peak of the load above the capacity. Stragglers are tasks that run far longer than declared.
 package bench
@@ -45,9 +42,6 @@
 		{"run", "run the experiments that compare two clusters", &runCommand{}},
 		{"rate", "measure the starts per second and core of a cluster", &rateCommand{}},
 		{"table", "print the rows of a run", &tableCommand{}},
-		{"measure", "measure the cost of control of a cluster of one size", &measureCommand{}},
-		{"slopes", "print the cost of control over the measured sizes", &slopesCommand{}},
-		{"capacity", "extrapolate the slopes to the target", &capacityCommand{}},
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
@@ -212,25 +206,3 @@
 	}
 	return err
 }
-
-type measureCommand struct {
-	outOptions
-	dirOption
-	Vary   string        `long:"vary" required:"true" choice:"workers" choice:"teams" choice:"tasks" choice:"instances" choice:"spread" description:"dimension that is varied; this measurement is one of its sizes"`
-	Tasks  int           `long:"tasks" default:"400" description:"tasks per second under load"`
-	Length time.Duration `long:"length" default:"6s" description:"length of each of the two measurements"`
-}
-
-// Execute implements flags.Commander.
-func (c *measureCommand) Execute([]string) error {
-	cluster, err := OpenRunning(c.Dir)
-	if err != nil {
-		return err
-	}
-	return MeasureSize(cluster, SizeOptions{Vary: c.Vary, Tasks: c.Tasks, Length: c.Length, Out: c.Out})
-}
-
-type slopesCommand struct{ outOptions }
-
-// Execute implements flags.Commander.
-func (c *slopesCommand) Execute([]string) error { return Slopes(os.Stdout, c.Out) }
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -15,13 +15,13 @@
 	roleTool      = "savory-bench"
 )
 
-// snapshot holds the usage of a cluster's processes by role and the sum of its metrics at one time, or the difference of two
-// snapshots.
+// snapshot holds the CPU time of a cluster's processes by role and the number of its task starts at one time, or the
+// difference of two snapshots.
 type snapshot struct {
 	at       time.Time
 	duration time.Duration // of a difference: the time between the two snapshots
-	roles    map[string]Usage
-	vars     Vars
+	cpu      map[string]time.Duration
+	starts   int64
 }
 
 func roleOf(process string) string {
@@ -37,18 +37,20 @@
 }
 
 func (c *Cluster) takeSnapshot() (snapshot, error) {
-	s := snapshot{roles: map[string]Usage{}}
+	s := snapshot{cpu: map[string]time.Duration{}}
 	pids, err := c.PIDs()
 	if err != nil {
 		return s, err
 	}
 	pids[roleTool] = os.Getpid()
-	if s.vars, err = c.sumVars(); err != nil {
+	vars, err := c.sumVars()
+	if err != nil {
 		return s, err
 	}
+	s.starts = vars.Starts
 	s.at = time.Now()
 	for name, pid := range pids {
-		u, err := UsageOf(pid)
+		cpu, err := cpuTime(pid)
 		if err != nil {
 			return s, err
 		}
@@ -56,20 +58,16 @@
 		if name != roleTool {
 			role = roleOf(name)
 		}
-		s.roles[role] = s.roles[role].plus(u)
+		s.cpu[role] += cpu
 	}
 	return s, nil
 }
 
-// minus returns what was used since the earlier snapshot b. Values that are not counters, such as the resident memory, are those
-// of s.
+// minus returns what was used since the earlier snapshot b.
 func (s snapshot) minus(b snapshot) snapshot {
-	d := snapshot{at: s.at, duration: s.at.Sub(b.at), roles: map[string]Usage{}, vars: s.vars}
-	for role, u := range s.roles {
-		d.roles[role] = u.minus(b.roles[role])
+	d := snapshot{at: s.at, duration: s.at.Sub(b.at), cpu: map[string]time.Duration{}, starts: s.starts - b.starts}
+	for role, cpu := range s.cpu {
+		d.cpu[role] = cpu - b.cpu[role]
 	}
-	d.vars.Starts -= b.vars.Starts
-	addCounters(d.vars.ControlBytes, b.vars.ControlBytes, -1)
-	addCounters(d.vars.Wasted, b.vars.Wasted, -1)
 	return d
 }
--- a/internal/bench/operator.go
+++ b/internal/bench/operator.go
@@ -37,9 +37,8 @@
 
 // Vars are the metrics of an entry instance that the measurements use; docs/metrics.md describes them.
 type Vars struct {
-	Starts       int64            `json:"starts"`
-	Wasted       map[string]int64 `json:"wasted_messages"`
-	ControlBytes map[string]int64 `json:"control_bytes"`
+	Starts int64            `json:"starts"`
+	Wasted map[string]int64 `json:"wasted_messages"`
 }
 
 func sumCounters(counters map[string]int64) int64 {
@@ -105,11 +104,10 @@
 // sumVars returns the sums of the metrics over all entry instances.
 func (c *Cluster) sumVars() (Vars, error) {
 	list, err := c.vars()
-	sum := Vars{Wasted: map[string]int64{}, ControlBytes: map[string]int64{}}
+	sum := Vars{Wasted: map[string]int64{}}
 	for _, v := range list {
 		sum.Starts += v.Starts
 		addCounters(sum.Wasted, v.Wasted, 1)
-		addCounters(sum.ControlBytes, v.ControlBytes, 1)
 	}
 	return sum, err
 }
@@ -189,7 +187,7 @@
 func (c *Cluster) checkProcesses() error {
 	pids, err := c.PIDs()
 	for name, pid := range pids {
-		if _, gone := UsageOf(pid); gone != nil {
+		if _, gone := cpuTime(pid); gone != nil {
 			err = errors.Join(err, fmt.Errorf("%s has ended, see %s: %w", name, filepath.Join(c.dir, name+".log"), errProcessEnded))
 		}
 	}
--- a/internal/bench/rate.go
+++ b/internal/bench/rate.go
@@ -33,16 +33,16 @@
 		return err
 	}
 	d := after.minus(before)
-	entry := d.roles[roleEntry]
-	starts := float64(d.vars.Starts)
+	entry := d.cpu[roleEntry]
+	starts := float64(d.starts)
 	perSecond := starts / d.duration.Seconds()
-	perCore := starts / max(entry.CPU.Seconds(), 1.0/ticksPerSecond)
+	perCore := starts / max(entry.Seconds(), 1.0/ticksPerSecond)
 	what := fmt.Sprintf("%d instances, %d workers", len(c.Entries), len(c.Workers))
 	r.Logf("rate, %s: %.0f starts/s, %.0f per core, entry CPU %.2f cores, workers' CPU %.2f cores, load generator's CPU %.2f cores, %d jobs failed (first failure: %s)",
-		what, perSecond, perCore, entry.CPU.Seconds()/d.duration.Seconds(), d.roles[roleWorker].CPU.Seconds()/d.duration.Seconds(),
-		d.roles[roleTool].CPU.Seconds()/d.duration.Seconds(), s.failed.Load(), s.reason())
+		what, perSecond, perCore, entry.Seconds()/d.duration.Seconds(), d.cpu[roleWorker].Seconds()/d.duration.Seconds(),
+		d.cpu[roleTool].Seconds()/d.duration.Seconds(), s.failed.Load(), s.reason())
 	note := fmt.Sprintf("%.0f starts/s over all, %.2f cores of the entry instances, %d failed jobs", perSecond,
-		entry.CPU.Seconds()/d.duration.Seconds(), s.failed.Load())
+		entry.Seconds()/d.duration.Seconds(), s.failed.Load())
 	return appendRows(r.Out,
 		Row{Measure: "rate", Case: what, Unit: "starts/s per core", Value: &perCore, Min: finite(minRate), Note: note})
 }
--- a/internal/peer/message/message_test.go
+++ b/internal/peer/message/message_test.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -49,6 +50,20 @@
 	is.True(len(Encode(samples[0])) <= 120)
 }
 
+// Guards against a usage report that omits teams: with 43 teams it must have more than four times the bytes that it has with 8.
+func TestUsageReportGrowsWithTheTeams(t *testing.T) {
+	is := is.New(t)
+	report := func(teams int) int {
+		m := &TeamUsage{}
+		for i := range teams {
+			size := platform.Size{Cores: 37.5, MemoryMB: 120_000, Accelerators: 4}
+			m.Teams = append(m.Teams, TeamUsageEntry{Team: fmt.Sprintf("team-%d", i), Size: size, Queued: 100})
+		}
+		return len(Encode(m))
+	}
+	is.True(report(43) > 4*report(8))
+}
+
 type older struct{ Version uint64 }
 
 func (m *older) visit(c *codec) { c.uint(&m.Version) }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -2,17 +2,14 @@
 # Starts clusters of stand-ins and entry instances on loopback, measures them with savory-bench, and stops every process
 # that it started, by process id. The ports 27000 to 27299 must be free.
 #
-#   scripts/bench.sh [bench|slopes]
-#
-# bench compares two clusters and measures the rate of task starts; slopes measures the cost of control at several cluster
-# sizes. SHORT=1 makes a short run. OUT names the directory for results, BIN the directory with the programs. With bench,
-# ONLY names a single experiment to run: overhead, response, crest or configuration.
+# It compares two clusters and measures the rate of task starts. SHORT=1 makes a short run. OUT names the directory for
+# results, BIN the directory with the programs, and ONLY a single experiment to run: overhead, response, crest or
+# configuration.
 set -uo pipefail
 
 OUT=${OUT:-out}
 BIN=${BIN:-bin}
 SHORT=${SHORT:-}
-MODE=${1:-bench}
 CLUSTERS=$OUT/clusters
 short_flag=${SHORT:+--short}
 started=()
@@ -97,36 +94,6 @@
 	stop "$dir"
 }
 
-# The base size. Each dimension is varied while the others keep their base size.
-base_workers=50
-base_teams=8
-base_tasks=400
-base_instances=3
-
-# Number of workers while the instances that share them are varied; equal to SpreadWorkers in internal/bench.
-spread_workers=400
-
-run_slopes() {
-	local n
-	rm -f "$OUT/sizes.jsonl"
-	for n in 25 50 100 200 400; do size workers "$n" $base_teams $base_tasks $base_instances || return; done
-	for n in 4 12 24 43; do size teams $base_workers "$n" $base_tasks $base_instances || return; done
-	for n in 200 400 800 1600; do size tasks $base_workers $base_teams "$n" $base_instances || return; done
-	for n in 2 4 6 8; do size instances $base_workers $base_teams $base_tasks "$n" || return; done
-	for n in 2 4 6 8; do size spread $spread_workers $base_teams $base_tasks "$n" || return; done
-	bench slopes --out "$OUT"
-}
-
-# size DIMENSION WORKERS TEAMS TASKS INSTANCES measures the cost of control at one cluster size, with TASKS task starts per
-# second. DIMENSION is the number that is varied, or spread if INSTANCES is varied with spread_workers workers.
-size() {
-	local dir=$CLUSTERS/size-$1-$2-$3-$4-$5 length=6s
-	[ -n "$SHORT" ] && length=2s
-	cluster "$dir" --zone zone-a --zone zone-b --entries "$5" --workers "$2" --teams "$3" --port 27200 --keep-starts 1 || return
-	bench measure --dir "$dir" --vary "$1" --tasks "$4" --length "$length" --out "$OUT" || return
-	stop "$dir"
-}
-
 mkdir -p "$OUT"
 if ! mkdir "$OUT/lock" 2>/dev/null; then
 	echo "another run uses $OUT; remove $OUT/lock if that run was killed" >&2
@@ -134,11 +101,4 @@
 fi
 trap stop_all EXIT
 trap 'exit 130' INT TERM
-case $MODE in
-bench) run_bench ;;
-slopes) run_slopes ;;
-*)
-	echo "usage: scripts/bench.sh [bench|slopes]" >&2
-	exit 2
-	;;
-esac
+run_bench
