savoryctl teams and top sum the usage of a team over the instances

Cause: an instance reports the running tasks of the jobs whose home it is, but mergeTeams took the largest value of each availability zone as if every instance reported its zone's total, so that usage was too small with several homes in a zone. Change: usage is summed like the counts of waiting and running tasks, and opsapi.Team says whose tasks it holds. No message and no value that an instance reports changes. Result: TestViewsCoverAllInstances, whose instances now report different usages (5 and 10 cores), failed before with 10 in place of 15. The former check of 5 rested on instances that report the same total, which none does. Conclusion: teams and top show what runs; an instance that does not answer is missing in it and named, as for the counts.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -29,7 +29,7 @@
 	return l.Addr().String()
 }
 
-// Guards against commands that omit instances from their output without a note and an exit code.
+// Guards against commands that omit instances from their output without a note and an exit code, and from the usage of a team.
 func TestViewsCoverAllInstances(t *testing.T) {
 	c := newCluster(t, "e1", "e2")
 	c.useRole(secure.RoleViewer)
@@ -38,9 +38,9 @@
 		c.contains(out, "e1", "e2")
 	}
 	out, _ := c.run(ExitOK, "", "teams", "-o", "json")
-	c.contains(out, `"queued": 4`, `"cores": 5`) // queued tasks are summed, but each instance reports the zone's usage
+	c.contains(out, `"queued": 4`, `"cores": 15`) // each instance reports the tasks and the usage of its own jobs
 	out, _ = c.run(ExitOK, "", "top", "--once", "-o", "json")
-	c.contains(out, `"starts": 42`)
+	c.contains(out, `"starts": 42`, `"cores": 15`)
 	out, _ = c.run(ExitOK, "", "workers", "--state", "suspect")
 	c.is.True(!strings.Contains(out, "w-e1"))
 	c.nodes = append(c.nodes, &node{name: "e3", address: closedAddress(t)})
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -43,6 +43,7 @@
 	maxVersion int64 // newest configuration version that comes into force on this instance; 0 means no limit
 	publishErr error // error that Publish returns although the publication has taken effect; Restore is refused while it is nil
 	draining   bool
+	cores      float64 // of the running tasks of its jobs
 	jobs       map[string]opsapi.Job
 }
 
@@ -58,7 +59,7 @@
 	var tokens secure.Tokens
 	c.is.NoErr(tokens.SetStaffTokens(staff))
 	for i, name := range names {
-		c.serve(&node{cluster: c, name: name, jobs: map[string]opsapi.Job{}}, uint64(i+1), &tokens)
+		c.serve(&node{cluster: c, name: name, cores: float64(5 * (i + 1)), jobs: map[string]opsapi.Job{}}, uint64(i+1), &tokens)
 	}
 	c.useRole(secure.RoleOperator)
 	t.Setenv("SAVORY_ENDPOINTS", c.nodes[0].address)
@@ -131,7 +132,7 @@
 	return []opsapi.Worker{{Name: "w-" + n.name, Owner: n.name, State: opsapi.WorkerReady}}, nil
 }
 func (n *node) Teams(context.Context) ([]opsapi.Team, error) {
-	return []opsapi.Team{{Name: "counter", Queued: 2, Usage: opsapi.Usage{Cores: 5}}}, nil
+	return []opsapi.Team{{Name: "counter", Queued: 2, Usage: opsapi.Usage{Cores: n.cores}}}, nil
 }
 func (n *node) Job(_ context.Context, id string) (opsapi.Job, error) {
 	if job, ok := n.jobs[id]; ok {
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -151,11 +151,10 @@
 // ofQuota formats a usage with its quota. The usage may exceed the quota while other teams leave slots idle.
 func ofQuota(usage, quota any) string { return fmt.Sprintf("%v of %v", usage, quota) }
 
-// mergeTeams sums the work over the instances. Usage needs another rule, because each instance reports the total of its
-// availability zone: the largest value of each zone is taken, and the zones are summed.
+// mergeTeams sums the work and the usage of each team over the instances. Each instance counts the tasks of the jobs whose
+// home it is, so that no task is counted twice.
 func mergeTeams(views []instanceView, answers map[string]opsapi.Teams) []opsapi.Team {
 	merged := map[string]*opsapi.Team{}
-	usage := map[[2]string]opsapi.Usage{} // by team and zone
 	for _, v := range views {
 		for _, m := range answers[v.Instance].Teams {
 			sum, ok := merged[m.Name]
@@ -165,16 +164,11 @@
 			}
 			sum.Queued += m.Queued
 			sum.Running += m.Running
-			key := [2]string{m.Name, v.Zone}
-			usage[key] = maxUsage(usage[key], m.Usage)
+			sum.Usage.Cores += m.Usage.Cores
+			sum.Usage.MemoryMB += m.Usage.MemoryMB
+			sum.Usage.Accelerators += m.Usage.Accelerators
 		}
 	}
-	for key, u := range usage {
-		sum := &merged[key[0]].Usage
-		sum.Cores += u.Cores
-		sum.MemoryMB += u.MemoryMB
-		sum.Accelerators += u.Accelerators
-	}
 	list := make([]opsapi.Team, 0, len(merged))
 	for _, m := range merged {
 		list = append(list, *m)
@@ -182,12 +176,3 @@
 	slices.SortFunc(list, func(x, y opsapi.Team) int { return cmp.Compare(x.Name, y.Name) })
 	return list
 }
-
-// maxUsage returns the larger value of each resource.
-func maxUsage(x, y opsapi.Usage) opsapi.Usage {
-	return opsapi.Usage{
-		Cores:        max(x.Cores, y.Cores),
-		MemoryMB:     max(x.MemoryMB, y.MemoryMB),
-		Accelerators: max(x.Accelerators, y.Accelerators),
-	}
-}
--- a/internal/ops/opsapi/opsapi.go
+++ b/internal/ops/opsapi/opsapi.go
@@ -225,9 +225,9 @@
 	Name    string  `json:"name"`
 	Weight  float64 `json:"weight"`
 	Quota   Usage   `json:"quota"`
-	Usage   Usage   `json:"usage"`   // declared sizes of its running tasks, summed over the availability zone
-	Queued  int     `json:"queued"`  // tasks that wait at the answering instance
-	Running int     `json:"running"` // tasks of the answering instance that run
+	Usage   Usage   `json:"usage"`   // declared sizes of the tasks that Running counts
+	Queued  int     `json:"queued"`  // waiting tasks of jobs whose home is the answering instance
+	Running int     `json:"running"` // running tasks of these jobs, those included that other instances run
 }
 
 // Teams answers PathTeams.
