--- a/internal/scenario/chaos.go
+++ b/internal/scenario/chaos.go
@@ -180,7 +180,7 @@
 	case "log lose-answer":
 		err = s.SetLogFault("lose-answer", ev.level)
 	case "list down", "list freeze":
-		err = s.SetListFault(ev.name[5:])
+		err = s.SetListFault(ev.name[5:], 0)
 	}
 	return s.Heal, err
 }
--- a/internal/scenario/drive.go
+++ b/internal/scenario/drive.go
@@ -157,7 +157,7 @@
 	if err := s.SetLogFault("up", 0); err != nil {
 		return err
 	}
-	return s.SetListFault("up")
+	return s.SetListFault("up", 0)
 }
 
 // SetLogFault replaces the fault of the log service: "down", "drop", "hang", "slow" with a delay of n ms, or "lose-answer"
@@ -184,15 +184,17 @@
 	return s.Fault(s.Log, f)
 }
 
-// SetListFault replaces the fault of the instance list: "down", "hang" or "freeze". Cuts of zones stay; "up" ends them and
-// the fault.
-func (s *System) SetListFault(kind string) error {
+// SetListFault replaces the fault of the instance list: "down", "hang", "slow" with a delay of n ms, or "freeze". Cuts of
+// zones stay; "up" ends them and the fault.
+func (s *System) SetListFault(kind string, n int) error {
 	f := instances.Fault{GateFault: standin.GateFault{CutZones: s.listFault.CutZones}}
 	switch kind {
 	case "down":
 		f.Outage = standin.OutageRefuse
 	case "hang":
 		f.Outage = standin.OutageHang
+	case "slow":
+		f.SlowMS = int64(n)
 	case "freeze":
 		f.Freeze = true
 	case "up":
--- a/internal/scenario/script_expect_test.go
+++ b/internal/scenario/script_expect_test.go
@@ -13,8 +13,8 @@
 	"github.com/savorypass/savorypass/internal/ops/opsapi"
 )
 
-// until implements "until ready", "until started JOBS N", "until received JOBS N", "until sees E F live|suspect|gone" and "until ended|unlisted
-// NAME": it waits until the deployment is in the named state.
+// until implements "until ready", "until started JOBS N", "until received JOBS N", "until sees E F live|suspect|gone" "until draining E"
+// and "until ended|unlisted NAME": it waits until the deployment is in the named state.
 func until(sc *script, args []string) error {
 	if err := requireArgs(args, 1, "until STATE"); err != nil {
 		return err
@@ -36,6 +36,8 @@
 		return ""
 	case args[0] == "received" && len(args) == 3:
 		return sc.missingForReceived(args[1], args[2])
+	case args[0] == "draining" && len(args) == 2:
+		return sc.missingForDraining(args[1])
 	case args[0] == "sees" && len(args) == 4:
 		return sc.missingForSees(args[1], args[2], args[3])
 	case args[0] == "ended" && len(args) == 2:
@@ -85,6 +87,22 @@
 	return ""
 }
 
+// missingForDraining returns "" if the named instance has begun its planned stop.
+func (sc *script) missingForDraining(name string) string {
+	e, err := sc.sys.Find(name)
+	if err != nil {
+		return err.Error()
+	}
+	st, err := sc.sys.Status(e)
+	if err != nil {
+		return err.Error()
+	}
+	if !st.Draining {
+		return "it takes new work"
+	}
+	return ""
+}
+
 // missingForSees returns "" if the instance observer sees the instance observed in the given state, and otherwise the state
 // that it sees. An instance that is not a member is gone.
 func (sc *script) missingForSees(observer, observed, state string) string {
--- a/internal/scenario/script_fault_test.go
+++ b/internal/scenario/script_fault_test.go
@@ -38,19 +38,27 @@
 	if err := requireArgs(args, 1, "log down|drop|hang|up|slow MS|lose-answer N"); err != nil {
 		return err
 	}
-	n := 0
-	if len(args) > 1 {
-		n, _ = strconv.Atoi(args[1])
-	}
-	return sc.sys.SetLogFault(args[0], n)
+	return setFault(args, sc.sys.SetLogFault)
 }
 
-// listState implements "list down|hang|freeze|up".
+// listState implements "list down|hang|freeze|up" and "list slow MS".
 func listState(sc *script, args []string) error {
-	if err := requireArgs(args, 1, "list down|hang|freeze|up"); err != nil {
+	if err := requireArgs(args, 1, "list down|hang|freeze|up|slow MS"); err != nil {
 		return err
 	}
-	return sc.sys.SetListFault(args[0])
+	return setFault(args, sc.sys.SetListFault)
+}
+
+// setFault sets a fault from the words KIND [NUMBER].
+func setFault(args []string, set func(kind string, n int) error) error {
+	n := 0
+	if len(args) > 1 {
+		var err error
+		if n, err = strconv.Atoi(args[1]); err != nil {
+			return err
+		}
+	}
+	return set(args[0], n)
 }
 
 // workerFault implements "worker W fail|silent|slow|leave|leave-accepting|pause|clear".
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -66,7 +66,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	out := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range map[string]command{
-		"system": system, "submit": submit, "resubmit": resubmit, "fetch": requestCommand(Fetch), "cancel": requestCommand(Cancel), "await": await,
+		"system": system, "identify": identify, "submit": submit, "resubmit": resubmit, "fetch": requestCommand(Fetch), "cancel": requestCommand(Cancel), "await": await,
 		"crash": crash, "stopping": stopping, "restart": restart, "pause": pause, "resume": resume, "cut": cut, "heal": heal,
 		"log": logState, "list": listState, "worker": workerFault, "publish": publish, "race": race, "until": until,
 		"expect": expect, "pass": pass, "check": check, "raw": raw, "revive": revive,
@@ -168,17 +168,39 @@
 	return sc.sys.Find(name)
 }
 
+// identify implements "identify [options of submit] JOBS": each caller gets an identity for one job of the group JOBS, which
+// "resubmit" submits later.
+func identify(sc *script, args []string) error {
+	_, err := sc.identify(args)
+	return err
+}
+
 // submit implements "submit [-home E] [-at E] [-callers N] [-tasks N] [-run MS] [-declare MS] [-cores C] [-deadline MS]
 // [-service S] [-fail] [-wait D] JOBS": each caller submits one job of the group JOBS in the background. "await" and "expect
 // answer" wait for the answers.
 func submit(sc *script, args []string) error {
+	s, err := sc.identify(args)
+	if err != nil {
+		return err
+	}
+	return sc.sendInBackground(s.group, Submit, s.at, s.wait)
+}
+
+// submission is where and how long the jobs of a group are submitted.
+type submission struct {
+	group, at string
+	wait      time.Duration
+}
+
+// identify parses the arguments of submit, gets the identities of the jobs and adds the jobs to their group.
+func (sc *script) identify(args []string) (submission, error) {
 	spec := JobSpec{Service: "washout"}
-	var home, at string
+	var s submission
+	var home string
 	var callers int
-	var wait time.Duration
 	rest, err := parseFlags(args, func(f *flag.FlagSet) {
 		f.StringVar(&home, "home", "", "")
-		f.StringVar(&at, "at", "", "")
+		f.StringVar(&s.at, "at", "", "")
 		f.IntVar(&callers, "callers", 1, "")
 		f.IntVar(&spec.Tasks, "tasks", 8, "")
 		f.IntVar(&spec.RunMS, "run", 20, "")
@@ -187,29 +209,30 @@
 		f.Int64Var(&spec.DeadlineMS, "deadline", 0, "")
 		f.StringVar(&spec.Service, "service", "washout", "")
 		f.BoolVar(&spec.Fail, "fail", false, "")
-		f.DurationVar(&wait, "wait", 45*time.Second, "")
+		f.DurationVar(&s.wait, "wait", 45*time.Second, "")
 	})
 	if err == nil {
 		err = requireArgs(rest, 1, "submit [options] JOBS")
 	}
 	if err != nil {
-		return err
+		return s, err
 	}
+	s.group = rest[0]
 	e, err := sc.entry(home)
 	if err != nil {
-		return err
+		return s, err
+	}
+	if s.at == "" {
+		s.at = e.Name
 	}
 	for i := range callers {
 		j, err := sc.sys.NewJob(e, []string{CallerToken, OtherTeamToken}[i%2], spec)
 		if err != nil {
-			return err
+			return s, err
 		}
-		sc.jobs[rest[0]] = append(sc.jobs[rest[0]], j)
-	}
-	if at == "" {
-		at = e.Name
+		sc.jobs[s.group] = append(sc.jobs[s.group], j)
 	}
-	return sc.sendInBackground(rest[0], Submit, at, wait)
+	return s, nil
 }
 
 // sendInBackground sends a request about each job of a group in the background.
