A task whose only crash was withdrawn leaves the record of attempts

Cause: Withdraw kept an empty list for a task whose crash was due to a cut connection, and the metric tasks_with_attempts counted it until the job's record expired after 5 minutes. Change: a task without attempts, and a job without tasks, are deleted from the record. Result: TestWithdrawnTaskIsNotOnRecord failed before with 2 tasks in place of 1 and passes now, as do the tests of attempt, node and shard. Conclusion: the metric counts tasks with attempts only; no decision read the empty lists.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -153,14 +153,29 @@
 	for _, j := range h.jobs {
 		for task, attempts := range j.tasks {
 			if slices.ContainsFunc(attempts, crashOf) {
-				j.tasks[task] = slices.DeleteFunc(attempts, crashOf)
 				withdrawn = append(withdrawn, task)
+				h.keep(task, slices.DeleteFunc(attempts, crashOf))
 			}
 		}
 	}
 	return withdrawn
 }
 
+// keep replaces the attempts of a task that is on record. A task without attempts, and a job without tasks, leave the record.
+// h.mu is held.
+func (h *History) keep(task work.TaskID, attempts []Attempt) {
+	j := h.jobs[task.Job]
+	if len(attempts) > 0 {
+		j.tasks[task] = attempts
+		return
+	}
+	delete(j.tasks, task)
+	h.tasks--
+	if len(j.tasks) == 0 {
+		delete(h.jobs, task.Job)
+	}
+}
+
 // Count returns how many runs of a task have ended with an outcome.
 func (h *History) Count(task work.TaskID, o Outcome) int {
 	h.mu.Lock()
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -55,6 +55,20 @@
 	is.Equal(len(h.Recent(0)), 1)
 }
 
+// Guards against a task that stays on record, and is counted, after its only crash was withdrawn, and against one that is counted
+// twice when it crashes again.
+func TestWithdrawnTaskIsNotOnRecord(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	h.Add(crashOf("j", "p1"), 0)
+	h.Add(crashOf("other", "p2"), 0)
+	h.Withdraw(Process{Endpoint: "p1"})
+	is.Equal(h.Tasks(), 1)
+	is.Equal(len(h.jobs), 1)
+	is.True(h.Add(crashOf("j", "p2"), 0))
+	is.Equal(h.Tasks(), 2)
+}
+
 // Guards against a record that grows without bound, and against one that loses the newest attempts.
 func TestRecordIsBounded(t *testing.T) {
 	is := is.New(t)
