One loop for work at an interval; one set-up for the tests of node

Cause: the loop "ticker or end of the context" stood in node twice and in shard once, and router_test.go, shards_test.go and registrations_test.go made the same silent log and, twice, the same router. Loops that do something else between the ticks (the planned stop, the relay's writer) keep their own. The change in internal/shard is the body of runChecks. Conclusion: no behaviour changes.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -14,6 +14,7 @@
 
 	"github.com/savorypass/savorypass/internal/dump"
 	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/store"
 )
 
@@ -142,21 +143,14 @@
 
 // reportTraffic logs the calls and bytes of each kind since the process started, at an interval until ctx ends.
 func (n *Node) reportTraffic(ctx context.Context) {
-	ticker := time.NewTicker(trafficInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, trafficInterval, func() {
 		fields := logrus.Fields{"event": "traffic"}
 		for kind, counts := range n.opts.Meter.Snapshot() {
 			fields[string(kind)] = counts.String()
 		}
 		n.log.WithFields(fields).Info("calls, failed calls, bytes sent and bytes received by kind")
 		n.logWindow()
-	}
+	})
 }
 
 // logWindow logs the state of the window for start requests, so that work that waits for the window can be told from work that waits for
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/server"
@@ -300,19 +301,12 @@
 
 // runMaintenance runs the periodic checks of the gateway and of the connections to dispatchers until ctx ends.
 func (n *Node) runMaintenance(ctx context.Context) {
-	ticker := time.NewTicker(maintenanceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.gateway.Sweep()
-			n.gateway.Resubmit()
-			n.router.closeUnused()
-			n.router.connectForOverflow()
-		}
-	}
+	pause.Every(ctx, maintenanceInterval, func() {
+		n.gateway.Sweep()
+		n.gateway.Resubmit()
+		n.router.closeUnused()
+		n.router.connectForOverflow()
+	})
 }
 
 func (n *Node) limits() server.Limits {
--- a/internal/node/registrations_test.go
+++ b/internal/node/registrations_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"errors"
-	"io"
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/follow"
@@ -33,8 +31,7 @@
 // Guards against a takeover that does not wait for an endpoint because it was registered and removed between two reads of
 // the registrations.
 func TestRegistrationsOfOneUpdate(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := silentLog()
 	n := &Node{opts: Options{Records: records{}}, log: log}
 	record := func(key, value string) store.Record { return store.Record{Key: key, Value: []byte(value)} }
 	for _, c := range []struct {
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/attempt"
-	"github.com/savorypass/savorypass/internal/catalog"
-	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
@@ -27,8 +23,7 @@
 // opened for them. The connection must be open before the instance's zone is full.
 func TestConnectedBeforeOverflow(t *testing.T) {
 	is := is.New(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := silentLog()
 	dispatchers := &loadedDispatcher{}
 	servers := map[string]*relay.Server{}
 	s := keyed.New()
@@ -41,11 +36,7 @@
 		is.NoErr(err)
 	}
 	l := lead.New(lead.Options{Store: s, Zone: "north", Topic: func(zone string) string { return zone }, Log: log, Address: "127.0.0.1:1"})
-	r := &router{
-		ownZone: "north", others: []string{"south"}, lead: l, divisions: division.New(division.Options{}), log: log, address: "127.0.0.1:1",
-		routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
-		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
-	}
+	r := routerOf(l)
 	go l.Follow(t.Context(), []string{"north", "south"}, r.ownZoneConnected)
 	pressure := func(zone string) int {
 		pressure, _ := r.pressure(gateway.Target{Zone: zone})
@@ -82,8 +73,7 @@
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // its kernel accepts connections, but nothing answers on them
 	is.NoErr(err)
 	defer silent.Close()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := silentLog()
 	s := keyed.New()
 	_, err = s.Join(t.Context(), store.Membership{Group: "south", Topic: "south", Member: "x|" + silent.Addr().String(), TTL: time.Hour})
 	is.NoErr(err)
@@ -95,11 +85,7 @@
 	defer cancel()
 	go l.Follow(ctx, []string{"south"}, func() bool { return true })
 	wait.For(t, "the dispatcher is known", func() bool { return l.Dispatcher("south", 0) != "" })
-	r := &router{
-		ownZone: "north", others: []string{"south"}, lead: l, divisions: division.New(division.Options{}), log: log,
-		routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
-		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
-	}
+	r := routerOf(l)
 	_, ok := r.Submit(gateway.Target{Zone: "south"}, &relay.Submit{Job: work.Job{ID: "x"}})
 	is.True(!ok)
 	conn, err := silent.Accept() // the connection is open now, but the dispatcher sends nothing over it
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
@@ -21,8 +19,7 @@
 // has a single partition, and dispatches with that.
 func TestShardsOfFewRegistrations(t *testing.T) {
 	is := is.New(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := silentLog()
 	s := keyed.New()
 	s.Set("divisions", "north/4", []byte{1})
 	counts := shard.NewCounts()
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time that can end early.
+// Package pause waits for a time that can end early, once or at an interval.
 package pause
 
 import (
@@ -20,3 +20,18 @@
 	case <-wake:
 	}
 }
+
+// Every calls f at an interval until ctx ends, first after one interval. A call that takes longer than the interval delays the
+// next one.
+func Every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -29,3 +29,17 @@
 		is.Equal(waited(t.Context(), time.Second, wake), time.Duration(0))
 	})
 }
+
+// Guards against checks that are made at once or too rarely, and against a loop that outlives its context. The clock is virtual.
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		var calls []time.Duration
+		Every(ctx, time.Second, func() { calls = append(calls, time.Since(begun)) })
+		is.Equal(calls, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second})
+		is.Equal(time.Since(begun), 3500*time.Millisecond)
+	})
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -22,6 +22,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/congestion"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
@@ -285,16 +286,7 @@
 
 // runChecks makes the periodic checks until the term ends.
 func (s *Shard) runChecks(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.check(ctx)
-		}
-	}
+	pause.Every(ctx, checkInterval, func() { s.check(ctx) })
 }
 
 func (s *Shard) check(ctx context.Context) {
