One typed heap in place of seven implementations of heap.Interface

Change: internal/minheap wraps container/heap with types and an optional index; the seven places give it only their order. The orders are as they were. Result: TestHeapAgreesWithSorting compares random additions and removals with a sorted list; the tests of the packages pass with the race detector.

--- a/internal/bench/ideal.go
+++ b/internal/bench/ideal.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
+
+	"github.com/savorypass/savorypass/internal/minheap"
 )
 
 // Order is an order of service of the ideal scheduler.
@@ -26,17 +27,20 @@
 // itself. Its times are the reference for those of the product. The round trip of 3 ms to slots in other availability zones is left out, which favours the ideal scheduler. Within a
 // job the longest task goes first. The result has the order of the jobs.
 func Ideal(jobs []*Job, slots int, order Order) []IdealTimes {
-	s := &idealScheduler{order: order, freeSlots: slots, times: make([]IdealTimes, len(jobs)), jobs: make([]*idealJob, len(jobs))}
+	s := &idealScheduler{
+		order: order, freeSlots: slots, times: make([]IdealTimes, len(jobs)), jobs: make([]*idealJob, len(jobs)),
+		queue: minheap.New(servedBefore), events: minheap.New(takesEffectBefore),
+	}
 	for i, j := range jobs {
 		s.times[i] = IdealTimes{Tasks: slices.Repeat([]time.Duration{-1}, len(j.RunTimes)), Job: -1}
-		s.push(idealEvent{at: j.At, kind: arrival, job: i})
+		s.events.Push(idealEvent{at: j.At, kind: arrival, job: i})
 		s.jobs[i] = newIdealJob(j, i, order)
 		if j.CancelAfter > 0 {
-			s.push(idealEvent{at: j.At + j.CancelAfter, kind: cancellation, job: i})
+			s.events.Push(idealEvent{at: j.At + j.CancelAfter, kind: cancellation, job: i})
 		}
 	}
-	for len(s.events) > 0 {
-		s.step(heap.Pop(&s.events).(idealEvent))
+	for s.events.Len() > 0 {
+		s.step(s.events.Pop())
 	}
 	return s.times
 }
@@ -83,18 +87,26 @@
 	order     Order
 	freeSlots int
 	jobs      []*idealJob
-	queue     idealQueue
-	events    idealEvents
+	queue     *minheap.Heap[*idealJob]
+	events    *minheap.Heap[idealEvent]
 	times     []IdealTimes
 }
 
-func (s *idealScheduler) push(e idealEvent) { heap.Push(&s.events, e) }
+// servedBefore reports whether job a is served before job b.
+func servedBefore(a, b *idealJob) bool {
+	return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.index, b.index)) < 0
+}
+
+// takesEffectBefore reports whether event x takes effect before event y.
+func takesEffectBefore(x, y idealEvent) bool {
+	return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.kind, y.kind), cmp.Compare(x.job, y.job), cmp.Compare(x.task, y.task)) < 0
+}
 
 func (s *idealScheduler) step(e idealEvent) {
 	j := s.jobs[e.job]
 	switch {
 	case e.kind == arrival:
-		heap.Push(&s.queue, j)
+		s.queue.Push(j)
 	case j.cancelled:
 	case e.kind == cancellation:
 		s.cancel(j)
@@ -124,10 +136,10 @@
 }
 
 func (s *idealScheduler) dispatch(now time.Duration) {
-	for s.freeSlots > 0 && len(s.queue) > 0 {
-		j := s.queue[0]
+	for s.freeSlots > 0 && s.queue.Len() > 0 {
+		j := s.queue.First()
 		if j.cancelled {
-			heap.Pop(&s.queue)
+			s.queue.Pop()
 			continue
 		}
 		last := len(j.waiting) - 1
@@ -137,59 +149,10 @@
 			j.key -= j.RunTimes[t]
 		}
 		if last == 0 {
-			heap.Pop(&s.queue)
+			s.queue.Pop()
 		}
 		s.freeSlots--
 		j.running++
-		s.push(idealEvent{at: now + j.RunTimes[t], kind: taskEnd, job: j.index, task: t})
+		s.events.Push(idealEvent{at: now + j.RunTimes[t], kind: taskEnd, job: j.index, task: t})
 	}
 }
-
-type idealQueue []*idealJob
-
-// Len implements heap.Interface.
-func (q idealQueue) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q idealQueue) Less(a, b int) bool {
-	return cmp.Or(cmp.Compare(q[a].key, q[b].key), cmp.Compare(q[a].index, q[b].index)) < 0
-}
-
-// Swap implements heap.Interface.
-func (q idealQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-
-// Push implements heap.Interface.
-func (q *idealQueue) Push(x any) { *q = append(*q, x.(*idealJob)) }
-
-// Pop implements heap.Interface.
-func (q *idealQueue) Pop() any {
-	last := len(*q) - 1
-	x := (*q)[last]
-	*q = (*q)[:last]
-	return x
-}
-
-type idealEvents []idealEvent
-
-// Len implements heap.Interface.
-func (e idealEvents) Len() int { return len(e) }
-
-// Less implements heap.Interface.
-func (e idealEvents) Less(a, b int) bool {
-	x, y := &e[a], &e[b]
-	return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.kind, y.kind), cmp.Compare(x.job, y.job), cmp.Compare(x.task, y.task)) < 0
-}
-
-// Swap implements heap.Interface.
-func (e idealEvents) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
-
-// Push implements heap.Interface.
-func (e *idealEvents) Push(x any) { *e = append(*e, x.(idealEvent)) }
-
-// Pop implements heap.Interface.
-func (e *idealEvents) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,6 +19,7 @@
 
 	"github.com/savorypass/savorypass/internal/api"
 	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/minheap"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -127,7 +128,7 @@
 	nextJob      sched.JobID          // ID of the last job
 	pendingStops map[*worker][]string // tasks to stop, sent at the next tick
 	timers       []timer
-	deadlines    deadlines
+	deadlines    *minheap.Heap[*Job]
 
 	sharer           sched.Sharer             // nil if slots are not shared
 	demands          map[string]*Demand       // by peer
@@ -165,7 +166,7 @@
 	e := &Engine{
 		opts: opts, log: opts.Log, stopped: make(chan struct{}),
 		jobs: map[sched.JobID]*Job{}, byIdentity: map[string]*Job{}, workers: map[string]*worker{}, pendingStops: map[*worker][]string{},
-		demands: map[string]*Demand{}, grants: map[uint64]*grant{}, foreign: map[string]*foreignState{},
+		demands: map[string]*Demand{}, grants: map[uint64]*grant{}, foreign: map[string]*foreignState{}, deadlines: newDeadlines(),
 	}
 	if e.opts.Sharing != nil {
 		e.sharer, _ = opts.Scheduler.(sched.Sharer)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -167,7 +167,7 @@
 		h.workers["w1"].end(<-h.workers["w1"].started, succeed(""))
 		is.Equal(h.waitForAnswer().Code, result.Complete)
 	}
-	h.engine.call(func(time.Time) { is.Equal(len(h.engine.deadlines), 0) })
+	h.engine.call(func(time.Time) { is.Equal(h.engine.deadlines.Len(), 0) })
 }
 
 // Guards against a cancelled task that keeps its slot until it ends because the stop message was lost or arrived before the
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -1,12 +1,12 @@
 package engine
 
 import (
-	"container/heap"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/api"
+	"github.com/savorypass/savorypass/internal/minheap"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/result"
 	"github.com/savorypass/savorypass/internal/sched"
@@ -85,7 +85,7 @@
 	j.queuedAt = now
 	e.jobs[j.Shape.ID] = j
 	e.byIdentity[j.Identity] = j
-	heap.Push(&e.deadlines, j)
+	e.deadlines.Push(j)
 	e.opts.Scheduler.Submit(now, &j.Shape)
 	if j.OnQueued != nil {
 		j.OnQueued()
@@ -125,40 +125,14 @@
 	if x, ok := e.opts.Scheduler.(sched.Expirer); ok {
 		x.Expire(now) // the result is not needed: the loop below finds the same jobs
 	}
-	for len(e.deadlines) > 0 && !now.Before(e.deadlines[0].Deadline) {
-		e.fail(now, e.deadlines[0], result.DeadlineExceeded, "the deadline passed") // removes the job from the heap
+	for e.deadlines.Len() > 0 && !now.Before(e.deadlines.First().Deadline) {
+		e.fail(now, e.deadlines.First(), result.DeadlineExceeded, "the deadline passed") // removes the job from the heap
 	}
 }
 
-// deadlines is a heap of the open jobs, earliest deadline first.
-type deadlines []*Job
-
-// Len implements heap.Interface.
-func (d deadlines) Len() int { return len(d) }
-
-// Less implements heap.Interface.
-func (d deadlines) Less(a, b int) bool { return d[a].Deadline.Before(d[b].Deadline) }
-
-// Swap implements heap.Interface.
-func (d deadlines) Swap(a, b int) {
-	d[a], d[b] = d[b], d[a]
-	d[a].heapIndex, d[b].heapIndex = a, b
-}
-
-// Push implements heap.Interface.
-func (d *deadlines) Push(x any) {
-	j := x.(*Job)
-	j.heapIndex = len(*d)
-	*d = append(*d, j)
-}
-
-// Pop implements heap.Interface.
-func (d *deadlines) Pop() any {
-	last := len(*d) - 1
-	j := (*d)[last]
-	(*d)[last] = nil
-	*d = (*d)[:last]
-	return j
+// newDeadlines returns the empty heap of the open jobs, earliest deadline first.
+func newDeadlines() *minheap.Heap[*Job] {
+	return minheap.NewIndexed(func(a, b *Job) bool { return a.Deadline.Before(b.Deadline) }, func(j *Job, index int) { j.heapIndex = index })
 }
 
 // taskEnded records the outcome of a task that was started. It completes the job with its last task, and fails the job if
@@ -234,7 +208,7 @@
 func (e *Engine) finish(now time.Time, j *Job, a *api.Answer) {
 	delete(e.jobs, j.Shape.ID)
 	delete(e.byIdentity, j.Identity)
-	heap.Remove(&e.deadlines, j.heapIndex)
+	e.deadlines.Remove(j.heapIndex)
 	e.opts.Observe.Answered(j, a, now.Sub(j.Arrived))
 	j.done(a)
 	// Calls that have not returned still refer to the job. Clear its large fields so that they can be freed.
--- a/internal/sched/experiment/experiment.go
+++ b/internal/sched/experiment/experiment.go
@@ -179,7 +179,7 @@
 	for seed := range o.Seeds {
 		for i, shortest := range []bool{false, true} {
 			jobs := generate(uint64(seed), m, o.Seconds, load)
-			r := simulate(&ideal{jobs: jobs, shortest: shortest}, jobs, nil)
+			r := simulate(newIdeal(jobs, shortest), jobs, nil)
 			out[i].merge(r.measure(o.Seconds/10, o.Seconds))
 		}
 	}
--- a/internal/sched/experiment/ideal.go
+++ b/internal/sched/experiment/ideal.go
@@ -1,9 +1,9 @@
 package experiment
 
 import (
-	"container/heap"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/minheap"
 	"github.com/savorypass/savorypass/internal/sched"
 )
 
@@ -13,7 +13,7 @@
 	sched.Scheduler // nil; the experiment does not call the methods that ideal does not define
 	jobs            []*job
 	shortest        bool // shortest remaining work first, else in order of arrival
-	queue           idealQueue
+	queue           *minheap.Heap[*idealJob]
 	free            int
 	queued          int
 }
@@ -24,31 +24,17 @@
 	tasks []int // indexes of the queued tasks, the longest last
 }
 
-type idealQueue []*idealJob
-
-// Len implements heap.Interface.
-func (q idealQueue) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q idealQueue) Less(a, b int) bool {
-	if q[a].key != q[b].key {
-		return q[a].key < q[b].key
+// servedBefore reports whether job a is served before job b.
+func servedBefore(a, b *idealJob) bool {
+	if a.key != b.key {
+		return a.key < b.key
 	}
-	return q[a].id < q[b].id
+	return a.id < b.id
 }
 
-// Swap implements heap.Interface.
-func (q idealQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-
-// Push implements heap.Interface.
-func (q *idealQueue) Push(x any) { *q = append(*q, x.(*idealJob)) }
-
-// Pop implements heap.Interface.
-func (q *idealQueue) Pop() any {
-	last := len(*q) - 1
-	x := (*q)[last]
-	*q = (*q)[:last]
-	return x
+// newIdeal returns an ideal scheduler of the jobs.
+func newIdeal(jobs []*job, shortest bool) *ideal {
+	return &ideal{jobs: jobs, shortest: shortest, queue: minheap.New(servedBefore)}
 }
 
 // SetWorker implements sched.Scheduler.
@@ -62,15 +48,15 @@
 		x.key = j.work
 	}
 	d.queued += len(x.tasks)
-	heap.Push(&d.queue, x)
+	d.queue.Push(x)
 }
 
 // Next implements sched.Scheduler.
 func (d *ideal) Next(time.Time) (sched.Assignment, bool) {
-	if d.free == 0 || len(d.queue) == 0 {
+	if d.free == 0 || d.queue.Len() == 0 {
 		return sched.Assignment{}, false
 	}
-	x := d.queue[0]
+	x := d.queue.First()
 	last := len(x.tasks) - 1
 	task := x.tasks[last]
 	x.tasks = x.tasks[:last]
@@ -78,7 +64,7 @@
 		x.key -= d.jobs[x.id-1].run[task]
 	}
 	if last == 0 {
-		heap.Pop(&d.queue)
+		d.queue.Pop()
 	}
 	d.free--
 	d.queued--
--- a/internal/sched/experiment/simulate.go
+++ b/internal/sched/experiment/simulate.go
@@ -1,11 +1,11 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/minheap"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -35,32 +35,12 @@
 	a        *sched.Assignment // assignment of the task that ends; nil for an arrival
 }
 
-// events is a heap of events, the earliest first.
-type events []event
-
-// Len implements heap.Interface.
-func (e events) Len() int { return len(e) }
-
-// Less implements heap.Interface.
-func (e events) Less(a, b int) bool {
-	if e[a].at != e[b].at {
-		return e[a].at < e[b].at
+// before reports whether event a takes effect before event b.
+func before(a, b event) bool {
+	if a.at != b.at {
+		return a.at < b.at
 	}
-	return e[a].order < e[b].order
-}
-
-// Swap implements heap.Interface.
-func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
+	return a.order < b.order
 }
 
 // simulation is a discrete-event simulation of one scheduler.
@@ -68,7 +48,7 @@
 	s                sched.Scheduler
 	jobs             []*job
 	out              []outcome // by index of the job
-	events           events
+	events           *minheap.Heap[event]
 	order            int
 	unfinished       []int      // number of tasks that have not ended, by job
 	admissionControl *admission // nil admits every job
@@ -80,7 +60,7 @@
 // simulate runs the jobs on the scheduler until all events are processed, and returns the simulation with the outcomes.
 // If admissionControl is nil, every job is admitted.
 func simulate(s sched.Scheduler, jobs []*job, admissionControl *admission) *simulation {
-	m := &simulation{s: s, jobs: jobs, admissionControl: admissionControl, random: rand.New(rand.NewPCG(7, 7))}
+	m := &simulation{s: s, jobs: jobs, admissionControl: admissionControl, random: rand.New(rand.NewPCG(7, 7)), events: minheap.New(before)}
 	m.out = make([]outcome, len(jobs))
 	m.unfinished = make([]int, len(jobs))
 	for i := range workers {
@@ -101,8 +81,8 @@
 		}
 		m.push(event{at: j.at, job: i})
 	}
-	for len(m.events) > 0 {
-		m.step(heap.Pop(&m.events).(event))
+	for m.events.Len() > 0 {
+		m.step(m.events.Pop())
 	}
 	return m
 }
@@ -110,7 +90,7 @@
 func (m *simulation) push(e event) {
 	m.order++
 	e.order = m.order
-	heap.Push(&m.events, e)
+	m.events.Push(e)
 }
 
 func (m *simulation) step(e event) {
--- a/internal/sched/fair/fair.go
+++ b/internal/sched/fair/fair.go
@@ -100,6 +100,7 @@
 func New(o Options) *Scheduler {
 	o.setDefaults()
 	s := &Scheduler{
+		deadlines:     newDeadlines(),
 		opts:          o,
 		longThreshold: o.LongThreshold.Seconds(),
 		estimates:     estimate.New(),
--- a/internal/standin/worker/machine.go
+++ b/internal/standin/worker/machine.go
@@ -1,13 +1,13 @@
 package worker
 
 import (
-	"container/heap"
 	"math"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/savorypass/savorypass/internal/minheap"
 	"github.com/savorypass/savorypass/internal/platform"
 )
 
@@ -37,7 +37,7 @@
 
 	mu         sync.Mutex
 	tasks      map[string]*task // latest start of each task, until Options.Retention after its end
-	running    taskHeap
+	running    *minheap.Heap[*task]
 	ended      []*task       // oldest first
 	used       platform.Size // sum of the sizes of the running tasks
 	progress   float64       // in ns
@@ -61,7 +61,7 @@
 }
 
 func newMachine(o *Options) *machine {
-	m := &machine{opts: o, clock: o.Clock, tasks: map[string]*task{}, speed: 1, slowFactor: 1, updatedAt: o.Clock.Now()}
+	m := &machine{opts: o, clock: o.Clock, tasks: map[string]*task{}, running: newTaskHeap(), speed: 1, slowFactor: 1, updatedAt: o.Clock.Now()}
 	m.usage.lag = o.UsageLag
 	return m
 }
@@ -84,7 +84,7 @@
 		done:        make(chan struct{}),
 	}
 	m.tasks[id] = t
-	heap.Push(&m.running, t)
+	m.running.Push(t)
 	m.addUsage(w.size, 1)
 	m.update(now)
 	return t
@@ -144,7 +144,7 @@
 	defer m.mu.Unlock()
 	now := m.advance()
 	m.update(now)
-	return len(m.running), m.usage.at(now)
+	return m.running.Len(), m.usage.at(now)
 }
 
 // setFaults sets the faults that affect tasks.
@@ -187,8 +187,8 @@
 }
 
 func (m *machine) endDue(now time.Time) {
-	for len(m.running) > 0 && m.running[0].endProgress <= m.progress {
-		t := m.running[0]
+	for m.running.Len() > 0 && m.running.First().endProgress <= m.progress {
+		t := m.running.First()
 		if t.work.fail {
 			m.finish(now, t, platform.TaskFailed, t.work.output)
 			continue
@@ -199,7 +199,7 @@
 
 func (m *machine) expireLeases(now time.Time) {
 	var expired []*task
-	for _, t := range m.running {
+	for _, t := range m.running.Items() {
 		if !t.leaseEnd.After(now) {
 			expired = append(expired, t)
 		}
@@ -210,7 +210,7 @@
 }
 
 func (m *machine) finish(now time.Time, t *task, state platform.TaskState, output string) {
-	heap.Remove(&m.running, t.index)
+	m.running.Remove(t.index)
 	m.addUsage(t.work.size, -1)
 	t.state, t.output, t.endedAt = state, output, now
 	m.ended = append(m.ended, t)
@@ -235,10 +235,10 @@
 	m.used.Cores += float64(sign) * s.Cores
 	m.used.MemoryMB += int64(sign) * s.MemoryMB
 	m.used.Accelerators += sign * s.Accelerators
-	if len(m.running) == 0 {
+	if m.running.Len() == 0 {
 		m.used.Cores = 0 // remove the rounding error of the sum
 	}
-	m.peak.Running = max(m.peak.Running, len(m.running))
+	m.peak.Running = max(m.peak.Running, m.running.Len())
 	m.peak.Cores = max(m.peak.Cores, m.used.Cores)
 	m.peak.MemoryMB = max(m.peak.MemoryMB, m.used.MemoryMB)
 	m.peak.Accelerators = max(m.peak.Accelerators, m.used.Accelerators)
@@ -250,7 +250,7 @@
 		m.speed = 0
 		return
 	}
-	overload := max(1, float64(len(m.running))/float64(m.opts.Slots), m.used.Cores/m.opts.Cores)
+	overload := max(1, float64(m.running.Len())/float64(m.opts.Slots), m.used.Cores/m.opts.Cores)
 	m.speed = 1 / (m.slowFactor * overload)
 }
 
@@ -260,11 +260,11 @@
 		m.timer.Stop()
 		m.timer = nil
 	}
-	if m.closed || m.paused || len(m.running) == 0 {
+	if m.closed || m.paused || m.running.Len() == 0 {
 		return
 	}
-	wait := time.Duration(math.Ceil((m.running[0].endProgress - m.progress) / m.speed))
-	for _, t := range m.running {
+	wait := time.Duration(math.Ceil((m.running.First().endProgress - m.progress) / m.speed))
+	for _, t := range m.running.Items() {
 		wait = min(wait, t.leaseEnd.Sub(now))
 	}
 	m.timer = m.clock.AfterFunc(max(wait, 0), m.tick)
@@ -278,29 +278,7 @@
 	}
 }
 
-// taskHeap is a heap of running tasks, the one that ends next first.
-type taskHeap []*task
-
-func (h taskHeap) Len() int           { return len(h) }
-func (h taskHeap) Less(i, j int) bool { return h[i].endProgress < h[j].endProgress }
-
-func (h taskHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *taskHeap) Push(x any) {
-	t := x.(*task)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop implements heap.Interface.
-func (h *taskHeap) Pop() any {
-	last := len(*h) - 1
-	t := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return t
+// newTaskHeap returns the empty heap of running tasks, the one that ends next first.
+func newTaskHeap() *minheap.Heap[*task] {
+	return minheap.NewIndexed(func(a, b *task) bool { return a.endProgress < b.endProgress }, func(t *task, index int) { t.index = index })
 }
