Faults of the log and the list share one function; one set-up for two tests of lead

Change: setGateFault sets what both stand-ins have, so that the list can also drop calls; leaderAndMember joins the members. Result: the tests of lead and the scripts log-*, config-*, leaving-*, pair-* and zone* pass. Conclusion: no check changes.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -58,14 +58,20 @@
 
 func leading(m *member) func() bool { return func() bool { return m.Term().Holds(0) } }
 
-// Guards against a zone without a dispatcher after the present one has died, and against a successor with the same fence.
-func TestSuccession(t *testing.T) {
-	is := is.New(t)
+// leaderAndMember returns the dispatcher of a zone and a member that knows it.
+func leaderAndMember(t *testing.T) (a, b *member) {
 	s := keyed.New()
-	a := join(t, s, "a")
+	a = join(t, s, "a")
 	wait.For(t, "the first member leads", leading(a))
-	b := join(t, s, "b")
+	b = join(t, s, "b")
 	wait.For(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
+	return a, b
+}
+
+// Guards against a zone without a dispatcher after the present one has died, and against a successor with the same fence.
+func TestSuccession(t *testing.T) {
+	is := is.New(t)
+	a, b := leaderAndMember(t)
 	before := a.Term().Generation
 	a.stop()
 	wait.For(t, "the second member leads", leading(b))
@@ -75,11 +81,7 @@
 // Guards against a zone that waits for the time to live of a dispatcher that another member has found dead.
 func TestDepose(t *testing.T) {
 	is := is.New(t)
-	s := keyed.New()
-	a := join(t, s, "a")
-	wait.For(t, "the first member leads", leading(a))
-	b := join(t, s, "b")
-	wait.For(t, "the second member knows the dispatcher", func() bool { return b.Dispatcher("north", 0) == "a:1" })
+	a, b := leaderAndMember(t)
 	before := a.Term().Generation
 	b.Depose(context.Background(), "c:1") // not the dispatcher
 	is.Equal(b.Dispatcher("north", 0), "a:1")
--- a/internal/scenario/drive.go
+++ b/internal/scenario/drive.go
@@ -160,50 +160,48 @@
 	return s.SetListFault("up", 0)
 }
 
-// SetLogFault replaces the fault of the log service: "down", "drop", "hang", "slow" with a delay of n ms, or "lose-answer"
-// for the next n appends (-1: all). Cuts of zones stay; "up" ends them and the fault.
+// SetLogFault replaces the fault of the log service: "lose-answer" for the next n appends (-1: all), or one of setGateFault.
 func (s *System) SetLogFault(kind string, n int) error {
 	f := logservice.Fault{GateFault: standin.GateFault{CutZones: s.logFault.CutZones}}
-	switch kind {
-	case "down":
-		f.Outage = standin.OutageRefuse
-	case "drop":
-		f.Outage = standin.OutageDrop
-	case "hang":
-		f.Outage = standin.OutageHang
-	case "slow":
-		f.SlowMS = int64(n)
-	case "lose-answer":
+	if kind == "lose-answer" {
 		f.LoseAnswers = n
-	case "up":
-		f = logservice.Fault{}
-	default:
-		return fmt.Errorf("unknown log state %q", kind)
+	} else if err := setGateFault(&f.GateFault, kind, n); err != nil {
+		return fmt.Errorf("log: %w", err)
 	}
 	s.logFault = f
 	return s.Fault(s.Log, f)
 }
 
-// SetListFault replaces the fault of the instance list: "down", "hang", "slow" with a delay of n ms, or "freeze". Cuts of
-// zones stay; "up" ends them and the fault.
+// SetListFault replaces the fault of the instance list: "freeze", or one of setGateFault.
 func (s *System) SetListFault(kind string, n int) error {
 	f := instances.Fault{GateFault: standin.GateFault{CutZones: s.listFault.CutZones}}
+	if kind == "freeze" {
+		f.Freeze = true
+	} else if err := setGateFault(&f.GateFault, kind, n); err != nil {
+		return fmt.Errorf("instance list: %w", err)
+	}
+	s.listFault = f
+	return s.Fault(s.InstanceList, f)
+}
+
+// setGateFault sets a fault of calls: "down", "drop", "hang" or "slow" with a delay of n ms. The cuts of zones stay; "up" ends
+// them and the fault.
+func setGateFault(f *standin.GateFault, kind string, n int) error {
 	switch kind {
 	case "down":
 		f.Outage = standin.OutageRefuse
+	case "drop":
+		f.Outage = standin.OutageDrop
 	case "hang":
 		f.Outage = standin.OutageHang
 	case "slow":
 		f.SlowMS = int64(n)
-	case "freeze":
-		f.Freeze = true
 	case "up":
-		f = instances.Fault{}
+		*f = standin.GateFault{}
 	default:
-		return fmt.Errorf("unknown list state %q", kind)
+		return fmt.Errorf("unknown state %q", kind)
 	}
-	s.listFault = f
-	return s.Fault(s.InstanceList, f)
+	return nil
 }
 
 // retryInterval is the time between two requests of a caller that retries.
