Two waits of the scripts read the status of an instance through one function

Cause: until draining and until sees looked an instance up and asked for its status with the same lines. Change: script.status does both. Conclusion: no check changes.

--- a/internal/scenario/script_expect_test.go
+++ b/internal/scenario/script_expect_test.go
@@ -87,13 +87,18 @@
 	return ""
 }
 
-// missingForDraining returns "" if the named instance has begun its planned stop.
-func (sc *script) missingForDraining(name string) string {
+// status returns the status of the named instance.
+func (sc *script) status(name string) (opsapi.Status, error) {
 	e, err := sc.sys.Find(name)
 	if err != nil {
-		return err.Error()
+		return opsapi.Status{}, err
 	}
-	st, err := sc.sys.Status(e)
+	return sc.sys.Status(e)
+}
+
+// missingForDraining returns "" if the named instance has begun its planned stop.
+func (sc *script) missingForDraining(name string) string {
+	st, err := sc.status(name)
 	if err != nil {
 		return err.Error()
 	}
@@ -106,11 +111,7 @@
 // missingForSees returns "" if the instance observer sees the instance observed in the given state, and otherwise the state
 // that it sees. An instance that is not a member is gone.
 func (sc *script) missingForSees(observer, observed, state string) string {
-	e, err := sc.sys.Find(observer)
-	if err != nil {
-		return err.Error()
-	}
-	st, err := sc.sys.Status(e)
+	st, err := sc.status(observer)
 	if err != nil {
 		return err.Error()
 	}
