--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,6 +19,7 @@
 
 	"github.com/savorypass/savorypass/internal/api"
 	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/minheap"
 	"github.com/savorypass/savorypass/internal/platform"
 	"github.com/savorypass/savorypass/internal/sched"
 )
@@ -117,7 +118,6 @@
 	opts    Options
 	log     logrus.FieldLogger
 	inbox   inbox
-	closed  chan struct{} // closed when the engine stops
 	load    atomic.Pointer[Load]
 	stopped chan struct{} // closed when Run returns
 
@@ -128,7 +128,7 @@
 	nextJob      sched.JobID          // ID of the last job
 	pendingStops map[*worker][]string // tasks to stop, sent at the next tick
 	timers       []timer
-	deadlines    deadlines
+	deadlines    *minheap.Heap[*Job]
 
 	sharer           sched.Sharer             // nil if slots are not shared
 	demands          map[string]*Demand       // by peer
@@ -164,9 +164,9 @@
 		opts.Spawn = func(f func()) { go f() }
 	}
 	e := &Engine{
-		opts: opts, log: opts.Log, closed: make(chan struct{}), stopped: make(chan struct{}),
+		opts: opts, log: opts.Log, stopped: make(chan struct{}),
 		jobs: map[sched.JobID]*Job{}, byIdentity: map[string]*Job{}, workers: map[string]*worker{}, pendingStops: map[*worker][]string{},
-		demands: map[string]*Demand{}, grants: map[uint64]*grant{}, foreign: map[string]*foreignState{},
+		demands: map[string]*Demand{}, grants: map[uint64]*grant{}, foreign: map[string]*foreignState{}, deadlines: newDeadlines(),
 	}
 	if e.opts.Sharing != nil {
 		e.sharer, _ = opts.Scheduler.(sched.Sharer)
@@ -229,7 +229,6 @@
 }
 
 func (e *Engine) closeAll() {
-	close(e.closed)
 	for _, w := range e.workers {
 		w.target.close()
 	}
