--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -101,13 +102,7 @@
 // before the function that opens it has returned.
 func TestConnectionEndsAtOnce(t *testing.T) {
 	is := is.New(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	r := &router{
-		lead: lead.New(lead.Options{Store: keyed.New(), Zone: "north", Topic: func(zone string) string { return zone }, Log: log}), log: log,
-		routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
-		gateway: gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log}),
-	}
+	r := routerOf(lead.New(lead.Options{Store: keyed.New(), Zone: "north", Topic: func(zone string) string { return zone }, Log: silentLog()}))
 	route := &uplinkRoute{zone: "south"}
 	ended := make(chan struct{})
 	r.mu.Lock()
