Lost start requests no longer count as a congested link

What callers saw: while endpoints leave orders unanswered, tasks came about half a second later than they had to and jobs were refused with servers free. Cause: the window of start requests counted a request without a response as one that had waited in a queue. With half of the requests lost it shrank to two requests in flight, and each lost one held its place until the timeout, so starts waited up to 1.1 s for admission. Change: a batch is judged by its responses alone, as long as a quarter of it is answered: a queue delays these as well, loss does not. The median that lengthens the timeouts comes from the same samples. Tests: TestLostRequestsAreNotCongestion fails before (a window of 2 instead of 1024); TestTimeoutsOfACongestedLinkShrinkTheWindow holds before and after and keeps a congested link recognised when part of its requests time out.

--- a/internal/congestion/window.go
+++ b/internal/congestion/window.go
@@ -27,6 +27,8 @@
 	// relearnBatches is the number of congested batches at the smallest size after which the bases are learned anew: with so few
 	// requests in flight the queue is not of their making, or the paths have become longer.
 	relearnBatches = 4
+	// minAnswered is the least share of a batch that must be answered for its responses alone to tell whether the link is congested.
+	minAnswered = 0.25
 	// initialMean and initialDeviation give a timeout of 60 ms before the first responses, which suits a thin link.
 	initialMean      = 20 * time.Millisecond
 	initialDeviation = 10 * time.Millisecond
@@ -46,13 +48,13 @@
 	deviations      = 4
 	// means is the least multiple of the mean that a timeout lasts, for paths whose response times hardly differ.
 	means = 2
-	// medians is the least multiple of the median of all response times and timeouts that a timeout lasts, so that timeouts
-	// grow when a congested link delays most responses beyond them.
+	// medians is the least multiple of the median response time of a batch that a timeout lasts, so that timeouts grow when a
+	// congested link delays most responses beyond them.
 	medians = 4
 )
 
 // Window limits the requests in flight. Its size follows the median growth of the response times of each batch of requests: a
-// congested link delays most responses, while a slow endpoint delays only its own. It is safe for concurrent use.
+// congested link delays most responses, while a slow endpoint delays only its own, and lost requests delay none. It is safe for concurrent use.
 type Window struct {
 	mu        sync.Mutex
 	size      float64
@@ -60,7 +62,7 @@
 	waiting   []chan struct{}          // closed, in order of arrival, when the request may be sent
 	batch     []sample                 // responses of the current batch
 	full      bool                     // the window was full during the current batch
-	delay     time.Duration            // median response time of the last batch
+	delay     time.Duration            // median response time of the last batch, see relevant
 	base      time.Duration            // median base of the paths in the last batch
 	bases     map[string]time.Duration // shortest response time by path
 	atMin     int                      // consecutive congested batches at the smallest size
@@ -69,10 +71,11 @@
 	deviation time.Duration            // moving average of their distance from the mean
 }
 
-// sample is one response.
+// sample is one response, or one request that was not answered.
 type sample struct {
-	took time.Duration
-	base time.Duration // of its path, at the time of the response
+	took     time.Duration // time until the timeout for a request without a response
+	base     time.Duration // of its path, at the time of the response
+	answered bool
 }
 
 // queued reports whether the response waited in a queue on the way. On a long path the delay must grow by the base itself, since its
@@ -144,7 +147,7 @@
 	if answered {
 		w.learnBase(path, took)
 	}
-	w.batch = append(w.batch, sample{took, w.bases[path]})
+	w.batch = append(w.batch, sample{took, w.bases[path], answered})
 	if len(w.batch) < max(minBatch, int(w.size)) {
 		return
 	}
@@ -171,17 +174,33 @@
 
 // summarize stores the medians of the batch and reports whether most of its responses waited in a queue. w.mu is held.
 func (w *Window) summarize() bool {
+	batch := relevant(w.batch)
 	queued := 0
-	for _, s := range w.batch {
+	for _, s := range batch {
 		if s.queued() {
 			queued++
 		}
 	}
-	slices.SortFunc(w.batch, func(a, b sample) int { return cmp.Compare(a.base, b.base) })
-	w.base = w.batch[len(w.batch)/2].base
-	slices.SortFunc(w.batch, func(a, b sample) int { return cmp.Compare(a.took, b.took) })
-	w.delay = w.batch[len(w.batch)/2].took
-	return 2*queued > len(w.batch)
+	slices.SortFunc(batch, func(a, b sample) int { return cmp.Compare(a.base, b.base) })
+	w.base = batch[len(batch)/2].base
+	slices.SortFunc(batch, func(a, b sample) int { return cmp.Compare(a.took, b.took) })
+	w.delay = batch[len(batch)/2].took
+	return 2*queued > len(batch)
+}
+
+// relevant returns the samples of a batch that tell whether there is a queue: the responses, since a queue delays them as well and a
+// request can also be lost on a free link. With too few responses it returns the whole batch.
+func relevant(batch []sample) []sample {
+	var answered []sample
+	for _, s := range batch {
+		if s.answered {
+			answered = append(answered, s)
+		}
+	}
+	if float64(len(answered)) < minAnswered*float64(len(batch)) {
+		return batch
+	}
+	return answered
 }
 
 // shrink makes the window smaller. If it stays congested at its smallest size, the bases are learned anew. w.mu is held.
--- a/internal/congestion/window_test.go
+++ b/internal/congestion/window_test.go
@@ -255,3 +255,47 @@
 	}
 	is.Equal(w.Timeout(), minFloor)
 }
+
+// Guards against a window and timeouts that follow lost requests: more than half of the requests are lost on a free link, as when endpoints leave
+// requests unanswered, and no start may wait for the others.
+func TestLostRequestsAreNotCongestion(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	lose(w)
+	sent := 0
+	for range 100 {
+		timeout := w.Timeout()
+		for range use(w) {
+			sent++
+			if sent%8 < 5 {
+				w.Release("path", timeout, false)
+			} else {
+				w.Release("path", 2*time.Millisecond, true)
+			}
+		}
+	}
+	is.Equal(w.Status().Size, int(maxSize))
+	is.Equal(w.Timeout(), minFloor)
+}
+
+// Guards against a window that grows on a congested link because the requests that time out there are left out: the responses that
+// come in time are late too.
+func TestTimeoutsOfACongestedLinkShrinkTheWindow(t *testing.T) {
+	is := is.New(t)
+	w := New()
+	for range 20 {
+		respond(w, use(w), 2*time.Millisecond)
+	}
+	for range 40 {
+		for i := range use(w) {
+			w.Release("path", 50*time.Millisecond, i%2 == 0)
+		}
+	}
+	is.Equal(w.Status().Size, int(minSize))
+	for range 40 {
+		for range use(w) {
+			w.Release("path", w.Timeout(), false)
+		}
+	}
+	is.Equal(w.Status().Size, int(minSize))
+}
