A start request without an answer is repeated as it is

What callers saw: while endpoints leave orders unanswered, tasks came hundreds of milliseconds late. Cause: after a start request without an answer the run was stopped, a report was requested, and the task started again under the next number. Each of the three calls may be lost as well, and each lost call costs a timeout and a new connection. Change: the request is sent again unchanged, at most three times in all. It has the same run number and end of the lease, so the endpoint starts the run once, and a copy that is carried out seconds later is refused. A refusal of a repetition tells nothing of the request before it, so the run is then stopped as before. Conclusion: a start costs one lossy call instead of three. An endpoint that stays silent is asked to stop the run up to two timeouts later.

--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,7 +12,12 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
-// start sends the start request of a run to the endpoint as soon as the window admits it, and handles the answer.
+// errRepeatRefused reports that an endpoint refused the repetition of a start request. The request before may have been carried out.
+var errRepeatRefused = errors.New("the repetition of an unanswered start request was refused")
+
+// start sends the start request of a run to the endpoint as soon as the window admits it, and handles the answer. A request that
+// times out is repeated as it is, at most maxAttempts times in all: the endpoint starts the run only once, and its lease ends when that
+// of the first request does.
 func (x *session) start(r *pool.Run, fence int64) {
 	s := x.shard
 	s.opts.Window.Acquire()
@@ -20,12 +26,36 @@
 		s.opts.Window.Forgo()
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Window.Timeout())
+	refusal, clock, err := x.sendStart(request)
+	for sent := 1; sent < maxAttempts && errors.Is(err, work.ErrTimeout) && x.mayRepeatStart(r, fence); sent++ {
+		s.opts.Window.Acquire()
+		refusal, clock, err = x.sendStart(request)
+		if err == nil && refusal != work.Done || errors.Is(err, work.ErrRefused) {
+			err = fmt.Errorf("%w: %w: %s", work.ErrNoResponse, errRepeatRefused, refusal)
+		}
+	}
+	x.startAnswered(r, fence, refusal, clock, err)
+}
+
+// sendStart sends a start request that the window has admitted.
+func (x *session) sendStart(request work.StartRequest) (work.Refusal, time.Duration, error) {
+	window := x.shard.opts.Window
+	ctx, cancel := context.WithTimeout(context.Background(), window.Timeout())
 	defer cancel()
-	sent := s.opts.Now()
+	sent := x.shard.opts.Now()
 	refusal, clock, err := x.endpointClient.Start(ctx, request)
-	s.opts.Window.Release(x.path, s.opts.Now()-sent, err == nil)
-	x.startAnswered(r, fence, refusal, clock, err)
+	window.Release(x.path, x.shard.opts.Now()-sent, err == nil)
+	return refusal, clock, err
+}
+
+// mayRepeatStart records that a start request got no answer and reports whether it is to be sent again: the run is still wanted under
+// the same fence, and no report has listed it.
+func (x *session) mayRepeatStart(r *pool.Run, fence int64) bool {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callLost, s.callLostAt = true, s.opts.Now()
+	return s.sessions[x.endpoint.ID] == x && s.pool.Run(r.Task) == r && r.State == pool.Ordered && fence == s.term.Fence
 }
 
 // prepareStart returns the start request of a run. It returns false if the run must not start any more: its job has ended,
