A lost poll of an endpoint is repeated without a pause

What callers saw: while endpoints leave orders unanswered, jobs ended late and were refused although endpoints had ended their runs. Cause: each poll without an answer was followed by a pause of 50 ms on top of its timeout. Until the next answer no end is known, and after two such polls the endpoint gets no new runs. Change: the first two polls without an answer are repeated at once; the timeout has been pause enough. Refused connections and endpoints that stay silent keep the pause. Test: TestLostPollIsRepeatedAtOnce fails before.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -30,7 +30,8 @@
 	lossyPollWait = 60 * time.Millisecond
 	// callLostMemory is how long after a lost call polls use lossyPollWait.
 	callLostMemory = 3 * time.Second
-	// retryPause is the pause after a failed poll. It prevents a tight loop when an endpoint refuses connections.
+	// retryPause is the pause after a failed poll. It prevents a tight loop when an endpoint refuses connections, and spares an
+	// endpoint that stays silent.
 	retryPause = 50 * time.Millisecond
 	// fencedPause is the pause after a poll that was refused because the endpoint has seen a higher fence. Further polls are
 	// refused until this dispatcher gets a higher fence itself, and then it polls at once.
@@ -150,6 +151,9 @@
 	switch {
 	case err != nil:
 		x.callFailed(now, err)
+		if x.failures < maxAttempts && errors.Is(err, work.ErrTimeout) {
+			return 0 // the timeout has been pause enough for a lost call
+		}
 		return retryPause
 	case refusal != work.Done:
 		return x.refused(refusal, request.Fence)
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -270,6 +270,30 @@
 	})
 }
 
+// Guards against tasks whose end is learned late because polls got no answer: a lost poll is repeated without a pause. The clock is
+// virtual.
+func TestLostPollIsRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(1, 50*time.Millisecond)
+		lost := map[string]int{}
+		f.LoseAnswer = func(call string) (bool, time.Duration) {
+			lost[call]--
+			return lost[call] >= 0, -1
+		}
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		s.register(all)
+		time.Sleep(time.Second)
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 50*time.Millisecond)})
+		lost["report"], lost["hold"] = 1, 1
+		time.Sleep(2*60*time.Millisecond + 60*time.Millisecond) // a timeout each for two polls, and the run
+		is.True(completed(c, "a")())
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a second run beside one that is being stopped: the endpoint has carried out a start request without an answer,
 // and its stop takes a while. The clock is virtual.
 func TestRunThatIsBeingStoppedStillCounts(t *testing.T) {
