A process that was stopped does not handle submissions that it finds in old connections

Cause: a dispatcher that goes on after a stop finds submissions in connections that their instances have closed meanwhile. It decided them as new jobs and sent start requests before it read the end of the connection. The read deadline does not help when the machine was suspended, since the monotonic clock does not count that time. Change: a connection whose read took longer than the silence limit, on the monotonic clock or by the time for which the machine was suspended, is closed without handling the message. A time of day that was set has no effect.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/savorypass/savorypass/internal/pause"
 )
 
 const (
@@ -19,7 +21,10 @@
 	maxQueued   = 4096 // messages that wait to be sent; with more the connection is closed, since the peer reads too slowly
 )
 
-var errSlowPeer = errors.New("relay: the send queue is full, the peer reads too slowly")
+var (
+	errSlowPeer = errors.New("relay: the send queue is full, the peer reads too slowly")
+	errStopped  = errors.New("relay: this process was stopped; the peer has closed the connection")
+)
 
 // link is one connection with its send queue. The first error closes it.
 type link struct {
@@ -27,13 +32,19 @@
 	queue chan []byte
 	state func() heartbeat // what a heartbeat carries; nil for empty heartbeats
 
+	suspended       func() time.Duration // see pause.Suspended
+	suspendedBefore time.Duration        // result of the last call
+
 	once sync.Once
 	done chan struct{}
 	err  error
 }
 
 func newLink(conn net.Conn, state func() heartbeat) *link {
-	l := &link{conn: conn, state: state, queue: make(chan []byte, maxQueued), done: make(chan struct{})}
+	l := &link{
+		conn: conn, state: state, queue: make(chan []byte, maxQueued), done: make(chan struct{}),
+		suspended: pause.Suspended, suspendedBefore: pause.Suspended(),
+	}
 	go l.writeLoop()
 	return l
 }
@@ -116,8 +127,13 @@
 func (l *link) receive(handle func(message any)) error {
 	buffered := bufio.NewReader(l.conn)
 	for {
-		l.conn.SetReadDeadline(time.Now().Add(SilenceLimit))
+		begun := time.Now()
+		l.conn.SetReadDeadline(begun.Add(SilenceLimit))
 		message, err := read(buffered)
+		now := time.Now()
+		if err == nil && l.wasStopped(now.Sub(begun), now.Round(0).Sub(begun.Round(0))) {
+			err = errStopped
+		}
 		if err != nil {
 			l.close(err)
 			return l.err
@@ -125,3 +141,19 @@
 		handle(message)
 	}
 }
+
+// wasStopped reports whether this process or its machine was stopped for longer than the peer waits for a heartbeat while a message was
+// read. What has been received since is out of date: the peer has closed the connection and submitted its jobs elsewhere. The
+// arguments are the time that the read took on the monotonic clock, which does not count a suspension of the machine, and by the time of
+// day, which may have been set meanwhile.
+func (l *link) wasStopped(monotonic, timeOfDay time.Duration) bool {
+	if monotonic > SilenceLimit {
+		return true
+	}
+	if timeOfDay <= SilenceLimit {
+		return false
+	}
+	before := l.suspendedBefore
+	l.suspendedBefore = l.suspended()
+	return l.suspendedBefore-before+monotonic > SilenceLimit
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -154,3 +154,22 @@
 	f.Add([]byte{255, 255, 255, 255, 1})
 	f.Fuzz(func(_ *testing.T, raw []byte) { read(bytes.NewReader(raw)) })
 }
+
+// Guards against jobs that a stopped process reads late and starts although their instance has submitted them elsewhere, and against
+// connections that are closed because the time of day was set.
+func TestStoppedProcess(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		monotonic, timeOfDay, suspended time.Duration
+		stopped                         bool
+	}{
+		{200 * time.Millisecond, 200 * time.Millisecond, 0, false},
+		{2 * time.Second, 2 * time.Second, 0, true},                                     // stopped by a signal
+		{200 * time.Millisecond, 3 * time.Second, 2800 * time.Millisecond, true},        // suspended
+		{200 * time.Millisecond, 3 * time.Second, 0, false},                             // the time of day was set
+		{200 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond, false}, // suspended for a moment
+	} {
+		l := &link{suspended: func() time.Duration { return time.Hour + c.suspended }, suspendedBefore: time.Hour}
+		is.Equal(l.wasStopped(c.monotonic, c.timeOfDay), c.stopped)
+	}
+}
