A lease is not extended before the endpoint has reported to the current fence

What callers see: two runs of one task may overlap when a dispatcher continues with a higher fence after another one has used its endpoints in between, and the endpoint's next reports are lost. Cause: polls extended the lease as soon as an endpoint had reported once in the term. After a raised fence an endpoint may have runs of the dispatcher in between; this one does not know them, so it cannot know whether anybody waits for them. Change: polls extend the lease only after a report to the current fence, as is required for new runs. Evidence: the new test fails without the change (2 runs go on after the lease in place of 0) and passes with it; go test ./internal/shard passes.

--- /dev/null
+++ b/internal/shard/lease_test.go
@@ -0,0 +1,47 @@
+package shard_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// Guards against a lease that is extended for a run of another dispatcher of which this one does not know, because the endpoint has not
+// reported to its fence yet: nobody may wait for that run. The clock is virtual.
+func TestLeaseBetweenTwoFences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(1, time.Minute)
+		var lose atomic.Bool
+		f.LoseAnswer = func(string) (bool, time.Duration) { return lose.Load(), 0 }
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		s.register(all)
+		time.Sleep(time.Second)
+		s.Submit(c, &relay.Submit{Job: jobOf("own", 1, time.Minute)})
+		time.Sleep(time.Second)
+		other := f.Dial(all[0])
+		report, _, err := other.RenewLease(t.Context(), work.LeaseRequest{Fence: 2})
+		is.NoErr(err)
+		_, _, err = other.Start(t.Context(), work.StartRequest{
+			Task: work.TaskID{Job: "other"}, Run: 1, Spec: "text", LeaseEnd: report.Clock + lease, Fence: 2,
+		})
+		is.NoErr(err)
+		before := f.Running()
+		lose.Store(true) // the endpoint carries out requests, but its reports are lost
+		s.Begin(shard.Term{Fence: 3, Partitions: 1})
+		time.Sleep(lease + time.Millisecond)
+		after := f.Running()
+		s.End()
+		time.Sleep(2 * time.Second)
+		is.Equal(before, 2)
+		is.Equal(after, 0)
+	})
+}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -240,7 +240,7 @@
 	s.abandonExpired(now) // this process may have been stopped; the lease must not be extended for jobs that expired meanwhile
 	request := x.newReportRequest(now)
 	busy := s.pool.Busy(x.endpoint.ID)
-	if x.reported && busy && x.failures < maxExtendingPolls && !s.pool.Unclaimed(x.endpoint.ID) {
+	if x.reportedTo == s.term.Fence && busy && x.failures < maxExtendingPolls && !s.pool.Unclaimed(x.endpoint.ID) {
 		request.LeaseEnd = x.extendLease(now)
 	}
 	switch {
