A job that is submitted again without a remaining time keeps no expiry of its earlier submission

What operators may see during a rolling update: a job is cancelled as expired although its caller waits. Cause: a job that the dispatcher knows keeps the expiry of its first submission if the second one, from an instance of an earlier version, states no remaining time. Change: each accepted submission replaces the expiry or deletes it. Evidence: the new test fails without the change (the job does not complete) and passes with it; go test ./internal/shard passes. Conclusion: found in a review; it needs two versions beside each other, and costs a restart of the job's tasks.

--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -71,3 +71,23 @@
 		is.Equal(len(f.Starts()), 0)
 	})
 }
+
+// Guards against a job that is cancelled at the end of an earlier submission's time although its caller's instance has
+// submitted it again without a time, as instances of earlier versions do. The clock is virtual.
+func TestExpiryOfAnEarlierSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const run = 900 * time.Millisecond
+		f, all := newFleet(1, run)
+		s, before, c := newShard(f, func() {}), newClient(), newClient()
+		s.Begin(shard.Term{Fence: 1, Partitions: 1})
+		s.register(all)
+		time.Sleep(time.Second)
+		s.Submit(before, &relay.Submit{Job: jobOf("a", 1, run), Remaining: 200 * time.Millisecond})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, run), Resumed: true})
+		time.Sleep(2 * time.Second)
+		s.End()
+		time.Sleep(time.Second)
+		is.True(completed(c, "a")())
+	})
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -195,6 +195,7 @@
 		return
 	}
 	s.clients[job.ID] = from
+	delete(s.expires, job.ID)
 	if m.Remaining > 0 {
 		s.expires[job.ID] = now + m.Remaining + expiryMargin
 	}
