Runs whose start was never sent do not keep the lease of their endpoint from being extended

What callers may see: at an idle endpoint, the start of a task is refused as too late after another job was cancelled whose start request was still waiting, and the endpoint gets nothing until its next report. Cause: Unclaimed counts a cancelled run also if its start request was never sent. The next start then gets the end of the last lease, which is 0 or long past at an idle endpoint. Change: only runs that the endpoint may have started count. The search is left out at idle endpoints, since each check makes it for all of them.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -138,7 +138,7 @@
 }
 
 // MayHaveStarted reports whether the endpoint may have started the run.
-func (r *Run) MayHaveStarted() bool { return r.sent || r.State == Confirmed || r.unsized }
+func (r *Run) MayHaveStarted() bool { return r.sent }
 
 // afterCrash decides what becomes of a task under which a process has crashed: it starts again as a suspect, or the reason to give
 // it up is returned.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,7 +41,7 @@
 	Unanswered   bool          // the request to start it got no answer
 	job          *job          // nil if no job waits for the result
 	unsized      bool          // Size is not known
-	sent         bool          // the request to start it was sent, so the endpoint may have started it
+	sent         bool          // the request to start it was sent, by this dispatcher or another one, so the endpoint may have started it
 }
 
 // Wanted reports whether a job waits for the run.
@@ -144,18 +144,20 @@
 	}
 }
 
-// Unclaimed reports whether an endpoint has runs that no job waits for. Their jobs may be submitted elsewhere, so they must end
+// Unclaimed reports whether an endpoint may have runs that no job waits for. Their jobs may be submitted elsewhere, so they must end
 // soon: the lease of the endpoint must not be extended while there are any.
 func (p *Pool) Unclaimed(id work.EndpointID) bool {
 	e := p.endpoints[id]
-	if e == nil {
+	switch {
+	case e == nil:
 		return false
-	}
-	if e.superseded > 0 {
+	case e.superseded > 0:
 		return true
+	case e.runs == 0:
+		return false
 	}
 	for _, r := range p.runs {
-		if r.Endpoint == id && r.job == nil {
+		if r.Endpoint == id && r.job == nil && r.MayHaveStarted() {
 			return true
 		}
 	}
