--- a/internal/standin/address/address.go
+++ b/internal/standin/address/address.go
@@ -17,11 +17,14 @@
 
 var returned sync.Map // addresses that Free has returned
 
-// Free returns a loopback address as host:port whose port is free for TCP and UDP. It never returns the same address
+// Free returns an address of 127.0.0.1 as host:port whose port is free for TCP and UDP. It never returns the same address
 // twice in one process.
-func Free() string {
+func Free() string { return FreeAt("127.0.0.1") }
+
+// FreeAt is Free for another loopback IP address.
+func FreeAt(ip string) string {
 	for {
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(endPort-firstPort))
+		address := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(endPort-firstPort)))
 		if _, used := returned.LoadOrStore(address, true); !used && isFree(address) {
 			return address
 		}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -57,6 +57,8 @@
 	// LinkBytesPerSecond is the speed of the link between the dispatchers and the endpoints, over which requests pass one
 	// after the other; 0 for an unlimited one. A request whose sender stops waiting is still delivered.
 	LinkBytesPerSecond int
+	// MaxLease is the longest lease that an endpoint grants; it shortens a longer one. 0 means no limit.
+	MaxLease time.Duration
 	// PathDelay is the time that a request and an answer take one way, besides the link.
 	PathDelay  time.Duration
 	linkFreeAt time.Time // when the link has delivered all requests so far
@@ -196,6 +198,9 @@
 
 // extendLease extends the lease and schedules the end of all runs at the lease's end. A lease is never shortened.
 func (e *endpoint) extendLease(leaseEnd time.Duration) {
+	if longest := e.fleet.MaxLease; longest > 0 {
+		leaseEnd = min(leaseEnd, e.clock()+longest)
+	}
 	if leaseEnd <= e.leaseEnd {
 		return
 	}
--- a/internal/standin/fleet/record.go
+++ b/internal/standin/fleet/record.go
@@ -6,6 +6,16 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
+// Registration returns the registration of the endpoint at an address, or the zero value if there is none.
+func (f *Fleet) Registration(address string) work.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.endpoints[address]; e != nil {
+		return e.registration
+	}
+	return work.Endpoint{}
+}
+
 // Crashes returns how many processes a task has crashed.
 func (f *Fleet) Crashes(task work.TaskID) int {
 	f.mu.Lock()
--- a/internal/standin/keyed/keyed.go
+++ b/internal/standin/keyed/keyed.go
@@ -222,6 +222,23 @@
 	}
 }
 
+// Rebalance moves all partitions of all groups to other members at once, without a request.
+func (s *Store) Rebalance() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.groups {
+		g := s.group(name)
+		if len(g.members) < 2 {
+			continue
+		}
+		g.members = append(g.members[1:], g.members[0])
+		g.generation++
+		for partition := range g.holders {
+			g.holders[partition] = g.assignee(partition)
+		}
+	}
+}
+
 // Join implements store.Store.
 func (s *Store) Join(_ context.Context, m store.Membership) (store.Assignment, error) {
 	s.mu.Lock()
