A soak of real instances with faults from outside

Change: internal/soak builds savorypass, runs instances as processes behind loopback relays, and injects faults of processes, links, store, endpoints and configuration that a seed draws. Twelve rules are checked against what callers and endpoints have seen; calm times between the faults let the bounds apply that hold only without disturbances. make soak, and two short runs in go test. TestLinkFaults fails if a link lets data pass during a cut.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # KNOWN-RED.txt lists the tests that are known to fail. `make test` skips them, CI prints them, and all others must pass.
 SKIP = $(shell awk -F'[: ]+' '/^test:/ {printf "%s%s", sep, $$2; sep="|"}' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: all build test check fmt-check lint fuzz-seeds demo demo-up demo-down bench chaos clean
+.PHONY: all build test check fmt-check lint fuzz-seeds demo demo-up demo-down bench chaos soak clean
 
 all: build
 
@@ -39,6 +39,14 @@
 	go test ./internal/scenario -run '^TestChaos$$' -count=1 -timeout 3h -parallel $(PARALLEL) \
 		-chaos.seed=$(SEED) -chaos.runs=$(RUNS) $(if $(PROCESSES),-chaos.processes)
 
+# Real instances on the users' platform with random faults from outside: make soak SEED=1 MINUTES=0.15 INSTANCES=4 RUNS=2. PARALLEL
+# runs at the same time; each instance is a process. DIR keeps the logs and histories of failed runs.
+MINUTES ?= 0.15
+INSTANCES ?= 4
+soak:
+	go test ./internal/soak -run '^TestSoak$$' -count=1 -timeout 3h -parallel $(PARALLEL) -v \
+		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.runs=$(RUNS) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
+
 # Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
 demo-up: build
 	@scripts/up.sh
--- /dev/null
+++ b/internal/soak/network_test.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// network holds the loopback relays through which all programs of a run reach each other. A link connects from the IP
+// address of its user, so that stand-ins can tell their callers apart. It implements standin.Network.
+type network struct {
+	mu      sync.Mutex
+	links   map[[2]string]*link // by IP address of the user and address of the target
+	targets map[string]string   // target by address of the link
+}
+
+func newNetwork() *network {
+	return &network{links: map[[2]string]*link{}, targets: map[string]string{}}
+}
+
+// Route implements standin.Network. Programs reach their own addresses directly.
+func (n *network) Route(from, to string) string {
+	if to == "" || strings.HasPrefix(to, from+":") {
+		return to
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.links[[2]string{from, to}]; l != nil {
+		return l.address()
+	}
+	l := &link{from: from, to: to, pipes: map[*pipe]bool{}, faults: map[*linkFault]bool{}}
+	var err error
+	if l.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		panic(err) // out of ports or descriptors; the run cannot go on
+	}
+	n.links[[2]string{from, to}] = l
+	n.targets[l.address()] = to
+	go l.serve()
+	return l.address()
+}
+
+// Target implements standin.Network.
+func (n *network) Target(address string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if to, ok := n.targets[address]; ok {
+		return to
+	}
+	return address
+}
+
+// between returns the links that match.
+func (n *network) between(match func(from, to string) bool) []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var found []*link
+	for key, l := range n.links {
+		if match(key[0], key[1]) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+func (n *network) close() {
+	for _, l := range n.between(func(string, string) bool { return true }) {
+		l.listener.Close()
+		l.reset()
+	}
+}
+
+// Directions of a link.
+const (
+	toTarget = iota
+	toUser
+)
+
+// linkFault is a fault of a link while it lasts.
+type linkFault struct {
+	delay time.Duration // of each piece of data
+	cut   [2]bool       // by direction; data is held until the cut ends
+}
+
+// link is a loopback relay.
+type link struct {
+	from, to string
+	listener net.Listener
+
+	mu     sync.Mutex
+	pipes  map[*pipe]bool
+	faults map[*linkFault]bool
+}
+
+// pipe is a connection over a link.
+type pipe struct {
+	user, target net.Conn
+	silent       atomic.Bool // passes nothing further
+	closed       atomic.Bool
+	ended        atomic.Int32 // directions that have ended
+}
+
+func (l *link) address() string { return l.listener.Addr().String() }
+
+func (l *link) begin(f *linkFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults[f] = true
+}
+
+func (l *link) end(f *linkFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.faults, f)
+}
+
+// reset resets the open connections.
+func (l *link) reset() {
+	for _, p := range l.open() {
+		p.abort()
+	}
+}
+
+// silence makes the open connections pass nothing further. New ones work.
+func (l *link) silence() {
+	for _, p := range l.open() {
+		p.silent.Store(true)
+	}
+}
+
+func (l *link) open() []*pipe {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []*pipe
+	for p := range l.pipes {
+		all = append(all, p)
+	}
+	return all
+}
+
+func (l *link) serve() {
+	for {
+		user, err := l.listener.Accept()
+		if err != nil {
+			return // the run has ended
+		}
+		go l.connect(user)
+	}
+}
+
+const dialTimeout = time.Second
+
+func (l *link) connect(user net.Conn) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(l.from)}, Timeout: dialTimeout}
+	target, err := dialer.Dial("tcp", l.to)
+	if err != nil {
+		abort(user)
+		return
+	}
+	p := &pipe{user: user, target: target}
+	l.mu.Lock()
+	l.pipes[p] = true
+	l.mu.Unlock()
+	go l.copy(p, user, target, toTarget)
+	l.copy(p, target, user, toUser)
+}
+
+// copy passes data in one direction until the connection ends.
+func (l *link) copy(p *pipe, source, sink net.Conn, direction int) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := source.Read(buf)
+		l.hold(p, direction)
+		if n > 0 {
+			if _, writeErr := sink.Write(buf[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err != nil {
+			l.ended(p, sink, err)
+			return
+		}
+	}
+}
+
+const holdInterval = 2 * time.Millisecond // interval at which held data checks for the end of its fault
+
+// hold waits until data may pass.
+func (l *link) hold(p *pipe, direction int) {
+	for {
+		delay, held := l.effect(direction)
+		if !held && !p.silent.Load() || p.closed.Load() {
+			time.Sleep(delay)
+			return
+		}
+		time.Sleep(holdInterval)
+	}
+}
+
+// effect returns the longest delay of the present faults and whether one of them cuts a direction.
+func (l *link) effect(direction int) (delay time.Duration, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for f := range l.faults {
+		delay = max(delay, f.delay)
+		held = held || f.cut[direction]
+	}
+	return delay, held
+}
+
+// ended ends one direction of a connection because of err, and the connection if both have ended or it was reset.
+func (l *link) ended(p *pipe, sink net.Conn, err error) {
+	if err == io.EOF {
+		sink.(*net.TCPConn).CloseWrite()
+	} else {
+		p.abort()
+	}
+	if p.ended.Add(1) < 2 {
+		return
+	}
+	p.user.Close()
+	p.target.Close()
+	l.mu.Lock()
+	delete(l.pipes, p)
+	l.mu.Unlock()
+}
+
+func (p *pipe) abort() {
+	p.closed.Store(true)
+	abort(p.user)
+	abort(p.target)
+}
+
+// abort resets a connection.
+func abort(c net.Conn) {
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
--- /dev/null
+++ b/internal/soak/record_test.go
@@ -0,0 +1,293 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/savorypass/savorypass/internal/standin/fleet"
+	"github.com/savorypass/savorypass/internal/work"
+	"github.com/savorypass/savorypass/platform/standin"
+)
+
+// attempt is one submission of a job.
+type attempt struct {
+	Instance string
+	Sent     time.Time
+	Ended    time.Time // zero while the caller waits
+	Status   int       // 0 without a complete answer
+	State    work.State
+	Broken   bool // the connection ended without a complete answer, not at the caller's wish
+	TimedOut bool // the caller closed it after its time limit
+	Error    string
+}
+
+// job is a job with all its submissions.
+type job struct {
+	ID       work.JobID
+	Steps    []int // number of tasks of each step
+	Attempts []attempt
+}
+
+// probe is a request that tells whether an instance knows the route that came with a configuration.
+type probe struct {
+	Instance       string
+	Incarnation    int
+	Sent, Answered time.Time
+	Revision       int
+	Known          bool
+	Newest         int // newest revision whose publication had begun when the answer came
+}
+
+// span is a time during which a program was disturbed. To is zero while it lasts.
+type span struct {
+	Who      string // name of an instance, or storeName
+	From, To time.Time
+}
+
+const storeName = "store"
+
+// callersOf is the name under which the link between the callers and an instance is disturbed.
+func callersOf(instance string) string { return "callers of " + instance }
+
+// stop is a planned stop of an instance.
+type stop struct {
+	Instance string
+	At       time.Time
+	Ended    time.Time // zero while it lasts
+	Killed   bool      // the process had not ended after the grace time
+}
+
+// drain is an endpoint that has announced that it leaves.
+type drain struct {
+	Endpoint work.EndpointID
+	Acked    time.Time
+}
+
+// record is what callers and stand-ins have seen in a run.
+type record struct {
+	mu        sync.Mutex
+	began     time.Time
+	notes     []string
+	jobs      []*job
+	orders    []standin.Order
+	probes    []probe
+	published []time.Time // acknowledgement of each revision of the configuration, by its number
+	begun     int         // publications that have begun
+	spans     []*span
+	pauses    []span // of the soak itself
+	stops     []*stop
+	drains    []drain
+	faults    map[string]int
+	problems  []string // broken rules that are noticed when they happen
+}
+
+func newRecord() *record { return &record{began: time.Now(), faults: map[string]int{}} }
+
+// note records an event with the time since the start of the run.
+func (r *record) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notes = append(r.notes, fmt.Sprintf("%8.3f ", time.Since(r.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (r *record) problem(format string, args ...any) {
+	r.note("PROBLEM "+format, args...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.problems = append(r.problems, fmt.Sprintf(format, args...))
+}
+
+// disturb records that programs are disturbed until the returned function is called.
+func (r *record) disturb(who ...string) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var begun []*span
+	for _, name := range who {
+		s := &span{Who: name, From: time.Now()}
+		r.spans = append(r.spans, s)
+		begun = append(begun, s)
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, s := range begun {
+			s.To = time.Now()
+		}
+	}
+}
+
+func (r *record) addJob(j *job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs = append(r.jobs, j)
+}
+
+// addAttempt records that a job is being submitted. The returned function records what came of it.
+func (r *record) addAttempt(j *job, instance string) func(outcome attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.Attempts = append(j.Attempts, attempt{Instance: instance, Sent: time.Now()})
+	at := len(j.Attempts) - 1
+	return func(outcome attempt) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		outcome.Instance, outcome.Sent, outcome.Ended = instance, j.Attempts[at].Sent, time.Now()
+		j.Attempts[at] = outcome
+	}
+}
+
+func (r *record) addOrder(o standin.Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = append(r.orders, o)
+}
+
+// beginPublication returns the number of the next revision of the configuration.
+func (r *record) beginPublication() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun++
+	return r.begun - 1
+}
+
+func (r *record) endPublication() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.published = append(r.published, time.Now())
+}
+
+// newestBegun returns the newest revision whose publication has begun.
+func (r *record) newestBegun() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begun - 1
+}
+
+func (r *record) addStop(instance string) (ended func(killed bool)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &stop{Instance: instance, At: time.Now()}
+	r.stops = append(r.stops, s)
+	return func(killed bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		s.Ended, s.Killed = time.Now(), killed
+	}
+}
+
+func (r *record) addDrain(e work.EndpointID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drains = append(r.drains, drain{e, time.Now()})
+}
+
+func (r *record) countFault(kind string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults[kind]++
+}
+
+// newest returns the newest revision that is published.
+func (r *record) newest() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.published) - 1
+}
+
+func (r *record) addProbe(p probe) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probes = append(r.probes, p)
+}
+
+const (
+	pauseTick = 5 * time.Millisecond
+	minPause  = 20 * time.Millisecond // shorter pauses are no slack
+)
+
+// measurePauses records times during which the soak itself did not get the processor, until stop is closed.
+func (r *record) measurePauses(stop <-chan struct{}) {
+	last := time.Now()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pauseTick):
+		}
+		now := time.Now()
+		if now.Sub(last) > minPause {
+			r.mu.Lock()
+			r.pauses = append(r.pauses, span{From: last, To: now})
+			r.mu.Unlock()
+		}
+		last = now
+	}
+}
+
+// view is a copy of a record that checks read, with the starts at the endpoints.
+type view struct {
+	at        time.Time
+	jobs      []job
+	orders    []standin.Order
+	probes    []probe
+	published []time.Time
+	spans     []span
+	pauses    []span
+	stops     []stop
+	drains    []drain
+	starts    []fleet.Start
+	callers   map[string]string // name of the instance by IP address
+}
+
+// view returns a copy. The starts are read after everything else, so that they contain those of all answered jobs.
+func (r *record) view(starts func() []fleet.Start, callers map[string]string) *view {
+	r.mu.Lock()
+	v := &view{
+		at: time.Now(), orders: slices.Clone(r.orders), probes: slices.Clone(r.probes), published: slices.Clone(r.published), pauses: slices.Clone(r.pauses),
+		drains: slices.Clone(r.drains), callers: callers,
+	}
+	for _, j := range r.jobs {
+		v.jobs = append(v.jobs, job{j.ID, j.Steps, slices.Clone(j.Attempts)})
+	}
+	for _, s := range r.spans {
+		v.spans = append(v.spans, *s)
+	}
+	for _, s := range r.stops {
+		v.stops = append(v.stops, *s)
+	}
+	r.mu.Unlock()
+	v.starts = starts()
+	return v
+}
+
+// print writes the history of a run.
+func (r *record) print(w io.Writer, v *view) {
+	at := func(t time.Time) string {
+		if t.IsZero() {
+			return "open"
+		}
+		return fmt.Sprintf("%.3f", t.Sub(r.began).Seconds())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.notes {
+		fmt.Fprintln(w, n)
+	}
+	for _, j := range v.jobs {
+		fmt.Fprintln(w, "job", j.ID, j.Steps)
+		for _, a := range j.Attempts {
+			fmt.Fprintf(w, "  at %s from %s to %s: status %d %s broken %v %s\n", a.Instance, at(a.Sent), at(a.Ended), a.Status, a.State, a.Broken, a.Error)
+		}
+	}
+	for _, s := range v.starts {
+		fmt.Fprintf(w, "run %s %d at %s from %s to %s %s\n", s.Task, s.Run, s.Endpoint, at(s.StartedAt), at(s.EndedAt), s.Reason)
+	}
+	for _, o := range v.orders {
+		if o.Start {
+			fmt.Fprintf(w, "start %s run %d at %s by %s fence %d: %s, %s\n", o.Task, o.Run, o.Address, v.callers[o.Caller], o.Fence, o.Refusal, at(o.At))
+		}
+	}
+}
