Each change of the soak's calm time has its own random generator

Cause: three goroutines shared a generator, which the race detector found in both short runs of go test -race. Change: calm makes a generator for each from the seed and the round.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -97,7 +97,7 @@
 		faulty, endRound := context.WithTimeout(ctx, min(length, maxRound))
 		r.injectFaults(faulty, round)
 		endRound()
-		r.calm(rand.New(rand.NewPCG(r.seed, round)))
+		r.calm(round)
 		length -= maxRound
 	}
 	r.killAll()
@@ -107,13 +107,19 @@
 
 // calm lets all bounds apply that hold only without disturbances, with planned changes only: a configuration, an endpoint that
 // leaves and a planned stop.
-func (r *run) calm(rnd *rand.Rand) {
+func (r *run) calm(round uint64) {
 	r.record.note("no more faults")
 	time.Sleep(contact)
 	var wg sync.WaitGroup
-	wg.Go(func() { r.changeConfig(rnd, 0) })
-	wg.Go(func() { r.drainEndpoint(rnd, contact) })
-	wg.Go(func() { r.stopInstance(rnd, 0) })
+	for n, change := range []func(*rand.Rand){
+		func(rnd *rand.Rand) { r.changeConfig(rnd, 0) },
+		func(rnd *rand.Rand) { r.drainEndpoint(rnd, contact) },
+		func(rnd *rand.Rand) { r.stopInstance(rnd, 0) },
+	} {
+		// The changes are made at the same time, and a generator must not be shared.
+		rnd := rand.New(rand.NewPCG(r.seed+uint64(n), round))
+		wg.Go(func() { change(rnd) })
+	}
 	wg.Wait()
 }
 
