The store interface appends for producers with epochs, and trims

Cause: the log of stored jobs needs groups of records in one append, writers that the store fences, appends that can be repeated without effect, and old history to go; the interface had single records of partition 0 only. Change: Append with producer, epoch, sequence and the offset that the partition must have; Trim; reads of plain topics; Newest of any partition; typed errors that separate what was refused from what may be carried out later. A status of 500 and above other than 503 and 507 no longer counts as a refusal, since it does not show that nothing was done. The stand-in has producers, repeats the responses of the last five appends, and gives single appends a fault: refused, lost, done without an answer, or done later. With the status rule, the memory of five appends or the fence taken out, TestAppendErrors, TestProducers and TestFaults fail. The tests of store, keyed, platform, follow, lead, node, config and gateway pass. Conclusion: a writer can be built and tested against the stand-in.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -115,7 +115,7 @@
 // reload reads the newest record of each key.
 func (c *Controller) reload(ctx context.Context) error {
 	asOf := time.Now()
-	b, err := c.opts.Store.Newest(ctx, c.opts.Topic)
+	b, err := c.opts.Store.Newest(ctx, c.opts.Topic, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -55,8 +55,8 @@
 }
 
 // Newest implements store.Store.
-func (c *countedStore) Newest(ctx context.Context, topic string) (store.Batch, error) {
-	b, err := c.Store.Newest(ctx, topic)
+func (c *countedStore) Newest(ctx context.Context, topic string, part int) (store.Batch, error) {
+	b, err := c.Store.Newest(ctx, topic, part)
 	c.count(callNewest, err)
 	return b, err
 }
--- a/internal/standin/keyed/keyed.go
+++ b/internal/standin/keyed/keyed.go
@@ -1,6 +1,7 @@
 // Package keyed is an in-memory stand-in for a store that outlives all instances; package store describes its interface.
-// It has keyed topics, whose older records can be dropped, and groups whose members divide partitions among them. It can
-// fail all calls, or carry calls out and lose the responses.
+// It has keyed and plain topics, whose older records can be dropped, producers with epochs and sequence numbers, and groups
+// whose members divide partitions among them. It can fail all calls, carry calls out and lose the responses, and give
+// single appends a fault each.
 package keyed
 
 import (
@@ -18,31 +19,36 @@
 // Store is an in-memory store.Store. Its methods may be called concurrently.
 type Store struct {
 	mu          sync.Mutex
-	topics      map[string]*topic
+	partitions  map[partitionID]*partition
 	groups      map[string]*group
 	down        bool // all calls fail with store.ErrUnavailable
 	loseAnswers bool // calls are carried out but return store.ErrUnknown
 	reads       int  // number of answered reads
+	faults      []Fault
+	delayed     []store.Append // appends with a Delay that are not carried out yet, oldest first
+	maxBytes    int            // bytes of all retained records above which appends fail with store.ErrFull; 0 for no limit
 }
 
-// topic is a sequence of records with a key each. Offsets count the records of the topic from 0.
-type topic struct {
-	first   int64                   // offset of the oldest retained record
-	records []store.Record          // retained records, oldest first
-	newest  map[string]store.Record // newest record by key, without deleted keys
+type partitionID struct {
+	topic  string
+	number int
 }
 
-// group is a set of members that divide the partitions among them.
-type group struct {
-	generation int64                // increases with each change of the members
-	expires    map[string]time.Time // end of the membership of each member
-	members    []string             // in the order in which they joined
-	joined     map[string]int64     // generation that each member's latest Join named
-	holders    [Partitions]string   // member that holds each partition; empty for none
+// partition is a sequence of records. Offsets count its records from 0.
+type partition struct {
+	first     int64                   // offset of the oldest retained record
+	records   []store.Record          // retained records, oldest first
+	newest    map[string]store.Record // keyed topics: newest record by key, without deleted keys
+	producers map[string]*producer
 }
 
+// end returns the offset of the next append.
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
 // New returns an empty store.
-func New() *Store { return &Store{topics: map[string]*topic{}, groups: map[string]*group{}} }
+func New() *Store {
+	return &Store{partitions: map[partitionID]*partition{}, groups: map[string]*group{}}
+}
 
 // SetDown sets whether all calls fail with store.ErrUnavailable without being carried out.
 func (s *Store) SetDown(down bool) {
@@ -66,52 +72,54 @@
 	return s.reads
 }
 
-func (s *Store) topic(name string) *topic {
-	t := s.topics[name]
-	if t == nil {
-		t = &topic{newest: map[string]store.Record{}}
-		s.topics[name] = t
+// partition returns a partition, which it creates if necessary. The caller holds mu.
+func (s *Store) partition(topic string, number int) *partition {
+	id := partitionID{topic, number}
+	p := s.partitions[id]
+	if p == nil {
+		p = &partition{newest: map[string]store.Record{}, producers: map[string]*producer{}}
+		s.partitions[id] = p
 	}
-	return t
+	return p
 }
 
-// Set writes a record as another client would do. It succeeds even while the store is down. An empty value deletes the
-// key.
-func (s *Store) Set(name, key string, value []byte) {
+// Set writes a record to partition 0 as another client would do. It succeeds even while the store is down. An empty value
+// deletes the key.
+func (s *Store) Set(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(name, key, value)
-}
-
-// Put implements store.Store.
-func (s *Store) Put(_ context.Context, name, key string, value []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return store.ErrUnavailable
-	}
-	s.put(name, key, value)
-	return s.failure()
+	s.partition(topic, 0).add(store.Record{Key: key, Value: value})
 }
 
-func (s *Store) put(name, key string, value []byte) {
-	t := s.topic(name)
-	r := store.Record{Offset: t.first + int64(len(t.records)), Key: key, Value: value}
-	t.records = append(t.records, r)
-	t.newest[key] = r
-	if len(value) == 0 {
-		delete(t.newest, key)
+// add appends a record. One with a key belongs to a keyed topic, whatever the topic's name.
+func (p *partition) add(r store.Record) {
+	r.Offset = p.end()
+	p.records = append(p.records, r)
+	switch {
+	case r.Key == "":
+	case len(r.Value) == 0:
+		delete(p.newest, r.Key)
+	default:
+		p.newest[r.Key] = r
 	}
 }
 
 // DropHistory drops all records of a topic, so that a Read from an earlier offset returns store.ErrTruncated. Newest
 // still returns the newest record of each key.
-func (s *Store) DropHistory(name string) {
+func (s *Store) DropHistory(topic string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(name)
-	t.first += int64(len(t.records))
-	t.records = nil
+	for id, p := range s.partitions {
+		if id.topic == topic {
+			p.trim(p.end())
+		}
+	}
+}
+
+func (p *partition) trim(before int64) {
+	before = min(max(before, p.first), p.end())
+	p.records = p.records[before-p.first:]
+	p.first = before
 }
 
 // failure returns the error that the present faults give to a call, or nil. Writes call it after they were carried out.
@@ -129,155 +137,44 @@
 const pollInterval = time.Millisecond // interval at which a waiting Read checks for new records
 
 // Read implements store.Store.
-func (s *Store) Read(ctx context.Context, name string, _ int, from int64, wait time.Duration) (store.Batch, error) {
+func (s *Store) Read(ctx context.Context, topic string, number int, from int64, wait time.Duration) (store.Batch, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(pollInterval) {
-		b, err := s.read(name, from)
+		b, err := s.read(topic, number, from)
 		if err != nil || len(b.Records) > 0 || time.Now().After(end) || ctx.Err() != nil {
 			return b, err
 		}
 	}
 }
 
-func (s *Store) read(name string, from int64) (store.Batch, error) {
+func (s *Store) read(topic string, number int, from int64) (store.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.failure(); err != nil {
 		return store.Batch{}, err
 	}
 	s.reads++
-	t := s.topic(name)
-	if from < t.first {
-		return store.Batch{}, store.ErrTruncated
+	p := s.partition(topic, number)
+	if from < p.first {
+		return store.Batch{}, &store.TruncatedError{First: p.first}
 	}
-	end := t.first + int64(len(t.records))
+	end := p.end()
 	from = min(from, end)
-	return store.Batch{Records: append([]store.Record(nil), t.records[from-t.first:]...), First: t.first, End: end, Next: end}, nil
+	return store.Batch{Records: append([]store.Record(nil), p.records[from-p.first:]...), First: p.first, End: end, Next: end}, nil
 }
 
 // Newest implements store.Store.
-func (s *Store) Newest(_ context.Context, name string) (store.Batch, error) {
+func (s *Store) Newest(_ context.Context, topic string, number int) (store.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.failure(); err != nil {
 		return store.Batch{}, err
 	}
 	s.reads++
-	t := s.topic(name)
-	end := t.first + int64(len(t.records))
-	b := store.Batch{First: t.first, End: end, Next: end}
-	for _, r := range t.newest {
+	p := s.partition(topic, number)
+	b := store.Batch{First: p.first, End: p.end(), Next: p.end()}
+	for _, r := range p.newest {
 		b.Records = append(b.Records, r)
 	}
 	sort.Slice(b.Records, func(i, j int) bool { return b.Records[i].Key < b.Records[j].Key })
 	return b, nil
 }
-
-// group returns a group without its expired members. The caller holds mu.
-func (s *Store) group(name string) *group {
-	g := s.groups[name]
-	if g == nil {
-		g = &group{expires: map[string]time.Time{}, joined: map[string]int64{}}
-		s.groups[name] = g
-	}
-	for member, at := range g.expires {
-		if time.Now().After(at) {
-			g.remove(member)
-		}
-	}
-	g.reassign()
-	return g
-}
-
-func (g *group) remove(member string) {
-	if _, ok := g.expires[member]; !ok {
-		return
-	}
-	delete(g.expires, member)
-	delete(g.joined, member)
-	for i, m := range g.members {
-		if m == member {
-			g.members = append(g.members[:i], g.members[i+1:]...)
-			break
-		}
-	}
-	g.generation++
-}
-
-// assignee returns the member to which a partition is assigned, or "" if the group is empty.
-func (g *group) assignee(partition int) string {
-	if len(g.members) == 0 {
-		return ""
-	}
-	return g.members[partition%len(g.members)]
-}
-
-// reassign moves partitions to their assignees. A partition stays with its present holder until the holder has joined
-// with the current generation or has left the group.
-func (g *group) reassign() {
-	for partition, holder := range g.holders {
-		_, member := g.expires[holder]
-		if !member || g.joined[holder] >= g.generation {
-			g.holders[partition] = g.assignee(partition)
-		}
-	}
-}
-
-// Join implements store.Store.
-func (s *Store) Join(_ context.Context, m store.Membership) (store.Assignment, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return store.Assignment{}, store.ErrUnavailable
-	}
-	g := s.group(m.Group)
-	if _, ok := g.expires[m.Member]; !ok {
-		g.members = append(g.members, m.Member)
-		g.generation++
-	}
-	g.expires[m.Member] = time.Now().Add(m.TTL)
-	g.joined[m.Member] = m.Generation
-	g.reassign()
-	if s.loseAnswers {
-		return store.Assignment{}, store.ErrUnknown
-	}
-	assigned := store.Assignment{Generation: g.generation}
-	for partition := range Partitions {
-		if g.holders[partition] == m.Member && g.assignee(partition) == m.Member {
-			assigned.Partitions = append(assigned.Partitions, partition)
-		}
-	}
-	return assigned, nil
-}
-
-// Leave implements store.Store.
-func (s *Store) Leave(_ context.Context, m store.Membership) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return store.ErrUnavailable
-	}
-	g := s.group(m.Group)
-	g.remove(m.Member)
-	g.reassign()
-	if s.loseAnswers {
-		return store.ErrUnknown
-	}
-	return nil
-}
-
-// Owners implements store.Store.
-func (s *Store) Owners(_ context.Context, name string) ([]store.Owner, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.failure(); err != nil {
-		return nil, err
-	}
-	g := s.group(name)
-	var owners []store.Owner
-	for partition := range Partitions {
-		if o := g.holders[partition]; o != "" {
-			owners = append(owners, store.Owner{Partition: partition, Member: o})
-		}
-	}
-	return owners, nil
-}
