A log of stored jobs: records, fold, retention, group writer

Change: package joblog, which no other package uses yet. Typed records with a version byte under a key for each kind and job; a fold in which an end is final and unreadable records are logged and keep only their own job from starting; retention; a bounded queue and a writer with one append in flight that repeats an append without an answer and tells each caller stored, never stored or not known. A 12-byte record that tells an array of 2^32 elements ended the process for want of memory; found by hand after a fuzz run stalled, and now TestMissingElements.

--- /dev/null
+++ b/internal/joblog/ends.go
@@ -0,0 +1,129 @@
+package joblog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// maxTasks bounds the number of a step's tasks and of a job's steps, so that a malformed record cannot use up the memory.
+const maxTasks = 100_000
+
+// Ends are the ends of a job's tasks: which tasks have succeeded and which runs have failed.
+type Ends struct {
+	// Succeeded has a bit for each task of a step, by step; the lowest bit of a step's first byte is the task with index 0.
+	Succeeded [][]byte `msgpack:"s,omitempty"`
+	// Failed lists the failed runs, each once, in order of step, index and run.
+	Failed []FailedRun `msgpack:"f,omitempty"`
+}
+
+// FailedRun is a run of a task that has failed.
+type FailedRun struct {
+	Step  int `msgpack:"s,omitempty"`
+	Index int `msgpack:"i,omitempty"`
+	Run   int `msgpack:"r,omitempty"`
+}
+
+func compareRuns(a, b FailedRun) int {
+	return cmp.Or(cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run))
+}
+
+const bitsPerByte = 8
+
+// Succeed notes that a task has succeeded. It returns false if that was noted, or if the task's numbers are out of range.
+func (e *Ends) Succeed(task work.TaskID) bool {
+	if !inRange(task.Step, task.Index) || e.HasSucceeded(task) {
+		return false
+	}
+	for len(e.Succeeded) <= task.Step {
+		e.Succeeded = append(e.Succeeded, nil)
+	}
+	bits := e.Succeeded[task.Step]
+	for len(bits) <= task.Index/bitsPerByte {
+		bits = append(bits, 0)
+	}
+	bits[task.Index/bitsPerByte] |= 1 << (task.Index % bitsPerByte)
+	e.Succeeded[task.Step] = bits
+	return true
+}
+
+// HasSucceeded reports whether a task has succeeded.
+func (e *Ends) HasSucceeded(task work.TaskID) bool {
+	if !inRange(task.Step, task.Index) || task.Step >= len(e.Succeeded) {
+		return false
+	}
+	bits := e.Succeeded[task.Step]
+	return task.Index/bitsPerByte < len(bits) && bits[task.Index/bitsPerByte]&(1<<(task.Index%bitsPerByte)) != 0
+}
+
+// Fail notes that a run of a task has failed. It returns false if that was noted, or if the task's numbers are out of range.
+func (e *Ends) Fail(task work.TaskID, run int) bool {
+	if !inRange(task.Step, task.Index) {
+		return false
+	}
+	return e.fail(FailedRun{task.Step, task.Index, run})
+}
+
+func (e *Ends) fail(r FailedRun) bool {
+	at, found := slices.BinarySearchFunc(e.Failed, r, compareRuns)
+	if !found {
+		e.Failed = slices.Insert(e.Failed, at, r)
+	}
+	return !found
+}
+
+// Failures returns how many runs of a task have failed.
+func (e *Ends) Failures(task work.TaskID) int {
+	n := 0
+	for _, r := range e.Failed {
+		if r.Step == task.Step && r.Index == task.Index {
+			n++
+		}
+	}
+	return n
+}
+
+// Merge adds the ends of o, which it does not change.
+func (e *Ends) Merge(o Ends) {
+	for step, bits := range o.Succeeded {
+		if step >= len(e.Succeeded) {
+			e.Succeeded = append(e.Succeeded, nil)
+		}
+		own := e.Succeeded[step]
+		for i, b := range bits {
+			if i >= len(own) {
+				own = append(own, 0)
+			}
+			own[i] |= b
+		}
+		e.Succeeded[step] = own
+	}
+	for _, r := range o.Failed {
+		e.fail(r)
+	}
+}
+
+// Clone returns a copy that later changes of e do not affect.
+func (e *Ends) Clone() Ends {
+	var c Ends
+	c.Merge(*e)
+	return c
+}
+
+func inRange(step, index int) bool {
+	return step >= 0 && step < maxTasks && index >= 0 && index < maxTasks
+}
+
+func (e *Ends) validate() error {
+	if len(e.Succeeded) > maxTasks {
+		return fmt.Errorf("joblog: progress of %d steps", len(e.Succeeded))
+	}
+	for _, r := range e.Failed {
+		if !inRange(r.Step, r.Index) {
+			return fmt.Errorf("joblog: failed run of task %d of step %d", r.Index, r.Step)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/joblog/record.go
@@ -0,0 +1,174 @@
+// Package joblog keeps jobs in a store that outlives all instances. Each partition of the log is a partition of a keyed topic
+// and has one holder at a time. A job has one key for each kind of record, so that a record which anyone may write again
+// never replaces one that only the holder may write. Jobs folds the records into the state of the jobs; Writer appends
+// records in groups.
+package joblog
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// codecVersion is the first byte of each value. An instance does not read values of other versions.
+const codecVersion = 1
+
+// maxRecordBytes bounds the value of a record. A store accepts records of 256 KiB, keys included.
+const maxRecordBytes = 255 << 10
+
+// maxJobIDBytes leaves room for the kind in a key of at most 255 bytes.
+const maxJobIDBytes = 253
+
+// Submission is the record of an accepted job. Any instance may write it, also again.
+type Submission struct {
+	Job work.Job
+}
+
+// Cancel is the record of a job whose caller has cancelled it. Any instance may write it, also again.
+type Cancel struct {
+	Job work.JobID
+}
+
+// Progress is the record of all ends of a job's tasks that the endpoints may forget. Only the holder writes it.
+type Progress struct {
+	Job  work.JobID
+	Ends Ends
+}
+
+// End is the record of a job's final state. Only the holder writes it.
+type End struct {
+	Job   work.JobID
+	State work.State // Completed, Failed or Cancelled
+}
+
+// kind is the first byte of a record's key.
+type kind byte
+
+const (
+	submission kind = 's'
+	cancel     kind = 'c'
+	progress   kind = 'p'
+	end        kind = 'e'
+)
+
+// kinds lists all kinds. The end is last: where several keys of a job are deleted, the job stays ended until all are.
+var kinds = []kind{submission, cancel, progress, end}
+
+func (k kind) key(id work.JobID) string { return string(k) + "/" + string(id) }
+
+// drop returns the record that deletes the key of a job.
+func (k kind) drop(id work.JobID) store.Record { return store.Record{Key: k.key(id)} }
+
+var (
+	errKey       = errors.New("joblog: the key names no kind of record and job")
+	errJobID     = fmt.Errorf("joblog: the job's name must have 1 to %d bytes", maxJobIDBytes)
+	errOversized = fmt.Errorf("joblog: the record is larger than %d bytes", maxRecordBytes)
+)
+
+func parseKey(key string) (kind, work.JobID, error) {
+	letter, id, found := strings.Cut(key, "/")
+	if !found || len(letter) != 1 || id == "" || !slices.Contains(kinds, kind(letter[0])) {
+		return 0, "", fmt.Errorf("%w: %q", errKey, key)
+	}
+	return kind(letter[0]), work.JobID(id), nil
+}
+
+// Encode returns the record of a Submission, Cancel, Progress or End.
+func Encode(r any) (store.Record, error) {
+	switch r := r.(type) {
+	case Submission:
+		id := r.Job.ID
+		r.Job.ID = "" // the key has it
+		return encode(submission, id, &r.Job)
+	case Cancel:
+		return assemble(cancel, r.Job, nil)
+	case Progress:
+		return encode(progress, r.Job, &r.Ends)
+	case End:
+		return assemble(end, r.Job, []byte(r.State))
+	}
+	return store.Record{}, fmt.Errorf("joblog: record of unknown type %T", r)
+}
+
+func encode(k kind, id work.JobID, content any) (store.Record, error) {
+	payload, err := msgpack.Marshal(content)
+	if err != nil {
+		return store.Record{}, fmt.Errorf("joblog: %w", err)
+	}
+	return assemble(k, id, payload)
+}
+
+func assemble(k kind, id work.JobID, payload []byte) (store.Record, error) {
+	value := append([]byte{codecVersion}, payload...)
+	if len(id) == 0 || len(id) > maxJobIDBytes {
+		return store.Record{}, errJobID
+	}
+	if len(value) > maxRecordBytes {
+		return store.Record{}, errOversized
+	}
+	return store.Record{Key: k.key(id), Value: value}, nil
+}
+
+// Decode returns the Submission, Cancel, Progress or End of a record with a value.
+func Decode(r store.Record) (any, error) {
+	k, id, err := parseKey(r.Key)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Value) > maxRecordBytes {
+		return nil, errOversized
+	}
+	if len(r.Value) == 0 || r.Value[0] != codecVersion {
+		return nil, fmt.Errorf("joblog: record %q has an unknown version", r.Key)
+	}
+	return decode(k, id, r.Value[1:])
+}
+
+func decode(k kind, id work.JobID, payload []byte) (any, error) {
+	switch k {
+	case submission:
+		s := Submission{}
+		if err := unmarshal(payload, &s.Job); err != nil {
+			return nil, err
+		}
+		s.Job.ID = id
+		return s, nil
+	case progress:
+		p := Progress{Job: id}
+		if err := unmarshal(payload, &p.Ends); err != nil {
+			return nil, err
+		}
+		return p, p.Ends.validate()
+	case end:
+		e := End{Job: id, State: work.State(payload)}
+		return e, validateFinal(e.State)
+	}
+	return Cancel{Job: id}, nil
+}
+
+// unmarshal decodes a payload. Its lengths are checked first: the decoder allocates an array of the length that the payload
+// tells, even if the elements are missing.
+func unmarshal(payload []byte, target any) error {
+	if err := msgpack.NewDecoder(bytes.NewReader(payload)).Skip(); err != nil {
+		return fmt.Errorf("joblog: %w", err)
+	}
+	if err := msgpack.Unmarshal(payload, target); err != nil {
+		return fmt.Errorf("joblog: %w", err)
+	}
+	return nil
+}
+
+func validateFinal(s work.State) error {
+	switch s {
+	case work.Completed, work.Failed, work.Cancelled:
+		return nil
+	}
+	return fmt.Errorf("joblog: %q is not a final state", s)
+}
