A second writer with the same epoch is refused instead of taken for a repeat

Cause: all writers began with the same sequence number, and the store answers a known number with the first response; a second writer of an epoch would have told its callers stored although nothing was. Ends of an occurrence of a repeating job would have counted for the first one. Change: a writer begins with a random sequence number, and Open gives up when another writer uses its epoch; Ends refuses tasks that it cannot hold. Conclusion: a mistake in the choice of epochs ends a term instead of losing jobs.

--- a/internal/joblog/ends.go
+++ b/internal/joblog/ends.go
@@ -32,9 +32,9 @@
 
 const bitsPerByte = 8
 
-// Succeed notes that a task has succeeded. It returns false if that was noted, or if the task's numbers are out of range.
+// Succeed notes that a task has succeeded. It returns false if that was noted, or if the ends cannot hold the task.
 func (e *Ends) Succeed(task work.TaskID) bool {
-	if !inRange(task.Step, task.Index) || e.HasSucceeded(task) {
+	if !valid(task) || e.HasSucceeded(task) {
 		return false
 	}
 	for len(e.Succeeded) <= task.Step {
@@ -51,16 +51,16 @@
 
 // HasSucceeded reports whether a task has succeeded.
 func (e *Ends) HasSucceeded(task work.TaskID) bool {
-	if !inRange(task.Step, task.Index) || task.Step >= len(e.Succeeded) {
+	if !valid(task) || task.Step >= len(e.Succeeded) {
 		return false
 	}
 	bits := e.Succeeded[task.Step]
 	return task.Index/bitsPerByte < len(bits) && bits[task.Index/bitsPerByte]&(1<<(task.Index%bitsPerByte)) != 0
 }
 
-// Fail notes that a run of a task has failed. It returns false if that was noted, or if the task's numbers are out of range.
+// Fail notes that a run of a task has failed. It returns false if that was noted, or if the ends cannot hold the task.
 func (e *Ends) Fail(task work.TaskID, run int) bool {
-	if !inRange(task.Step, task.Index) {
+	if !valid(task) {
 		return false
 	}
 	return e.fail(FailedRun{task.Step, task.Index, run})
@@ -112,6 +112,9 @@
 	return c
 }
 
+// valid reports whether the ends can hold the task. They have no place for the occurrences of repeating jobs.
+func valid(task work.TaskID) bool { return task.Occurrence == 0 && inRange(task.Step, task.Index) }
+
 func inRange(step, index int) bool {
 	return step >= 0 && step < maxTasks && index >= 0 && index < maxTasks
 }
--- a/internal/joblog/jobs_test.go
+++ b/internal/joblog/jobs_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// Guards against an end that is noted for another task than the one that has ended, or for none.
+func TestEnds(t *testing.T) {
+	is := is.New(t)
+	var e Ends
+	task := work.TaskID{Job: testID, Step: 1, Index: 17}
+	is.True(e.Succeed(task))
+	is.True(!e.Succeed(task)) // noted before
+	for index := range 40 {
+		is.Equal(e.HasSucceeded(work.TaskID{Step: 1, Index: index}), index == 17)
+	}
+	is.True(!e.HasSucceeded(work.TaskID{Index: 17}))
+	is.True(e.Fail(task, 2) && e.Fail(task, 1) && !e.Fail(task, 2))
+	is.Equal(e.Failures(task), 2)
+	for _, bad := range []work.TaskID{{Occurrence: 1}, {Step: -1}, {Index: maxTasks}} {
+		is.True(!e.Succeed(bad) && !e.HasSucceeded(bad) && !e.Fail(bad, 1)) // bad
+	}
+}
+
 // Guards against malformed records that make the decoder or the fold panic, or that it takes for something else than it writes.
 func FuzzDecode(f *testing.F) {
 	done := ends(1, 17)
--- a/internal/joblog/writer.go
+++ b/internal/joblog/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,8 +18,8 @@
 const (
 	// producerName is the same for all holders of a partition, so that a later one's epoch fences the earlier ones.
 	producerName = "savorypass"
-	// firstSequence leaves the number before it to the append that sets the epoch.
-	firstSequence = 1
+	// maxFirstSequence bounds the sequence number with which a writer begins.
+	maxFirstSequence = 1 << 40
 	// groupInterval is the shortest time between the beginnings of two appends: 40 a second and partition.
 	groupInterval = 25 * time.Millisecond
 	minBackoff    = 50 * time.Millisecond
@@ -50,6 +51,10 @@
 	opts Options
 	wake chan struct{} // a value makes Run look for waiting records
 
+	// opening is the sequence number of the append that sets the epoch. It is random, so that a second writer with the same
+	// epoch is refused: with the same numbers, the store would take its appends for repeats of the first one's.
+	opening int64
+
 	mu     sync.Mutex
 	queue  queue
 	closed error // why the writer has ended; nil while it has not
@@ -68,21 +73,25 @@
 
 // NewWriter returns a Writer. Open and Run must be called.
 func NewWriter(o Options) *Writer {
-	return &Writer{opts: o, wake: make(chan struct{}, 1), queue: queue{byJob: map[work.JobID]*entry{}, sequence: firstSequence}}
+	opening := rand.Int64N(maxFirstSequence)
+	return &Writer{
+		opts: o, wake: make(chan struct{}, 1), opening: opening,
+		queue: queue{byJob: map[work.JobID]*entry{}, sequence: opening + 1},
+	}
 }
 
 // Open sets the epoch of the partition, so that earlier holders can append nothing more. It tries until it succeeds, ctx
-// ends, or a later holder has set a higher epoch; the error then wraps store.ErrFenced.
+// ends, or another holder uses this or a higher epoch; the error then wraps store.ErrConflict.
 func (w *Writer) Open(ctx context.Context) error {
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
-		_, err := w.opts.Log.Append(ctx, w.request(nil, firstSequence-1))
+		_, err := w.opts.Log.Append(ctx, w.request(nil, w.opening))
 		if err == nil {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return fmt.Errorf("joblog: epoch not set: %w", ctx.Err())
 		}
-		if errors.Is(err, store.ErrFenced) {
+		if errors.Is(err, store.ErrConflict) {
 			return err
 		}
 		w.log().WithError(err).Warn("job_log_epoch_not_set")
--- a/internal/joblog/writer_test.go
+++ b/internal/joblog/writer_test.go
@@ -168,6 +168,21 @@
 	is.True(errors.Is(old.Open(t.Context()), store.ErrFenced))
 }
 
+// Guards against a second writer with the same epoch whose appends the store takes for repeats of the first one's, so that its
+// callers are told stored although nothing was.
+func TestSameEpoch(t *testing.T) {
+	is := is.New(t)
+	s, told := keyed.New(), outcomes{}
+	first, second := newWriter(s, 1), newWriter(s, 1)
+	is.NoErr(first.Open(t.Context()))
+	told.request(t, first, "a")
+	is.Equal(attempts(first, 1), groupStored)
+	is.True(errors.Is(second.Open(t.Context()), store.ErrConflict))
+	told.request(t, second, "b")
+	is.Equal(attempts(second, 1), holderReplaced)
+	is.Equal(told, outcomes{"s/a": Stored, "s/b": NeverStored})
+}
+
 // Guards against a holder that dies between append and answer and whose successor does not find the job, and against a job that
 // is twice in the state because it was submitted at two instances.
 func TestSuccessor(t *testing.T) {
