A start request is not repeated on an endpoint that has shrunk

What callers could see: an endpoint that runs more than its capacity, or a run that starts on an endpoint which is leaving. Cause: an unanswered start request is repeated for up to some hundred milliseconds, and longer while it waits for the window. The endpoint's capacity may shrink meanwhile, or its registration may end. Change: when the window has admitted the repetition, the run must still fit on the endpoint, and the endpoint must be registered and not draining. Otherwise the run is stopped, as without an answer to the last repetition. Evidence: TestStartIsNotRepeatedOnAShrunkEndpoint fails without the check (two runs on an endpoint for one) and passes with it.

--- a/internal/shard/lost_calls_test.go
+++ b/internal/shard/lost_calls_test.go
@@ -103,6 +103,32 @@
 	})
 }
 
+// Guards against an endpoint that is used beyond its capacity: it shrinks while a start request waits for its answer, and the request is
+// not repeated. The clock is virtual.
+func TestStartIsNotRepeatedOnAShrunkEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(1, 300*time.Millisecond)
+		starts := 0
+		s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+			if call == "start" {
+				starts++
+			}
+			return call == "start" && starts == 2, -1
+		})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 300*time.Millisecond)})
+		time.Sleep(10 * time.Millisecond)
+		s.Submit(c, &relay.Submit{Job: jobOf("b", 1, 300*time.Millisecond)})
+		time.Sleep(10 * time.Millisecond)
+		size := work.Size{MilliCPU: 1000, MemoryMB: 1024}
+		s.register([]work.Endpoint{f.SetCapacity(all[0].Address, size)})
+		time.Sleep(3 * time.Second)
+		is.True(completed(c, "a")() && completed(c, "b")())
+		is.Equal(f.OverCapacity(work.Size{MilliCPU: 1000, MemoryMB: 64}), "")
+		endTerm(s)
+	})
+}
+
 // Guards against tasks that wait for the next periodic check because the stop of a run got no answer either: the stop and the
 // report that follows it are repeated at once. The clock is virtual.
 func TestUnansweredStopIsRepeatedAtOnce(t *testing.T) {
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -27,8 +27,13 @@
 		return
 	}
 	refusal, clock, err := x.sendStart(request)
-	for sent := 1; sent < maxAttempts && errors.Is(err, work.ErrTimeout) && x.mayRepeatStart(r, fence); sent++ {
+	for sent := 1; sent < maxAttempts && errors.Is(err, work.ErrTimeout); sent++ {
+		x.noteLostCall()
 		s.opts.Window.Acquire()
+		if !x.mayRepeatStart(r, fence) {
+			s.opts.Window.Forgo()
+			break
+		}
 		refusal, clock, err = x.sendStart(request)
 		if err == nil && refusal != work.Done || errors.Is(err, work.ErrRefused) {
 			err = fmt.Errorf("%w: %w: %s", work.ErrNoResponse, errRepeatRefused, refusal)
@@ -48,14 +53,24 @@
 	return refusal, clock, err
 }
 
-// mayRepeatStart records that a start request got no answer and reports whether it is to be sent again: the run is still wanted under
-// the same fence, and no report has listed it.
-func (x *session) mayRepeatStart(r *pool.Run, fence int64) bool {
+// noteLostCall records that a call got no answer, so that polls report the ends of runs sooner.
+func (x *session) noteLostCall() {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.callLost, s.callLostAt = true, s.opts.Now()
-	return s.sessions[x.endpoint.ID] == x && s.pool.Run(r.Task) == r && r.State == pool.Ordered && fence == s.term.Fence
+}
+
+// mayRepeatStart reports whether a start request without an answer is to be sent again: the run is still wanted under the same fence, no
+// report has listed it, and its endpoint still takes it.
+func (x *session) mayRepeatStart(r *pool.Run, fence int64) bool {
+	s := x.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r || r.State != pool.Ordered || fence != s.term.Fence {
+		return false
+	}
+	return s.pool.Fits(r) && x.registered && !x.endpoint.Draining
 }
 
 // prepareStart returns the start request of a run. It returns false if the run must not start any more: its job has ended,
