--- a/internal/shard/lost_calls_test.go
+++ b/internal/shard/lost_calls_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,14 +15,24 @@
 )
 
 // lossyDispatcher returns a dispatcher that has held the term for a fleet for a second of the virtual clock, and a client. lose decides
-// which calls get no answer, see fleet.Fleet.
-func lossyDispatcher(f *fleet.Fleet, all []work.Endpoint, lose func(call string) (bool, time.Duration)) (*dispatcher, *client) {
-	f.LoseAnswer = lose
+// which calls get no answer, see fleet.Fleet. locked makes a function run at another time than lose.
+func lossyDispatcher(f *fleet.Fleet, all []work.Endpoint, lose func(call string) (bool, time.Duration)) (_ *dispatcher, _ *client, locked func(func())) {
+	var mu sync.Mutex
+	f.LoseAnswer = func(call string) (bool, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		return lose(call)
+	}
 	s := newShard(f, func() {})
 	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	s.register(all)
 	time.Sleep(time.Second)
-	return s, newClient()
+	locked = func(f func()) {
+		mu.Lock()
+		defer mu.Unlock()
+		f()
+	}
+	return s, newClient(), locked
 }
 
 // endTerm ends the dispatcher's term and waits for its goroutines.
@@ -39,7 +50,7 @@
 				is := is.New(t)
 				f, all := newFleet(4, 50*time.Millisecond)
 				first := true
-				s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+				s, c, _ := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
 					lost := call == "start" && first
 					first = first && !lost
 					return lost, delay
@@ -64,14 +75,14 @@
 				is := is.New(t)
 				f, all := newFleet(4, 300*time.Millisecond)
 				calls := map[string]int{}
-				s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+				s, c, locked := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
 					calls[call]++
 					return call == "start" && calls[call] <= 2, delay
 				})
 				s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 300*time.Millisecond)})
 				time.Sleep(5 * time.Second)
 				is.True(completed(c, "a")())
-				is.Equal(calls["stop"], 0)
+				locked(func() { is.Equal(calls["stop"], 0) })
 				is.Equal(len(f.Starts()), 1)
 				endTerm(s)
 			})
@@ -87,15 +98,15 @@
 		f, all := newFleet(4, 10*time.Millisecond)
 		lossy := false
 		started := false
-		s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+		s, c, locked := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
 			first := call == "start" && !started
 			started = started || first
 			return lossy && (first || call == "report"), 0
 		})
-		lossy = true
+		locked(func() { lossy = true })
 		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 10*time.Millisecond)})
 		time.Sleep(200 * time.Millisecond)
-		lossy = false
+		locked(func() { lossy = false })
 		time.Sleep(3 * time.Second)
 		is.True(completed(c, "a")())
 		is.Equal(len(f.Starts()), 1)
@@ -110,7 +121,7 @@
 		is := is.New(t)
 		f, all := newFleet(1, 300*time.Millisecond)
 		starts := 0
-		s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+		s, c, _ := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
 			if call == "start" {
 				starts++
 			}
@@ -136,7 +147,7 @@
 		is := is.New(t)
 		f, all := newFleet(4, 50*time.Millisecond)
 		lost := map[string]int{"start": 3, "stop": 2} // the start request is repeated twice before the run is stopped
-		s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+		s, c, _ := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
 			lost[call]--
 			return lost[call] >= 0, -1
 		})
@@ -154,12 +165,12 @@
 		is := is.New(t)
 		f, all := newFleet(1, 50*time.Millisecond)
 		lost := map[string]int{}
-		s, c := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
+		s, c, locked := lossyDispatcher(f, all, func(call string) (bool, time.Duration) {
 			lost[call]--
 			return lost[call] >= 0, -1
 		})
 		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 50*time.Millisecond)})
-		lost["report"], lost["hold"] = 1, 1
+		locked(func() { lost["report"], lost["hold"] = 1, 1 })
 		time.Sleep(2*60*time.Millisecond + 60*time.Millisecond) // a timeout each for two polls, and the run
 		is.True(completed(c, "a")())
 		endTerm(s)
