The end of a caller's earlier connection does not discard a job that was submitted again

What callers may see: a 504 for a job that was submitted again at the same instance, when the end of the first connection is handled after the second request, as after a stop of the process. Cause: the end of a connection discards the job whatever request holds it by then; it is handled in another goroutine than the requests. Change: it discards the job only if the request of that connection still holds it. Evidence: the new test fails without the check in callerGone and passes with it; go test ./internal/gateway passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,7 +236,7 @@
 		return
 	}
 	g.jobs[job.ID] = p
-	x.OnDisconnect(func() { go g.callerGone(p) })
+	x.OnDisconnect(func() { go g.callerGone(p, x) })
 	if g.closed {
 		g.discard(p)
 		g.refuseJob(p, 503, reasonStopping, retryStopping)
@@ -250,7 +250,7 @@
 func (g *Gateway) replaceExchange(old, repeated *pending) {
 	before := old.exchange
 	old.exchange, old.deadline = repeated.exchange, repeated.deadline
-	old.exchange.OnDisconnect(func() { go g.callerGone(old) })
+	old.exchange.OnDisconnect(func() { go g.callerGone(old, repeated.exchange) })
 	before.Reply(502, g.opts.Codec.EncodeError("the job was submitted again in a later request"), 0)
 }
 
@@ -265,11 +265,11 @@
 	}
 }
 
-// callerGone discards a job whose caller has closed its connection.
-func (g *Gateway) callerGone(p *pending) {
+// callerGone discards a job whose caller has closed the connection of an exchange, unless the job was submitted again on another one.
+func (g *Gateway) callerGone(p *pending, x *server.Exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.jobs[p.job.ID] != p {
+	if g.jobs[p.job.ID] != p || p.exchange != x {
 		return
 	}
 	g.discard(p)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -380,6 +380,24 @@
 	is.Equal(len(f.router.sent()), 1)
 }
 
+// Guards against the loss of a job that was submitted again on another connection before the end of the first one was handled, as
+// after a stop of the process.
+func TestSubmittedAgainBeforeItsFirstConnectionEnds(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	first := f.post("a")
+	f.mu.Lock()
+	p := f.jobs["a"]
+	x := p.exchange
+	f.mu.Unlock()
+	second := f.call(context.Background(), "POST", "/p/a", "job")
+	is.Equal(f.receive(first).status, 502)
+	f.callerGone(p, x)
+	is.Equal(f.Active(), 1)
+	f.Answer(f.router, &relay.Answer{Job: "a", State: work.Completed})
+	is.Equal(f.receive(second).status, 200)
+}
+
 // Guards against wrong responses to requests that start no job.
 func TestOtherRequests(t *testing.T) {
 	is := is.New(t)
