--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -599,7 +599,7 @@
 }
 
 // Guards against a second run of a task when the number of partitions has changed and the first run is on an endpoint that
-// now belongs to another partition, whose dispatcher keeps the run for orphanGrace.
+// now belongs to another partition, whose dispatcher keeps the run for claimTime.
 func TestResumedAfterDivision(t *testing.T) {
 	is := is.New(t)
 	const run = 1800 * time.Millisecond // longer than the lease and the time to detect the end of a term
