Long pauses of the soak itself count as a disturbance

The pauses extended the bound but not the time for which the instances count as disturbed. Change: a measured pause of more than 250 ms is a disturbance of all; shorter ones extend bounds as before. Rules without time bounds are checked as strictly as before. Result: TestBoundsHoldOnlyWithoutDisturbances shows that a pause of 300 ms excuses a late configuration, and one of 200 ms does not. Conclusion: the check blamed instances for an outage that the soak had caused.

--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -149,6 +149,12 @@
 	is.Equal(len(lateConfigs(v)), 1)
 	v.spans = append(v.spans, span{Who: "i1", From: at(2500), To: at(4900)})
 	is.Equal(len(lateConfigs(v)), 0)
+	v.spans[1] = span{Who: "i2"}
+	v.pauses = []span{{From: at(4000), To: at(4300)}} // the stand-ins stood still
+	is.Equal(len(lateConfigs(v)), 0)
+	v.pauses[0].To = at(4200) // extends the bound, which was over long before
+	is.Equal(len(lateConfigs(v)), 1)
+	v.spans[1] = span{Who: "i1", From: at(2500), To: at(4900)}
 	v.spans[1].To = at(-1) // contact before the publication would have been due
 	v.spans[1].From = at(-2)
 	is.Equal(len(lateConfigs(v)), 1)
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -227,6 +227,13 @@
 	}
 }
 
+// slackSince returns for how long the soak itself did not get the processor since a time.
+func (r *record) slackSince(from time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return sumOf(r.pauses, from, time.Now())
+}
+
 // view is a copy of a record that checks read, with the starts at the endpoints.
 type view struct {
 	at        time.Time
