Runs at the stand-in of the endpoints end when they are due, also if its timers fire late

Cause: on a machine with a load of 70 to 96 the soak's process, in which the endpoints run, did not get the processor for seconds, and its timers fired late: a run whose lease had ended was recorded as running until the timer fired, and a renewal that came before it kept the run. Change: the record holds the time at which a run was due to end (its run time, the time of a stop, the lease), and each request first ends the runs whose lease has ended.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,9 @@
 		t.Fatal(err)
 	}
 	defer r.close()
+	stop := make(chan struct{})
+	defer close(stop)
+	go r.record.measurePauses(stop)
 	if missing := r.awaitServing(startTime); len(missing) > 0 {
 		r.record.problem("%v do not serve %v after the start", missing, startTime)
 	} else {
@@ -83,9 +86,6 @@
 
 // play runs the load with rounds of faults for a time, then kills and restarts all instances.
 func (r *run) play(length time.Duration) {
-	stop := make(chan struct{})
-	defer close(stop)
-	go r.record.measurePauses(stop)
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.checkRepeatedly(ctx)
 	loaded := make(chan struct{})
--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -22,7 +22,7 @@
 // endAll ends all runs because the process has ended.
 func (e *endpoint) endAll() {
 	for task := range e.runs {
-		e.finish(task, work.EndGangBroken)
+		e.finish(task, work.EndGangBroken, time.Now())
 	}
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -161,7 +161,7 @@
 		if e.fleet.Fails != nil && e.fleet.Fails(s.Task) {
 			reason = work.EndFailed
 		}
-		time.AfterFunc(e.fleet.RunTime(s.Task), func() { e.endRun(run, reason) })
+		e.endAfter(e.fleet.RunTime(s.Task), run, reason)
 	}
 	return work.Done
 }
@@ -169,25 +169,32 @@
 // stopRun ends a run after the fleet's StopTime. The caller holds the fleet's mu.
 func (e *endpoint) stopRun(run *Start) {
 	if e.fleet.StopTime == 0 {
-		e.finish(run.Task, work.EndStopped)
+		e.finish(run.Task, work.EndStopped, time.Now())
 		return
 	}
-	time.AfterFunc(e.fleet.StopTime, func() { e.endRun(run, work.EndStopped) })
+	e.endAfter(e.fleet.StopTime, run, work.EndStopped)
 }
 
-// endRun ends a run if it is still in progress.
-func (e *endpoint) endRun(run *Start, reason work.EndReason) {
-	e.fleet.mu.Lock()
-	defer e.fleet.mu.Unlock()
-	if e.runs[run.Task] == run {
-		e.finish(run.Task, reason)
-	}
+// endAfter ends a run after a time if it is still in progress. The record holds the time at which the run was due to end, since
+// a timer of a busy process fires late.
+func (e *endpoint) endAfter(after time.Duration, run *Start, reason work.EndReason) {
+	due := time.Now().Add(after)
+	time.AfterFunc(after, func() {
+		e.fleet.mu.Lock()
+		defer e.fleet.mu.Unlock()
+		if due.After(e.startedAt.Add(e.leaseEnd)) {
+			e.expire()
+		}
+		if e.runs[run.Task] == run {
+			e.finish(run.Task, reason, due)
+		}
+	})
 }
 
-// finish ends a run in progress. The caller holds the fleet's mu.
-func (e *endpoint) finish(task work.TaskID, reason work.EndReason) {
+// finish ends a run in progress, which ended at a time. The caller holds the fleet's mu.
+func (e *endpoint) finish(task work.TaskID, reason work.EndReason, at time.Time) {
 	run := e.runs[task]
-	run.EndedAt, run.Reason = time.Now(), reason
+	run.EndedAt, run.Reason = at, reason
 	delete(e.runs, task)
 	e.lastEndedRun[task] = max(e.lastEndedRun[task], run.Run)
 	e.lastSequence++
@@ -208,15 +215,21 @@
 	time.AfterFunc(leaseEnd-e.clock(), func() {
 		e.fleet.mu.Lock()
 		defer e.fleet.mu.Unlock()
-		if e.clock() < e.leaseEnd {
-			return
-		}
-		for task := range e.runs {
-			e.finish(task, work.EndLeaseExpired)
-		}
+		e.expire()
 	})
 }
 
+// expire ends all runs if the lease has ended. Requests call it first, since a timer of a busy process fires late and a later
+// lease must not keep runs whose lease has ended. The caller holds the fleet's mu.
+func (e *endpoint) expire() {
+	if e.clock() < e.leaseEnd {
+		return
+	}
+	for task := range e.runs {
+		e.finish(task, work.EndLeaseExpired, e.startedAt.Add(e.leaseEnd))
+	}
+}
+
 // Stop implements work.EndpointClient.
 func (c *client) Stop(ctx context.Context, task work.TaskID, run int, fence int64) (work.Refusal, error) {
 	return transmit(ctx, c, "stop", requestBytes, func(e *endpoint) work.Refusal {
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -87,6 +87,7 @@
 	}
 	if !silent && !lost {
 		defer f.mu.Unlock()
+		e.expire()
 		return do(e), nil
 	}
 	f.mu.Unlock()
@@ -95,6 +96,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if f.endpoints[c.address] == e {
+				e.expire()
 				do(e)
 			}
 		})
