Leases of runs in a file of their own; no start without any lease

Change: lease.go; HasRunsWithoutJob; minStartShare; such a start is withheld like others. No test shows the start without a lease. Conclusion: behaviour changes only for that start.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// Unclaimed reports whether an endpoint may have runs that no job waits for. Their jobs may be submitted elsewhere, so they must end
+// HasRunsWithoutJob reports whether an endpoint may have runs that no job waits for. Their jobs may be submitted elsewhere, so they must end
 // soon: the lease of the endpoint must not be extended while there are any.
-func (p *Pool) Unclaimed(id work.EndpointID) bool {
+func (p *Pool) HasRunsWithoutJob(id work.EndpointID) bool {
 	e := p.endpoints[id]
 	switch {
 	case e == nil:
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -88,7 +88,7 @@
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
 		return work.StartRequest{}, false
 	}
-	if fits := s.pool.Fits(r); r.State != pool.Ordered || s.pool.Held(r) || fence != s.term.Fence || !x.usable() || !fits {
+	if fits := s.pool.Fits(r); r.State != pool.Ordered || s.pool.Held(r) || fence != s.term.Fence || !x.usable() || !x.mayStart(now) || !fits {
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fits": fits,
 		}).Info("start request not sent: the job has ended, its instance is silent, the endpoint gets no new runs, or its capacity has shrunk")
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -259,36 +259,6 @@
 	return request
 }
 
-// endpointTime returns the time on the endpoint's clock.
-func (x *session) endpointTime(now time.Duration) time.Duration { return x.clock + (now - x.clockAt) }
-
-// extendLease records that a request with a full lease from now is sent, and returns the end of the lease on the endpoint's
-// clock.
-func (x *session) extendLease(now time.Duration) time.Duration {
-	x.leaseExtendedAt = now
-	x.granted = max(x.granted, x.endpointTime(now)+x.shard.opts.Lease)
-	return x.granted
-}
-
-// startLease returns the end of the lease for a new run. An endpoint with unattended runs gets no more time than it has.
-func (x *session) startLease(now time.Duration) time.Duration {
-	if x.unattended() {
-		return x.granted
-	}
-	return x.extendLease(now)
-}
-
-// minStartLease is the part of a lease, as a divisor, that an endpoint with unattended runs must have left for new runs.
-const minStartLease = 2
-
-// updateLease tells the pool whether the endpoint's lease is about to end because it has unattended runs.
-func (x *session) updateLease(now time.Duration) {
-	s := x.shard
-	left := x.granted - x.endpointTime(now)
-	ending := left < s.opts.Lease/minStartLease && x.unattended()
-	s.pool.SetLeaseEnding(x.endpoint.ID, ending)
-}
-
 // callFailed handles a poll without an answer. The shard's lock is held.
 func (x *session) callFailed(now time.Duration, err error) {
 	s := x.shard
