A request that waited unread longer than its caller waits is refused

Cause: a process that was stopped handles a request that waited in its buffers. If the caller's close is held up by a cut link, nothing tells that the caller has left, and the time until which it waits counted from the reading. Change: the server notices stops, by a signal and by a suspension of the machine, and tells for how long a request may have waited unread. The gateway counts from there and refuses with 503 what its caller no longer waits for; nothing has run.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,8 @@
 	// instance takes the job then.
 	retryStopping  = time.Second
 	reasonStopping = "stopping"
-	outcomeGaveUp  = "gave_up" // in the log
+	reasonUnread   = "waited_unread" // the process was stopped while the request waited
+	outcomeGaveUp  = "gave_up"       // in the log
 )
 
 // Options configures a Gateway.
@@ -228,7 +229,13 @@
 	if !ok {
 		timeout = defaultResponseTimeout
 	}
-	p := &pending{job: job, exchange: x, arrived: x.Arrived, deadline: x.Arrived.Add(timeout), untried: g.opts.Router.Targets(job.ID)}
+	sent := x.Arrived.Add(-x.Unread) // at the earliest
+	p := &pending{job: job, exchange: x, arrived: sent, deadline: sent.Add(timeout)}
+	if time.Since(sent) > timeout {
+		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
+		return
+	}
+	p.untried = g.opts.Router.Targets(job.ID)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if old := g.jobs[job.ID]; old != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -398,6 +399,31 @@
 	is.Equal(f.receive(second).status, 200)
 }
 
+// Guards against a job that starts although its caller may have left and submitted it elsewhere: the request waited unread, while
+// the process was stopped, for longer than its caller waits.
+func TestRequestThatWaitedUnread(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Second)
+	var unread atomic.Int64
+	unread.Store(int64(2 * time.Second))
+	s, err := server.Start(server.Options{
+		Address: "127.0.0.1:0", Loops: 1, EncodeRefusal: func(result.Code, string) []byte { return nil },
+		Handler: server.HandlerFunc(func(x *server.Exchange) {
+			x.Unread = time.Duration(unread.Load())
+			f.Serve(x)
+		}),
+	})
+	is.NoErr(err)
+	t.Cleanup(func() { s.Stop(context.Background()) })
+	f.url = "http://" + s.Address()
+	is.Equal(f.receive(f.call(context.Background(), "POST", "/p/a", "job")).status, 503)
+	is.Equal(len(f.router.sent()), 0)
+	unread.Store(int64(500 * time.Millisecond)) // its caller still waits
+	second := f.post("b")
+	f.Answer(f.router, &relay.Answer{Job: "b", State: work.Completed})
+	is.Equal(f.receive(second).status, 200)
+}
+
 // Guards against wrong responses to requests that start no job.
 func TestOtherRequests(t *testing.T) {
 	is := is.New(t)
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -118,7 +118,7 @@
 	}
 	c.busy.Store(true)
 	c.server.active.Add(1)
-	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now()})
+	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now(), Unread: c.server.observe()})
 	return gnet.None
 }
 
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -11,8 +11,10 @@
 
 // Exchange is one request and its response.
 type Exchange struct {
-	Request    *fasthttp.Request // valid until Reply is called
-	Arrived    time.Time
+	Request *fasthttp.Request // valid until Reply is called
+	Arrived time.Time         // when the request was read
+	// Unread is for how long the request may have waited before, because the process was stopped.
+	Unread     time.Duration
 	conn       *conn
 	replied    bool
 	closeAfter bool // the connection is closed after the response
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,6 +67,7 @@
 	stopped  chan error
 	draining atomic.Bool
 	active   atomic.Int64 // requests that the handler has not answered yet
+	activity activity
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -239,6 +240,7 @@
 
 // OnTick implements gnet.EventHandler. It closes connections whose request has not arrived within Limits.RequestTimeout.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	s.observe()
 	deadline := time.Now().Add(-s.opts.Limits().RequestTimeout).UnixNano()
 	s.mu.Lock()
 	defer s.mu.Unlock()
