Jobs that outlast a planned stop are answered 504

Cause: at the end of the drain the listener was closed with jobs in progress. Change: the jobs that are left are cancelled at their dispatchers and answered 504 at once, and the process waits up to 0.1 s for the responses to be written.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 	reasonStopping = "stopping"
 	reasonUnread   = "waited_unread" // the process was stopped while the request waited
 	outcomeGaveUp  = "gave_up"       // in the log
+	outcomeStopped = "stopped"       // in the log
 )
 
 // Options configures a Gateway.
@@ -101,7 +102,7 @@
 	Answered   metric.Counter
 	Refused    metric.Counter
 	Abandoned  metric.Counter // callers that closed their connection before the response
-	GivenUp    metric.Counter // jobs that their dispatcher gave up although they may have run in part
+	GivenUp    metric.Counter // jobs that their dispatcher, or this instance at its end, gave up although they may have run in part
 	TimedOut   metric.Counter // jobs without a response within the timeout of their caller
 	ResponseMS *metric.Quantiles
 }
@@ -336,6 +337,18 @@
 	g.closed = true
 }
 
+// EndPending cancels all jobs that have not been answered and responds to them with 504. The process is about to end.
+func (g *Gateway) EndPending() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.jobs {
+		g.discard(p)
+		g.opts.Metrics.GivenUp.Add(1)
+		g.log(p, outcomeStopped, 504)
+		g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the instance stops before the job has ended; it may have run"), 0)
+	}
+}
+
 // Active returns the number of jobs that have not been answered yet.
 func (g *Gateway) Active() int {
 	g.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -424,6 +424,18 @@
 	is.Equal(f.receive(second).status, 200)
 }
 
+// Guards against callers whose connection is closed without an answer because their job has not ended when the instance does, and
+// against its runs going on.
+func TestEndPending(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	a := f.post("a")
+	f.EndPending()
+	is.Equal(f.receive(a).status, 504)
+	is.Equal(f.Active(), 0)
+	is.Equal(f.router.cancelledJobs(), []work.JobID{"a"})
+}
+
 // Guards against wrong responses to requests that start no job.
 func TestOtherRequests(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	// serverStopTimeout is how long to wait for the event loops of the callers' listener to end. They check twice a second
 	// whether they must end.
 	serverStopTimeout = 600 * time.Millisecond
+	// responseTimeout is how long to wait at the end of the drain for responses to be written.
+	responseTimeout = 100 * time.Millisecond
 	// shutDownTimeout is how long to wait for the health or operators' listener to shut down. It is short because no request
 	// that matters is in progress by then.
 	shutDownTimeout = 100 * time.Millisecond
@@ -354,6 +356,15 @@
 	return n.config.Load() != nil && !n.draining()
 }
 
+// awaitResponses waits until the responses to callers have been written, for at most responseTimeout.
+func (n *Node) awaitResponses(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+	defer cancel()
+	for n.server.Active() > 0 && ctx.Err() == nil {
+		pause.For(ctx, time.Millisecond, nil)
+	}
+}
+
 // releasePartitions gives up the instance's partitions in the background. It stops trying at the time latest. The returned
 // flag becomes true when it has ended, with or without success.
 func (n *Node) releasePartitions(ctx context.Context, latest time.Time) *atomic.Bool {
@@ -392,5 +403,8 @@
 			break
 		}
 	}
-	n.log.WithFields(logrus.Fields{"event": "drained", "active": n.gateway.Active(), "ms": time.Since(begun).Milliseconds()}).Info("planned stop completed")
+	active := n.gateway.Active()
+	n.gateway.EndPending()
+	n.awaitResponses(ctx)
+	n.log.WithFields(logrus.Fields{"event": "drained", "active": active, "ms": time.Since(begun).Milliseconds()}).Info("planned stop completed")
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -356,3 +356,21 @@
 	d.store.Set("keyed.op", "config", fmt.Appendf(nil, configText, 6))
 	d.eventually("the queue is back", d.served(a, 3))
 }
+
+// Guards against a planned stop that closes the connection of a caller whose job lasts longer than the drain, in place of
+// answering.
+func TestPlannedStopAnswersLongJobs(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, 20*time.Second)
+	a := d.start("a")
+	d.eventually("the instance is ready", func() bool { status, _ := get(a.health + platform.HealthPath); return status == 200 })
+	answer := make(chan int, 1)
+	go func() {
+		status, _ := a.post(id(1), 1)
+		answer <- status
+	}()
+	d.eventually("the job runs", func() bool { return d.fleet.Running() == 1 })
+	a.Drain()
+	is.Equal(<-answer, 504)
+	is.NoErr(<-a.ended)
+}
