One piece measures times with suspensions of the machine

Cause: the connections between instances and the callers' listener each compared the monotonic clock with the time of day and looked for a suspension. Change: pause.Gaps does both; tests differ only in how they set a suspension, their expectations are the same. No behaviour changes.

--- a/internal/pause/suspend.go
+++ b/internal/pause/suspend.go
@@ -20,3 +20,23 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Gaps measures times that include suspensions of the machine. It is not safe for concurrent use.
+type Gaps struct {
+	suspended func() time.Duration // see Suspended
+	before    time.Duration        // result of the last look
+}
+
+// NewGaps returns a Gaps that looks at the machine's suspensions with a function, usually Suspended.
+func NewGaps(suspended func() time.Duration) *Gaps { return &Gaps{suspended, suspended()} }
+
+// Length returns the length of a time that took as long on the monotonic clock and by the time of day, which may have been set
+// meanwhile. It looks for a suspension only if the time of day has advanced by more than a threshold.
+func (g *Gaps) Length(monotonic, timeOfDay, threshold time.Duration) time.Duration {
+	if timeOfDay <= threshold {
+		return monotonic
+	}
+	before := g.before
+	g.before = g.suspended()
+	return monotonic + g.before - before
+}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -35,8 +35,7 @@
 	queue chan []byte
 	state func() heartbeat // what a heartbeat carries; nil for empty heartbeats
 
-	suspended       func() time.Duration // see pause.Suspended
-	suspendedBefore time.Duration        // result of the last call
+	gaps *pause.Gaps // times of reads
 
 	once sync.Once
 	done chan struct{}
@@ -46,7 +45,7 @@
 func newLink(conn net.Conn, state func() heartbeat) *link {
 	l := &link{
 		conn: conn, state: state, queue: make(chan []byte, maxQueued), done: make(chan struct{}),
-		suspended: pause.Suspended, suspendedBefore: pause.Suspended(),
+		gaps: pause.NewGaps(pause.Suspended),
 	}
 	go l.writeLoop()
 	return l
@@ -155,16 +154,7 @@
 
 // wasStopped reports whether this process or its machine was stopped for longer than the peer waits for a heartbeat while a message was
 // read. What has been received since is out of date: the peer has closed the connection and submitted its jobs elsewhere. The
-// arguments are the time that the read took on the monotonic clock, which does not count a suspension of the machine, and by the time of
-// day, which may have been set meanwhile.
+// arguments are the time that the read took on the monotonic clock and by the time of day.
 func (l *link) wasStopped(monotonic, timeOfDay time.Duration) bool {
-	if monotonic > SilenceLimit {
-		return true
-	}
-	if timeOfDay <= SilenceLimit {
-		return false
-	}
-	before := l.suspendedBefore
-	l.suspendedBefore = l.suspended()
-	return l.suspendedBefore-before+monotonic > SilenceLimit
+	return l.gaps.Length(monotonic, timeOfDay, SilenceLimit) > SilenceLimit
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -169,7 +170,9 @@
 		{200 * time.Millisecond, 3 * time.Second, 0, false},                             // the time of day was set
 		{200 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond, false}, // suspended for a moment
 	} {
-		l := &link{suspended: func() time.Duration { return time.Hour + c.suspended }, suspendedBefore: time.Hour}
+		suspended := time.Hour
+		l := &link{gaps: pause.NewGaps(func() time.Duration { return suspended })}
+		suspended += c.suspended
 		is.Equal(l.wasStopped(c.monotonic, c.timeOfDay), c.stopped)
 	}
 }
--- a/internal/server/activity.go
+++ b/internal/server/activity.go
@@ -18,18 +18,18 @@
 // activity detects stops of the process. It is safe for concurrent use.
 type activity struct {
 	mu        sync.Mutex
+	gaps      *pause.Gaps   // times between events
 	last      time.Time     // last event; zero before the first one
-	suspended time.Duration // result of the last look, see pause.Suspended
 	resumedAt time.Time     // end of the last stop
 	stopped   time.Duration // how long it lasted
 }
 
 // observe records an event and returns for how long a request that is read now may have waited unread because the process was
 // stopped: 0 unless a stop has just ended.
-func (a *activity) observe(now time.Time, suspended func() time.Duration) time.Duration {
+func (a *activity) observe(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if gap := a.gap(now, suspended); gap > maxInactivity {
+	if gap := a.gap(now); gap > maxInactivity {
 		a.resumedAt, a.stopped = now, gap
 	}
 	a.last = now
@@ -39,21 +39,13 @@
 	return 0
 }
 
-// gap returns the time since the last event, with the time for which the machine was suspended. It looks for a suspension only if the
-// time of day has advanced by as much.
-func (a *activity) gap(now time.Time, suspended func() time.Duration) time.Duration {
+// gap returns the time since the last event, with the time for which the machine was suspended.
+func (a *activity) gap(now time.Time) time.Duration {
 	if a.last.IsZero() {
-		a.suspended = suspended()
 		return 0
 	}
-	gap := now.Sub(a.last)
-	if now.Round(0).Sub(a.last.Round(0)) <= maxInactivity {
-		return gap
-	}
-	before := a.suspended
-	a.suspended = suspended()
-	return gap + a.suspended - before
+	return a.gaps.Length(now.Sub(a.last), now.Round(0).Sub(a.last.Round(0)), maxInactivity)
 }
 
 // observe records an event of the server, see activity.
-func (s *Server) observe() time.Duration { return s.activity.observe(time.Now(), pause.Suspended) }
+func (s *Server) observe() time.Duration { return s.activity.observe(time.Now()) }
--- a/internal/server/activity_test.go
+++ b/internal/server/activity_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/pause"
 )
 
 // Guards against requests that a stopped process reads late and takes for new ones, after a stop by a signal and after a
@@ -13,9 +15,9 @@
 	is := is.New(t)
 	begun := time.Now()
 	var suspended time.Duration
-	a := &activity{}
+	a := &activity{gaps: pause.NewGaps(func() time.Duration { return time.Hour + suspended })}
 	at := func(after time.Duration) time.Duration {
-		return a.observe(begun.Add(after), func() time.Duration { return time.Hour + suspended })
+		return a.observe(begun.Add(after))
 	}
 	is.Equal(at(0), time.Duration(0))
 	is.Equal(at(time.Second), time.Duration(0)) // the next tick
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/result"
 )
 
@@ -79,7 +80,10 @@
 
 // Start listens on Options.Address and serves until Stop is called. It returns when the listener is open or has failed.
 func Start(opts Options) (*Server, error) {
-	s := &Server{opts: opts, booted: make(chan struct{}), stopped: make(chan error, 1), conns: map[*conn]struct{}{}, users: map[string]int{}}
+	s := &Server{
+		opts: opts, booted: make(chan struct{}), stopped: make(chan error, 1), conns: map[*conn]struct{}{}, users: map[string]int{},
+		activity: activity{gaps: pause.NewGaps(pause.Suspended)},
+	}
 	if s.opts.Limits == nil {
 		s.opts.Limits = DefaultLimits
 	}
