--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Lets runners leave and stops the dispatcher of their zone afterwards. TROUBLE=0 stops no dispatcher.
+# Makes the open connections of one instance to the store go silent, then changes the configuration. TROUBLE=0 leaves them open.
 cd "$(dirname "$0")/../.."
-exec target/review-stand drain review/4/record.txt
+exec target/review-stand config review/4/record.txt
