The work for one job is bounded by its tasks and dependencies

Callers saw: after one job of 20 stages, each dispatcher that got it answered nothing further and used a whole core; 5 of 7 instances of a deployment.

Cause: (*Pool).chain visited each path through the graph of steps, under the lock of the shard. setFollowingTimes computed the same in one pass.

Change: one pass over the dependencies. The same class nearby: steps count their open dependencies; the forecast takes tasks that start together as one; a refused submission stops its walk of the queue; a search of the endpoints that found no room is not repeated for tasks of the same kind; endpoints index their runs; dependencies are taken once and bodies are bounded; a job that does not fit into a message between instances is refused with a log line instead of lost without one.

--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -49,7 +49,7 @@
 
 // Cancel implements gateway.Route.
 func (r *uplinkRoute) Cancel(from gateway.Target, id work.JobID) {
-	r.uplink.Cancel(&relay.Cancel{Job: id, Partition: from.Partition})
+	r.uplink.Cancel(&relay.Cancel{Job: id, Partition: from.Partition}) // a cancellation can always be encoded
 }
 
 // Targets implements gateway.Router.
@@ -144,7 +144,11 @@
 		// A job must not wait for a zone that may be unreachable. The connection that is being opened serves later jobs.
 		return nil, false
 	}
-	route.uplink.Submit(s)
+	if err := route.uplink.Submit(s); err != nil {
+		r.log.WithFields(logrus.Fields{"event": "submission_unsendable", "job": s.Job.ID, "address": address}).WithError(err).
+			Error("a job cannot be sent to its dispatcher")
+		return nil, false
+	}
 	return route, true
 }
 
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -61,7 +61,7 @@
 	isolated, accepting := 0, 0
 	for _, e := range p.order {
 		if e.isolation.reserved && e.isolation.task == task {
-			if e.runs == 0 && e.accepts(j, now) && s.Size.Fits(e.Size) {
+			if len(e.runs) == 0 && e.accepts(j, now) && s.Size.Fits(e.Size) {
 				return e
 			}
 			return nil
@@ -74,14 +74,14 @@
 			isolated++
 			continue
 		}
-		if e.HasLabel(s.Label) && s.Size.Fits(e.Size) && (best == nil || e.runs < best.runs) {
+		if e.HasLabel(s.Label) && s.Size.Fits(e.Size) && (best == nil || len(e.runs) < len(best.runs)) {
 			best = e
 		}
 	}
 	if best == nil || isolated >= max(accepting/suspectsPerEndpoints, 1) {
 		return nil
 	}
-	if best.runs == 0 {
+	if len(best.runs) == 0 {
 		return best
 	}
 	best.isolation = isolation{reserved: true, task: task}
--- a/internal/pool/dump.go
+++ b/internal/pool/dump.go
@@ -50,7 +50,7 @@
 	for _, e := range p.order {
 		d.Endpoints = append(d.Endpoints, EndpointDump{
 			ID: string(e.ID), Usable: e.usable, Draining: e.Draining, MilliCPU: e.Size.MilliCPU, UsedMilliCPU: e.used.MilliCPU,
-			Runs: e.runs, Unsized: e.unsized, Slowness: e.health.slowness(), HeldOffUntilMS: e.health.heldOffUntil.Milliseconds(),
+			Runs: len(e.runs), Unsized: e.unsized, Slowness: e.health.slowness(), HeldOffUntilMS: e.health.heldOffUntil.Milliseconds(),
 		})
 		for _, r := range p.RunsOn(e.ID) {
 			d.Runs = append(d.Runs, dumpRun(r))
--- a/internal/pool/fairness.go
+++ b/internal/pool/fairness.go
@@ -57,7 +57,7 @@
 	}
 	d.decay(now)
 	d.jobs++
-	d.work += p.waitingWork(j)
+	d.work += j.waitingWork()
 	if accepted {
 		d.accepted++
 	}
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -145,27 +145,51 @@
 // which do not count in the simulation.
 func (f *forecast) add(j *job) time.Duration {
 	for i := range j.steps {
-		if !j.ready(i) {
-			continue
-		}
-		s := &j.Steps[i]
-		run := f.pool.estimates.of(j.Queue, s.Estimate) + j.steps[i].followingTime
-		for _, index := range j.steps[i].waiting {
-			if !j.suspects[work.TaskID{Job: j.ID, Step: i, Index: index}] {
-				f.start(s.Size.MilliCPU, run)
-			}
+		if j.ready(i) {
+			f.start(j.waitingUnsuspected(i), j.Steps[i].Size.MilliCPU, j.steps[i].runTime+j.steps[i].followingTime)
 		}
 	}
 	return f.at
 }
 
-// start simulates the start of one task as soon as there is capacity, and no earlier than the tasks added before it.
-func (f *forecast) start(milliCPU int, run time.Duration) {
-	for f.free < milliCPU && len(f.releases) > 0 {
+// waitingUnsuspected returns the number of a step's tasks to start that are not suspects.
+func (j *job) waitingUnsuspected(step int) int {
+	waiting := j.steps[step].waiting
+	if len(j.suspects) == 0 {
+		return len(waiting)
+	}
+	n := 0
+	for _, index := range waiting {
+		if !j.suspects[work.TaskID{Job: j.ID, Step: step, Index: index}] {
+			n++
+		}
+	}
+	return n
+}
+
+// start simulates the starts of tasks of one size, each as soon as there is capacity and no earlier than the tasks added before
+// it. Tasks that start at the same time are handled together.
+func (f *forecast) start(tasks, milliCPU int, run time.Duration) {
+	for tasks > 0 {
+		f.awaitCapacity(milliCPU)
+		together := tasks
+		if milliCPU > 0 {
+			together = max(min(tasks, f.free/milliCPU), 1)
+		}
+		tasks -= together
+		f.free -= together * milliCPU
+		heap.Push(&f.releases, release{f.at + run, together * milliCPU})
+	}
+}
+
+// awaitCapacity moves the time on until an amount is free, with all that is released by then.
+func (f *forecast) awaitCapacity(milliCPU int) {
+	if f.free >= milliCPU {
+		return
+	}
+	for len(f.releases) > 0 && (f.free < milliCPU || f.releases[0].at <= f.at) {
 		next := heap.Pop(&f.releases).(release)
 		f.free += next.milliCPU
 		f.at = max(f.at, next.at)
 	}
-	f.free -= milliCPU
-	heap.Push(&f.releases, release{f.at + run, milliCPU})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,6 +10,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -51,36 +53,15 @@
 	work.Endpoint
 	usable     bool // the endpoint may get new runs: it answers and its runs are known
 	used       work.Size
-	runs       int
-	unsized    int  // number of runs whose size is not known
-	leaseEnds  bool // see SetLeaseEnding
-	superseded int  // number of superseded runs that the endpoint reports, see SetSupersededRuns; they are being stopped
-	silent     bool // the endpoint does not answer, so the progress of its runs is not known
+	runs       map[work.TaskID]*Run // the runs that occupy capacity
+	unsized    int                  // number of runs whose size is not known
+	leaseEnds  bool                 // see SetLeaseEnding
+	superseded int                  // number of superseded runs that the endpoint reports, see SetSupersededRuns; they are being stopped
+	silent     bool                 // the endpoint does not answer, so the progress of its runs is not known
 	health     health
 	isolation  isolation
 }
 
-type job struct {
-	*work.Job
-	arrived     time.Duration
-	notBefore   time.Duration // the tasks do not start earlier: until then they may run on endpoints that have not reported
-	resumed     bool          // another dispatcher may have started tasks of the job
-	steps       []stepState
-	remaining   int // tasks that have not succeeded
-	runs        map[work.TaskID]*Run
-	suspects    map[work.TaskID]bool // tasks under which an endpoint has crashed; they run alone
-	started     bool
-	held        bool          // see Hold
-	expected    time.Duration // expected run time of the longest chain of steps
-	latestStart time.Duration // latest start with which the objective is likely met
-}
-
-type stepState struct {
-	waiting       []int         // indices of the tasks to start, in order
-	remaining     int           // tasks that have not succeeded
-	followingTime time.Duration // expected run time of the steps that follow this one
-}
-
 // Pool is the scheduling state of a shard. It is not safe for concurrent use.
 type Pool struct {
 	endpoints map[work.EndpointID]*endpoint
@@ -117,7 +98,7 @@
 		old.Endpoint = e
 		return
 	}
-	added := &endpoint{Endpoint: e, health: health{ratio: 1}}
+	added := &endpoint{Endpoint: e, runs: map[work.TaskID]*Run{}, health: health{ratio: 1}}
 	p.endpoints[e.ID] = added
 	p.order = append(p.order, added)
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
@@ -149,16 +130,14 @@
 // soon: the lease of the endpoint must not be extended while there are any.
 func (p *Pool) HasRunsWithoutJob(id work.EndpointID) bool {
 	e := p.endpoints[id]
-	switch {
-	case e == nil:
+	if e == nil {
 		return false
-	case e.superseded > 0:
+	}
+	if e.superseded > 0 {
 		return true
-	case e.runs == 0:
-		return false
 	}
-	for _, r := range p.runs {
-		if r.Endpoint == id && r.job == nil && r.MayHaveStarted() {
+	for _, r := range e.runs {
+		if r.job == nil && r.MayHaveStarted() {
 			return true
 		}
 	}
@@ -177,12 +156,13 @@
 
 // JobsOn returns the jobs that wait for runs that an endpoint may have started; a job with several runs there comes several times.
 func (p *Pool) JobsOn(id work.EndpointID) []work.JobID {
-	if !p.Busy(id) {
+	e := p.endpoints[id]
+	if e == nil {
 		return nil
 	}
 	var on []work.JobID
-	for _, r := range p.runs {
-		if r.Endpoint == id && r.job != nil && r.MayHaveStarted() {
+	for _, r := range e.runs {
+		if r.job != nil && r.MayHaveStarted() {
 			on = append(on, r.job.ID)
 		}
 	}
@@ -220,20 +200,24 @@
 
 // RunsOn returns the runs that occupy capacity on an endpoint, sorted by task.
 func (p *Pool) RunsOn(id work.EndpointID) []*Run {
-	var on []*Run
-	for _, r := range p.runs {
-		if r.Endpoint == id {
-			on = append(on, r)
-		}
+	e := p.endpoints[id]
+	if e == nil {
+		return nil
 	}
-	sort.Slice(on, func(i, j int) bool { return on[i].Task.String() < on[j].Task.String() })
+	on := slices.Collect(maps.Values(e.runs))
+	sortByTask(on)
 	return on
 }
 
+// sortByTask sorts runs, so that decisions do not depend on the order of maps.
+func sortByTask(runs []*Run) {
+	slices.SortFunc(runs, func(a, b *Run) int { return a.Task.Compare(b.Task) })
+}
+
 // Busy reports whether any run occupies capacity on an endpoint.
 func (p *Pool) Busy(id work.EndpointID) bool {
 	e := p.endpoints[id]
-	return e != nil && e.runs > 0
+	return e != nil && len(e.runs) > 0
 }
 
 // Run returns the run of a task that may still run on an endpoint, or nil.
@@ -330,15 +314,14 @@
 	delete(p.runs, r.Task)
 	if e := p.endpoints[r.Endpoint]; e != nil {
 		e.used = e.used.Minus(r.Size)
-		e.runs--
+		delete(e.runs, r.Task)
 		e.isolation.ended(r.Task)
 		if r.unsized {
 			e.unsized--
 		}
 	}
 	if r.job != nil {
-		delete(r.job.runs, r.Task)
-		r.job = nil
+		r.job.removeRun(r)
 	} else if p.jobs[r.Task.Job] == nil {
 		delete(p.numbers, r.Task)
 	}
@@ -352,22 +335,23 @@
 
 // enqueue inserts a job into the queue, which is sorted by latest start.
 func (p *Pool) enqueue(j *job) {
-	p.dequeue(j)
-	at := sort.Search(len(p.queue), func(i int) bool { return before(j, p.queue[i]) })
-	p.queue = append(p.queue, nil)
-	copy(p.queue[at+1:], p.queue[at:])
-	p.queue[at] = j
+	if at, found := p.queuePosition(j); !found {
+		p.queue = slices.Insert(p.queue, at, j)
+	}
 }
 
 func (p *Pool) dequeue(j *job) {
-	for i, q := range p.queue {
-		if q == j {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			return
-		}
+	if at, found := p.queuePosition(j); found {
+		p.queue = slices.Delete(p.queue, at, at+1)
 	}
 }
 
+// queuePosition returns the position of a job in the queue, or the one at which it belongs there.
+func (p *Pool) queuePosition(j *job) (at int, found bool) {
+	at = sort.Search(len(p.queue), func(i int) bool { return !before(p.queue[i], j) })
+	return at, at < len(p.queue) && p.queue[at] == j
+}
+
 // before orders jobs by the latest start that meets their objective. Short jobs, which have the least slack, overtake long
 // ones; a long job comes first once its own slack is used up.
 func before(a, b *job) bool {
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/attempt"
@@ -12,13 +11,14 @@
 // task that fits on no endpoint at the moment does not block the tasks behind it.
 func (p *Pool) Next(now time.Duration) []*Run {
 	var starts []*Run
+	full := map[placement]bool{}
 	p.releaseReservations()
 	for i := 0; i < len(p.queue); i++ {
 		j := p.queue[i]
 		if now < j.notBefore || j.held {
 			continue
 		}
-		starts = p.startJob(starts, j, now)
+		starts = p.startJob(starts, j, full, now)
 		if !j.hasWaiting() {
 			p.queue = append(p.queue[:i], p.queue[i+1:]...)
 			i--
@@ -27,43 +27,61 @@
 	return starts
 }
 
-func (p *Pool) startJob(starts []*Run, j *job, now time.Duration) []*Run {
+// placement is what the choice of an endpoint for a task depends on, suspects and steps with MaxPerEndpoint apart.
+type placement struct {
+	service, label string
+	size           work.Size
+}
+
+// startJob appends the runs of a job's tasks that start now. full holds the placements for which no endpoint has been found: as
+// starts only take capacity, tasks with the same placement find none either.
+func (p *Pool) startJob(starts []*Run, j *job, full map[placement]bool, now time.Duration) []*Run {
 	for step := range j.steps {
-		if !j.ready(step) {
-			continue
-		}
-		st := &j.steps[step]
-		stillWaiting := st.waiting[:0]
-		for _, index := range st.waiting {
-			if r := p.startTask(j, step, index, now); r != nil {
-				starts = append(starts, r)
-				continue
-			}
-			stillWaiting = append(stillWaiting, index)
+		if j.ready(step) && len(j.steps[step].waiting) > 0 {
+			starts = p.startStep(starts, j, step, full, now)
 		}
-		st.waiting = stillWaiting
 	}
 	return starts
 }
 
-// ready reports whether all steps that a step depends on have succeeded.
-func (j *job) ready(step int) bool {
-	for _, d := range j.Steps[step].DependsOn {
-		if j.steps[d].remaining > 0 {
-			return false
+func (p *Pool) startStep(starts []*Run, j *job, step int, full map[placement]bool, now time.Duration) []*Run {
+	s, st := &j.Steps[step], &j.steps[step]
+	place := placement{j.Service, s.Label, s.Size}
+	stepFull := full[place]
+	stillWaiting := st.waiting[:0]
+	for i, index := range st.waiting {
+		if stepFull && len(j.suspects) == 0 {
+			stillWaiting = append(stillWaiting, st.waiting[i:]...)
+			break
 		}
+		task := work.TaskID{Job: j.ID, Step: step, Index: index}
+		r, placeFull := p.tryStart(j, task, stepFull, now)
+		stepFull = stepFull || placeFull
+		if r == nil {
+			stillWaiting = append(stillWaiting, index)
+			continue
+		}
+		starts = append(starts, r)
 	}
-	return true
+	st.waiting = stillWaiting
+	full[place] = full[place] || stepFull && s.MaxPerEndpoint == 0
+	return starts
 }
 
-// startTask creates a run of a task and returns it, or nil if the task fits on no endpoint now or an earlier run of it
-// may still exist.
-func (p *Pool) startTask(j *job, step, index int, now time.Duration) *Run {
-	task := work.TaskID{Job: j.ID, Step: step, Index: index}
-	if p.runs[task] != nil {
-		return nil
+// tryStart starts a task unless an earlier run of it may still exist or it fits on no endpoint now. stepFull is true if other tasks
+// of its step have found no endpoint; this does not apply to suspects. placeFull is true if this task has found none.
+func (p *Pool) tryStart(j *job, task work.TaskID, stepFull bool, now time.Duration) (r *Run, placeFull bool) {
+	suspect := j.suspects[task]
+	if p.runs[task] != nil || stepFull && !suspect {
+		return nil, false
 	}
-	s := &j.Steps[step]
+	r = p.startTask(j, task, now)
+	return r, r == nil && !suspect
+}
+
+// startTask creates a run of a task that has none and returns it, or nil if the task fits on no endpoint now.
+func (p *Pool) startTask(j *job, task work.TaskID, now time.Duration) *Run {
+	s := &j.Steps[task.Step]
 	e := p.pickEndpoint(j, task, now)
 	if e == nil {
 		return nil
@@ -71,13 +89,12 @@
 	p.numbers[task]++
 	r := &Run{
 		Task: task, Number: p.numbers[task], Endpoint: e.ID, State: Ordered, Size: s.Size, Ordered: now, ProgressedAt: now,
-		Expected: p.estimates.of(j.Queue, s.Estimate), job: j,
+		Expected: p.estimates.of(j.Queue, s.Estimate),
 	}
 	p.runs[task] = r
-	j.runs[task] = r
-	j.started = true
+	j.addRun(r)
 	e.used = e.used.Plus(s.Size)
-	e.runs++
+	e.runs[task] = r
 	if j.suspects[task] {
 		e.isolation.started(task)
 	}
@@ -114,22 +131,12 @@
 	if !e.HasLabel(s.Label) || !e.used.Plus(s.Size).Fits(e.Size) {
 		return false
 	}
-	return s.MaxPerEndpoint == 0 || j.runsOn(step, e.ID) < s.MaxPerEndpoint
+	return s.MaxPerEndpoint == 0 || j.steps[step].runsOn[e.ID] < s.MaxPerEndpoint
 }
 
 // accepts reports whether an endpoint may get new runs of a job's service now.
 func (e *endpoint) accepts(j *job, now time.Duration) bool {
-	return e.Service == j.Service && e.usable && !e.Draining && !e.leaseEnds && e.unsized+e.superseded == 0 && e.health.available(now, e.runs)
-}
-
-func (j *job) runsOn(step int, id work.EndpointID) int {
-	n := 0
-	for task, r := range j.runs {
-		if task.Step == step && r.Endpoint == id {
-			n++
-		}
-	}
-	return n
+	return e.Service == j.Service && e.usable && !e.Draining && !e.leaseEnds && e.unsized+e.superseded == 0 && e.health.available(now, len(e.runs))
 }
 
 type rank struct {
@@ -280,7 +287,7 @@
 		stalled = append(stalled, r)
 		e.health.startHoldOff(now)
 	}
-	sort.Slice(stalled, func(i, j int) bool { return stalled[i].Task.String() < stalled[j].Task.String() })
+	sortByTask(stalled)
 	return stalled
 }
 
@@ -296,7 +303,7 @@
 			unwanted = append(unwanted, r)
 		}
 	}
-	sort.Slice(unwanted, func(i, j int) bool { return unwanted[i].Task.String() < unwanted[j].Task.String() })
+	sortByTask(unwanted)
 	return unwanted
 }
 
@@ -310,8 +317,7 @@
 }
 
 func (p *Pool) succeeded(j *job, task work.TaskID) []Outcome {
-	j.remaining--
-	j.steps[task.Step].remaining--
+	j.taskSucceeded(task.Step)
 	if j.remaining > 0 {
 		if j.hasWaiting() {
 			p.enqueue(j)
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/work"
@@ -24,12 +23,12 @@
 type Verdict struct {
 	Reason           Reason        // ReasonNone if the job was accepted
 	RetryAfter       time.Duration // time after which capacity is expected, for a refusal
-	ExpectedWait     time.Duration // expected time until the job's last task starts
+	ExpectedWait     time.Duration // expected time until the job's last task starts; a lower bound after ReasonNoRoom
 	Slack            time.Duration // wait that the job's objective still allows
 	Endpoints        int           // number of endpoints of the service that take new runs now
 	Isolated         int           // number of endpoints of the service that are kept for suspects
 	FreeMilliCPU     int           // free capacity of Endpoints in 1/1000 core, counted in multiples of the job's largest task
-	JobsAhead        int           // number of queued jobs that start before the job
+	JobsAhead        int           // number of queued jobs that start before the job; a lower bound after ReasonNoRoom
 	ReservedMilliCPU int           // capacity that is reserved for other queues, in thousandths of a core
 }
 
@@ -87,65 +86,6 @@
 	}
 }
 
-func (p *Pool) newJob(w *work.Job, arrived, notBefore time.Duration) *job {
-	j := &job{Job: w, arrived: arrived, notBefore: notBefore, resumed: notBefore > 0, runs: map[work.TaskID]*Run{}}
-	for i, s := range w.Steps {
-		st := stepState{remaining: s.Count}
-		for index := 0; index < s.Count; index++ {
-			st.waiting = append(st.waiting, index)
-		}
-		j.remaining += s.Count
-		j.steps = append(j.steps, st)
-		j.expected = max(j.expected, p.chain(w, i))
-	}
-	p.setFollowingTimes(j)
-	j.latestStart = arrived + slack(w.Objective, j.expected)
-	return j
-}
-
-// setFollowingTimes computes the expected run time that follows each step. Steps depend on earlier ones only.
-func (p *Pool) setFollowingTimes(j *job) {
-	for i := len(j.steps) - 1; i >= 0; i-- {
-		run := p.estimates.of(j.Queue, j.Steps[i].Estimate) + j.steps[i].followingTime
-		for _, d := range j.Steps[i].DependsOn {
-			j.steps[d].followingTime = max(j.steps[d].followingTime, run)
-		}
-	}
-}
-
-// chain returns the expected run time of the longest chain of steps that ends with a step.
-func (p *Pool) chain(w *work.Job, step int) time.Duration {
-	longest := time.Duration(0)
-	for _, d := range w.Steps[step].DependsOn {
-		longest = max(longest, p.chain(w, d))
-	}
-	return longest + p.estimates.of(w.Queue, w.Steps[step].Estimate)
-}
-
-// slack returns how long a job may wait without missing its objective.
-func slack(o work.Objective, expected time.Duration) time.Duration {
-	return time.Duration(math.Max(o.Stretch-1, 0)*float64(expected)) + o.Extra
-}
-
-func (j *job) hasWaiting() bool {
-	for i := range j.steps {
-		if len(j.steps[i].waiting) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// hasReady reports whether the job has tasks to start whose steps are ready.
-func (j *job) hasReady() bool {
-	for i := range j.steps {
-		if len(j.steps[i].waiting) > 0 && j.ready(i) {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Pool) decide(j *job, now time.Duration, resumed bool) Verdict {
 	v := Verdict{Slack: j.latestStart - now}
 	reason, total := p.capacity(j)
@@ -165,16 +105,24 @@
 		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) {
 			f.add(q)
 			v.JobsAhead++
+			if waitsTooLong(j, f.at, now) {
+				break // the jobs behind can only make it wait longer
+			}
 		}
 	}
 	v.ExpectedWait = f.add(j) - now
-	if v.ExpectedWait > 0 && float64(v.ExpectedWait) > waitShare*float64(v.Slack) || now-j.arrived > maxWait(j) {
+	if waitsTooLong(j, now+v.ExpectedWait, now) || now-j.arrived > maxWait(j) {
 		v.Reason = ReasonNoRoom
 		v.RetryAfter = max(minRetryAfter, time.Duration(p.queuedWork()/float64(total.MilliCPU)))
 	}
 	return v
 }
 
+// waitsTooLong reports whether a job that starts at a time uses more of its slack for its wait than it may.
+func waitsTooLong(j *job, start, now time.Duration) bool {
+	return start > now && float64(start-now) > waitShare*float64(j.latestStart-now)
+}
+
 // endsBefore reports whether a new job, started with its last slack, is expected to end before a resumed job may start. The resumed job
 // then needs no capacity that the new one would use.
 //
@@ -183,17 +131,6 @@
 	return max(j.latestStart, now)+j.expected <= resumed.notBefore
 }
 
-// largest returns the size of the job's task with the most processors.
-func (j *job) largest() work.Size {
-	var largest work.Size
-	for i := range j.Steps {
-		if j.Steps[i].Size.MilliCPU > largest.MilliCPU {
-			largest = j.Steps[i].Size
-		}
-	}
-	return largest
-}
-
 // Pressure returns the processors that are in use or waited for, in percent of those of the usable endpoints. Without a
 // usable endpoint it returns 1000.
 func (p *Pool) Pressure() int {
@@ -247,22 +184,11 @@
 	return false
 }
 
-// waitingWork returns the expected work of a job's unstarted tasks, in thousandths of a core times nanoseconds.
-func (p *Pool) waitingWork(j *job) float64 {
-	sum := 0.0
-	for i := range j.steps {
-		s := &j.Steps[i]
-		run := p.estimates.of(j.Queue, s.Estimate)
-		sum += float64(len(j.steps[i].waiting)) * float64(s.Size.MilliCPU) * float64(run)
-	}
-	return sum
-}
-
 // queuedWork returns the expected work of all unstarted tasks, in thousandths of a core times nanoseconds.
 func (p *Pool) queuedWork() float64 {
 	sum := 0.0
 	for _, q := range p.queue {
-		sum += p.waitingWork(q)
+		sum += q.waitingWork()
 	}
 	return sum
 }
@@ -285,8 +211,7 @@
 	s := &j.Steps[r.Task.Step]
 	p.resize(r, s.Size)
 	r.job, r.Expected = j, p.estimates.of(j.Queue, s.Estimate)
-	j.runs[r.Task] = r
-	j.started = true
+	j.addRun(r)
 }
 
 // adoptSuccesses counts the job's tasks that succeeded under another dispatcher.
@@ -298,17 +223,6 @@
 	}
 }
 
-// countSuccess counts a task that succeeded under another dispatcher. It returns whether the job was waiting for the task.
-func (j *job) countSuccess(task work.TaskID) bool {
-	if !j.hasTask(task) || !j.removeWaiting(task) {
-		return false
-	}
-	j.started = true
-	j.remaining--
-	j.steps[task.Step].remaining--
-	return true
-}
-
 // resize sets the size of a run that was found on an endpoint, once its job is known.
 func (p *Pool) resize(r *Run, size work.Size) {
 	if !r.unsized {
@@ -321,21 +235,6 @@
 	r.Size, r.unsized = size, false
 }
 
-func (j *job) hasTask(task work.TaskID) bool {
-	return task.Occurrence == 0 && task.Step < len(j.Steps) && task.Index < j.Steps[task.Step].Count
-}
-
-func (j *job) removeWaiting(task work.TaskID) bool {
-	waiting := j.steps[task.Step].waiting
-	for i, index := range waiting {
-		if index == task.Index {
-			j.steps[task.Step].waiting = append(waiting[:i], waiting[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
-
 // RunFound records a run that an endpoint reports and that this pool has not ordered, and returns it; nil if the endpoint
 // is unknown or the task already has a run. The size of the run is not known until its job is submitted, so the endpoint
 // gets no new runs until then, or until the run has ended.
@@ -350,7 +249,7 @@
 	}
 	p.runs[found.Task] = r
 	p.numbers[found.Task] = max(p.numbers[found.Task], found.Run)
-	e.runs++
+	e.runs[r.Task] = r
 	e.unsized++
 	if j := p.jobs[found.Task.Job]; j != nil {
 		p.attach(j, r)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -51,20 +51,13 @@
 	return l
 }
 
-// send queues a message without blocking. If the queue is full, it closes the link.
-func (l *link) send(message any) error {
-	frame, err := encode(message)
-	if err != nil {
-		return err
-	}
+// sendFrame queues an encoded message without blocking. If the queue is full, it closes the link.
+func (l *link) sendFrame(frame []byte) {
 	select {
 	case <-l.done:
-		return l.err
 	case l.queue <- frame:
-		return nil
 	default:
 		l.close(errSlowPeer)
-		return errSlowPeer
 	}
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -78,8 +78,8 @@
 )
 
 const (
-	frameHeaderBytes = 5 // length of the payload (4 bytes, big-endian) and kind (1 byte)
-	maxFrameBytes    = 1 << 20
+	frameHeaderBytes = 5       // length of the payload (4 bytes, big-endian) and kind (1 byte)
+	maxFrameBytes    = 4 << 20 // more than the largest job that callers may submit, with the attempts of its tasks
 )
 
 // encode returns the frame of a message, that is, its header and payload.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,7 +87,14 @@
 }
 
 // Answer implements Client.
-func (c *remoteClient) Answer(a *Answer) { c.link.send(a) } // an error closes the link; receive then reports it
+func (c *remoteClient) Answer(a *Answer) {
+	frame, err := encode(a)
+	if err != nil {
+		c.link.close(err) // receive reports it
+		return
+	}
+	c.link.sendFrame(frame)
+}
 
 // Name implements Client.
 func (c *remoteClient) Name() string { return c.link.conn.RemoteAddr().String() }
@@ -134,7 +141,7 @@
 	responded bool // the dispatcher has sent a message
 	ended     bool
 	loads     map[int]int // pressure in percent by partition
-	unsent    []any       // messages that wait until the connection is open
+	unsent    [][]byte    // frames that wait until the connection is open
 }
 
 // Handler receives what comes over an uplink. Its functions do not block.
@@ -180,8 +187,8 @@
 	l := newLink(conn, nil)
 	u.mu.Lock()
 	u.link = l
-	for _, m := range u.unsent {
-		l.send(m)
+	for _, frame := range u.unsent {
+		l.sendFrame(frame)
 	}
 	u.unsent = nil
 	ended := u.ended
@@ -200,11 +207,12 @@
 	})
 }
 
-// Submit sends a job. An error ends the connection and is passed to onEnd.
-func (u *Uplink) Submit(s *Submit) { u.send(s) }
+// Submit sends a job. It returns an error if the job cannot be encoded. An error of the connection ends the connection and is
+// passed to Handler.End.
+func (u *Uplink) Submit(s *Submit) error { return u.send(s) }
 
-// Cancel informs the dispatcher that no caller waits for a job any more.
-func (u *Uplink) Cancel(c *Cancel) { u.send(c) }
+// Cancel informs the dispatcher that no caller waits for a job any more. It returns an error like Submit.
+func (u *Uplink) Cancel(c *Cancel) error { return u.send(c) }
 
 func (u *Uplink) setLoads(loads []Load) {
 	u.mu.Lock()
@@ -224,17 +232,21 @@
 	return pressure, ok
 }
 
-func (u *Uplink) send(message any) {
+func (u *Uplink) send(message any) error {
+	frame, err := encode(message)
+	if err != nil {
+		return err
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.ended {
-		return
-	}
-	if u.link == nil {
-		u.unsent = append(u.unsent, message)
-		return
+	switch {
+	case u.ended:
+	case u.link == nil:
+		u.unsent = append(u.unsent, frame)
+	default:
+		u.link.sendFrame(frame)
 	}
-	u.link.send(message)
+	return nil
 }
 
 // Close closes the connection.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,6 +149,25 @@
 	is.Equal(out, answer)
 }
 
+// Guards against a job at the limits of callers' requests that fits into no message, so that it is lost on its way to the dispatcher.
+func TestLargestJobFits(t *testing.T) {
+	is := is.New(t)
+	const tasks, dependencies, attempts = 4096, 256 << 10, 3
+	in := &Submit{Job: work.Job{ID: "x", Spec: strings.Repeat("s", 4000)}}
+	for i := range tasks {
+		s := work.Step{Count: 1, Size: work.Size{MilliCPU: 1 << 20, MemoryMB: 1 << 20}, Estimate: time.Hour}
+		for d := range min(i, dependencies/tasks) {
+			s.DependsOn = append(s.DependsOn, i-d-1)
+		}
+		in.Job.Steps = append(in.Job.Steps, s)
+		for run := range attempts {
+			in.Attempts = append(in.Attempts, attempt.Attempt{Task: work.TaskID{Job: "0123456789abcdef", Step: i}, Run: run, Process: attempt.Process{Endpoint: "i-0123456789abcdef", StartedUnixMS: 1 << 50}})
+		}
+	}
+	_, err := encode(in)
+	is.NoErr(err)
+}
+
 // Guards against malformed frames that make the decoder panic or allocate a lot of memory.
 func FuzzRead(f *testing.F) {
 	frame, _ := encode(&Submit{Job: work.Job{ID: "x", Steps: []work.Step{{Count: 1}}}})
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -3,6 +3,7 @@
 package work
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -87,6 +88,11 @@
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// Compare orders task IDs by job, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // ParseTaskID parses the text form. ok is false for any other text.
 func ParseTaskID(s string) (id TaskID, ok bool) {
 	parts := strings.Split(s, ".")
