No run starts on outdated registrations

Callers saw: after a takeover, tasks started on endpoints that had announced for longer than the drain time that they leave; the tasks were lost with them.

Cause: a member without partitions reads the registrations every 3 s, and a term began on them before its fresh read had been answered.

Change: a shard starts and repeats runs only if the last applied read of the registrations began at most the drain time less 0.5 s ago, or the store cannot be read; otherwise it requests a read and starts wait. Reads have an interval from beginning to beginning, and a dropped history is read anew at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,14 +26,16 @@
 	Topic string
 	// Wait is the longest time that a read waits for a record. With 0, reads do not wait.
 	Wait time.Duration
-	// Interval returns the pause between two reads, for topics that change too often for a read of each record. Nil
-	// means no pause.
+	// Interval returns the time from the beginning of a read to that of the next one, for topics that change too often for a
+	// read of each record. Nil means that reads follow each other without a pause.
 	Interval func() time.Duration
 	// Active reports whether to read; nil means always. A topic is read from its newest records when Active turns true.
 	Active func() bool
 	// Apply is called with the result of each successful read, in order, also when it has no records.
 	Apply func(Update)
-	Log   logrus.FieldLogger
+	// Failed is called after each read that failed; nil for none.
+	Failed func()
+	Log    logrus.FieldLogger
 }
 
 // Update is the result of one successful read.
@@ -78,6 +80,7 @@
 			pause.For(ctx, inactivePause, c.refresh)
 			continue
 		}
+		begun := time.Now()
 		if err := c.step(ctx); err != nil {
 			c.reportFailure(err)
 			pause.For(ctx, backoff/2+rand.N(backoff), c.refresh)
@@ -87,13 +90,12 @@
 		c.reportRecovery()
 		backoff = minBackoff
 		if c.opts.Interval != nil {
-			pause.For(ctx, c.opts.Interval(), c.refresh)
+			pause.For(ctx, c.opts.Interval()-time.Since(begun), c.refresh)
 		}
 	}
 }
 
-// step reads once and applies the result. If the records to read next are no longer retained, it makes the next step
-// reload the topic.
+// step reads once and applies the result. If the records to read next are no longer retained, it reloads the topic.
 func (c *Controller) step(ctx context.Context) error {
 	if c.next < 0 {
 		return c.reload(ctx)
@@ -102,7 +104,7 @@
 	b, err := c.opts.Store.Read(ctx, c.opts.Topic, 0, c.next, c.opts.Wait)
 	if errors.Is(err, store.ErrTruncated) {
 		c.next = -1
-		return nil
+		return c.reload(ctx)
 	}
 	if err != nil {
 		return err
@@ -125,6 +127,9 @@
 }
 
 func (c *Controller) reportFailure(err error) {
+	if c.opts.Failed != nil {
+		c.opts.Failed()
+	}
 	if c.failing {
 		return
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -128,3 +129,37 @@
 	}
 	return next(t, updates)
 }
+
+// Guards against registrations that become older than they may be: a read after records were dropped waited for the interval, and
+// the time that a read took was added to it.
+func TestReadsAtAnInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := keyed.New()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		const interval = time.Second
+		var at []time.Duration
+		started, failed := time.Now(), 0
+		c := New(Options{
+			Store: s, Topic: "t", Log: log, Interval: func() time.Duration { return interval }, Failed: func() { failed++ },
+			Apply: func(Update) {
+				at = append(at, time.Since(started).Round(interval/10))
+				time.Sleep(interval / 4)
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { c.Run(ctx); close(done) }()
+		time.Sleep(interval / 2)
+		s.Set("t", "a", []byte("1"))
+		s.DropHistory("t")
+		time.Sleep(2 * interval)
+		is.Equal(at, []time.Duration{0, interval, 2 * interval})
+		s.SetDown(true)
+		time.Sleep(interval)
+		is.True(failed > 0)
+		cancel()
+		<-done
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,11 +31,11 @@
 	// configReadWait is how long one read of the configuration topic waits for a new record. It also bounds the time until
 	// a store connection that no longer answers is detected.
 	configReadWait = 2 * time.Second
-	// endpointsInterval is the pause between reads of the endpoint registrations, which change many times a second, while
-	// this instance dispatches.
+	// endpointsInterval is the interval of the reads of the endpoint registrations, which change many times a second, while
+	// this instance dispatches. It is shorter if their greatest age requires it.
 	endpointsInterval = 500 * time.Millisecond
-	// idleEndpointsInterval is the pause between reads of the endpoint registrations while this instance does not dispatch.
-	// It still reads them, so that it has them when it becomes a dispatcher.
+	// idleEndpointsInterval is the interval of the reads of the endpoint registrations while this instance does not dispatch.
+	// It still reads them, so that it needs only the latest changes when it becomes a dispatcher.
 	idleEndpointsInterval = 3 * time.Second
 	// spareCapacity is the capacity that the members of a zone's group should have beyond one for each partition, for the loss
 	// of a member.
@@ -125,8 +125,10 @@
 	n.shards = newShards(s.Zone, n.directory, n.started, n.history, func(part int) *shard.Shard {
 		return shard.New(shard.Options{
 			Zone: s.Zone, Partition: part, Directory: n.directory, Lease: s.RunLease(), Dialer: o.Dialer, Window: n.window, History: n.history, OnFenced: n.lead.Verify,
-			OnReplaced: func() { n.endpoints.Refresh() },
-			Counts:     &n.counts, Log: n.log.WithField("partition", part), Now: n.now,
+			RegistrationAge: s.RegistrationAge(),
+			OnOutdated:      func() { n.endpoints.Refresh() },
+			OnReplaced:      func() { n.endpoints.Refresh() },
+			Counts:          &n.counts, Log: n.log.WithField("partition", part), Now: n.now,
 		})
 	})
 	n.divisions = division.New(division.Options{
@@ -276,10 +278,10 @@
 // endpointsFollower returns the controller that keeps the registrations up to date.
 func (n *Node) endpointsFollower() *follow.Controller {
 	return follow.New(follow.Options{
-		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints, Active: n.lead.Candidate,
+		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints, Failed: n.directory.ReadFailed, Active: n.lead.Candidate,
 		Interval: func() time.Duration {
 			if n.shards.leading(anyPartition) {
-				return endpointsInterval
+				return min(endpointsInterval, shard.ReadInterval(n.opts.Settings.RegistrationAge()))
 			}
 			return idleEndpointsInterval
 		},
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -42,6 +42,7 @@
 	Grace           time.Duration // time between the request to stop and the kill of the process
 	Lease           time.Duration // longest lease of a run on an endpoint
 	Retransmit      time.Duration // time after which a caller without a response submits its job again; 0 if unknown
+	DrainTime       time.Duration // time after which an endpoint that has announced that it leaves gets no new runs; 0 if unknown
 	MemberTTL       time.Duration // shortest time to live of a membership in a group of the store
 }
 
@@ -88,6 +89,9 @@
 	return min(lease, s.Lease)
 }
 
+// RegistrationAge returns the greatest age of the registrations on which runs start.
+func (s *Settings) RegistrationAge() time.Duration { return shard.RegistrationAgeWithin(s.DrainTime) }
+
 const (
 	// coresPerPartition is the processor share that a dispatcher of one partition needs at the crest.
 	coresPerPartition = 0.2
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -129,7 +129,7 @@
 	removed := s.directory.Apply(r, now)
 	s.reconcile()
 	for _, x := range s.each() {
-		x.UpdateEndpoints(r.Changed, removed)
+		x.UpdateEndpoints(r, removed)
 	}
 }
 
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -41,6 +41,7 @@
 	firstAfterOutage bool // the first complete read in this process, at firstReadAt, came after an outage
 	firstReadAt      time.Duration
 	lastReadBegan    time.Duration // when the last read began
+	unreadable       bool          // the last read failed
 	recovered        bool          // there was an outage of the store; the last one ended at recoveredAt
 	recoveredAt      time.Duration
 }
@@ -64,7 +65,7 @@
 func (d *Directory) Apply(r Registrations, now time.Duration) []work.EndpointID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastReadBegan = r.AsOf
+	d.lastReadBegan, d.unreadable = r.AsOf, false
 	if r.Recovered {
 		d.recovered, d.recoveredAt = true, now
 	}
@@ -78,6 +79,27 @@
 	return removed
 }
 
+// ReadFailed records that a read of the registrations failed.
+func (d *Directory) ReadFailed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unreadable = true
+}
+
+// Unreadable reports whether the last read failed.
+func (d *Directory) Unreadable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unreadable
+}
+
+// knowledge returns the age of the registrations.
+func (d *Directory) knowledge() knowledge {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return knowledge{complete: d.followed, asOf: d.lastReadBegan}
+}
+
 // endedIDs returns the endpoints that are no longer registered according to a read, and those marked as missing.
 func (d *Directory) endedIDs(r Registrations, present map[work.EndpointID]bool, now time.Duration) []work.EndpointID {
 	endedIDs := slices.Clone(r.Removed)
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -70,7 +70,7 @@
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r || r.State != pool.Ordered || fence != s.term.Fence {
 		return false
 	}
-	return s.pool.Fits(r) && x.registered && !x.endpoint.Draining
+	return s.pool.Fits(r) && x.registered && !x.endpoint.Draining && s.registrationsUsable()
 }
 
 // prepareStart returns the start request of a run. It returns false if the run must not start any more: its job has ended,
@@ -88,10 +88,11 @@
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
 		return work.StartRequest{}, false
 	}
-	if fits := s.pool.Fits(r); r.State != pool.Ordered || s.pool.Held(r) || fence != s.term.Fence || !x.usable() || !x.mayStart(now) || !fits {
+	fits, current := s.pool.Fits(r), s.registrationsUsable()
+	if r.State != pool.Ordered || s.pool.Held(r) || fence != s.term.Fence || !x.usable() || !x.mayStart(now) || !fits || !current {
 		s.opts.Log.WithFields(logrus.Fields{
-			"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fits": fits,
-		}).Info("start request not sent: the job has ended, its instance is silent, the endpoint gets no new runs, or its capacity has shrunk")
+			"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fits": fits, "current": current,
+		}).Info("start request not sent: the job has ended, its instance is silent, the endpoint gets no new runs, its capacity has shrunk, or its registration is outdated")
 		s.finish(s.pool.RunLost(r, now))
 		s.dispatch()
 		return work.StartRequest{}, false
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -58,13 +58,17 @@
 	Partition int // number of the partition in the zone
 	Directory *Directory
 	Lease     time.Duration // lease of runs, at most the longest one that endpoints accept; see LeaseWithin
-	Dialer    work.Dialer
+	// RegistrationAge is the greatest age of the registrations on which a run is started, see RegistrationAgeWithin; 0 for no limit.
+	RegistrationAge time.Duration
+	Dialer          work.Dialer
 	// History holds the unsuccessful runs of tasks. All shards of an instance share it, and it outlives their terms.
 	History *attempt.History
 	// Window limits the start requests in flight. All shards of an instance share it, since they share its link.
 	Window *congestion.Window
 	// OnFenced is called when an endpoint refuses a request because it has seen a higher fence than this instance's.
 	OnFenced func()
+	// OnOutdated is called when starts wait because the registrations are older than RegistrationAge; it requests a read.
+	OnOutdated func()
 	// OnReplaced is called when another process answers at an endpoint's address. Its registration is in the store or comes soon.
 	OnReplaced func()
 	Counts     *Counts
@@ -81,6 +85,8 @@
 	fenceStart      time.Duration // when this dispatcher began to use the current fence
 	settled         bool          // all runs from before the current fence are known or are over
 	term            Term
+	registrations   knowledge
+	startsWait      bool // starts wait for a read of the registrations
 	callLost        bool // a call to an endpoint got no answer; the last such call was at callLostAt
 	callLostAt      time.Duration
 	pool            *pool.Pool
@@ -111,14 +117,15 @@
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 }
 
-// UpdateEndpoints applies new and changed registrations, and those that have ended. Without a term it does nothing.
-func (s *Shard) UpdateEndpoints(changed []work.Endpoint, removed []work.EndpointID) {
+// UpdateEndpoints applies a read of the registrations after which those in removed have ended. Without a term it does nothing.
+func (s *Shard) UpdateEndpoints(r Registrations, removed []work.EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.leading {
 		return
 	}
-	for _, e := range changed {
+	s.registrations.read(r.AsOf)
+	for _, e := range r.Changed {
 		if s.owns(e) {
 			s.updateEndpoint(e)
 		}
@@ -294,6 +301,9 @@
 
 // dispatch orders the starts that are possible now. s.mu is held.
 func (s *Shard) dispatch() {
+	if !s.checkRegistrations() {
+		return
+	}
 	for _, r := range s.pool.Next(s.opts.Now()) {
 		x := s.sessions[r.Endpoint]
 		if x == nil {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -90,13 +90,21 @@
 }
 
 func newShardWithLease(f *fleet.Fleet, partition int, lease time.Duration, fenced func()) *dispatcher {
+	return newShardWith(f, func(o *shard.Options) { o.Partition, o.Lease, o.OnFenced = partition, lease, fenced })
+}
+
+// newShardWith returns a dispatcher with the options that set has changed.
+func newShardWith(f *fleet.Fleet, set func(*shard.Options)) *dispatcher {
 	d := &dispatcher{directory: shard.NewDirectory(), history: attempt.NewHistory(), window: congestion.New()}
 	started := time.Now()
 	counts := shard.NewCounts()
-	d.Shard = shard.New(shard.Options{
-		Zone: "north", Partition: partition, Directory: d.directory, Lease: lease, Dialer: f, Window: d.window, History: d.history, OnFenced: fenced, OnReplaced: func() { d.replaced.Add(1) }, Counts: &counts,
-		Log: discardLog(), Now: func() time.Duration { return time.Since(started) + d.skip(0) },
-	})
+	o := shard.Options{
+		Zone: "north", Directory: d.directory, Lease: lease, Dialer: f, Window: d.window, History: d.history, OnFenced: func() {},
+		OnOutdated: func() {}, OnReplaced: func() { d.replaced.Add(1) }, Counts: &counts, Log: discardLog(),
+		Now: func() time.Duration { return time.Since(started) + d.skip(0) },
+	}
+	set(&o)
+	d.Shard = shard.New(o)
 	return d
 }
 
@@ -110,8 +118,8 @@
 
 // register replaces all registrations in the directory and passes the changes to the shard.
 func (d *dispatcher) register(all []work.Endpoint) {
-	removed := d.directory.Apply(shard.Registrations{Changed: all, Snapshot: true}, d.skip(0))
-	d.UpdateEndpoints(all, removed)
+	r := shard.Registrations{Changed: all, Snapshot: true}
+	d.UpdateEndpoints(r, d.directory.Apply(r, d.skip(0)))
 }
 
 func endpoints(n int) []work.Endpoint {
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -56,6 +56,8 @@
 	}
 	s.term = t
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
+	s.startsWait = false
+	s.registrations = s.opts.Directory.knowledge() // before the registrations themselves, which may be newer
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	for _, e := range s.opts.Directory.matching(s.owns) {
 		s.updateEndpoint(e.endpoint)
