--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -28,8 +28,6 @@
 	// endpointsPerMbps is the number of endpoints whose requests 1 Mbit/s of a dispatcher's link carries at the crest, with
 	// jobs of short tasks and long specifications.
 	endpointsPerMbps = 8
-	// readWait is how long a read waits for a new record. It limits the time until a silent connection is detected.
-	readWait = 10 * time.Second
 	// guessDelay is how long an instance that cannot read the numbers lets other instances dispatch for its zone before it
 	// uses a number guessed from the registrations that it has read.
 	guessDelay = 2 * time.Second
@@ -62,6 +60,8 @@
 type Options struct {
 	Store store.Store
 	Topic string
+	// ReadWait is how long a read waits for a new record. It limits the time until a silent connection is detected.
+	ReadWait time.Duration
 	// EndpointsPerPartition is the maximum number of endpoints for which this instance can dispatch, below MaxPartitions.
 	EndpointsPerPartition int
 	// GroupPartitions is the number of partitions of a group's topic in the store; MaxPartitions if 0.
@@ -95,7 +95,7 @@
 	c := &Controller{
 		opts: o, parts: map[string]int{}, guessed: map[string]int{}, changedAt: map[string]time.Time{}, startedAt: time.Now(),
 	}
-	c.follow = follow.New(follow.Options{Store: o.Store, Topic: o.Topic, Wait: readWait, Apply: c.apply, Log: o.Log})
+	c.follow = follow.New(follow.Options{Store: o.Store, Topic: o.Topic, Wait: o.ReadWait, Apply: c.apply, Log: o.Log})
 	return c
 }
 
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -29,7 +29,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	changed := &atomic.Int64{}
-	c := New(Options{Store: s, Topic: topic, EndpointsPerPartition: 40, Log: log, OnChange: func() { changed.Add(1) }})
+	c := New(Options{Store: s, Topic: topic, ReadWait: time.Second, EndpointsPerPartition: 40, Log: log, OnChange: func() { changed.Add(1) }})
 	ctx, cancel := context.WithCancel(t.Context())
 	go c.Run(ctx)
 	return c, changed, cancel
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,6 +20,9 @@
 	maxBackoff    = 400 * time.Millisecond // short, so that reading resumes soon after an outage
 )
 
+// MaxFirstPause is the longest pause between a read that failed after a successful one and the next.
+const MaxFirstPause = minBackoff/2 + minBackoff
+
 // Options configures a Controller.
 type Options struct {
 	Store store.Store
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,9 +28,6 @@
 )
 
 const (
-	// configReadWait is how long one read of the configuration topic waits for a new record. It also bounds the time until
-	// a store connection that no longer answers is detected.
-	configReadWait = 2 * time.Second
 	// endpointsInterval is the interval of the reads of the endpoint registrations, which change many times a second, while
 	// this instance dispatches. It is shorter if their greatest age requires it.
 	endpointsInterval = 500 * time.Millisecond
@@ -132,7 +129,7 @@
 		})
 	})
 	n.divisions = division.New(division.Options{
-		Store: n.store, Topic: o.Records.DivisionsTopic(),
+		Store: n.store, Topic: o.Records.DivisionsTopic(), ReadWait: s.readWait(),
 		EndpointsPerPartition: division.EndpointsPerPartition(s.LinkMbps), GroupPartitions: s.GroupPartitions, OnChange: n.shards.reconcile, Log: o.Log,
 	})
 	n.shards.divisions = n.divisions
@@ -291,7 +288,7 @@
 func (n *Node) followConfig(ctx context.Context) {
 	topic, key := n.opts.Records.ConfigTopic()
 	follow.New(follow.Options{
-		Store: n.store, Topic: topic, Wait: configReadWait, Log: n.log,
+		Store: n.store, Topic: topic, Wait: n.opts.Settings.readWait(), Log: n.log,
 		Apply: func(u follow.Update) {
 			for _, r := range u.Records {
 				if r.Key == key && len(r.Value) > 0 {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -42,6 +42,7 @@
 	Grace           time.Duration // time between the request to stop and the kill of the process
 	Lease           time.Duration // longest lease of a run on an endpoint
 	Retransmit      time.Duration // time after which a caller without a response submits its job again; 0 if unknown
+	ReadWait        time.Duration // longest wait of a read of the store for a new record; 0 for the default
 	DrainTime       time.Duration // time after which an endpoint that has announced that it leaves gets no new runs; 0 if unknown
 	MemberTTL       time.Duration // shortest time to live of a membership in a group of the store
 }
@@ -92,6 +93,17 @@
 // RegistrationAge returns the greatest age of the registrations on which runs start.
 func (s *Settings) RegistrationAge() time.Duration { return shard.RegistrationAgeWithin(s.DrainTime) }
 
+// defaultReadWait is the longest wait of a read for a new record where the deployment does not determine it.
+const defaultReadWait = 2 * time.Second
+
+// readWait returns the longest wait of a read of the store for a new record.
+func (s *Settings) readWait() time.Duration {
+	if s.ReadWait <= 0 {
+		return defaultReadWait
+	}
+	return s.ReadWait
+}
+
 const (
 	// coresPerPartition is the processor share that a dispatcher of one partition needs at the crest.
 	coresPerPartition = 0.2
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -31,7 +31,7 @@
 			History: attempt.NewHistory(), OnFenced: func() {}, OnReplaced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
 		})
 	})
-	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
+	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", ReadWait: time.Second, EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
 	n.setTerm(lead.Term{Generation: 3, Partitions: []int{8, 9}}) // the group partition of 2, and none of this zone
 	is.True(!n.leading(anyPartition))                            // the division is not known yet
 	go n.divisions.Run(t.Context())
