Heartbeats tell whether callers are attended to

Callers saw: while their instance stood still on another job, tasks of callers that had left ran on beside their second runs elsewhere, for 8.7 s.

Cause: the instance's heartbeats come from the connection, not from what notices that callers leave; and that waited, with the gateway's lock held, for the instance's own shard.

Change: heartbeats carry the time for which callers were not attended to, and dispatchers add it to the instance's silence. Requests to the own shard are queued. Readiness depends on the event loop, the gateway's lock and the shards' checks. A job is answered 504 when the third dispatcher is lost while it holds it, so that it cannot take down one instance after the other.

Tests of relay, gateway, node and shard pass with the race detector.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,12 @@
 	retryStopping  = time.Second
 	reasonStopping = "stopping"
 	reasonUnread   = "waited_unread" // the process was stopped while the request waited
-	outcomeGaveUp  = "gave_up"       // in the log
-	outcomeStopped = "stopped"       // in the log
+	// maxLosses is the number of dispatchers that may be lost while they hold a job. A job that makes its dispatchers hang or crash
+	// must not go through all instances of a zone.
+	maxLosses      = 3
+	outcomeLosses  = "dispatchers_lost" // in the log
+	outcomeGaveUp  = "gave_up"          // in the log
+	outcomeStopped = "stopped"          // in the log
 )
 
 // Options configures a Gateway.
@@ -109,7 +113,8 @@
 
 // Gateway accepts jobs from callers and responds to them. Its methods may be called concurrently.
 type Gateway struct {
-	opts Options
+	opts      Options
+	attention attention
 
 	mu               sync.Mutex
 	jobs             map[work.JobID]*pending
@@ -127,17 +132,20 @@
 	route              Route         // route to the dispatcher that holds the job; nil while none does
 	untried            []Target      // dispatchers that have not been tried yet
 	orphaned           bool          // the dispatcher failed or lost its term; only its successor may continue the job
+	losses             int           // number of dispatchers whose connection ended while they held the job
 	awaitingDispatcher bool          // no dispatcher could be reached yet
 	refusal            *relay.Answer // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 }
 
 // New returns a gateway without jobs.
 func New(o Options) *Gateway {
-	return &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	return &Gateway{opts: o, attention: attention{started: time.Now()}, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
 }
 
 // Serve implements server.Handler.
 func (g *Gateway) Serve(x *server.Exchange) {
+	g.attention.begin()
+	defer g.attention.end()
 	config := g.opts.Config.Load()
 	if config == nil {
 		g.refuse(x, 503, "no configuration yet", retryNoConfig)
@@ -301,6 +309,13 @@
 	g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job was given up after a crash of an endpoint; it may have run"), 0)
 }
 
+// gaveUpAfterLosses responds for a job that is not handed on to one more dispatcher.
+func (g *Gateway) gaveUpAfterLosses(p *pending) {
+	g.opts.Metrics.GivenUp.Add(1)
+	g.log(p, outcomeLosses, 504)
+	g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job was given up after the loss of several dispatchers; it may have run"), 0)
+}
+
 // refuseJob logs and sends the refusal of a job.
 func (g *Gateway) refuseJob(p *pending, status int, why string, retryAfter time.Duration) {
 	g.log(p, why, status)
@@ -318,6 +333,7 @@
 func (g *Gateway) Sweep() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.attention.noteFree()
 	now := time.Now()
 	for _, p := range g.jobs {
 		if now.Before(p.deadline) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -258,6 +258,35 @@
 	is.Equal(f.receive(a).status, 200)
 }
 
+// Guards against a job that makes its dispatchers hang or crash and is handed on to each successor, until no instance of the zone is
+// left.
+func TestJobThatItsDispatchersDoNotSurvive(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	a := f.post("a")
+	for range maxLosses {
+		f.RouteEnded(f.router, true)
+		f.Resubmit()
+	}
+	is.Equal(f.receive(a).status, 504) // it may have run
+	is.Equal(len(f.router.sent()), maxLosses)
+	is.Equal(f.Active(), 0)
+}
+
+// Guards against an instance that passes for one that notices when its callers leave while its event loop or its lock is held.
+func TestUnattended(t *testing.T) {
+	f := start(t, time.Minute)
+	f.post("a")
+	f.Sweep()
+	f.mu.Lock()
+	wait.For(t, "the lock counts as held", func() bool { return f.Unattended() >= 50*time.Millisecond })
+	f.mu.Unlock()
+	f.attention.begin()
+	wait.For(t, "the event loop counts as held", func() bool { return f.Unattended() >= 50*time.Millisecond })
+	f.attention.end()
+	wait.For(t, "the callers are attended to", func() bool { return f.Unattended() < 50*time.Millisecond })
+}
+
 // knownAttempts returns a crash under task 0 of every job, as if another dispatcher had reported it.
 func knownAttempts(id work.JobID) []attempt.Attempt {
 	return []attempt.Attempt{{Task: work.TaskID{Job: id}, Run: 1, Process: attempt.Process{Endpoint: "i"}, Outcome: attempt.Crashed}}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// dispatcherLost handles the loss of the dispatcher that held a job. The caller holds g.mu.
+func (g *Gateway) dispatcherLost(p *pending) {
+	p.losses++
+	if p.losses < maxLosses {
+		g.markOrphaned(p)
+		return
+	}
+	p.route = nil // it has ended
+	g.discard(p)
+	g.gaveUpAfterLosses(p)
+}
+
 // RouteEnded reports that a route has ended. sent is false if its connection was never open, so that no job
 // has been sent over it.
 func (g *Gateway) RouteEnded(route Route, sent bool) {
@@ -103,7 +115,9 @@
 	for _, p := range g.jobs {
 		switch {
 		case p.route != route:
-		case sent || p.orphaned:
+		case sent:
+			g.dispatcherLost(p)
+		case p.orphaned:
 			g.markOrphaned(p)
 		default:
 			g.placeOrRefuse(p)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,9 @@
 	// minDrainTime is the time that the load balancer needs to detect that the instance is not ready any more. Until then
 	// the instance serves new requests.
 	minDrainTime = 2500 * time.Millisecond
+	// maxStall is how long the callers' event loop, the gateway's lock or a shard's checks may stand still before the instance
+	// reports that it is not ready. A busy instance stands still for less.
+	maxStall = 2 * time.Second
 	// exitReserve is the part of Settings.Grace that is reserved for the exit of the process after the drain.
 	exitReserve = time.Second
 	// serverStopTimeout is how long to wait for the event loops of the callers' listener to end. They check twice a second
@@ -350,9 +353,10 @@
 	}
 }
 
-// ready reports whether the instance has a configuration and is not draining.
+// ready reports whether the instance has a configuration, is not draining, and neither its gateway nor a shard has stood still for
+// maxStall.
 func (n *Node) ready() bool {
-	return n.config.Load() != nil && !n.draining()
+	return n.config.Load() != nil && !n.draining() && n.gateway.Unattended() <= maxStall && !n.shards.stalled(maxStall)
 }
 
 // awaitResponses waits until the responses to callers have been written, for at most responseTimeout.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -86,7 +86,7 @@
 func (r *router) pressure(t gateway.Target) (pressure int, ok bool) {
 	address := r.dispatcher(t.Zone, t.Partition)
 	if address == r.address {
-		return r.shards.pressure(t.Partition)
+		return r.shards.lastPressure(t.Partition)
 	}
 	r.mu.Lock()
 	route := r.routes[address]
@@ -130,10 +130,9 @@
 		return nil, false
 	}
 	if address == r.address {
-		if !r.shards.leading(to.Partition) {
+		if !r.shards.leading(to.Partition) || !r.local.submit(s) {
 			return nil, false
 		}
-		r.shards.Submit(r.local, s)
 		return r.local, true
 	}
 	route := r.routeTo(address, to.Zone)
@@ -166,8 +165,8 @@
 	route := &uplinkRoute{zone: zone}
 	route.uplink = relay.Dial(address, r.meter, relay.Handler{
 		Answer:   func(a *relay.Answer) { r.gateway.Answer(route, a) },
-		Attempts: func(all []attempt.Attempt) { r.mergeAttempts(address, all) },
-		End:      func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
+		Attempts: func(all []attempt.Attempt) { r.mergeAttempts(address, all) }, Unattended: r.gateway.Unattended,
+		End: func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
 	})
 	r.routes[address] = route
 	return route
@@ -249,57 +248,3 @@
 		}
 	}
 }
-
-// localRoute is the route to this instance's own shards. It queues the answers and passes them to the gateway in another
-// goroutine, because a shard calls Answer while it holds its lock.
-type localRoute struct {
-	shards  *shards
-	gateway *gateway.Gateway
-	mu      sync.Mutex
-	answers []*relay.Answer
-	wake    chan struct{}
-}
-
-func newLocalRoute(s *shards) *localRoute {
-	return &localRoute{shards: s, wake: make(chan struct{}, 1)}
-}
-
-// Answer implements relay.Client.
-func (r *localRoute) Answer(a *relay.Answer) {
-	r.mu.Lock()
-	r.answers = append(r.answers, a)
-	r.mu.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
-
-// Name implements relay.Client.
-func (r *localRoute) Name() string { return "local" }
-
-// Silence implements relay.Client.
-func (r *localRoute) Silence() time.Duration { return 0 }
-
-// Cancel implements gateway.Route.
-func (r *localRoute) Cancel(from gateway.Target, id work.JobID) {
-	r.shards.Cancel(r, &relay.Cancel{Job: id, Partition: from.Partition})
-}
-
-// run passes queued answers to the gateway until done is closed.
-func (r *localRoute) run(done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-r.wake:
-		}
-		r.mu.Lock()
-		answers := r.answers
-		r.answers = nil
-		r.mu.Unlock()
-		for _, a := range answers {
-			r.gateway.Answer(r, a)
-		}
-	}
-}
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -21,7 +21,9 @@
 	history   *attempt.History
 	make      func(partition int) *shard.Shard
 
-	mu   sync.Mutex
+	reconciling sync.Mutex // held while terms begin and end, which waits for the shards
+
+	mu   sync.Mutex // held for moments only, since callers' requests wait for it
 	term lead.Term
 	all  map[int]*shard.Shard // by partition; a shard stays after its term has ended
 }
@@ -41,32 +43,34 @@
 // reconcile begins the terms of the shards of all held partitions and ends those of the others. A partition at or above
 // the zone's number of partitions is not dispatched, and no term begins before that number is usable.
 func (s *shards) reconcile() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.reconciling.Lock()
+	defer s.reconciling.Unlock()
 	if !s.divisions.Usable() {
 		return
 	}
-	t := s.shardTerm()
+	held := s.heldTerm()
+	t := s.shardTerm(held.Generation)
 	for part := range division.MaxPartitions {
-		x := s.all[part]
-		if part >= t.Partitions || !s.term.Holds(s.divisions.GroupPartition(s.zone, part)) {
-			if x != nil {
+		if part >= t.Partitions || !held.Holds(s.divisions.GroupPartition(s.zone, part)) {
+			if x := s.get(part); x != nil {
 				x.End()
 			}
 			continue
 		}
-		if x == nil {
-			x = s.make(part)
-			s.all[part] = x
-		}
-		x.Begin(t)
+		s.getOrMake(part).Begin(t)
 	}
 }
 
-// shardTerm returns the term for the shards of all held partitions. The caller holds s.mu.
-func (s *shards) shardTerm() shard.Term {
+func (s *shards) heldTerm() lead.Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
+// shardTerm returns the term for the shards of all partitions that are held under a generation.
+func (s *shards) shardTerm(generation int64) shard.Term {
 	parts := s.divisions.Partitions(s.zone)
-	t := shard.Term{Fence: fenceOf(s.term.Generation, parts), Partitions: parts}
+	t := shard.Term{Fence: fenceOf(generation, parts), Partitions: parts}
 	if at := s.divisions.ChangedAt(s.zone); !at.IsZero() {
 		t.DividedAt = at.Sub(s.started)
 	}
@@ -85,6 +89,15 @@
 	return s.all[part]
 }
 
+func (s *shards) getOrMake(part int) *shard.Shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all[part] == nil {
+		s.all[part] = s.make(part)
+	}
+	return s.all[part]
+}
+
 // each returns the existing shards in the order of their partitions.
 func (s *shards) each() []*shard.Shard {
 	s.mu.Lock()
@@ -115,13 +128,24 @@
 	return false
 }
 
-// pressure returns the pressure of a partition in percent. ok is false if this instance does not dispatch for it.
-func (s *shards) pressure(part int) (pressure int, ok bool) {
+// stalled reports whether a shard has not made its periodic checks for longer than a limit.
+func (s *shards) stalled(limit time.Duration) bool {
+	for _, x := range s.each() {
+		if x.SinceCheck() > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// lastPressure returns the last known pressure of a partition in percent. ok is false if this instance does not dispatch for it. It
+// does not wait for the shard.
+func (s *shards) lastPressure(part int) (pressure int, ok bool) {
 	x := s.get(part)
 	if x == nil || !x.Leading() {
 		return 0, false
 	}
-	return x.Pressure(), true
+	return x.LastPressure(), true
 }
 
 // applyRegistrations applies a read of the registrations to the directory and to all shards.
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -8,20 +8,38 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
 	"github.com/savorypass/savorypass/internal/standin/wait"
+	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/work"
 )
 
 // Guards against an instance that starts while its zone has no registrations, concludes from their number that the zone
 // has a single partition, and dispatches with that.
 func TestShardsOfFewRegistrations(t *testing.T) {
 	is := is.New(t)
-	log := silentLog()
 	s := keyed.New()
 	s.Set("divisions", "north/4", []byte{1})
+	n := newTestShards(s)
+	n.setTerm(lead.Term{Generation: 3, Partitions: []int{8, 9}}) // the group partition of 2, and none of this zone
+	is.True(!n.leading(anyPartition))                            // the division is not known yet
+	go n.divisions.Run(t.Context())
+	wait.For(t, "the partition is dispatched", func() bool { return n.leading(2) })
+	t.Cleanup(func() { n.setTerm(lead.Term{Generation: 4}) })
+	is.True(!n.leading(0))
+	is.True(!n.leading(9)) // the zone has only 4 partitions
+	is.True(!n.leading(1))
+	is.Equal(n.dump()[0].Fence, fenceOf(3, 4))
+}
+
+// newTestShards returns the shards of an instance of the zone north, with the divisions that are in a store.
+func newTestShards(s store.Store) *shards {
+	log := silentLog()
 	counts := shard.NewCounts()
 	directory := shard.NewDirectory()
 	started := time.Now()
@@ -32,13 +50,43 @@
 		})
 	})
 	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", ReadWait: time.Second, EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
-	n.setTerm(lead.Term{Generation: 3, Partitions: []int{8, 9}}) // the group partition of 2, and none of this zone
-	is.True(!n.leading(anyPartition))                            // the division is not known yet
+	return n
+}
+
+// stuckClient keeps each shard that answers it from going on until it is released, as a call would that does not end.
+type stuckClient struct{ released chan struct{} }
+
+func (c stuckClient) Answer(*relay.Answer)   { <-c.released }
+func (c stuckClient) Name() string           { return "stuck" }
+func (c stuckClient) Silence() time.Duration { return 0 }
+
+// Guards against an instance that does not notice that its callers leave, and that reports that it is ready, while one of its own
+// shards stands still: their tasks ran on while other dispatchers took the callers for present.
+func TestShardThatStandsStill(t *testing.T) {
+	is := is.New(t)
+	n := newTestShards(keyed.New())
+	n.setTerm(lead.Term{Generation: 3, Partitions: []int{0, 1, 2}})
 	go n.divisions.Run(t.Context())
-	wait.For(t, "the partition is dispatched", func() bool { return n.leading(2) })
+	wait.For(t, "the partition is dispatched", func() bool { return n.leading(0) })
+	is.True(!n.stalled(time.Minute))
+	stuck := stuckClient{make(chan struct{})}
 	t.Cleanup(func() { n.setTerm(lead.Term{Generation: 4}) })
-	is.True(!n.leading(0))
-	is.True(!n.leading(9)) // the zone has only 4 partitions
-	is.True(!n.leading(1))
-	is.Equal(n.dump()[0].Fence, fenceOf(3, 4))
+	defer close(stuck.released)
+	go n.Submit(stuck, &relay.Submit{Job: work.Job{ID: "x", Service: "none", Steps: []work.Step{{Count: 1}}}})
+	wait.For(t, "the shard stands still", func() bool { return n.stalled(10 * checkPause) })
+	local := newLocalRoute(n)
+	go local.requests.run(t.Context().Done(), func(request func()) { request() })
+	is.True(local.submit(&relay.Submit{Job: work.Job{ID: "y", Steps: []work.Step{{Count: 1}}}}))
+	local.Cancel(gateway.Target{}, "y")
+	is.True(n.leading(0))
+	_, known := n.lastPressure(0)
+	is.True(known)
+	go n.reconcile() // waits for the shard
+	for range maxLocalRequests + 1 {
+		local.submit(&relay.Submit{})
+	}
+	is.True(!local.submit(&relay.Submit{}))
 }
+
+// checkPause is longer than the pause between a shard's checks.
+const checkPause = 60 * time.Millisecond
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -31,9 +31,10 @@
 
 // link is one connection with its send queue. The first error closes it.
 type link struct {
-	conn  net.Conn
-	queue chan []byte
-	state func() heartbeat // what a heartbeat carries; nil for empty heartbeats
+	conn     net.Conn
+	queue    chan []byte
+	interval time.Duration    // of the heartbeats that are sent
+	state    func() heartbeat // what a heartbeat carries
 
 	gaps *pause.Gaps // times of reads
 
@@ -42,9 +43,9 @@
 	err  error
 }
 
-func newLink(conn net.Conn, state func() heartbeat) *link {
+func newLink(conn net.Conn, interval time.Duration, state func() heartbeat) *link {
 	l := &link{
-		conn: conn, state: state, queue: make(chan []byte, maxQueued), done: make(chan struct{}),
+		conn: conn, interval: interval, state: state, queue: make(chan []byte, maxQueued), done: make(chan struct{}),
 		gaps: pause.NewGaps(pause.Suspended),
 	}
 	go l.writeLoop()
@@ -72,7 +73,7 @@
 
 // writeLoop sends the queued messages and the heartbeats until the link is closed.
 func (l *link) writeLoop() {
-	ticker := time.NewTicker(l.interval())
+	ticker := time.NewTicker(l.interval)
 	defer ticker.Stop()
 	buffered := bufio.NewWriter(l.conn)
 	frame := l.heartbeat() // sent at once, so that the peer can detect that the process is alive
@@ -92,19 +93,8 @@
 	}
 }
 
-// interval returns the interval of the heartbeats that are sent.
-func (l *link) interval() time.Duration {
-	if l.state == nil {
-		return submitterInterval
-	}
-	return heartbeatInterval
-}
-
 func (l *link) heartbeat() []byte {
-	var b heartbeat
-	if l.state != nil {
-		b = l.state()
-	}
+	b := l.state()
 	frame, err := encode(&b)
 	if err != nil {
 		l.close(err)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -66,6 +66,8 @@
 type heartbeat struct {
 	Loads    []Load            `msgpack:"l,omitempty"`
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
+	// Unattended is how long the sender, an instance that submits jobs, has been unable to notice that its callers leave.
+	Unattended time.Duration `msgpack:"u,omitempty"`
 }
 
 type kind byte
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,7 +19,8 @@
 	Answer(a *Answer)
 	// Name returns the client's address for logs.
 	Name() string
-	// Silence returns how long ago the instance has sent its last message.
+	// Silence returns for how long the instance may not have noticed that its callers have left: the time since its last message
+	// and the time for which it did not attend to its callers before that.
 	Silence() time.Duration
 }
 
@@ -76,14 +77,21 @@
 	link     *link
 	accepted time.Time
 	heardAt  atomic.Int64 // time from accepted to the last message in nanoseconds
+	// unattended is what the last heartbeat said of the callers, in nanoseconds.
+	unattended atomic.Int64
 }
 
 // heard records that a message was received.
-func (c *remoteClient) heard() { c.heardAt.Store(int64(time.Since(c.accepted))) }
+func (c *remoteClient) heard(message any) {
+	c.heardAt.Store(int64(time.Since(c.accepted)))
+	if b, ok := message.(*heartbeat); ok {
+		c.unattended.Store(int64(b.Unattended))
+	}
+}
 
 // Silence implements Client.
 func (c *remoteClient) Silence() time.Duration {
-	return time.Since(c.accepted) - time.Duration(c.heardAt.Load())
+	return time.Since(c.accepted) - time.Duration(c.heardAt.Load()) + time.Duration(c.unattended.Load())
 }
 
 // Answer implements Client.
@@ -100,14 +108,14 @@
 func (c *remoteClient) Name() string { return c.link.conn.RemoteAddr().String() }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	l := newLink(s.meter.Conn(conn, traffic.Downlink), func() heartbeat {
+	l := newLink(s.meter.Conn(conn, traffic.Downlink), heartbeatInterval, func() heartbeat {
 		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts()}
 	})
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
 	client := &remoteClient{link: l, accepted: time.Now()}
 	err := l.receive(func(message any) {
-		client.heard()
+		client.heard(message)
 		switch m := message.(type) {
 		case *Submit:
 			s.dispatcher.Submit(client, m)
@@ -150,6 +158,8 @@
 	Answer func(*Answer)
 	// Attempts receives the unsuccessful runs that the dispatcher has observed; each comes several times.
 	Attempts func([]attempt.Attempt)
+	// Unattended returns how long this instance has been unable to notice that its callers leave.
+	Unattended func() time.Duration
 	// End is called once, when the connection has ended or could not be opened; sent is false if the connection was never
 	// open, so that no message has been sent.
 	End func(u *Uplink, sent bool, err error)
@@ -184,7 +194,7 @@
 }
 
 func (u *Uplink) receive(conn net.Conn, h Handler) error {
-	l := newLink(conn, nil)
+	l := newLink(conn, submitterInterval, func() heartbeat { return heartbeat{Unattended: h.Unattended()} })
 	u.mu.Lock()
 	u.link = l
 	for _, frame := range u.unsent {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,16 +18,22 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
+// attended is the answer of an instance that attends to its callers.
+func attended() time.Duration { return 0 }
+
 // echo is a dispatcher that answers every job at once as completed, except those of the queue "kept".
 type echo struct {
 	cancelled chan work.JobID
 	gone      chan Client
+	kept      chan Client // clients of the jobs that are not answered
 }
 
 func (e *echo) Submit(from Client, s *Submit) {
-	if s.Job.Queue != "kept" {
-		from.Answer(&Answer{Job: s.Job.ID, State: work.Completed})
+	if s.Job.Queue == "kept" {
+		e.kept <- from
+		return
 	}
+	from.Answer(&Answer{Job: s.Job.ID, State: work.Completed})
 }
 func (e *echo) Cancel(_ Client, c *Cancel) { e.cancelled <- c.Job }
 func (e *echo) ClientGone(from Client)     { e.gone <- from }
@@ -41,7 +47,7 @@
 func listen(t *testing.T) (*Server, *echo) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	e := &echo{cancelled: make(chan work.JobID, 10), gone: make(chan Client, 10)}
+	e := &echo{cancelled: make(chan work.JobID, 10), gone: make(chan Client, 10), kept: make(chan Client, 10)}
 	s, err := Listen("127.0.0.1:0", e, nil, log)
 	if err != nil {
 		t.Fatal(err)
@@ -63,6 +69,26 @@
 	}
 }
 
+// Guards against a dispatcher that takes the callers of an instance for present while that instance cannot notice that they leave: its
+// heartbeats go on.
+func TestUnattendedCallersCountAsSilence(t *testing.T) {
+	is := is.New(t)
+	s, e := listen(t)
+	u := Dial(s.Address(), nil, Handler{
+		Unattended: func() time.Duration { return time.Hour },
+		Answer:     func(*Answer) {}, Attempts: func([]attempt.Attempt) {}, End: func(*Uplink, bool, error) {},
+	})
+	defer u.Close()
+	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
+	client := receive(t, e.kept)
+	for end := time.Now().Add(20 * time.Second); client.Silence() < time.Hour; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the silence does not contain what the heartbeat says")
+		}
+	}
+	is.True(client.Silence() < 2*time.Hour)
+}
+
 // Guards against jobs, answers, cancellations, loads or unsuccessful runs that are lost on a working connection, also when they are sent
 // before it is open.
 func TestRelay(t *testing.T) {
@@ -72,7 +98,8 @@
 	attempts := make(chan []attempt.Attempt, 100)
 	ended := make(chan bool, 1)
 	u := Dial(s.Address(), nil, Handler{
-		Answer: func(a *Answer) { answers <- a }, Attempts: func(a []attempt.Attempt) { attempts <- a },
+		Unattended: attended,
+		Answer:     func(a *Answer) { answers <- a }, Attempts: func(a []attempt.Attempt) { attempts <- a },
 		End: func(_ *Uplink, sent bool, _ error) { ended <- sent },
 	})
 	u.Submit(&Submit{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 2}}}})
@@ -104,7 +131,7 @@
 	address := l.Addr().String()
 	l.Close()
 	ended := make(chan bool, 1)
-	Dial(address, nil, Handler{Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
+	Dial(address, nil, Handler{Unattended: attended, Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
 	is.True(!receive(t, ended))
 }
 
@@ -122,7 +149,7 @@
 		}
 	}()
 	ended := make(chan bool, 1)
-	Dial(l.Addr().String(), nil, Handler{Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
+	Dial(l.Addr().String(), nil, Handler{Unattended: attended, Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
 	is.True(receive(t, ended))
 	is.True(!Probe(l.Addr().String(), 50*time.Millisecond)) // like a machine that accepts connections for a stopped process
 	live, _ := listen(t)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -78,7 +79,10 @@
 
 // Shard is the dispatcher of one partition. Its methods may be called concurrently.
 type Shard struct {
-	opts Options
+	opts     Options
+	leads    atomic.Bool  // mirrors leading
+	pressure atomic.Int64 // as last calculated, in percent
+	checked  atomic.Int64 // end of the last periodic checks, on the clock of Options.Now in nanoseconds
 
 	mu              sync.Mutex
 	leading         bool
@@ -344,6 +348,15 @@
 	s.stopAll(s.pool.Unwanted(now-claimTime), stopUnwanted)
 	s.pool.ForgetSuccesses(now - successRetention)
 	s.dispatch()
+	s.checked.Store(int64(s.opts.Now()))
+}
+
+// SinceCheck returns how long ago the last periodic checks ended, 0 without a term. It does not wait for the shard's lock.
+func (s *Shard) SinceCheck() time.Duration {
+	if !s.leads.Load() {
+		return 0
+	}
+	return s.opts.Now() - time.Duration(s.checked.Load())
 }
 
 // refuseLate refuses accepted jobs that have not started and whose result would come too late to be of use.
@@ -419,7 +432,23 @@
 func (s *Shard) Pressure() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.Pressure()
+	return s.updatePressure()
+}
+
+// LastPressure is like Pressure but does not wait for the shard's lock: while it is taken, the pressure is that of the last call.
+func (s *Shard) LastPressure() int {
+	if !s.mu.TryLock() {
+		return int(s.pressure.Load())
+	}
+	defer s.mu.Unlock()
+	return s.updatePressure()
+}
+
+// updatePressure calculates the pressure. s.mu is held.
+func (s *Shard) updatePressure() int {
+	now := s.pool.Pressure()
+	s.pressure.Store(int64(now))
+	return now
 }
 
 // Dump is a snapshot of a shard for operators.
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -56,6 +56,8 @@
 	}
 	s.term = t
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
+	s.checked.Store(int64(s.fenceStart))
+	s.leads.Store(true)
 	s.startsWait = false
 	s.registrations = s.opts.Directory.knowledge() // before the registrations themselves, which may be newer
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -105,6 +107,7 @@
 		"event": "dispatching_ended", "fence": s.term.Fence, "partitions": s.term.Partitions, "jobs": len(s.clients),
 	}).Info("dispatching for the partition ended")
 	s.leading = false
+	s.leads.Store(false)
 	s.cancel()
 	for id, client := range s.clients {
 		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
@@ -135,12 +138,8 @@
 	s.end()
 }
 
-// Leading reports whether this instance holds the term.
-func (s *Shard) Leading() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leading
-}
+// Leading reports whether this instance holds the term. It does not wait for the shard's lock.
+func (s *Shard) Leading() bool { return s.leads.Load() }
 
 // notBefore returns the time until which a resumed job waits for endpoints that have not reported; 0 for a new job.
 func (s *Shard) notBefore(resumed bool) time.Duration {
