A cancel finds its job at any instance

Callers saw: a cancel that reached another instance than the submission was answered "no such job", and the job ran to its end.

Cause: only the instance of the submission knows a job whose caller waits.

Change: heartbeats pass the cancellation on to all instances; the one that holds the job cancels it and says so. 410 only if nobody has found the job within 1.2 s and all dispatchers are connected, else 503. A submission that arrives after its cancel does not start the job.

--- /dev/null
+++ b/internal/gateway/cancel.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/server"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// A cancel may reach another instance than the submission did: the load balancer chooses among the instances that are ready. That
+// instance passes the cancellation on to all others with its heartbeats, by way of the dispatchers, and the one that holds the job
+// cancels it. Every instance remembers the cancellation, so that a submission which arrives later does not start the job.
+
+const (
+	// spreadTime is how long news of a cancellation is passed on. It covers several heartbeats on each part of the way.
+	spreadTime = time.Second
+	// findTimeout is how long a cancel waits for the instance that holds the job. The way there and back takes two heartbeats of an
+	// instance that submits jobs and two of a dispatcher.
+	findTimeout = 1200 * time.Millisecond
+	// cancelMemory is how long a cancelled job is not started again. No caller repeats a submission later.
+	cancelMemory = time.Minute
+	// endMemory is how long this instance remembers that a job has ended, so that a cancel need not be passed on.
+	endMemory = 10 * time.Second
+	// maxSpread bounds the cancellations in one heartbeat.
+	maxSpread = 500
+	// retryCancel is the time after which a caller should retry a cancel when not all dispatchers could be asked for the job.
+	retryCancel = time.Second
+)
+
+// cancellations holds what an instance knows of cancelled and ended jobs. It implements relay.Cancellations and is safe for concurrent
+// use.
+type cancellations struct {
+	// cancelPending cancels a job if this instance holds it, and returns whether it does.
+	cancelPending func(work.JobID) bool
+
+	mu        sync.Mutex
+	cancelled map[work.JobID]*cancellation
+	ended     map[work.JobID]time.Time // when this instance answered that the job has ended
+	sweptAt   time.Time
+}
+
+type cancellation struct {
+	at      time.Time // when the cancellation was learned
+	newsAt  time.Time // when it was learned that it is passed on, or that the job was found; zero if it is not passed on
+	found   bool      // an instance held the job and has cancelled it
+	waiting []*server.Exchange
+}
+
+func newCancellations(cancelPending func(work.JobID) bool) *cancellations {
+	return &cancellations{cancelPending: cancelPending, cancelled: map[work.JobID]*cancellation{}, ended: map[work.JobID]time.Time{}}
+}
+
+// Recent implements relay.Cancellations.
+func (c *cancellations) Recent() []relay.Cancellation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var recent []relay.Cancellation
+	for id, x := range c.cancelled {
+		if time.Since(x.newsAt) < spreadTime && len(recent) < maxSpread {
+			recent = append(recent, relay.Cancellation{Job: id, Found: x.found})
+		}
+	}
+	return recent
+}
+
+// Merge implements relay.Cancellations.
+func (c *cancellations) Merge(all []relay.Cancellation) {
+	for _, m := range all {
+		if c.isNews(m) {
+			c.spread(m.Job, c.cancelPending(m.Job) || m.Found)
+		}
+	}
+}
+
+func (c *cancellations) isNews(m relay.Cancellation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.cancelled[m.Job]
+	return known == nil || m.Found && !known.found
+}
+
+// spread records a cancellation and passes it on.
+func (c *cancellations) spread(id work.JobID, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.record(id)
+	x.newsAt = time.Now()
+	x.found = x.found || found
+}
+
+// remember records that a job which this instance held was cancelled.
+func (c *cancellations) remember(id work.JobID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record(id).found = true
+}
+
+// record returns the record of a cancellation. c.mu is held.
+func (c *cancellations) record(id work.JobID) *cancellation {
+	x := c.cancelled[id]
+	if x == nil {
+		x = &cancellation{at: time.Now()}
+		c.cancelled[id] = x
+	}
+	return x
+}
+
+// find passes a cancellation on. The exchange gets its response when the job is found or findTimeout has passed.
+func (c *cancellations) find(id work.JobID, x *server.Exchange) {
+	c.spread(id, false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelled[id].waiting = append(c.cancelled[id].waiting, x)
+}
+
+// isCancelled reports whether a job was cancelled.
+func (c *cancellations) isCancelled(id work.JobID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancelled[id] != nil
+}
+
+// noteEnded records that this instance has answered that a job has ended. A job that was refused or has timed out does not count, since
+// its caller may have submitted it again elsewhere.
+func (c *cancellations) noteEnded(id work.JobID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended[id] = time.Now()
+}
+
+// hasEnded reports whether this instance has answered lately that a job has ended.
+func (c *cancellations) hasEnded(id work.JobID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.ended[id]
+	return ok && time.Since(at) < endMemory
+}
+
+// due returns the exchanges whose cancellation has been decided, and whether the job was found.
+func (c *cancellations) due() (found, missing []*server.Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.cancelled {
+		switch {
+		case len(x.waiting) == 0:
+			continue
+		case x.found:
+			found = append(found, x.waiting...)
+		case time.Since(x.newsAt) >= findTimeout:
+			missing = append(missing, x.waiting...)
+		default:
+			continue
+		}
+		x.waiting = nil
+	}
+	c.forget()
+	return found, missing
+}
+
+// forget deletes old entries from time to time. c.mu is held.
+func (c *cancellations) forget() {
+	if time.Since(c.sweptAt) < endMemory/2 {
+		return
+	}
+	c.sweptAt = time.Now()
+	for id, x := range c.cancelled {
+		if time.Since(x.at) > cancelMemory {
+			delete(c.cancelled, id)
+		}
+	}
+	for id, at := range c.ended {
+		if time.Since(at) > endMemory {
+			delete(c.ended, id)
+		}
+	}
+}
+
+// cancel cancels a job at its caller's request.
+func (g *Gateway) cancel(x *server.Exchange, id work.JobID) {
+	switch {
+	case g.cancelPending(id):
+		g.cancelled.remember(id)
+		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
+	case g.cancelled.hasEnded(id):
+		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+	default:
+		g.opts.Log.WithFields(logrus.Fields{"event": "cancel_passed_on", "job": id}).Info("asking all instances for a job to cancel")
+		g.opts.Router.ConnectAll()
+		g.cancelled.find(id, x)
+	}
+}
+
+// cancelPending cancels a job that this instance holds and returns whether it does.
+func (g *Gateway) cancelPending(id work.JobID) bool {
+	g.mu.Lock()
+	p := g.jobs[id]
+	if p != nil {
+		g.discard(p)
+	}
+	g.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	g.answerJob(p, 200, work.Cancelled)
+	return true
+}
+
+// answerCancels responds to the cancels that were passed on and are decided now.
+func (g *Gateway) answerCancels() {
+	found, missing := g.cancelled.due()
+	for _, x := range found {
+		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
+	}
+	for _, x := range missing {
+		if !g.opts.Router.ReachesAll() {
+			g.refuse(x, 503, "not all instances could be asked for the job", retryCancel)
+			continue
+		}
+		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+	}
+}
+
+// Cancellations returns what the instance's heartbeats carry of cancelled jobs.
+func (g *Gateway) Cancellations() relay.Cancellations { return g.cancelled }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,10 @@
 	Submit(to Target, s *relay.Submit) (Route, bool)
 	// ReportNotLeader reports that a dispatcher has refused a job because it no longer dispatches for the target.
 	ReportNotLeader(from Target)
+	// ConnectAll opens the connections to the dispatchers of all zones that are missing.
+	ConnectAll()
+	// ReachesAll reports whether all dispatchers of all zones are known and connected.
+	ReachesAll() bool
 }
 
 // Route is the connection over which a job was submitted to a dispatcher. Routes are compared by identity.
@@ -115,6 +119,7 @@
 type Gateway struct {
 	opts      Options
 	attention attention
+	cancelled *cancellations
 
 	mu               sync.Mutex
 	jobs             map[work.JobID]*pending
@@ -139,7 +144,9 @@
 
 // New returns a gateway without jobs.
 func New(o Options) *Gateway {
-	return &Gateway{opts: o, attention: attention{started: time.Now()}, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g := &Gateway{opts: o, attention: attention{started: time.Now()}, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g.cancelled = newCancellations(g.cancelPending)
+	return g
 }
 
 // Serve implements server.Handler.
@@ -206,22 +213,6 @@
 	g.reply(x, 200, g.opts.Codec.EncodeState(work.Running), 0)
 }
 
-// cancel cancels a job at its caller's request.
-func (g *Gateway) cancel(x *server.Exchange, id work.JobID) {
-	g.mu.Lock()
-	p := g.jobs[id]
-	if p != nil {
-		g.discard(p)
-	}
-	g.mu.Unlock()
-	if p == nil {
-		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
-		return
-	}
-	g.answerJob(p, 200, work.Cancelled)
-	g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
-}
-
 func (g *Gateway) submit(x *server.Exchange, queue *catalog.Queue, id string) {
 	job, durability, err := g.opts.Codec.DecodeJob(id, x.Request.Body())
 	switch {
@@ -244,6 +235,10 @@
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
 	}
+	if g.cancelled.isCancelled(job.ID) {
+		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
+		return
+	}
 	p.untried = g.opts.Router.Targets(job.ID)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -297,6 +292,7 @@
 // answerJob responds with the final state of a job. It may be called with or without g.mu.
 func (g *Gateway) answerJob(p *pending, status int, s work.State) {
 	g.opts.Metrics.Answered.Add(1)
+	g.cancelled.noteEnded(p.job.ID)
 	g.opts.Metrics.ResponseMS.AddDuration(time.Since(p.arrived))
 	g.log(p, string(s), status)
 	g.reply(p.exchange, status, g.opts.Codec.EncodeState(s), 0)
@@ -329,8 +325,10 @@
 	}).Info("request")
 }
 
-// Sweep discards the jobs whose caller's timeout has passed and responds to them with 504.
+// Sweep discards the jobs whose caller's timeout has passed and responds to them with 504. It also responds to cancels that were
+// passed on to other instances.
 func (g *Gateway) Sweep() {
+	g.answerCancels()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.attention.noteFree()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
 	n.gateway = gateway.New(gateway.Options{Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics, Meter: o.Meter, Attempts: n.history.OfJob})
 	n.endpoints = n.endpointsFollower()
-	n.router.gateway, n.router.local.gateway = n.gateway, n.gateway
+	n.router.gateway, n.router.local.gateway, n.shards.gateway = n.gateway, n.gateway, n.gateway
 	return n
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -166,7 +166,8 @@
 	route.uplink = relay.Dial(address, r.meter, relay.Handler{
 		Answer:   func(a *relay.Answer) { r.gateway.Answer(route, a) },
 		Attempts: func(all []attempt.Attempt) { r.mergeAttempts(address, all) }, Unattended: r.gateway.Unattended,
-		End: func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
+		Cancellations: r.gateway.Cancellations(),
+		End:           func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
 	})
 	r.routes[address] = route
 	return route
@@ -215,23 +216,38 @@
 
 // ownZoneConnected reports whether all dispatchers of this instance's zone are known and connected. It opens the
 // connections that are missing.
-func (r *router) ownZoneConnected() bool {
+func (r *router) ownZoneConnected() bool { return r.zoneConnected(r.ownZone) }
+
+// zoneConnected is ownZoneConnected for any zone.
+func (r *router) zoneConnected(zone string) bool {
 	all := true
-	for part := range r.divisions.Partitions(r.ownZone) {
-		address := r.dispatcher(r.ownZone, part)
+	for part := range r.divisions.Partitions(zone) {
+		address := r.dispatcher(zone, part)
 		switch {
 		case address == "":
 			all = false
 		case address == r.address:
 			all = all && r.shards.leading(part)
 		default:
-			route := r.routeTo(address, r.ownZone)
+			route := r.routeTo(address, zone)
 			all = all && route != nil && route.uplink.Connected()
 		}
 	}
 	return all
 }
 
+// ConnectAll implements gateway.Router.
+func (r *router) ConnectAll() { r.ReachesAll() }
+
+// ReachesAll implements gateway.Router.
+func (r *router) ReachesAll() bool {
+	all := r.zoneConnected(r.ownZone)
+	for _, zone := range r.others {
+		all = r.zoneConnected(zone) && all
+	}
+	return all
+}
+
 // closeUnused closes the connections to instances that are not the dispatcher of any partition.
 func (r *router) closeUnused() {
 	used := map[string]bool{}
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -64,6 +64,9 @@
 func (d *loadedDispatcher) Submit(relay.Client, *relay.Submit) {}
 func (d *loadedDispatcher) Cancel(relay.Client, *relay.Cancel) {}
 func (d *loadedDispatcher) ClientGone(relay.Client)            {}
+func (d *loadedDispatcher) Cancellations() relay.Cancellations {
+	return gateway.New(gateway.Options{}).Cancellations()
+}
 func (d *loadedDispatcher) Loads() []relay.Load {
 	return []relay.Load{{Pressure: int(d.pressure.Load())}}
 }
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -6,6 +6,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
@@ -19,6 +20,7 @@
 	divisions *division.Controller
 	started   time.Time // zero of the clock of shard.Options.Now
 	history   *attempt.History
+	gateway   *gateway.Gateway // set before use
 	make      func(partition int) *shard.Shard
 
 	reconciling sync.Mutex // held while terms begin and end, which waits for the shards
@@ -195,6 +197,9 @@
 // Attempts implements relay.Dispatcher.
 func (s *shards) Attempts() []attempt.Attempt { return s.history.Recent(time.Since(s.started)) }
 
+// Cancellations implements relay.Dispatcher.
+func (s *shards) Cancellations() relay.Cancellations { return s.gateway.Cancellations() }
+
 // mergeAttempts records the unsuccessful runs that another instance has observed and returns how many were not on record.
 func (s *shards) mergeAttempts(attempts []attempt.Attempt) int {
 	if len(attempts) == 0 {
--- /dev/null
+++ b/internal/relay/cancellation.go
@@ -0,0 +1,20 @@
+package relay
+
+import "github.com/savorypass/savorypass/internal/work"
+
+// Cancellation is the cancelling of a job that has reached an instance which does not hold the job. Heartbeats carry it to all
+// instances, since the job may be held by any of them.
+type Cancellation struct {
+	Job work.JobID `msgpack:"j"`
+	// Found is true if an instance held the job and has cancelled it.
+	Found bool `msgpack:"f,omitempty"`
+}
+
+// Cancellations is where an instance keeps the cancellations that heartbeats bring and carry on. Its methods do not wait for other
+// instances.
+type Cancellations interface {
+	// Recent returns the cancellations that are passed on now; each is returned for several heartbeats.
+	Recent() []Cancellation
+	// Merge applies cancellations that another instance has passed on.
+	Merge(all []Cancellation)
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -68,6 +68,8 @@
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
 	// Unattended is how long the sender, an instance that submits jobs, has been unable to notice that its callers leave.
 	Unattended time.Duration `msgpack:"u,omitempty"`
+	// Cancelled are the cancellations that the sender passes on.
+	Cancelled []Cancellation `msgpack:"c,omitempty"`
 }
 
 type kind byte
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,8 @@
 	Attempts() []attempt.Attempt
 	// ClientGone reports that the connection to a client has ended.
 	ClientGone(from Client)
+	// Cancellations returns those of this instance.
+	Cancellations() Cancellations
 }
 
 // Server accepts the connections of other instances and passes their messages to a dispatcher.
@@ -109,7 +111,7 @@
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	l := newLink(s.meter.Conn(conn, traffic.Downlink), heartbeatInterval, func() heartbeat {
-		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts()}
+		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts(), Cancelled: s.dispatcher.Cancellations().Recent()}
 	})
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
@@ -121,6 +123,8 @@
 			s.dispatcher.Submit(client, m)
 		case *Cancel:
 			s.dispatcher.Cancel(client, m)
+		case *heartbeat:
+			s.dispatcher.Cancellations().Merge(m.Cancelled)
 		}
 	})
 	s.dispatcher.ClientGone(client)
@@ -158,6 +162,8 @@
 	Answer func(*Answer)
 	// Attempts receives the unsuccessful runs that the dispatcher has observed; each comes several times.
 	Attempts func([]attempt.Attempt)
+	// Cancellations are those of this instance.
+	Cancellations Cancellations
 	// Unattended returns how long this instance has been unable to notice that its callers leave.
 	Unattended func() time.Duration
 	// End is called once, when the connection has ended or could not be opened; sent is false if the connection was never
@@ -194,7 +200,9 @@
 }
 
 func (u *Uplink) receive(conn net.Conn, h Handler) error {
-	l := newLink(conn, submitterInterval, func() heartbeat { return heartbeat{Unattended: h.Unattended()} })
+	l := newLink(conn, submitterInterval, func() heartbeat {
+		return heartbeat{Unattended: h.Unattended(), Cancelled: h.Cancellations.Recent()}
+	})
 	u.mu.Lock()
 	u.link = l
 	for _, frame := range u.unsent {
@@ -213,6 +221,7 @@
 		case *heartbeat:
 			u.setLoads(m.Loads) // the first message on a connection is a heartbeat
 			h.Attempts(m.Attempts)
+			h.Cancellations.Merge(m.Cancelled)
 		}
 	})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,17 +17,50 @@
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
 // attended is the answer of an instance that attends to its callers.
 func attended() time.Duration { return 0 }
 
+// cancellations passes on what it is given.
+type cancellations struct {
+	mu     sync.Mutex
+	recent []Cancellation
+	merged []Cancellation
+}
+
+func (c *cancellations) Recent() []Cancellation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recent
+}
+
+func (c *cancellations) set(recent ...Cancellation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent = recent
+}
+
+func (c *cancellations) Merge(all []Cancellation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.merged = append(c.merged, all...)
+}
+
+func (c *cancellations) hasMerged(x Cancellation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.merged, x)
+}
+
 // echo is a dispatcher that answers every job at once as completed, except those of the queue "kept".
 type echo struct {
-	cancelled chan work.JobID
-	gone      chan Client
-	kept      chan Client // clients of the jobs that are not answered
+	cancelled     chan work.JobID
+	gone          chan Client
+	cancellations cancellations
+	kept          chan Client // clients of the jobs that are not answered
 }
 
 func (e *echo) Submit(from Client, s *Submit) {
@@ -35,9 +70,10 @@
 	}
 	from.Answer(&Answer{Job: s.Job.ID, State: work.Completed})
 }
-func (e *echo) Cancel(_ Client, c *Cancel) { e.cancelled <- c.Job }
-func (e *echo) ClientGone(from Client)     { e.gone <- from }
-func (e *echo) Loads() []Load              { return []Load{{Partition: 3, Pressure: 77}} }
+func (e *echo) Cancel(_ Client, c *Cancel)   { e.cancelled <- c.Job }
+func (e *echo) ClientGone(from Client)       { e.gone <- from }
+func (e *echo) Loads() []Load                { return []Load{{Partition: 3, Pressure: 77}} }
+func (e *echo) Cancellations() Cancellations { return &e.cancellations }
 func (e *echo) Attempts() []attempt.Attempt {
 	return []attempt.Attempt{{
 		Task: work.TaskID{Job: "a", Step: 1, Index: 2}, Run: 3, Process: attempt.Process{Endpoint: "i", StartedUnixMS: 7}, Outcome: attempt.Crashed,
@@ -75,8 +111,8 @@
 	is := is.New(t)
 	s, e := listen(t)
 	u := Dial(s.Address(), nil, Handler{
-		Unattended: func() time.Duration { return time.Hour },
-		Answer:     func(*Answer) {}, Attempts: func([]attempt.Attempt) {}, End: func(*Uplink, bool, error) {},
+		Unattended: func() time.Duration { return time.Hour }, Cancellations: &cancellations{},
+		Answer: func(*Answer) {}, Attempts: func([]attempt.Attempt) {}, End: func(*Uplink, bool, error) {},
 	})
 	defer u.Close()
 	u.Submit(&Submit{Job: work.Job{ID: "b", Queue: "kept"}})
@@ -89,6 +125,20 @@
 	is.True(client.Silence() < 2*time.Hour)
 }
 
+// Guards against cancellations that do not reach the instances on the other end of a connection.
+func TestHeartbeatsCarryCancellations(t *testing.T) {
+	s, e := listen(t)
+	up, down := Cancellation{Job: "a"}, Cancellation{Job: "b", Found: true}
+	e.cancellations.set(down)
+	own := &cancellations{recent: []Cancellation{up}}
+	u := Dial(s.Address(), nil, Handler{
+		Unattended: attended, Cancellations: own,
+		Answer: func(*Answer) {}, Attempts: func([]attempt.Attempt) {}, End: func(*Uplink, bool, error) {},
+	})
+	defer u.Close()
+	wait.For(t, "both ends learn of the other's cancellation", func() bool { return own.hasMerged(down) && e.cancellations.hasMerged(up) })
+}
+
 // Guards against jobs, answers, cancellations, loads or unsuccessful runs that are lost on a working connection, also when they are sent
 // before it is open.
 func TestRelay(t *testing.T) {
@@ -98,8 +148,8 @@
 	attempts := make(chan []attempt.Attempt, 100)
 	ended := make(chan bool, 1)
 	u := Dial(s.Address(), nil, Handler{
-		Unattended: attended,
-		Answer:     func(a *Answer) { answers <- a }, Attempts: func(a []attempt.Attempt) { attempts <- a },
+		Unattended: attended, Cancellations: &cancellations{},
+		Answer: func(a *Answer) { answers <- a }, Attempts: func(a []attempt.Attempt) { attempts <- a },
 		End: func(_ *Uplink, sent bool, _ error) { ended <- sent },
 	})
 	u.Submit(&Submit{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 2}}}})
@@ -131,7 +181,7 @@
 	address := l.Addr().String()
 	l.Close()
 	ended := make(chan bool, 1)
-	Dial(address, nil, Handler{Unattended: attended, Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
+	Dial(address, nil, Handler{Unattended: attended, Cancellations: &cancellations{}, Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
 	is.True(!receive(t, ended))
 }
 
@@ -149,7 +199,7 @@
 		}
 	}()
 	ended := make(chan bool, 1)
-	Dial(l.Addr().String(), nil, Handler{Unattended: attended, Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
+	Dial(l.Addr().String(), nil, Handler{Unattended: attended, Cancellations: &cancellations{}, Attempts: func([]attempt.Attempt) {}, End: func(_ *Uplink, sent bool, _ error) { ended <- sent }})
 	is.True(receive(t, ended))
 	is.True(!Probe(l.Addr().String(), 50*time.Millisecond)) // like a machine that accepts connections for a stopped process
 	live, _ := listen(t)
