Split the large files of shard and node by their jobs

Change: stops of runs, reports and periodic checks of a shard, and the followers and the planned stop of a node are files of their own; the creation of a node is split. Functions are moved, not changed.

--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -2,10 +2,15 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
+// maxStall is how long the callers' event loop, the gateway's lock or a shard's checks may stand still before the instance reports
+// that it is not ready. A busy instance stands still for less.
+const maxStall = 2 * time.Second
+
 // serveHealth starts the listener for the load balancer's health checks.
 func (n *Node) serveHealth() (*fasthttp.Server, error) {
 	l, err := net.Listen("tcp", n.opts.Settings.Health)
@@ -27,3 +32,19 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
+
+// draining reports whether Drain has been called.
+func (n *Node) draining() bool {
+	select {
+	case <-n.drain:
+		return true
+	default:
+		return false
+	}
+}
+
+// ready reports whether the instance has a configuration, is not draining, and neither its gateway nor a shard has stood still for
+// maxStall.
+func (n *Node) ready() bool {
+	return n.config.Load() != nil && !n.draining() && n.gateway.Unattended() <= maxStall && !n.shards.stalled(maxStall)
+}
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -185,31 +185,6 @@
 	s.finish(s.pool.RunRefused(r, refusal, now))
 }
 
-// stop requests the stop of a run. If the endpoint confirms it, stop requests a report: if the report lacks the run, the run
-// was never there or is over. If the report contains the run, another report is requested after maxStopTime, in case the poll
-// that brings the end is lost.
-func (x *session) stop(r *pool.Run, fence int64) {
-	confirmed := repeat(func() bool { return x.sendStop(r, fence) })
-	if !confirmed {
-		return
-	}
-	repeat(x.requestReport)
-	if x.follows(r) {
-		time.Sleep(maxStopTime)
-		x.requestReport()
-	}
-}
-
-// logStop logs the first request to stop a run, and for how long the lease of its endpoint lasts if the stop is not carried out.
-func (x *session) logStop(r *pool.Run, why stopReason, now time.Duration) {
-	s := x.shard
-	s.opts.Counts.StoppedRuns.Add(1)
-	s.opts.Log.WithFields(logrus.Fields{
-		"event": "stop", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "why": why,
-		"lease_left_ms": (x.leaseExtendedAt + s.leaseExpiryTime() - now).Milliseconds(),
-	}).Info("stopping a run")
-}
-
 // maxAttempts is how often a request that may be repeated without harm is sent at once when it gets no answer.
 const maxAttempts = 3
 
@@ -222,36 +197,3 @@
 	}
 	return false
 }
-
-// sendStop requests the stop of a run and returns whether the endpoint confirmed it.
-func (x *session) sendStop(r *pool.Run, fence int64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), x.shard.opts.Window.Timeout())
-	defer cancel()
-	refusal, err := x.endpointClient.Stop(ctx, r.Task, r.Number, fence)
-	return x.stopAnswered(r, refusal, err)
-}
-
-// follows reports whether a run may still be on the endpoint.
-func (x *session) follows(r *pool.Run) bool {
-	x.shard.mu.Lock()
-	defer x.shard.mu.Unlock()
-	return x.shard.pool.Run(r.Task) == r
-}
-
-// stopAnswered handles the answer to a stop request and returns whether the endpoint confirmed the stop.
-func (x *session) stopAnswered(r *pool.Run, refusal work.Refusal, err error) bool {
-	s := x.shard
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err != nil || refusal != work.Done {
-		s.opts.Log.WithFields(logrus.Fields{
-			"event": "stop_failed", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "refusal": refusal.String(),
-		}).WithError(err).Warn("endpoint did not confirm the stop; retrying")
-		return false
-	}
-	if s.pool.Run(r.Task) == r && !x.stopConfirmed[r] {
-		x.stopConfirmed[r] = true
-		x.listedFromNowOn(r)
-	}
-	return true
-}
