A cancel waits until all dispatchers can be asked

Cause: a cancel for which a dispatcher had just been replaced was answered 503 after 1.2 s, although the new one is known a second later. Change: the search for a job goes on, and is passed on to connections that open meanwhile, until all dispatchers have been connected for 1.2 s, at most 3.5 s; only then 503.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -18,9 +18,11 @@
 const (
 	// spreadTime is how long news of a cancellation is passed on. It covers several heartbeats on each part of the way.
 	spreadTime = time.Second
-	// findTimeout is how long a cancel waits for the instance that holds the job. The way there and back takes two heartbeats of an
-	// instance that submits jobs and two of a dispatcher.
+	// findTimeout is how long a cancel waits for the instance that holds the job while all dispatchers are connected. The way there and
+	// back takes two heartbeats of an instance that submits jobs and two of a dispatcher.
 	findTimeout = 1200 * time.Millisecond
+	// maxFindTime is how long a cancel waits in all. Dispatchers that are replaced are known again sooner.
+	maxFindTime = 3500 * time.Millisecond
 	// cancelMemory is how long a cancelled job is not started again. No caller repeats a submission later.
 	cancelMemory = time.Minute
 	// endMemory is how long this instance remembers that a job has ended, so that a cancel need not be passed on.
@@ -41,11 +43,14 @@
 	cancelled map[work.JobID]*cancellation
 	ended     map[work.JobID]time.Time // when this instance answered that the job has ended
 	sweptAt   time.Time
+	// reachableSince is since when all dispatchers have been connected; zero while they are not, or while no cancel waits.
+	reachableSince time.Time
 }
 
 type cancellation struct {
 	at      time.Time // when the cancellation was learned
-	newsAt  time.Time // when it was learned that it is passed on, or that the job was found; zero if it is not passed on
+	newsAt  time.Time // when it was last learned that the cancellation is passed on, or that the job was found; zero if it is not passed on
+	askedAt time.Time // when the last of the waiting cancels came
 	found   bool      // an instance held the job and has cancelled it
 	waiting []*server.Exchange
 }
@@ -109,12 +114,14 @@
 	return x
 }
 
-// find passes a cancellation on. The exchange gets its response when the job is found or findTimeout has passed.
+// find passes a cancellation on. The exchange gets its response when the search has ended, see due.
 func (c *cancellations) find(id work.JobID, x *server.Exchange) {
 	c.spread(id, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancelled[id].waiting = append(c.cancelled[id].waiting, x)
+	record := c.record(id)
+	record.askedAt = time.Now()
+	record.waiting = append(record.waiting, x)
 }
 
 // isCancelled reports whether a job was cancelled.
@@ -140,25 +147,69 @@
 	return ok && time.Since(at) < endMemory
 }
 
-// due returns the exchanges whose cancellation has been decided, and whether the job was found.
-func (c *cancellations) due() (found, missing []*server.Exchange) {
+// searchOutcome is the outcome of a search for a job to cancel.
+type searchOutcome int
+
+const (
+	searching   searchOutcome = iota
+	jobFound                  // an instance has cancelled the job
+	jobMissing                // no instance holds the job
+	notAllAsked               // not all instances could be asked
+)
+
+// due returns the exchanges whose search has ended, and passes the other searches on. reachesAll tells whether all dispatchers are
+// connected now.
+func (c *cancellations) due(reachesAll bool) map[searchOutcome][]*server.Exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case !reachesAll:
+		c.reachableSince = time.Time{}
+	case c.reachableSince.IsZero():
+		c.reachableSince = now
+	}
+	ended := map[searchOutcome][]*server.Exchange{}
 	for _, x := range c.cancelled {
-		switch {
-		case len(x.waiting) == 0:
+		if len(x.waiting) == 0 {
 			continue
-		case x.found:
-			found = append(found, x.waiting...)
-		case time.Since(x.newsAt) >= findTimeout:
-			missing = append(missing, x.waiting...)
-		default:
+		}
+		o := c.outcomeOf(x, now)
+		if o == searching {
+			x.newsAt = now
 			continue
 		}
+		ended[o] = append(ended[o], x.waiting...)
 		x.waiting = nil
 	}
+	return ended
+}
+
+// outcomeOf returns the outcome of a search so far. c.mu is held.
+func (c *cancellations) outcomeOf(x *cancellation, now time.Time) searchOutcome {
+	switch {
+	case x.found:
+		return jobFound
+	case !c.reachableSince.IsZero() && now.Sub(c.reachableSince) >= findTimeout && now.Sub(x.askedAt) >= findTimeout:
+		return jobMissing
+	case now.Sub(x.askedAt) >= maxFindTime:
+		return notAllAsked
+	}
+	return searching
+}
+
+// anyWaiting reports whether a cancel waits. It also deletes old entries from time to time.
+func (c *cancellations) anyWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.forget()
-	return found, missing
+	for _, x := range c.cancelled {
+		if len(x.waiting) > 0 {
+			return true
+		}
+	}
+	c.reachableSince = time.Time{}
+	return false
 }
 
 // forget deletes old entries from time to time. c.mu is held.
@@ -189,7 +240,6 @@
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
 	default:
 		g.opts.Log.WithFields(logrus.Fields{"event": "cancel_passed_on", "job": id}).Info("asking all instances for a job to cancel")
-		g.opts.Router.ConnectAll()
 		g.cancelled.find(id, x)
 	}
 }
@@ -211,17 +261,19 @@
 
 // answerCancels responds to the cancels that were passed on and are decided now.
 func (g *Gateway) answerCancels() {
-	found, missing := g.cancelled.due()
-	for _, x := range found {
+	if !g.cancelled.anyWaiting() {
+		return
+	}
+	ended := g.cancelled.due(g.opts.Router.ReachesAll())
+	for _, x := range ended[jobFound] {
 		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
 	}
-	for _, x := range missing {
-		if !g.opts.Router.ReachesAll() {
-			g.refuse(x, 503, "not all instances could be asked for the job", retryCancel)
-			continue
-		}
+	for _, x := range ended[jobMissing] {
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
 	}
+	for _, x := range ended[notAllAsked] {
+		g.refuse(x, 503, "not all instances could be asked for the job", retryCancel)
+	}
 }
 
 // Cancellations returns what the instance's heartbeats carry of cancelled jobs.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,9 +56,7 @@
 	Submit(to Target, s *relay.Submit) (Route, bool)
 	// ReportNotLeader reports that a dispatcher has refused a job because it no longer dispatches for the target.
 	ReportNotLeader(from Target)
-	// ConnectAll opens the connections to the dispatchers of all zones that are missing.
-	ConnectAll()
-	// ReachesAll reports whether all dispatchers of all zones are known and connected.
+	// ReachesAll reports whether all dispatchers of all zones are known and connected. It opens the connections that are missing.
 	ReachesAll() bool
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -236,9 +236,6 @@
 	return all
 }
 
-// ConnectAll implements gateway.Router.
-func (r *router) ConnectAll() { r.ReachesAll() }
-
 // ReachesAll implements gateway.Router.
 func (r *router) ReachesAll() bool {
 	all := r.zoneConnected(r.ownZone)
