A start without confirmation is no crash

Cause: a run counted as one under which a process crashed once its start had been sent, whether or not the endpoint answered.

Change: a crash counts if the endpoint has confirmed the start or has reported the run; otherwise the task starts again alone.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -107,7 +107,9 @@
 	return slices.Contains(j.steps[task.Step].waiting, task.Index)
 }
 
-// EndpointCrashed ends the runs of an endpoint whose process has ended under them. Tasks that are not given up start again.
+// EndpointCrashed ends the runs of an endpoint whose process has ended under them. Tasks that are not given up start again. A run whose
+// start was not confirmed does not count as a crash, since the process may have ended without it: its job must not be answered as failed
+// for it. Its task starts again alone all the same.
 func (p *Pool) EndpointCrashed(id work.EndpointID, process attempt.Process, now time.Duration) ([]CrashedRun, []Outcome) {
 	var crashed []CrashedRun
 	var outcomes []Outcome
@@ -118,7 +120,9 @@
 			continue
 		}
 		j := r.job
-		p.history.Add(attempt.Attempt{Task: r.Task, Run: r.Number, Process: process, Outcome: attempt.Crashed}, now)
+		if r.HasStarted() {
+			p.history.Add(attempt.Attempt{Task: r.Task, Run: r.Number, Process: process, Outcome: attempt.Crashed}, now)
+		}
 		c := CrashedRun{Task: r.Task, Run: r.Number, Crashes: p.history.Count(r.Task, attempt.Crashed), Wanted: j != nil}
 		p.release(r)
 		if j != nil {
@@ -136,6 +140,9 @@
 // MayHaveStarted reports whether the endpoint may have started the run.
 func (r *Run) MayHaveStarted() bool { return r.sent }
 
+// HasStarted reports whether the endpoint has confirmed the start or has reported the run.
+func (r *Run) HasStarted() bool { return r.started }
+
 // afterCrash decides what becomes of a task under which a process has crashed: it starts again as a suspect, or the reason to give
 // it up is returned.
 func (p *Pool) afterCrash(j *job, task work.TaskID, now time.Duration) GiveUp {
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -197,3 +197,30 @@
 	p, r := runOfAGivenUpTask(t)
 	is.Equal(p.RunLost(r, 10*ms), []Outcome{{Job: "x", State: work.Failed, Task: r.Task, Why: GiveUpCrashes}})
 }
+
+// Guards against a job that is answered as failed although only one process has ended under its task: the other one had not confirmed
+// that it started the run.
+func TestUnconfirmedRunsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(endpointOf("a", 16000), endpointOf("b", 16000), endpointOf("c", 16000))
+	mustSubmit(t, p, jobAllowingLongWait("x", 6000), 0)
+	first := p.Next(0)
+	confirm(p, first, 0)
+	_, outcomes := crash(p, first[0].Endpoint, 10*ms)
+	is.Equal(len(outcomes), 0)
+	for run := 2; run < 5; run++ {
+		now := time.Duration(run) * 10 * ms
+		again := p.Next(now)
+		is.Equal(len(again), 1)
+		p.RunSent(again[0], now) // gets no answer
+		p.Withdraw(again[0])
+		crashed, outcomes := crash(p, again[0].Endpoint, now)
+		is.Equal(len(outcomes), 0)
+		is.Equal(crashed[0].Crashes, 1)
+	}
+	last := p.Next(100 * ms)
+	confirm(p, last, 100*ms)
+	_, outcomes = crash(p, last[0].Endpoint, 110*ms)
+	is.Equal(len(outcomes), 1) // the second crash that counts
+	is.Equal(outcomes[0].State, work.Failed)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -43,6 +43,7 @@
 	Unanswered   bool          // the request to start it got no answer
 	job          *job          // nil if no job waits for the result
 	unsized      bool          // Size is not known
+	started      bool          // the endpoint has confirmed the start or reported the run
 	sent         bool          // the request to start it was sent, by this dispatcher or another one, so the endpoint may have started it
 }
 
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -173,6 +173,7 @@
 
 // RunStarted records that an endpoint has confirmed the start of a run.
 func (p *Pool) RunStarted(r *Run) {
+	r.started = true
 	if r.State == Ordered {
 		r.State = Confirmed
 	}
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -245,7 +245,7 @@
 	}
 	r := &Run{
 		Task: found.Task, Number: found.Run, Endpoint: id, State: Confirmed, Ordered: now, Percent: found.Percent, ProgressedAt: now,
-		unsized: true, sent: true,
+		unsized: true, sent: true, started: true,
 	}
 	p.runs[found.Task] = r
 	p.numbers[found.Task] = max(p.numbers[found.Task], found.Run)
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -72,11 +72,11 @@
 	x.crashed(now)
 }
 
-// startedRuns returns the endpoint's runs as attempts under which its process has crashed.
+// startedRuns returns the endpoint's runs whose start was confirmed as attempts under which its process has crashed.
 func (x *session) startedRuns() []attempt.Attempt {
 	var all []attempt.Attempt
 	for _, r := range x.shard.pool.RunsOn(x.endpoint.ID) {
-		if r.MayHaveStarted() {
+		if r.HasStarted() {
 			all = append(all, attempt.Attempt{Task: r.Task, Run: r.Number, Process: x.process(), Outcome: attempt.Crashed})
 		}
 	}
