--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -155,11 +155,12 @@
 		s.Set("t", "a", []byte("1"))
 		s.DropHistory("t")
 		time.Sleep(2 * interval)
+		synctest.Wait()
 		is.Equal(at, []time.Duration{0, interval, 2 * interval})
 		s.SetDown(true)
 		time.Sleep(interval)
-		is.True(failed > 0)
 		cancel()
 		<-done
+		is.True(failed > 0)
 	})
 }
