The end of a term is seen after its answers

Cause: since Leading does not wait for the shard's lock, and the term counted as ended before its jobs had been answered. Change: the mirror of the state is set last, at the begin and at the end of a term.

--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -57,7 +57,6 @@
 	s.term = t
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
 	s.checked.Store(int64(s.fenceStart))
-	s.leads.Store(true)
 	s.startsWait = false
 	s.registrations = s.opts.Directory.knowledge() // before the registrations themselves, which may be newer
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -70,6 +69,7 @@
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "dispatching", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions),
 	}).Info("dispatching for the partition started")
+	s.leads.Store(true)
 	go s.runChecks(s.ctx)
 }
 
@@ -107,7 +107,6 @@
 		"event": "dispatching_ended", "fence": s.term.Fence, "partitions": s.term.Partitions, "jobs": len(s.clients),
 	}).Info("dispatching for the partition ended")
 	s.leading = false
-	s.leads.Store(false)
 	s.cancel()
 	for id, client := range s.clients {
 		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
@@ -117,6 +116,7 @@
 		x.endpointClient.Close()
 	}
 	s.reset()
+	s.leads.Store(false) // last, so that whoever sees the end of the term finds the jobs answered
 }
 
 // endIfOutranked ends the term when most endpoints have seen a higher fence: another instance holds the partition, even if
