One function gives up a job

Cause: three places discarded a job, counted and logged it and answered 504 with lines of their own; a cancel that is passed on was recorded twice. Change: giveUp; find records once.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -116,11 +116,10 @@
 
 // find passes a cancellation on. The exchange gets its response when the search has ended, see due.
 func (c *cancellations) find(id work.JobID, x *server.Exchange) {
-	c.spread(id, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	record := c.record(id)
-	record.askedAt = time.Now()
+	record.newsAt, record.askedAt = time.Now(), time.Now()
 	record.waiting = append(record.waiting, x)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -296,18 +296,12 @@
 	g.reply(p.exchange, status, g.opts.Codec.EncodeState(s), 0)
 }
 
-// gaveUp responds for a job that its dispatcher does not continue although it may have run in part.
-func (g *Gateway) gaveUp(p *pending) {
-	g.opts.Metrics.GivenUp.Add(1)
-	g.log(p, outcomeGaveUp, 504)
-	g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job was given up after a crash of an endpoint; it may have run"), 0)
-}
-
-// gaveUpAfterLosses responds for a job that is not handed on to one more dispatcher.
-func (g *Gateway) gaveUpAfterLosses(p *pending) {
+// giveUp discards a job that is not continued although it may have run in part, and responds. The caller holds g.mu.
+func (g *Gateway) giveUp(p *pending, outcome, message string) {
+	g.discard(p)
 	g.opts.Metrics.GivenUp.Add(1)
-	g.log(p, outcomeLosses, 504)
-	g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job was given up after the loss of several dispatchers; it may have run"), 0)
+	g.log(p, outcome, 504)
+	g.reply(p.exchange, 504, g.opts.Codec.EncodeError(message), 0)
 }
 
 // refuseJob logs and sends the refusal of a job.
@@ -354,10 +348,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.jobs {
-		g.discard(p)
-		g.opts.Metrics.GivenUp.Add(1)
-		g.log(p, outcomeStopped, 504)
-		g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the instance stops before the job has ended; it may have run"), 0)
+		g.giveUp(p, outcomeStopped, "the instance stops before the job has ended; it may have run")
 	}
 }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -58,8 +58,7 @@
 	p.route = nil
 	switch {
 	case a.GaveUp:
-		g.discard(p)
-		g.gaveUp(p)
+		g.giveUp(p, outcomeGaveUp, "the job was given up after a crash of an endpoint; it may have run")
 	case a.Refused == pool.ReasonNone:
 		g.discard(p)
 		g.answerJob(p, 200, a.State)
@@ -103,8 +102,7 @@
 		return
 	}
 	p.route = nil // it has ended
-	g.discard(p)
-	g.gaveUpAfterLosses(p)
+	g.giveUp(p, outcomeLosses, "the job was given up after the loss of several dispatchers; it may have run")
 }
 
 // RouteEnded reports that a route has ended. sent is false if its connection was never open, so that no job
