A cancellation is recorded before its job is looked for

Cause: found by reading. A submission that came between the search for the job and the record of the cancellation, on another goroutine, was started. Change: the record comes first, and a submission looks for it under the gateway's lock. Result: TestCancellationIsRecordedBeforeTheSearch fails without the change; tests of the gateway pass with the race detector.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -72,11 +72,16 @@
 	return recent
 }
 
-// Merge implements relay.Cancellations.
+// Merge implements relay.Cancellations. A cancellation is recorded before the job is looked for, so that a submission at the same moment
+// either finds the record or is found.
 func (c *cancellations) Merge(all []relay.Cancellation) {
 	for _, m := range all {
-		if c.isNews(m) {
-			c.spread(m.Job, c.cancelPending(m.Job) || m.Found)
+		if !c.isNews(m) {
+			continue
+		}
+		c.spread(m.Job, m.Found)
+		if c.cancelPending(m.Job) {
+			c.spread(m.Job, true)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,13 +233,13 @@
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
 	}
+	p.untried = g.opts.Router.Targets(job.ID)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.cancelled.isCancelled(job.ID) {
 		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
 		return
 	}
-	p.untried = g.opts.Router.Targets(job.ID)
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if old := g.jobs[job.ID]; old != nil {
 		g.replaceExchange(old, p)
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -576,3 +576,17 @@
 	is.Equal(second.receive(again).body, "cancelled")
 	is.Equal(first.sweepUntil(cancel).status, 200)
 }
+
+// Guards against a job that starts although its cancellation has come, because it is submitted between the search for the job and the
+// record of the cancellation.
+func TestCancellationIsRecordedBeforeTheSearch(t *testing.T) {
+	is := is.New(t)
+	var c *cancellations
+	recorded := false
+	c = newCancellations(func(id work.JobID) bool {
+		recorded = c.isCancelled(id)
+		return false
+	})
+	c.Merge([]relay.Cancellation{{Job: "x"}})
+	is.True(recorded)
+}
