Log the age of submissions and of the news that callers wait

Change: heartbeats relate the clocks of both ends by round trips, submissions carry the time at which they were composed. event=submit has age_ms, silence_ms and from; metrics submission_age_ms, caller_silence_ms and starts_held. No decision uses them yet.

--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -30,6 +30,7 @@
 	if r.requests.length() >= maxLocalRequests {
 		return false
 	}
+	s.MarkComposed()
 	r.requests.push(func() { r.shards.Submit(r, s) })
 	return true
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -108,6 +108,7 @@
 		{Name: "runs_crashed", Var: &c.CrashedRuns}, {Name: "jobs_given_up", Var: &c.GivenUp},
 		{Name: "tasks_with_attempts", Var: gauge(func() int64 { return int64(n.history.Tasks()) })},
 		{Name: "run_ms", Var: c.RunMS}, {Name: "wait_ms", Var: c.WaitMS},
+		{Name: "submission_age_ms", Var: c.AgeMS}, {Name: "caller_silence_ms", Var: c.SilenceMS}, {Name: "starts_held", Var: &c.HeldStarts},
 		{Name: "partitions_held", Var: gauge(func() int64 { return int64(len(n.lead.Term().Partitions)) })},
 		{Name: "generation", Var: gauge(func() int64 { return n.lead.Term().Generation })},
 		{Name: "config_version", Var: gauge(n.configVersion)},
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -37,6 +37,7 @@
 	state    func() heartbeat // what a heartbeat carries
 
 	gaps *pause.Gaps // times of reads
+	peer peerClock
 
 	once sync.Once
 	done chan struct{}
@@ -94,7 +95,9 @@
 }
 
 func (l *link) heartbeat() []byte {
+	reading := l.peer.reading() // first, so that what the heartbeat says is at least as new
 	b := l.state()
+	b.clockReading = reading
 	frame, err := encode(&b)
 	if err != nil {
 		l.close(err)
@@ -131,6 +134,9 @@
 			l.close(err)
 			return l.err
 		}
+		if b, ok := message.(*heartbeat); ok {
+			l.peer.observe(b.clockReading)
+		}
 		handle(message)
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -30,6 +30,21 @@
 	Remaining time.Duration `msgpack:"m,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
+	// Composed is when the message was composed, on the sender's clock; 0 from an instance of an earlier version.
+	Composed time.Duration `msgpack:"t,omitempty"`
+	// composedAt is the same on this instance's clock, at the earliest; 0 if it is not known.
+	composedAt time.Duration
+}
+
+// MarkComposed records that the message is composed now and stays within this process.
+func (s *Submit) MarkComposed() { s.composedAt = clock.Now() }
+
+// Age returns how long ago the message was composed at most; 0 if that is not known. Waited and Remaining are as of then.
+func (s *Submit) Age() time.Duration {
+	if s.composedAt == 0 {
+		return 0
+	}
+	return clock.Now() - s.composedAt
 }
 
 // Cancel informs a dispatcher that no caller waits for a job any more.
@@ -70,6 +85,7 @@
 	Unattended time.Duration `msgpack:"u,omitempty"`
 	// Cancelled are the cancellations that the sender passes on.
 	Cancelled []Cancellation `msgpack:"c,omitempty"`
+	clockReading
 }
 
 type kind byte
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,6 +120,7 @@
 		client.heard(message)
 		switch m := message.(type) {
 		case *Submit:
+			m.composedAt, _ = l.peer.own(m.Composed)
 			s.dispatcher.Submit(client, m)
 		case *Cancel:
 			s.dispatcher.Cancel(client, m)
@@ -228,7 +229,10 @@
 
 // Submit sends a job. It returns an error if the job cannot be encoded. An error of the connection ends the connection and is
 // passed to Handler.End.
-func (u *Uplink) Submit(s *Submit) error { return u.send(s) }
+func (u *Uplink) Submit(s *Submit) error {
+	s.Composed = clock.Now()
+	return u.send(s)
+}
 
 // Cancel informs the dispatcher that no caller waits for a job any more. It returns an error like Submit.
 func (u *Uplink) Cancel(c *Cancel) error { return u.send(c) }
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -14,11 +14,17 @@
 	FoundRuns        metric.Counter    // runs of other dispatchers that endpoints reported
 	StoppedRuns      metric.Counter    // runs whose stop was requested
 	GivenUp          metric.Counter    // jobs that failed because a task is not started again
+	HeldStarts       metric.Counter    // runs not ordered, because nothing was heard lately of the job's caller
 	RunMS            *metric.Quantiles // time from the order to the end of a successful run
 	WaitMS           *metric.Quantiles // time from the arrival of a job to the order of a run
+	AgeMS            *metric.Quantiles // age of submissions when they are decided on
+	SilenceMS        *metric.Quantiles // age of the news that a job's caller waits when a run is ordered
 }
 
 // NewCounts returns empty counters and distributions.
 func NewCounts() Counts {
-	return Counts{RunMS: metric.NewMillisecondQuantiles(), WaitMS: metric.NewMillisecondQuantiles()}
+	return Counts{
+		RunMS: metric.NewMillisecondQuantiles(), WaitMS: metric.NewMillisecondQuantiles(),
+		AgeMS: metric.NewMillisecondQuantiles(), SilenceMS: metric.NewMillisecondQuantiles(),
+	}
 }
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -82,9 +82,7 @@
 	defer s.mu.Unlock()
 	now := s.opts.Now()
 	s.abandonExpired(now) // as in preparePoll
-	if client := s.clients[r.Task.Job]; client != nil && client.Silence() > abandonTime {
-		s.pool.Hold(r.Task.Job, true)
-	}
+	x.holdIfSilent(r)
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
 		return work.StartRequest{}, false
 	}
@@ -103,6 +101,21 @@
 	return work.StartRequest{Task: r.Task, Run: r.Number, Spec: s.pool.Spec(r), LeaseEnd: x.startLease(now), Fence: fence}, true
 }
 
+// holdIfSilent holds the job of a run that is about to be ordered if it is not known that its caller still waits.
+func (x *session) holdIfSilent(r *pool.Run) {
+	s := x.shard
+	client := s.clients[r.Task.Job]
+	if client == nil {
+		return
+	}
+	silence := client.Silence()
+	s.opts.Counts.SilenceMS.AddDuration(silence)
+	if silence > abandonTime {
+		s.opts.Counts.HeldStarts.Add(1)
+		s.pool.Hold(r.Task.Job, true)
+	}
+}
+
 // startAnswered handles the answer to a start request.
 func (x *session) startAnswered(r *pool.Run, fence int64, refusal work.Refusal, clock time.Duration, err error) {
 	s := x.shard
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -187,9 +187,10 @@
 	}
 	now := s.opts.Now()
 	s.opts.History.Merge(m.Attempts, now)
+	s.opts.Counts.AgeMS.AddDuration(m.Age())
 	known := s.pool.HasJob(job.ID)
 	verdict, outcomes := s.pool.Submit(job, now, now-m.Waited, s.notBefore(m.Resumed))
-	s.logVerdict(m, verdict, known)
+	s.logVerdict(from, m, verdict, known)
 	if !verdict.Accepted() {
 		s.opts.Counts.Refused.Add(1)
 		from.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
@@ -205,7 +206,7 @@
 	s.dispatch()
 }
 
-func (s *Shard) logVerdict(m *relay.Submit, v pool.Verdict, known bool) {
+func (s *Shard) logVerdict(from relay.Client, m *relay.Submit, v pool.Verdict, known bool) {
 	job, resumed, waited := &m.Job, m.Resumed, m.Waited
 	outcome := "taken"
 	if !v.Accepted() {
@@ -215,7 +216,7 @@
 		"event": "submit", "job": job.ID, "queue": job.Queue, "tasks": job.Tasks(), "outcome": outcome, "resumed": resumed,
 		"known": known, "wait_ms": v.ExpectedWait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.term.Fence,
 		"endpoints": v.Endpoints, "isolated": v.Isolated, "free_milli_cpu": v.FreeMilliCPU, "ahead": v.JobsAhead, "kept_milli_cpu": v.ReservedMilliCPU,
-		"waited_ms": waited.Milliseconds(),
+		"waited_ms": waited.Milliseconds(), "age_ms": m.Age().Milliseconds(), "silence_ms": from.Silence().Milliseconds(), "from": from.Name(),
 	}).Info("submission decided")
 }
 
