Dispatchers act on the age of what instances say, not on when they handle it

What callers saw: a task ran twice at the same time. The first caller's submission had waited at its dispatcher, with the cancel behind it, and started a run although the caller had left and submitted the job elsewhere. Cause: a heartbeat counted as heard, and a submission's remaining time as counted, when they were handled. While messages wait in a socket, in the queue of the own shards, for a lock or for the processor they were taken for news. Change: what an instance says holds as of the time at which it composed the message, on its own clock; heartbeats relate the clocks by round trips and give a bound that needs no time of day and counts suspensions. Silence is the age of the newest heartbeat that has been handled, or of the oldest request in the queue of the own shards. A submission that is older than its caller waits is refused (expired). Jobs are sent only after the dispatcher's first message, so that none waits in the connection to a stopped process, and a heartbeat follows the cancels that were queued before it was composed. TestShardThatStandsStill gives the local route its gateway, which the log line of a submission asks.

--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/savorypass/savorypass/internal/gateway"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -46,8 +47,8 @@
 // Name implements relay.Client.
 func (r *localRoute) Name() string { return "local" }
 
-// Silence implements relay.Client.
-func (r *localRoute) Silence() time.Duration { return r.gateway.Unattended() }
+// Silence implements relay.Client. A cancel may be among the requests that wait.
+func (r *localRoute) Silence() time.Duration { return max(r.gateway.Unattended(), r.requests.age()) }
 
 // run passes requests and answers on until done is closed.
 func (r *localRoute) run(done <-chan struct{}) {
@@ -60,14 +61,20 @@
 	wake chan struct{}
 
 	mu     sync.Mutex
-	values []T
+	values []queued[T] // the first one may be in progress
+}
+
+// queued is a value that waits or is in progress.
+type queued[T any] struct {
+	value T
+	since time.Duration // when it was pushed, see pause.Elapsed
 }
 
 func newQueue[T any]() *queue[T] { return &queue[T]{wake: make(chan struct{}, 1)} }
 
 func (q *queue[T]) push(v T) {
 	q.mu.Lock()
-	q.values = append(q.values, v)
+	q.values = append(q.values, queued[T]{v, pause.Elapsed()})
 	q.mu.Unlock()
 	select {
 	case q.wake <- struct{}{}:
@@ -81,6 +88,16 @@
 	return len(q.values)
 }
 
+// age returns for how long the oldest value that waits or is in progress has been in the queue; 0 if there is none.
+func (q *queue[T]) age() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.values) == 0 {
+		return 0
+	}
+	return pause.Elapsed() - q.values[0].since
+}
+
 // run passes the values to handle until done is closed.
 func (q *queue[T]) run(done <-chan struct{}, handle func(T)) {
 	for {
@@ -89,19 +106,25 @@
 			return
 		case <-q.wake:
 		}
-		for v, ok := q.pop(); ok; v, ok = q.pop() {
+		for v, ok := q.first(); ok; v, ok = q.first() {
 			handle(v)
+			q.removeFirst()
 		}
 	}
 }
 
-func (q *queue[T]) pop() (v T, ok bool) {
+func (q *queue[T]) first() (v T, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.values) == 0 {
 		return v, false
 	}
-	v = q.values[0]
+	return q.values[0].value, true
+}
+
+func (q *queue[T]) removeFirst() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.values[0] = queued[T]{} // releases the value
 	q.values = q.values[1:]
-	return v, true
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -152,9 +152,23 @@
 		}
 		n.log.WithFields(fields).Info("calls, failed calls, bytes sent and bytes received by kind")
 		n.logWindow()
+		n.logSilence()
 	})
 }
 
+// logSilence logs how old submissions and the news of waiting callers were when this instance's shards used them. An overloaded
+// instance or path shows here before it costs callers anything.
+func (n *Node) logSilence() {
+	age, silence := n.counts.AgeMS.Summary(), n.counts.SilenceMS.Summary()
+	if silence.Count == 0 {
+		return
+	}
+	n.log.WithFields(logrus.Fields{
+		"event": "message_ages", "submission_p99_ms": age.P99, "submission_max_ms": age.Max, "silence_p50_ms": silence.P50,
+		"silence_p99_ms": silence.P99, "silence_max_ms": silence.Max, "starts": silence.Count, "starts_held": n.counts.HeldStarts.Value(),
+	}).Info("ages of submissions, and of the news that callers wait at the starts of runs, in the last minute")
+}
+
 // logWindow logs the state of the window for start requests, so that work that waits for the window can be told from work that waits for
 // endpoints.
 func (n *Node) logWindow() {
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
@@ -75,6 +76,7 @@
 	go n.Submit(stuck, &relay.Submit{Job: work.Job{ID: "x", Service: "none", Steps: []work.Step{{Count: 1}}}})
 	wait.For(t, "the shard stands still", func() bool { return n.stalled(10 * checkPause) })
 	local := newLocalRoute(n)
+	local.gateway = gateway.New(gateway.Options{Config: &catalog.Current{}, Log: silentLog()})
 	go local.requests.run(t.Context().Done(), func(request func()) { request() })
 	is.True(local.submit(&relay.Submit{Job: work.Job{ID: "y", Steps: []work.Step{{Count: 1}}}}))
 	local.Cancel(gateway.Target{}, "y")
--- a/internal/pause/clock.go
+++ b/internal/pause/clock.go
@@ -9,6 +9,12 @@
 // shorter than any suspension that matters.
 const maxClockDifference = 10 * time.Millisecond
 
+// process is the clock of Elapsed.
+var process = NewClock()
+
+// Elapsed returns the time since the process was started. It is above 0 and contains the time for which the machine was suspended.
+func Elapsed() time.Duration { return process.Now() }
+
 // Clock is a monotonic clock that also counts the time for which the machine was suspended. It is safe for concurrent use.
 type Clock struct {
 	started   time.Time
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -17,6 +17,7 @@
 	ReasonNoEndpoint    Reason = "no_endpoint" // no endpoint of the job's service takes new runs now
 	ReasonNotLeader     Reason = "not_leader"  // this instance does not dispatch for the shard
 	ReasonWaitedTooLong Reason = "waited"      // the job was accepted and did not start in time
+	ReasonExpired       Reason = "expired"     // the submission waited for longer than its caller does
 )
 
 // Verdict is the decision on a submission, with the figures that it rests on.
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -13,9 +13,6 @@
 // it was received. The reading of the peer's clock at that receipt is not earlier than the own reading that it echoes. This gives the
 // latest time, on the own clock, before which a reading of the peer's clock cannot have been taken.
 
-// clock is the clock of this process for ages. It counts suspensions of the machine, and it starts above 0, which stands for unknown.
-var clock = pause.NewClock()
-
 // offsetWindow is how long the result of a round trip counts at least. Clocks may drift apart by 1 ms meanwhile.
 const offsetWindow = 5 * time.Second
 
@@ -47,14 +44,14 @@
 func (p *peerClock) reading() clockReading {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return clockReading{Composed: clock.Now(), Echo: p.echo, Received: p.received}
+	return clockReading{Composed: pause.Elapsed(), Echo: p.echo, Received: p.received}
 }
 
 // observe records a heartbeat that is received now.
 func (p *peerClock) observe(r clockReading) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := clock.Now()
+	now := pause.Elapsed()
 	p.echo, p.received = r.Composed, now
 	if r.Echo == 0 {
 		return
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -77,19 +77,21 @@
 	ticker := time.NewTicker(l.interval)
 	defer ticker.Stop()
 	buffered := bufio.NewWriter(l.conn)
-	frame := l.heartbeat() // sent at once, so that the peer can detect that the process is alive
+	var frame []byte
+	heartbeat := l.heartbeat() // sent at once, so that the peer can detect that the process is alive
 	for {
 		l.conn.SetWriteDeadline(time.Now().Add(SilenceLimit))
-		if err := l.writeBatch(buffered, frame); err != nil {
+		if err := l.writeBatch(buffered, frame, heartbeat); err != nil {
 			l.close(err)
 			return
 		}
+		frame, heartbeat = nil, nil
 		select {
 		case <-l.done:
 			return
 		case frame = <-l.queue:
 		case <-ticker.C:
-			frame = l.heartbeat()
+			heartbeat = l.heartbeat()
 		}
 	}
 }
@@ -105,17 +107,22 @@
 	return frame
 }
 
-// writeBatch writes a frame and all that wait in the queue, and flushes them together.
-func (l *link) writeBatch(buffered *bufio.Writer, frame []byte) error {
+// writeBatch writes a frame, all that wait in the queue, and a heartbeat, and flushes them together; frame and heartbeat may be nil. The
+// heartbeat comes last, behind the cancels of the callers that had left when it was composed.
+func (l *link) writeBatch(buffered *bufio.Writer, frame, heartbeat []byte) error {
 	for {
 		if _, err := buffered.Write(frame); err != nil {
 			return err
 		}
 		select {
 		case frame = <-l.queue:
+			continue
 		default:
-			return buffered.Flush()
 		}
+		if _, err := buffered.Write(heartbeat); err != nil {
+			return err
+		}
+		return buffered.Flush()
 	}
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -37,16 +38,19 @@
 }
 
 // MarkComposed records that the message is composed now and stays within this process.
-func (s *Submit) MarkComposed() { s.composedAt = clock.Now() }
+func (s *Submit) MarkComposed() { s.composedAt = pause.Elapsed() }
 
 // Age returns how long ago the message was composed at most; 0 if that is not known. Waited and Remaining are as of then.
 func (s *Submit) Age() time.Duration {
 	if s.composedAt == 0 {
 		return 0
 	}
-	return clock.Now() - s.composedAt
+	return pause.Elapsed() - s.composedAt
 }
 
+// Expired reports whether the job's caller waits no longer.
+func (s *Submit) Expired() bool { return s.Remaining > 0 && s.Age() >= s.Remaining }
+
 // Cancel informs a dispatcher that no caller waits for a job any more.
 type Cancel struct {
 	Job       work.JobID `msgpack:"j"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/traffic"
 )
 
@@ -19,8 +20,8 @@
 	Answer(a *Answer)
 	// Name returns the client's address for logs.
 	Name() string
-	// Silence returns for how long the instance may not have noticed that its callers have left: the time since its last message
-	// and the time for which it did not attend to its callers before that.
+	// Silence returns for how long the instance may not have noticed that its callers have left: the time since its last heartbeat was
+	// composed, which may have waited to be handled, and the time for which it did not attend to its callers before that.
 	Silence() time.Duration
 }
 
@@ -75,25 +76,39 @@
 	}
 }
 
+// unknownSilence is the silence of an instance before it is known when its heartbeats were composed.
+const unknownSilence = time.Hour
+
 type remoteClient struct {
-	link     *link
-	accepted time.Time
-	heardAt  atomic.Int64 // time from accepted to the last message in nanoseconds
-	// unattended is what the last heartbeat said of the callers, in nanoseconds.
-	unattended atomic.Int64
+	link *link
+	// attendedAt is a time, on this process's clock and in nanoseconds, until which the instance has certainly attended to its callers.
+	attendedAt atomic.Int64
+}
+
+func newRemoteClient(l *link) *remoteClient {
+	c := &remoteClient{link: l}
+	c.attendedAt.Store(int64(pause.Elapsed() - unknownSilence))
+	return c
 }
 
-// heard records that a message was received.
-func (c *remoteClient) heard(message any) {
-	c.heardAt.Store(int64(time.Since(c.accepted)))
-	if b, ok := message.(*heartbeat); ok {
-		c.unattended.Store(int64(b.Unattended))
+// heard applies what a heartbeat says of the callers. That was true when the heartbeat was composed, however long it has waited since.
+// Instances of earlier versions do not say when they composed it.
+func (c *remoteClient) heard(b *heartbeat) {
+	composed := pause.Elapsed()
+	if b.Composed > 0 {
+		var known bool
+		if composed, known = c.link.peer.own(b.Composed); !known {
+			return
+		}
+	}
+	if attendedAt := int64(composed - b.Unattended); attendedAt > c.attendedAt.Load() {
+		c.attendedAt.Store(attendedAt)
 	}
 }
 
 // Silence implements Client.
 func (c *remoteClient) Silence() time.Duration {
-	return time.Since(c.accepted) - time.Duration(c.heardAt.Load()) + time.Duration(c.unattended.Load())
+	return pause.Elapsed() - time.Duration(c.attendedAt.Load())
 }
 
 // Answer implements Client.
@@ -115,9 +130,8 @@
 	})
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
-	client := &remoteClient{link: l, accepted: time.Now()}
+	client := newRemoteClient(l)
 	err := l.receive(func(message any) {
-		client.heard(message)
 		switch m := message.(type) {
 		case *Submit:
 			m.composedAt, _ = l.peer.own(m.Composed)
@@ -125,6 +139,7 @@
 		case *Cancel:
 			s.dispatcher.Cancel(client, m)
 		case *heartbeat:
+			client.heard(m)
 			s.dispatcher.Cancellations().Merge(m.Cancelled)
 		}
 	})
@@ -154,7 +169,7 @@
 	responded bool // the dispatcher has sent a message
 	ended     bool
 	loads     map[int]int // pressure in percent by partition
-	unsent    [][]byte    // frames that wait until the connection is open
+	unsent    [][]byte    // frames that wait until the dispatcher has responded
 }
 
 // Handler receives what comes over an uplink. Its functions do not block.
@@ -167,8 +182,8 @@
 	Cancellations Cancellations
 	// Unattended returns how long this instance has been unable to notice that its callers leave.
 	Unattended func() time.Duration
-	// End is called once, when the connection has ended or could not be opened; sent is false if the connection was never
-	// open, so that no message has been sent.
+	// End is called once, when the connection has ended or could not be opened; sent is false if the dispatcher has not
+	// responded, so that no job has been sent.
 	End func(u *Uplink, sent bool, err error)
 }
 
@@ -187,7 +202,7 @@
 	}
 	u.mu.Lock()
 	u.ended = true
-	sent := u.link != nil
+	sent := u.responded
 	u.mu.Unlock()
 	h.End(u, sent, err)
 }
@@ -206,10 +221,6 @@
 	})
 	u.mu.Lock()
 	u.link = l
-	for _, frame := range u.unsent {
-		l.sendFrame(frame)
-	}
-	u.unsent = nil
 	ended := u.ended
 	u.mu.Unlock()
 	if ended {
@@ -220,7 +231,7 @@
 		case *Answer:
 			h.Answer(m)
 		case *heartbeat:
-			u.setLoads(m.Loads) // the first message on a connection is a heartbeat
+			u.heard(m) // the first message on a connection is a heartbeat
 			h.Attempts(m.Attempts)
 			h.Cancellations.Merge(m.Cancelled)
 		}
@@ -230,21 +241,31 @@
 // Submit sends a job. It returns an error if the job cannot be encoded. An error of the connection ends the connection and is
 // passed to Handler.End.
 func (u *Uplink) Submit(s *Submit) error {
-	s.Composed = clock.Now()
+	s.Composed = pause.Elapsed()
 	return u.send(s)
 }
 
 // Cancel informs the dispatcher that no caller waits for a job any more. It returns an error like Submit.
 func (u *Uplink) Cancel(c *Cancel) error { return u.send(c) }
 
-func (u *Uplink) setLoads(loads []Load) {
+// heard applies a heartbeat of the dispatcher. After the first one it sends what has waited, behind a heartbeat of its own: with that the
+// dispatcher knows the age of all that follows.
+func (u *Uplink) heard(b *heartbeat) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.responded = true
-	u.loads = make(map[int]int, len(loads))
-	for _, l := range loads {
+	u.loads = make(map[int]int, len(b.Loads))
+	for _, l := range b.Loads {
 		u.loads[l.Partition] = l.Pressure
 	}
+	if u.responded {
+		return
+	}
+	u.responded = true
+	u.link.sendFrame(u.link.heartbeat())
+	for _, frame := range u.unsent {
+		u.link.sendFrame(frame)
+	}
+	u.unsent = nil
 }
 
 // Pressure returns the last known pressure of a partition in percent. ok is false if none is known.
@@ -264,7 +285,7 @@
 	defer u.mu.Unlock()
 	switch {
 	case u.ended:
-	case u.link == nil:
+	case !u.responded:
 		u.unsent = append(u.unsent, frame)
 	default:
 		u.link.sendFrame(frame)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -189,7 +189,11 @@
 	s.opts.History.Merge(m.Attempts, now)
 	s.opts.Counts.AgeMS.AddDuration(m.Age())
 	known := s.pool.HasJob(job.ID)
-	verdict, outcomes := s.pool.Submit(job, now, now-m.Waited, s.notBefore(m.Resumed))
+	if m.Expired() {
+		s.refuseExpired(from, m)
+		return
+	}
+	verdict, outcomes := s.pool.Submit(job, now, now-m.Age()-m.Waited, s.notBefore(m.Resumed))
 	s.logVerdict(from, m, verdict, known)
 	if !verdict.Accepted() {
 		s.opts.Counts.Refused.Add(1)
@@ -200,7 +204,7 @@
 	s.pool.Hold(job.ID, false)
 	delete(s.expires, job.ID)
 	if m.Remaining > 0 {
-		s.expires[job.ID] = now + m.Remaining + expiryMargin
+		s.expires[job.ID] = now - m.Age() + m.Remaining + expiryMargin
 	}
 	s.finish(outcomes)
 	s.dispatch()
@@ -220,6 +224,13 @@
 	}).Info("submission decided")
 }
 
+// refuseExpired refuses a submission that has waited for longer than its caller waits.
+func (s *Shard) refuseExpired(from relay.Client, m *relay.Submit) {
+	s.logVerdict(from, m, pool.Verdict{Reason: pool.ReasonExpired}, s.pool.HasJob(m.Job.ID))
+	s.opts.Counts.Refused.Add(1)
+	from.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonExpired, RetryAfter: time.Second})
+}
+
 // Cancel implements relay.Dispatcher.
 func (s *Shard) Cancel(from relay.Client, id work.JobID) {
 	s.mu.Lock()
