Answers and cancels name the submission that they are about

An answer to an earlier submission of a job was taken for that to the present one if both went over the same route: the caller left and submitted the job again at the same instance, and the first answer was held up. A refusal then placed the job at a third dispatcher while the second one ran it, and a job that was given up was answered 504 while its dispatcher went on with it without a cancel.

Cancels keep their order behind submissions on every route, so a cancel that reaches a later submission was not seen; the shard checks it all the same. Instances of earlier versions send no number: their messages match any submission, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 // Route is the connection over which a job was submitted to a dispatcher. Routes are compared by identity.
 type Route interface {
 	// Cancel informs a dispatcher that no caller waits for a job any more.
-	Cancel(from Target, id work.JobID)
+	Cancel(c *relay.Cancel)
 }
 
 const (
@@ -121,8 +121,9 @@
 
 	mu               sync.Mutex
 	jobs             map[work.JobID]*pending
-	closed           bool          // new jobs are refused
-	placementTimeout time.Duration // how long after its arrival a job waits for a dispatcher
+	submissions      relay.SubmissionNumber // number of the last submission of a job to a dispatcher
+	closed           bool                   // new jobs are refused
+	placementTimeout time.Duration          // how long after its arrival a job waits for a dispatcher
 }
 
 // pending is a job whose caller has not got a response yet.
@@ -130,14 +131,15 @@
 	job                *work.Job
 	exchange           *server.Exchange
 	arrived            time.Time
-	deadline           time.Time     // when the caller stops waiting
-	target             Target        // dispatcher to which the job was last submitted
-	route              Route         // route to the dispatcher that holds the job; nil while none does
-	untried            []Target      // dispatchers that have not been tried yet
-	orphaned           bool          // the dispatcher failed or lost its term; only its successor may continue the job
-	losses             int           // number of dispatchers whose connection ended while they held the job
-	awaitingDispatcher bool          // no dispatcher could be reached yet
-	refusal            *relay.Answer // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
+	deadline           time.Time              // when the caller stops waiting
+	target             Target                 // dispatcher to which the job was last submitted
+	route              Route                  // route to the dispatcher that holds the job; nil while none does
+	submission         relay.SubmissionNumber // the last submission of the job
+	untried            []Target               // dispatchers that have not been tried yet
+	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
+	losses             int                    // number of dispatchers whose connection ended while they held the job
+	awaitingDispatcher bool                   // no dispatcher could be reached yet
+	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 }
 
 // New returns a gateway without jobs.
@@ -270,7 +272,7 @@
 	}
 	delete(g.jobs, p.job.ID)
 	if p.route != nil {
-		p.route.Cancel(p.target, p.job.ID)
+		p.route.Cancel(&relay.Cancel{Job: p.job.ID, Partition: p.target.Partition, Number: p.submission})
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 	targets          []Target
 	down             map[Target]bool
 	submitted        []submission
-	cancelled        []work.JobID
+	cancelled        []relay.Cancel
 	notLeaderReports int
 	cutOff           atomic.Bool // not all dispatchers can be reached
 }
@@ -73,10 +73,10 @@
 	return r, true
 }
 
-func (r *router) Cancel(_ Target, id work.JobID) {
+func (r *router) Cancel(c *relay.Cancel) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cancelled = append(r.cancelled, id)
+	r.cancelled = append(r.cancelled, *c)
 }
 
 // setDown makes a dispatcher unreachable, or reachable.
@@ -96,10 +96,18 @@
 	return append([]submission(nil), r.submitted...)
 }
 
-func (r *router) cancelledJobs() []work.JobID {
+func (r *router) cancels() []relay.Cancel {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]work.JobID(nil), r.cancelled...)
+	return append([]relay.Cancel(nil), r.cancelled...)
+}
+
+func (r *router) cancelledJobs() []work.JobID {
+	var jobs []work.JobID
+	for _, c := range r.cancels() {
+		jobs = append(jobs, c.Job)
+	}
+	return jobs
 }
 
 var (
@@ -119,7 +127,9 @@
 	log.SetOutput(io.Discard)
 	r := &router{targets: []Target{north, south}, down: map[Target]bool{}}
 	config := &catalog.Current{}
-	config.StoreIfNewer(catalog.New(1, []catalog.Queue{{Name: "q", Host: "h.example", Prefix: "/p/"}}, catalog.Limits{}))
+	config.StoreIfNewer(catalog.New(1, []catalog.Queue{{
+		Name: "q", Host: "h.example", Prefix: "/p/", Service: "survey", Objective: work.Objective{Stretch: 3, Extra: time.Second, Attempts: 2},
+	}}, catalog.Limits{}))
 	g := New(Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}, Attempts: knownAttempts})
 	s, err := server.Start(server.Options{
 		Address: "127.0.0.1:0", Loops: 1, Handler: g, EncodeRefusal: func(result.Code, string) []byte { return nil },
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -38,21 +38,23 @@
 	g.refuseJob(p, 503, reasonNoDispatcher, retryNoDispatcher)
 }
 
-// submission returns the message that submits a job to a dispatcher.
+// submission returns the message of a new submission of a job to its target.
 func (g *Gateway) submission(p *pending, resumed bool) *relay.Submit {
+	g.submissions++
+	p.submission = g.submissions
 	return &relay.Submit{
-		Job: *p.job, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived),
+		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Attempts: g.opts.Attempts(p.job.ID),
 	}
 }
 
-// Answer handles a dispatcher's answer, that is, the result or the refusal of a job. It ignores an answer that came over
-// a route that does not hold the job any more.
+// Answer handles a dispatcher's answer, that is, the result or the refusal of a job. It ignores an answer to an earlier submission of
+// the job, which may have gone to another partition over the same route, or have had another caller: the job may run by now.
 func (g *Gateway) Answer(route Route, a *relay.Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.jobs[a.Job]
-	if p == nil || p.route != route {
+	if p == nil || p.route != route || !p.submission.Matches(a.Number) {
 		return
 	}
 	p.route = nil
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -6,7 +6,6 @@
 
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/relay"
-	"github.com/savorypass/savorypass/internal/work"
 )
 
 // maxLocalRequests is the number of requests to this instance's own shards that wait at most. With more, no job is submitted to them.
@@ -35,8 +34,8 @@
 }
 
 // Cancel implements gateway.Route.
-func (r *localRoute) Cancel(from gateway.Target, id work.JobID) {
-	r.requests.push(func() { r.shards.Cancel(r, &relay.Cancel{Job: id, Partition: from.Partition}) })
+func (r *localRoute) Cancel(c *relay.Cancel) {
+	r.requests.push(func() { r.shards.Cancel(r, c) })
 }
 
 // Answer implements relay.Client.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -48,8 +48,8 @@
 }
 
 // Cancel implements gateway.Route.
-func (r *uplinkRoute) Cancel(from gateway.Target, id work.JobID) {
-	r.uplink.Cancel(&relay.Cancel{Job: id, Partition: from.Partition}) // a cancellation can always be encoded
+func (r *uplinkRoute) Cancel(c *relay.Cancel) {
+	r.uplink.Cancel(c) // a cancellation can always be encoded
 }
 
 // Targets implements gateway.Router.
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -163,7 +163,7 @@
 func (s *shards) Submit(from relay.Client, m *relay.Submit) {
 	x := s.get(m.Partition)
 	if x == nil {
-		from.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonNotLeader})
+		from.Answer(&relay.Answer{Job: m.Job.ID, Number: m.Number, Refused: pool.ReasonNotLeader})
 		return
 	}
 	x.Submit(from, m)
@@ -172,7 +172,7 @@
 // Cancel implements relay.Dispatcher.
 func (s *shards) Cancel(from relay.Client, c *relay.Cancel) {
 	if x := s.get(c.Partition); x != nil {
-		x.Cancel(from, c.Job)
+		x.Cancel(from, c)
 	}
 }
 
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
-	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -77,7 +76,7 @@
 	local := newLocalRoute(n)
 	go local.requests.run(t.Context().Done(), func(request func()) { request() })
 	is.True(local.submit(&relay.Submit{Job: work.Job{ID: "y", Steps: []work.Step{{Count: 1}}}}))
-	local.Cancel(gateway.Target{}, "y")
+	local.Cancel(&relay.Cancel{Job: "y"})
 	is.True(n.leading(0))
 	_, known := n.lastPressure(0)
 	is.True(known)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -17,9 +17,19 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
+// SubmissionNumber identifies a submission of a job among all that an instance makes during its life. It counts up from 1. It is 0 in
+// the messages of instances of earlier versions, which do not tell the submission that they are about.
+type SubmissionNumber int
+
+// Matches reports whether two numbers may stand for the same submission of a job.
+func (n SubmissionNumber) Matches(other SubmissionNumber) bool {
+	return n == other || n == 0 || other == 0
+}
+
 // Submit asks a dispatcher to run a job, or to continue it.
 type Submit struct {
-	Job work.Job `msgpack:"j"`
+	Job    work.Job         `msgpack:"j"`
+	Number SubmissionNumber `msgpack:"n,omitempty"`
 	// Partition is the partition of the zone whose dispatcher the message is for.
 	Partition int `msgpack:"p,omitempty"`
 	// Resumed is true if another dispatcher may have started tasks of the job.
@@ -36,11 +46,15 @@
 type Cancel struct {
 	Job       work.JobID `msgpack:"j"`
 	Partition int        `msgpack:"p,omitempty"`
+	// Number is that of the submission for which the caller waited.
+	Number SubmissionNumber `msgpack:"n,omitempty"`
 }
 
-// Answer is a dispatcher's final answer for a job: its final state or a refusal.
+// Answer is a dispatcher's final answer to a submission: the final state of the job or a refusal.
 type Answer struct {
 	Job work.JobID `msgpack:"j"`
+	// Number is that of the submission.
+	Number SubmissionNumber `msgpack:"n,omitempty"`
 	// State is Completed or Failed; empty for a refusal.
 	State work.State `msgpack:"s,omitempty"`
 	// Refused is the reason for a refusal. This dispatcher has started no task of the job, unless Started is set.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pause"
@@ -209,7 +210,7 @@
 // Guards against messages that are changed by encoding and decoding.
 func TestCodec(t *testing.T) {
 	is := is.New(t)
-	in := &Submit{Resumed: true, Job: work.Job{
+	in := &Submit{Number: 1 << 40, Resumed: true, Job: work.Job{
 		ID: "x", Queue: "q", Service: "s", Spec: "text", Objective: work.Objective{Stretch: 1.5, Extra: time.Second, Attempts: 3},
 		Steps: []work.Step{{Count: 3, Size: work.Size{MilliCPU: 5}, DependsOn: []int{0}, Label: "l", DataRack: "r", MaxPerEndpoint: 2}},
 	}}
@@ -218,7 +219,7 @@
 	out, err := read(bytes.NewReader(frame))
 	is.NoErr(err)
 	is.Equal(out, in)
-	answer := &Answer{Job: "x", Refused: pool.ReasonNoRoom, RetryAfter: time.Second, Started: true}
+	answer := &Answer{Job: "x", Number: 1 << 40, Refused: pool.ReasonNoRoom, RetryAfter: time.Second, Started: true}
 	frame, err = encode(answer)
 	is.NoErr(err)
 	out, err = read(bytes.NewReader(frame))
@@ -226,6 +227,32 @@
 	is.Equal(out, answer)
 }
 
+// Guards against instances that do not understand each other while an upgrade runs: those of earlier versions neither send the number of
+// a submission nor know it.
+func TestMessagesOfEarlierVersions(t *testing.T) {
+	is := is.New(t)
+	type earlierCancel struct {
+		Job       work.JobID `msgpack:"j"`
+		Partition int        `msgpack:"p,omitempty"`
+	}
+	payload, err := msgpack.Marshal(&earlierCancel{"x", 2})
+	is.NoErr(err)
+	message, err := decode(kindCancel, payload)
+	is.NoErr(err)
+	is.Equal(message, &Cancel{Job: "x", Partition: 2})
+	payload, err = msgpack.Marshal(&Cancel{Job: "x", Partition: 2, Number: 7})
+	is.NoErr(err)
+	var earlier earlierCancel
+	is.NoErr(msgpack.Unmarshal(payload, &earlier))
+	is.Equal(earlier, earlierCancel{"x", 2})
+	for _, n := range []struct {
+		a, b    SubmissionNumber
+		matches bool
+	}{{0, 7, true}, {7, 0, true}, {7, 7, true}, {6, 7, false}} {
+		is.Equal(n.a.Matches(n.b), n.matches)
+	}
+}
+
 // Guards against a job at the limits of callers' requests that fits into no message, so that it is lost on its way to the dispatcher.
 func TestLargestJobFits(t *testing.T) {
 	is := is.New(t)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -83,7 +83,7 @@
 	callLostAt      time.Duration
 	pool            *pool.Pool
 	sessions        map[work.EndpointID]*session
-	clients         map[work.JobID]relay.Client
+	clients         map[work.JobID]*submitter
 	expires         map[work.JobID]time.Duration  // when a job's caller waits no longer
 	expiryCheckedAt time.Duration                 // time of the last search for expired jobs
 	stopRequestedAt map[work.TaskID]time.Duration // time of the last request to stop a run of the task
@@ -94,6 +94,18 @@
 	outrankedFence int64
 }
 
+// submitter is the instance that has submitted a job. All answers to the job name its submission.
+type submitter struct {
+	relay.Client
+	submission relay.SubmissionNumber
+}
+
+// Answer sends the final answer to the submission. It does not block.
+func (c *submitter) Answer(a *relay.Answer) {
+	a.Number = c.submission
+	c.Client.Answer(a)
+}
+
 // New returns a shard without a term.
 func New(o Options) *Shard {
 	s := &Shard{opts: o}
@@ -104,7 +116,7 @@
 func (s *Shard) reset() {
 	s.pool = pool.New(s.opts.History)
 	s.sessions = map[work.EndpointID]*session{}
-	s.clients = map[work.JobID]relay.Client{}
+	s.clients = map[work.JobID]*submitter{}
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 }
@@ -180,9 +192,10 @@
 func (s *Shard) Submit(from relay.Client, m *relay.Submit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	client := &submitter{from, m.Number}
 	job := &m.Job
 	if !s.leading {
-		from.Answer(&relay.Answer{Job: job.ID, Refused: pool.ReasonNotLeader})
+		client.Answer(&relay.Answer{Job: job.ID, Refused: pool.ReasonNotLeader})
 		return
 	}
 	now := s.opts.Now()
@@ -192,10 +205,10 @@
 	s.logVerdict(m, verdict, known)
 	if !verdict.Accepted() {
 		s.opts.Counts.Refused.Add(1)
-		from.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
+		client.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
 		return
 	}
-	s.clients[job.ID] = from
+	s.clients[job.ID] = client
 	s.pool.Hold(job.ID, false)
 	delete(s.expires, job.ID)
 	if m.Remaining > 0 {
@@ -220,14 +233,15 @@
 }
 
 // Cancel implements relay.Dispatcher.
-func (s *Shard) Cancel(from relay.Client, id work.JobID) {
+func (s *Shard) Cancel(from relay.Client, c *relay.Cancel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clients[id] != from {
+	client := s.clients[c.Job]
+	if client == nil || client.Client != from || !client.submission.Matches(c.Number) {
 		return
 	}
-	s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id}).Info("job cancelled by its caller")
-	s.abandon(id, stopCancelled)
+	s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": c.Job}).Info("job cancelled by its caller")
+	s.abandon(c.Job, stopCancelled)
 	s.dispatch()
 }
 
@@ -236,7 +250,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, client := range s.clients {
-		if client != from {
+		if client.Client != from {
 			continue
 		}
 		s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id, "client": from.Name()}).
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -325,6 +325,25 @@
 	is.Equal(f.OverlappingRuns(), "")
 }
 
+// Guards against a cancel that belongs to an earlier submission of a job and ends the present one, and against answers that do not tell
+// which submission they are about.
+func TestCancelOfAnEarlierSubmission(t *testing.T) {
+	is := is.New(t)
+	f, _, s, c := newLeadingDispatcher(t, 1, 50*time.Millisecond)
+	submitUntilAccepted(t, s, c, &relay.Submit{Job: jobOf("a", 1, 50*time.Millisecond), Number: 4})
+	s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 50*time.Millisecond), Number: 5})
+	s.Cancel(c, &relay.Cancel{Job: "a", Number: 4})
+	wait.For(t, "the job completes", completed(c, "a"))
+	is.Equal(c.answer("a").Number, relay.SubmissionNumber(5))
+	is.Equal(len(f.Starts()), 1)
+	submitUntilAccepted(t, s, c, &relay.Submit{Job: jobOf("b", 1, time.Hour), Number: 6})
+	s.Cancel(c, &relay.Cancel{Job: "b"}) // of an instance of an earlier version
+	is.Equal(len(s.Dump().Pool.Jobs), 0)
+	s.End()
+	s.Submit(c, &relay.Submit{Job: jobOf("c", 1, time.Hour), Number: 7})
+	is.Equal(c.answer("c"), &relay.Answer{Job: "c", Number: 7, Refused: pool.ReasonNotLeader})
+}
+
 // Guards against tasks that run twice when a dispatcher replaces one that has no information about its successor, and
 // against the loss of the runs that the earlier dispatcher had started.
 func TestTakeover(t *testing.T) {
@@ -433,7 +452,7 @@
 	submitUntilAccepted(t, s, c, &relay.Submit{Job: jobOf("a", 2, time.Second)})
 	submitUntilAccepted(t, s, c, &relay.Submit{Job: jobOf("b", 2, time.Second)})
 	wait.For(t, "all tasks run", func() bool { return f.Running() == 4 })
-	s.Cancel(c, "a")
+	s.Cancel(c, &relay.Cancel{Job: "a"})
 	wait.For(t, "the cancelled job's runs are stopped", func() bool { return f.Running() == 2 })
 	s.ClientGone(c)
 	wait.For(t, "no run is left", func() bool { return f.Running() == 0 })
