The gateway logs why a job goes to a further dispatcher

One line for each placement that is not the first (event=placed), with the reason, the target and the number of the submission, which the dispatcher's line of the submission has, too. A first placement has no line.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,11 @@
 	outcomeLosses  = "dispatchers_lost" // in the log
 	outcomeGaveUp  = "gave_up"          // in the log
 	outcomeStopped = "stopped"          // in the log
+	outcomeLost    = "dispatcher_lost"  // in the log
+	// movedUnreachable and movedUnsent are why a job leaves a target that has not got it, in the log. Other reasons are outcomeLost and
+	// those of refusals.
+	movedUnreachable = "unreachable" // the dispatcher is not known or not connected
+	movedUnsent      = "unsent"      // the connection to the dispatcher could not be opened
 )
 
 // Options configures a Gateway.
@@ -138,6 +143,7 @@
 	untried            []Target               // dispatchers that have not been tried yet
 	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
 	losses             int                    // number of dispatchers whose connection ended while they held the job
+	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
 	awaitingDispatcher bool                   // no dispatcher could be reached yet
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 )
@@ -15,12 +17,34 @@
 		p.target, p.untried = p.untried[0], p.untried[1:]
 		if route, ok := g.opts.Router.Submit(p.target, g.submission(p, false)); ok {
 			p.route = route
+			g.logMove(p)
 			return true
 		}
+		p.leave(movedUnreachable)
 	}
 	return false
 }
 
+// leave notes why a job leaves its target. If it has left several since it was last placed, the first reason counts: that of a target that
+// may have got the job.
+func (p *pending) leave(why string) {
+	if p.movedBy == "" {
+		p.movedBy = why
+	}
+}
+
+// logMove logs that a job was placed at its target if it was to be placed at another one, or at another dispatcher, before.
+func (g *Gateway) logMove(p *pending) {
+	if p.movedBy == "" {
+		return
+	}
+	g.opts.Log.WithFields(logrus.Fields{
+		"event": "placed", "job": p.job.ID, "why": p.movedBy, "zone": p.target.Zone, "partition": p.target.Partition, "number": p.submission,
+		"resumed": p.orphaned, "ms": time.Since(p.arrived).Milliseconds(),
+	}).Info("job placed at another dispatcher")
+	p.movedBy = ""
+}
+
 // placeOrRefuse places a job of which nothing has run. If this fails, the response holds the refusal of a dispatcher,
 // if one was reached. If none was reached, as in the moments after a restart of all instances, the job waits for a
 // dispatcher until the placement timeout. The caller holds g.mu.
@@ -71,6 +95,7 @@
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
 		}
+		p.leave(string(a.Refused))
 		g.placeOrRefuse(p)
 	}
 	// A job that was refused after it may have run elsewhere stays pending until its caller's timeout.
@@ -83,6 +108,7 @@
 		g.markOrphaned(p)
 		return
 	}
+	p.leave(string(pool.ReasonNotLeader))
 	g.placeOrRefuse(p)
 }
 
@@ -92,13 +118,15 @@
 	p.route = nil
 	if !p.orphaned {
 		p.orphaned = true
-		g.log(p, "dispatcher_lost", 0)
+		p.leave(outcomeLost)
+		g.log(p, outcomeLost, 0)
 	}
 }
 
 // dispatcherLost handles the loss of the dispatcher that held a job. The caller holds g.mu.
 func (g *Gateway) dispatcherLost(p *pending) {
 	p.losses++
+	p.leave(outcomeLost)
 	if p.losses < maxLosses {
 		g.markOrphaned(p)
 		return
@@ -120,6 +148,7 @@
 		case p.orphaned:
 			g.markOrphaned(p)
 		default:
+			p.leave(movedUnsent)
 			g.placeOrRefuse(p)
 		}
 	}
@@ -138,6 +167,7 @@
 		case p.orphaned && p.route == nil:
 			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, true)); ok {
 				p.route = route
+				g.logMove(p)
 			}
 		}
 	}
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/congestion"
@@ -245,3 +246,46 @@
 		})
 	}
 }
+
+// moves returns the reason and the partition of each logged placement at a further dispatcher.
+func moves(logged []*logrus.Entry) []string {
+	var all []string
+	for _, e := range logged {
+		if e.Data["event"] == "placed" {
+			all = append(all, fmt.Sprint(e.Data["why"], " ", e.Data["zone"]))
+		}
+	}
+	return all
+}
+
+// Guards against jobs that go to a further dispatcher without a line in the log that says why, and against a line for each job.
+func TestPlacementsAreLogged(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	logged := logtest.NewLocal(f.opts.Log.(*logrus.Logger))
+	f.post("a")
+	is.Equal(moves(logged.AllEntries()), nil)
+	f.Answer(f.router, &relay.Answer{Job: "a", Refused: pool.ReasonNoRoom})
+	is.Equal(moves(logged.AllEntries()), []string{"no_room south"})
+	logged.Reset()
+	f.post("b")
+	f.Answer(f.router, &relay.Answer{Job: "b", Refused: pool.ReasonNotLeader})
+	is.Equal(moves(logged.AllEntries()), []string{"not_leader south"})
+	logged.Reset()
+	f.router.setDown(north, true)
+	f.post("c")
+	is.Equal(moves(logged.AllEntries()), []string{"unreachable south"})
+	f.router.setDown(north, false)
+	f.EndPending()
+	logged.Reset()
+	f.post("d")
+	f.RouteEnded(f.router, false)
+	is.Equal(moves(logged.AllEntries()), []string{"unsent south"})
+	logged.Reset()
+	f.RouteEnded(f.router, true)
+	f.Resubmit()
+	is.Equal(moves(logged.AllEntries()), []string{"dispatcher_lost south"})
+	f.Answer(f.router, &relay.Answer{Job: "d", Refused: pool.ReasonNotLeader}) // the successor is not known yet
+	f.Resubmit()
+	is.Equal(len(moves(logged.AllEntries())), 1)
+}
