--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 )
@@ -15,12 +17,34 @@
 		p.target, p.untried = p.untried[0], p.untried[1:]
 		if route, ok := g.opts.Router.Submit(p.target, g.submission(p, false)); ok {
 			p.route = route
+			g.logMove(p)
 			return true
 		}
+		p.leave(movedUnreachable)
 	}
 	return false
 }
 
+// leave notes why a job leaves its target. If it has left several since it was last placed, the first reason counts: that of a target that
+// may have got the job.
+func (p *pending) leave(why string) {
+	if p.movedBy == "" {
+		p.movedBy = why
+	}
+}
+
+// logMove logs that a job was placed at its target if it was to be placed at another one, or at another dispatcher, before.
+func (g *Gateway) logMove(p *pending) {
+	if p.movedBy == "" {
+		return
+	}
+	g.opts.Log.WithFields(logrus.Fields{
+		"event": "placed", "job": p.job.ID, "why": p.movedBy, "zone": p.target.Zone, "partition": p.target.Partition, "number": p.submission,
+		"resumed": p.orphaned, "ms": time.Since(p.arrived).Milliseconds(),
+	}).Info("job placed at another dispatcher")
+	p.movedBy = ""
+}
+
 // placeOrRefuse places a job of which nothing has run. If this fails, the response holds the refusal of a dispatcher,
 // if one was reached. If none was reached, as in the moments after a restart of all instances, the job waits for a
 // dispatcher until the placement timeout. The caller holds g.mu.
@@ -38,21 +62,23 @@
 	g.refuseJob(p, 503, reasonNoDispatcher, retryNoDispatcher)
 }
 
-// submission returns the message that submits a job to a dispatcher.
+// submission returns the message of a new submission of a job to its target.
 func (g *Gateway) submission(p *pending, resumed bool) *relay.Submit {
+	g.submissions++
+	p.submission = g.submissions
 	return &relay.Submit{
-		Job: *p.job, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived),
+		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Waited: time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Attempts: g.opts.Attempts(p.job.ID),
 	}
 }
 
-// Answer handles a dispatcher's answer, that is, the result or the refusal of a job. It ignores an answer that came over
-// a route that does not hold the job any more.
+// Answer handles a dispatcher's answer, that is, the result or the refusal of a job. It ignores an answer to an earlier submission of
+// the job, which may have gone to another partition over the same route, or have had another caller: the job may run by now.
 func (g *Gateway) Answer(route Route, a *relay.Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.jobs[a.Job]
-	if p == nil || p.route != route {
+	if p == nil || p.route != route || !p.submission.Matches(a.Number) {
 		return
 	}
 	p.route = nil
@@ -69,6 +95,7 @@
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
 		}
+		p.leave(string(a.Refused))
 		g.placeOrRefuse(p)
 	}
 	// A job that was refused after it may have run elsewhere stays pending until its caller's timeout.
@@ -81,6 +108,7 @@
 		g.markOrphaned(p)
 		return
 	}
+	p.leave(string(pool.ReasonNotLeader))
 	g.placeOrRefuse(p)
 }
 
@@ -90,13 +118,15 @@
 	p.route = nil
 	if !p.orphaned {
 		p.orphaned = true
-		g.log(p, "dispatcher_lost", 0)
+		p.leave(outcomeLost)
+		g.log(p, outcomeLost, 0)
 	}
 }
 
 // dispatcherLost handles the loss of the dispatcher that held a job. The caller holds g.mu.
 func (g *Gateway) dispatcherLost(p *pending) {
 	p.losses++
+	p.leave(outcomeLost)
 	if p.losses < maxLosses {
 		g.markOrphaned(p)
 		return
@@ -118,6 +148,7 @@
 		case p.orphaned:
 			g.markOrphaned(p)
 		default:
+			p.leave(movedUnsent)
 			g.placeOrRefuse(p)
 		}
 	}
@@ -136,6 +167,7 @@
 		case p.orphaned && p.route == nil:
 			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, true)); ok {
 				p.route = route
+				g.logMove(p)
 			}
 		}
 	}
