--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -9,6 +9,7 @@
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -203,7 +203,7 @@
 	s.opts.Counts.AgeMS.AddDuration(m.Age())
 	known := s.pool.HasJob(job.ID)
 	if m.Expired() {
-		s.refuseExpired(from, m)
+		s.refuseExpired(client, m)
 		return
 	}
 	verdict, outcomes := s.pool.Submit(job, now, now-m.Age()-m.Waited, s.notBefore(m.Resumed))
@@ -238,7 +238,7 @@
 }
 
 // refuseExpired refuses a submission that has waited for longer than its caller waits.
-func (s *Shard) refuseExpired(from relay.Client, m *relay.Submit) {
+func (s *Shard) refuseExpired(from *submitter, m *relay.Submit) {
 	s.logVerdict(from, m, pool.Verdict{Reason: pool.ReasonExpired}, s.pool.HasJob(m.Job.ID))
 	s.opts.Counts.Refused.Add(1)
 	from.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonExpired, RetryAfter: time.Second})
