A refusal tells whether the dispatcher knows of runs of the job

A dispatcher that refused a job for lack of room, or at the end of its term, said that nothing had started although it knew of runs of an earlier submission that were being stopped; the gateway placed the job at a second dispatcher beside them. It now asks the same dispatcher again until these runs are over. TestRefusalBesideAnEarlierRun (two runs at the same time before) and TestRefusalsTellOfEarlierRuns. The caller of the first comes back within a lease; with callers that keep to the retransmit time such runs are over by then. Instances of earlier versions take such a refusal as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,7 @@
 	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
 	losses             int                    // number of dispatchers whose connection ended while they held the job
 	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
+	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
 	awaitingDispatcher bool                   // no dispatcher could be reached yet
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -81,7 +81,7 @@
 	if p == nil || p.route != route || !p.submission.Matches(a.Number) {
 		return
 	}
-	p.route = nil
+	p.route, p.earlierRuns = nil, false
 	switch {
 	case a.GaveUp:
 		g.giveUp(p, outcomeGaveUp, "the job was given up after a crash of an endpoint; it may have run")
@@ -91,6 +91,8 @@
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
 		g.dispatcherNotLeader(p, a.Started)
+	case a.Started && !p.orphaned:
+		p.earlierRuns = true // another dispatcher would start its tasks beside these runs
 	case !p.orphaned:
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
@@ -147,6 +149,8 @@
 			g.dispatcherLost(p)
 		case p.orphaned:
 			g.markOrphaned(p)
+		case p.earlierRuns:
+			p.route = nil
 		default:
 			p.leave(movedUnsent)
 			g.placeOrRefuse(p)
@@ -155,7 +159,7 @@
 }
 
 // Resubmit submits the jobs whose dispatcher failed to its successor, and retries those that have reached no
-// dispatcher.
+// dispatcher, and those whose earlier runs their dispatcher has known.
 func (g *Gateway) Resubmit() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -164,8 +168,8 @@
 		case p.awaitingDispatcher:
 			p.untried = g.opts.Router.Targets(p.job.ID)
 			g.placeOrRefuse(p)
-		case p.orphaned && p.route == nil:
-			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, true)); ok {
+		case (p.orphaned || p.earlierRuns) && p.route == nil:
+			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, p.orphaned)); ok {
 				p.route = route
 				g.logMove(p)
 			}
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -289,3 +289,52 @@
 	f.Resubmit()
 	is.Equal(len(moves(logged.AllEntries())), 1)
 }
+
+// Guards against two runs of a task: a dispatcher that knows of a run of an earlier submission, whose endpoint does not answer, refused the
+// job as not started, so it was placed at a second one while the run went on.
+func TestRefusalBesideAnEarlierRun(t *testing.T) {
+	is := is.New(t)
+	z := startZone(t, 3*time.Second)
+	z.both.begin(t, 1, z.endpoints)
+	z.other.begin(t, 2, z.endpoints)
+	z.peers.prefer(1)
+	ctx, leave := context.WithCancel(t.Context())
+	z.call(ctx, "POST", "/p/x", "job")
+	z.awaitRuns(1)
+	z.fleet.SetSilent(z.endpoints[1].Address, true)
+	leave()
+	z.eventually("the job is discarded", func() bool { return z.Active() == 0 })
+	wait.For(t, "the endpoint gets no new runs", func() bool { return z.both.shards[1].Pressure() >= 1000 })
+	z.peers.prefer(1, 2)
+	z.call(t.Context(), "POST", "/p/x", "job")
+	z.eventually("the job is submitted", func() bool { return z.peers.submissions() >= 2 })
+	z.eventually("the job starts elsewhere when its earlier run is over", func() bool {
+		z.Resubmit()
+		return len(z.fleet.Starts()) == 2
+	})
+	is.Equal(z.fleet.OverlappingRuns(), "")
+}
+
+// Guards against a job that is asked for again at a dispatcher that knows of no earlier runs of it any more, and against one that leaves
+// its dispatcher because the connection could not be opened, although there are such runs.
+func TestRefusalWithEarlierRuns(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	a := f.post("a")
+	f.Answer(f.router, &relay.Answer{Job: "a", Refused: pool.ReasonNoRoom, Started: true})
+	is.Equal(len(f.router.sent()), 1)
+	f.Resubmit()
+	f.RouteEnded(f.router, false)
+	f.Resubmit()
+	sent := f.router.sent()
+	is.Equal(len(sent), 3)
+	is.Equal(sent[2].to, north)
+	is.True(!sent[2].s.Resumed)
+	f.Answer(f.router, &relay.Answer{Job: "a", Refused: pool.ReasonNoRoom})
+	f.Resubmit()
+	sent = f.router.sent()
+	is.Equal(len(sent), 4)
+	is.Equal(sent[3].to, south)
+	f.Answer(f.router, &relay.Answer{Job: "a", Refused: pool.ReasonNoRoom})
+	is.Equal(f.receive(a).status, 429)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -245,10 +245,18 @@
 	return n
 }
 
-// HasStarted reports whether a task of a job has been ordered to start.
+// HasStarted reports whether tasks of a job may have started, here or at another dispatcher: for the present submission, or for an earlier
+// one whose runs are not known to be over.
 func (p *Pool) HasStarted(id work.JobID) bool {
-	j := p.jobs[id]
-	return j != nil && j.started
+	if j := p.jobs[id]; j != nil && (j.started || j.resumed) {
+		return true
+	}
+	for task, r := range p.runs {
+		if task.Job == id && r.MayHaveStarted() {
+			return true
+		}
+	}
+	return false
 }
 
 // HasJob reports whether the pool holds a job that is not finished.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -57,11 +57,11 @@
 	Number SubmissionNumber `msgpack:"n,omitempty"`
 	// State is Completed or Failed; empty for a refusal.
 	State work.State `msgpack:"s,omitempty"`
-	// Refused is the reason for a refusal. This dispatcher has started no task of the job, unless Started is set.
+	// Refused is the reason for a refusal. This dispatcher knows of no run of the job that may go on, unless Started is set.
 	Refused    pool.Reason   `msgpack:"r,omitempty"`
 	RetryAfter time.Duration `msgpack:"a,omitempty"`
-	// Started is true if tasks of the job may have started. It is set only in a refusal by a dispatcher whose term has
-	// ended, and with GaveUp.
+	// Started is true in a refusal if tasks of the job may have started: this dispatcher has started them and its term has ended, or it
+	// knows of runs of an earlier submission that are not over. It is set with GaveUp, too.
 	Started bool `msgpack:"t,omitempty"`
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -69,7 +69,7 @@
 func (s *Shard) refuseLate(now time.Duration) {
 	for _, id := range s.pool.Overdue(now) {
 		if client := s.clients[id]; client != nil {
-			client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonWaitedTooLong, RetryAfter: time.Second})
+			client.Answer(s.refusal(id, pool.ReasonWaitedTooLong, time.Second))
 		}
 		s.opts.Counts.Refused.Add(1)
 		s.opts.Log.WithFields(logrus.Fields{"event": "refuse_waiting", "job": id}).Info("job refused: it did not start in time")
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -205,7 +205,7 @@
 	s.logVerdict(m, verdict, known)
 	if !verdict.Accepted() {
 		s.opts.Counts.Refused.Add(1)
-		client.Answer(&relay.Answer{Job: job.ID, Refused: verdict.Reason, RetryAfter: verdict.RetryAfter})
+		client.Answer(s.refusal(job.ID, verdict.Reason, verdict.RetryAfter))
 		return
 	}
 	s.clients[job.ID] = client
@@ -218,6 +218,11 @@
 	s.dispatch()
 }
 
+// refusal returns the refusal of a job by a dispatcher that leads. It tells whether the dispatcher knows of runs of the job.
+func (s *Shard) refusal(id work.JobID, why pool.Reason, retryAfter time.Duration) *relay.Answer {
+	return &relay.Answer{Job: id, Refused: why, RetryAfter: retryAfter, Started: s.pool.HasStarted(id)}
+}
+
 func (s *Shard) logVerdict(m *relay.Submit, v pool.Verdict, known bool) {
 	job, resumed, waited := &m.Job, m.Resumed, m.Waited
 	outcome := "taken"
--- a/internal/shard/started_test.go
+++ b/internal/shard/started_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/standin/wait"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -46,3 +48,22 @@
 		is.True(completed(first, "a")())
 	})
 }
+
+// Guards against a dispatcher that says that nothing of a job has started while a run of an earlier submission goes on: in a refusal, and
+// at the end of its term.
+func TestRefusalsTellOfEarlierRuns(t *testing.T) {
+	is := is.New(t)
+	f, _, s, c := newLeadingDispatcher(t, 1, time.Hour)
+	f.LoseAnswer = func(call string) (bool, time.Duration) { return call == "stop", -1 } // stops are not carried out
+	submitUntilAccepted(t, s, c, &relay.Submit{Job: patientJob("a", 1), Number: 1})
+	wait.For(t, "the task runs", func() bool { return f.Running() == 1 })
+	s.Cancel(c, &relay.Cancel{Job: "a"})
+	s.Submit(c, &relay.Submit{Job: patientJob("a", 1), Number: 2, Waited: time.Hour})
+	is.Equal(c.answer("a").Refused, pool.ReasonNoRoom)
+	is.True(c.answer("a").Started)
+	s.Submit(c, &relay.Submit{Job: patientJob("b", 1), Number: 3, Waited: time.Hour})
+	is.True(!c.answer("b").Started)
+	s.Submit(c, &relay.Submit{Job: patientJob("a", 1), Number: 4})
+	s.End()
+	is.Equal(c.answer("a"), &relay.Answer{Job: "a", Number: 4, Refused: pool.ReasonNotLeader, Started: true})
+}
