One check of lengths and nesting for messages between instances and records

relay allocated the lists that a message claims before it read them, and a message of 4 MB of nested lists used up the stack, which ends the process. joblog checked the lengths of its records but not their nesting. TestClaimedLengths and TestNestedLists fail before (the second one ends the test process).

--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -5,7 +5,6 @@
 package joblog
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/wire"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -135,15 +135,15 @@
 	switch k {
 	case submission:
 		s := Submission{}
-		if err := unmarshal(payload, &s.Job); err != nil {
-			return nil, err
+		if err := wire.Unmarshal(payload, &s.Job); err != nil {
+			return nil, fmt.Errorf("joblog: %w", err)
 		}
 		s.Job.ID = id
 		return s, nil
 	case progress:
 		p := Progress{Job: id}
-		if err := unmarshal(payload, &p.Ends); err != nil {
-			return nil, err
+		if err := wire.Unmarshal(payload, &p.Ends); err != nil {
+			return nil, fmt.Errorf("joblog: %w", err)
 		}
 		return p, p.Ends.validate()
 	case end:
@@ -153,18 +153,6 @@
 	return Cancel{Job: id}, nil
 }
 
-// unmarshal decodes a payload. Its lengths are checked first: the decoder allocates an array of the length that the payload
-// tells, even if the elements are missing.
-func unmarshal(payload []byte, target any) error {
-	if err := msgpack.NewDecoder(bytes.NewReader(payload)).Skip(); err != nil {
-		return fmt.Errorf("joblog: %w", err)
-	}
-	if err := msgpack.Unmarshal(payload, target); err != nil {
-		return fmt.Errorf("joblog: %w", err)
-	}
-	return nil
-}
-
 func validateFinal(s work.State) error {
 	switch s {
 	case work.Completed, work.Failed, work.Cancelled:
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -14,6 +14,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/wire"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -164,7 +165,7 @@
 	default:
 		return nil, fmt.Errorf("relay: message of unknown kind %d", k)
 	}
-	if err := msgpack.Unmarshal(payload, message); err != nil {
+	if err := wire.Unmarshal(payload, message); err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	return message, nil
