Requests count from when the kernel received them

Cause: a request that waited in the kernel's buffers while the event loop did not turn counted as sent when it was read, unless the process had stood still for 1.5 s. Its job's dispatcher then took its caller to wait for longer than it does, by up to that time.

Change: Exchange.Unread is at least the time since the kernel received the connection's last data (TCP_INFO, in steps of up to 10 ms). It covers event loops that are busy or get no processor, connections that are not accepted yet, and stops of the process of any length. A suspension of the machine is still seen only by the gap between events.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,7 @@
 	// instance takes the job then.
 	retryStopping  = time.Second
 	reasonStopping = "stopping"
-	reasonUnread   = "waited_unread" // the process was stopped while the request waited
+	reasonUnread   = "waited_unread" // the request waited unread for longer than its caller waits
 	// maxLosses is the number of dispatchers that may be lost while they hold a job. A job that makes its dispatchers hang or crash
 	// must not go through all instances of a zone.
 	maxLosses      = 3
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/savorypass/savorypass/internal/result"
 )
@@ -118,10 +119,22 @@
 	}
 	c.busy.Store(true)
 	c.server.active.Add(1)
-	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now(), Unread: c.server.observe()})
+	unread := max(c.sinceReceived(), c.server.observe())
+	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now(), Unread: unread})
 	return gnet.None
 }
 
+// sinceReceived returns how long ago the kernel received the last data of the connection, without the time for which the machine was
+// suspended. It returns 0 if the kernel does not tell.
+func (c *conn) sinceReceived() time.Duration {
+	info, err := unix.GetsockoptTCPInfo(c.raw.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		c.server.opts.Log.WithField("event", "tcp_info_failed").WithError(err).Debug("the time at which a request was received is not known")
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // peerClosed reports whether the peer has closed a connection on which all received bytes have been read. A process that was stopped
 // for a while finds requests whose callers have left since and may have sent them to another instance.
 func peerClosed(fd int) bool {
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -13,7 +13,8 @@
 type Exchange struct {
 	Request *fasthttp.Request // valid until Reply is called
 	Arrived time.Time         // when the request was read
-	// Unread is for how long the request may have waited before, because the process was stopped.
+	// Unread is for how long the request waited before, because the event loop was busy or an earlier request of the connection was in
+	// progress, or may have waited because the process was stopped. It counts from the last bytes of the connection that were received.
 	Unread     time.Duration
 	conn       *conn
 	replied    bool
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -237,3 +237,39 @@
 	is.Equal(status, 200)
 	is.Equal(handled.Load(), int32(2))
 }
+
+// Guards against requests that wait unread in the kernel's buffers and pass for new ones, because the event loop, and not the whole process,
+// stood still. One of them comes on a connection that the server has not accepted yet.
+func TestRequestsThatWaitForTheEventLoop(t *testing.T) {
+	is := is.New(t)
+	const stall = 300 * time.Millisecond
+	held, release, unread := make(chan struct{}), make(chan struct{}), make(chan time.Duration, 2)
+	s := startLoops(t, 1, HandlerFunc(func(x *Exchange) {
+		if string(x.Request.Header.Method()) == "PUT" {
+			close(held)
+			<-release
+		} else {
+			unread <- x.Unread
+		}
+		go x.Reply(200, nil, 0)
+	}))
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", s.Address())
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	open := dial()
+	for s.Connections() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	holder := dial()
+	holder.Write([]byte("PUT / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	<-held
+	open.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	dial().Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	time.Sleep(stall)
+	close(release)
+	is.True(<-unread >= stall-20*time.Millisecond) // the kernel counts in steps of up to 10 ms
+	is.True(<-unread >= stall-20*time.Millisecond)
+}
