--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -82,7 +83,7 @@
 	// instance takes the job then.
 	retryStopping  = time.Second
 	reasonStopping = "stopping"
-	reasonUnread   = "waited_unread" // the process was stopped while the request waited
+	reasonUnread   = "waited_unread" // the request waited unread for longer than its caller waits
 	// maxLosses is the number of dispatchers that may be lost while they hold a job. A job that makes its dispatchers hang or crash
 	// must not go through all instances of a zone.
 	maxLosses      = 3
@@ -106,6 +107,8 @@
 	Meter   *traffic.Meter // counts the bytes of callers' bodies; nil for none
 	// Attempts returns the known unsuccessful runs of a job's tasks, which its next dispatcher has to count.
 	Attempts func(work.JobID) []attempt.Attempt
+	// Lag is that of the callers' listener.
+	Lag *server.LagMonitor
 }
 
 // Metrics are the gateway's counters of requests and its response times in milliseconds.
@@ -121,7 +124,7 @@
 // Gateway accepts jobs from callers and responds to them. Its methods may be called concurrently.
 type Gateway struct {
 	opts      Options
-	attention attention
+	freeAt    atomic.Int64 // when mu was last known to be free; as pause.SinceBoot, in ns
 	cancelled *cancellations
 
 	mu               sync.Mutex
@@ -151,15 +154,14 @@
 
 // New returns a gateway without jobs.
 func New(o Options) *Gateway {
-	g := &Gateway{opts: o, attention: attention{started: time.Now()}, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g := &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g.noteFree()
 	g.cancelled = newCancellations(g.cancelPending)
 	return g
 }
 
 // Serve implements server.Handler.
 func (g *Gateway) Serve(x *server.Exchange) {
-	g.attention.begin()
-	defer g.attention.end()
 	config := g.opts.Config.Load()
 	if config == nil {
 		g.refuse(x, 503, "no configuration yet", retryNoConfig)
@@ -332,7 +334,7 @@
 	g.answerCancels()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.attention.noteFree()
+	g.noteFree()
 	now := time.Now()
 	for _, p := range g.jobs {
 		if now.Before(p.deadline) {
