--- a/internal/gateway/attention.go
+++ b/internal/gateway/attention.go
@@ -7,7 +7,7 @@
 )
 
 // noteFree records that the gateway's lock is free. g.mu is held.
-func (g *Gateway) noteFree() { g.freeAt.Store(int64(pause.SinceBoot())) }
+func (g *Gateway) noteFree() { g.freeAt.Store(int64(pause.Elapsed())) }
 
 // lockHeld returns how long ago the gateway's lock was last known to be free.
 func (g *Gateway) lockHeld() time.Duration {
@@ -15,7 +15,7 @@
 		g.noteFree()
 		g.mu.Unlock()
 	}
-	return pause.SinceBoot() - time.Duration(g.freeAt.Load())
+	return pause.Elapsed() - time.Duration(g.freeAt.Load())
 }
 
 // Unattended returns how long the gateway has been unable to notice that its callers leave. It waits neither for the gateway's lock nor
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 // Gateway accepts jobs from callers and responds to them. Its methods may be called concurrently.
 type Gateway struct {
 	opts      Options
-	freeAt    atomic.Int64 // when mu was last known to be free; as pause.SinceBoot, in ns
+	freeAt    atomic.Int64 // when mu was last known to be free; as pause.Elapsed, in ns
 	cancelled *cancellations
 
 	mu               sync.Mutex
@@ -145,6 +145,7 @@
 	submission         relay.SubmissionNumber // the last submission of the job
 	untried            []Target               // dispatchers that have not been tried yet
 	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
+	lostAt             time.Time              // when the last dispatcher that held the job was lost, or gave the job back
 	losses             int                    // number of dispatchers whose connection ended while they held the job
 	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
 	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
--- a/internal/server/lag.go
+++ b/internal/server/lag.go
@@ -42,7 +42,7 @@
 
 // NewLagMonitor returns a monitor for one server.
 func NewLagMonitor() *LagMonitor {
-	m := &LagMonitor{now: pause.SinceBoot}
+	m := &LagMonitor{now: pause.Elapsed}
 	m.probes.Store(new([]*probe))
 	return m
 }
--- a/internal/server/lag_test.go
+++ b/internal/server/lag_test.go
@@ -44,7 +44,7 @@
 	is := is.New(t)
 	var suspended atomic.Int64
 	m := NewLagMonitor()
-	m.now = func() time.Duration { return pause.SinceBoot() + time.Duration(suspended.Load()) }
+	m.now = func() time.Duration { return pause.Elapsed() + time.Duration(suspended.Load()) }
 	held, release := make(chan struct{}), make(chan struct{})
 	s := startMonitored(t, 3, m, HandlerFunc(func(x *Exchange) {
 		if string(x.Request.Header.Method()) == "PUT" {
