A submission that arrives late starts a task whose caller has left: failing test with real processes

The soak gets choked links (data is late, no heartbeat is missing), instances with a small share of the processor, zone cuts, reset callers' connections, two partitions in each zone and tasks of 50 to 900 ms.

--- a/Makefile
+++ b/Makefile
@@ -43,9 +43,10 @@
 # runs at the same time; each instance is a process. DIR keeps the logs and histories of failed runs.
 MINUTES ?= 0.15
 INSTANCES ?= 4
+CALLERS ?= 3
 soak:
 	go test ./internal/soak -run '^TestSoak$$' -count=1 -timeout 3h -parallel $(PARALLEL) -v \
-		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.runs=$(RUNS) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
+		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.callers=$(CALLERS) -soak.runs=$(RUNS) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
 
 # Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
 demo-up: build
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -32,6 +32,7 @@
 	deadlineSlack    = 300 * time.Millisecond // callers wait this much longer than they say
 	longDeadlinePart = 5                      // one job in so many has the long deadline
 	giveUpPart       = 30                     // the caller of one job in so many closes its connection early
+	resetPart        = 10                     // the caller of one job in so many resets its connection early and submits the job again
 	maxThink         = 200 * time.Millisecond
 )
 
@@ -93,13 +94,17 @@
 	ended := c.run.record.addAttempt(j, c.at.spec.Name)
 	defer func() { ended(outcome) }()
 	wait := deadline + deadlineSlack
-	givesUp := c.rand.IntN(giveUpPart) == 0
-	if givesUp {
+	givesUp := c.only == nil && c.rand.IntN(giveUpPart) == 0
+	resets := c.only == nil && !givesUp && c.rand.IntN(resetPart) == 0
+	if givesUp || resets {
 		wait = between(c.rand, 10*time.Millisecond, 300*time.Millisecond)
 	}
 	c.conn.SetDeadline(time.Now().Add(wait))
 	resp, err := c.exchange(j, body, deadline)
 	if err != nil {
+		if resets {
+			abort(c.conn)
+		}
 		c.disconnect()
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
 		if givesUp && timedOut {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -21,6 +21,8 @@
 	maxSeries     = 4 // repetitions of one fault
 	maxDownTime   = 2 * time.Second
 	maxLinkDelay  = 300 * time.Millisecond
+	maxChoke      = 2 * time.Second // delay of data on choked links
+	chokeRamp     = 1500 * time.Millisecond
 	maxStoreDelay = 900 * time.Millisecond
 	maxLateOrder  = 5 * time.Second
 )
@@ -38,6 +40,10 @@
 	{"planned stop", 4, (*run).stopInstance},
 	{"SIGHUP", 1, (*run).reloadInstance},
 	{"links of an instance", 5, (*run).faultLinksOfInstance},
+	{"small share", 6, (*run).shrinkShare},
+	{"choked links", 4, (*run).chokeLinks},
+	{"zone cut", 2, (*run).cutZone},
+	{"callers reset", 4, (*run).resetCallers},
 	{"links to an endpoint", 2, (*run).faultLinksToEndpoint},
 	{"links of callers", 2, (*run).faultLinksOfCallers},
 	{"store slow", 1, (*run).slowStore},
@@ -146,6 +152,23 @@
 	})
 }
 
+// shrinkShare leaves several instances a small share of the processor. They are stopped and continued every few milliseconds, so
+// that none of them is ever stopped for long.
+func (r *run) shrinkShare(rnd *rand.Rand, length time.Duration) {
+	var wg sync.WaitGroup
+	for range 1 + rnd.IntN(len(r.instances)) {
+		period := between(rnd, 60*time.Millisecond, 100*time.Millisecond)
+		running := between(rnd, time.Millisecond, 12*time.Millisecond)
+		r.mu.Lock()
+		own := rand.New(rand.NewPCG(r.rand.Uint64(), 0))
+		r.mu.Unlock()
+		wg.Go(func() {
+			r.withInstance(own, "small share", true, func(i *instance) { i.throttle(period, running, length) })
+		})
+	}
+	wg.Wait()
+}
+
 func (r *run) stopInstance(rnd *rand.Rand, _ time.Duration) {
 	r.withInstance(rnd, "planned stop", false, func(i *instance) {
 		ended := r.record.addStop(i.spec.Name)
@@ -228,6 +251,65 @@
 	return names
 }
 
+// chokeLinks delays what an instance sends to other instances, or they to it, more and more. No heartbeat is missing, but all are late.
+func (r *run) chokeLinks(rnd *rand.Rand, length time.Duration) {
+	i := r.instances[rnd.IntN(len(r.instances))]
+	f := &linkFault{delay: between(rnd, minFault, maxChoke), ramp: chokeRamp}
+	f.ways[rnd.IntN(2)] = true
+	links := r.network.between(func(from, to string) bool { return from == i.spec.IP && r.isInstance(to) })
+	defer r.begin("choked links", i.spec.Name, r.names()...)()
+	for _, l := range links {
+		l.begin(f)
+	}
+	time.Sleep(chokeRamp + length)
+	for _, l := range links {
+		l.end(f)
+	}
+}
+
+// cutZone cuts a zone off from the others, half the time from the store as well.
+func (r *run) cutZone(rnd *rand.Rand, length time.Duration) {
+	zone, store := zones[rnd.IntN(len(zones))], rnd.IntN(2) == 0
+	links := r.network.between(func(from, to string) bool {
+		if to == r.storeAddress {
+			return store && r.zoneOf(from) == zone
+		}
+		return from != callerIP && (r.zoneOf(from) == zone) != (r.zoneOf(to) == zone)
+	})
+	defer r.begin("zone cut", zone, r.names()...)()
+	f := &linkFault{cut: [2]bool{true, true}}
+	for _, l := range links {
+		l.begin(f)
+	}
+	time.Sleep(length)
+	for _, l := range links {
+		l.end(f)
+	}
+}
+
+// zoneOf returns the zone of an instance's IP address, or of the address of an instance or an endpoint.
+func (r *run) zoneOf(address string) string {
+	for _, i := range r.instances {
+		if address == i.spec.IP || strings.HasPrefix(address, i.spec.IP+":") {
+			return i.spec.Zone
+		}
+	}
+	return r.fleet.Registration(address).Zone
+}
+
+// resetCallers resets the connections of the callers of an instance, several times.
+func (r *run) resetCallers(rnd *rand.Rand, length time.Duration) {
+	i := r.instances[rnd.IntN(len(r.instances))]
+	links := r.network.between(func(from, to string) bool { return from == callerIP && to == i.spec.Callers })
+	defer r.begin("callers reset", i.spec.Name, i.spec.Name, callersOf(i.spec.Name))()
+	for range maxSeries {
+		for _, l := range links {
+			l.reset()
+		}
+		time.Sleep(length / maxSeries)
+	}
+}
+
 func (r *run) faultLinksOfCallers(rnd *rand.Rand, length time.Duration) {
 	i := r.instances[rnd.IntN(len(r.instances))]
 	links := r.network.between(func(from, to string) bool { return from == callerIP && to == i.spec.Callers })
--- a/internal/soak/instance_test.go
+++ b/internal/soak/instance_test.go
@@ -86,6 +86,16 @@
 	return i.done
 }
 
+// throttle leaves the process a share of the processor for a time: it runs for a part of each period.
+func (i *instance) throttle(period, running, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		i.signal(syscall.SIGSTOP)
+		time.Sleep(period - running)
+		i.signal(syscall.SIGCONT)
+		time.Sleep(running)
+	}
+}
+
 // stop asks the process to stop and kills it after the grace time. It returns whether it had to kill it.
 func (i *instance) stop(grace time.Duration) (killed bool) {
 	i.signal(syscall.SIGTERM)
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -81,7 +82,10 @@
 // linkFault is a fault of a link while it lasts.
 type linkFault struct {
 	delay time.Duration // of each piece of data
+	ramp  time.Duration // time in which the delay grows from 0; without it, its beginning is a gap
+	since time.Time     // beginning of the fault
 	cut   [2]bool       // by direction; data is held until the cut ends
+	ways  [2]bool       // directions that are delayed; both if none is set
 }
 
 // link is a loopback relay.
@@ -107,6 +111,7 @@
 func (l *link) begin(f *linkFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	f.since = time.Now()
 	l.faults[f] = true
 }
 
@@ -167,19 +172,43 @@
 	l.copy(p, target, user, toUser)
 }
 
+// chunk is what one read of a connection has returned.
+type chunk struct {
+	data []byte
+	err  error
+	at   time.Time
+}
+
+const maxChunks = 4096 // under way in one direction of a connection
+
 // copy passes data in one direction until the connection ends.
 func (l *link) copy(p *pipe, source, sink net.Conn, direction int) {
+	chunks := make(chan chunk, maxChunks)
+	go readChunks(source, chunks)
+	for c := range chunks {
+		l.hold(p, direction, c.at)
+		if len(c.data) > 0 {
+			if _, err := sink.Write(c.data); err != nil {
+				c.err = err
+			}
+		}
+		if c.err != nil {
+			l.ended(p, sink, c.err)
+			break
+		}
+	}
+	for range chunks { // the reader must not wait for ever
+	}
+}
+
+// readChunks reads until the connection ends.
+func readChunks(source net.Conn, chunks chan<- chunk) {
+	defer close(chunks)
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := source.Read(buf)
-		l.hold(p, direction)
-		if n > 0 {
-			if _, writeErr := sink.Write(buf[:n]); writeErr != nil {
-				err = writeErr
-			}
-		}
+		chunks <- chunk{slices.Clone(buf[:n]), err, time.Now()}
 		if err != nil {
-			l.ended(p, sink, err)
 			return
 		}
 	}
@@ -187,12 +216,11 @@
 
 const holdInterval = 2 * time.Millisecond // interval at which held data checks for the end of its fault
 
-// hold waits until data may pass.
-func (l *link) hold(p *pipe, direction int) {
+// hold waits until data that was read at a time may pass.
+func (l *link) hold(p *pipe, direction int, read time.Time) {
 	for {
 		delay, held := l.effect(direction)
-		if !held && !p.silent.Load() || p.closed.Load() {
-			time.Sleep(delay)
+		if p.closed.Load() || !held && !p.silent.Load() && time.Since(read) >= delay {
 			return
 		}
 		time.Sleep(holdInterval)
@@ -204,12 +232,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for f := range l.faults {
-		delay = max(delay, f.delay)
+		delay = max(delay, f.delayOf(direction))
 		held = held || f.cut[direction]
 	}
 	return delay, held
 }
 
+// delayOf returns the present delay of a direction.
+func (f *linkFault) delayOf(direction int) time.Duration {
+	if f.ways != [2]bool{} && !f.ways[direction] {
+		return 0
+	}
+	if grown := time.Since(f.since); grown < f.ramp {
+		return time.Duration(float64(f.delay) * float64(grown) / float64(f.ramp))
+	}
+	return f.delay
+}
+
 // ended ends one direction of a connection because of err, and the connection if both have ended or it was reset.
 func (l *link) ended(p *pipe, sink net.Conn, err error) {
 	if err == io.EOF {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -25,8 +25,8 @@
 	taskAttempts     = 2 // failed runs of a task after which its job fails
 	taskCrashes      = 2 // endpoints that ended under a task, after which its job fails because the task may have crashed them
 	endpointSlots    = 4 // tasks that fit an endpoint at the same time
-	endpointsPerZone = 4
-	callersPerEntry  = 3
+	endpointsPerZone = 12
+	linkMbps         = 1  // with which 12 endpoints of a zone need two partitions
 	firstInstanceIP  = 11 // last byte of the first instance's IP address
 )
 
@@ -66,12 +66,11 @@
 }
 
 // newRun starts the stand-ins and the instances.
-func newRun(seed uint64, program, dir string, instances int) (*run, error) {
+func newRun(seed uint64, program, dir string, instances int, repeat time.Duration) (*run, error) {
 	r := &run{
-		seed: seed, dir: dir, record: newRecord(), network: newNetwork(), keyed: keyed.New(), rand: rand.New(rand.NewPCG(seed, 0)),
+		seed: seed, dir: dir, repeat: repeat, record: newRecord(), network: newNetwork(), keyed: keyed.New(), rand: rand.New(rand.NewPCG(seed, 0)),
 		notReady: map[*instance]bool{}, storeFaults: map[*storeFault]bool{}, orderFaults: map[*orderFault]bool{},
 	}
-	r.repeat = between(r.rand, 400*time.Millisecond, 1500*time.Millisecond).Round(time.Millisecond)
 	r.record.note("seed %d, %d instances, callers submit again after %v", seed, instances, r.repeat)
 	r.newFleet()
 	if err := r.serveStore(); err != nil {
@@ -101,7 +100,7 @@
 	relayPort, _ := strconv.Atoi(port)
 	return &instance{program: program, dir: r.dir, spec: standin.Instance{
 		Name: name, Zone: zones[n%len(zones)], Zones: zones, IP: ip, Callers: address.FreeAt(ip), Health: address.FreeAt(ip), Store: r.network.Route(ip, r.storeAddress),
-		Port: relayPort, GroupPartitions: keyed.Partitions, Grace: grace, Lease: lease, Repeat: r.repeat,
+		Port: relayPort, GroupPartitions: keyed.Partitions, LinkMbps: linkMbps, Grace: grace, Lease: lease, Repeat: r.repeat,
 	}}
 }
 
@@ -114,7 +113,7 @@
 		if rnd.IntN(50) == 0 {
 			return between(rnd, 2*time.Second, 6*time.Second)
 		}
-		return between(rnd, 20*time.Millisecond, 250*time.Millisecond)
+		return between(rnd, 50*time.Millisecond, 900*time.Millisecond)
 	}
 	r.fleet.Fails = func(task work.TaskID) bool { return hash(task)%100 == 0 }
 	r.fleet.LoseAnswer = r.loseAnswer
@@ -252,7 +251,7 @@
 // load runs callers and watchers until ctx ends, and waits for the answers to their requests.
 func (r *run) load(ctx context.Context) {
 	var wg sync.WaitGroup
-	for n := range callersPerEntry * len(r.instances) {
+	for n := range *soakCallers * len(r.instances) {
 		c := &caller{run: r, rand: rand.New(rand.NewPCG(r.seed, uint64(1000+n)))}
 		wg.Go(func() { c.loop(ctx) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	soakSeed      = flag.Uint64("soak.seed", 1, "seed of the first run; each further run adds 1")
 	soakMinutes   = flag.Float64("soak.minutes", 0.15, "time during which a run injects faults")
 	soakInstances = flag.Int("soak.instances", 4, "number of instances of a run")
+	soakCallers   = flag.Int("soak.callers", 3, "number of callers for each instance")
 	soakRuns      = flag.Int("soak.runs", 2, "number of runs; up to -parallel of them at the same time")
 	soakProgram   = flag.String("soak.program", "", "executable of the instances; it is built if empty")
 	soakDir       = flag.String("soak.dir", "", "directory for the logs and histories of failed runs; a temporary one if empty")
@@ -56,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := newRun(seed, program, dir, *soakInstances)
+	r, err := newRun(seed, program, dir, *soakInstances, drawRepeat(seed))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,6 +83,11 @@
 	t.Errorf("seed %d: %d broken promises, logs and history in %s:\n%s", seed, len(problems), dir, strings.Join(problems, "\n"))
 }
 
+// drawRepeat returns the time after which the callers of a run submit a job again.
+func drawRepeat(seed uint64) time.Duration {
+	return between(rand.New(rand.NewPCG(seed, 0)), 400*time.Millisecond, 1500*time.Millisecond).Round(time.Millisecond)
+}
+
 const maxRound = 20 * time.Second // of faults between two calm times
 
 // play runs the load with rounds of faults for a time, then kills and restarts all instances.
