--- a/internal/server/lag.go
+++ b/internal/server/lag.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/savorypass/savorypass/internal/pause"
 )
@@ -27,7 +25,7 @@
 // LagMonitor measures how far the event loops of a server are behind the kernel. It is safe for concurrent use.
 //
 // The tick of gnet cannot tell, since it runs in a goroutine of its own, and a task that an event loop runs cannot either, since the
-// loop may have polled long before the task was queued. The monitor therefore registers a socket pair, the probe, with each event loop. The
+// loop may have polled long before the task was queued. The monitor therefore registers one end of a connection within the process, the probe, with each event loop. The
 // kernel reports ready sockets in turns, so between two reports of the probe it reports every socket that was ready at the first one,
 // also if a poll does not return all of them. The probe is made ready three times in a row, each time from the report before. When the third
 // report is handled, the polls of the first two have been handled to the end, and with them all closes that the kernel had received when the
@@ -95,13 +93,13 @@
 	m.probes.Store(&all)
 }
 
-// probe is a socket pair of which one end is registered with an event loop.
+// probe is a connection within the process of which one end is registered with an event loop.
 type probe struct {
 	loop    gnet.EventLoop
 	monitor *LagMonitor
 	log     logrus.FieldLogger
-	peer    *net.UnixConn // the other end
-	failed  atomic.Bool   // the event loop did not accept it; the lag grows until it is replaced
+	peer    *net.TCPConn // the other end
+	failed  atomic.Bool  // the event loop did not accept it; the lag grows until it is replaced
 	// seenAt says that closes that the kernel received before have been handled, startedAt when the probe was started last. Both are
 	// times of LagMonitor.now.
 	seenAt, startedAt atomic.Int64
@@ -122,7 +120,7 @@
 }
 
 func (p *probe) register() error {
-	near, far, err := socketPair()
+	near, far, err := connectionPair()
 	if err != nil {
 		return err
 	}
@@ -188,32 +186,28 @@
 	p.log.WithField("event", "lag_probe_failed").WithError(err).Error("the lag of an event loop cannot be measured; its callers count as unattended")
 }
 
-// socketPair returns the ends of a new pair of connected sockets.
-func socketPair() (near, far *net.UnixConn, err error) {
-	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+var errOtherConnection = errors.New("another process has connected to the listener of the probe")
+
+// connectionPair returns the ends of a new TCP connection within this process. A pair of Unix sockets would do, but not on the users'
+// platform, which does not report such sockets to an event loop.
+func connectionPair() (near, far *net.TCPConn, err error) {
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
-		return nil, nil, os.NewSyscallError("socketpair", err)
+		return nil, nil, err
 	}
-	near, err = unixConn(fds[0])
+	defer l.Close()
+	near, err = net.DialTCP("tcp4", nil, l.Addr().(*net.TCPAddr))
 	if err != nil {
-		unix.Close(fds[1])
 		return nil, nil, err
 	}
-	far, err = unixConn(fds[1])
+	far, err = l.AcceptTCP()
+	if err == nil && far.RemoteAddr().String() != near.LocalAddr().String() {
+		far.Close()
+		err = errOtherConnection
+	}
 	if err != nil {
 		near.Close()
 		return nil, nil, err
 	}
 	return near, far, nil
 }
-
-// unixConn returns the connection of a socket and closes the descriptor.
-func unixConn(fd int) (*net.UnixConn, error) {
-	f := os.NewFile(uintptr(fd), "lag probe")
-	defer f.Close()
-	c, err := net.FileConn(f)
-	if err != nil {
-		return nil, err
-	}
-	return c.(*net.UnixConn), nil
-}
