A departure counts as unattended until its job is cancelled

Cause: the event loop passed a close that it had seen to a new goroutine, which cancels the job when it gets the processor and the gateway's lock. Until then Unattended said that the caller was attended to.

Change: departures wait in a queue whose oldest close counts in Unattended. Its age counts from what the event loop had handled when it saw the close.

--- a/internal/gateway/attention.go
+++ b/internal/gateway/attention.go
@@ -18,6 +18,10 @@
 	return pause.SinceBoot() - time.Duration(g.freeAt.Load())
 }
 
-// Unattended returns how long the gateway has been unable to notice that its callers leave. It waits neither for the gateway's lock nor
-// for the event loop.
-func (g *Gateway) Unattended() time.Duration { return max(g.opts.Lag.Lag(), g.lockHeld()) }
+// Unattended returns a time d for which the following holds: every close of a caller's connection that reached the kernel more than d ago has
+// been handled completely, so that its job is discarded and its cancel has been passed to the route. d is also at least the time for which
+// the gateway's lock has been held. Unattended waits neither for that lock nor for the event loop.
+func (g *Gateway) Unattended() time.Duration {
+	lag := g.opts.Lag.Lag() // first: a close that it no longer counts is among the departures until it has been handled
+	return max(lag, g.departures.age(), g.lockHeld())
+}
