A session can be ended before its first poll

The function that ends a session was set by the goroutine that polls. A registration with another address that came before the goroutine ran, in the same read or right after the beginning of a term, ended the process.

TestEndpointReplacedBeforeItsFirstPoll failed before, with a nil pointer.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -128,9 +128,6 @@
 
 // run polls the endpoint until the term ends or the endpoint is dropped.
 func (x *session) run(ctx context.Context) {
-	x.shard.mu.Lock()
-	ctx, x.cancel = context.WithCancel(ctx)
-	x.shard.mu.Unlock()
 	for ctx.Err() == nil {
 		pause.For(ctx, x.poll(ctx), nil)
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -149,9 +149,15 @@
 		s.pool.SetUsable(e.ID, x.usable())
 		return
 	}
-	x = newSession(s, e)
-	s.sessions[e.ID] = x
-	go x.run(s.ctx)
+	s.begin(newSession(s, e))
+}
+
+// begin makes a session that of its endpoint and begins to poll.
+func (s *Shard) begin(x *session) {
+	s.sessions[x.endpoint.ID] = x
+	var ctx context.Context
+	ctx, x.cancel = context.WithCancel(s.ctx)
+	go x.run(ctx)
 }
 
 // unregister stops new runs on an endpoint whose registration has ended. Its present runs are still followed.
