--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -36,7 +36,7 @@
 	// fencedPause is the pause after a poll that was refused because the endpoint has seen a higher fence. Further polls are
 	// refused until this dispatcher gets a higher fence itself, and then it polls at once.
 	fencedPause = 250 * time.Millisecond
-	// unregisteredTimeout is how long an endpoint without a registration may be silent before it is dropped.
+	// unregisteredTimeout is how long an endpoint without a registration may be silent before it is dropped, if its lease has expired.
 	unregisteredTimeout = 3 * time.Second
 	// maxStopTime is how long an endpoint may take to stop a run. During that time its reports contain the run; the report of
 	// the end comes with the next poll.
@@ -92,6 +92,22 @@
 	}
 }
 
+// movedTo returns a session with the endpoint at another address that knows what this one knows of its process. Which requests at the
+// earlier address a report from the other one follows is not known.
+func (x *session) movedTo(e work.Endpoint) *session {
+	moved := *x
+	moved.endpoint, moved.registered, moved.endpointClient = e, true, x.shard.opts.Dialer.Dial(e)
+	moved.answering, moved.reportedTo, moved.refusedFence = false, 0, 0
+	moved.visibleFrom, moved.stopConfirmed = map[*pool.Run]requestNumber{}, map[*pool.Run]bool{}
+	return &moved
+}
+
+// endedBefore reports whether a registration shows that the process of the session has ended: it is that of a later process.
+func (x *session) endedBefore(e work.Endpoint) bool {
+	known := x.process().StartedUnixMS
+	return known != 0 && e.StartedUnixMS != 0 && known != e.StartedUnixMS
+}
+
 // maxLoggedRuns bounds the runs that one log line names.
 const maxLoggedRuns = 16
 
@@ -128,9 +144,6 @@
 
 // run polls the endpoint until the term ends or the endpoint is dropped.
 func (x *session) run(ctx context.Context) {
-	x.shard.mu.Lock()
-	ctx, x.cancel = context.WithCancel(ctx)
-	x.shard.mu.Unlock()
 	for ctx.Err() == nil {
 		pause.For(ctx, x.poll(ctx), nil)
 	}
@@ -293,7 +306,7 @@
 		}
 		s.dispatch()
 	}
-	if !x.registered && now-x.lastAnswerAt > unregisteredTimeout {
+	if !x.registered && x.leaseExpired && now-x.lastAnswerAt > unregisteredTimeout {
 		s.drop(x, "silent and not registered", false)
 	}
 }
