News of a cancellation is passed on while its cancel waits

An instance that connected to a dispatcher more than a second after the news had come did not hear of it: a cancel was answered 410 although the job had been found and cancelled, or the job ran on although the cancel still waited. TestSearcherThatConnectsLate and TestHolderThatConnectsLate fail before.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -16,7 +16,8 @@
 // cancels it. Every instance remembers the cancellation, so that a submission which arrives later does not start the job.
 
 const (
-	// spreadTime is how long news of a cancellation is passed on. It covers several heartbeats on each part of the way.
+	// spreadTime is how long news of a cancellation is passed on after the last instance has asked for it. It covers several heartbeats on
+	// each part of the way.
 	spreadTime = time.Second
 	// findTimeout is how long a cancel waits for the instance that holds the job while all dispatchers are connected. The way there and
 	// back takes two heartbeats of an instance that submits jobs and two of a dispatcher.
@@ -66,7 +67,7 @@
 	var recent []relay.Cancellation
 	for id, x := range c.cancelled {
 		if time.Since(x.newsAt) < spreadTime && len(recent) < maxSpread {
-			recent = append(recent, relay.Cancellation{Job: id, Found: x.found})
+			recent = append(recent, relay.Cancellation{Job: id, Found: x.found, Sought: len(x.waiting) > 0 && !x.found})
 		}
 	}
 	return recent
@@ -76,21 +77,25 @@
 // either finds the record or is found.
 func (c *cancellations) Merge(all []relay.Cancellation) {
 	for _, m := range all {
-		if !c.isNews(m) {
-			continue
-		}
-		c.spread(m.Job, m.Found)
-		if c.cancelPending(m.Job) {
+		if c.learn(m) && c.cancelPending(m.Job) {
 			c.spread(m.Job, true)
 		}
 	}
 }
 
-func (c *cancellations) isNews(m relay.Cancellation) bool {
+// learn records a cancellation and returns whether it is news. News is passed on. What is known already is passed on again while a caller
+// waits for it elsewhere, or if the sender does not know that the job was found: connections may have been opened since.
+func (c *cancellations) learn(m relay.Cancellation) (news bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.cancelled[m.Job]
-	return known == nil || m.Found && !known.found
+	news = known == nil || m.Found && !known.found
+	x := c.record(m.Job)
+	x.found = x.found || m.Found
+	if news || m.Sought || x.found && !m.Found {
+		x.newsAt = time.Now()
+	}
+	return news
 }
 
 // spread records a cancellation and passes it on.
--- a/internal/relay/cancellation.go
+++ b/internal/relay/cancellation.go
@@ -8,6 +8,8 @@
 	Job work.JobID `msgpack:"j"`
 	// Found is true if an instance held the job and has cancelled it.
 	Found bool `msgpack:"f,omitempty"`
+	// Sought is true if a caller waits at the sender, which does not know of an instance that held the job. Instances of earlier versions do not send it.
+	Sought bool `msgpack:"s,omitempty"`
 }
 
 // Cancellations is where an instance keeps the cancellations that heartbeats bring and carry on. Its methods do not wait for other
