A dispatcher passes a cancellation on again when it gets a submission of the cancelled job

The instance that submits it was cut off from all dispatchers while they passed the cancellation on, and its job ran on. TestSubmissionOfACancelledJob fails before.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -107,6 +107,15 @@
 	x.found = x.found || found
 }
 
+// repeat passes the cancellation of a job on again if there is one.
+func (c *cancellations) repeat(id work.JobID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x := c.cancelled[id]; x != nil {
+		x.newsAt = time.Now()
+	}
+}
+
 // remember records that a job which this instance held was cancelled.
 func (c *cancellations) remember(id work.JobID) {
 	c.mu.Lock()
@@ -285,5 +294,9 @@
 	}
 }
 
+// RepeatCancellation passes the cancellation of a job on again if there is one: another instance, which has not learned of it, has submitted
+// the job.
+func (g *Gateway) RepeatCancellation(id work.JobID) { g.cancelled.repeat(id) }
+
 // Cancellations returns what the instance's heartbeats carry of cancelled jobs.
 func (g *Gateway) Cancellations() relay.Cancellations { return g.cancelled }
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -161,6 +161,7 @@
 
 // Submit implements relay.Dispatcher.
 func (s *shards) Submit(from relay.Client, m *relay.Submit) {
+	s.gateway.RepeatCancellation(m.Job.ID)
 	x := s.get(m.Partition)
 	if x == nil {
 		from.Answer(&relay.Answer{Job: m.Job.ID, Number: m.Number, Refused: pool.ReasonNotLeader})
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -7,7 +7,9 @@
 	"github.com/matryer/is"
 
 	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -48,10 +50,30 @@
 			History: attempt.NewHistory(), OnFenced: func() {}, OnReplaced: func() {}, Counts: &counts, Log: log, Now: func() time.Duration { return time.Since(started) },
 		})
 	})
+	n.gateway = gateway.New(gateway.Options{Config: &catalog.Current{}, Log: log})
 	n.divisions = division.New(division.Options{Store: s, Topic: "divisions", ReadWait: time.Second, EndpointsPerPartition: 40, Log: log, OnChange: n.reconcile})
 	return n
 }
 
+// ignoringClient ignores answers.
+type ignoringClient struct{}
+
+func (c ignoringClient) Answer(*relay.Answer)   {}
+func (c ignoringClient) Name() string           { return "ignoring" }
+func (c ignoringClient) Silence() time.Duration { return 0 }
+
+// Guards against a cancelled job that runs because its instance has not learned of the cancellation: it was cut off from all dispatchers
+// while they passed it on, and then submits the job.
+func TestSubmissionOfACancelledJob(t *testing.T) {
+	is := is.New(t)
+	n := newTestShards(keyed.New())
+	n.Cancellations().Merge([]relay.Cancellation{{Job: "x"}})
+	wait.For(t, "the cancellation is passed on no longer", func() bool { return len(n.Cancellations().Recent()) == 0 })
+	n.Submit(ignoringClient{}, &relay.Submit{Job: work.Job{ID: "x"}})
+	n.Submit(ignoringClient{}, &relay.Submit{Job: work.Job{ID: "y"}})
+	is.Equal(n.Cancellations().Recent(), []relay.Cancellation{{Job: "x"}})
+}
+
 // stuckClient keeps each shard that answers it from going on until it is released, as a call would that does not end.
 type stuckClient struct{ released chan struct{} }
 
