--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -78,12 +78,10 @@
 	return q.waiting[0], true
 }
 
-// age returns for how long the connection of a caller may have been closed whose departure is not handled completely, 0 if there is no
-// such caller. It does not block.
-func (q *departures) age() time.Duration {
-	oldest := q.oldest.Load()
-	if oldest == 0 {
-		return 0
+// handledUntil returns a time: departures whose closes had reached the kernel before have been handled. It is at most now. It does not block.
+func (q *departures) handledUntil(now time.Duration) time.Duration {
+	if oldest := q.oldest.Load(); oldest > 0 {
+		return min(now, time.Duration(oldest))
 	}
-	return pause.Elapsed() - time.Duration(oldest)
+	return now
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/metric"
-	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/server"
 	"github.com/savorypass/savorypass/internal/traffic"
@@ -291,7 +290,7 @@
 
 // noteDeparture records that a job's caller has closed the connection of an exchange. It does not wait for g.mu.
 func (g *Gateway) noteDeparture(p *pending, x *server.Exchange) {
-	g.departures.add(departure{job: p, exchange: x, after: pause.Elapsed() - g.opts.Lag.Lag()})
+	g.departures.add(departure{job: p, exchange: x, after: g.opts.Lag.HandledUntil()})
 }
 
 // callerGone discards the job of a caller that has left, unless the job was submitted again on another connection.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -175,10 +175,7 @@
 	if _, ok := c.Context().(*probe); ok {
 		return nil, gnet.None
 	}
-	if s.opts.Lag != nil {
-		s.opts.Lag.watch(c.EventLoop(), s.opts.Log)
-	}
-	cn := &conn{server: s, raw: c}
+	cn := &conn{server: s, raw: c, lag: s.opts.Lag.watch(c.EventLoop(), s.opts.Log)}
 	c.SetContext(cn)
 	limits := s.opts.Limits()
 	s.mu.Lock()
@@ -195,7 +192,7 @@
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	switch cn := c.Context().(type) {
 	case *probe:
-		cn.closePeer()
+		cn.closed()
 	case *conn:
 		s.closed(cn)
 	}
@@ -279,9 +276,6 @@
 // sweep closes connections whose request has not arrived within Limits.RequestTimeout.
 func (s *Server) sweep() {
 	s.observe()
-	if s.opts.Lag != nil {
-		s.opts.Lag.replaceFailed()
-	}
 	deadline := time.Now().Add(-s.opts.Limits().RequestTimeout).UnixNano()
 	s.mu.Lock()
 	defer s.mu.Unlock()
