Unattended callers count from what the event loop has handled

Cause: Gateway.Unattended knew only how long a call of Serve and the gateway's lock took. While the event loop did not get the processor, or worked outside of Serve, other goroutines said 0 although a close waited in the kernel.

Change: server.LagMonitor measures how far the event loops are behind the kernel, with a socket pair that each loop must report three times in a row, each 50 ms while requests are in progress and each second otherwise. gnet's tick runs in a goroutine of its own, and its tasks may be queued after the poll in whose round they run, so neither shows that a loop has polled. Times include suspensions of the machine. The time of a call of Serve is part of the lag; TestUnattended now holds the event loop itself.

--- a/internal/gateway/attention.go
+++ b/internal/gateway/attention.go
@@ -1,42 +1,26 @@
 package gateway
 
 import (
-	"sync/atomic"
 	"time"
-)
-
-// attention tells for how long the gateway has not attended to its callers. It notices that a caller leaves only while the event loop
-// of the callers' listener turns, and tells the job's dispatcher only while its lock is free.
-type attention struct {
-	started  time.Time
-	servedAt atomic.Int64 // beginning of the call of Serve in progress, in nanoseconds since started; 0 if there is none
-	freeAt   atomic.Int64 // when the lock was last free, in nanoseconds since started
-}
 
-func (a *attention) now() time.Duration { return time.Since(a.started) }
-
-// begin and end enclose the work of the event loop on one request. There is one event loop.
-func (a *attention) begin() { a.servedAt.Store(max(int64(a.now()), 1)) }
-func (a *attention) end()   { a.servedAt.Store(0) }
+	"github.com/savorypass/savorypass/internal/pause"
+)
 
-// noteFree records that the gateway's lock is free.
-func (a *attention) noteFree() { a.freeAt.Store(int64(a.now())) }
+// noteFree records that the gateway's lock is free. g.mu is held.
+func (g *Gateway) noteFree() { g.freeAt.Store(int64(pause.SinceBoot())) }
 
-// lapse returns how long ago the lock was last free, or how long the event loop has worked on one request, if that is longer.
-func (a *attention) lapse() time.Duration {
-	now := a.now()
-	lapse := now - time.Duration(a.freeAt.Load())
-	if servedAt := a.servedAt.Load(); servedAt > 0 {
-		lapse = max(lapse, now-time.Duration(servedAt))
+// lastFree returns when the gateway's lock was last known to be free.
+func (g *Gateway) lastFree() time.Duration {
+	if g.mu.TryLock() {
+		g.noteFree()
+		g.mu.Unlock()
 	}
-	return lapse
+	return time.Duration(g.freeAt.Load())
 }
 
-// Unattended returns how long the gateway has been unable to notice that its callers leave. It does not wait for the gateway's lock.
+// Unattended returns how long the gateway has been unable to notice that its callers leave. It waits neither for the gateway's lock nor
+// for the event loop.
 func (g *Gateway) Unattended() time.Duration {
-	if g.mu.TryLock() {
-		g.attention.noteFree()
-		g.mu.Unlock()
-	}
-	return g.attention.lapse()
+	attended := min(g.opts.Lag.HandledUntil(), g.lastFree())
+	return pause.SinceBoot() - attended // last: this goroutine may have been without the processor meanwhile
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -101,6 +102,8 @@
 	Meter   *traffic.Meter // counts the bytes of callers' bodies; nil for none
 	// Attempts returns the known unsuccessful runs of a job's tasks, which its next dispatcher has to count.
 	Attempts func(work.JobID) []attempt.Attempt
+	// Lag is that of the callers' listener.
+	Lag *server.LagMonitor
 }
 
 // Metrics are the gateway's counters of requests and its response times in milliseconds.
@@ -116,7 +119,7 @@
 // Gateway accepts jobs from callers and responds to them. Its methods may be called concurrently.
 type Gateway struct {
 	opts      Options
-	attention attention
+	freeAt    atomic.Int64 // when mu was last known to be free; as pause.SinceBoot, in ns
 	cancelled *cancellations
 
 	mu               sync.Mutex
@@ -142,15 +145,14 @@
 
 // New returns a gateway without jobs.
 func New(o Options) *Gateway {
-	g := &Gateway{opts: o, attention: attention{started: time.Now()}, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g := &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g.noteFree()
 	g.cancelled = newCancellations(g.cancelPending)
 	return g
 }
 
 // Serve implements server.Handler.
 func (g *Gateway) Serve(x *server.Exchange) {
-	g.attention.begin()
-	defer g.attention.end()
 	config := g.opts.Config.Load()
 	if config == nil {
 		g.refuse(x, 503, "no configuration yet", retryNoConfig)
@@ -323,7 +325,7 @@
 	g.answerCancels()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.attention.noteFree()
+	g.noteFree()
 	now := time.Now()
 	for _, p := range g.jobs {
 		if now.Before(p.deadline) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,9 +109,11 @@
 
 type fixture struct {
 	*Gateway
-	router *router
-	url    string
-	t      *testing.T
+	router    *router
+	server    *server.Server
+	onRefusal atomic.Pointer[func()] // called on the event loop when the server itself refuses a request; nil for none
+	url       string
+	t         *testing.T
 }
 
 func start(t *testing.T, timeout time.Duration) *fixture {
@@ -120,15 +122,23 @@
 	r := &router{targets: []Target{north, south}, down: map[Target]bool{}}
 	config := &catalog.Current{}
 	config.StoreIfNewer(catalog.New(1, []catalog.Queue{{Name: "q", Host: "h.example", Prefix: "/p/"}}, catalog.Limits{}))
-	g := New(Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}, Attempts: knownAttempts})
-	s, err := server.Start(server.Options{
-		Address: "127.0.0.1:0", Loops: 1, Handler: g, EncodeRefusal: func(result.Code, string) []byte { return nil },
-	})
+	lag := server.NewLagMonitor()
+	g := New(Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}, Attempts: knownAttempts, Lag: lag})
+	f := &fixture{Gateway: g, router: r, t: t}
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Loops: 1, Handler: g, EncodeRefusal: f.encodeRefusal, Lag: lag})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { s.Stop(context.Background()) })
-	return &fixture{g, r, "http://" + s.Address(), t}
+	f.server, f.url = s, "http://"+s.Address()
+	return f
+}
+
+func (f *fixture) encodeRefusal(result.Code, string) []byte {
+	if onRefusal := f.onRefusal.Load(); onRefusal != nil {
+		(*onRefusal)()
+	}
+	return nil
 }
 
 type response struct {
@@ -284,9 +294,9 @@
 	f.mu.Lock()
 	wait.For(t, "the lock counts as held", func() bool { return f.Unattended() >= 50*time.Millisecond })
 	f.mu.Unlock()
-	f.attention.begin()
-	wait.For(t, "the event loop counts as held", func() bool { return f.Unattended() >= 50*time.Millisecond })
-	f.attention.end()
+	release := f.holdLoop()
+	wait.For(t, "the event loop counts as held", func() bool { return f.Unattended() >= 200*time.Millisecond })
+	release()
 	wait.For(t, "the callers are attended to", func() bool { return f.Unattended() < 50*time.Millisecond })
 }
 
--- a/internal/pause/suspend.go
+++ b/internal/pause/suspend.go
@@ -12,6 +12,14 @@
 	return clock(unix.CLOCK_BOOTTIME) - clock(unix.CLOCK_MONOTONIC)
 }
 
+// SinceBoot returns the time since the machine was started, with the time for which it has been suspended.
+func SinceBoot() time.Duration {
+	if t := clock(unix.CLOCK_BOOTTIME); t > 0 {
+		return t
+	}
+	return clock(unix.CLOCK_MONOTONIC)
+}
+
 // clock returns the time of a clock of the kernel, 0 if the kernel does not have it.
 func clock(id int32) time.Duration {
 	var t unix.Timespec
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -36,6 +36,7 @@
 	user         string       // user that has claimed the connection, or ""; guarded by server.mu
 	continueSent bool         // 100 Continue has been sent for the incomplete request
 	onDisconnect atomic.Pointer[func()]
+	lag          *loopLag // of the connection's event loop; nil if it is not measured
 }
 
 // read passes the request at the head of the buffer to the handler if it is complete.
@@ -112,6 +113,7 @@
 	c.raw.Discard(len(raw) - src.Len() - br.Buffered())
 	c.requestBytes, c.continueSent = 0, false
 	c.firstByteNS.Store(0)
+	openAt := c.lag.time()
 	if peerClosed(c.raw.Fd()) {
 		fasthttp.ReleaseRequest(req)
 		c.server.opts.Log.WithField("event", "request_left").Info("caller closed its connection before its request was read")
@@ -119,6 +121,7 @@
 	}
 	c.busy.Store(true)
 	c.server.active.Add(1)
+	c.lag.begin(openAt)
 	unread := max(c.sinceReceived(), c.server.observe())
 	c.server.opts.Handler.Serve(&Exchange{conn: c, Request: req, Arrived: time.Now(), Unread: unread})
 	return gnet.None
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -62,17 +62,23 @@
 	fasthttp.ReleaseRequest(x.Request)
 	x.Request = nil
 	err := c.raw.AsyncWrite(b.Bytes(), func(raw gnet.Conn, err error) error {
-		c.server.active.Add(-1)
+		c.ended()
 		if err != nil || closeAfter {
 			return raw.Close()
 		}
 		return c.continueReading(raw)
 	})
 	if err != nil {
-		c.server.active.Add(-1)
+		c.ended()
 	}
 }
 
+// ended counts the request in progress as answered.
+func (c *conn) ended() {
+	c.server.active.Add(-1)
+	c.lag.end()
+}
+
 // continueReading makes the event loop read the next request if it arrived while the previous one was in progress.
 func (c *conn) continueReading(raw gnet.Conn) error {
 	c.busy.Store(false)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,6 +56,7 @@
 	Handler       Handler
 	EncodeRefusal RefusalEncoder
 	Log           logrus.FieldLogger // receives the messages of the event loops; nil discards them
+	Lag           *LagMonitor        // measures the lag of the event loops; nil if nobody asks for it
 }
 
 // Server is a running listener.
@@ -69,13 +70,14 @@
 	draining atomic.Bool
 	active   atomic.Int64 // requests that the handler has not answered yet
 	activity activity
+	swept    time.Time // when the incomplete requests were last checked; used only by OnTick
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	users map[string]int // number of connections that each user has claimed
 }
 
-// tickInterval is the pause between the checks for requests that exceed Limits.RequestTimeout.
+// tickInterval is the pause between the checks for stops of the process and for requests that exceed Limits.RequestTimeout.
 const tickInterval = time.Second
 
 // Start listens on Options.Address and serves until Stop is called. It returns when the listener is open or has failed.
@@ -170,7 +172,10 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	cn := &conn{server: s, raw: c}
+	if _, ok := c.Context().(*probe); ok {
+		return nil, gnet.None
+	}
+	cn := &conn{server: s, raw: c, lag: s.opts.Lag.watch(c.EventLoop(), s.opts.Log)}
 	c.SetContext(cn)
 	limits := s.opts.Limits()
 	s.mu.Lock()
@@ -185,19 +190,27 @@
 
 // OnClose implements gnet.EventHandler.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
-	if cn, ok := c.Context().(*conn); ok {
-		cn.closed.Store(true)
-		if f := cn.onDisconnect.Swap(nil); f != nil {
-			(*f)()
-		}
-		s.mu.Lock()
-		delete(s.conns, cn)
-		s.releaseClaim(cn)
-		s.mu.Unlock()
+	switch cn := c.Context().(type) {
+	case *probe:
+		cn.closePeer()
+	case *conn:
+		s.closed(cn)
 	}
 	return gnet.None
 }
 
+// closed handles the end of a caller's connection.
+func (s *Server) closed(cn *conn) {
+	cn.closed.Store(true)
+	if f := cn.onDisconnect.Swap(nil); f != nil {
+		(*f)()
+	}
+	s.mu.Lock()
+	delete(s.conns, cn)
+	s.releaseClaim(cn)
+	s.mu.Unlock()
+}
+
 // claim counts a connection for a user. It returns false if the user already has limit other connections.
 func (s *Server) claim(c *conn, user string, limit int) bool {
 	s.mu.Lock()
@@ -230,6 +243,10 @@
 
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	if p, ok := c.Context().(*probe); ok {
+		p.reported(c)
+		return gnet.None
+	}
 	cn := c.Context().(*conn)
 	if cn.busy.Load() {
 		// Without this limit a caller that keeps sending requests without waiting for responses would grow the buffer
@@ -242,8 +259,22 @@
 	return cn.read(s.opts.Limits())
 }
 
-// OnTick implements gnet.EventHandler. It closes connections whose request has not arrived within Limits.RequestTimeout.
+// OnTick implements gnet.EventHandler.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	interval := tickInterval
+	if s.opts.Lag != nil {
+		s.opts.Lag.tick()
+		interval = probeInterval
+	}
+	if time.Since(s.swept) >= tickInterval {
+		s.swept = time.Now()
+		s.sweep()
+	}
+	return interval, gnet.None
+}
+
+// sweep closes connections whose request has not arrived within Limits.RequestTimeout.
+func (s *Server) sweep() {
 	s.observe()
 	deadline := time.Now().Add(-s.opts.Limits().RequestTimeout).UnixNano()
 	s.mu.Lock()
@@ -253,7 +284,6 @@
 			cn.raw.Close()
 		}
 	}
-	return tickInterval, gnet.None
 }
 
 // refusal returns a complete response by which the server refuses a request and announces the close of its connection.
