A departure counts as unattended until its job is cancelled

Cause: the event loop passed a close that it had seen to a new goroutine, which cancels the job when it gets the processor and the gateway's lock. Until then Unattended said that the caller was attended to.

Change: departures wait in a queue whose oldest close counts in Unattended, with an age that counts from what the event loop had handled when it saw the close. The log line of a caller that has left has closed_ms, an upper bound of the time since the close reached the kernel.

--- a/internal/gateway/attention.go
+++ b/internal/gateway/attention.go
@@ -18,9 +18,11 @@
 	return time.Duration(g.freeAt.Load())
 }
 
-// Unattended returns how long the gateway has been unable to notice that its callers leave. It waits neither for the gateway's lock nor
-// for the event loop.
+// Unattended returns a time d for which the following holds: every close of a caller's connection that reached the kernel more than d ago has
+// been handled completely, so that its job is discarded and its cancel has been passed to the route. d is also at least the time for which
+// the gateway's lock has been held. Unattended waits neither for that lock nor for the event loop.
 func (g *Gateway) Unattended() time.Duration {
-	attended := min(g.opts.Lag.HandledUntil(), g.lastFree())
+	noticed := g.opts.Lag.HandledUntil() // first: a close that it covers is among the departures until it has been handled
+	attended := min(g.departures.handledUntil(noticed), g.lastFree())
 	return pause.SinceBoot() - attended // last: this goroutine may have been without the processor meanwhile
 }
--- a/internal/gateway/attention_test.go
+++ b/internal/gateway/attention_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -77,3 +79,69 @@
 	f.eventually("the job is cancelled", func() bool { return f.isCancelled("a") })
 	f.eventually("the callers are attended to", func() bool { return f.Unattended() < 50*time.Millisecond })
 }
+
+// Guards against an instance that says that it attends to its callers when its event loop has seen a close, but the job is not cancelled
+// yet: the goroutine that cancels it has not got the gateway's lock, which is free, or the processor.
+func TestCloseThatIsNotHandledYet(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	caller := f.submit("a")
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the goroutine that waits for the lock does not run before this one pauses
+	f.mu.Lock()
+	caller.Close()
+	closed := time.Now()
+	f.eventually("the event loop sees the close", func() bool { return f.server.Connections() == 0 })
+	time.Sleep(200 * time.Millisecond) // longer than a loop that turns is behind
+	age := time.Since(closed)
+	f.mu.Unlock()
+	claim := f.Unattended()
+	if claim < age && !f.isCancelled("a") {
+		t.Fatalf("a close of %v ago is not handled, but the callers count as unattended for only %v", age, claim)
+	}
+	f.eventually("the job is cancelled", func() bool { return f.isCancelled("a") })
+	f.eventually("the callers are attended to", func() bool { return f.Unattended() < 50*time.Millisecond })
+	is.Equal(f.Active(), 0)
+}
+
+// Guards against an instance that says that it attends to its callers while other goroutines keep its event loop, and the goroutines that
+// cancel jobs, from the processor. The kernel may deliver a close after the caller's call has returned, hence the tolerance.
+func TestClaimOfAStarvedInstance(t *testing.T) {
+	const (
+		processors = 2
+		busy       = 40 // goroutines; each keeps a processor for about 10 ms
+		callers    = 4
+		tolerance  = 50 * time.Millisecond
+	)
+	f := start(t, time.Minute)
+	var conns []net.Conn
+	for i := range callers {
+		conns = append(conns, f.submit(fmt.Sprint("job", i)))
+	}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(processors))
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for range busy {
+		all.Go(func() {
+			for spin := true; spin; {
+				select {
+				case <-done:
+					spin = false
+				default:
+				}
+			}
+		})
+	}
+	defer all.Wait()
+	defer close(done)
+	for i, c := range conns {
+		id := work.JobID(fmt.Sprint("job", i))
+		c.Close()
+		closed := time.Now()
+		for !f.isCancelled(id) && !t.Failed() {
+			age, claim := time.Since(closed), f.Unattended()
+			if claim+tolerance < age && !f.isCancelled(id) {
+				t.Errorf("a close of %v ago is not handled, but the callers count as unattended for only %v", age, claim)
+			}
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,9 +118,10 @@
 
 // Gateway accepts jobs from callers and responds to them. Its methods may be called concurrently.
 type Gateway struct {
-	opts      Options
-	freeAt    atomic.Int64 // when mu was last known to be free; as pause.SinceBoot, in ns
-	cancelled *cancellations
+	opts       Options
+	freeAt     atomic.Int64 // when mu was last known to be free; as pause.SinceBoot, in ns
+	cancelled  *cancellations
+	departures departures
 
 	mu               sync.Mutex
 	jobs             map[work.JobID]*pending
@@ -148,6 +149,7 @@
 	g := &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
 	g.noteFree()
 	g.cancelled = newCancellations(g.cancelPending)
+	g.departures.handle = g.callerGone
 	return g
 }
 
@@ -247,7 +249,7 @@
 		return
 	}
 	g.jobs[job.ID] = p
-	x.OnDisconnect(func() { go g.callerGone(p, x) })
+	x.OnDisconnect(func() { g.noteDeparture(p, x) })
 	if g.closed {
 		g.discard(p)
 		g.refuseJob(p, 503, reasonStopping, retryStopping)
@@ -261,7 +263,7 @@
 func (g *Gateway) replaceExchange(old, repeated *pending) {
 	before := old.exchange
 	old.exchange, old.deadline = repeated.exchange, repeated.deadline
-	old.exchange.OnDisconnect(func() { go g.callerGone(old, repeated.exchange) })
+	old.exchange.OnDisconnect(func() { g.noteDeparture(old, repeated.exchange) })
 	before.Reply(502, g.opts.Codec.EncodeError("the job was submitted again in a later request"), 0)
 }
 
@@ -276,16 +278,22 @@
 	}
 }
 
-// callerGone discards a job whose caller has closed the connection of an exchange, unless the job was submitted again on another one.
-func (g *Gateway) callerGone(p *pending, x *server.Exchange) {
+// noteDeparture records that a job's caller has closed the connection of an exchange. It does not wait for g.mu.
+func (g *Gateway) noteDeparture(p *pending, x *server.Exchange) {
+	g.departures.add(departure{job: p, exchange: x, after: g.opts.Lag.HandledUntil()})
+}
+
+// callerGone discards the job of a caller that has left, unless the job was submitted again on another connection.
+func (g *Gateway) callerGone(d departure) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.jobs[p.job.ID] != p || p.exchange != x {
+	p := d.job
+	if g.jobs[p.job.ID] != p || p.exchange != d.exchange {
 		return
 	}
 	g.discard(p)
 	g.opts.Metrics.Abandoned.Add(1)
-	g.log(p, "caller_gone", 0)
+	g.logger(p, "caller_gone", 0).WithField("closed_ms", d.age().Milliseconds()).Info("request")
 	g.reply(p.exchange, 504, nil, 0) // nobody receives it, but it ends the exchange
 }
 
@@ -313,10 +321,15 @@
 }
 
 func (g *Gateway) log(p *pending, outcome string, status int) {
-	g.opts.Log.WithFields(logrus.Fields{
+	g.logger(p, outcome, status).Info("request")
+}
+
+// logger returns a logger with the fields of a request.
+func (g *Gateway) logger(p *pending, outcome string, status int) logrus.FieldLogger {
+	return g.opts.Log.WithFields(logrus.Fields{
 		"event": "request", "job": p.job.ID, "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
 		"status": status, "zone": p.target.Zone, "partition": p.target.Partition, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
-	}).Info("request")
+	})
 }
 
 // Sweep discards the jobs whose caller's timeout has passed and responds to them with 504. It also responds to cancels that were
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -435,7 +435,7 @@
 	f.mu.Unlock()
 	second := f.call(context.Background(), "POST", "/p/a", "job")
 	is.Equal(f.receive(first).status, 502)
-	f.callerGone(p, x)
+	f.callerGone(departure{job: p, exchange: x})
 	is.Equal(f.Active(), 1)
 	f.Answer(f.router, &relay.Answer{Job: "a", State: work.Completed})
 	is.Equal(f.receive(second).status, 200)
