A dispatcher that gets its own job back does not wait for others

After a reset of the connection the job comes back to the dispatcher that held it. Submissions are numbered for each request of a caller, so that the dispatcher recognizes the one that follows its own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -129,6 +130,8 @@
 type pending struct {
 	job                *work.Job
 	exchange           *server.Exchange
+	request            uint64 // identifies the caller's request
+	submissions        int    // number of submissions that were sent
 	arrived            time.Time
 	deadline           time.Time     // when the caller stops waiting
 	target             Target        // dispatcher to which the job was last submitted
@@ -229,7 +232,7 @@
 		timeout = defaultResponseTimeout
 	}
 	sent := x.Arrived.Add(-x.Unread) // at the earliest
-	p := &pending{job: job, exchange: x, arrived: sent, deadline: sent.Add(timeout)}
+	p := &pending{job: job, exchange: x, request: rand.Uint64(), arrived: sent, deadline: sent.Add(timeout)}
 	if time.Since(sent) > timeout {
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -426,6 +426,31 @@
 	is.True(!resubmitted().GivenBack)
 }
 
+// Guards against a dispatcher that takes itself for the last one that held a job: submissions that were sent elsewhere count, those that
+// could not be sent do not, and another request for the same job is another one.
+func TestSubmissionsAreNumbered(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	f.post("a")
+	for range 2 {
+		f.RouteEnded(f.router, true)
+		f.router.setDown(north, true)
+		f.Resubmit()
+		f.router.setDown(north, false)
+		f.Resubmit()
+	}
+	f.post("b")
+	all := f.router.sent()
+	is.Equal(len(all), 4)
+	for i, sent := range all[:3] {
+		is.Equal(sent.s.Number, i+1)
+		is.Equal(sent.s.Request, all[0].s.Request)
+	}
+	is.Equal(all[3].s.Number, 1)
+	is.True(all[0].s.Request != 0)
+	is.True(all[3].s.Request != all[0].s.Request)
+}
+
 // Guards against jobs that are kept and run on after their caller has closed its connection.
 func TestCallerDisconnects(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -13,14 +13,23 @@
 	p.route = nil
 	for len(p.untried) > 0 {
 		p.target, p.untried = p.untried[0], p.untried[1:]
-		if route, ok := g.opts.Router.Submit(p.target, g.submission(p, false)); ok {
-			p.route = route
+		if g.submitTo(p, false) {
 			return true
 		}
 	}
 	return false
 }
 
+// submitTo submits a job to its target. It returns false if the target cannot be reached. The caller holds g.mu.
+func (g *Gateway) submitTo(p *pending, resumed bool) bool {
+	route, ok := g.opts.Router.Submit(p.target, g.submission(p, resumed))
+	if ok {
+		p.route = route
+		p.submissions++
+	}
+	return ok
+}
+
 // placeOrRefuse places a job of which nothing has run. If this fails, the response holds the refusal of a dispatcher,
 // if one was reached. If none was reached, as in the moments after a restart of all instances, the job waits for a
 // dispatcher until the placement timeout. The caller holds g.mu.
@@ -47,7 +56,8 @@
 	return &relay.Submit{
 		Job: *p.job, Partition: p.target.Partition, Resumed: resumed, Lost: lost, GivenBack: resumed && p.losses == 0,
 		Waited:    time.Since(p.arrived),
-		Remaining: max(time.Until(p.deadline), time.Millisecond), Attempts: g.opts.Attempts(p.job.ID),
+		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Number: p.submissions + 1,
+		Attempts: g.opts.Attempts(p.job.ID),
 	}
 }
 
@@ -143,9 +153,7 @@
 			p.untried = g.opts.Router.Targets(p.job.ID)
 			g.placeOrRefuse(p)
 		case p.orphaned && p.route == nil:
-			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, true)); ok {
-				p.route = route
-			}
+			g.submitTo(p, true)
 		}
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -32,6 +32,10 @@
 	Waited time.Duration `msgpack:"w,omitempty"`
 	// Remaining is the time after which the job's caller waits no longer; 0 if it is not known.
 	Remaining time.Duration `msgpack:"m,omitempty"`
+	// Request identifies the caller's request among those of all instances; 0 if it is not known.
+	Request uint64 `msgpack:"q,omitempty"`
+	// Number counts the submissions that were sent for the request, from 1.
+	Number int `msgpack:"n,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
 }
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -54,6 +54,7 @@
 	}
 	s.stopAll(s.pool.Unwanted(now-claimTime), stopUnwanted)
 	s.pool.ForgetSuccesses(now - successRetention)
+	s.forgetHeld(now - successRetention)
 	s.dispatch()
 	s.checked.Store(int64(s.opts.Now()))
 }
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/relay"
@@ -20,8 +21,54 @@
 // priced, and the instances of a zone lose a dispatcher at slightly different times.
 const readRequestPause = 100 * time.Millisecond
 
-// lastOrder returns the time after which the earlier dispatcher of a resumed job orders nothing for it.
-func lastOrder(m *relay.Submit, now time.Duration) time.Duration {
+// noOrders stands for the time of the last order if no other dispatcher has ordered anything. It is before all times.
+const noOrders = time.Duration(math.MinInt64 / 2)
+
+// holding records the submission with which this dispatcher has taken a job during its term. It outlives the job for successRetention.
+type holding struct {
+	request   uint64
+	number    int
+	lastOrder time.Duration // when another dispatcher may last have ordered runs of the job
+	at        time.Duration // when the job was taken or given up
+}
+
+// precedes reports whether no other dispatcher can have got the job between this submission and another one: it is the next one of the same
+// request.
+func (h holding) precedes(m *relay.Submit) bool {
+	return h.request != 0 && h.request == m.Request && h.number+1 == m.Number
+}
+
+// lastOrder returns the time after which other dispatchers order nothing for a submitted job. Without another one, as after a reset of the
+// connection, this dispatcher knows all runs.
+func (s *Shard) lastOrder(m *relay.Submit, now time.Duration) time.Duration {
+	if !m.Resumed {
+		return noOrders
+	}
+	if h, ok := s.held[m.Job.ID]; ok && h.precedes(m) {
+		return h.lastOrder
+	}
+	return lastOrderBefore(m, now)
+}
+
+// hold records that this dispatcher has taken a job.
+func (s *Shard) hold(m *relay.Submit, last, now time.Duration) {
+	if h, ok := s.held[m.Job.ID]; ok {
+		last = max(last, h.lastOrder)
+	}
+	s.held[m.Job.ID] = holding{m.Request, m.Number, last, now}
+}
+
+// forgetHeld deletes the records of jobs that were given up before a time.
+func (s *Shard) forgetHeld(before time.Duration) {
+	for id, h := range s.held {
+		if h.at < before && !s.pool.HasJob(id) {
+			delete(s.held, id)
+		}
+	}
+}
+
+// lastOrderBefore returns the time after which the earlier dispatcher of a resumed job orders nothing for it.
+func lastOrderBefore(m *relay.Submit, now time.Duration) time.Duration {
 	if m.GivenBack {
 		return now - m.Lost
 	}
--- a/internal/shard/resumed_test.go
+++ b/internal/shard/resumed_test.go
@@ -370,3 +370,62 @@
 		is.Equal(left, 1)
 	})
 }
+
+// Guards against jobs that wait for the end of leases when their dispatcher is the one that held them before, after a reset of the
+// connection: it knows its own runs, also if the store cannot be read or an endpoint has never answered. The clock is virtual.
+func TestResumedAtTheSameDispatcher(t *testing.T) {
+	const at = 300 * time.Millisecond // after the loss
+	for _, test := range []struct {
+		name     string
+		first    relay.Submit
+		again    relay.Submit
+		starts   time.Duration // after the second submission
+		starting time.Duration // tolerance
+	}{
+		{"the same", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 7, Number: 2, Resumed: true, Lost: at}, 0, 50 * time.Millisecond},
+		{
+			"another one between", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 7, Number: 3, Resumed: true, Lost: at},
+			1280*time.Millisecond - at, 50 * time.Millisecond,
+		},
+		{
+			"another request", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 8, Number: 2, Resumed: true, Lost: at},
+			1280*time.Millisecond - at, 50 * time.Millisecond,
+		},
+		{
+			"an instance without numbers", relay.Submit{}, relay.Submit{Resumed: true, Lost: at},
+			1280*time.Millisecond - at, 50 * time.Millisecond,
+		},
+		{
+			// The job was lost by a third dispatcher just before the first submission, and still waits for that one's leases.
+			"the same, which has waited itself", relay.Submit{Request: 7, Number: 2, Resumed: true}, relay.Submit{Request: 7, Number: 3, Resumed: true, Lost: at},
+			1280*time.Millisecond - at - 100*time.Millisecond, 50 * time.Millisecond,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, all := newFleet(2, time.Second)
+				f.SetSilent(all[1].Address, true)
+				s, c1, c2 := newSuccessor(f, all), newClient(), newClient()
+				time.Sleep(1010 * time.Millisecond)
+				job := jobOf("a", 1, time.Second)
+				test.first.Job, test.again.Job = job, job
+				s.Submit(c1, &test.first)
+				time.Sleep(100 * time.Millisecond)
+				s.ClientGone(c1)
+				time.Sleep(at)
+				began, before := time.Now(), len(f.Starts())
+				s.Submit(c2, &test.again)
+				time.Sleep(4 * time.Second)
+				s.End()
+				time.Sleep(2 * time.Second)
+				is.Equal(f.OverlappingRuns(), "")
+				starts := f.Starts()
+				is.Equal(len(starts), before+1)
+				waited := starts[before].StartedAt.Sub(began)
+				is.True(waited >= test.starts)
+				is.True(waited <= test.starts+test.starting)
+			})
+		})
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -80,6 +80,7 @@
 	registrations   knowledge
 	startsWait      bool                         // starts wait for a read of the registrations
 	awaiting        map[work.JobID]time.Duration // resumed jobs whose runs are not known yet, with the time of their lastOrder
+	held            map[work.JobID]holding
 	reports         map[work.EndpointID]newestReport
 	readRequestedAt time.Duration // when a read of the registrations was last requested for them
 	callLost        bool          // a call to an endpoint got no answer; the last such call was at callLostAt
@@ -111,6 +112,7 @@
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 	s.awaiting = map[work.JobID]time.Duration{}
+	s.held = map[work.JobID]holding{}
 	s.reports = map[work.EndpointID]newestReport{}
 }
 
@@ -225,7 +227,7 @@
 	now := s.opts.Now()
 	s.opts.History.Merge(m.Attempts, now)
 	known := s.pool.HasJob(job.ID)
-	last := lastOrder(m, now)
+	last := s.lastOrder(m, now)
 	verdict, outcomes := s.pool.Submit(job, now, now-m.Waited, s.notBefore(m.Resumed, last, now))
 	s.logVerdict(m, verdict, known)
 	if !verdict.Accepted() {
@@ -236,6 +238,7 @@
 	if m.Resumed && !known {
 		s.awaiting[job.ID] = last
 	}
+	s.hold(m, last, now)
 	s.clients[job.ID] = from
 	s.pool.Hold(job.ID, false)
 	delete(s.expires, job.ID)
@@ -293,6 +296,10 @@
 func (s *Shard) abandon(id work.JobID, why stopReason) {
 	delete(s.clients, id)
 	delete(s.expires, id)
+	if h, ok := s.held[id]; ok {
+		h.at = s.opts.Now()
+		s.held[id] = h
+	}
 	s.stopAll(s.pool.Cancel(id), why)
 }
 
