--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -15,9 +15,7 @@
 	p.route = nil
 	for len(p.untried) > 0 {
 		p.target, p.untried = p.untried[0], p.untried[1:]
-		if route, ok := g.opts.Router.Submit(p.target, g.submission(p, false)); ok {
-			p.route = route
-			g.logMove(p)
+		if g.submitTo(p, false) {
 			return true
 		}
 		p.leave(movedUnreachable)
@@ -25,6 +23,16 @@
 	return false
 }
 
+// submitTo submits a job to its target. It returns false if the target cannot be reached. The caller holds g.mu.
+func (g *Gateway) submitTo(p *pending, resumed bool) bool {
+	route, ok := g.opts.Router.Submit(p.target, g.submission(p, resumed))
+	if ok {
+		p.route, p.sent = route, p.submission
+		g.logMove(p)
+	}
+	return ok
+}
+
 // leave notes why a job leaves its target. If it has left several since it was last placed, the first reason counts: that of a target that
 // may have got the job.
 func (p *pending) leave(why string) {
@@ -73,7 +81,8 @@
 	return &relay.Submit{
 		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Lost: lost, GivenBack: resumed && p.losses == 0,
 		Waited:    time.Since(p.arrived),
-		Remaining: max(time.Until(p.deadline), time.Millisecond), Attempts: g.opts.Attempts(p.job.ID),
+		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent,
+		Attempts: g.opts.Attempts(p.job.ID),
 	}
 }
 
@@ -86,6 +95,7 @@
 	if p == nil || p.route != route || !p.submission.Matches(a.Number) {
 		return
 	}
+	earlierRuns := p.earlierRuns
 	p.route, p.earlierRuns = nil, false
 	switch {
 	case a.GaveUp:
@@ -95,7 +105,7 @@
 		g.answerJob(p, 200, a.State)
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
-		g.dispatcherNotLeader(p, a.Started)
+		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
 		p.earlierRuns = true // another dispatcher would start its tasks beside these runs
 	case !p.orphaned:
@@ -178,10 +188,7 @@
 			p.untried = g.opts.Router.Targets(p.job.ID)
 			g.placeOrRefuse(p)
 		case (p.orphaned || p.earlierRuns) && p.route == nil:
-			if route, ok := g.opts.Router.Submit(p.target, g.submission(p, p.orphaned)); ok {
-				p.route = route
-				g.logMove(p)
-			}
+			g.submitTo(p, p.orphaned)
 		}
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -44,6 +44,10 @@
 	Waited time.Duration `msgpack:"w,omitempty"`
 	// Remaining is the time after which the job's caller waits no longer; 0 if it is not known.
 	Remaining time.Duration `msgpack:"m,omitempty"`
+	// Request identifies the caller's request among those of all instances; 0 if it is not known.
+	Request uint64 `msgpack:"q,omitempty"`
+	// Previous is the number of the submission that was sent last for the request; 0 if there is none, or it is not known.
+	Previous SubmissionNumber `msgpack:"v,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
 	// Composed is when the message was composed, on the sender's clock; 0 from an instance of an earlier version.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,7 +170,7 @@
 	responded bool // the dispatcher has sent a message
 	ended     bool
 	loads     map[int]int // pressure in percent by partition
-	unsent    [][]byte    // frames that wait until the dispatcher has responded
+	unsent    []unsent    // messages that wait until the dispatcher has responded
 }
 
 // Handler receives what comes over an uplink. Its functions do not block.
@@ -262,12 +263,32 @@
 	}
 	u.responded = true
 	u.link.sendFrame(u.link.heartbeat())
-	for _, frame := range u.unsent {
-		u.link.sendFrame(frame)
+	for _, m := range u.unsent {
+		u.link.sendFrame(m.frame)
 	}
 	u.unsent = nil
 }
 
+// unsent is a message that waits until the dispatcher has responded.
+type unsent struct {
+	message any
+	frame   []byte
+}
+
+// withdraw removes the submission that a cancel is about from the messages that wait, and returns whether it was there. If it were sent,
+// its cancel would come behind it and behind a heartbeat that says that the callers are attended to. u.mu is held.
+func (u *Uplink) withdraw(c *Cancel) bool {
+	at := slices.IndexFunc(u.unsent, func(m unsent) bool {
+		s, ok := m.message.(*Submit)
+		return ok && s.Job.ID == c.Job && s.Partition == c.Partition && s.Number.Matches(c.Number)
+	})
+	if at < 0 {
+		return false
+	}
+	u.unsent = slices.Delete(u.unsent, at, at+1)
+	return true
+}
+
 // Pressure returns the last known pressure of a partition in percent. ok is false if none is known.
 func (u *Uplink) Pressure(partition int) (pressure int, ok bool) {
 	u.mu.Lock()
@@ -286,7 +307,10 @@
 	switch {
 	case u.ended:
 	case !u.responded:
-		u.unsent = append(u.unsent, frame)
+		if c, ok := message.(*Cancel); ok && u.withdraw(c) {
+			return nil
+		}
+		u.unsent = append(u.unsent, unsent{message, frame})
 	default:
 		u.link.sendFrame(frame)
 	}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -152,7 +152,10 @@
 
 // poll requests one report, applies it and returns the pause before the next poll.
 func (x *session) poll(ctx context.Context) time.Duration {
-	request := x.preparePoll()
+	request, ok := x.preparePoll()
+	if !ok {
+		return retryPause
+	}
 	report, refusal, err := x.renewLease(ctx, request)
 	s := x.shard
 	s.mu.Lock()
@@ -217,7 +220,10 @@
 // requestReport requests a report in addition to the regular polls and returns whether one came. If none does, the next poll
 // brings the report.
 func (x *session) requestReport() bool {
-	request := x.prepareReport()
+	request, ok := x.prepareReport()
+	if !ok {
+		return false
+	}
 	report, refusal, err := x.renewLease(context.Background(), request)
 	if err != nil || refusal != work.Done {
 		return false
@@ -225,19 +231,26 @@
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.sessions[x.endpoint.ID] == x {
+	if !x.ended() {
 		x.applyReport(report, request, s.opts.Now())
 		s.dispatch()
 	}
 	return true
 }
 
-// prepareReport returns a request for a report that neither waits nor extends the lease.
-func (x *session) prepareReport() reportRequest {
+// ended reports whether the endpoint was dropped or the session's term has ended. The shard's fence may be that of another term then, in
+// which the endpoint belongs to another partition. The shard's lock is held.
+func (x *session) ended() bool { return x.shard.sessions[x.endpoint.ID] != x }
+
+// prepareReport returns a request for a report that neither waits nor extends the lease. ok is false if the session has ended.
+func (x *session) prepareReport() (request reportRequest, ok bool) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return x.newReportRequest(s.opts.Now())
+	if x.ended() {
+		return reportRequest{}, false
+	}
+	return x.newReportRequest(s.opts.Now()), true
 }
 
 // silentAfterPolls is the number of consecutive unanswered polls from which an endpoint gets no new runs.
@@ -248,14 +261,17 @@
 const maxExtendingPolls = 2
 
 // preparePoll returns the request of the next poll. The poll does not wait at an endpoint that did not answer
-// the last one.
-func (x *session) preparePoll() reportRequest {
+// the last one. ok is false if the session has ended.
+func (x *session) preparePoll() (request reportRequest, ok bool) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if x.ended() {
+		return reportRequest{}, false
+	}
 	now := s.opts.Now()
 	s.abandonExpired(now) // this process may have been stopped; the lease must not be extended for jobs that expired meanwhile
-	request := x.newReportRequest(now)
+	request = x.newReportRequest(now)
 	busy := s.pool.Busy(x.endpoint.ID)
 	if x.reportedTo == s.term.Fence && busy && x.failures < maxExtendingPolls && !x.unattended() {
 		request.LeaseEnd = x.extendLease(now)
@@ -269,7 +285,7 @@
 	default:
 		request.Wait = idlePollWait
 	}
-	return request
+	return request, true
 }
 
 // callFailed handles a poll without an answer. The shard's lock is held.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -80,6 +80,7 @@
 	registrations   knowledge
 	startsWait      bool                         // starts wait for a read of the registrations
 	awaiting        map[work.JobID]time.Duration // resumed jobs whose runs are not known yet, with the time of their lastOrder
+	held            map[work.JobID]holding
 	reports         map[work.EndpointID]newestReport
 	readRequestedAt time.Duration // when a read of the registrations was last requested for them
 	callLost        bool          // a call to an endpoint got no answer; the last such call was at callLostAt
@@ -123,6 +124,7 @@
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 	s.awaiting = map[work.JobID]time.Duration{}
+	s.held = map[work.JobID]holding{}
 	s.reports = map[work.EndpointID]newestReport{}
 }
 
@@ -230,30 +232,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	client := &submitter{from, m.Number}
-	job := &m.Job
 	if !s.leading {
-		client.Answer(&relay.Answer{Job: job.ID, Refused: pool.ReasonNotLeader})
+		client.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonNotLeader})
 		return
 	}
-	now := s.opts.Now()
-	s.opts.History.Merge(m.Attempts, now)
 	s.opts.Counts.AgeMS.AddDuration(m.Age())
-	known := s.pool.HasJob(job.ID)
-	if m.Expired() {
-		s.refuseExpired(client, m)
-		return
+	switch {
+	case m.Expired():
+		s.refuse(client, m, pool.Verdict{Reason: pool.ReasonExpired, RetryAfter: time.Second})
+	case s.hasNewerSubmitter(client, m.Job.ID):
+		s.logVerdict(client, m, pool.Verdict{Reason: pool.ReasonSuperseded}, true)
+		client.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonNotLeader, Started: true})
+	default:
+		s.decide(client, m)
 	}
-	last := lastOrder(m, now)
+}
+
+// hasNewerSubmitter reports whether another instance attends to the caller of a job while the one that submits it now has been silent: its
+// submission is late, and its connection may end at any time.
+func (s *Shard) hasNewerSubmitter(client *submitter, id work.JobID) bool {
+	present := s.clients[id]
+	if present == nil || present.Client == client.Client {
+		return false
+	}
+	return client.Silence() > abandonTime && present.Silence() <= abandonTime
+}
+
+// decide takes or refuses a submitted job.
+func (s *Shard) decide(client *submitter, m *relay.Submit) {
+	job, now := &m.Job, s.opts.Now()
+	s.opts.History.Merge(m.Attempts, now)
+	known := s.pool.HasJob(job.ID)
+	last := s.lastOrder(m, now)
 	verdict, outcomes := s.pool.Submit(job, now, now-m.Age()-m.Waited, s.notBefore(m.Resumed, last, now))
-	s.logVerdict(from, m, verdict, known)
 	if !verdict.Accepted() {
-		s.opts.Counts.Refused.Add(1)
-		client.Answer(s.refusal(job.ID, verdict.Reason, verdict.RetryAfter))
+		s.refuse(client, m, verdict)
 		return
 	}
+	s.logVerdict(client, m, verdict, known)
 	if m.Resumed {
-		s.awaiting[job.ID] = last
+		s.await(job.ID, last)
 	}
+	s.hold(m, last, now)
 	s.clients[job.ID] = client
 	s.pool.Hold(job.ID, false)
 	delete(s.expires, job.ID)
@@ -264,6 +284,13 @@
 	s.dispatch()
 }
 
+// refuse refuses a submitted job.
+func (s *Shard) refuse(client *submitter, m *relay.Submit, v pool.Verdict) {
+	s.logVerdict(client, m, v, s.pool.HasJob(m.Job.ID))
+	s.opts.Counts.Refused.Add(1)
+	client.Answer(s.refusal(m.Job.ID, v.Reason, v.RetryAfter))
+}
+
 // refusal returns the refusal of a job by a dispatcher that leads. It tells whether the dispatcher knows of runs of the job.
 func (s *Shard) refusal(id work.JobID, why pool.Reason, retryAfter time.Duration) *relay.Answer {
 	return &relay.Answer{Job: id, Refused: why, RetryAfter: retryAfter, Started: s.pool.HasStarted(id)}
@@ -324,6 +351,10 @@
 func (s *Shard) abandon(id work.JobID, why stopReason) {
 	delete(s.clients, id)
 	delete(s.expires, id)
+	if h, ok := s.held[id]; ok {
+		h.at = s.opts.Now()
+		s.held[id] = h
+	}
 	s.stopAll(s.pool.Cancel(id), why)
 }
 
