--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -123,9 +123,16 @@
 }
 
 func start(t *testing.T, timeout time.Duration) *fixture {
+	r := &router{targets: []Target{north, south}, down: map[Target]bool{}}
+	f := startWith(t, timeout, r)
+	f.router = r
+	return f
+}
+
+// startWith starts a gateway that finds its dispatchers with a given router.
+func startWith(t *testing.T, timeout time.Duration, r Router) *fixture {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := &router{targets: []Target{north, south}, down: map[Target]bool{}}
 	config := &catalog.Current{}
 	config.StoreIfNewer(catalog.New(1, []catalog.Queue{{
 		Name: "q", Host: "h.example", Prefix: "/p/", Service: "survey", Objective: work.Objective{Stretch: 3, Extra: time.Second, Attempts: 2},
@@ -138,7 +145,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { s.Stop(context.Background()) })
-	return &fixture{g, r, "http://" + s.Address(), t}
+	return &fixture{Gateway: g, url: "http://" + s.Address(), t: t}
 }
 
 type response struct {
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -173,8 +173,8 @@
 }
 
 func startZone(t *testing.T, run time.Duration) *zone {
-	z := &zone{fixture: start(t, time.Minute), fleet: fleet.New(run), peers: &peers{}}
-	z.opts.Router = z.peers
+	found := &peers{}
+	z := &zone{fixture: startWith(t, time.Minute, found), fleet: fleet.New(run), peers: found}
 	z.endpoints = endpointsOf(z.fleet)
 	z.both, z.other = newPeer(t, z.Gateway, z.fleet, 0, 1), newPeer(t, z.Gateway, z.fleet, 2)
 	z.peers.of = map[int]*peer{0: z.both, 1: z.both, 2: z.other}
