--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -274,6 +274,7 @@
 	logged.Reset()
 	f.router.setDown(north, true)
 	f.post("c")
+	f.Active() // waits until the gateway has placed the job
 	is.Equal(moves(logged.AllEntries()), []string{"unreachable south"})
 	f.router.setDown(north, false)
 	f.EndPending()
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -63,15 +64,17 @@
 func (c ignoringClient) Silence() time.Duration { return 0 }
 
 // Guards against a cancelled job that runs because its instance has not learned of the cancellation: it was cut off from all dispatchers
-// while they passed it on, and then submits the job.
+// while they passed it on, and then submits the job. The clock is virtual.
 func TestSubmissionOfACancelledJob(t *testing.T) {
-	is := is.New(t)
-	n := newTestShards(keyed.New())
-	n.Cancellations().Merge([]relay.Cancellation{{Job: "x"}})
-	wait.For(t, "the cancellation is passed on no longer", func() bool { return len(n.Cancellations().Recent()) == 0 })
-	n.Submit(ignoringClient{}, &relay.Submit{Job: work.Job{ID: "x"}})
-	n.Submit(ignoringClient{}, &relay.Submit{Job: work.Job{ID: "y"}})
-	is.Equal(n.Cancellations().Recent(), []relay.Cancellation{{Job: "x"}})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newTestShards(keyed.New())
+		n.Cancellations().Merge([]relay.Cancellation{{Job: "x"}})
+		wait.For(t, "the cancellation is passed on no longer", func() bool { return len(n.Cancellations().Recent()) == 0 })
+		n.Submit(ignoringClient{}, &relay.Submit{Job: work.Job{ID: "x"}})
+		n.Submit(ignoringClient{}, &relay.Submit{Job: work.Job{ID: "y"}})
+		is.Equal(n.Cancellations().Recent(), []relay.Cancellation{{Job: "x"}})
+	})
 }
 
 // stuckClient keeps each shard that answers it from going on until it is released, as a call would that does not end.
