--- a/internal/shard/started_test.go
+++ b/internal/shard/started_test.go
@@ -53,8 +53,12 @@
 // at the end of its term.
 func TestRefusalsTellOfEarlierRuns(t *testing.T) {
 	is := is.New(t)
-	f, _, s, c := newLeadingDispatcher(t, 1, time.Hour)
+	f, all := newFleet(1, time.Hour)
 	f.LoseAnswer = func(call string) (bool, time.Duration) { return call == "stop", -1 } // stops are not carried out
+	s, c := newShard(f, func() {}), newClient()
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
+	t.Cleanup(s.End)
+	s.register(all)
 	submitUntilAccepted(t, s, c, &relay.Submit{Job: patientJob("a", 1), Number: 1})
 	wait.For(t, "the task runs", func() bool { return f.Running() == 1 })
 	s.Cancel(c, &relay.Cancel{Job: "a"})
