--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -74,7 +74,7 @@
 			return
 		case a := <-p.answers:
 			p.held.Lock()
-			p.held.Unlock() //nolint:staticcheck // waits until answers are passed on
+			p.held.Unlock() // only waits until answers are passed on
 			p.gateway.Answer(p, a)
 		}
 	}
