--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,10 +28,7 @@
 
 // Guards against promises of the system that break under combinations of faults on the users' platform.
 func TestSoak(t *testing.T) {
-	program := *soakProgram
-	if program == "" {
-		program = build(t)
-	}
+	program := build(t)
 	for n := range *soakRuns {
 		seed := *soakSeed + uint64(n)
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -41,8 +38,11 @@
 	}
 }
 
-// build builds the program and returns the path of its executable.
+// build returns the path of the program's executable, which it builds unless one is given.
 func build(t *testing.T) string {
+	if *soakProgram != "" {
+		return *soakProgram
+	}
 	path := filepath.Join(t.TempDir(), "savorypass")
 	cmd := exec.Command("go", "build", "-o", path, "./cmd/savorypass")
 	cmd.Dir = filepath.Join("..", "..")
