A lag probe that ends after its registration is never replaced: failing test

Cause: only probe.fail sets failed, so replaceFailed leaves out a probe whose write fails, or whose registered end the event loop closes. start leaves it running, and the lag grows for ever: all jobs of the instance's callers are held and the instance is not ready. Seen: the lag still grows 3 s after the end of the probe.

--- /dev/null
+++ b/internal/server/probe_test.go
@@ -0,0 +1,23 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/standin/wait"
+)
+
+// Guards against an instance whose callers count as unattended for ever, so that their jobs never start: the probe of an event loop has ended
+// after it was registered.
+func TestLagRecoversAfterAProbeHasEnded(t *testing.T) {
+	is := is.New(t)
+	m := NewLagMonitor()
+	s := startMonitored(t, 1, m, HandlerFunc(func(x *Exchange) { go x.Reply(200, nil, 0) }))
+	request(t, s, "GET")
+	wait.For(t, "the loop is measured", func() bool { return len(*m.probes.Load()) == 1 && m.Lag() < 2*probeInterval })
+	(*m.probes.Load())[0].peer.Close()
+	time.Sleep(3 * tickInterval) // replaceFailed is called at this interval
+	is.True(m.Lag() < tickInterval)
+}
