--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -14,6 +14,8 @@
 const (
 	// maxClockRatio is the factor by which an endpoint's clock may run slower than this instance's.
 	maxClockRatio = 1.02
+	// noticeTime is how long a dispatcher usually takes to detect that its term has ended. No decision rests on it.
+	noticeTime = 350 * time.Millisecond
 	// divisionMemory is how long before the loss of a job's dispatcher a change of the zone's number of partitions is still taken
 	// into account. A process that started less than this before has not followed the registrations long enough to
 	// know all runs in any case.
@@ -151,14 +153,23 @@
 	return max(lease, minLease), lease >= minLease
 }
 
-// settle shows for operators that all endpoints of the partition have reported to the current fence, or that the leases of dispatchers that
-// ended before it have expired. Resumed jobs do not depend on it, see notBefore.
+// takeoverTime is the time from the start of a fence after which the runs of earlier dispatchers are known or their leases
+// have expired, if those dispatchers have noticed the end of their terms within noticeTime. After a change of the zone's number of
+// partitions, runs may also be on endpoints of another partition, whose dispatcher keeps them for claimTime before it stops them.
+func (s *Shard) takeoverTime() time.Duration {
+	t := s.leaseExpiryTime() + noticeTime
+	if s.dividedBefore(s.fenceStart) {
+		t += claimTime + stopRetryPause + maxStopTime
+	}
+	return t
+}
+
+// settle shows for operators that a takeover is over. Resumed jobs do not depend on it, see notBefore.
 func (s *Shard) settle(now time.Duration) {
 	if s.settled {
 		return
 	}
-	asOf, known := s.knownAsOf(now)
-	if !(known && asOf > s.fenceStart) && now < s.fenceStart+s.leaseExpiryTime() {
+	if now < s.fenceStart+s.takeoverTime() && !s.knowsRunsUntil(s.fenceStart, now) {
 		return
 	}
 	s.settled = true
