--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -81,15 +81,16 @@
 
 // awaitDispatchers waits until the same instances have dispatched for the partitions for a while.
 func (c *cast) awaitDispatchers(t *testing.T) {
-	for begun, since := time.Now(), time.Now(); time.Since(since) < dispatchersKept; time.Sleep(probeInterval) {
+	for begun, since := time.Now(), time.Now(); time.Since(begun) < startTime; time.Sleep(probeInterval) {
 		before := *c
-		if !c.assign() || before.first != c.first || before.second != c.second {
+		switch assigned := c.assign(); {
+		case !assigned || before.first != c.first || before.second != c.second:
 			since = time.Now()
-		}
-		if time.Since(begun) > startTime {
-			t.Fatal("no two instances dispatch for the partitions of the zone")
+		case time.Since(since) >= dispatchersKept:
+			return
 		}
 	}
+	t.Fatal("no two instances dispatch for the partitions of the zone")
 }
 
 // assign finds the instances by the orders that the endpoints have got lately. It returns false if two dispatchers are not to be seen.
