--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -12,6 +12,7 @@
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
@@ -115,3 +116,21 @@
 
 // checkPause is longer than the pause between a shard's checks.
 const checkPause = 60 * time.Millisecond
+
+// answeredClient keeps the last answer.
+type answeredClient struct {
+	stuckClient
+	answer *relay.Answer
+}
+
+func (c *answeredClient) Answer(a *relay.Answer) { c.answer = a }
+
+// Guards against a refusal that is taken for the answer to a later submission: the instance has never dispatched for the partition.
+func TestRefusalWithoutAShardNamesItsSubmission(t *testing.T) {
+	is := is.New(t)
+	n := newTestShards(keyed.New())
+	c := &answeredClient{}
+	n.Submit(c, &relay.Submit{Job: work.Job{ID: "x"}, Number: 5, Partition: 1})
+	is.Equal(c.answer.Refused, pool.ReasonNotLeader)
+	is.Equal(c.answer.Number, relay.SubmissionNumber(5))
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -222,6 +222,43 @@
 	is.Equal(at, now-time.Millisecond)
 }
 
+// Guards against an age that is too low for good after clocks have drifted apart, and against one that is lost when a window ends.
+func TestOldComparisonsOfClocksAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var p peerClock
+	compare := func(way time.Duration) {
+		now := pause.Elapsed()
+		p.observe(clockReading{Composed: now, Echo: now - way, Received: now})
+	}
+	age := func() time.Duration {
+		at, known := p.own(0)
+		is.True(known)
+		return -at
+	}
+	endWindow := func() { p.offsets[0].since -= 2 * offsetWindow }
+	p.offsets[0].since = pause.Elapsed()
+	compare(time.Millisecond)
+	endWindow()
+	compare(time.Second)
+	is.Equal(age(), time.Millisecond)
+	endWindow()
+	compare(time.Second)
+	is.Equal(age(), time.Second)
+}
+
+// Guards against a heartbeat that says when it was composed but tells of the callers as of an earlier time: the state is taken after that.
+func TestHeartbeatIsNotNewerThanItsState(t *testing.T) {
+	is := is.New(t)
+	var asked time.Duration
+	l := &link{state: func() heartbeat {
+		asked = pause.Elapsed()
+		return heartbeat{}
+	}}
+	message, err := read(bytes.NewReader(l.heartbeat()))
+	is.NoErr(err)
+	is.True(message.(*heartbeat).Composed <= asked)
+}
+
 // Guards against a heartbeat that overtakes the cancel of a caller that had left when it was composed.
 func TestHeartbeatComesAfterQueuedMessages(t *testing.T) {
 	is := is.New(t)
