--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -85,6 +86,8 @@
 	startedAt    time.Time
 	changedAt    map[string]time.Time // by zone, when its number last changed since this process started
 	raiseTriedAt time.Time            // time of the last attempt to raise a number
+
+	storedJobs atomic.Bool // see StoredJobs
 }
 
 // New returns a controller that is not running.
@@ -180,6 +183,10 @@
 	first := !c.known
 	fresh := first
 	for _, r := range u.Records {
+		if r.Key == storedJobsKey {
+			fresh = !c.storedJobs.Swap(true) || fresh
+			continue
+		}
 		zone, parts, err := parseKey(r.Key)
 		if err != nil {
 			c.opts.Log.WithFields(logrus.Fields{"event": "division_ignored", "key": r.Key, "offset": r.Offset}).WithError(err).
--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -6,6 +6,7 @@
 
 import (
 	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/shard"
 )
 
@@ -25,4 +26,5 @@
 	Missing       int            `json:"missing_registrations"` // endpoints that count as present although their registrations have ended
 	Term          lead.Term      `json:"term"`                  // partitions assigned to this instance, and the generation of the assignment
 	Shards        []shard.Dump   `json:"shards"`                // dispatchers on this instance, one per partition
+	Log           []ledger.Dump  `json:"stored_jobs,omitempty"` // partitions of the log of stored jobs that this instance holds
 }
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -242,12 +242,19 @@
 		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
 	case g.cancelled.hasEnded(id):
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+	case g.storedInUse():
+		g.cancelStored(x, id)
 	default:
-		g.opts.Log.WithFields(logrus.Fields{"event": "cancel_passed_on", "job": id}).Info("asking all instances for a job to cancel")
-		g.cancelled.find(id, x)
+		g.findToCancel(x, id)
 	}
 }
 
+// findToCancel asks all instances for a job to cancel.
+func (g *Gateway) findToCancel(x *server.Exchange, id work.JobID) {
+	g.opts.Log.WithFields(logrus.Fields{"event": "cancel_passed_on", "job": id}).Info("asking all instances for a job to cancel")
+	g.cancelled.find(id, x)
+}
+
 // cancelPending cancels a job that this instance holds and returns whether it does.
 func (g *Gateway) cancelPending(id work.JobID) bool {
 	g.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,8 @@
 	Meter   *traffic.Meter // counts the bytes of callers' bodies; nil for none
 	// Attempts returns the known unsuccessful runs of a job's tasks, which its next dispatcher has to count.
 	Attempts func(work.JobID) []attempt.Attempt
+	// Stored keeps stored jobs; nil if none are accepted.
+	Stored StoredJobs
 }
 
 // Metrics are the gateway's counters of requests and its response times in milliseconds.
@@ -167,7 +169,7 @@
 	case method == "POST":
 		g.submit(x, queue, id)
 	case method == "GET" && id == "":
-		g.reply(x, 200, g.opts.Codec.EncodePending(g.pendingCount(queue.Name)), 0)
+		g.pending(x, queue.Name)
 	case method == "GET":
 		g.state(x, work.JobID(id))
 	case method == "DELETE":
@@ -204,6 +206,10 @@
 	g.mu.Lock()
 	known := g.jobs[id] != nil
 	g.mu.Unlock()
+	if !known && g.storedInUse() {
+		g.storedState(x, id)
+		return
+	}
 	if !known {
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
 		return
@@ -217,9 +223,8 @@
 	case err != nil:
 		g.refuse(x, 400, err.Error(), 0)
 		return
-	case durability == Stored || queue.NeedsAdvice:
-		// Stored jobs and queues that need advice are not supported yet.
-		g.refuse(x, 503, "stored jobs and jobs of queues that need advice are not supported", time.Minute)
+	case queue.NeedsAdvice || durability == Stored && g.opts.Stored == nil:
+		g.refuse(x, 503, "jobs of queues that need advice are not supported", time.Minute)
 		return
 	}
 	job.Queue, job.Service, job.Objective = queue.Name, queue.Service, queue.Objective
@@ -233,6 +238,10 @@
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
 	}
+	if durability == Stored {
+		g.submitStored(x, job, sent, timeout)
+		return
+	}
 	p.untried = g.opts.Router.Targets(job.ID)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -172,3 +172,9 @@
 	}
 	return fmt.Errorf("joblog: %q is not a final state", s)
 }
+
+// RequestOf returns the job of a submission or a cancel, which other instances than the holder may append.
+func RequestOf(r store.Record) (work.JobID, bool) {
+	k, id, err := parseKey(r.Key)
+	return id, err == nil && len(r.Value) > 0 && (k == submission || k == cancel)
+}
--- /dev/null
+++ b/internal/ledger/holder.go
@@ -0,0 +1,709 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/joblog"
+	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/pause"
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/store"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const (
+	// loadRetryPause is the pause after a failed attempt to read the partition, and resumeRetryPause that while the dispatcher has not
+	// begun to use the fence.
+	loadRetryPause   = 100 * time.Millisecond
+	resumeRetryPause = 10 * time.Millisecond
+	// reopenPause is the pause before a partition is held again after its writer has ended under the same fence.
+	reopenPause = 500 * time.Millisecond
+	// epochsPerFence is the number of times that a partition can be held under one fence.
+	epochsPerFence = 256
+	// foreignInterval is the interval at which a holder that appends nothing reads what other instances have appended.
+	foreignInterval = 500 * time.Millisecond
+	// storeTimeout is how long a submission may wait for its append to begin.
+	storeTimeout = time.Second
+	// maxExpired bounds the ended jobs whose records are deleted in one append.
+	maxExpired = 500
+	// expiryKey stands for a job in the writer's queue. It joins all deletions of ended jobs.
+	expiryKey work.JobID = "#expired"
+)
+
+// Counts are the counters of all holders of an instance.
+type Counts struct {
+	Accepted metric.Counter // submissions that were stored
+	Refused  metric.Counter // submissions that were refused for want of capacity
+	NotSaved metric.Counter // submissions that the store refused
+	NotKnown metric.Counter // submissions of which it is not known whether they are stored
+	Found    metric.Counter // submissions that other instances have stored
+	Resumed  metric.Counter // jobs that were continued after a change of the holder
+	Ended    metric.Counter // jobs whose end is stored
+	Loads    metric.Counter // partitions that were read
+}
+
+// holder holds one partition of the log under one fence.
+//
+// Locks are taken in the order of the shard's, the writer's and the holder's: the shard calls the holder with its lock held, the writer
+// calls appended with its lock held, and the holder calls neither with its own lock held. What the writer's outcomes cause is therefore
+// done by events, in a goroutine of the holder.
+type holder struct {
+	ledger    *Ledger
+	fence     int64
+	partition joblog.Partition
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wake      chan struct{}
+
+	mu         sync.Mutex
+	epoch      int64
+	ready      bool // the jobs are known and were passed to the dispatcher
+	jobs       *joblog.Jobs
+	writer     *joblog.Writer
+	live       map[work.JobID]*liveJob
+	next       int64 // offset of the first record that was not applied
+	appendedAt time.Duration
+	unread     bool // records of others may precede those that were appended last
+	history    joblog.History
+	expired    []store.Record // deletions of ended jobs that the writer has not taken yet
+	events     []func()
+}
+
+// liveJob is a job that is being stored, or that was stored and whose end is not.
+type liveJob struct {
+	stored  bool
+	ends    joblog.Ends // also those that are not stored yet
+	final   work.State  // decided, and being stored; empty before
+	unsent  bool        // the writer had no room for the job's last record
+	waiting []func()    // called when the job's next record of ends, or its end, is stored
+	replies []func(relay.StoredReply)
+}
+
+type replyFunc = func(relay.StoredReply)
+
+func (h *holder) opts() *Options { return &h.ledger.opts }
+
+func (h *holder) log() logrus.FieldLogger {
+	return h.opts().Logger.WithFields(logrus.Fields{"topic": h.partition.Topic, "log_partition": h.partition.Number, "fence": h.fence})
+}
+
+// owns reports whether a job belongs to the partition.
+func (h *holder) owns(id work.JobID) bool {
+	return PartitionOf(id, h.opts().LogPartitions) == h.partition.Number
+}
+
+// run holds the partition until the fence is replaced.
+func (h *holder) run() {
+	for n := range int64(epochsPerFence) {
+		err := h.hold(h.fence*epochsPerFence + n)
+		if h.ctx.Err() != nil {
+			return
+		}
+		h.log().WithError(err).Warn("job_log_lost")
+		pause.For(h.ctx, reopenPause, nil)
+	}
+}
+
+// hold opens, reads and serves the partition until its writer ends or the fence is replaced.
+func (h *holder) hold(epoch int64) error {
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	begun := h.opts().Now()
+	w := joblog.NewWriter(joblog.Options{
+		Log: h.opts().Log, Partition: h.partition, Epoch: epoch, Appended: h.appended, Logger: h.opts().Logger,
+	})
+	if err := w.Open(ctx); err != nil {
+		return err
+	}
+	if err := h.load(ctx, w, epoch); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- w.Run(ctx)
+		cancel()
+	}()
+	for !h.ledger.dispatcher.ResumeStored(h.fence, h.begin, h.owns) {
+		pause.For(ctx, resumeRetryPause, nil)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	h.log().WithFields(logrus.Fields{"event": "job_log_held", "epoch": epoch, "ms": (h.opts().Now() - begun).Milliseconds()}).
+		Info("a partition of the job log is held")
+	go h.follow(ctx)
+	h.runEvents(ctx)
+	h.end()
+	return <-ended
+}
+
+// load reads the partition.
+func (h *holder) load(ctx context.Context, w *joblog.Writer, epoch int64) error {
+	for {
+		jobs, next, err := joblog.Load(ctx, h.opts().Log, h.partition, h.opts().Now(), h.opts().Logger)
+		if err == nil {
+			h.opts().Counts.Loads.Add(1)
+			h.mu.Lock()
+			h.jobs, h.next, h.writer, h.epoch, h.unread = jobs, next, w, epoch, false
+			h.live = map[work.JobID]*liveJob{}
+			h.mu.Unlock()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		h.log().WithError(err).Warn("job_log_unreadable")
+		pause.For(ctx, loadRetryPause, nil)
+	}
+}
+
+// begin returns the jobs that the dispatcher has to continue, and begins to record ends. The dispatcher's lock is held.
+func (h *holder) begin() []shard.ResumedJob {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = true
+	var all []shard.ResumedJob
+	for _, id := range h.jobs.Live() {
+		job := h.jobs.Get(id)
+		if !job.Runnable() && !job.Cancelled {
+			h.log().WithFields(logrus.Fields{"event": "stored_job_held", "job": id}).Error("a record of the job cannot be read; the job is not continued")
+			continue
+		}
+		h.live[id] = &liveJob{stored: true, ends: job.Ends.Clone()}
+		switch final := h.ledger.takeEnded(id); {
+		case job.Cancelled:
+			h.postEnd(id, work.Cancelled)
+		case final != "":
+			h.postEnd(id, final)
+		default:
+			all = append(all, resumed(job))
+		}
+	}
+	h.ledger.forgetEnded(h.owns)
+	h.opts().Counts.Resumed.Add(int64(len(all)))
+	return all
+}
+
+func resumed(job *joblog.Job) shard.ResumedJob {
+	r := shard.ResumedJob{Job: job.Work}
+	for step := range job.Work.Steps {
+		for index := range job.Work.Steps[step].Count {
+			if task := (work.TaskID{Job: job.Work.ID, Step: step, Index: index}); job.Ends.HasSucceeded(task) {
+				r.Succeeded = append(r.Succeeded, task)
+			}
+		}
+	}
+	for _, f := range job.Ends.Failed {
+		task := work.TaskID{Job: job.Work.ID, Step: f.Step, Index: f.Index}
+		r.Failed = append(r.Failed, attempt.Attempt{Task: task, Run: f.Run, Outcome: attempt.Failed})
+	}
+	return r
+}
+
+// end stops recording. What waits for the store is not known any more to be stored.
+func (h *holder) end() {
+	h.mu.Lock()
+	h.ready = false
+	var replies []replyFunc
+	for _, job := range h.live {
+		replies = append(replies, job.replies...)
+		job.replies = nil
+	}
+	h.mu.Unlock()
+	for _, reply := range replies {
+		reply(relay.StoredReply{Result: relay.StoredNotKnown})
+	}
+}
+
+// post queues an event. h.mu is held.
+func (h *holder) post(event func()) {
+	h.events = append(h.events, event)
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *holder) runEvents(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.wake:
+		}
+		h.mu.Lock()
+		events := h.events
+		h.events = nil
+		h.mu.Unlock()
+		for _, event := range events {
+			event()
+		}
+	}
+}
+
+// appended applies the records that the writer has appended. The writer's lock is held.
+func (h *holder) appended(records []store.Record, a store.Appended) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.opts().Now()
+	h.appendedAt = now
+	h.apply(records, now)
+	if a.End > 0 && a.Offset == h.next {
+		h.next = a.End
+	} else {
+		h.unread = true
+	}
+	if a.End > 0 {
+		h.history.Appended(a, now)
+	}
+}
+
+// apply folds records and passes on what they have changed. h.mu is held.
+func (h *holder) apply(records []store.Record, now time.Duration) {
+	h.jobs.ApplyAll(records, now, h.log())
+	for _, r := range records {
+		id, ok := joblog.RequestOf(r)
+		if !ok {
+			continue
+		}
+		job, live := h.jobs.Get(id), h.live[id]
+		switch {
+		case job == nil || job.Work == nil || job.State != "":
+		case live == nil && job.Runnable():
+			h.live[id] = &liveJob{stored: true}
+			h.opts().Counts.Found.Add(1)
+			w := job.Work
+			h.post(func() { h.ledger.dispatcher.AddStored(h.fence, w) })
+		case live != nil && live.stored && job.Cancelled && live.final == "":
+			h.post(func() { h.ledger.dispatcher.DropStored(h.fence, id) })
+			h.postEnd(id, work.Cancelled)
+		}
+	}
+}
+
+// postEnd makes the end of a job be stored. h.mu is held.
+func (h *holder) postEnd(id work.JobID, s work.State) {
+	h.post(func() { h.jobEnded(id, s) })
+}
+
+// recordEnd records the end of a task. The dispatcher's lock is held.
+func (h *holder) recordEnd(end work.End, recorded func()) shard.Recording {
+	id := end.Task.Job
+	h.mu.Lock()
+	if !h.ready {
+		h.mu.Unlock()
+		return shard.Undecided
+	}
+	job := h.live[id]
+	if job == nil || !job.stored {
+		h.mu.Unlock()
+		return shard.NotStored
+	}
+	if end.Reason == work.EndSucceeded {
+		job.ends.Succeed(end.Task)
+	} else {
+		job.ends.Fail(end.Task, end.Run)
+	}
+	job.waiting = append(job.waiting, recorded)
+	decided := job.final != ""
+	h.mu.Unlock()
+	if !decided {
+		h.sendProgress(id, job)
+	}
+	return shard.RecordedSoon
+}
+
+// sendProgress makes the ends of a job's tasks be stored.
+func (h *holder) sendProgress(id work.JobID, job *liveJob) {
+	h.mu.Lock()
+	waiting := job.waiting
+	job.waiting, job.unsent = nil, false
+	r, err := joblog.Encode(joblog.Progress{Job: id, Ends: job.ends.Clone()})
+	w := h.writer
+	h.mu.Unlock()
+	if err == nil {
+		err = w.Keep(id, []store.Record{r}, func(o joblog.Outcome, _ error) { h.progressSettled(waiting, o) })
+	}
+	if err != nil {
+		h.log().WithField("job", id).WithError(err).Warn("stored_progress_waits")
+		h.mu.Lock()
+		job.waiting, job.unsent = append(waiting, job.waiting...), true
+		h.mu.Unlock()
+	}
+}
+
+// progressSettled lets the endpoints forget ends that are stored. The others come again in the next term. The writer's lock is held.
+func (h *holder) progressSettled(waiting []func(), o joblog.Outcome) {
+	if o != joblog.Stored {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.post(func() { callAll(waiting) })
+}
+
+func callAll(all []func()) {
+	for _, f := range all {
+		f()
+	}
+}
+
+// jobEnded makes the end of a job be stored. It returns false if the holder cannot record ends now. It may be called with the
+// dispatcher's lock held.
+func (h *holder) jobEnded(id work.JobID, s work.State) bool {
+	h.mu.Lock()
+	if !h.ready {
+		h.mu.Unlock()
+		return false
+	}
+	job := h.live[id]
+	if job == nil || job.final != "" {
+		h.mu.Unlock()
+		return true
+	}
+	job.final = s
+	h.mu.Unlock()
+	h.sendEnd(id, job)
+	return true
+}
+
+func (h *holder) sendEnd(id work.JobID, job *liveJob) {
+	h.mu.Lock()
+	job.unsent = false
+	records, err := h.jobs.EndRecords(id, job.final)
+	w := h.writer
+	h.mu.Unlock()
+	if err == nil {
+		err = w.Keep(id, records, func(o joblog.Outcome, _ error) { h.endSettled(id, job, o) })
+	}
+	if err != nil {
+		h.log().WithField("job", id).WithError(err).Warn("stored_end_waits")
+		h.mu.Lock()
+		job.unsent = true
+		h.mu.Unlock()
+	}
+}
+
+// endSettled answers those who wait for the end of a job that is stored. The writer's lock is held.
+func (h *holder) endSettled(id work.JobID, job *liveJob, o joblog.Outcome) {
+	if o != joblog.Stored {
+		return
+	}
+	h.opts().Counts.Ended.Add(1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.live, id)
+	waiting, replies := job.waiting, job.replies
+	state := h.finalState(id, job)
+	h.post(func() {
+		callAll(waiting)
+		for _, reply := range replies {
+			reply(relay.StoredReply{Result: relay.StoredDone, State: state})
+		}
+	})
+}
+
+func (h *holder) finalState(id work.JobID, job *liveJob) work.State {
+	if known := h.jobs.Get(id); known != nil && known.State != "" {
+		return known.State
+	}
+	return job.final
+}
+
+// submit stores a job and replies when that is certain.
+func (h *holder) submit(w *work.Job, waited time.Duration, reply replyFunc) {
+	h.mu.Lock()
+	if !h.ready {
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredNoHolder})
+		return
+	}
+	known, live := h.jobs.Get(w.ID), h.live[w.ID]
+	switch {
+	case known.Known():
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredDone, State: known.State})
+		return
+	case live != nil:
+		live.replies = append(live.replies, reply)
+		h.mu.Unlock()
+		return
+	}
+	job := &liveJob{replies: []replyFunc{reply}}
+	h.live[w.ID] = job
+	h.mu.Unlock()
+	v, ok := h.ledger.dispatcher.OfferStored(h.fence, w, waited)
+	switch {
+	case !ok:
+		h.withdraw(w.ID, job, relay.StoredReply{Result: relay.StoredNoHolder})
+	case !v.Accepted():
+		h.opts().Counts.Refused.Add(1)
+		h.withdraw(w.ID, job, relay.StoredReply{Result: relay.StoredRefused, RetryAfter: v.RetryAfter, Reason: string(v.Reason)})
+	default:
+		go h.store(w, job, v)
+	}
+}
+
+// withdraw deletes a job that is not stored and replies.
+func (h *holder) withdraw(id work.JobID, job *liveJob, r relay.StoredReply) {
+	h.mu.Lock()
+	if h.live[id] == job {
+		delete(h.live, id)
+	}
+	replies := job.replies
+	job.replies = nil
+	h.mu.Unlock()
+	for _, reply := range replies {
+		reply(r)
+	}
+}
+
+// store appends the submission of a job that the dispatcher has taken, and lets it start.
+func (h *holder) store(w *work.Job, job *liveJob, v pool.Verdict) {
+	outcome, err := joblog.NeverStored, error(nil)
+	r, err := joblog.Encode(joblog.Submission{Job: *w})
+	if err == nil {
+		ctx, cancel := context.WithTimeout(h.ctx, storeTimeout)
+		outcome, err = h.currentWriter().Store(ctx, r)
+		cancel()
+	}
+	h.logSubmission(w, outcome, err, v)
+	h.mu.Lock()
+	known := h.jobs.Get(w.ID)
+	stored := outcome == joblog.Stored || known.Known() && h.ready
+	cancelled := known != nil && known.Cancelled
+	if stored {
+		job.stored = true
+	}
+	h.mu.Unlock()
+	switch {
+	case stored && cancelled:
+		h.ledger.dispatcher.DropStored(h.fence, w.ID)
+		h.jobEnded(w.ID, work.Cancelled) // answers
+	case stored:
+		h.opts().Counts.Accepted.Add(1)
+		h.ledger.dispatcher.StartStored(h.fence, w.ID)
+		h.takeReplies(job, relay.StoredReply{Result: relay.StoredDone, State: work.Queued})
+	case outcome == joblog.NeverStored:
+		h.opts().Counts.NotSaved.Add(1)
+		h.ledger.dispatcher.DropStored(h.fence, w.ID)
+		h.withdraw(w.ID, job, relay.StoredReply{Result: relay.StoredNotSaved, Reason: reasonOf(err)})
+	default:
+		h.opts().Counts.NotKnown.Add(1)
+		h.ledger.dispatcher.DropStored(h.fence, w.ID)
+		h.withdraw(w.ID, job, relay.StoredReply{Result: relay.StoredNotKnown})
+	}
+}
+
+func (h *holder) currentWriter() *joblog.Writer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.writer
+}
+
+func (h *holder) takeReplies(job *liveJob, r relay.StoredReply) {
+	h.mu.Lock()
+	replies := job.replies
+	job.replies = nil
+	h.mu.Unlock()
+	for _, reply := range replies {
+		reply(r)
+	}
+}
+
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, store.ErrFull):
+		return "store_full"
+	case errors.Is(err, joblog.ErrBacklog):
+		return "store_backlog"
+	}
+	return "store_unavailable"
+}
+
+func (h *holder) logSubmission(w *work.Job, o joblog.Outcome, err error, v pool.Verdict) {
+	entry := h.log().WithFields(logrus.Fields{
+		"event": "stored_submit", "job": w.ID, "queue": w.Queue, "tasks": w.Tasks(), "outcome": o.String(), "wait_ms": v.ExpectedWait.Milliseconds(),
+	})
+	if err != nil {
+		entry.WithError(err).Warn("submission not certainly stored")
+		return
+	}
+	entry.Info("submission stored")
+}
+
+// state replies with the state of a job. While its end is being stored, the reply waits for it.
+func (h *holder) state(id work.JobID, reply replyFunc) {
+	h.mu.Lock()
+	known, live := h.jobs.Get(id), h.live[id]
+	switch {
+	case !h.ready, known.Unreadable():
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredNoHolder})
+		return
+	case !known.Known():
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredNoJob})
+		return
+	case known.State != "":
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredDone, State: known.State})
+		return
+	case live != nil && live.final != "":
+		live.replies = append(live.replies, reply)
+		h.mu.Unlock()
+		return
+	}
+	h.mu.Unlock()
+	state := work.Queued
+	if h.ledger.dispatcher.StoredStarted(id) {
+		state = work.Running
+	}
+	reply(relay.StoredReply{Result: relay.StoredDone, State: state})
+}
+
+// cancelJob ends a job and replies when its end is stored. A job that has ended before keeps its state.
+func (h *holder) cancelJob(id work.JobID, reply replyFunc) {
+	h.mu.Lock()
+	known, live := h.jobs.Get(id), h.live[id]
+	switch {
+	case !h.ready, known.Unreadable(), live != nil && !live.stored:
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredNoHolder})
+		return
+	case !known.Known():
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredNoJob})
+		return
+	case known.State != "":
+		h.mu.Unlock()
+		reply(relay.StoredReply{Result: relay.StoredDone, State: known.State})
+		return
+	}
+	if live != nil {
+		live.replies = append(live.replies, reply)
+	}
+	h.mu.Unlock()
+	h.log().WithFields(logrus.Fields{"event": "stored_cancel", "job": id}).Info("stored job cancelled by its caller")
+	h.ledger.dispatcher.DropStored(h.fence, id)
+	h.jobEnded(id, work.Cancelled)
+}
+
+// pending replies with the number of jobs of a queue of which no task has started.
+func (h *holder) pending(queue string, reply replyFunc) {
+	h.mu.Lock()
+	ready := h.ready
+	h.mu.Unlock()
+	if !ready {
+		reply(relay.StoredReply{Result: relay.StoredNoHolder})
+		return
+	}
+	reply(relay.StoredReply{Result: relay.StoredDone, Pending: h.ledger.dispatcher.StoredWaiting(queue, h.owns)})
+}
+
+// follow reads what other instances append, deletes the records of jobs that ended long ago, and trims the partition.
+func (h *holder) follow(ctx context.Context) {
+	pause.Every(ctx, foreignInterval, func() {
+		h.readForeign(ctx)
+		h.sendUnsent()
+		h.expire()
+		h.trim(ctx)
+	})
+}
+
+func (h *holder) readForeign(ctx context.Context) {
+	h.mu.Lock()
+	from := h.next
+	needed := h.unread || h.opts().Now()-h.appendedAt >= foreignInterval
+	h.mu.Unlock()
+	if !needed {
+		return
+	}
+	b, err := h.opts().Log.Read(ctx, h.partition.Topic, h.partition.Number, from, 0)
+	if errors.Is(err, store.ErrTruncated) {
+		b, err = h.opts().Log.Newest(ctx, h.partition.Topic, h.partition.Number)
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			h.log().WithError(err).Info("job_log_read_failed")
+		}
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.apply(b.Records, h.opts().Now())
+	h.unread = h.unread && b.Next < b.End
+	h.next = max(h.next, b.Next)
+}
+
+// sendUnsent passes on what the writer had no room for.
+func (h *holder) sendUnsent() {
+	h.mu.Lock()
+	ends, progress := map[work.JobID]*liveJob{}, map[work.JobID]*liveJob{}
+	for id, job := range h.live {
+		switch {
+		case !job.unsent:
+		case job.final != "":
+			ends[id] = job
+		default:
+			progress[id] = job
+		}
+	}
+	h.mu.Unlock()
+	for id, job := range ends {
+		h.sendEnd(id, job)
+	}
+	for id, job := range progress {
+		h.sendProgress(id, job)
+	}
+}
+
+func (h *holder) expire() {
+	h.mu.Lock()
+	h.expired = append(h.expired, h.jobs.Expired(h.opts().Now(), h.opts().Retention, maxExpired)...)
+	expired, w := h.expired, h.writer
+	h.mu.Unlock()
+	if len(expired) == 0 {
+		return
+	}
+	if err := w.Keep(expiryKey, expired, func(joblog.Outcome, error) {}); err != nil {
+		return // tried again
+	}
+	h.mu.Lock()
+	h.expired = h.expired[len(expired):]
+	h.mu.Unlock()
+}
+
+func (h *holder) trim(ctx context.Context) {
+	h.mu.Lock()
+	before, ok := h.history.Trim(h.opts().Now())
+	h.mu.Unlock()
+	if !ok {
+		return
+	}
+	if err := h.opts().Log.Trim(ctx, h.partition.Topic, h.partition.Number, before); err != nil && ctx.Err() == nil {
+		h.log().WithError(err).Info("job_log_trim_failed")
+	}
+}
+
+func (h *holder) dump() Dump {
+	h.mu.Lock()
+	d := Dump{Partition: h.partition.Number, Epoch: h.epoch, Ready: h.ready, Live: len(h.live)}
+	w := h.writer
+	if h.jobs != nil {
+		d.Known = h.jobs.Len()
+	}
+	h.mu.Unlock()
+	if w != nil {
+		d.Log = w.Stats()
+	}
+	return d
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,256 @@
+// Package ledger keeps the stored jobs of a dispatcher: jobs whose callers get their response once the job is in the store, and that
+// survive the loss of all instances. A zone's log has several partitions, see package joblog; a job's name determines zone and partition.
+// The dispatcher of a part of the zone holds some of the log's partitions. A holder reads its partition, passes the jobs that have not
+// ended to the dispatcher, appends new submissions, ends of tasks and ends of jobs, and answers for the state of its jobs. A Client sends
+// callers' requests to the holders.
+package ledger
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/joblog"
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// maxLogPartitions is the largest number of partitions of a zone's log.
+const maxLogPartitions = 16
+
+// appendsPerPartition is the number of appends a second that a holder makes at most, see package joblog.
+const appendsPerPartition = 40
+
+// defaultLogPartitions applies where the deployment does not tell how many writes its store takes.
+const defaultLogPartitions = 4
+
+// PartitionsFor returns the number of partitions of each zone's log: the largest power of two with which the holders' appends stay below
+// the number of writes a second that the store takes. topicPartitions is the number of partitions of a topic; 0 if unknown.
+func PartitionsFor(writesPerSecond float64, zones, topicPartitions int) int {
+	most := maxLogPartitions
+	if topicPartitions > 0 {
+		most = min(most, topicPartitions)
+	}
+	if writesPerSecond <= 0 {
+		return min(defaultLogPartitions, most)
+	}
+	n := 1
+	for 2*n <= most && float64(2*n*max(zones, 1)*appendsPerPartition) <= writesPerSecond {
+		n *= 2
+	}
+	return n
+}
+
+func hash(seed string, id work.JobID) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(seed))
+	h.Write([]byte(id))
+	sum := h.Sum32()
+	return sum ^ sum>>16
+}
+
+// ZoneOf returns the zone to which a job belongs. zones is sorted, so that all instances agree.
+func ZoneOf(id work.JobID, zones []string) string {
+	return zones[hash("zone/", id)%uint32(len(zones))]
+}
+
+// PartitionOf returns the partition of its zone's log to which a job belongs.
+func PartitionOf(id work.JobID, logPartitions int) int {
+	return int(hash("log/", id) % uint32(logPartitions))
+}
+
+// DispatcherOf returns which of a zone's dispatchers holds a partition of the log.
+func DispatcherOf(logPartition, logPartitions, dispatchers int) int {
+	return logPartition * dispatchers / logPartitions
+}
+
+// Dispatcher runs the tasks of stored jobs. It is implemented by shard.Shard.
+type Dispatcher interface {
+	OfferStored(fence int64, job *work.Job, waited time.Duration) (pool.Verdict, bool)
+	StartStored(fence int64, id work.JobID)
+	AddStored(fence int64, job *work.Job)
+	DropStored(fence int64, id work.JobID)
+	ResumeStored(fence int64, load func() []shard.ResumedJob, owns func(work.JobID) bool) bool
+	StoredStarted(id work.JobID) bool
+	StoredWaiting(queue string, owns func(work.JobID) bool) int
+}
+
+// Usage tells whether the deployment has stored jobs.
+type Usage int
+
+// The values.
+const (
+	UsageUnknown Usage = iota // the store could not be read yet
+	Unused
+	Used
+)
+
+// Options configures a Ledger.
+type Options struct {
+	Log           joblog.Log
+	Topic         string // of the zone's log
+	LogPartitions int
+	Retention     time.Duration // for how long ended jobs are kept
+	Usage         func() Usage
+	Counts        *Counts
+	Now           func() time.Duration // monotonic clock
+	Logger        logrus.FieldLogger
+}
+
+// Ledger holds the log partitions of one dispatcher. It implements shard.Ledger. It starts nothing before Sync names a partition.
+type Ledger struct {
+	opts       Options
+	dispatcher Dispatcher
+
+	mu      sync.Mutex
+	fence   int64
+	holders map[int]*holder // by partition of the log
+	// ended holds the jobs that have ended while their holder could not record it. Their ends are recorded by its next term.
+	ended map[work.JobID]work.State
+}
+
+// New returns a ledger without partitions. SetDispatcher must be called before use.
+func New(o Options) *Ledger {
+	return &Ledger{opts: o, holders: map[int]*holder{}, ended: map[work.JobID]work.State{}}
+}
+
+// SetDispatcher sets the dispatcher, which needs the ledger for its own making.
+func (l *Ledger) SetDispatcher(d Dispatcher) { l.dispatcher = d }
+
+// Sync makes the ledger hold the given partitions of the log under a fence and no others. It is called before the dispatcher begins to
+// use the fence, so that no end of a task is taken for one of another job.
+func (l *Ledger) Sync(fence int64, partitions []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := map[int]bool{}
+	for _, p := range partitions {
+		wanted[p] = true
+	}
+	for p, h := range l.holders {
+		if !wanted[p] || h.fence != fence {
+			h.cancel()
+			delete(l.holders, p)
+		}
+	}
+	l.fence = fence
+	for p := range wanted {
+		if l.holders[p] == nil {
+			l.holders[p] = l.newHolder(p, fence)
+		}
+	}
+}
+
+func (l *Ledger) newHolder(partition int, fence int64) *holder {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &holder{
+		ledger: l, fence: fence, partition: joblog.Partition{Topic: l.opts.Topic, Number: partition},
+		ctx: ctx, cancel: cancel, live: map[work.JobID]*liveJob{}, wake: make(chan struct{}, 1),
+	}
+	go h.run()
+	return h
+}
+
+func (l *Ledger) holderOf(id work.JobID) *holder {
+	return l.holder(PartitionOf(id, l.opts.LogPartitions))
+}
+
+func (l *Ledger) holder(partition int) *holder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holders[partition]
+}
+
+// RecordEnd implements shard.Ledger.
+func (l *Ledger) RecordEnd(end work.End, recorded func()) shard.Recording {
+	switch l.opts.Usage() {
+	case Unused:
+		return shard.NotStored
+	case UsageUnknown:
+		return shard.Undecided
+	}
+	if h := l.holderOf(end.Task.Job); h != nil {
+		return h.recordEnd(end, recorded)
+	}
+	return shard.NotStored
+}
+
+// JobEnded implements shard.Ledger.
+func (l *Ledger) JobEnded(id work.JobID, s work.State) {
+	if h := l.holderOf(id); h != nil && h.jobEnded(id, s) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended[id] = s
+}
+
+// takeEnded returns and forgets the final state of a job that ended while its holder could not record it; "" if there is none.
+func (l *Ledger) takeEnded(id work.JobID) work.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.ended[id]
+	delete(l.ended, id)
+	return s
+}
+
+// forgetEnded forgets the final states of the jobs that owns selects.
+func (l *Ledger) forgetEnded(owns func(work.JobID) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.ended {
+		if owns(id) {
+			delete(l.ended, id)
+		}
+	}
+}
+
+// Handle carries out a request. It implements relay.StoredHandler.
+func (l *Ledger) Handle(r *relay.StoredRequest, reply func(*relay.StoredReply)) {
+	answer := func(a relay.StoredReply) {
+		a.Number = r.Number
+		reply(&a)
+	}
+	h := l.holder(r.Partition)
+	if h == nil {
+		answer(relay.StoredReply{Result: relay.StoredNoHolder})
+		return
+	}
+	switch r.Operation {
+	case relay.StoredSubmit:
+		h.submit(r.Job, r.Waited, answer)
+	case relay.StoredState:
+		h.state(r.ID, answer)
+	case relay.StoredCancel:
+		h.cancelJob(r.ID, answer)
+	case relay.StoredPending:
+		h.pending(r.Queue, answer)
+	default:
+		answer(relay.StoredReply{Result: relay.StoredNoHolder})
+	}
+}
+
+// Dump is a snapshot of one held partition of the log for operators.
+type Dump struct {
+	Partition int          `json:"partition"`
+	Epoch     int64        `json:"epoch"`
+	Ready     bool         `json:"ready"`
+	Live      int          `json:"live"`  // jobs that have not ended
+	Known     int          `json:"known"` // ended ones included
+	Log       joblog.Stats `json:"log"`
+}
+
+// Dump returns a snapshot of all held partitions.
+func (l *Ledger) Dump() []Dump {
+	var all []Dump
+	for p := range l.opts.LogPartitions {
+		if h := l.holder(p); h != nil {
+			all = append(all, h.dump())
+		}
+	}
+	return all
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,8 @@
 	callRead   metric.Kind = "read"
 	callNewest metric.Kind = "newest"
 	callPut    metric.Kind = "put"
+	callAppend metric.Kind = "append"
+	callTrim   metric.Kind = "trim"
 	callJoin   metric.Kind = "join"
 	callLeave  metric.Kind = "leave"
 	callOwners metric.Kind = "owners"
@@ -69,6 +71,20 @@
 	return err
 }
 
+// Append implements store.Store.
+func (c *countedStore) Append(ctx context.Context, a store.Append) (store.Appended, error) {
+	appended, err := c.Store.Append(ctx, a)
+	c.count(callAppend, err)
+	return appended, err
+}
+
+// Trim implements store.Store.
+func (c *countedStore) Trim(ctx context.Context, topic string, part int, before int64) error {
+	err := c.Store.Trim(ctx, topic, part, before)
+	c.count(callTrim, err)
+	return err
+}
+
 // Join implements store.Store.
 func (c *countedStore) Join(ctx context.Context, m store.Membership) (store.Assignment, error) {
 	assignment, err := c.Store.Join(ctx, m)
@@ -113,6 +129,10 @@
 		{Name: "config_version", Var: gauge(n.configVersion)},
 		{Name: "store_calls", Var: &n.store.calls}, {Name: "store_failures", Var: &n.store.failed},
 		{Name: "traffic", Var: n.opts.Meter},
+		{Name: "stored_accepted", Var: &n.stored.counts.Accepted}, {Name: "stored_refused", Var: &n.stored.counts.Refused},
+		{Name: "stored_not_saved", Var: &n.stored.counts.NotSaved}, {Name: "stored_not_known", Var: &n.stored.counts.NotKnown},
+		{Name: "stored_found", Var: &n.stored.counts.Found}, {Name: "stored_resumed", Var: &n.stored.counts.Resumed},
+		{Name: "stored_ended", Var: &n.stored.counts.Ended}, {Name: "stored_loads", Var: &n.stored.counts.Loads},
 		{Name: "endpoint_requests", Var: expvar.Func(func() any { return n.window.Status() })},
 		{Name: "ready", Var: expvar.Func(func() any { return n.ready() })},
 	}
@@ -135,7 +155,7 @@
 	return dump.Instance{
 		Instance: s.Instance, Zone: s.Zone, UptimeMS: n.now().Milliseconds(), Ready: n.ready(), Draining: n.draining(),
 		ConfigVersion: n.configVersion(), Active: n.gateway.Active(), Partitions: partitions, Missing: n.directory.Missing(),
-		Term: n.lead.Term(), Shards: n.shards.dump(),
+		Term: n.lead.Term(), Shards: n.shards.dump(), Log: n.stored.dump(),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	EndpointsTopic() string
 	LeadersTopic(zone string) string
 	DivisionsTopic() string
+	JobsTopic(zone string) string // log of the zone's stored jobs
 	DecodeConfig(raw []byte) (*catalog.Config, error)
 	DecodeEndpoint(key string, raw []byte) (work.Endpoint, error)
 }
@@ -83,6 +84,7 @@
 	metrics   gateway.Metrics
 	window    *congestion.Window // for requests to endpoints
 	history   *attempt.History
+	stored    *storedJobs
 }
 
 // New returns an instance that is not running.
@@ -99,13 +101,17 @@
 		EndpointsPerPartition: division.EndpointsPerPartition(s.LinkMbps), GroupPartitions: s.GroupPartitions, OnChange: n.shards.reconcile, Log: o.Log,
 	})
 	n.shards.divisions = n.divisions
+	n.stored = newStoredJobs(n)
+	n.shards.stored = n.stored
 	n.router = &router{
 		ownZone: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
 		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
 	}
+	n.router.stored, n.stored.router = n.stored, n.router
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
 	n.gateway = gateway.New(gateway.Options{
 		Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics, Meter: o.Meter, Attempts: n.history.OfJob,
+		Stored: n.stored,
 	})
 	n.endpoints = n.endpointsFollower()
 	n.router.gateway, n.router.local.gateway, n.shards.gateway = n.gateway, n.gateway, n.gateway
@@ -126,12 +132,15 @@
 func (n *Node) newShard(partition int) *shard.Shard {
 	s := n.opts.Settings
 	readRegistrations := func() { n.endpoints.Refresh() }
-	return shard.New(shard.Options{
+	jobs := n.stored.newLedger(partition)
+	x := shard.New(shard.Options{
 		Zone: s.Zone, Partition: partition, Directory: n.directory, Lease: s.RunLease(), RegistrationAge: s.RegistrationAge(),
 		Dialer: n.opts.Dialer, Window: n.window, History: n.history,
 		OnFenced: n.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations,
-		Counts: &n.counts, Log: n.log.WithField("partition", partition), Now: n.now,
+		Counts: &n.counts, Log: n.log.WithField("partition", partition), Now: n.now, Ledger: jobs,
 	})
+	jobs.SetDispatcher(x)
+	return x
 }
 
 // now returns the time since the node was created.
@@ -173,6 +182,7 @@
 	if err != nil {
 		return err
 	}
+	relays.Stored = n.stored.handle
 	go relays.Run(ctx)
 	go n.router.local.run(ctx.Done())
 	go n.followTerms(ctx)
--- a/internal/node/registrations_test.go
+++ b/internal/node/registrations_test.go
@@ -18,6 +18,7 @@
 func (records) ConfigTopic() (topic, key string)             { return "", "" }
 func (records) EndpointsTopic() string                       { return "" }
 func (records) LeadersTopic(string) string                   { return "" }
+func (records) JobsTopic(string) string                      { return "" }
 func (records) DivisionsTopic() string                       { return "" }
 func (records) DecodeConfig([]byte) (*catalog.Config, error) { return nil, nil }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -35,6 +35,7 @@
 	meter     *traffic.Meter
 	log       logrus.FieldLogger
 	local     *localRoute
+	stored    *storedJobs // set before use
 
 	mu     sync.Mutex
 	routes map[string]*uplinkRoute // by address
@@ -165,6 +166,7 @@
 	route := &uplinkRoute{zone: zone}
 	route.uplink = relay.Dial(address, r.meter, relay.Handler{
 		Answer:   func(a *relay.Answer) { r.gateway.Answer(route, a) },
+		Stored:   r.stored.replied,
 		Attempts: func(all []attempt.Attempt) { r.mergeAttempts(address, all) }, Unattended: r.gateway.Unattended,
 		Cancellations: r.gateway.Cancellations(),
 		End:           func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
@@ -194,6 +196,7 @@
 	r.log.WithFields(logrus.Fields{"event": "dispatcher_lost", "address": address, "connected": sent}).
 		WithError(err).Warn("connection to a dispatcher ended")
 	r.gateway.RouteEnded(route, sent)
+	r.stored.connectionEnded(route, sent)
 	r.lead.Search(route.zone)
 	go r.deposeIfSilent(address)
 }
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -21,6 +21,7 @@
 	started   time.Time // zero of the clock of shard.Options.Now
 	history   *attempt.History
 	gateway   *gateway.Gateway // set before use
+	stored    *storedJobs      // set before use
 	make      func(partition int) *shard.Shard
 
 	reconciling sync.Mutex // held while terms begin and end, which waits for the shards
@@ -52,14 +53,18 @@
 	}
 	held := s.heldTerm()
 	t := s.shardTerm(held.Generation)
+	s.stored.reportUsage()
 	for part := range division.MaxPartitions {
 		if part >= t.Partitions || !held.Holds(s.divisions.GroupPartition(s.zone, part)) {
+			s.stored.sync(part, shard.Term{})
 			if x := s.get(part); x != nil {
 				x.End()
 			}
 			continue
 		}
-		s.getOrMake(part).Begin(t)
+		x := s.getOrMake(part)
+		s.stored.sync(part, t)
+		x.Begin(t)
 	}
 }
 
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -144,12 +144,12 @@
 func (r *Run) HasStarted() bool { return r.started }
 
 // afterCrash decides what becomes of a task under which a process has crashed: it starts again as a suspect, or the reason to give
-// it up is returned.
+// it up is returned. Tasks of stored jobs always start again: only failed runs count as their attempts.
 func (p *Pool) afterCrash(j *job, task work.TaskID, now time.Duration) GiveUp {
-	if p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes {
+	if !j.stored && p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes {
 		return GiveUpCrashes
 	}
-	if now-j.arrived > maxWait(j) {
+	if !j.stored && now-j.arrived > maxWait(j) {
 		return GiveUpTooLate
 	}
 	j.suspect(task)
@@ -179,7 +179,7 @@
 func (p *Pool) exhausted(j *job, task work.TaskID) []Outcome {
 	why := GiveUp("")
 	switch {
-	case p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes:
+	case !j.stored && p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes:
 		why = GiveUpCrashes
 	case p.history.Count(task, attempt.Failed) >= j.Objective.Attempts:
 		why = GiveUpFailures
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -20,6 +20,7 @@
 	suspects    map[work.TaskID]bool // tasks under which an endpoint has crashed; they run alone
 	started     bool
 	held        bool          // see Hold
+	stored      bool          // see OfferStored
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
 }
--- /dev/null
+++ b/internal/pool/stored.go
@@ -0,0 +1,99 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// A stored job is kept in the store until it has ended, and no caller waits for it on a connection. It is refused only before it is
+// stored; afterwards it waits for capacity however late it is, and only failed runs count as attempts of its tasks.
+
+// maxUnplaced is the number of jobs in the pool from which a stored job is refused while no endpoint takes new runs.
+const maxUnplaced = 200
+
+// OfferStored adds a job that is about to be stored, unless it would miss its objective. It is held until Hold releases it. A job that
+// comes while no endpoint takes new runs, as after a takeover, is accepted: it can wait.
+func (p *Pool) OfferStored(w *work.Job, now, arrived time.Duration) Verdict {
+	if p.jobs[w.ID] != nil {
+		return Verdict{}
+	}
+	j := p.newStored(w, arrived, 0)
+	v := p.decide(j, now, false)
+	if v.Accepted() || v.Reason == ReasonNoRoom {
+		p.recordDemand(j, v.Accepted(), now)
+	}
+	if v.Reason == ReasonNoEndpoint && len(p.jobs) < maxUnplaced {
+		v = Verdict{Slack: v.Slack}
+	}
+	if v.Accepted() {
+		j.held = true
+		p.jobs[w.ID] = j
+		p.enqueue(j)
+	}
+	return v
+}
+
+func (p *Pool) newStored(w *work.Job, arrived, notBefore time.Duration) *job {
+	j := p.newJob(w, arrived, notBefore)
+	j.stored = true
+	return j
+}
+
+// ResumeStored adds a stored job, or continues it if the pool holds it: the tasks in succeeded are not started any more, and those that
+// wait do not start before notBefore. failed holds the highest number of a failed run of each task.
+func (p *Pool) ResumeStored(w *work.Job, succeeded []work.TaskID, failed map[work.TaskID]int, now, notBefore time.Duration) []Outcome {
+	for task, run := range failed {
+		p.numbers[task] = max(p.numbers[task], run)
+	}
+	j := p.jobs[w.ID]
+	if j == nil {
+		j = p.newStored(w, now, notBefore)
+		if out := p.givenUpBefore(j); out != nil {
+			return out
+		}
+		p.jobs[w.ID] = j
+		p.adopt(j)
+	}
+	j.notBefore, j.held = notBefore, false
+	for _, task := range succeeded {
+		p.countStored(j, task)
+	}
+	if j.remaining == 0 {
+		p.finish(j)
+		return []Outcome{{Job: j.ID, State: work.Completed}}
+	}
+	if j.hasWaiting() {
+		p.enqueue(j)
+	}
+	return nil
+}
+
+// StoredSuccess counts a task of a stored job whose success is recorded, whichever of its runs has succeeded. Another run of it is to be
+// stopped.
+func (p *Pool) StoredSuccess(task work.TaskID) []Outcome {
+	j := p.jobs[task.Job]
+	if j == nil || !j.stored || !p.countStored(j, task) || j.remaining > 0 {
+		return nil
+	}
+	p.finish(j)
+	return []Outcome{{Job: j.ID, State: work.Completed, Task: task}}
+}
+
+// countStored returns whether the task had not been counted yet.
+func (p *Pool) countStored(j *job, task work.TaskID) bool {
+	if j.countSuccess(task) {
+		return true
+	}
+	r := p.runs[task]
+	if r == nil || r.job != j {
+		return false
+	}
+	j.removeRun(r)
+	r.State = Stopping
+	j.taskSucceeded(task.Step)
+	if j.hasWaiting() {
+		p.enqueue(j)
+	}
+	return true
+}
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -258,11 +258,11 @@
 }
 
 // Overdue returns the accepted jobs that have not started and can no longer end within lateFactor times their objective.
-// Resumed jobs are left out: tasks of them may have run elsewhere.
+// Resumed jobs are left out, since tasks of them may have run elsewhere, and so are stored ones, which wait.
 func (p *Pool) Overdue(now time.Duration) []work.JobID {
 	var late []work.JobID
 	for _, j := range p.queue {
-		if !j.started && !j.resumed && now-j.arrived > maxWait(j) {
+		if !j.started && !j.resumed && !j.stored && now-j.arrived > maxWait(j) {
 			late = append(late, j.ID)
 		}
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -79,6 +79,8 @@
 	kindSubmit
 	kindCancel
 	kindAnswer
+	kindStoredRequest
+	kindStoredReply
 )
 
 const (
@@ -115,6 +117,10 @@
 		return kindCancel, true
 	case *Answer:
 		return kindAnswer, true
+	case *StoredRequest:
+		return kindStoredRequest, true
+	case *StoredReply:
+		return kindStoredReply, true
 	}
 	return 0, false
 }
@@ -147,6 +153,10 @@
 		message = &Cancel{}
 	case kindAnswer:
 		message = &Answer{}
+	case kindStoredRequest:
+		message = &StoredRequest{}
+	case kindStoredReply:
+		message = &StoredReply{}
 	default:
 		return nil, fmt.Errorf("relay: message of unknown kind %d", k)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,8 @@
 	dispatcher Dispatcher
 	meter      *traffic.Meter
 	log        logrus.FieldLogger
+	// Stored carries out requests for stored jobs. It is set before Run.
+	Stored StoredHandler
 }
 
 // Listen returns a server for a dispatcher that listens on an address. Run must be called to serve. The meter counts the
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{l, d, meter, log}, nil
+	return &Server{listener: l, dispatcher: d, meter: meter, log: log}, nil
 }
 
 // Address returns the address that the server listens on.
@@ -123,6 +125,8 @@
 			s.dispatcher.Submit(client, m)
 		case *Cancel:
 			s.dispatcher.Cancel(client, m)
+		case *StoredRequest:
+			s.Stored(m, client.replyStored)
 		case *heartbeat:
 			s.dispatcher.Cancellations().Merge(m.Cancelled)
 		}
@@ -164,6 +168,8 @@
 	Attempts func([]attempt.Attempt)
 	// Cancellations are those of this instance.
 	Cancellations Cancellations
+	// Stored receives the replies to requests for stored jobs.
+	Stored func(*StoredReply)
 	// Unattended returns how long this instance has been unable to notice that its callers leave.
 	Unattended func() time.Duration
 	// End is called once, when the connection has ended or could not be opened; sent is false if the connection was never
@@ -218,6 +224,8 @@
 		switch m := message.(type) {
 		case *Answer:
 			h.Answer(m)
+		case *StoredReply:
+			h.Stored(m)
 		case *heartbeat:
 			u.setLoads(m.Loads) // the first message on a connection is a heartbeat
 			h.Attempts(m.Attempts)
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -52,7 +52,9 @@
 		}).Warn("run makes no progress; stopping it")
 	}
 	s.stopAll(s.pool.Unwanted(now-claimTime), stopUnwanted)
-	s.pool.ForgetSuccesses(now - successRetention)
+	if !s.endsUndecided {
+		s.pool.ForgetSuccesses(now - successRetention)
+	}
 	s.dispatch()
 	s.checked.Store(int64(s.opts.Now()))
 }
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -45,6 +45,9 @@
 		return true
 	}
 	for _, id := range s.pool.JobsOn(x.endpoint.ID) {
+		if s.stored[id] != nil {
+			continue // this dispatcher itself wants the run
+		}
 		if client := s.clients[id]; client == nil || client.Silence() > abandonTime {
 			return true
 		}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -18,6 +18,7 @@
 			"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.StartedUnixMS, "tasks": x.runNames(),
 		}).Warn("endpoint's process was restarted; its runs are lost")
 		x.acknowledged, x.reportClock, x.granted = 0, 0, 0
+		x.unrecorded = nil
 		x.processEnded(now)
 	} else if x.leaseExpired {
 		x.withdrawCrashes()
@@ -39,10 +40,11 @@
 	for _, end := range report.Ended {
 		if end.Sequence > x.acknowledged {
 			x.acknowledged = end.Sequence
+			x.recordEnd(end, now)
 			x.applyEnd(end, now)
 		}
 	}
-	if !overtaken {
+	if !overtaken && len(report.Ended) < maxListedEnds {
 		x.applyMissing(report, request, now)
 	}
 	x.reported = true
@@ -124,6 +126,7 @@
 		}).Info("run ended without success")
 	}
 	s.finish(s.pool.RunEnded(x.endpoint.ID, end, now))
+	x.countRecorded(end)
 }
 
 // mustList reports whether the report of a request lists a run if it still runs.
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -58,21 +58,23 @@
 	cancel         context.CancelFunc
 	path           string // names the way to the endpoint in the window of start requests; constant
 
-	registered      bool          // the endpoint is registered
-	reported        bool          // the endpoint has reported during the term
-	reportedTo      int64         // highest fence of a poll that was answered with a report
-	refusedFence    int64         // this dispatcher's fence when the endpoint last refused it because it had seen a higher one
-	answering       bool          // the endpoint answers; false also from a refusal that bars new runs until the next report
-	failures        int           // consecutive polls without an answer
-	acknowledged    int64         // sequence number of the last end that was received
-	startedUnixMS   int64         // start of the endpoint's process, Unix milliseconds; 0 if not known
-	clock           time.Duration // the endpoint's clock at clockAt
-	clockAt         time.Duration // when the endpoint's clock was read, on this instance's clock
-	reportClock     time.Duration // the endpoint's clock in the newest report
-	leaseExtendedAt time.Duration // when a request that extends the lease was last sent
-	granted         time.Duration // latest end of the lease that was requested, on the endpoint's clock
-	lastAnswerAt    time.Duration // time of the last answer
-	leaseExpired    bool          // the endpoint is silent, its lease has expired and the pool has ended its runs
+	registered      bool                    // the endpoint is registered
+	reported        bool                    // the endpoint has reported during the term
+	reportedTo      int64                   // highest fence of a poll that was answered with a report
+	refusedFence    int64                   // this dispatcher's fence when the endpoint last refused it because it had seen a higher one
+	answering       bool                    // the endpoint answers; false also from a refusal that bars new runs until the next report
+	failures        int                     // consecutive polls without an answer
+	acknowledged    int64                   // sequence number of the last end that was received
+	unrecorded      map[int64]time.Duration // ends that the endpoint must not forget yet, see recordEnd; with the time of their receipt
+	recorded        chan struct{}           // a value ends the pause before the next poll
+	startedUnixMS   int64                   // start of the endpoint's process, Unix milliseconds; 0 if not known
+	clock           time.Duration           // the endpoint's clock at clockAt
+	clockAt         time.Duration           // when the endpoint's clock was read, on this instance's clock
+	reportClock     time.Duration           // the endpoint's clock in the newest report
+	leaseExtendedAt time.Duration           // when a request that extends the lease was last sent
+	granted         time.Duration           // latest end of the lease that was requested, on the endpoint's clock
+	lastAnswerAt    time.Duration           // time of the last answer
+	leaseExpired    bool                    // the endpoint is silent, its lease has expired and the pool has ended its runs
 	// connectionRefused is true if a connection was refused since the last answer.
 	connectionRefused bool
 	requests          requestNumber // number of the last request for a report
@@ -88,7 +90,7 @@
 func newSession(s *Shard, e work.Endpoint) *session {
 	return &session{
 		shard: s, endpoint: e, endpointClient: s.opts.Dialer.Dial(e), path: string(e.ID), registered: true, lastAnswerAt: s.opts.Now(),
-		leaseExtendedAt: s.opts.Now(), visibleFrom: map[*pool.Run]requestNumber{}, stopConfirmed: map[*pool.Run]bool{},
+		leaseExtendedAt: s.opts.Now(), recorded: make(chan struct{}, 1), visibleFrom: map[*pool.Run]requestNumber{}, stopConfirmed: map[*pool.Run]bool{},
 	}
 }
 
@@ -132,7 +134,7 @@
 	ctx, x.cancel = context.WithCancel(ctx)
 	x.shard.mu.Unlock()
 	for ctx.Err() == nil {
-		pause.For(ctx, x.poll(ctx), nil)
+		pause.For(ctx, x.poll(ctx), x.recorded)
 	}
 	x.endpointClient.Close()
 }
@@ -160,7 +162,7 @@
 	}
 	x.applyReport(report, request, now)
 	s.dispatch()
-	return 0
+	return x.recordPause(now)
 }
 
 // reportRequest is a lease renewal as a session sends it.
@@ -175,7 +177,7 @@
 func (x *session) newReportRequest(now time.Duration) reportRequest {
 	x.requests++
 	return reportRequest{
-		LeaseRequest: work.LeaseRequest{Fence: x.shard.term.Fence, Acknowledged: x.acknowledged}, First: !x.reported, sent: now, number: x.requests,
+		LeaseRequest: work.LeaseRequest{Fence: x.shard.term.Fence, Acknowledged: x.recordedUpTo()}, First: !x.reported, sent: now, number: x.requests,
 	}
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -63,6 +63,8 @@
 	Counts     *Counts
 	Log        logrus.FieldLogger
 	Now        func() time.Duration // monotonic clock
+	// Ledger keeps the stored jobs of the shard; nil for none.
+	Ledger Ledger
 }
 
 // Shard is the dispatcher of one partition. Its methods may be called concurrently.
@@ -84,6 +86,8 @@
 	pool            *pool.Pool
 	sessions        map[work.EndpointID]*session
 	clients         map[work.JobID]relay.Client
+	stored          map[work.JobID]*work.Job      // stored jobs, for which no client waits
+	endsUndecided   bool                          // the ledger could not tell of an end whether it has to be recorded
 	expires         map[work.JobID]time.Duration  // when a job's caller waits no longer
 	expiryCheckedAt time.Duration                 // time of the last search for expired jobs
 	stopRequestedAt map[work.TaskID]time.Duration // time of the last request to stop a run of the task
@@ -105,6 +109,7 @@
 	s.pool = pool.New(s.opts.History)
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]relay.Client{}
+	s.stored = map[work.JobID]*work.Job{}
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 }
@@ -252,12 +257,16 @@
 func (s *Shard) abandon(id work.JobID, why stopReason) {
 	delete(s.clients, id)
 	delete(s.expires, id)
+	delete(s.stored, id)
 	s.stopAll(s.pool.Cancel(id), why)
 }
 
 // finish answers and deletes the jobs that have ended.
 func (s *Shard) finish(outcomes []pool.Outcome) {
 	for _, o := range outcomes {
+		if s.finishStored(o) {
+			continue
+		}
 		client := s.clients[o.Job]
 		if client == nil && !s.pool.HasJob(o.Job) {
 			continue // the end of another task has ended the job already
--- /dev/null
+++ b/internal/shard/stored.go
@@ -0,0 +1,269 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// A stored job has no caller whose leaving ends it: the dispatcher itself extends leases for its runs while it holds the term. The ends
+// of its tasks are recorded in the store before the endpoints may forget them, so that no later dispatcher starts a task again.
+
+// Ledger keeps the stored jobs of a shard. The shard calls it with its lock held, so its methods do not block and do not call the shard.
+type Ledger interface {
+	// RecordEnd takes a task's end of success or failure. If it returns Recording, it calls recorded once the store has the end.
+	RecordEnd(end work.End, recorded func()) Recording
+	// JobEnded takes the final state of a stored job.
+	JobEnded(id work.JobID, s work.State)
+}
+
+// Recording tells what becomes of an end that was passed to a Ledger.
+type Recording int
+
+// The values.
+const (
+	NotStored    Recording = iota // the task belongs to no stored job; the endpoint may forget the end
+	RecordedSoon                  // recorded is called when the endpoint may forget the end
+	Undecided                     // not known yet; RedeliverEnds makes the endpoint report the end again
+)
+
+const (
+	// maxListedEnds is the number of ends from which a report may be incomplete: an endpoint lists at most that many.
+	maxListedEnds = 500
+	// recordPause is the pause before the next poll while ends wait for the store, unless they are recorded before. An endpoint answers
+	// a poll at once as long as it holds ends.
+	recordPause = 25 * time.Millisecond
+	// slowRecordTime is the time after which the store counts as slow, and slowRecordPause the pause then.
+	slowRecordTime  = 400 * time.Millisecond
+	slowRecordPause = 100 * time.Millisecond
+)
+
+// recordEnd passes an end to the ledger if it may belong to a stored job. Other ends than successes and failures change nothing in
+// the state of a job. The shard's lock is held.
+func (x *session) recordEnd(end work.End, now time.Duration) {
+	s := x.shard
+	if s.opts.Ledger == nil || s.clients[end.Task.Job] != nil || end.Reason != work.EndSucceeded && end.Reason != work.EndFailed {
+		return
+	}
+	if x.unrecorded == nil {
+		x.unrecorded = map[int64]time.Duration{}
+	}
+	waiting := x.unrecorded
+	switch s.opts.Ledger.RecordEnd(end, func() { x.endRecorded(waiting, end.Sequence) }) {
+	case RecordedSoon:
+		waiting[end.Sequence] = now
+	case Undecided:
+		waiting[end.Sequence] = now
+		s.endsUndecided = true
+	}
+}
+
+// endRecorded removes an end from those that wait for the store, unless the session has started another collection of them.
+func (x *session) endRecorded(waiting map[int64]time.Duration, sequence int64) {
+	x.shard.mu.Lock()
+	delete(waiting, sequence)
+	wake := len(x.unrecorded) == 0
+	x.shard.mu.Unlock()
+	if wake {
+		x.wakePoll()
+	}
+}
+
+func (x *session) wakePoll() {
+	select {
+	case x.recorded <- struct{}{}:
+	default:
+	}
+}
+
+// recordedUpTo returns the sequence number up to which the endpoint may forget its ends. The shard's lock is held.
+func (x *session) recordedUpTo() int64 {
+	upTo := x.acknowledged
+	for sequence := range x.unrecorded {
+		upTo = min(upTo, sequence-1)
+	}
+	return upTo
+}
+
+// recordPause returns the pause before the next poll. The shard's lock is held.
+func (x *session) recordPause(now time.Duration) time.Duration {
+	if len(x.unrecorded) == 0 {
+		return 0
+	}
+	for _, since := range x.unrecorded {
+		if now-since > slowRecordTime {
+			return slowRecordPause
+		}
+	}
+	return recordPause
+}
+
+// countRecorded counts a success of a stored job's task, whose record makes any further run of the task superfluous.
+func (x *session) countRecorded(end work.End) {
+	s := x.shard
+	if end.Reason == work.EndSucceeded && s.stored[end.Task.Job] != nil {
+		s.finish(s.pool.StoredSuccess(end.Task))
+	}
+}
+
+// RedeliverEnds makes the endpoints report again the ends that are not recorded. Their number is small: they are those of the time
+// in which the ledger was not ready.
+func (s *Shard) RedeliverEnds() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.redeliverEnds()
+}
+
+func (s *Shard) redeliverEnds() {
+	s.endsUndecided = false
+	for _, x := range s.sessions {
+		if len(x.unrecorded) == 0 {
+			continue
+		}
+		x.acknowledged = x.recordedUpTo()
+		x.unrecorded = nil
+		x.wakePoll()
+	}
+}
+
+// finishStored handles the end of a stored job. It returns false for other jobs. The shard's lock is held.
+func (s *Shard) finishStored(o pool.Outcome) bool {
+	if s.stored[o.Job] == nil {
+		return false
+	}
+	s.logEnd(o)
+	s.abandon(o.Job, stopJobEnded)
+	s.opts.Ledger.JobEnded(o.Job, o.State)
+	return true
+}
+
+// holdStored holds all stored jobs until ResumeStored is called for the new fence: another dispatcher may have continued them. The
+// shard's lock is held.
+func (s *Shard) holdStored() {
+	for id := range s.stored {
+		s.pool.Hold(id, true)
+	}
+}
+
+// dispatchesUnder reports whether the shard dispatches under a fence. The shard's lock is held.
+func (s *Shard) dispatchesUnder(fence int64) bool { return s.leading && s.term.Fence == fence }
+
+// OfferStored decides whether a job is to be stored. An accepted job takes its place in the queue and does not start before StartStored.
+// ok is false if the shard does not dispatch under the fence.
+func (s *Shard) OfferStored(fence int64, job *work.Job, waited time.Duration) (v pool.Verdict, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatchesUnder(fence) {
+		return v, false
+	}
+	now := s.opts.Now()
+	v = s.pool.OfferStored(job, now, now-waited)
+	if v.Accepted() {
+		s.stored[job.ID] = job
+	} else {
+		s.opts.Counts.Refused.Add(1)
+	}
+	return v, true
+}
+
+// StartStored lets an offered job start, which is stored now.
+func (s *Shard) StartStored(fence int64, id work.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dispatchesUnder(fence) && s.stored[id] != nil {
+		s.pool.Hold(id, false)
+		s.dispatch()
+	}
+}
+
+// DropStored deletes a stored job, which was cancelled or could not be stored, and stops its runs.
+func (s *Shard) DropStored(fence int64, id work.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatchesUnder(fence) || s.stored[id] == nil {
+		return
+	}
+	s.abandon(id, stopCancelled)
+	s.dispatch()
+}
+
+// ResumedJob is a stored job that a ledger has read from the store.
+type ResumedJob struct {
+	Job       *work.Job
+	Succeeded []work.TaskID
+	Failed    []attempt.Attempt
+}
+
+// ResumeStored continues the stored jobs of a part of the ledger, which owns selects, and deletes those that the ledger does not name
+// any more. Tasks that an earlier dispatcher may have started wait until the fence is settled. load returns the jobs; it is called with
+// the shard's lock held, so that no end comes between it and their continuation. ResumeStored returns false if the shard does not
+// dispatch under the fence.
+func (s *Shard) ResumeStored(fence int64, load func() []ResumedJob, owns func(work.JobID) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatchesUnder(fence) {
+		return false
+	}
+	all := load()
+	named := map[work.JobID]bool{}
+	for _, r := range all {
+		named[r.Job.ID] = true
+		s.resume(r)
+	}
+	for id := range s.stored {
+		if owns(id) && !named[id] {
+			s.abandon(id, stopJobEnded)
+		}
+	}
+	s.redeliverEnds()
+	s.opts.Log.WithFields(logrus.Fields{"event": "stored_resumed", "jobs": len(all), "fence": fence}).Info("stored jobs are continued")
+	s.dispatch()
+	return true
+}
+
+func (s *Shard) resume(r ResumedJob) {
+	now := s.opts.Now()
+	s.opts.History.Merge(r.Failed, now)
+	failed := map[work.TaskID]int{}
+	for _, a := range r.Failed {
+		failed[a.Task] = max(failed[a.Task], a.Run)
+	}
+	s.stored[r.Job.ID] = r.Job
+	s.finish(s.pool.ResumeStored(r.Job, r.Succeeded, failed, now, s.notBefore(true)))
+}
+
+// AddStored adds a job that another instance has stored and of which no task has started.
+func (s *Shard) AddStored(fence int64, job *work.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatchesUnder(fence) || s.stored[job.ID] != nil {
+		return
+	}
+	s.stored[job.ID] = job
+	s.finish(s.pool.ResumeStored(job, nil, nil, s.opts.Now(), 0))
+	s.dispatch()
+}
+
+// StoredStarted reports whether a task of a stored job has been ordered to start.
+func (s *Shard) StoredStarted(id work.JobID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.HasStarted(id)
+}
+
+// StoredWaiting returns the number of stored jobs of a queue, among those that owns selects, of which no task has started.
+func (s *Shard) StoredWaiting(queue string, owns func(work.JobID) bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for id, job := range s.stored {
+		if job.Queue == queue && owns(id) && !s.pool.HasStarted(id) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -80,6 +80,7 @@
 		return
 	}
 	s.term, s.settled, s.fenceStart = t, false, s.opts.Now()
+	s.holdStored()
 	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions)}).
 		Info("dispatching for the partition continues with a higher fence")
 	for id, x := range s.sessions {
