--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -32,6 +32,9 @@
 	foreignInterval = 500 * time.Millisecond
 	// storeTimeout is how long a submission may wait for its append to begin.
 	storeTimeout = time.Second
+	// stateWait is how long a request for the state of a running job waits for the job's end. The end of a task is reported, applied and
+	// stored within it.
+	stateWait = 100 * time.Millisecond
 	// maxExpired bounds the ended jobs whose records are deleted in one append.
 	maxExpired = 500
 	// expiryKey stands for a job in the writer's queue. It joins all deletions of ended jobs.
@@ -540,7 +543,8 @@
 	entry.Info("submission stored")
 }
 
-// state replies with the state of a job. While its end is being stored, the reply waits for it.
+// state replies with the state of a job. While its end is being stored, the reply waits for it; while it runs, the reply waits for its
+// end for a short time, since callers often ask just before the holder learns of an end.
 func (h *holder) state(id work.JobID, reply replyFunc) {
 	h.mu.Lock()
 	known, live := h.jobs.Get(id), h.live[id]
@@ -563,11 +567,27 @@
 		return
 	}
 	h.mu.Unlock()
-	state := work.Queued
-	if h.ledger.dispatcher.StoredStarted(id) {
-		state = work.Running
+	if live == nil || !h.ledger.dispatcher.StoredStarted(id) {
+		reply(relay.StoredReply{Result: relay.StoredDone, State: work.Queued})
+		return
+	}
+	h.awaitEnd(id, live, reply)
+}
+
+// awaitEnd replies when a running job has ended, or after stateWait.
+func (h *holder) awaitEnd(id work.JobID, job *liveJob, reply replyFunc) {
+	var once sync.Once
+	first := func(r relay.StoredReply) { once.Do(func() { reply(r) }) }
+	h.mu.Lock()
+	if h.live[id] != job {
+		state := h.finalState(id, job)
+		h.mu.Unlock()
+		first(relay.StoredReply{Result: relay.StoredDone, State: state})
+		return
 	}
-	reply(relay.StoredReply{Result: relay.StoredDone, State: state})
+	job.replies = append(job.replies, first)
+	h.mu.Unlock()
+	time.AfterFunc(stateWait, func() { first(relay.StoredReply{Result: relay.StoredDone, State: work.Running}) })
 }
 
 // cancelJob ends a job and replies when its end is stored. A job that has ended before keeps its state.
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -36,7 +36,7 @@
 	maxListedEnds = 500
 	// recordPause is the pause before the next poll while ends wait for the store, unless they are recorded before. An endpoint answers
 	// a poll at once as long as it holds ends.
-	recordPause = 25 * time.Millisecond
+	recordPause = 10 * time.Millisecond
 	// slowRecordTime is the time after which the store counts as slow, and slowRecordPause the pause then.
 	slowRecordTime  = 400 * time.Millisecond
 	slowRecordPause = 100 * time.Millisecond
