--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -28,6 +28,8 @@
 	// again.
 	pendingTimeout = 700 * time.Millisecond
 	pendingAge     = 400 * time.Millisecond
+	// foldedAge is the greatest age of counts that were read from the store, which costs more.
+	foldedAge = time.Second
 )
 
 // Result is the result of a caller's request.
@@ -76,6 +78,7 @@
 
 	mu      sync.Mutex
 	pending map[string]pendingCount // by queue
+	folded  map[place]foldedCount
 }
 
 type pendingCount struct {
@@ -83,6 +86,12 @@
 	counts map[place]int // as last known
 }
 
+// foldedCount counts the waiting jobs of a partition whose holder does not answer, as the store has them.
+type foldedCount struct {
+	at      time.Time
+	waiting map[string]int // by queue
+}
+
 // place names a partition of a zone's log.
 type place struct {
 	zone      string
@@ -90,7 +99,9 @@
 }
 
 // NewClient returns a client.
-func NewClient(o ClientOptions) *Client { return &Client{opts: o, pending: map[string]pendingCount{}} }
+func NewClient(o ClientOptions) *Client {
+	return &Client{opts: o, pending: map[string]pendingCount{}, folded: map[place]foldedCount{}}
+}
 
 func (c *Client) placeOf(id work.JobID) place {
 	return place{ZoneOf(id, c.opts.Zones), PartitionOf(id, c.opts.LogPartitions)}
@@ -213,8 +224,8 @@
 	return a
 }
 
-// Pending returns the number of stored jobs of a queue of which no task has started. Holders that do not answer count with their last
-// known numbers.
+// Pending returns the number of stored jobs of a queue of which no task has started. The jobs of a holder that does not answer are
+// counted in the store; if that cannot be read either, they count with the last known number.
 func (c *Client) Pending(ctx context.Context, queue string) int {
 	c.mu.Lock()
 	known := c.pending[queue]
@@ -230,8 +241,6 @@
 }
 
 func (c *Client) countPending(ctx context.Context, queue string, before pendingCount) pendingCount {
-	ctx, cancel := context.WithTimeout(ctx, pendingTimeout)
-	defer cancel()
 	fresh := pendingCount{at: time.Now(), counts: map[place]int{}}
 	var mu sync.Mutex
 	var asked sync.WaitGroup
@@ -240,10 +249,9 @@
 			to := place{zone, p}
 			fresh.counts[to] = before.counts[to]
 			asked.Go(func() {
-				reply, _ := c.ask(ctx, to, relay.StoredRequest{Operation: relay.StoredPending, Queue: queue})
-				if reply != nil && reply.Result == relay.StoredDone {
+				if n, ok := c.pendingAt(ctx, to, queue); ok {
 					mu.Lock()
-					fresh.counts[to] = reply.Pending
+					fresh.counts[to] = n
 					mu.Unlock()
 				}
 			})
@@ -255,3 +263,42 @@
 	c.pending[queue] = fresh
 	return fresh
 }
+
+// pendingAt returns the number of a partition's waiting jobs of a queue.
+func (c *Client) pendingAt(ctx context.Context, at place, queue string) (int, bool) {
+	askCtx, cancel := context.WithTimeout(ctx, pendingTimeout)
+	reply, _ := c.ask(askCtx, at, relay.StoredRequest{Operation: relay.StoredPending, Queue: queue})
+	cancel()
+	if reply != nil && reply.Result == relay.StoredDone {
+		return reply.Pending, true
+	}
+	return c.foldPending(ctx, at, queue)
+}
+
+// foldPending counts a partition's jobs of a queue without an ended task in the store. Some of them may run, so the number may be too
+// high.
+func (c *Client) foldPending(ctx context.Context, at place, queue string) (int, bool) {
+	c.mu.Lock()
+	known := c.folded[at]
+	c.mu.Unlock()
+	if known.waiting != nil && time.Since(known.at) < foldedAge {
+		return known.waiting[queue], true
+	}
+	partition := joblog.Partition{Topic: c.opts.Topic(at.zone), Number: at.partition}
+	jobs, _, err := joblog.Load(ctx, c.opts.Log, partition, 0, c.opts.Logger)
+	if err != nil {
+		c.opts.Logger.WithFields(logrus.Fields{"event": "stored_pending_unknown", "zone": at.zone, "log_partition": at.partition}).WithError(err).
+			Info("waiting jobs cannot be counted")
+		return 0, false
+	}
+	known = foldedCount{time.Now(), map[string]int{}}
+	for _, id := range jobs.Live() {
+		if job := jobs.Get(id); !job.Cancelled && len(job.Ends.Succeeded)+len(job.Ends.Failed) == 0 {
+			known.waiting[job.Work.Queue]++
+		}
+	}
+	c.mu.Lock()
+	c.folded[at] = known
+	c.mu.Unlock()
+	return known.waiting[queue], true
+}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -716,11 +716,8 @@
 
 func (h *holder) dump() Dump {
 	h.mu.Lock()
-	d := Dump{Partition: h.partition.Number, Epoch: h.epoch, Ready: h.ready, Live: len(h.live)}
+	d := Dump{Partition: h.partition.Number, Epoch: h.epoch, Ready: h.ready, Live: len(h.live), Known: h.jobs.Len()}
 	w := h.writer
-	if h.jobs != nil {
-		d.Known = h.jobs.Len()
-	}
 	h.mu.Unlock()
 	if w != nil {
 		d.Log = w.Stats()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &holder{
 		ledger: l, fence: fence, partition: joblog.Partition{Topic: l.opts.Topic, Number: partition},
-		ctx: ctx, cancel: cancel, live: map[work.JobID]*liveJob{}, wake: make(chan struct{}, 1),
+		ctx: ctx, cancel: cancel, jobs: joblog.NewJobs(), live: map[work.JobID]*liveJob{}, wake: make(chan struct{}, 1),
 	}
 	go h.run()
 	return h
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -12,14 +12,21 @@
 // maxUnplaced is the number of jobs in the pool from which a stored job is refused while no endpoint takes new runs.
 const maxUnplaced = 200
 
-// OfferStored adds a job that is about to be stored, unless it would miss its objective. It is held until Hold releases it. A job that
-// comes while no endpoint takes new runs, as after a takeover, is accepted: it can wait.
+// OfferStored adds a job that is about to be stored, unless its result would come too late for any use. It is held until Hold releases
+// it. A job that comes while no endpoint takes new runs, as after a takeover, is accepted: it can wait.
+//
+// A stored job belongs to one dispatcher and cannot go to another one that has room. A job that would miss its objective there is
+// therefore accepted if it can end while it is still of use, and gives way to the jobs that can meet theirs.
 func (p *Pool) OfferStored(w *work.Job, now, arrived time.Duration) Verdict {
 	if p.jobs[w.ID] != nil {
 		return Verdict{}
 	}
 	j := p.newStored(w, arrived, 0)
 	v := p.decide(j, now, false)
+	if v.Reason == ReasonNoRoom {
+		j.latestStart = arrived + maxWait(j)
+		v = p.decide(j, now, false)
+	}
 	if v.Accepted() || v.Reason == ReasonNoRoom {
 		p.recordDemand(j, v.Accepted(), now)
 	}
