--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -32,6 +32,11 @@
 	foreignInterval = 500 * time.Millisecond
 	// storeTimeout is how long a submission may wait for its append to begin.
 	storeTimeout = time.Second
+	// appendTime is the time that an append may have taken, which the writer bounds by its timeout.
+	appendTime = 700 * time.Millisecond
+	// maxUnconfirmed is how long a holder denies that a job exists after it has last known all records: it may have been replaced without
+	// knowing it, and its successor may have accepted the job.
+	maxUnconfirmed = 1500 * time.Millisecond
 	// stateWait is how long a request for the state of a running job waits for the job's end. The end of a task is reported, applied and
 	// stored within it.
 	stateWait = 100 * time.Millisecond
@@ -74,7 +79,8 @@
 	live       map[work.JobID]*liveJob
 	next       int64 // offset of the first record that was not applied
 	appendedAt time.Duration
-	unread     bool // records of others may precede those that were appended last
+	confirmed  time.Duration // when the last read or append began after which all records of the partition were known
+	unread     bool          // records of others may precede those that were appended last
 	history    joblog.History
 	expired    []store.Record // deletions of ended jobs that the writer has not taken yet
 	events     []func()
@@ -151,12 +157,13 @@
 // load reads the partition.
 func (h *holder) load(ctx context.Context, w *joblog.Writer, epoch int64) error {
 	for {
+		begun := h.opts().Now()
 		jobs, next, err := joblog.Load(ctx, h.opts().Log, h.partition, h.opts().Now(), h.opts().Logger)
 		if err == nil {
 			h.opts().Counts.Loads.Add(1)
 			h.mu.Lock()
 			h.jobs, h.next, h.writer, h.epoch, h.unread = jobs, next, w, epoch, false
-			h.live = map[work.JobID]*liveJob{}
+			h.live, h.confirmed = map[work.JobID]*liveJob{}, begun
 			h.mu.Unlock()
 			return nil
 		}
@@ -261,6 +268,9 @@
 	h.apply(records, now)
 	if a.End > 0 && a.Offset == h.next {
 		h.next = a.End
+		if !h.unread {
+			h.confirmed = now - appendTime
+		}
 	} else {
 		h.unread = true
 	}
@@ -543,6 +553,14 @@
 	entry.Info("submission stored")
 }
 
+// denial returns the reply to a request for a job of which no submission is known. h.mu is held.
+func (h *holder) denial() relay.StoredReply {
+	if h.opts().Now()-h.confirmed > maxUnconfirmed {
+		return relay.StoredReply{Result: relay.StoredNoHolder}
+	}
+	return relay.StoredReply{Result: relay.StoredNoJob}
+}
+
 // state replies with the state of a job. While its end is being stored, the reply waits for it; while it runs, the reply waits for its
 // end for a short time, since callers often ask just before the holder learns of an end.
 func (h *holder) state(id work.JobID, reply replyFunc) {
@@ -554,8 +572,9 @@
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
 	case !known.Known():
+		denial := h.denial()
 		h.mu.Unlock()
-		reply(relay.StoredReply{Result: relay.StoredNoJob})
+		reply(denial)
 		return
 	case known.State != "":
 		h.mu.Unlock()
@@ -600,8 +619,9 @@
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
 	case !known.Known():
+		denial := h.denial()
 		h.mu.Unlock()
-		reply(relay.StoredReply{Result: relay.StoredNoJob})
+		reply(denial)
 		return
 	case known.State != "":
 		h.mu.Unlock()
@@ -647,6 +667,7 @@
 	if !needed {
 		return
 	}
+	begun := h.opts().Now()
 	b, err := h.opts().Log.Read(ctx, h.partition.Topic, h.partition.Number, from, 0)
 	if errors.Is(err, store.ErrTruncated) {
 		b, err = h.opts().Log.Newest(ctx, h.partition.Topic, h.partition.Number)
@@ -661,6 +682,9 @@
 	defer h.mu.Unlock()
 	h.apply(b.Records, h.opts().Now())
 	h.unread = h.unread && b.Next < b.End
+	if b.Next >= b.End {
+		h.confirmed = max(h.confirmed, begun)
+	}
 	h.next = max(h.next, b.Next)
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -166,7 +166,7 @@
 	route := &uplinkRoute{zone: zone}
 	route.uplink = relay.Dial(address, r.meter, relay.Handler{
 		Answer:   func(a *relay.Answer) { r.gateway.Answer(route, a) },
-		Stored:   r.stored.replied,
+		Stored:   func(a *relay.StoredReply) { r.stored.replied(a) },
 		Attempts: func(all []attempt.Attempt) { r.mergeAttempts(address, all) }, Unattended: r.gateway.Unattended,
 		Cancellations: r.gateway.Cancellations(),
 		End:           func(_ *relay.Uplink, sent bool, err error) { r.connectionEnded(route, sent, err) },
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -101,7 +101,7 @@
 
 // sync makes the ledger of a partition of the zone hold its part of the log under a term; none with the zero Term.
 func (s *storedJobs) sync(partition int, t shard.Term) {
-	if !s.InUse() {
+	if s == nil || !s.InUse() {
 		return
 	}
 	l := s.ledger(partition)
@@ -119,7 +119,7 @@
 
 // reportUsage makes the endpoints report the ends again that came before it was known whether the deployment has stored jobs.
 func (s *storedJobs) reportUsage() {
-	if s.reported || s.usage() == ledger.UsageUnknown {
+	if s == nil || s.reported || s.usage() == ledger.UsageUnknown {
 		return
 	}
 	s.reported = true
@@ -205,6 +205,9 @@
 
 // connectionEnded ends the requests that were sent over a route. Without an open connection they were not sent.
 func (s *storedJobs) connectionEnded(route *uplinkRoute, sent bool) {
+	if s == nil {
+		return // a router without stored jobs
+	}
 	s.mu.Lock()
 	var ended []storedRequest
 	for number, r := range s.requests {
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -65,7 +65,7 @@
 	answering       bool                    // the endpoint answers; false also from a refusal that bars new runs until the next report
 	failures        int                     // consecutive polls without an answer
 	acknowledged    int64                   // sequence number of the last end that was received
-	unrecorded      map[int64]time.Duration // ends that the endpoint must not forget yet, see recordEnd; with the time of their receipt
+	unrecorded      map[int64]unrecordedEnd // ends that the endpoint must not forget yet, by sequence number, see recordEnd
 	recorded        chan struct{}           // a value ends the pause before the next poll
 	startedUnixMS   int64                   // start of the endpoint's process, Unix milliseconds; 0 if not known
 	clock           time.Duration           // the endpoint's clock at clockAt
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,9 +30,15 @@
 const (
 	NotStored    Recording = iota // the task belongs to no stored job; the endpoint may forget the end
 	RecordedSoon                  // recorded is called when the endpoint may forget the end
-	Undecided                     // not known yet; RedeliverEnds makes the endpoint report the end again
+	Undecided                     // not known yet; the end is passed again by RedeliverEnds and ResumeStored
 )
 
+// unrecordedEnd is an end that its endpoint must not forget yet.
+type unrecordedEnd struct {
+	end   work.End
+	since time.Duration // when it was passed to the ledger first
+}
+
 const (
 	// maxListedEnds is the number of ends from which a report may be incomplete: an endpoint lists at most that many.
 	maxListedEnds = 500
@@ -50,30 +58,32 @@
 		return
 	}
 	if x.unrecorded == nil {
-		x.unrecorded = map[int64]time.Duration{}
+		x.unrecorded = map[int64]unrecordedEnd{}
 	}
 	waiting := x.unrecorded
 	switch s.opts.Ledger.RecordEnd(end, func() { x.endRecorded(waiting, end.Sequence) }) {
 	case RecordedSoon:
-		waiting[end.Sequence] = now
+		waiting[end.Sequence] = unrecordedEnd{end, now}
 	case Undecided:
-		waiting[end.Sequence] = now
+		waiting[end.Sequence] = unrecordedEnd{end, now}
 		s.endsUndecided = true
 	}
 }
 
 // endRecorded removes an end from those that wait for the store, unless the session has started another collection of them.
-func (x *session) endRecorded(waiting map[int64]time.Duration, sequence int64) {
+func (x *session) endRecorded(waiting map[int64]unrecordedEnd, sequence int64) {
 	x.shard.mu.Lock()
 	delete(waiting, sequence)
 	wake := len(x.unrecorded) == 0
 	x.shard.mu.Unlock()
-	if wake {
-		x.wakePoll()
-	}
+	x.wakeIf(wake)
 }
 
-func (x *session) wakePoll() {
+// wakeIf ends the pause before the next poll if a condition holds.
+func (x *session) wakeIf(condition bool) {
+	if !condition {
+		return
+	}
 	select {
 	case x.recorded <- struct{}{}:
 	default:
@@ -94,8 +104,8 @@
 	if len(x.unrecorded) == 0 {
 		return 0
 	}
-	for _, since := range x.unrecorded {
-		if now-since > slowRecordTime {
+	for _, e := range x.unrecorded {
+		if now-e.since > slowRecordTime {
 			return slowRecordPause
 		}
 	}
@@ -110,23 +120,29 @@
 	}
 }
 
-// RedeliverEnds makes the endpoints report again the ends that are not recorded. Their number is small: they are those of the time
-// in which the ledger was not ready.
+// RedeliverEnds passes the ends that are not recorded to the ledger once more.
 func (s *Shard) RedeliverEnds() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.redeliverEnds()
 }
 
+// redeliverEnds passes the ends that are not recorded to the ledger and to the pool once more: the ledger may have been replaced, and
+// the pool may hold their job anew. It uses the ends as they were reported, so that no task starts before they count. The shard's lock is
+// held.
 func (s *Shard) redeliverEnds() {
 	s.endsUndecided = false
+	now := s.opts.Now()
 	for _, x := range s.sessions {
-		if len(x.unrecorded) == 0 {
-			continue
-		}
-		x.acknowledged = x.recordedUpTo()
+		unrecorded := x.unrecorded
 		x.unrecorded = nil
-		x.wakePoll()
+		for _, sequence := range slices.Sorted(maps.Keys(unrecorded)) {
+			end := unrecorded[sequence].end
+			x.recordEnd(end, now)
+			s.finish(s.pool.RunEnded(x.endpoint.ID, end, now))
+			x.countRecorded(end)
+		}
+		x.wakeIf(len(unrecorded) > 0)
 	}
 }
 
