--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,261 @@
+package ledger_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/ledger"
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/standin/keyed"
+	"github.com/savorypass/savorypass/internal/standin/wait"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+const topic = "keyed.jobs.north"
+
+// dispatcher records what a ledger asks for.
+type dispatcher struct {
+	mu      sync.Mutex
+	refuse  bool
+	offered []work.JobID
+	started []work.JobID
+	added   []work.JobID
+	dropped []work.JobID
+	resumed []shard.ResumedJob
+	loads   int
+}
+
+func (d *dispatcher) OfferStored(_ int64, job *work.Job, _ time.Duration) (pool.Verdict, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.offered = append(d.offered, job.ID)
+	if d.refuse {
+		return pool.Verdict{Reason: pool.ReasonNoRoom, RetryAfter: time.Second}, true
+	}
+	return pool.Verdict{}, true
+}
+
+func (d *dispatcher) note(list *[]work.JobID, id work.JobID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*list = append(*list, id)
+}
+
+func (d *dispatcher) has(list *[]work.JobID, id work.JobID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Contains(*list, id)
+}
+
+func (d *dispatcher) StartStored(_ int64, id work.JobID)              { d.note(&d.started, id) }
+func (d *dispatcher) AddStored(_ int64, job *work.Job)                { d.note(&d.added, job.ID) }
+func (d *dispatcher) DropStored(_ int64, id work.JobID)               { d.note(&d.dropped, id) }
+func (d *dispatcher) StoredStarted(work.JobID) bool                   { return false }
+func (d *dispatcher) StoredWaiting(string, func(work.JobID) bool) int { return 0 }
+
+func (d *dispatcher) ResumeStored(_ int64, load func() []shard.ResumedJob, _ func(work.JobID) bool) bool {
+	all := load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.resumed, d.loads = all, d.loads+1
+	return true
+}
+
+func (d *dispatcher) held() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loads > 0
+}
+
+// holder is a ledger with one log partition, and its dispatcher.
+type holder struct {
+	*ledger.Ledger
+	*dispatcher
+}
+
+func newHolder(t *testing.T, s *keyed.Store, fence int64) *holder {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	begun := time.Now()
+	h := &holder{dispatcher: &dispatcher{}}
+	h.Ledger = ledger.New(ledger.Options{
+		Log: s, Topic: topic, LogPartitions: 1, Retention: time.Minute, Usage: func() ledger.Usage { return ledger.Used },
+		Counts: &ledger.Counts{}, Now: func() time.Duration { return time.Since(begun) }, Logger: log,
+	})
+	h.SetDispatcher(h.dispatcher)
+	h.Sync(fence, []int{0})
+	t.Cleanup(h.end)
+	return h
+}
+
+func (h *holder) end() { h.Sync(0, nil) }
+
+// ask sends a request and returns the reply, or one without a result if none comes.
+func (h *holder) ask(r relay.StoredRequest) relay.StoredReply {
+	replies := make(chan *relay.StoredReply, 1)
+	h.Handle(&r, func(a *relay.StoredReply) { replies <- a })
+	select {
+	case a := <-replies:
+		return *a
+	case <-time.After(5 * time.Second):
+		return relay.StoredReply{}
+	}
+}
+
+func (h *holder) submit(id work.JobID) relay.StoredResult {
+	return h.ask(relay.StoredRequest{Operation: relay.StoredSubmit, Job: job(id)}).Result
+}
+
+func (h *holder) state(id work.JobID) relay.StoredReply {
+	return h.ask(relay.StoredRequest{Operation: relay.StoredState, ID: id})
+}
+
+func job(id work.JobID) *work.Job {
+	return &work.Job{ID: id, Queue: "q", Steps: []work.Step{{Count: 2}}, Objective: work.Objective{Attempts: 2}}
+}
+
+func success(id work.JobID, index int) work.End {
+	return work.End{Sequence: 1, Task: work.TaskID{Job: id, Index: index}, Run: 1, Reason: work.EndSucceeded}
+}
+
+// Guards against requests that come before the holder has read its partition: they crashed the process.
+func TestRequestsBeforeTheLogIsRead(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	s.SetDown(true)
+	h := newHolder(t, s, 32)
+	is.Equal(h.submit("a"), relay.StoredNoHolder)
+	is.Equal(h.state("a").Result, relay.StoredNoHolder)
+	is.Equal(h.RecordEnd(success("a", 0), func() {}), shard.Undecided)
+	s.SetDown(false)
+	wait.For(t, "the log is held", h.held)
+	is.Equal(h.state("a").Result, relay.StoredNoJob)
+}
+
+// Guards against a job that is answered as not stored although its append was carried out and only the answer lost, and against a
+// refused one that stays.
+func TestAppendWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	h := newHolder(t, s, 32)
+	wait.For(t, "the log is held", h.held)
+	s.FailAppends(keyed.LoseAnswer)
+	is.Equal(h.submit("a"), relay.StoredDone)
+	is.True(h.has(&h.started, "a"))
+	s.FailAppends(keyed.Refuse)
+	is.Equal(h.submit("b"), relay.StoredNotSaved)
+	is.True(h.has(&h.dropped, "b"))
+	is.Equal(h.state("b").Result, relay.StoredNoJob)
+	h.refuse = true
+	is.Equal(h.submit("c"), relay.StoredRefused)
+	is.Equal(h.submit("a"), relay.StoredDone) // a repeat of an accepted job is not decided anew
+}
+
+// Guards against a job that is lost because its holder was replaced between the append and the answer, and against an older holder that
+// still accepts, records or denies jobs.
+func TestReplacedHolder(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	old := newHolder(t, s, 32)
+	wait.For(t, "the log is held", old.held)
+	is.Equal(old.submit("a"), relay.StoredDone)
+	successor := newHolder(t, s, 64)
+	wait.For(t, "the successor holds the log", successor.held)
+	is.Equal(len(successor.resumed), 1)
+	is.Equal(successor.submit("a"), relay.StoredDone)
+	recorded := make(chan bool, 1)
+	old.RecordEnd(success("a", 0), func() { recorded <- true })
+	is.True(old.submit("b") != relay.StoredDone)
+	is.Equal(successor.state("b").Result, relay.StoredNoJob)
+	is.Equal(successor.submit("c"), relay.StoredDone)
+	is.True(old.state("c").Result != relay.StoredNoJob)
+	is.Equal(len(recorded), 0)
+}
+
+// Guards against an end that an endpoint may forget before the store has it, and against one that the next holder does not know.
+func TestEndsOutliveTheHolder(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	h := newHolder(t, s, 32)
+	wait.For(t, "the log is held", h.held)
+	is.Equal(h.submit("a"), relay.StoredDone)
+	s.SetDown(true)
+	recorded := make(chan bool, 2)
+	is.Equal(h.RecordEnd(success("a", 0), func() { recorded <- true }), shard.RecordedSoon)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(len(recorded), 0)
+	s.SetDown(false)
+	<-recorded
+	s.SetDown(true)
+	h.RecordEnd(success("a", 1), func() { recorded <- true })
+	h.end()                            // before the second end is stored
+	time.Sleep(100 * time.Millisecond) // the stand-in carries out an append in progress
+	s.SetDown(false)
+	next := newHolder(t, s, 64)
+	wait.For(t, "the successor holds the log", next.held)
+	is.Equal(next.resumed[0].Succeeded, []work.TaskID{{Job: "a"}})
+	is.Equal(len(recorded), 0)
+	next.JobEnded("a", work.Completed)
+	is.Equal(next.state("a").State, work.Completed) // waits until the end is stored
+	last := newHolder(t, s, 96)
+	wait.For(t, "the last holds the log", last.held)
+	is.Equal(len(last.resumed), 0)
+	is.Equal(last.state("a").State, work.Completed)
+}
+
+// unreachable is a transport that reaches no holder.
+type unreachable struct{}
+
+func (unreachable) Send(string, *relay.StoredRequest, func(*relay.StoredReply)) bool { return false }
+
+// Guards against a job or a cancel that is lost when its instance cannot reach the holder, and against a refusal of a job that the store
+// has.
+func TestAppendInPlaceOfTheHolder(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	h := newHolder(t, s, 32)
+	wait.For(t, "the log is held", h.held)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := ledger.NewClient(ledger.ClientOptions{
+		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
+		Announce: func(context.Context) error { return nil }, Logger: log,
+	})
+	s.FailAppends(keyed.LoseAnswer, keyed.Refuse)
+	is.Equal(c.Submit(t.Context(), job("a"), time.Now()).Result, ledger.Done)
+	wait.For(t, "the holder finds the job", func() bool { return h.has(&h.added, "a") })
+	is.Equal(c.Pending(t.Context(), "q"), 1)
+	is.Equal(c.Cancel(t.Context(), "a").State, work.Cancelled)
+	wait.For(t, "the holder finds the cancel", func() bool { return h.state("a").State == work.Cancelled })
+	is.True(h.has(&h.dropped, "a"))
+	is.Equal(c.Cancel(t.Context(), "b").State, work.Cancelled) // before its submission
+	wait.For(t, "the holder finds the cancel", func() bool { return h.Dump()[0].Known == 2 })
+	is.Equal(h.submit("b"), relay.StoredDone)
+	is.Equal(h.state("b").State, work.Cancelled)
+	is.True(!h.has(&h.started, "b"))
+	s.SetDown(true)
+	is.Equal(c.Submit(t.Context(), job("d"), time.Now()).Result, ledger.NotSaved)
+}
+
+// Guards against instances that look for a job in different places, and against partitions that exceed the store's writes.
+func TestPlaces(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ledger.PartitionsFor(600, 3, 16), 4)
+	is.Equal(ledger.PartitionsFor(3200, 5, 16), 16)
+	is.Equal(ledger.PartitionsFor(0, 3, 2), 2)
+	is.Equal(ledger.ZoneOf("4af73a5bb1d04c10", []string{"a", "b", "c"}), "a")
+	held := map[int]int{}
+	for p := range 8 {
+		held[ledger.DispatcherOf(p, 8, 4)]++
+	}
+	is.Equal(held, map[int]int{0: 2, 1: 2, 2: 2, 3: 2})
+}
--- /dev/null
+++ b/internal/shard/stored_test.go
@@ -0,0 +1,153 @@
+package shard_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/standin/fleet"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// jobLedger is a shard.Ledger that records ends when it is told to.
+type jobLedger struct {
+	mu       sync.Mutex
+	answer   shard.Recording
+	recorded []func()
+	ends     int
+	ended    map[work.JobID]work.State
+}
+
+func (l *jobLedger) RecordEnd(_ work.End, recorded func()) shard.Recording {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends++
+	l.recorded = append(l.recorded, recorded)
+	return l.answer
+}
+
+func (l *jobLedger) JobEnded(id work.JobID, s work.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended[id] = s
+}
+
+// takeEnded returns and forgets the final state of a job.
+func (l *jobLedger) takeEnded(id work.JobID) work.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.ended[id]
+	delete(l.ended, id)
+	return s
+}
+
+func (l *jobLedger) set(answer shard.Recording) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answer = answer
+}
+
+func (l *jobLedger) record() {
+	l.mu.Lock()
+	recorded := l.recorded
+	l.recorded = nil
+	l.mu.Unlock()
+	for _, f := range recorded {
+		f()
+	}
+}
+
+func newStoredShard(n int, run time.Duration) (*fleet.Fleet, *dispatcher, *jobLedger) {
+	f, all := newFleet(n, run)
+	l := &jobLedger{answer: shard.RecordedSoon, ended: map[work.JobID]work.State{}}
+	s := newShardWith(f, func(o *shard.Options) { o.Ledger = l })
+	s.Begin(shard.Term{Fence: 1, Partitions: 1})
+	s.register(all)
+	time.Sleep(time.Second)
+	return f, s, l
+}
+
+func (d *dispatcher) offer(fence int64, id string, tasks int) (pool.Verdict, bool) {
+	job := jobOf(id, tasks, 30*time.Millisecond)
+	return d.OfferStored(fence, &job, 0)
+}
+
+func ownsAll(work.JobID) bool { return true }
+
+// Guards against a job that starts before it is stored, or after it could not be stored. The clock is virtual.
+func TestStoredJobWaitsForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s, l := newStoredShard(3, 30*time.Millisecond)
+		for _, id := range []string{"a", "b"} {
+			v, ok := s.offer(1, id, 2)
+			is.True(ok && v.Accepted())
+		}
+		time.Sleep(time.Second)
+		is.Equal(len(f.Starts()), 0)
+		s.StartStored(1, "a")
+		s.DropStored(1, "b")
+		time.Sleep(time.Second)
+		is.Equal(len(f.Starts()), 2)
+		is.Equal(l.takeEnded("a"), work.Completed)
+		is.Equal(l.takeEnded("b"), work.State(""))
+		_, ok := s.offer(2, "c", 1)
+		is.True(!ok) // another fence
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against a task that starts again because the fence rose after its end was reported and before the end was recorded: the
+// ledger names its job as one that has not ended.
+func TestUnrecordedEndsCountUnderTheNextFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s, l := newStoredShard(3, 30*time.Millisecond)
+		_, ok := s.offer(1, "a", 4)
+		is.True(ok)
+		s.StartStored(1, "a")
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(l.takeEnded("a"), work.Completed)
+		l.set(shard.Undecided)
+		s.Begin(shard.Term{Fence: 2, Partitions: 1})
+		time.Sleep(2 * time.Second) // the fence is settled
+		l.set(shard.RecordedSoon)
+		job := jobOf("a", 4, 30*time.Millisecond)
+		is.True(s.ResumeStored(2, func() []shard.ResumedJob { return []shard.ResumedJob{{Job: &job}} }, ownsAll))
+		time.Sleep(time.Second)
+		is.Equal(len(f.Starts()), 4)
+		is.Equal(l.takeEnded("a"), work.Completed)
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against an endpoint that forgets an end before it is recorded: another dispatcher would start the task again. It also guards
+// against runs of stored jobs whose lease expires because no caller waits for them.
+func TestEndsWaitForTheirRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s, l := newStoredShard(1, 3*time.Second)
+		_, ok := s.offer(1, "a", 1)
+		is.True(ok)
+		s.StartStored(1, "a")
+		time.Sleep(10 * time.Second)
+		is.Equal(l.takeEnded("a"), work.Completed)
+		is.Equal(len(f.Starts()), 1)
+		is.Equal(f.Unacknowledged(), 1)
+		polls := f.Renewals()
+		time.Sleep(time.Second)
+		is.True(f.Renewals()-polls <= 12) // no tight loop while the store is slow
+		l.record()
+		time.Sleep(time.Second)
+		is.Equal(f.Unacknowledged(), 0)
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/standin/fleet/record.go
+++ b/internal/standin/fleet/record.go
@@ -77,3 +77,14 @@
 	}
 	return ""
 }
+
+// Unacknowledged returns the number of ends that the dispatchers have not acknowledged.
+func (f *Fleet) Unacknowledged() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.endpoints {
+		n += len(e.unacknowledged)
+	}
+	return n
+}
