--- a/internal/gateway/stored.go
+++ b/internal/gateway/stored.go
@@ -25,6 +25,9 @@
 const (
 	// responseMargin is the part of a caller's timeout that is left for the response.
 	responseMargin = 50 * time.Millisecond
+	// submitShare is the part of a caller's timeout after which a submission that is not settled is answered with 504. The caller then
+	// submits the job again, at another instance perhaps, and has lost less time.
+	submitShare = 0.45
 	// minStoredTimeout is how long a request for a stored job is worked on at least.
 	minStoredTimeout = 100 * time.Millisecond
 	// retryStore is the time after which a caller should retry when the store has not taken its job.
@@ -61,7 +64,7 @@
 		g.refuse(x, 503, reasonStopping, retryStopping)
 		return
 	}
-	ctx, cancel := storedContextWithin(sent, timeout)
+	ctx, cancel := storedContextWithin(sent, time.Duration(submitShare*float64(timeout)))
 	go func() {
 		defer cancel()
 		a := g.opts.Stored.Submit(ctx, job, sent)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -21,7 +21,7 @@
 	// askPause is the pause before a holder is looked for again. A partition changes hands within a few hundred milliseconds.
 	askPause = 40 * time.Millisecond
 	// holderTimeout is how long a submission or a cancel looks for the holder before this instance appends the record itself.
-	holderTimeout = 600 * time.Millisecond
+	holderTimeout = 350 * time.Millisecond
 	// appendPause is the pause before an append without an answer is repeated.
 	appendPause = 60 * time.Millisecond
 	// pendingTimeout is how long a count of waiting jobs waits for the holders, and pendingAge the greatest age of counts that are used
