--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -505,6 +505,9 @@
 		h.opts().Counts.Accepted.Add(1)
 		h.ledger.dispatcher.StartStored(h.fence, w.ID)
 		h.takeReplies(job, relay.StoredReply{Result: relay.StoredDone, State: work.Queued})
+	case outcome == joblog.NeverStored && errors.Is(err, joblog.ErrClosed):
+		h.ledger.dispatcher.DropStored(h.fence, w.ID)
+		h.withdraw(w.ID, job, relay.StoredReply{Result: relay.StoredNoHolder}) // the next holder takes it
 	case outcome == joblog.NeverStored:
 		h.opts().Counts.NotSaved.Add(1)
 		h.ledger.dispatcher.DropStored(h.fence, w.ID)
