--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,8 @@
 	Attempts func(work.JobID) []attempt.Attempt
 	// Closes finds the callers of the listener that have left.
 	Closes *server.CloseWatch
+	// Stored keeps stored jobs; nil if none are accepted.
+	Stored StoredJobs
 }
 
 // Metrics are the gateway's counters of requests and its response times in milliseconds.
@@ -184,7 +186,7 @@
 	case method == "POST":
 		g.submit(x, queue, id)
 	case method == "GET" && id == "":
-		g.reply(x, 200, g.opts.Codec.EncodePending(g.pendingCount(queue.Name)), 0)
+		g.pending(x, queue.Name)
 	case method == "GET":
 		g.state(x, work.JobID(id))
 	case method == "DELETE":
@@ -221,6 +223,10 @@
 	g.mu.Lock()
 	known := g.jobs[id] != nil
 	g.mu.Unlock()
+	if !known && g.storedInUse() {
+		g.storedState(x, id)
+		return
+	}
 	if !known {
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
 		return
@@ -234,9 +240,8 @@
 	case err != nil:
 		g.refuse(x, 400, err.Error(), 0)
 		return
-	case durability == Stored || queue.NeedsAdvice:
-		// Stored jobs and queues that need advice are not supported yet.
-		g.refuse(x, 503, "stored jobs and jobs of queues that need advice are not supported", time.Minute)
+	case queue.NeedsAdvice || durability == Stored && g.opts.Stored == nil:
+		g.refuse(x, 503, "jobs of queues that need advice are not supported", time.Minute)
 		return
 	}
 	job.Queue, job.Service, job.Objective = queue.Name, queue.Service, queue.Objective
@@ -250,6 +255,10 @@
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
 	}
+	if durability == Stored {
+		g.submitStored(x, job, sent, timeout)
+		return
+	}
 	p.untried = g.opts.Router.Targets(job.ID)
 	g.mu.Lock()
 	defer g.mu.Unlock()
