--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -315,13 +315,6 @@
 	}).Info("submission decided")
 }
 
-// refuseExpired refuses a submission that has waited for longer than its caller waits.
-func (s *Shard) refuseExpired(from *submitter, m *relay.Submit) {
-	s.logVerdict(from, m, pool.Verdict{Reason: pool.ReasonExpired}, s.pool.HasJob(m.Job.ID))
-	s.opts.Counts.Refused.Add(1)
-	from.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonExpired, RetryAfter: time.Second})
-}
-
 // Cancel implements relay.Dispatcher.
 func (s *Shard) Cancel(from relay.Client, c *relay.Cancel) {
 	s.mu.Lock()
