The test of a slow dispatcher meets it more surely; links share faults without a race

Change: the filler lasts until just before the second submission and is submitted while the large jobs are; links keep the beginnings of faults.

--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -32,7 +32,7 @@
 	if l := n.links[[2]string{from, to}]; l != nil {
 		return l.address()
 	}
-	l := &link{from: from, to: to, pipes: map[*pipe]bool{}, faults: map[*linkFault]bool{}}
+	l := &link{from: from, to: to, pipes: map[*pipe]bool{}, faults: map[*linkFault]time.Time{}}
 	var err error
 	if l.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		panic(err) // out of ports or descriptors; the run cannot go on
@@ -83,7 +83,6 @@
 type linkFault struct {
 	delay time.Duration // of each piece of data
 	ramp  time.Duration // time in which the delay grows from 0; without it, its beginning is a gap
-	since time.Time     // beginning of the fault
 	cut   [2]bool       // by direction; data is held until the cut ends
 	ways  [2]bool       // directions that are delayed; both if none is set
 }
@@ -95,7 +94,7 @@
 
 	mu     sync.Mutex
 	pipes  map[*pipe]bool
-	faults map[*linkFault]bool
+	faults map[*linkFault]time.Time // with their beginnings; a fault may be that of several links
 }
 
 // pipe is a connection over a link.
@@ -111,8 +110,7 @@
 func (l *link) begin(f *linkFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f.since = time.Now()
-	l.faults[f] = true
+	l.faults[f] = time.Now()
 }
 
 func (l *link) end(f *linkFault) {
@@ -231,19 +229,19 @@
 func (l *link) effect(direction int) (delay time.Duration, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for f := range l.faults {
-		delay = max(delay, f.delayOf(direction))
+	for f, since := range l.faults {
+		delay = max(delay, f.delayOf(direction, time.Since(since)))
 		held = held || f.cut[direction]
 	}
 	return delay, held
 }
 
-// delayOf returns the present delay of a direction.
-func (f *linkFault) delayOf(direction int) time.Duration {
+// delayOf returns the delay of a direction when the fault has lasted for a time.
+func (f *linkFault) delayOf(direction int, grown time.Duration) time.Duration {
 	if f.ways != [2]bool{} && !f.ways[direction] {
 		return 0
 	}
-	if grown := time.Since(f.since); grown < f.ramp {
+	if grown < f.ramp {
 		return time.Duration(float64(f.delay) * float64(grown) / float64(f.ramp))
 	}
 	return f.delay
--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -27,7 +27,7 @@
 	partitions        = 2
 	dispatchersKept   = 1500 * time.Millisecond // for which dispatchers must have stayed the same
 	fillerLead        = 400 * time.Millisecond  // from the start of the filler until the other instances know of it
-	fillerTime        = 900 * time.Millisecond
+	fillerTime        = 1400 * time.Millisecond // ends before the second submission
 	taskTime          = 700 * time.Millisecond
 	slowPeriod        = 70 * time.Millisecond
 	slowRunning       = 2 * time.Millisecond
@@ -245,10 +245,11 @@
 func (c *cast) submitToSlow(t *testing.T) {
 	var throttled sync.WaitGroup
 	defer throttled.Wait()
-	c.fill(t)
+	c.submit(t, c.filler, c.second)
+	filling := time.Now()
 	throttled.Go(func() { c.first.throttle(slowPeriod, slowRunning, slowTime) })
 	c.submitLarge(t, "b", largeJobs)
-	time.Sleep(resetAfter)
+	time.Sleep(max(resetAfter, time.Until(filling.Add(fillerLead))))
 	conn, _ := c.submit(t, c.job, c.entry)
 	time.Sleep(resetAfter)
 	c.submitLarge(t, "d", largeJobsBetween)
