Counts of waiting stored jobs are copied before the holders are asked

Cause: countPending wrote the last counts into a map while replies were written into it, outside their lock; two writes at a time end the process. Change: the counts are copied first. Result: the stored jobs' tests of node 3 of 3 and those of ledger pass with the race detector.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -242,12 +243,12 @@
 
 func (c *Client) countPending(ctx context.Context, queue string, before pendingCount) pendingCount {
 	fresh := pendingCount{at: time.Now(), counts: map[place]int{}}
+	maps.Copy(fresh.counts, before.counts)
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, zone := range c.opts.Zones {
 		for p := range c.opts.LogPartitions {
 			to := place{zone, p}
-			fresh.counts[to] = before.counts[to]
 			asked.Go(func() {
 				if n, ok := c.pendingAt(ctx, to, queue); ok {
 					mu.Lock()
