--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -504,9 +504,10 @@
 // Guards against callers that get no response within their timeout, and against jobs that run on after it.
 func TestCallerTimeout(t *testing.T) {
 	is := is.New(t)
-	f := start(t, time.Millisecond)
+	const timeout = 2 * time.Second // a request that waits longer unread is refused at once
+	f := start(t, timeout)
 	a := f.post("a")
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(timeout + time.Millisecond)
 	f.Sweep()
 	is.Equal(f.receive(a).status, 504)
 	is.Equal(len(f.router.cancelledJobs()), 1)
