--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -102,14 +102,16 @@
 func division(p *play) error {
 	p.rule = "TWICE"
 	o := small()
-	o.runners[zones[0]] = 36
+	for _, zone := range zones {
+		o.runners[zone] = 36
+	}
 	if err := p.open(o); err != nil {
 		return err
 	}
 	ctx, cancel := during(30 * time.Second)
 	defer cancel()
 	for _, zone := range zones {
-		p.submitEvery(ctx, zone, 60*time.Millisecond, func() *job {
+		p.submitEvery(ctx, zone, 24*time.Millisecond, func() *job {
 			if rand.IntN(4) == 0 {
 				return p.match(zone)
 			}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -34,6 +34,7 @@
 	zone   string
 	steps  []step
 	poison bool
+	best   bool // best_effort
 
 	mu        sync.Mutex
 	sentAt    time.Time
@@ -129,7 +130,11 @@
 		}
 		phases = append(phases, p)
 	}
-	raw, _ := json.Marshal(map[string]any{"spec": "review", "phases": phases})
+	body := map[string]any{"spec": "review", "phases": phases}
+	if j.best {
+		body["best_effort"] = true
+	}
+	raw, _ := json.Marshal(body)
 	return raw
 }
 
@@ -221,6 +226,8 @@
 		status, state := c.do("POST", j.id, j.body())
 		c.load.log.add("POST %s at %s: %d %s", j.id, c.at.name, status, state)
 		switch {
+		case status >= 200 && status < 300 && j.best:
+			return false // it has ended
 		case status >= 200 && status < 300:
 			j.mu.Lock()
 			j.ackedAt = time.Now()
