--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/savorypass/savorypass/platform/standin"
 )
 
 func init() {
@@ -18,6 +20,7 @@
 	cases["budget"] = budget
 	cases["status"] = status
 	cases["pending"] = pendingCount
+	cases["unread"] = unread
 }
 
 var zones = []string{"amman-bench", "zarqa-annex", "salt-store"}
@@ -252,6 +255,7 @@
 			j := p.newJob(zone, false, step{16, 2 * time.Second})
 			p.wg.Go(func() {
 				c := p.newClient(zone)
+				defer c.close()
 				if c.submit(j) {
 					follow(50*time.Second)(c, j)
 				}
@@ -290,6 +294,7 @@
 		c := p.newClient(zone)
 		asked := time.Now()
 		status, pending := c.pending()
+		c.close()
 		begun := map[string]bool{}
 		for _, s := range p.site.runners.fleet.Starts() {
 			begun[string(s.Task.Job)] = true
@@ -310,3 +315,73 @@
 		}
 	}
 }
+
+// unread: processes are killed and started again while the store is down, and those that dispatch afterwards are stopped in turn.
+func unread(p *play) error {
+	p.rule = "TWICE"
+	if err := p.open(small()); err != nil {
+		return err
+	}
+	ctx, cancel := during(72 * time.Second)
+	defer cancel()
+	for _, zone := range zones {
+		p.submitEvery(ctx, zone, 130*time.Millisecond, func() *job {
+			var steps []step
+			for range 10 {
+				steps = append(steps, step{1, time.Duration(150+rand.IntN(600)) * time.Millisecond})
+			}
+			return p.newJob(zone, false, steps...)
+		}, follow(10*time.Second))
+	}
+	for range 6 {
+		time.Sleep(3 * time.Second)
+		p.outage()
+	}
+	p.settle()
+	return nil
+}
+
+// outage takes the store down for 4.5 s. In the two zones with several machines, the processes that do not dispatch are killed and started
+// again meanwhile. 1 s after the outage the processes that dispatch for the two zones are stopped in turn, and started again.
+func (p *play) outage() {
+	if !p.trouble {
+		time.Sleep(9 * time.Second)
+		return
+	}
+	end := p.disrupted("the store is down")
+	for _, m := range p.site.machines {
+		m.store.set(standin.Fault{Refuse: true})
+	}
+	for _, zone := range zones[:2] {
+		h := p.site.holder(zone)
+		for _, m := range p.site.machines {
+			if m.zone == zone && m != h {
+				killed := p.disrupted("the process on %s is killed", m.name)
+				m.kill()
+				time.AfterFunc(500*time.Millisecond, func() {
+					m.start()
+					killed()
+				})
+			}
+		}
+	}
+	time.Sleep(4500 * time.Millisecond)
+	for _, m := range p.site.machines {
+		m.store.set(standin.Fault{})
+	}
+	end()
+	time.Sleep(time.Second)
+	for _, zone := range zones[:2] {
+		if h := p.site.holder(zone); h != nil {
+			stopped := p.disrupted("SIGTERM of %s, which dispatches for %s", h.name, zone)
+			p.wg.Go(func() {
+				h.stop()
+				time.Sleep(200 * time.Millisecond)
+				h.start()
+				stopped()
+			})
+		}
+		time.Sleep(1300 * time.Millisecond)
+	}
+	time.Sleep(900 * time.Millisecond)
+}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -169,6 +169,9 @@
 	}}
 }
 
+// close closes the client's channel.
+func (c *client) close() { c.http.CloseIdleConnections() }
+
 // do sends a request and returns the status, 0 for no response, and the state in the response.
 func (c *client) do(method, id string, body []byte) (int, string) {
 	request, err := http.NewRequest(method, "http://"+host+prefix+id, bytes.NewReader(body))
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -106,6 +106,7 @@
 			j := make()
 			p.wg.Go(func() {
 				c := p.newClient(zone)
+				defer c.close()
 				if c.submit(j) {
 					then(c, j)
 				}
@@ -178,6 +179,7 @@
 	for _, j := range jobs {
 		wg.Go(func() {
 			c := p.newClient(j.zone)
+			defer c.close()
 			var a answer
 			for range 3 {
 				if a.status, a.state = c.state(j); a.status == 200 {
