--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -341,11 +341,11 @@
 	return nil
 }
 
-// outage takes the store down for 4.5 s. In the two zones with several machines, the processes that do not dispatch are killed and started
+// outage takes the store down for 4.2 s. In the two zones with several machines, the processes that do not dispatch are killed and started
 // again meanwhile. 1 s after the outage the processes that dispatch for the two zones are stopped in turn, and started again.
 func (p *play) outage() {
 	if !p.trouble {
-		time.Sleep(9 * time.Second)
+		time.Sleep(8700 * time.Millisecond)
 		return
 	}
 	end := p.disrupted("the store is down")
@@ -365,7 +365,7 @@
 			}
 		}
 	}
-	time.Sleep(4500 * time.Millisecond)
+	time.Sleep(4200 * time.Millisecond)
 	for _, m := range p.site.machines {
 		m.store.set(standin.Fault{})
 	}
