--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -27,4 +27,13 @@
 	Term          lead.Term      `json:"term"`                  // partitions assigned to this instance, and the generation of the assignment
 	Shards        []shard.Dump   `json:"shards"`                // dispatchers on this instance, one per partition
 	Log           []ledger.Dump  `json:"stored_jobs,omitempty"` // partitions of the log of stored jobs that this instance holds
+	Substituted   []Substituted  `json:"substituted,omitempty"` // zones without instances of their own for which this instance dispatches
+}
+
+// Substituted is what an instance dispatches in place of the instances of another zone.
+type Substituted struct {
+	Zone   string        `json:"zone"`
+	Term   lead.Term     `json:"term"`
+	Shards []shard.Dump  `json:"shards"`
+	Log    []ledger.Dump `json:"stored_jobs,omitempty"`
 }
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -52,7 +52,7 @@
 		patience = c.emptyPatience
 	}
 	switch {
-	case c.opts.CapacityNeeded == nil || c.opts.Capacity >= strongCapacity:
+	case c.opts.CapacityNeeded == nil || c.opts.Capacity >= strongCapacity && !c.opts.Substitute:
 	case !known:
 		return false
 	case capacity >= c.opts.CapacityNeeded():
@@ -74,12 +74,15 @@
 	return true
 }
 
-// membersCapacity returns the sum of the capacities of the members of this instance's zone that hold partitions. known is false
-// until the members have been looked up. c.mu is held.
+// membersCapacity returns the sum of the capacities of the members of this instance's zone that hold partitions. Substitutes leave once
+// the zone's own instances join, so they count for other substitutes only. known is false until the members have been looked up. c.mu is
+// held.
 func (c *Controller) membersCapacity() (sum int, known bool) {
 	holders, known := c.holders[c.opts.Zone]
 	for _, member := range members(holders) {
-		sum += capacityOf(member)
+		if c.opts.Substitute || !isSubstitute(member) {
+			sum += capacityOf(member)
+		}
 	}
 	return sum, known
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -36,8 +36,10 @@
 	ttlFactor       = 3
 	deposePause     = 2 * time.Second // pause between two attempts to remove the same member
 	memberSeparator = "|"
-	leaveTimeout    = 500 * time.Millisecond
-	leavePause      = 250 * time.Millisecond // pause between two attempts to leave
+	// substituteMark is the first part of the names of members that are substitutes.
+	substituteMark = "substitute"
+	leaveTimeout   = 500 * time.Millisecond
+	leavePause     = 250 * time.Millisecond // pause between two attempts to leave
 )
 
 // Options configures a Controller.
@@ -57,6 +59,9 @@
 	// EndpointsKnown reports whether this instance knows the zone's endpoints. As long as it does not, the instance leaves
 	// the partitions to the members that hold them. Nil means always.
 	EndpointsKnown func() bool
+	// Substitute marks an instance of another zone. It joins only while the zone's own members, of which it knows none, and other
+	// substitutes lack the capacity that is needed, however strong it is.
+	Substitute bool
 	// OnChange is called with this instance's new term. Calls are made in order; they must not block or call the controller.
 	OnChange func(term Term)
 }
@@ -97,6 +102,8 @@
 	deposedAt           map[string]time.Time      // last attempt to remove a member, by member
 	holders             map[string]map[int]string // member that holds a partition, by zone and partition
 	lookUpSoon          map[string]bool           // zones for which Search was called since the last look-up
+	vacancies           map[string]vacancy        // by zone, see Vacancy
+	lostAt              map[string]time.Time      // by zone, see DispatcherLost
 }
 
 // New returns a controller that is not running.
@@ -104,7 +111,7 @@
 	return &Controller{
 		opts: o, joinNow: make(chan struct{}, 1), lookUpNow: make(chan struct{}, 1), holders: map[string]map[int]string{},
 		deposedAt: map[string]time.Time{}, lookUpSoon: map[string]bool{}, patience: minPatience + rand.N(extraPatience),
-		emptyPatience: rand.N(maxEmptyPatience),
+		emptyPatience: rand.N(maxEmptyPatience), vacancies: map[string]vacancy{}, lostAt: map[string]time.Time{},
 	}
 }
 
@@ -165,7 +172,11 @@
 
 // member returns this instance's name in its group.
 func (c *Controller) member() string {
-	return strings.Join([]string{c.opts.Instance, strconv.Itoa(c.opts.Capacity), c.opts.Address}, memberSeparator)
+	parts := []string{c.opts.Instance, strconv.Itoa(c.opts.Capacity), c.opts.Address}
+	if c.opts.Substitute {
+		parts = append([]string{substituteMark}, parts...)
+	}
+	return strings.Join(parts, memberSeparator)
 }
 
 func addressOf(member string) string {
--- a/internal/lead/lookup.go
+++ b/internal/lead/lookup.go
@@ -66,7 +66,7 @@
 		return ownSearchInterval
 	case own:
 		return ownLookUpInterval
-	case lookUpSoon, len(c.holders[zone]) == 0:
+	case lookUpSoon, len(c.holders[zone]) == 0, !c.vacancies[zone].since.IsZero(), time.Since(c.lostAt[zone]) < c.lostMemory():
 		return otherSearchInterval
 	}
 	return otherLookUpInterval
@@ -78,15 +78,17 @@
 	c.mu.Unlock()
 	begun := time.Now()
 	owners, err := c.opts.Store.Owners(ctx, c.opts.Topic(zone))
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
-		return // join logs failures of the store; the last addresses stay
+		delete(c.vacancies, zone) // memberships may end during an outage of the store
+		return                    // join logs failures of the store; the last addresses stay
 	}
 	holders := map[int]string{}
 	for _, o := range owners {
 		holders[o.Partition] = o.Member
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.noteVacancy(zone, holders, begun)
 	if zone == c.opts.Zone {
 		c.lookedUpAt = begun
 		c.leaveAgain(ctx, holders)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -29,6 +29,9 @@
 	// again.
 	pendingTimeout = 700 * time.Millisecond
 	pendingAge     = 400 * time.Millisecond
+	// maxVacancy is how long a zone may have been without a dispatcher when a job of it is stored without a holder. A successor or a
+	// substitute begins within it if there is one.
+	maxVacancy = 8 * time.Second
 	// foldedAge is the greatest age of counts that were read from the store, which costs more.
 	foldedAge = time.Second
 )
@@ -68,6 +71,8 @@
 	Topic         func(zone string) string
 	Zones         []string // sorted
 	LogPartitions int
+	// Vacancy returns for how long a zone has been known to have no dispatcher; nil means never.
+	Vacancy func(zone string) time.Duration
 	// Announce writes to the store that the deployment has stored jobs. It returns at once if that is known.
 	Announce func(ctx context.Context) error
 	Logger   logrus.FieldLogger
@@ -140,9 +145,20 @@
 		}
 		pause.For(ctx, askPause, nil)
 	}
+	if zone := c.placeOf(job.ID).zone; c.vacant(zone) && !uncertain {
+		return Answer{Result: NotSaved, Reason: reasonVacant}
+	}
 	return c.append(ctx, joblog.Submission{Job: *job}, job.ID, uncertain)
 }
 
+// reasonVacant is the reason for the refusal of a job that nobody could run.
+const reasonVacant = "zone_without_dispatcher"
+
+// vacant reports whether a zone has had no dispatcher for so long that a job of it may wait without end.
+func (c *Client) vacant(zone string) bool {
+	return c.opts.Vacancy != nil && c.opts.Vacancy(zone) > maxVacancy
+}
+
 // certain returns an answer; a refusal proves nothing if an earlier request may have been carried out.
 func certain(a Answer, uncertain bool) Answer {
 	if uncertain && (a.Result == Refused || a.Result == NotSaved) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -246,6 +246,25 @@
 	is.Equal(c.Submit(t.Context(), job("d"), time.Now()).Result, ledger.NotSaved)
 }
 
+// Guards against a job that is accepted although its zone has had no dispatcher for long and may never get one.
+func TestSubmissionToAVacantZone(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	vacancy := 2 * time.Second
+	c := ledger.NewClient(ledger.ClientOptions{
+		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
+		Announce: func(context.Context) error { return nil }, Logger: log, Vacancy: func(string) time.Duration { return vacancy },
+	})
+	is.Equal(c.Submit(t.Context(), job("a"), time.Now()).Result, ledger.Done)
+	vacancy = 20 * time.Second
+	is.Equal(c.Submit(t.Context(), job("b"), time.Now()).Result, ledger.NotSaved)
+	b, err := s.Newest(t.Context(), topic, 0)
+	is.NoErr(err)
+	is.Equal(len(b.Records), 1)
+}
+
 // Guards against instances that look for a job in different places, and against partitions that exceed the store's writes.
 func TestPlaces(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -20,25 +20,12 @@
 	idleEndpointsInterval = 3 * time.Second
 )
 
-// followTerms applies each change of the partitions that this instance holds to its shards.
-func (n *Node) followTerms(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case t := <-n.terms:
-			n.shards.setTerm(t)
-			n.endpoints.Refresh()
-		}
-	}
-}
-
 // endpointsFollower returns the controller that keeps the registrations up to date.
 func (n *Node) endpointsFollower() *follow.Controller {
 	return follow.New(follow.Options{
-		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints, Failed: n.directory.ReadFailed, Active: n.lead.Candidate,
+		Store: n.store, Topic: n.opts.Records.EndpointsTopic(), Log: n.log, Apply: n.applyEndpoints, Failed: n.directory.ReadFailed, Active: n.needsEndpoints,
 		Interval: func() time.Duration {
-			if n.shards.leading(anyPartition) {
+			if n.leads() {
 				return min(endpointsInterval, shard.ReadInterval(n.opts.Settings.RegistrationAge()))
 			}
 			return idleEndpointsInterval
@@ -46,6 +33,19 @@
 	})
 }
 
+// needsEndpoints reports whether this instance is a member of a group or may soon be one.
+func (n *Node) needsEndpoints() bool {
+	if n.lead.Candidate() {
+		return true
+	}
+	for _, s := range n.substitutes {
+		if s.wanted.Load() || s.active.Load() != nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) followConfig(ctx context.Context) {
 	topic, key := n.opts.Records.ConfigTopic()
 	follow.New(follow.Options{
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -51,7 +51,17 @@
 // ready reports whether the instance has a configuration, is not draining, and neither its gateway nor a shard has stood still for
 // maxStall.
 func (n *Node) ready() bool {
-	return n.config.Load() != nil && !n.draining() && n.gateway.Unattended() <= maxStall && n.loopLag() <= maxStall && !n.shards.stalled(maxStall)
+	return n.config.Load() != nil && !n.draining() && n.gateway.Unattended() <= maxStall && n.loopLag() <= maxStall && !n.stalled()
+}
+
+// stalled reports whether a shard has not made its periodic checks for maxStall.
+func (n *Node) stalled() bool {
+	for _, d := range n.dispatching() {
+		if d.shards.stalled(maxStall) {
+			return true
+		}
+	}
+	return false
 }
 
 // loopLag returns how far the callers' event loop may be behind the kernel.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -126,6 +126,7 @@
 		{Name: "run_ms", Var: c.RunMS}, {Name: "wait_ms", Var: c.WaitMS},
 		{Name: "submission_age_ms", Var: c.AgeMS}, {Name: "caller_silence_ms", Var: c.SilenceMS}, {Name: "starts_held", Var: &c.HeldStarts},
 		{Name: "partitions_held", Var: gauge(func() int64 { return int64(len(n.lead.Term().Partitions)) })},
+		{Name: "zones_substituted", Var: gauge(func() int64 { return int64(len(n.dispatching()) - 1) })},
 		{Name: "generation", Var: gauge(func() int64 { return n.lead.Term().Generation })},
 		{Name: "config_version", Var: gauge(n.configVersion)},
 		{Name: "store_calls", Var: &n.store.calls}, {Name: "store_failures", Var: &n.store.failed},
@@ -156,10 +157,18 @@
 	return dump.Instance{
 		Instance: s.Instance, Zone: s.Zone, UptimeMS: n.now().Milliseconds(), Ready: n.ready(), Draining: n.draining(),
 		ConfigVersion: n.configVersion(), Active: n.gateway.Active(), Partitions: partitions, Missing: n.directory.Missing(),
-		Term: n.lead.Term(), Shards: n.shards.dump(), Log: n.stored.dump(),
+		Term: n.lead.Term(), Shards: n.shards.dump(), Log: n.own.ledgers.dump(), Substituted: n.dumpSubstituted(),
 	}
 }
 
+func (n *Node) dumpSubstituted() []dump.Substituted {
+	var all []dump.Substituted
+	for _, d := range n.dispatching()[1:] {
+		all = append(all, dump.Substituted{Zone: d.zone, Term: d.lead.Term(), Shards: d.shards.dump(), Log: d.ledgers.dump()})
+	}
+	return all
+}
+
 // trafficInterval is the pause between two log lines on the instance's traffic.
 const trafficInterval = 10 * time.Second
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -66,6 +67,7 @@
 	opts    Options
 	log     logrus.FieldLogger
 	config  catalog.Current
+	own     *dispatchers // those of the instance's zone; lead and shards are theirs
 	lead    *lead.Controller
 	shards  *shards
 	gateway *gateway.Gateway
@@ -82,30 +84,31 @@
 	counts    shard.Counts
 	store     *countedStore
 	started   time.Time
-	terms     chan lead.Term
 	metrics   gateway.Metrics
 	window    *congestion.Window // for requests to endpoints
 	history   *attempt.History
 	stored    *storedJobs
+	// substitutes take the place of the instances of other zones; those that do are counted by substituting.
+	substitutes  []*substitute
+	substituting sync.WaitGroup
 }
 
 // New returns an instance that is not running.
 func New(o Options) *Node {
 	n := &Node{
-		opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), terms: make(chan lead.Term, 16), window: congestion.New(),
+		opts: o, log: o.Log, drain: make(chan struct{}), started: time.Now(), window: congestion.New(),
 		history: attempt.NewHistory(), store: &countedStore{Store: o.Store}, counts: shard.NewCounts(), directory: shard.NewDirectory(),
 		lag: server.NewLagMonitor(loopProbeInterval), closes: server.NewCloseWatch(o.Log),
 	}
 	s := o.Settings
-	n.lead = n.newLead()
-	n.shards = newShards(s.Zone, n.directory, n.started, n.history, n.newShard)
 	n.divisions = division.New(division.Options{
 		Store: n.store, Topic: o.Records.DivisionsTopic(), ReadWait: s.readWait(),
-		EndpointsPerPartition: division.EndpointsPerPartition(s.LinkMbps), GroupPartitions: s.GroupPartitions, OnChange: n.shards.reconcile, Log: o.Log,
+		EndpointsPerPartition: division.EndpointsPerPartition(s.LinkMbps), GroupPartitions: s.GroupPartitions, OnChange: n.reconcile, Log: o.Log,
 	})
-	n.shards.divisions = n.divisions
 	n.stored = newStoredJobs(n)
-	n.shards.stored = n.stored
+	n.own = n.newDispatchers(s.Zone, s.RelayAddress(), false)
+	n.lead, n.shards = n.own.lead, n.own.shards
+	n.substitutes = newSubstitutes(n)
 	n.router = &router{
 		ownZone: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
 		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
@@ -122,31 +125,6 @@
 	return n
 }
 
-func (n *Node) newLead() *lead.Controller {
-	s := n.opts.Settings
-	return lead.New(lead.Options{
-		Store: n.store, Zone: s.Zone, Topic: n.opts.Records.LeadersTopic, Instance: s.Instance, Address: s.RelayAddress(),
-		TTL: s.MemberTTL, Capacity: s.Capacity(), CapacityNeeded: n.capacityNeeded,
-		Log: n.log, OnChange: func(t lead.Term) { n.terms <- t },
-		EndpointsKnown: func() bool { return n.divisions.Known() && n.directory.EndpointsKnown(n.now()) },
-	})
-}
-
-// newShard returns the dispatcher of a partition of the instance's zone.
-func (n *Node) newShard(partition int) *shard.Shard {
-	s := n.opts.Settings
-	readRegistrations := func() { n.endpoints.Refresh() }
-	jobs := n.stored.newLedger(partition)
-	x := shard.New(shard.Options{
-		Zone: s.Zone, Partition: partition, Directory: n.directory, Lease: s.RunLease(), RegistrationAge: s.RegistrationAge(),
-		Dialer: n.opts.Dialer, Window: n.window, History: n.history,
-		OnFenced: n.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations,
-		Counts: &n.counts, Log: n.log.WithField("partition", partition), Now: n.now, Ledger: jobs,
-	})
-	jobs.SetDispatcher(x)
-	return x
-}
-
 // now returns the time since the node was created.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
@@ -186,10 +164,13 @@
 	if err != nil {
 		return err
 	}
-	relays.Stored = n.stored.handle
+	relays.Stored = n.own.ledgers.handle
 	go relays.Run(ctx)
 	go n.router.local.run(ctx.Done())
-	go n.followTerms(ctx)
+	go n.followTerms(ctx, n.own)
+	for _, x := range n.substitutes {
+		n.substituting.Go(func() { x.run(ctx) })
+	}
 	go n.followConfig(ctx)
 	go n.endpoints.Run(ctx)
 	go n.divisions.Run(ctx)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,15 +23,17 @@
 	"github.com/savorypass/savorypass/internal/standin/fleet"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
 	"github.com/savorypass/savorypass/internal/standin/wait"
+	"github.com/savorypass/savorypass/internal/store"
 	"github.com/savorypass/savorypass/internal/work"
 	"github.com/savorypass/savorypass/platform"
 )
 
-// deployment is one zone whose instances run in this process, with stand-ins for the store and the endpoints.
+// deployment is a deployment whose instances run in this process, with stand-ins for the store and the endpoints.
 type deployment struct {
 	t     *testing.T
 	store *keyed.Store
 	fleet *fleet.Fleet
+	zones []string
 	// retransmit is the time after which callers submit a job again; deployments set it.
 	retransmit time.Duration
 }
@@ -40,20 +42,31 @@
 	"stretch":3,"slo_ms":2000}],"services":[{"name":"survey"}]}`
 
 func deploy(t *testing.T, endpoints int, run time.Duration) *deployment {
-	d := &deployment{t, keyed.New(), fleet.New(run), 1300 * time.Millisecond}
+	return deployZones(t, endpoints, run, "north")
+}
+
+// deployZones is deploy for several zones, each with a number of endpoints.
+func deployZones(t *testing.T, endpoints int, run time.Duration, zones ...string) *deployment {
+	d := &deployment{t, keyed.New(), fleet.New(run), zones, 1300 * time.Millisecond}
 	d.store.Set("keyed.op", "config", fmt.Appendf(nil, configText, 1))
-	for i := range endpoints {
-		e := work.Endpoint{
-			ID: work.EndpointID(fmt.Sprint("e", i)), Service: "survey", Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: "north",
-			Size: work.Size{MilliCPU: 4000, MemoryMB: 1000},
+	for z, zone := range zones {
+		for i := range endpoints {
+			d.addEndpoint(zone, fmt.Sprint("10.0.", z, ".", i, ":80"))
 		}
-		d.fleet.Add(e)
-		d.store.Set("keyed.servers", string(e.ID), fmt.Appendf(nil, `{"service":"survey","addr":%q,"zone":"north","state":"ready",
-			"capacity":{"cpu":4000,"mem_mb":1000}}`, e.Address))
 	}
 	return d
 }
 
+// addEndpoint starts and registers an endpoint.
+func (d *deployment) addEndpoint(zone, address string) {
+	e := work.Endpoint{
+		ID: work.EndpointID("e" + address), Service: "survey", Address: address, Zone: zone, Size: work.Size{MilliCPU: 4000, MemoryMB: 1000},
+	}
+	d.fleet.Add(e)
+	d.store.Set("keyed.servers", string(e.ID), fmt.Appendf(nil, `{"service":"survey","addr":%q,"zone":%q,"state":"ready",
+		"capacity":{"cpu":4000,"mem_mb":1000}}`, e.Address, zone))
+}
+
 // instance is one running instance.
 type instance struct {
 	*node.Node
@@ -62,9 +75,24 @@
 	operators string
 	kill      context.CancelFunc
 	endpoints *crashableDialer
+	store     *refusingStore
 	ended     chan error
 }
 
+// refusingStore is the store as an instance sees it whose memberships it may refuse.
+type refusingStore struct {
+	store.Store
+	refusesJoins atomic.Bool
+}
+
+// Join implements store.Store.
+func (s *refusingStore) Join(ctx context.Context, m store.Membership) (store.Assignment, error) {
+	if s.refusesJoins.Load() {
+		return store.Assignment{}, store.ErrUnavailable
+	}
+	return s.Store.Join(ctx, m)
+}
+
 // crash ends the instance like a crash of its process: nothing that it does in reaction reaches an endpoint.
 func (i *instance) crash() {
 	i.endpoints.crashed.Store(true)
@@ -111,21 +139,24 @@
 	return c.EndpointClient.RenewLease(ctx, lease)
 }
 
-func (d *deployment) start(name string) *instance {
+func (d *deployment) start(name string) *instance { return d.startIn(d.zones[0], name) }
+
+// startIn starts an instance of a zone.
+func (d *deployment) startIn(zone, name string) *instance {
 	d.t.Helper()
 	callers, health, relays, operators := address.Free(), address.Free(), address.Free(), address.Free()
 	log := logrus.New()
 	written := &output{}
 	log.SetOutput(written)
 	s := node.Settings{
-		Instance: name, Zone: "north", Zones: []string{"north"}, IP: "127.0.0.1", Callers: callers, Health: health,
-		Store: "127.0.0.1:1", FirstPort: portOf(relays), LastPort: portOf(relays), Grace: 6 * time.Second,
+		Instance: name, Zone: zone, Zones: d.zones, IP: "127.0.0.1", Callers: callers, Health: health,
+		Store: "127.0.0.1:1", FirstPort: portOf(relays), LastPort: portOf(relays) + len(d.zones) - 1, Grace: 6 * time.Second,
 		Lease: time.Second, Retransmit: d.retransmit, MemberTTL: 400 * time.Millisecond, GroupPartitions: keyed.Partitions,
 	}
 	i := &instance{url: "http://" + callers, health: "http://" + health, operators: "http://" + operators, ended: make(chan error, 1)}
-	i.endpoints = &crashableDialer{Dialer: d.fleet}
+	i.endpoints, i.store = &crashableDialer{Dialer: d.fleet}, &refusingStore{Store: d.store}
 	i.Node = node.New(node.Options{
-		Settings: s, Store: d.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: i.endpoints, Log: log, OperatorsAddress: operators,
+		Settings: s, Store: i.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: i.endpoints, Log: log, OperatorsAddress: operators,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.kill = cancel
--- a/internal/node/registrations.go
+++ b/internal/node/registrations.go
@@ -11,15 +11,21 @@
 )
 
 // applyEndpoints passes a read of the registrations to the shards and updates the numbers of partitions, which depend on
-// the numbers of registered endpoints. Only an instance that dispatches raises the stored number of its zone.
+// the numbers of registered endpoints. Only an instance that dispatches for a zone raises the zone's stored number.
 func (n *Node) applyEndpoints(u follow.Update) {
-	n.shards.applyRegistrations(n.registrations(u), n.now())
+	r := n.registrations(u)
+	removed := n.directory.Apply(r, n.now())
+	for _, d := range n.dispatching() {
+		d.shards.applyRegistrations(r, removed)
+	}
 	for _, zone := range n.opts.Settings.Zones {
 		n.divisions.Guess(zone, n.directory.Count(zone))
 	}
 	n.reportMissing()
-	if zone := n.opts.Settings.Zone; n.shards.leading(anyPartition) {
-		go n.divisions.Raise(context.Background(), zone, n.directory.Count(zone))
+	for _, d := range n.dispatching() {
+		if d.shards.leading(anyPartition) {
+			go n.divisions.Raise(context.Background(), d.zone, n.directory.Count(d.zone))
+		}
 	}
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -198,15 +198,21 @@
 	r.gateway.RouteEnded(route, sent)
 	r.stored.connectionEnded(route, sent)
 	r.lead.Search(route.zone)
-	go r.deposeIfSilent(address)
+	go r.deposeIfSilent(address, route.zone)
 }
 
-// deposeIfSilent probes a dispatcher whose connection has ended. If the dispatcher does not answer the probe either and
-// belongs to this instance's zone, it is removed from its group, so that another instance takes over its partitions.
-func (r *router) deposeIfSilent(address string) {
-	if !relay.Probe(address, probeTimeout) {
-		r.lead.Depose(context.Background(), address)
+// deposeIfSilent probes a dispatcher of a zone whose connection has ended. If the dispatcher does not answer the probe either, it is
+// removed from the group of this instance's zone, so that another instance takes over its partitions. The members of other zones are only
+// looked up more often, since their zone may be cut off.
+func (r *router) deposeIfSilent(address, zone string) {
+	if relay.Probe(address, probeTimeout) {
+		return
+	}
+	if zone != r.ownZone {
+		r.lead.DispatcherLost(zone)
+		return
 	}
+	r.lead.Depose(context.Background(), address)
 }
 
 // ReportNotLeader implements gateway.Router.
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -11,6 +11,7 @@
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/work"
 )
 
 // shards manages the dispatchers of the partitions that this instance holds. It implements relay.Dispatcher.
@@ -21,7 +22,7 @@
 	started   time.Time // zero of the clock of shard.Options.Now
 	history   *attempt.History
 	gateway   *gateway.Gateway // set before use
-	stored    *storedJobs      // set before use
+	ledgers   *ledgers         // set before use
 	make      func(partition int) *shard.Shard
 
 	reconciling sync.Mutex // held while terms begin and end, which waits for the shards
@@ -53,17 +54,17 @@
 	}
 	held := s.heldTerm()
 	t := s.shardTerm(held.Generation)
-	s.stored.reportUsage()
+	s.ledgers.reportUsage()
 	for part := range division.MaxPartitions {
 		if part >= t.Partitions || !held.Holds(s.divisions.GroupPartition(s.zone, part)) {
-			s.stored.sync(part, shard.Term{})
+			s.ledgers.sync(part, shard.Term{})
 			if x := s.get(part); x != nil {
 				x.End()
 			}
 			continue
 		}
 		x := s.getOrMake(part)
-		s.stored.sync(part, t)
+		s.ledgers.sync(part, t)
 		x.Begin(t)
 	}
 }
@@ -155,9 +156,8 @@
 	return x.LastPressure(), true
 }
 
-// applyRegistrations applies a read of the registrations to the directory and to all shards.
-func (s *shards) applyRegistrations(r shard.Registrations, now time.Duration) {
-	removed := s.directory.Apply(r, now)
+// applyRegistrations applies a read of the registrations, after which those in removed have ended, to all shards.
+func (s *shards) applyRegistrations(r shard.Registrations, removed []work.EndpointID) {
 	s.reconcile()
 	for _, x := range s.each() {
 		x.UpdateEndpoints(r, removed)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -69,6 +69,7 @@
 	go func() {
 		defer cancel()
 		n.lead.Leave(ctx)
+		n.substituting.Wait()
 		released.Store(true)
 	}()
 	return released
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -6,11 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/relay"
-	"github.com/savorypass/savorypass/internal/shard"
 )
 
 const (
@@ -30,11 +28,9 @@
 	router        *router // set before use
 	logPartitions int
 	counts        ledger.Counts
-	reported      bool        // the shards know whether there are stored jobs; guarded by shards.reconciling
 	unused        atomic.Bool // the store was read and has no stored jobs; never true again once they are in use
 
 	mu       sync.Mutex
-	ledgers  map[int]*ledger.Ledger // by partition of the zone
 	number   uint64
 	requests map[uint64]storedRequest
 }
@@ -51,15 +47,24 @@
 	o := n.opts.Settings
 	s := &storedJobs{
 		node: n, logPartitions: ledger.PartitionsFor(o.StoreWrites, len(o.Zones), o.GroupPartitions),
-		ledgers: map[int]*ledger.Ledger{}, requests: map[uint64]storedRequest{},
+		requests: map[uint64]storedRequest{},
 	}
 	s.Client = ledger.NewClient(ledger.ClientOptions{
 		Transport: s, Log: n.store, Topic: n.opts.Records.JobsTopic, Zones: slices.Sorted(slices.Values(o.Zones)),
-		LogPartitions: s.logPartitions, Announce: n.divisions.AnnounceStoredJobs, Logger: n.log,
+		LogPartitions: s.logPartitions, Announce: n.divisions.AnnounceStoredJobs, Vacancy: s.vacancy, Logger: n.log,
 	})
 	return s
 }
 
+// vacancy returns for how long a zone has had no dispatcher, substitutes included; 0 if it has one or that is not known.
+func (s *storedJobs) vacancy(zone string) time.Duration {
+	v := s.node.lead.Vacancy(zone)
+	if v.Capacity > 0 {
+		return 0
+	}
+	return v.For
+}
+
 // InUse implements gateway.StoredJobs.
 func (s *storedJobs) InUse() bool { return s.node.divisions.StoredJobs() }
 
@@ -76,72 +81,6 @@
 	return ledger.UsageUnknown
 }
 
-// newLedger returns the ledger of the dispatcher of a partition of the zone.
-func (s *storedJobs) newLedger(partition int) *ledger.Ledger {
-	o := s.node.opts.Settings
-	retention := o.StatusTime
-	if retention <= 0 {
-		retention = defaultStatusTime
-	}
-	l := ledger.New(ledger.Options{
-		Log: s.node.store, Topic: s.node.opts.Records.JobsTopic(o.Zone), LogPartitions: s.logPartitions, Retention: retention,
-		Usage: s.usage, Counts: &s.counts, Now: s.node.now, Logger: s.node.log.WithField("partition", partition),
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledgers[partition] = l
-	return l
-}
-
-func (s *storedJobs) ledger(partition int) *ledger.Ledger {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledgers[partition]
-}
-
-// sync makes the ledger of a partition of the zone hold its part of the log under a term; none with the zero Term.
-func (s *storedJobs) sync(partition int, t shard.Term) {
-	if s == nil || !s.InUse() {
-		return
-	}
-	l := s.ledger(partition)
-	if l == nil {
-		return
-	}
-	var held []int
-	for p := range s.logPartitions {
-		if t.Partitions > 0 && ledger.DispatcherOf(p, s.logPartitions, t.Partitions) == partition {
-			held = append(held, p)
-		}
-	}
-	l.Sync(t.Fence, held)
-}
-
-// reportUsage makes the endpoints report the ends again that came before it was known whether the deployment has stored jobs.
-func (s *storedJobs) reportUsage() {
-	if s == nil || s.reported || s.usage() == ledger.UsageUnknown {
-		return
-	}
-	s.reported = true
-	for _, x := range s.node.shards.each() {
-		x.RedeliverEnds()
-	}
-}
-
-// handle carries out a request of this or another instance. It implements relay.StoredHandler.
-func (s *storedJobs) handle(r *relay.StoredRequest, reply func(*relay.StoredReply)) {
-	if !s.InUse() {
-		go s.node.divisions.NoteStoredJobs() // begins to hold the log; the request comes again
-	}
-	zone := s.node.opts.Settings.Zone
-	part := ledger.DispatcherOf(r.Partition, s.logPartitions, s.node.divisions.Partitions(zone))
-	if l := s.ledger(part); l != nil {
-		l.Handle(r, reply)
-		return
-	}
-	reply(&relay.StoredReply{Number: r.Number, Result: relay.StoredNoHolder})
-}
-
 // Send implements ledger.Transport.
 func (s *storedJobs) Send(zone string, r *relay.StoredRequest, done func(*relay.StoredReply)) bool {
 	part := ledger.DispatcherOf(r.Partition, s.logPartitions, s.node.divisions.Partitions(zone))
@@ -151,7 +90,7 @@
 		return false
 	}
 	if address == s.router.address {
-		s.handle(r, done)
+		s.node.own.ledgers.handle(r, done)
 		return true
 	}
 	route := s.router.routeTo(address, zone)
@@ -225,14 +164,3 @@
 		}
 	}
 }
-
-// dump returns the held partitions of the log.
-func (s *storedJobs) dump() []ledger.Dump {
-	var all []ledger.Dump
-	for part := range division.MaxPartitions {
-		if l := s.ledger(part); l != nil {
-			all = append(all, l.Dump()...)
-		}
-	}
-	return all
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -156,14 +156,27 @@
 // Probe reports whether a dispatcher at an address sends a message within timeout. A stopped process sends none,
 // although the kernel of its machine still accepts connections for it.
 func Probe(address string, timeout time.Duration) bool {
+	_, err := firstMessage(address, timeout)
+	return err == nil
+}
+
+// ProbeDispatching reports whether the instance at an address dispatches for a partition, according to its first message, which has to
+// come within timeout.
+func ProbeDispatching(address string, timeout time.Duration) bool {
+	message, err := firstMessage(address, timeout)
+	b, ok := message.(*heartbeat)
+	return err == nil && ok && len(b.Loads) > 0
+}
+
+// firstMessage returns the first message of a dispatcher on a new connection.
+func firstMessage(address string, timeout time.Duration) (any, error) {
 	conn, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
-		return false
+		return nil, err
 	}
 	defer conn.Close()
 	conn.SetReadDeadline(time.Now().Add(timeout))
-	_, err = read(conn)
-	return err == nil
+	return read(conn)
 }
 
 // Uplink is the connection to a dispatcher at an address. It is not reused after the connection has ended.
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -174,19 +174,22 @@
 	return n
 }
 
-// Count returns the number of endpoints that are registered in a zone.
-func (d *Directory) Count(zone string) int {
+// Registered returns the endpoints that are registered in a zone.
+func (d *Directory) Registered(zone string) []work.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := 0
+	var all []work.Endpoint
 	for _, e := range d.registrations {
 		if e.present && e.endpoint.Zone == zone {
-			n++
+			all = append(all, e.endpoint)
 		}
 	}
-	return n
+	return all
 }
 
+// Count returns the number of endpoints that are registered in a zone.
+func (d *Directory) Count(zone string) int { return len(d.Registered(zone)) }
+
 // PartitionOf maps a name to a partition, from 0 to partitions-1.
 func PartitionOf(name string, partitions int) int {
 	h := fnv.New32a()
