--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -113,6 +113,12 @@
 	return place{ZoneOf(id, c.opts.Zones), PartitionOf(id, c.opts.LogPartitions)}
 }
 
+// Ask sends a request about a partition of a zone's log and waits for the reply for a short time; nil if there is none.
+func (c *Client) Ask(ctx context.Context, zone string, r relay.StoredRequest) *relay.StoredReply {
+	reply, _ := c.ask(ctx, place{zone, r.Partition}, r)
+	return reply
+}
+
 // ask sends a request to a holder and waits for the reply. sent is false if the request was certainly not received.
 func (c *Client) ask(ctx context.Context, to place, r relay.StoredRequest) (reply *relay.StoredReply, sent bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -63,6 +63,7 @@
 // done by events, in a goroutine of the holder.
 type holder struct {
 	ledger    *Ledger
+	share     Share
 	fence     int64
 	partition joblog.Partition
 	ctx       context.Context
@@ -146,6 +147,10 @@
 	}
 	h.log().WithFields(logrus.Fields{"event": "job_log_held", "epoch": epoch, "ms": (h.opts().Now() - begun).Milliseconds()}).
 		Info("a partition of the job log is held")
+	go func() {
+		h.awaitNeighbours(ctx)
+		h.ledger.dispatcher.ReleaseStored(h.fence, h.owns)
+	}()
 	go h.follow(ctx)
 	h.runEvents(ctx)
 	h.end()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -76,6 +76,9 @@
 	AddStored(fence int64, job *work.Job)
 	DropStored(fence int64, id work.JobID)
 	ResumeStored(fence int64, load func() []shard.ResumedJob, owns func(work.JobID) bool) bool
+	ReleaseStored(fence int64, owns func(work.JobID) bool)
+	StoredEnd(fence int64, end work.End, record func() shard.Recording) shard.Recording
+	StoredSettled(partitions int, owns func(work.JobID) bool) bool
 	StoredStarted(id work.JobID) bool
 	StoredWaiting(queue string, owns func(work.JobID) bool) int
 }
@@ -97,9 +100,14 @@
 	LogPartitions int
 	Retention     time.Duration // for how long ended jobs are kept
 	Usage         func() Usage
-	Counts        *Counts
-	Now           func() time.Duration // monotonic clock
-	Logger        logrus.FieldLogger
+	// Belongs reports whether a job belongs to the zone if it is stored; see ZoneOf.
+	Belongs func(id work.JobID) bool
+	// Ask sends a request about a partition of the zone's log to its holder, or to another dispatcher of the zone, and waits for the reply;
+	// nil if there is none.
+	Ask    func(ctx context.Context, r relay.StoredRequest) *relay.StoredReply
+	Counts *Counts
+	Now    func() time.Duration // monotonic clock
+	Logger logrus.FieldLogger
 }
 
 // Ledger holds the log partitions of one dispatcher. It implements shard.Ledger. It starts nothing before Sync names a partition.
@@ -107,48 +115,62 @@
 	opts       Options
 	dispatcher Dispatcher
 
-	mu      sync.Mutex
-	fence   int64
-	holders map[int]*holder // by partition of the log
+	mu         sync.Mutex
+	fence      int64
+	partition  int                // of the zone; that of the dispatcher
+	partitions int                // number of partitions of the zone; 0 if none is dispatched
+	ctx        context.Context    // ends with the fence
+	cancel     context.CancelFunc // ends ctx
+	holders    map[int]*holder    // by partition of the log
 	// ended holds the jobs that have ended while their holder could not record it. Their ends are recorded by its next term.
 	ended map[work.JobID]work.State
 }
 
 // New returns a ledger without partitions. SetDispatcher must be called before use.
 func New(o Options) *Ledger {
-	return &Ledger{opts: o, holders: map[int]*holder{}, ended: map[work.JobID]work.State{}}
+	l := &Ledger{opts: o, holders: map[int]*holder{}, ended: map[work.JobID]work.State{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
 }
 
 // SetDispatcher sets the dispatcher, which needs the ledger for its own making.
 func (l *Ledger) SetDispatcher(d Dispatcher) { l.dispatcher = d }
 
-// Sync makes the ledger hold the given partitions of the log under a fence and no others. It is called before the dispatcher begins to
-// use the fence, so that no end of a task is taken for one of another job.
-func (l *Ledger) Sync(fence int64, partitions []int) {
+// Share is the part of a zone's log that a dispatcher holds under a fence.
+type Share struct {
+	Fence      int64
+	Partition  int // of the zone, that of the dispatcher
+	Partitions int // number of partitions of the zone; 0 if the dispatcher has no term
+}
+
+// Sync makes the ledger hold its share of the log and no other partitions. It is called before the dispatcher begins to use the fence, so
+// that no end of a task is taken for one of another job.
+func (l *Ledger) Sync(s Share) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wanted := map[int]bool{}
-	for _, p := range partitions {
-		wanted[p] = true
+	if s.Fence != l.fence || s.Partitions != l.partitions {
+		l.cancel()
+		l.ctx, l.cancel = context.WithCancel(context.Background())
 	}
-	for p, h := range l.holders {
-		if !wanted[p] || h.fence != fence {
+	l.fence, l.partition, l.partitions = s.Fence, s.Partition, s.Partitions
+	for p := range l.opts.LogPartitions {
+		wanted := s.Partitions > 0 && DispatcherOf(p, l.opts.LogPartitions, s.Partitions) == s.Partition
+		h := l.holders[p]
+		if h != nil && (!wanted || h.share != s) {
 			h.cancel()
 			delete(l.holders, p)
+			h = nil
 		}
-	}
-	l.fence = fence
-	for p := range wanted {
-		if l.holders[p] == nil {
-			l.holders[p] = l.newHolder(p, fence)
+		if h == nil && wanted {
+			l.holders[p] = l.newHolder(p, s)
 		}
 	}
 }
 
-func (l *Ledger) newHolder(partition int, fence int64) *holder {
-	ctx, cancel := context.WithCancel(context.Background())
+func (l *Ledger) newHolder(partition int, s Share) *holder {
+	ctx, cancel := context.WithCancel(l.ctx)
 	h := &holder{
-		ledger: l, fence: fence, partition: joblog.Partition{Topic: l.opts.Topic, Number: partition},
+		ledger: l, share: s, fence: s.Fence, partition: joblog.Partition{Topic: l.opts.Topic, Number: partition},
 		ctx: ctx, cancel: cancel, jobs: joblog.NewJobs(), live: map[work.JobID]*liveJob{}, wake: make(chan struct{}, 1),
 	}
 	go h.run()
@@ -167,6 +189,9 @@
 
 // RecordEnd implements shard.Ledger.
 func (l *Ledger) RecordEnd(end work.End, recorded func()) shard.Recording {
+	if !l.opts.Belongs(end.Task.Job) {
+		return shard.NotStored
+	}
 	switch l.opts.Usage() {
 	case Unused:
 		return shard.NotStored
@@ -176,7 +201,8 @@
 	if h := l.holderOf(end.Task.Job); h != nil {
 		return h.recordEnd(end, recorded)
 	}
-	return shard.NotStored
+	l.passOn(end, recorded)
+	return shard.RecordedSoon
 }
 
 // JobEnded implements shard.Ledger.
@@ -215,12 +241,18 @@
 		a.Number = r.Number
 		reply(&a)
 	}
+	if r.Operation == relay.StoredSettled {
+		answer(relay.StoredReply{Result: l.settled(r)})
+		return
+	}
 	h := l.holder(r.Partition)
 	if h == nil {
 		answer(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
 	}
 	switch r.Operation {
+	case relay.StoredEnd:
+		h.takeEnd(r.End, answer)
 	case relay.StoredSubmit:
 		h.submit(r.Job, r.Waited, answer)
 	case relay.StoredState:
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -32,6 +32,9 @@
 	dropped []work.JobID
 	resumed []shard.ResumedJob
 	loads   int
+	// settled is what StoredSettled returns, and released counts the calls of ReleaseStored.
+	settled  bool
+	released int
 }
 
 func (d *dispatcher) OfferStored(_ int64, job *work.Job, _ time.Duration) (pool.Verdict, bool) {
@@ -62,6 +65,34 @@
 func (d *dispatcher) StoredStarted(work.JobID) bool                   { return false }
 func (d *dispatcher) StoredWaiting(string, func(work.JobID) bool) int { return 0 }
 
+func (d *dispatcher) ReleaseStored(int64, func(work.JobID) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.released++
+}
+
+func (d *dispatcher) StoredSettled(int, func(work.JobID) bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settled
+}
+
+func (d *dispatcher) settle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settled = true
+}
+
+func (d *dispatcher) hasReleased() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.released > 0
+}
+
+func (d *dispatcher) StoredEnd(_ int64, _ work.End, record func() shard.Recording) shard.Recording {
+	return record()
+}
+
 func (d *dispatcher) ResumeStored(_ int64, load func() []shard.ResumedJob, _ func(work.JobID) bool) bool {
 	all := load()
 	d.mu.Lock()
@@ -83,21 +114,29 @@
 }
 
 func newHolder(t *testing.T, s *keyed.Store, fence int64) *holder {
+	h := newLedger(t, s, 1, nil)
+	h.Sync(ledger.Share{Fence: fence, Partitions: 1})
+	return h
+}
+
+// newLedger returns a ledger that holds nothing yet. ask sends requests to others.
+func newLedger(t *testing.T, s *keyed.Store, logPartitions int, ask func(relay.StoredRequest) *relay.StoredReply) *holder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	begun := time.Now()
 	h := &holder{dispatcher: &dispatcher{}}
 	h.Ledger = ledger.New(ledger.Options{
-		Log: s, Topic: topic, LogPartitions: 1, Retention: time.Minute, Usage: func() ledger.Usage { return ledger.Used },
-		Counts: &ledger.Counts{}, Now: func() time.Duration { return time.Since(begun) }, Logger: log,
+		Log: s, Topic: topic, LogPartitions: logPartitions, Retention: time.Minute, Usage: func() ledger.Usage { return ledger.Used },
+		Belongs: func(id work.JobID) bool { return id != "foreign" },
+		Ask:     func(_ context.Context, r relay.StoredRequest) *relay.StoredReply { return ask(r) },
+		Counts:  &ledger.Counts{}, Now: func() time.Duration { return time.Since(begun) }, Logger: log,
 	})
 	h.SetDispatcher(h.dispatcher)
-	h.Sync(fence, []int{0})
 	t.Cleanup(h.end)
 	return h
 }
 
-func (h *holder) end() { h.Sync(0, nil) }
+func (h *holder) end() { h.Sync(ledger.Share{}) }
 
 // ask sends a request and returns the reply, or one without a result if none comes.
 func (h *holder) ask(r relay.StoredRequest) relay.StoredReply {
--- a/internal/node/ledgers.go
+++ b/internal/node/ledgers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -9,6 +10,7 @@
 	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
+	"github.com/savorypass/savorypass/internal/work"
 )
 
 // ledgers are the ledgers of the dispatchers of one zone on this instance.
@@ -36,7 +38,9 @@
 	made := ledger.New(ledger.Options{
 		Log: l.node.store, Topic: l.node.opts.Records.JobsTopic(l.zone), LogPartitions: stored.logPartitions, Retention: retention,
 		Usage: stored.usage, Counts: &stored.counts, Now: l.node.now,
-		Logger: l.node.log.WithFields(logrus.Fields{"zone": l.zone, "partition": partition}),
+		Ask:     func(ctx context.Context, r relay.StoredRequest) *relay.StoredReply { return stored.Ask(ctx, l.zone, r) },
+		Belongs: func(id work.JobID) bool { return ledger.ZoneOf(id, stored.zones) == l.zone },
+		Logger:  l.node.log.WithFields(logrus.Fields{"zone": l.zone, "partition": partition}),
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -60,14 +64,7 @@
 	if found == nil {
 		return
 	}
-	logPartitions := l.node.stored.logPartitions
-	var held []int
-	for p := range logPartitions {
-		if t.Partitions > 0 && ledger.DispatcherOf(p, logPartitions, t.Partitions) == partition {
-			held = append(held, p)
-		}
-	}
-	found.Sync(t.Fence, held)
+	found.Sync(ledger.Share{Fence: t.Fence, Partition: partition, Partitions: t.Partitions})
 }
 
 // reportUsage makes the endpoints report the ends again that came before it was known whether the deployment has stored jobs.
@@ -87,7 +84,7 @@
 	if !n.stored.InUse() {
 		go n.divisions.NoteStoredJobs() // begins to hold the log; the request comes again
 	}
-	part := ledger.DispatcherOf(r.Partition, n.stored.logPartitions, n.divisions.Partitions(l.zone))
+	part := n.stored.receiver(l.zone, r)
 	if found := l.of(part); found != nil {
 		found.Handle(r, reply)
 		return
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,6 +34,8 @@
 	store *keyed.Store
 	fleet *fleet.Fleet
 	zones []string
+	// linkMbps is the speed of the instances' links, which bounds the endpoints of a partition; 0 for the default.
+	linkMbps float64
 	// retransmit is the time after which callers submit a job again; deployments set it.
 	retransmit time.Duration
 }
@@ -47,7 +49,7 @@
 
 // deployZones is deploy for several zones, each with a number of endpoints.
 func deployZones(t *testing.T, endpoints int, run time.Duration, zones ...string) *deployment {
-	d := &deployment{t, keyed.New(), fleet.New(run), zones, 1300 * time.Millisecond}
+	d := &deployment{t, keyed.New(), fleet.New(run), zones, 0, 1300 * time.Millisecond}
 	d.store.Set("keyed.op", "config", fmt.Appendf(nil, configText, 1))
 	for z, zone := range zones {
 		for i := range endpoints {
@@ -151,7 +153,7 @@
 	s := node.Settings{
 		Instance: name, Zone: zone, Zones: d.zones, IP: "127.0.0.1", Callers: callers, Health: health,
 		Store: "127.0.0.1:1", FirstPort: portOf(relays), LastPort: portOf(relays) + len(d.zones) - 1, Grace: 6 * time.Second,
-		Lease: time.Second, Retransmit: d.retransmit, MemberTTL: 400 * time.Millisecond, GroupPartitions: keyed.Partitions,
+		Lease: time.Second, Retransmit: d.retransmit, MemberTTL: 400 * time.Millisecond, GroupPartitions: keyed.Partitions, LinkMbps: d.linkMbps,
 	}
 	i := &instance{url: "http://" + callers, health: "http://" + health, operators: "http://" + operators, ended: make(chan error, 1)}
 	i.endpoints, i.store = &crashableDialer{Dialer: d.fleet}, &refusingStore{Store: d.store}
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -57,10 +57,10 @@
 	s.ledgers.reportUsage()
 	for part := range division.MaxPartitions {
 		if part >= t.Partitions || !held.Holds(s.divisions.GroupPartition(s.zone, part)) {
-			s.ledgers.sync(part, shard.Term{})
 			if x := s.get(part); x != nil {
 				x.End()
 			}
+			s.ledgers.sync(part, shard.Term{})
 			continue
 		}
 		x := s.getOrMake(part)
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -27,6 +27,7 @@
 	node          *Node
 	router        *router // set before use
 	logPartitions int
+	zones         []string // sorted
 	counts        ledger.Counts
 	unused        atomic.Bool // the store was read and has no stored jobs; never true again once they are in use
 
@@ -47,10 +48,10 @@
 	o := n.opts.Settings
 	s := &storedJobs{
 		node: n, logPartitions: ledger.PartitionsFor(o.StoreWrites, len(o.Zones), o.GroupPartitions),
-		requests: map[uint64]storedRequest{},
+		zones: slices.Sorted(slices.Values(o.Zones)), requests: map[uint64]storedRequest{},
 	}
 	s.Client = ledger.NewClient(ledger.ClientOptions{
-		Transport: s, Log: n.store, Topic: n.opts.Records.JobsTopic, Zones: slices.Sorted(slices.Values(o.Zones)),
+		Transport: s, Log: n.store, Topic: n.opts.Records.JobsTopic, Zones: s.zones,
 		LogPartitions: s.logPartitions, Announce: n.divisions.AnnounceStoredJobs, Vacancy: s.vacancy, Logger: n.log,
 	})
 	return s
@@ -81,9 +82,17 @@
 	return ledger.UsageUnknown
 }
 
+// receiver returns the partition of a zone whose dispatcher gets a request.
+func (s *storedJobs) receiver(zone string, r *relay.StoredRequest) int {
+	if r.Operation == relay.StoredSettled {
+		return r.Dispatcher
+	}
+	return ledger.DispatcherOf(r.Partition, s.logPartitions, s.node.divisions.Partitions(zone))
+}
+
 // Send implements ledger.Transport.
 func (s *storedJobs) Send(zone string, r *relay.StoredRequest, done func(*relay.StoredReply)) bool {
-	part := ledger.DispatcherOf(r.Partition, s.logPartitions, s.node.divisions.Partitions(zone))
+	part := s.receiver(zone, r)
 	address := s.router.dispatcher(zone, part)
 	if address == "" {
 		s.router.lead.Search(zone)
--- a/internal/node/stored_test.go
+++ b/internal/node/stored_test.go
@@ -202,6 +202,45 @@
 	}
 }
 
+// Guards against tasks that start again after their success, or jobs that are lost, when a zone is divided while stored jobs run, with the
+// dispatchers on one instance or on two, and when it is divided again soon after (review/7).
+func TestStoredJobsOutliveADivision(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		instances  int
+		added      map[int]int // endpoints that are added before a job, by the job's number
+		partitions int
+	}{
+		{"one instance", 1, map[int]int{40: 1}, 2},
+		{"two instances", 2, map[int]int{40: 1}, 2},
+		{"divided twice", 2, map[int]int{30: 1, 45: 9}, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 8, 250*time.Millisecond)
+			d.linkMbps = 1 // 8 endpoints a partition
+			all := []*instance{d.start("a")}
+			d.eventually("the first instance serves", d.served(all[0], 1))
+			if c.instances == 2 {
+				all = append(all, d.start("b"))
+				d.eventually("the second instance serves", d.served(all[1], 2))
+			}
+			tasks := map[string]int{}
+			for n := range 80 {
+				tasks[id(n)] = 4
+				d.submit(all[n%len(all)], id(n), 4)
+				for i := range c.added[n] {
+					d.addEndpoint("north", fmt.Sprint("10.0.", n, ".", i, ":80"))
+				}
+			}
+			d.eventually("the zone is divided", func() bool { return all[0].Dump().Partitions["north"] == c.partitions })
+			for job := range tasks {
+				d.eventuallyState(all[0], job, stateCompleted)
+			}
+			d.checkSuccesses(tasks)
+		})
+	}
+}
+
 // Guards against calls to the store for stored jobs in a deployment that has none.
 func TestNoStoredJobsNoCalls(t *testing.T) {
 	is := is.New(t)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -145,6 +145,16 @@
 	return false
 }
 
+// HasRunsWithoutJobOf reports whether there may be runs that no job of the pool waits for, of jobs that owns selects.
+func (p *Pool) HasRunsWithoutJobOf(owns func(work.JobID) bool) bool {
+	for task, r := range p.runs {
+		if r.job == nil && r.MayHaveStarted() && owns(task.Job) {
+			return true
+		}
+	}
+	return false
+}
+
 // Hold sets whether no task of a job starts, because it is not known whether its caller still waits.
 func (p *Pool) Hold(id work.JobID, held bool) {
 	if j := p.jobs[id]; j != nil {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -88,6 +88,15 @@
 	return []Outcome{{Job: j.ID, State: work.Completed, Task: task}}
 }
 
+// EndElsewhere counts the end of a run of a stored job's task on an endpoint that another dispatcher polls.
+func (p *Pool) EndElsewhere(end work.End, now time.Duration) []Outcome {
+	if end.Reason == work.EndSucceeded {
+		return p.StoredSuccess(end.Task)
+	}
+	p.history.Add(attempt.Attempt{Task: end.Task, Run: end.Run, Outcome: attempt.Failed}, now)
+	return p.unknownRunEnded(end, now)
+}
+
 // countStored returns whether the task had not been counted yet.
 func (p *Pool) countStored(j *job, task work.TaskID) bool {
 	if j.countSuccess(task) {
--- a/internal/relay/stored.go
+++ b/internal/relay/stored.go
@@ -15,6 +15,10 @@
 	StoredState                              // the state of ID
 	StoredCancel                             // cancel ID
 	StoredPending                            // the number of jobs of Queue of which no task has started
+	StoredEnd                                // record End, which an endpoint has reported to another dispatcher
+	// StoredSettled asks a dispatcher of the zone, which does not hold Partition, whether it has nothing to report on the partition's jobs
+	// any more: no runs and no ends that are not recorded.
+	StoredSettled
 )
 
 // StoredRequest asks the holder of a partition of the job log for an operation on stored jobs.
@@ -26,6 +30,11 @@
 	ID        work.JobID      `msgpack:"i,omitempty"`
 	Queue     string          `msgpack:"q,omitempty"`
 	Waited    time.Duration   `msgpack:"w,omitempty"` // time since the caller's request arrived
+	End       *work.End       `msgpack:"e,omitempty"`
+	// Dispatcher is the partition of the zone whose dispatcher is asked, for StoredSettled, and Dispatchers the number of partitions of the
+	// zone that the sender reckons with. The other requests go to the dispatcher that holds Partition.
+	Dispatcher  int `msgpack:"d,omitempty"`
+	Dispatchers int `msgpack:"ds,omitempty"`
 }
 
 // StoredResult is the result of a StoredRequest.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -91,6 +91,7 @@
 	sessions        map[work.EndpointID]*session
 	clients         map[work.JobID]*submitter
 	stored          map[work.JobID]*work.Job      // stored jobs, for which no client waits
+	unreleased      map[work.JobID]bool           // stored jobs that wait for ReleaseStored
 	endsUndecided   bool                          // the ledger could not tell of an end whether it has to be recorded
 	expires         map[work.JobID]time.Duration  // when a job's caller waits no longer
 	expiryCheckedAt time.Duration                 // time of the last search for expired jobs
@@ -126,6 +127,7 @@
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]*submitter{}
 	s.stored = map[work.JobID]*work.Job{}
+	s.unreleased = map[work.JobID]bool{}
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 	s.awaiting = map[work.JobID]time.Duration{}
@@ -354,6 +356,7 @@
 		s.held[id] = h
 	}
 	delete(s.stored, id)
+	delete(s.unreleased, id)
 	s.stopAll(s.pool.Cancel(id), why)
 }
 
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -163,6 +163,7 @@
 	for id := range s.stored {
 		s.pool.Hold(id, true)
 	}
+	clear(s.unreleased)
 }
 
 // dispatchesUnder reports whether the shard dispatches under a fence. The shard's lock is held.
@@ -215,9 +216,9 @@
 }
 
 // ResumeStored continues the stored jobs of a part of the ledger, which owns selects, and deletes those that the ledger does not name
-// any more. Tasks that an earlier dispatcher may have started wait until the fence is settled. load returns the jobs; it is called with
-// the shard's lock held, so that no end comes between it and their continuation. ResumeStored returns false if the shard does not
-// dispatch under the fence.
+// any more. Tasks that an earlier dispatcher may have started wait until the fence is settled and, in a zone with several dispatchers, until
+// ReleaseStored is called. load returns the jobs; it is called with the shard's lock held, so that no end comes between it and their
+// continuation. ResumeStored returns false if the shard does not dispatch under the fence.
 func (s *Shard) ResumeStored(fence int64, load func() []ResumedJob, owns func(work.JobID) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -249,7 +250,69 @@
 		failed[a.Task] = max(failed[a.Task], a.Run)
 	}
 	s.stored[r.Job.ID] = r.Job
-	s.finish(s.pool.ResumeStored(r.Job, r.Succeeded, failed, now, s.storedNotBefore()))
+	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, failed, now, s.storedNotBefore())
+	s.awaitNeighbours(r.Job.ID)
+	s.finish(outcomes)
+}
+
+// awaitNeighbours holds a stored job that another dispatcher of the zone may have started until ReleaseStored.
+func (s *Shard) awaitNeighbours(id work.JobID) {
+	if s.term.Partitions > 1 {
+		s.pool.Hold(id, true)
+		s.unreleased[id] = true
+	}
+}
+
+// ReleaseStored lets the jobs that owns selects start that ResumeStored has continued: the zone's other dispatchers have nothing to report on
+// them.
+func (s *Shard) ReleaseStored(fence int64, owns func(work.JobID) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatchesUnder(fence) {
+		return
+	}
+	for id := range s.unreleased {
+		if owns(id) {
+			s.pool.Hold(id, false)
+			delete(s.unreleased, id)
+		}
+	}
+	s.dispatch()
+}
+
+// StoredEnd takes an end that an endpoint of another dispatcher has reported. record records it; it is called with the shard's lock held, so
+// that no task starts between the two.
+func (s *Shard) StoredEnd(fence int64, end work.End, record func() Recording) Recording {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatchesUnder(fence) {
+		return Undecided
+	}
+	r := record()
+	if r == RecordedSoon {
+		s.finish(s.pool.EndElsewhere(end, s.opts.Now()))
+		s.dispatch()
+	}
+	return r
+}
+
+// StoredSettled reports whether the shard has nothing to report on the jobs that owns selects, which another dispatcher of the zone with a
+// number of partitions holds: its endpoints have reported to its fence or their leases are over, they run no task of these jobs, and all
+// ends that they have listed are recorded.
+func (s *Shard) StoredSettled(partitions int, owns func(work.JobID) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leading || s.term.Partitions != partitions || !s.settled || s.pool.HasRunsWithoutJobOf(owns) {
+		return false
+	}
+	for _, x := range s.sessions {
+		for _, e := range x.unrecorded {
+			if owns(e.end.Task.Job) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // storedNotBefore returns the time until which tasks of a stored job wait that an earlier dispatcher may have started. It is above 0.
