--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -81,6 +81,7 @@
 
 	mu           sync.Mutex
 	known        bool
+	readAsOf     time.Time // the records that the store held at this time have been read
 	parts        map[string]int
 	guessed      map[string]int // by zone; used while the numbers are not known
 	startedAt    time.Time
@@ -182,6 +183,7 @@
 	defer c.mu.Unlock()
 	first := !c.known
 	fresh := first
+	c.readAsOf = u.AsOf
 	for _, r := range u.Records {
 		if r.Key == storedJobsKey {
 			fresh = !c.storedJobs.Swap(true) || fresh
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -205,3 +205,31 @@
 		time.Sleep(time.Second) // time for the controller's last read to end
 	})
 }
+
+// Guards against a deployment that is taken for one without stored jobs on the strength of an earlier read: the first one may have been
+// announced since. The clock is virtual.
+func TestStoredJobsUnusedNeedsALaterRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := keyed.New()
+		c, _, cancel := followingUntil(t, s)
+		time.Sleep(100 * time.Millisecond)
+		asked := time.Now()
+		is.True(c.Known())
+		is.True(!c.StoredJobsUnused(asked))
+		time.Sleep(1500 * time.Millisecond) // a read and its wait
+		is.True(c.StoredJobsUnused(asked))
+		s.SetDown(true)
+		time.Sleep(5 * time.Second)
+		is.True(!c.StoredJobsUnused(time.Now().Add(-3 * time.Second)))
+		s.SetDown(false)
+		other, _, cancelOther := followingUntil(t, s)
+		is.NoErr(other.AnnounceStoredJobs(t.Context()))
+		time.Sleep(2 * time.Second)
+		is.True(!c.StoredJobsUnused(asked))
+		is.True(c.StoredJobs())
+		cancel()
+		cancelOther()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,7 +49,8 @@
 	Snapshot bool
 	// Recovered is true if the read before this one failed, that is, the store could not be read for some time.
 	Recovered bool
-	// AsOf is the time at which the read began. Every record that the store held then has been passed to Apply.
+	// AsOf is the time at which the read began, or the wait of a read without records ended. Every record that the store held then has been
+	// passed to Apply.
 	AsOf time.Time
 }
 
@@ -113,6 +114,9 @@
 		return err
 	}
 	c.next = b.Next
+	if waited := time.Since(asOf); len(b.Records) == 0 && c.opts.Wait > 0 && waited >= c.opts.Wait {
+		asOf = asOf.Add(c.opts.Wait) // the store had no record until the end of its wait, which did not begin before the read
+	}
 	c.opts.Apply(Update{Records: b.Records, Recovered: c.failing, AsOf: asOf})
 	return nil
 }
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/server"
 	"github.com/savorypass/savorypass/internal/work"
@@ -256,7 +257,7 @@
 		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
 	case g.cancelled.hasEnded(id):
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
-	case g.storedInUse():
+	case g.storedUsage() == ledger.Used:
 		g.cancelStored(x, id)
 	default:
 		g.findToCancel(x, id)
@@ -294,7 +295,7 @@
 		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
 	}
 	for _, x := range ended[jobMissing] {
-		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+		g.denyJob(x)
 	}
 	for _, x := range ended[notAllAsked] {
 		g.refuse(x, 503, "not all instances could be asked for the job", retryCancel)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/metric"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/server"
@@ -223,15 +224,14 @@
 	g.mu.Lock()
 	known := g.jobs[id] != nil
 	g.mu.Unlock()
-	if !known && g.storedInUse() {
+	switch {
+	case known:
+		g.reply(x, 200, g.opts.Codec.EncodeState(work.Running), 0)
+	case g.storedUsage() == ledger.Used:
 		g.storedState(x, id)
-		return
-	}
-	if !known {
-		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
-		return
+	default:
+		g.denyJob(x)
 	}
-	g.reply(x, 200, g.opts.Codec.EncodeState(work.Running), 0)
 }
 
 func (g *Gateway) submit(x *server.Exchange, queue *catalog.Queue, id string) {
--- a/internal/gateway/stored.go
+++ b/internal/gateway/stored.go
@@ -13,8 +13,8 @@
 
 // StoredJobs keeps stored jobs. Its methods wait for the result, at most until ctx ends.
 type StoredJobs interface {
-	// InUse reports whether the deployment has stored jobs.
-	InUse() bool
+	// Usage returns whether the deployment has had stored jobs until a short time ago.
+	Usage() ledger.Usage
 	Submit(ctx context.Context, job *work.Job, arrived time.Time) ledger.Answer
 	State(ctx context.Context, id work.JobID) ledger.Answer
 	Cancel(ctx context.Context, id work.JobID) ledger.Answer
@@ -36,7 +36,22 @@
 	retryHolder = time.Second
 )
 
-func (g *Gateway) storedInUse() bool { return g.opts.Stored != nil && g.opts.Stored.InUse() }
+// storedUsage returns whether the deployment has stored jobs.
+func (g *Gateway) storedUsage() ledger.Usage {
+	if g.opts.Stored == nil {
+		return ledger.Unused
+	}
+	return g.opts.Stored.Usage()
+}
+
+// denyJob responds that there is no such job, unless it may be a stored one that this instance does not know of.
+func (g *Gateway) denyJob(x *server.Exchange) {
+	if g.storedUsage() == ledger.UsageUnknown {
+		g.reply(x, 503, g.opts.Codec.EncodeError("it is not known whether there are stored jobs"), retryHolder)
+		return
+	}
+	g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
+}
 
 // storedContext returns the context of a request for a stored job, which ends in time for the response.
 func (g *Gateway) storedContext(x *server.Exchange) (context.Context, context.CancelFunc) {
@@ -130,9 +145,13 @@
 // pending responds with the number of a queue's jobs that wait.
 func (g *Gateway) pending(x *server.Exchange, queue string) {
 	waiting := g.pendingCount(queue)
-	if !g.storedInUse() {
+	switch g.storedUsage() {
+	case ledger.Unused:
 		g.reply(x, 200, g.opts.Codec.EncodePending(waiting), 0)
 		return
+	case ledger.UsageUnknown:
+		g.reply(x, 503, g.opts.Codec.EncodeError("it is not known whether there are stored jobs"), retryHolder)
+		return
 	}
 	ctx, cancel := g.storedContext(x)
 	go func() {
--- a/internal/ledger/ends.go
+++ b/internal/ledger/ends.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"time"
+
 	"github.com/savorypass/savorypass/internal/joblog"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -8,31 +10,65 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
-// recordEnd records the end of a task. The dispatcher's lock is held.
-func (h *holder) recordEnd(end work.End, recorded func()) shard.Recording {
+// recordEnd records the end of a task, which started before a time. The dispatcher's lock is held.
+func (h *holder) recordEnd(end work.End, since time.Duration, recorded func()) shard.Recording {
 	id := end.Task.Job
 	h.mu.Lock()
-	if !h.ready {
+	known, job := h.jobs.Get(id), h.live[id]
+	switch {
+	case !h.ready:
 		h.mu.Unlock()
 		return shard.Undecided
-	}
-	job := h.live[id]
-	if job == nil || !job.stored {
+	case job != nil && job.stored:
+		decided := job.note(end, recorded)
+		h.mu.Unlock()
+		if !decided {
+			h.sendProgress(id, job)
+		}
+		return shard.RecordedSoon
+	case known.Known(): // it has ended, or a record of it cannot be read
+		h.mu.Unlock()
+		return shard.NotStored
+	case job == nil && h.confirmed >= since:
 		h.mu.Unlock()
 		return shard.NotStored
 	}
+	h.awaitProof(func() { h.recordProven(end, recorded) })
+	h.mu.Unlock()
+	return shard.RecordedSoon
+}
+
+// note notes an end of the job and returns whether the job's own end is decided. h.mu is held.
+func (job *liveJob) note(end work.End, recorded func()) (decided bool) {
 	if end.Reason == work.EndSucceeded {
 		job.ends.Succeed(end.Task)
 	} else {
 		job.ends.Fail(end.Task, end.Run)
 	}
 	job.waiting = append(job.waiting, recorded)
-	decided := job.final != ""
-	h.mu.Unlock()
-	if !decided {
-		h.sendProgress(id, job)
+	return job.final != ""
+}
+
+// recordProven records the end of a task after all records that precede its start are known.
+func (h *holder) recordProven(end work.End, recorded func()) {
+	id := end.Task.Job
+	h.mu.Lock()
+	job := h.live[id]
+	switch {
+	case job != nil && !job.stored: // its submission is being stored
+		h.awaitProof(func() { h.recordProven(end, recorded) })
+		h.mu.Unlock()
+	case job != nil:
+		decided := job.note(end, recorded)
+		h.mu.Unlock()
+		h.ledger.dispatcher.StoredEnd(h.fence, end, func() shard.Recording { return shard.RecordedSoon })
+		if !decided {
+			h.sendProgress(id, job)
+		}
+	default:
+		h.mu.Unlock()
+		recorded() // the task belongs to no stored job
 	}
-	return shard.RecordedSoon
 }
 
 // sendProgress makes the ends of a job's tasks be stored.
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -28,6 +28,8 @@
 	epochsPerFence = 256
 	// foreignInterval is the interval at which a holder that appends nothing reads what other instances have appended.
 	foreignInterval = 500 * time.Millisecond
+	// readPause is the minimum pause between two reads.
+	readPause = 20 * time.Millisecond
 	// storeTimeout is how long a submission may wait for its append to begin.
 	storeTimeout = time.Second
 	// appendTime is the time that an append may have taken, which the writer bounds by its timeout.
@@ -69,6 +71,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wake      chan struct{}
+	readNow   chan struct{} // a value makes the holder read the partition soon
 
 	mu         sync.Mutex
 	epoch      int64
@@ -82,6 +85,7 @@
 	unread     bool          // records of others may precede those that were appended last
 	history    joblog.History
 	expired    []store.Record // deletions of ended jobs that the writer has not taken yet
+	proofs     []proof
 	events     []func()
 }
 
@@ -166,7 +170,7 @@
 			h.opts().Counts.Loads.Add(1)
 			h.mu.Lock()
 			h.jobs, h.next, h.writer, h.epoch, h.unread = jobs, next, w, epoch, false
-			h.live, h.confirmed = map[work.JobID]*liveJob{}, begun
+			h.live, h.confirmed, h.proofs = map[work.JobID]*liveJob{}, begun, nil
 			h.mu.Unlock()
 			return nil
 		}
@@ -272,7 +276,8 @@
 	if a.End > 0 && a.Offset == h.next {
 		h.next = a.End
 		if !h.unread {
-			h.confirmed = now - appendTime
+			h.confirmed = max(h.confirmed, now-appendTime)
+			h.settleProofs()
 		}
 	} else {
 		h.unread = true
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -98,8 +98,8 @@
 	Log           joblog.Log
 	Topic         string // of the zone's log
 	LogPartitions int
-	Retention     time.Duration // for how long ended jobs are kept
-	Usage         func() Usage
+	Retention     time.Duration                // for how long ended jobs are kept
+	Usage         func(at time.Duration) Usage // at a time on the clock of Now
 	// Belongs reports whether a job belongs to the zone if it is stored; see ZoneOf.
 	Belongs func(id work.JobID) bool
 	// Ask sends a request about a partition of the zone's log to its holder, or to another dispatcher of the zone, and waits for the reply;
@@ -171,7 +171,8 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	h := &holder{
 		ledger: l, share: s, fence: s.Fence, partition: joblog.Partition{Topic: l.opts.Topic, Number: partition},
-		ctx: ctx, cancel: cancel, jobs: joblog.NewJobs(), live: map[work.JobID]*liveJob{}, wake: make(chan struct{}, 1),
+		ctx: ctx, cancel: cancel, jobs: joblog.NewJobs(), live: map[work.JobID]*liveJob{},
+		wake: make(chan struct{}, 1), readNow: make(chan struct{}, 1),
 	}
 	go h.run()
 	return h
@@ -187,24 +188,28 @@
 	return l.holders[partition]
 }
 
-// RecordEnd implements shard.Ledger.
-func (l *Ledger) RecordEnd(end work.End, recorded func()) shard.Recording {
+// RecordEnd implements shard.Ledger. A stored job is announced, and its submission appended, before its first task starts. Whether a task
+// belongs to a stored job is therefore known from reads that began after the task was started. since is a time after that.
+func (l *Ledger) RecordEnd(end work.End, since time.Duration, recorded func()) shard.Recording {
 	if !l.opts.Belongs(end.Task.Job) {
 		return shard.NotStored
 	}
-	switch l.opts.Usage() {
+	switch l.opts.Usage(since) {
 	case Unused:
 		return shard.NotStored
 	case UsageUnknown:
 		return shard.Undecided
 	}
 	if h := l.holderOf(end.Task.Job); h != nil {
-		return h.recordEnd(end, recorded)
+		return h.recordEnd(end, since, recorded)
 	}
 	l.passOn(end, recorded)
 	return shard.RecordedSoon
 }
 
+// NoneStored implements shard.Ledger.
+func (l *Ledger) NoneStored(at time.Duration) bool { return l.opts.Usage(at) == Unused }
+
 // JobEnded implements shard.Ledger.
 func (l *Ledger) JobEnded(id work.JobID, s work.State) {
 	if h := l.holderOf(id); h != nil && h.jobEnded(id, s) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -126,7 +126,7 @@
 	begun := time.Now()
 	h := &holder{dispatcher: &dispatcher{}}
 	h.Ledger = ledger.New(ledger.Options{
-		Log: s, Topic: topic, LogPartitions: logPartitions, Retention: time.Minute, Usage: func() ledger.Usage { return ledger.Used },
+		Log: s, Topic: topic, LogPartitions: logPartitions, Retention: time.Minute, Usage: func(time.Duration) ledger.Usage { return ledger.Used },
 		Belongs: func(id work.JobID) bool { return id != "foreign" },
 		Ask:     func(_ context.Context, r relay.StoredRequest) *relay.StoredReply { return ask(r) },
 		Counts:  &ledger.Counts{}, Now: func() time.Duration { return time.Since(begun) }, Logger: log,
@@ -174,7 +174,7 @@
 	h := newHolder(t, s, 32)
 	is.Equal(h.submit("a"), relay.StoredNoHolder)
 	is.Equal(h.state("a").Result, relay.StoredNoHolder)
-	is.Equal(h.RecordEnd(success("a", 0), func() {}), shard.Undecided)
+	is.Equal(h.RecordEnd(success("a", 0), 0, func() {}), shard.Undecided)
 	s.SetDown(false)
 	wait.For(t, "the log is held", h.held)
 	is.Equal(h.state("a").Result, relay.StoredNoJob)
@@ -212,7 +212,7 @@
 	is.Equal(len(successor.resumed), 1)
 	is.Equal(successor.submit("a"), relay.StoredDone)
 	recorded := make(chan bool, 1)
-	old.RecordEnd(success("a", 0), func() { recorded <- true })
+	old.RecordEnd(success("a", 0), 0, func() { recorded <- true })
 	is.True(old.submit("b") != relay.StoredDone)
 	is.Equal(successor.state("b").Result, relay.StoredNoJob)
 	is.Equal(successor.submit("c"), relay.StoredDone)
@@ -229,13 +229,13 @@
 	is.Equal(h.submit("a"), relay.StoredDone)
 	s.SetDown(true)
 	recorded := make(chan bool, 2)
-	is.Equal(h.RecordEnd(success("a", 0), func() { recorded <- true }), shard.RecordedSoon)
+	is.Equal(h.RecordEnd(success("a", 0), 0, func() { recorded <- true }), shard.RecordedSoon)
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(len(recorded), 0)
 	s.SetDown(false)
 	<-recorded
 	s.SetDown(true)
-	h.RecordEnd(success("a", 1), func() { recorded <- true })
+	h.RecordEnd(success("a", 1), 0, func() { recorded <- true })
 	h.end()                            // before the second end is stored
 	time.Sleep(100 * time.Millisecond) // the stand-in carries out an append in progress
 	s.SetDown(false)
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -12,18 +12,21 @@
 
 // follow reads what other instances append, deletes the records of jobs that ended long ago, and trims the partition.
 func (h *holder) follow(ctx context.Context) {
-	pause.Every(ctx, foreignInterval, func() {
+	for ctx.Err() == nil {
 		h.readForeign(ctx)
 		h.sendUnsent()
 		h.expire()
 		h.trim(ctx)
-	})
+		pause.For(ctx, readPause, nil)
+		pause.For(ctx, foreignInterval-readPause, h.readNow)
+	}
 }
 
 func (h *holder) readForeign(ctx context.Context) {
 	h.mu.Lock()
 	from := h.next
-	needed := h.unread || h.opts().Now()-h.appendedAt >= foreignInterval
+	h.settleProofs()
+	needed := h.unread || len(h.proofs) > 0 || h.opts().Now()-h.appendedAt >= foreignInterval
 	h.mu.Unlock()
 	if !needed {
 		return
@@ -45,6 +48,7 @@
 	h.unread = h.unread && b.Next < b.End
 	if b.Next >= b.End {
 		h.confirmed = max(h.confirmed, begun)
+		h.settleProofs()
 	}
 	h.next = max(h.next, b.Next)
 }
--- a/internal/ledger/neighbours.go
+++ b/internal/ledger/neighbours.go
@@ -57,7 +57,8 @@
 		return
 	}
 	stored := func() { reply(relay.StoredReply{Result: relay.StoredDone}) }
-	switch h.ledger.dispatcher.StoredEnd(h.fence, *end, func() shard.Recording { return h.recordEnd(*end, stored) }) {
+	record := func() shard.Recording { return h.recordEnd(*end, h.opts().Now(), stored) }
+	switch h.ledger.dispatcher.StoredEnd(h.fence, *end, record) {
 	case shard.NotStored:
 		reply(relay.StoredReply{Result: relay.StoredNoJob})
 	case shard.Undecided:
--- a/internal/node/ledgers.go
+++ b/internal/node/ledgers.go
@@ -18,7 +18,7 @@
 	node     *Node
 	zone     string
 	shards   *shards // set before use
-	reported bool    // the shards know whether there are stored jobs; guarded by shards.reconciling
+	reported bool    // the shards know that there are stored jobs; guarded by shards.reconciling
 
 	mu          sync.Mutex
 	byPartition map[int]*ledger.Ledger // by partition of the zone
@@ -57,19 +57,22 @@
 
 // sync makes the ledger of a partition of the zone hold its part of the log under a term; none with the zero Term.
 func (l *ledgers) sync(partition int, t shard.Term) {
-	if l == nil || !l.node.stored.InUse() {
+	if l == nil {
 		return
 	}
 	found := l.of(partition)
 	if found == nil {
 		return
 	}
+	if !l.node.stored.inUse() {
+		t.Partitions = 0
+	}
 	found.Sync(ledger.Share{Fence: t.Fence, Partition: partition, Partitions: t.Partitions})
 }
 
-// reportUsage makes the endpoints report the ends again that came before it was known whether the deployment has stored jobs.
+// reportUsage passes the ends to the ledgers again that came before it was known that the deployment has stored jobs.
 func (l *ledgers) reportUsage() {
-	if l == nil || l.reported || l.node.stored.usage() == ledger.UsageUnknown {
+	if l == nil || l.reported || !l.node.stored.inUse() {
 		return
 	}
 	l.reported = true
@@ -81,7 +84,7 @@
 // handle carries out a request of this or another instance. It implements relay.StoredHandler.
 func (l *ledgers) handle(r *relay.StoredRequest, reply func(*relay.StoredReply)) {
 	n := l.node
-	if !n.stored.InUse() {
+	if !n.stored.inUse() {
 		go n.divisions.NoteStoredJobs() // begins to hold the log; the request comes again
 	}
 	part := n.stored.receiver(l.zone, r)
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -54,7 +54,6 @@
 	}
 	held := s.heldTerm()
 	t := s.shardTerm(held.Generation)
-	s.ledgers.reportUsage()
 	for part := range division.MaxPartitions {
 		if part >= t.Partitions || !held.Holds(s.divisions.GroupPartition(s.zone, part)) {
 			if x := s.get(part); x != nil {
@@ -67,6 +66,7 @@
 		s.ledgers.sync(part, t)
 		x.Begin(t)
 	}
+	s.ledgers.reportUsage()
 }
 
 func (s *shards) heldTerm() lead.Term {
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/gateway"
@@ -16,6 +15,8 @@
 	defaultStatusTime = 2 * time.Minute
 	// requestMemory is how long a request to another instance waits for its reply.
 	requestMemory = 5 * time.Second
+	// maxUsageAge is how old the last end of a read may be that shows that the deployment has no stored jobs, for the responses to callers.
+	maxUsageAge = time.Second
 	// purgeInterval is the number of requests between two searches for those that wait no longer.
 	purgeInterval = 256
 )
@@ -29,7 +30,6 @@
 	logPartitions int
 	zones         []string // sorted
 	counts        ledger.Counts
-	unused        atomic.Bool // the store was read and has no stored jobs; never true again once they are in use
 
 	mu       sync.Mutex
 	number   uint64
@@ -66,22 +66,25 @@
 	return v.For
 }
 
-// InUse implements gateway.StoredJobs.
-func (s *storedJobs) InUse() bool { return s.node.divisions.StoredJobs() }
+// inUse reports whether the deployment is known to have stored jobs.
+func (s *storedJobs) inUse() bool { return s.node.divisions.StoredJobs() }
 
-func (s *storedJobs) usage() ledger.Usage {
+// usage returns whether the deployment had stored jobs at a time on the node's clock.
+func (s *storedJobs) usage(at time.Duration) ledger.Usage {
 	switch {
-	case s.node.divisions.StoredJobs():
+	case s.inUse():
 		return ledger.Used
-	case s.unused.Load():
-		return ledger.Unused
-	case s.node.divisions.Known():
-		s.unused.Store(true)
+	case s.node.divisions.StoredJobsUnused(s.node.started.Add(at)):
 		return ledger.Unused
 	}
 	return ledger.UsageUnknown
 }
 
+// Usage implements gateway.StoredJobs.
+func (s *storedJobs) Usage() ledger.Usage {
+	return s.usage(s.node.now() - s.node.opts.Settings.readWait() - maxUsageAge)
+}
+
 // receiver returns the partition of a zone whose dispatcher gets a request.
 func (s *storedJobs) receiver(zone string, r *relay.StoredRequest) int {
 	if r.Operation == relay.StoredSettled {
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -53,6 +53,7 @@
 		}).Warn("run makes no progress; stopping it")
 	}
 	s.stopAll(s.pool.Unwanted(now-claimTime), stopUnwanted)
+	s.decideEnds()
 	if !s.endsUndecided {
 		s.pool.ForgetSuccesses(now - successRetention)
 	}
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -17,7 +17,7 @@
 		s.opts.Log.WithFields(logrus.Fields{
 			"event": "endpoint_reborn", "endpoint": x.endpoint.ID, "born": report.StartedUnixMS, "tasks": x.runNames(),
 		}).Warn("endpoint's process was restarted; its runs are lost")
-		x.acknowledged, x.reportClock, x.granted = 0, 0, 0
+		x.acknowledged, x.reportClock, x.granted, x.fencedAt = 0, 0, 0, now
 		x.unrecorded = nil
 		x.processEnded(now)
 	} else if x.leaseExpired {
@@ -34,7 +34,7 @@
 	s.pool.SetSilent(x.endpoint.ID, false)
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
-		x.reportedTo = max(x.reportedTo, request.Fence)
+		x.noteFence(request.Fence, now)
 		x.noteReport(report, request.Fence)
 		x.applyRuns(report, now)
 	}
@@ -53,6 +53,13 @@
 	s.pool.SetUsable(x.endpoint.ID, x.usable())
 }
 
+// noteFence records a report to a request with a fence.
+func (x *session) noteFence(fence int64, now time.Duration) {
+	if fence > x.reportedTo {
+		x.reportedTo, x.fencedAt = fence, now
+	}
+}
+
 // clear ends all runs of an endpoint that is known to run nothing.
 func (x *session) clear(now time.Duration) {
 	clear(x.visibleFrom)
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -61,6 +61,7 @@
 	registered      bool                    // the endpoint is registered
 	reported        bool                    // the endpoint has reported during the term
 	reportedTo      int64                   // highest fence of a poll that was answered with a report
+	fencedAt        time.Duration           // when that report came; since then no other dispatcher has started a task there
 	refusedFence    int64                   // this dispatcher's fence when the endpoint last refused it because it had seen a higher one
 	answering       bool                    // the endpoint answers; false also from a refusal that bars new runs until the next report
 	failures        int                     // consecutive polls without an answer
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -92,6 +92,8 @@
 	clients         map[work.JobID]*submitter
 	stored          map[work.JobID]*work.Job      // stored jobs, for which no client waits
 	unreleased      map[work.JobID]bool           // stored jobs that wait for ReleaseStored
+	released        []func(work.JobID) bool       // what ReleaseStored was called with under the present fence
+	undecidedSince  time.Duration                 // latest time of the start of a task whose end is undecided
 	endsUndecided   bool                          // the ledger could not tell of an end whether it has to be recorded
 	expires         map[work.JobID]time.Duration  // when a job's caller waits no longer
 	expiryCheckedAt time.Duration                 // time of the last search for expired jobs
@@ -127,7 +129,8 @@
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]*submitter{}
 	s.stored = map[work.JobID]*work.Job{}
-	s.unreleased = map[work.JobID]bool{}
+	s.unreleased, s.released = map[work.JobID]bool{}, nil
+	s.endsUndecided, s.undecidedSince = false, 0
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
 	s.awaiting = map[work.JobID]time.Duration{}
@@ -282,6 +285,7 @@
 	}
 	s.hold(m, last, now)
 	s.clients[job.ID] = client
+	s.releaseEndsOf(job.ID)
 	s.pool.Hold(job.ID, false)
 	delete(s.expires, job.ID)
 	if m.Remaining > 0 {
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -17,8 +17,11 @@
 
 // Ledger keeps the stored jobs of a shard. The shard calls it with its lock held, so its methods do not block and do not call the shard.
 type Ledger interface {
-	// RecordEnd takes a task's end of success or failure. If it returns Recording, it calls recorded once the store has the end.
-	RecordEnd(end work.End, recorded func()) Recording
+	// RecordEnd takes a task's end of success or failure. since is a time after the task was started. If it returns RecordedSoon, it calls
+	// recorded once the store has the end, or when it is certain that the task belongs to no stored job.
+	RecordEnd(end work.End, since time.Duration, recorded func()) Recording
+	// NoneStored reports whether it is certain that there were no stored jobs at a time.
+	NoneStored(at time.Duration) bool
 	// JobEnded takes the final state of a stored job.
 	JobEnded(id work.JobID, s work.State)
 }
@@ -30,7 +33,7 @@
 const (
 	NotStored    Recording = iota // the task belongs to no stored job; the endpoint may forget the end
 	RecordedSoon                  // recorded is called when the endpoint may forget the end
-	Undecided                     // not known yet; the end is passed again by RedeliverEnds and ResumeStored
+	Undecided                     // not known yet; the end is passed again by RedeliverEnds, ResumeStored and once NoneStored
 )
 
 // unrecordedEnd is an end that its endpoint must not forget yet.
@@ -61,12 +64,35 @@
 		x.unrecorded = map[int64]unrecordedEnd{}
 	}
 	waiting := x.unrecorded
-	switch s.opts.Ledger.RecordEnd(end, func() { x.endRecorded(waiting, end.Sequence) }) {
+	switch s.opts.Ledger.RecordEnd(end, x.fencedAt, func() { x.endRecorded(waiting, end.Sequence) }) {
 	case RecordedSoon:
 		waiting[end.Sequence] = unrecordedEnd{end, now}
 	case Undecided:
 		waiting[end.Sequence] = unrecordedEnd{end, now}
 		s.endsUndecided = true
+		s.undecidedSince = max(s.undecidedSince, x.fencedAt)
+	}
+}
+
+// decideEnds passes the undecided ends on once it is certain that there were no stored jobs when their tasks were started. The shard's lock
+// is held.
+func (s *Shard) decideEnds() {
+	if s.endsUndecided && s.opts.Ledger.NoneStored(s.undecidedSince) {
+		s.redeliverEnds()
+	}
+}
+
+// releaseEndsOf lets endpoints forget the ends of a job whose caller waits: such a job is not stored. The shard's lock is held.
+func (s *Shard) releaseEndsOf(id work.JobID) {
+	for _, x := range s.sessions {
+		released := false
+		for sequence, e := range x.unrecorded {
+			if e.end.Task.Job == id {
+				delete(x.unrecorded, sequence)
+				released = true
+			}
+		}
+		x.wakeIf(released && len(x.unrecorded) == 0)
 	}
 }
 
@@ -131,7 +157,7 @@
 // the pool may hold their job anew. It uses the ends as they were reported, so that no task starts before they count. The shard's lock is
 // held.
 func (s *Shard) redeliverEnds() {
-	s.endsUndecided = false
+	s.endsUndecided, s.undecidedSince = false, 0
 	now := s.opts.Now()
 	for _, x := range s.sessions {
 		unrecorded := x.unrecorded
@@ -164,6 +190,7 @@
 		s.pool.Hold(id, true)
 	}
 	clear(s.unreleased)
+	s.released = nil
 }
 
 // dispatchesUnder reports whether the shard dispatches under a fence. The shard's lock is held.
@@ -257,10 +284,11 @@
 
 // awaitNeighbours holds a stored job that another dispatcher of the zone may have started until ReleaseStored.
 func (s *Shard) awaitNeighbours(id work.JobID) {
-	if s.term.Partitions > 1 {
-		s.pool.Hold(id, true)
-		s.unreleased[id] = true
+	if s.term.Partitions <= 1 || slices.ContainsFunc(s.released, func(owns func(work.JobID) bool) bool { return owns(id) }) {
+		return
 	}
+	s.pool.Hold(id, true)
+	s.unreleased[id] = true
 }
 
 // ReleaseStored lets the jobs that owns selects start that ResumeStored has continued: the zone's other dispatchers have nothing to report on
@@ -271,6 +299,7 @@
 	if !s.dispatchesUnder(fence) {
 		return
 	}
+	s.released = append(s.released, owns)
 	for id := range s.unreleased {
 		if owns(id) {
 			s.pool.Hold(id, false)
@@ -323,7 +352,7 @@
 	return s.fenceStart + s.takeoverTime()
 }
 
-// AddStored adds a job that another instance has stored and of which no task has started.
+// AddStored adds a job that another instance has stored. An earlier dispatcher may have read it and started tasks of it.
 func (s *Shard) AddStored(fence int64, job *work.Job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -331,7 +360,13 @@
 		return
 	}
 	s.stored[job.ID] = job
-	s.finish(s.pool.ResumeStored(job, nil, nil, s.opts.Now(), 0))
+	notBefore := time.Duration(0)
+	if !s.settled {
+		notBefore = s.storedNotBefore()
+	}
+	outcomes := s.pool.ResumeStored(job, nil, nil, s.opts.Now(), notBefore)
+	s.awaitNeighbours(job.ID)
+	s.finish(outcomes)
 	s.dispatch()
 }
 
--- a/internal/shard/stored_test.go
+++ b/internal/shard/stored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/fleet"
 	"github.com/savorypass/savorypass/internal/work"
@@ -21,9 +23,11 @@
 	recorded []func()
 	ends     int
 	ended    map[work.JobID]work.State
+	// noneStored is what NoneStored returns.
+	noneStored atomic.Bool
 }
 
-func (l *jobLedger) RecordEnd(_ work.End, recorded func()) shard.Recording {
+func (l *jobLedger) RecordEnd(_ work.End, _ time.Duration, recorded func()) shard.Recording {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ends++
@@ -31,6 +35,8 @@
 	return l.answer
 }
 
+func (l *jobLedger) NoneStored(time.Duration) bool { return l.noneStored.Load() }
+
 func (l *jobLedger) JobEnded(id work.JobID, s work.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -151,3 +157,29 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against an endpoint that has to keep the ends of a job whose caller waits, for as long as it is not known whether there are stored
+// jobs: the job is submitted again after a takeover. It also guards against ends that stay undecided after that is known.
+func TestUndecidedEndsOfJobsWhoseCallersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s, l := newStoredShard(1, 30*time.Millisecond)
+		l.set(shard.Undecided)
+		for _, id := range []string{"a", "b"} {
+			_, ok := s.offer(1, id, 1)
+			is.True(ok)
+			s.StartStored(1, work.JobID(id))
+			time.Sleep(time.Second)
+		}
+		is.Equal(f.Unacknowledged(), 2)
+		s.Submit(newClient(), &relay.Submit{Job: jobOf("a", 1, 30*time.Millisecond), Remaining: time.Minute})
+		time.Sleep(time.Second)
+		is.Equal(f.Unacknowledged(), 2) // that of b, and that of the new run of a, which comes behind it
+		l.set(shard.NotStored)
+		l.noneStored.Store(true)
+		time.Sleep(time.Second)
+		is.Equal(f.Unacknowledged(), 0)
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
