--- a/internal/gateway/stored.go
+++ b/internal/gateway/stored.go
@@ -18,8 +18,8 @@
 	Submit(ctx context.Context, job *work.Job, arrived time.Time) ledger.Answer
 	State(ctx context.Context, id work.JobID) ledger.Answer
 	Cancel(ctx context.Context, id work.JobID) ledger.Answer
-	// Pending returns the number of a queue's stored jobs of which no task has started.
-	Pending(ctx context.Context, queue string) int
+	// Pending returns the number of a queue's stored jobs of which no task has started. ok is false if it is not known.
+	Pending(ctx context.Context, queue string) (n int, ok bool)
 }
 
 const (
@@ -156,7 +156,11 @@
 	ctx, cancel := g.storedContext(x)
 	go func() {
 		defer cancel()
-		waiting += g.opts.Stored.Pending(ctx, queue)
-		g.reply(x, 200, g.opts.Codec.EncodePending(waiting), 0)
+		stored, ok := g.opts.Stored.Pending(ctx, queue)
+		if !ok {
+			g.reply(x, 503, g.opts.Codec.EncodeError("it is not known how many jobs wait"), retryHolder)
+			return
+		}
+		g.reply(x, 200, g.opts.Codec.EncodePending(waiting+stored), 0)
 	}()
 }
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -25,10 +25,12 @@
 	holderTimeout = 350 * time.Millisecond
 	// appendPause is the pause before an append without an answer is repeated.
 	appendPause = 60 * time.Millisecond
-	// pendingTimeout is how long a count of waiting jobs waits for the holders, and pendingAge the greatest age of counts that are used
-	// again.
+	// pendingTimeout is how long a count of waiting jobs waits for the holders, and then for the store, and pendingAge the greatest age of
+	// counts that are used again.
 	pendingTimeout = 700 * time.Millisecond
 	pendingAge     = 400 * time.Millisecond
+	// maxPendingAge is how old a count may be that is given to callers.
+	maxPendingAge = 1500 * time.Millisecond
 	// maxVacancy is how long a zone may have been without a dispatcher when a job of it is stored without a holder. A successor or a
 	// substitute begins within it if there is one.
 	maxVacancy = 8 * time.Second
@@ -87,9 +89,16 @@
 	folded  map[place]foldedCount
 }
 
+// pendingCount counts the waiting jobs of a queue.
 type pendingCount struct {
 	at     time.Time
-	counts map[place]int // as last known
+	counts map[place]counted
+}
+
+// counted is the number of waiting jobs in a partition, as it was at a time.
+type counted struct {
+	waiting int
+	at      time.Time
 }
 
 // foldedCount counts the waiting jobs of a partition whose holder does not answer, as the store has them.
@@ -248,23 +257,25 @@
 }
 
 // Pending returns the number of stored jobs of a queue of which no task has started. The jobs of a holder that does not answer are
-// counted in the store; if that cannot be read either, they count with the last known number.
-func (c *Client) Pending(ctx context.Context, queue string) int {
+// counted in the store. ok is false if the number in some partition has not been known for maxPendingAge.
+func (c *Client) Pending(ctx context.Context, queue string) (sum int, ok bool) {
 	c.mu.Lock()
 	known := c.pending[queue]
 	c.mu.Unlock()
 	if time.Since(known.at) > pendingAge {
 		known = c.countPending(ctx, queue, known)
 	}
-	sum := 0
 	for _, n := range known.counts {
-		sum += n
+		if time.Since(n.at) > maxPendingAge {
+			return 0, false
+		}
+		sum += n.waiting
 	}
-	return sum
+	return sum, len(known.counts) == len(c.opts.Zones)*c.opts.LogPartitions
 }
 
 func (c *Client) countPending(ctx context.Context, queue string, before pendingCount) pendingCount {
-	fresh := pendingCount{at: time.Now(), counts: map[place]int{}}
+	fresh := pendingCount{at: time.Now(), counts: map[place]counted{}}
 	maps.Copy(fresh.counts, before.counts)
 	var mu sync.Mutex
 	var asked sync.WaitGroup
@@ -274,7 +285,7 @@
 			asked.Go(func() {
 				if n, ok := c.pendingAt(ctx, to, queue); ok {
 					mu.Lock()
-					fresh.counts[to] = n
+					fresh.counts[to] = counted{n, time.Now()}
 					mu.Unlock()
 				}
 			})
@@ -308,6 +319,8 @@
 		return known.waiting[queue], true
 	}
 	partition := joblog.Partition{Topic: c.opts.Topic(at.zone), Number: at.partition}
+	ctx, cancel := context.WithTimeout(ctx, pendingTimeout)
+	defer cancel()
 	jobs, _, err := joblog.Load(ctx, c.opts.Log, partition, 0, c.opts.Logger)
 	if err != nil {
 		c.opts.Logger.WithFields(logrus.Fields{"event": "stored_pending_unknown", "zone": at.zone, "log_partition": at.partition}).WithError(err).
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -80,7 +80,7 @@
 	StoredEnd(fence int64, end work.End, record func() shard.Recording) shard.Recording
 	StoredSettled(partitions int, owns func(work.JobID) bool) bool
 	StoredStarted(id work.JobID) bool
-	StoredWaiting(queue string, owns func(work.JobID) bool) int
+	StoredWaiting(fence int64, queue string, owns func(work.JobID) bool) (n int, ok bool)
 }
 
 // Usage tells whether the deployment has stored jobs.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -59,11 +59,11 @@
 	return slices.Contains(*list, id)
 }
 
-func (d *dispatcher) StartStored(_ int64, id work.JobID)              { d.note(&d.started, id) }
-func (d *dispatcher) AddStored(_ int64, job *work.Job)                { d.note(&d.added, job.ID) }
-func (d *dispatcher) DropStored(_ int64, id work.JobID)               { d.note(&d.dropped, id) }
-func (d *dispatcher) StoredStarted(work.JobID) bool                   { return false }
-func (d *dispatcher) StoredWaiting(string, func(work.JobID) bool) int { return 0 }
+func (d *dispatcher) StartStored(_ int64, id work.JobID)                             { d.note(&d.started, id) }
+func (d *dispatcher) AddStored(_ int64, job *work.Job)                               { d.note(&d.added, job.ID) }
+func (d *dispatcher) DropStored(_ int64, id work.JobID)                              { d.note(&d.dropped, id) }
+func (d *dispatcher) StoredStarted(work.JobID) bool                                  { return false }
+func (d *dispatcher) StoredWaiting(int64, string, func(work.JobID) bool) (int, bool) { return 0, true }
 
 func (d *dispatcher) ReleaseStored(int64, func(work.JobID) bool) {
 	d.mu.Lock()
@@ -272,7 +272,9 @@
 	s.FailAppends(keyed.LoseAnswer, keyed.Refuse)
 	is.Equal(c.Submit(t.Context(), job("a"), time.Now()).Result, ledger.Done)
 	wait.For(t, "the holder finds the job", func() bool { return h.has(&h.added, "a") })
-	is.Equal(c.Pending(t.Context(), "q"), 1)
+	waiting, ok := c.Pending(t.Context(), "q")
+	is.True(ok)
+	is.Equal(waiting, 1)
 	is.Equal(c.Cancel(t.Context(), "a").State, work.Cancelled)
 	wait.For(t, "the holder finds the cancel", func() bool { return h.state("a").State == work.Cancelled })
 	is.True(h.has(&h.dropped, "a"))
@@ -285,6 +287,31 @@
 	is.Equal(c.Submit(t.Context(), job("d"), time.Now()).Result, ledger.NotSaved)
 }
 
+// Guards against a number of waiting jobs that was true some time ago, given while neither the holder nor the store can be asked.
+func TestPendingThatIsNotKnown(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := ledger.NewClient(ledger.ClientOptions{
+		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
+		Announce: func(context.Context) error { return nil }, Logger: log,
+	})
+	waiting, ok := c.Pending(t.Context(), "q")
+	is.True(ok)
+	is.Equal(waiting, 0)
+	is.Equal(c.Submit(t.Context(), job("a"), time.Now()).Result, ledger.Done)
+	s.SetDown(true)
+	time.Sleep(2 * time.Second)
+	_, ok = c.Pending(t.Context(), "q")
+	is.True(!ok)
+	s.SetDown(false)
+	wait.For(t, "the job is counted", func() bool {
+		waiting, ok := c.Pending(t.Context(), "q")
+		return ok && waiting == 1
+	})
+}
+
 // Guards against a job that is accepted although its zone has had no dispatcher for long and may never get one.
 func TestSubmissionToAVacantZone(t *testing.T) {
 	is := is.New(t)
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -100,9 +100,10 @@
 	h.mu.Lock()
 	ready := h.ready
 	h.mu.Unlock()
-	if !ready {
+	waiting, ok := h.ledger.dispatcher.StoredWaiting(h.fence, queue, h.owns)
+	if !ready || !ok {
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
 	}
-	reply(relay.StoredReply{Result: relay.StoredDone, Pending: h.ledger.dispatcher.StoredWaiting(queue, h.owns)})
+	reply(relay.StoredReply{Result: relay.StoredDone, Pending: waiting})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -269,6 +269,13 @@
 	return false
 }
 
+// IsKnownToHaveStarted reports whether tasks of a job are known to have started: a run of one was found or ordered, or an end of one is
+// known. A resumed job has not started as far as is known, although HasStarted tells that it may have.
+func (p *Pool) IsKnownToHaveStarted(id work.JobID) bool {
+	j := p.jobs[id]
+	return j != nil && j.started
+}
+
 // HasJob reports whether the pool holds a job that is not finished.
 func (p *Pool) HasJob(id work.JobID) bool { return p.jobs[id] != nil }
 
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -245,6 +245,9 @@
 // its task belongs to a job that was submitted again, the task does not start again; if it failed, the run counts as an attempt of its task.
 func (p *Pool) unknownRunEnded(end work.End, now time.Duration) []Outcome {
 	j := p.jobs[end.Task.Job]
+	if end.Reason == work.EndFailed && j != nil {
+		j.started = true
+	}
 	if end.Reason == work.EndFailed && j != nil && p.runs[end.Task] == nil {
 		return p.exhausted(j, end.Task)
 	}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -64,6 +64,7 @@
 		p.adopt(j)
 	}
 	j.notBefore, j.held = notBefore, false
+	j.started = j.started || len(failed) > 0
 	for _, task := range succeeded {
 		p.countStored(j, task)
 	}
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -331,7 +331,7 @@
 func (s *Shard) StoredSettled(partitions int, owns func(work.JobID) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.leading || s.term.Partitions != partitions || !s.settled || s.pool.HasRunsWithoutJobOf(owns) {
+	if !s.leading || s.term.Partitions != partitions || s.opts.Now() < s.storedNotBefore() || s.pool.HasRunsWithoutJobOf(owns) {
 		return false
 	}
 	for _, x := range s.sessions {
@@ -344,13 +344,9 @@
 	return true
 }
 
-// storedNotBefore returns the time until which tasks of a stored job wait that an earlier dispatcher may have started. It is above 0.
-func (s *Shard) storedNotBefore() time.Duration {
-	if s.settled {
-		return 1
-	}
-	return s.fenceStart + s.takeoverTime()
-}
+// storedNotBefore returns the time until which tasks of a stored job wait that an earlier dispatcher may have started. It is above 0. Reports of
+// all endpoints do not shorten it: that dispatcher may use an endpoint that has registered since the last read here.
+func (s *Shard) storedNotBefore() time.Duration { return s.fenceStart + s.takeoverTime() }
 
 // AddStored adds a job that another instance has stored. An earlier dispatcher may have read it and started tasks of it.
 func (s *Shard) AddStored(fence int64, job *work.Job) {
@@ -360,32 +356,35 @@
 		return
 	}
 	s.stored[job.ID] = job
-	notBefore := time.Duration(0)
-	if !s.settled {
-		notBefore = s.storedNotBefore()
+	now, notBefore := s.opts.Now(), s.storedNotBefore()
+	if notBefore <= now {
+		notBefore = 0
 	}
-	outcomes := s.pool.ResumeStored(job, nil, nil, s.opts.Now(), notBefore)
+	outcomes := s.pool.ResumeStored(job, nil, nil, now, notBefore)
 	s.awaitNeighbours(job.ID)
 	s.finish(outcomes)
 	s.dispatch()
 }
 
-// StoredStarted reports whether a task of a stored job has been ordered to start.
+// StoredStarted reports whether a task of a stored job is known to have started.
 func (s *Shard) StoredStarted(id work.JobID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.HasStarted(id)
+	return s.pool.IsKnownToHaveStarted(id)
 }
 
-// StoredWaiting returns the number of stored jobs of a queue, among those that owns selects, of which no task has started.
-func (s *Shard) StoredWaiting(queue string, owns func(work.JobID) bool) int {
+// StoredWaiting returns the number of stored jobs of a queue, among those that owns selects, of which no task is known to have started. Just
+// after a takeover some of them may run at endpoints that have not reported yet. ok is false if the shard does not dispatch under the fence.
+func (s *Shard) StoredWaiting(fence int64, queue string, owns func(work.JobID) bool) (n int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
+	if !s.dispatchesUnder(fence) {
+		return 0, false
+	}
 	for id, job := range s.stored {
-		if job.Queue == queue && owns(id) && !s.pool.HasStarted(id) {
+		if job.Queue == queue && owns(id) && !s.pool.IsKnownToHaveStarted(id) {
 			n++
 		}
 	}
-	return n
+	return n, true
 }
--- a/internal/shard/stored_test.go
+++ b/internal/shard/stored_test.go
@@ -183,3 +183,33 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against waiting jobs that count as started, for as long as they wait, because another dispatcher might have started them before
+// (review/10), and against a count of a shard that does not dispatch.
+func TestResumedJobsThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, s, _ := newStoredShard(1, 3*time.Second)
+		s.Begin(shard.Term{Fence: 2, Partitions: 1})
+		var all []shard.ResumedJob
+		for _, id := range []string{"a", "b", "c"} {
+			job := jobOf(id, 4, 3*time.Second)
+			all = append(all, shard.ResumedJob{Job: &job})
+		}
+		all[2].Succeeded = []work.TaskID{{Job: "c"}}
+		is.True(s.ResumeStored(2, func() []shard.ResumedJob { return all }, ownsAll))
+		n, ok := s.StoredWaiting(2, "q", ownsAll)
+		is.True(ok)
+		is.Equal(n, 2) // before the fence is settled
+		is.True(!s.StoredStarted("a") && s.StoredStarted("c"))
+		time.Sleep(2 * time.Second) // the tasks of one job fill the endpoint
+		n, _ = s.StoredWaiting(2, "q", ownsAll)
+		is.Equal(n, 1)
+		_, ok = s.StoredWaiting(1, "q", ownsAll)
+		is.True(!ok)
+		s.End()
+		_, ok = s.StoredWaiting(2, "q", ownsAll)
+		is.True(!ok)
+		time.Sleep(time.Second)
+	})
+}
