--- a/internal/ledger/ends.go
+++ b/internal/ledger/ends.go
@@ -33,7 +33,7 @@
 		h.mu.Unlock()
 		return shard.NotStored
 	}
-	h.awaitProof(func() { h.recordProven(end, recorded) })
+	h.awaitProof(0, func() { h.recordProven(end, recorded) })
 	h.mu.Unlock()
 	return shard.RecordedSoon
 }
@@ -56,7 +56,7 @@
 	job := h.live[id]
 	switch {
 	case job != nil && !job.stored: // its submission is being stored
-		h.awaitProof(func() { h.recordProven(end, recorded) })
+		h.awaitProof(0, func() { h.recordProven(end, recorded) })
 		h.mu.Unlock()
 	case job != nil:
 		decided := job.note(end, recorded)
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -34,9 +34,6 @@
 	storeTimeout = time.Second
 	// appendTime is the time that an append may have taken, which the writer bounds by its timeout.
 	appendTime = 700 * time.Millisecond
-	// maxUnconfirmed is how long a holder denies that a job exists after it has last known all records: it may have been replaced without
-	// knowing it, and its successor may have accepted the job.
-	maxUnconfirmed = 1500 * time.Millisecond
 	// stateWait is how long a request for the state of a running job waits for the job's end. The end of a task is reported, applied and
 	// stored within it.
 	stateWait = 100 * time.Millisecond
--- a/internal/ledger/proof_test.go
+++ b/internal/ledger/proof_test.go
@@ -65,3 +65,19 @@
 	wait.For(t, "the endpoint may forget the end", func() bool { return len(recorded) == 1 })
 	is.Equal(h.RecordEnd(success("b", 0), 0, func() {}), shard.NotStored) // the log was read after the task was started
 }
+
+// Guards against a cancel, or a request for the state, that is answered as one of no job by a holder that has not read the job yet: the job
+// ran to its end (review/9).
+func TestDenialNeedsALaterRead(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	h := newHolder(t, s, 32)
+	wait.For(t, "the log is held", h.held)
+	appendElsewhere(t, s, joblog.Submission{Job: *job("a")})
+	appendElsewhere(t, s, joblog.Submission{Job: *job("b")})
+	is.Equal(h.state("a").Result, relay.StoredDone)
+	is.Equal(h.ask(relay.StoredRequest{Operation: relay.StoredCancel, ID: "b"}).State, work.Cancelled)
+	is.Equal(h.state("c").Result, relay.StoredNoJob)
+	s.SetDown(true)
+	is.Equal(h.state("d").Result, relay.StoredNoHolder)
+}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -6,27 +6,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/savorypass/savorypass/internal/joblog"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
-// denial returns the reply to a request for a job of which no submission is known. h.mu is held.
-func (h *holder) denial() relay.StoredReply {
-	if h.opts().Now()-h.confirmed > maxUnconfirmed {
-		return relay.StoredReply{Result: relay.StoredNoHolder}
-	}
-	return relay.StoredReply{Result: relay.StoredNoJob}
-}
-
-// settledReply returns the reply to a request for a job that is not known or has ended. h.mu is held.
-func (h *holder) settledReply(known *joblog.Job) relay.StoredReply {
-	if !known.Known() {
-		return h.denial()
-	}
-	return relay.StoredReply{Result: relay.StoredDone, State: known.State}
-}
-
 // state replies with the state of a job. While its end is being stored, the reply waits for it; while it runs, the reply waits for its
 // end for a short time, since callers often ask just before the holder learns of an end.
 func (h *holder) state(id work.JobID, reply replyFunc) {
@@ -37,10 +20,14 @@
 		h.mu.Unlock()
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
-	case !known.Known(), known.State != "":
-		settled := h.settledReply(known)
+	case !known.Known():
+		h.replyIfUnknown(id, reply, func(reply replyFunc) { h.state(id, reply) })
+		h.mu.Unlock()
+		return
+	case known.State != "":
+		state := known.State
 		h.mu.Unlock()
-		reply(settled)
+		reply(relay.StoredReply{Result: relay.StoredDone, State: state})
 		return
 	case live != nil && live.final != "":
 		live.replies = append(live.replies, reply)
@@ -80,10 +67,14 @@
 		h.mu.Unlock()
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
-	case !known.Known(), known.State != "":
-		settled := h.settledReply(known)
+	case !known.Known():
+		h.replyIfUnknown(id, reply, func(reply replyFunc) { h.cancelJob(id, reply) })
+		h.mu.Unlock()
+		return
+	case known.State != "":
+		state := known.State
 		h.mu.Unlock()
-		reply(settled)
+		reply(relay.StoredReply{Result: relay.StoredDone, State: state})
 		return
 	}
 	if live != nil {
