--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -245,7 +245,8 @@
 // its task belongs to a job that was submitted again, the task does not start again; if it failed, the run counts as an attempt of its task.
 func (p *Pool) unknownRunEnded(end work.End, now time.Duration) []Outcome {
 	j := p.jobs[end.Task.Job]
-	if end.Reason == work.EndFailed && j != nil {
+	if j != nil {
+		p.numbers[end.Task] = max(p.numbers[end.Task], end.Run) // failures are counted by their numbers
 		j.started = true
 	}
 	if end.Reason == work.EndFailed && j != nil && p.runs[end.Task] == nil {
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -53,3 +53,21 @@
 	is.Equal(p.StoredSuccess(last)[0].State, work.Completed)
 	is.True(!p.HasJob("a"))
 }
+
+// Guards against a task that starts once more after all its attempts have failed: a failed run of which only the end was reported left its
+// number to the next run, and two failures counted as one.
+func TestFailureOfAnUnknownRunUsesItsNumber(t *testing.T) {
+	is := is.New(t)
+	p := New(attempt.NewHistory())
+	p.Update(work.Endpoint{ID: "e", Service: "survey", Size: work.Size{MilliCPU: 1000}})
+	p.SetUsable("e", true)
+	is.Equal(len(p.ResumeStored(storedJob(), nil, nil, 0, 1)), 0)
+	failed := work.End{Sequence: 1, Task: work.TaskID{Job: "a"}, Run: 1, Reason: work.EndFailed}
+	is.Equal(len(p.RunEnded("e", failed, 0)), 0)
+	is.True(p.IsKnownToHaveStarted("a"))
+	next := p.Next(time.Second)[0]
+	is.Equal(next.Task, failed.Task)
+	is.Equal(next.Number, 2)
+	failed.Run = next.Number
+	is.Equal(p.RunEnded("e", failed, 0)[0].State, work.Failed)
+}
