--- a/internal/joblog/jobs.go
+++ b/internal/joblog/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/store"
@@ -24,8 +25,13 @@
 
 	keys       keySet // keys of the job that exist in the store
 	unreadable keySet // keys whose newest record cannot be read
+	// expiresFrom is when it was last learned that the job leaves after its retention; doneExpiring after its deletion was returned.
+	expiresFrom time.Duration
 }
 
+// doneExpiring is before all times.
+const doneExpiring time.Duration = math.MinInt64
+
 type learned struct {
 	id work.JobID
 	at time.Duration
@@ -146,6 +152,7 @@
 // expire schedules the deletion of a job that has ended, or that has records but was never accepted.
 func (j *Jobs) expire(id work.JobID, job *Job, now time.Duration) {
 	if job.State != "" || !job.Known() {
+		job.expiresFrom = now
 		j.expiry = append(j.expiry, learned{id, now})
 	}
 }
@@ -190,12 +197,13 @@
 func (j *Jobs) Expired(now, retention time.Duration, limit int) []store.Record {
 	var records []store.Record
 	for n := 0; n < limit && len(j.expiry) > 0 && now-j.expiry[0].at >= retention; {
-		id := j.expiry[0].id
+		id, at := j.expiry[0].id, j.expiry[0].at
 		j.expiry = j.expiry[1:]
 		job := j.byID[id]
-		if job == nil || job.State == "" && job.Known() {
-			continue // it has left, or it was accepted meanwhile
+		if job == nil || job.State == "" && job.Known() || job.expiresFrom != at {
+			continue // it has left, it was accepted meanwhile, or it has ended later
 		}
+		job.expiresFrom = doneExpiring
 		records = append(records, job.drops(id, job.keys)...)
 		n++
 	}
--- a/internal/joblog/jobs_test.go
+++ b/internal/joblog/jobs_test.go
@@ -283,3 +283,17 @@
 	}
 	return s.Store.Read(ctx, topic, number, from, wait)
 }
+
+// Guards against the state of a job that is deleted before its time because the holder read the job's progress before its submission, so that
+// the job seemed never to have been accepted.
+func TestRetentionBeginsWithTheEnd(t *testing.T) {
+	is := is.New(t)
+	jobs := NewJobs()
+	is.NoErr(jobs.Apply(record(t, Progress{testID, ends(0, 1)}), 0))
+	is.NoErr(jobs.Apply(record(t, Submission{testJob(testID)}), 0))
+	ended := 100 * time.Second
+	is.NoErr(jobs.Apply(record(t, End{testID, work.Completed}), ended))
+	is.Equal(len(jobs.Expired(retention, retention, 10)), 0)
+	is.Equal(len(jobs.Expired(ended+retention, retention, 10)), 3)
+	is.Equal(len(jobs.Expired(ended+2*retention, retention, 10)), 0)
+}
