The state of a known job is read under the holder's lock

Cause: a repeated submission read the state after it had let the lock go, while an append may set it (TestStoredTwice, data race). Change: it is copied under the lock.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,6 +288,30 @@
 	is.Equal(c.Submit(t.Context(), job("d"), time.Now()).Result, ledger.NotSaved)
 }
 
+// Guards against the state of a job that is read while an append changes it. It needs the race detector.
+func TestRepeatedSubmissionDuringTheEnd(t *testing.T) {
+	is := is.New(t)
+	h := newHolder(t, keyed.New(), 32)
+	wait.For(t, "the log is held", h.held)
+	for n := range 20 {
+		id := work.JobID(rune('a' + n))
+		is.Equal(h.submit(id), relay.StoredDone)
+		var ended atomic.Bool
+		var repeats sync.WaitGroup
+		for range 4 {
+			repeats.Go(func() {
+				for !ended.Load() {
+					h.submit(id)
+				}
+			})
+		}
+		h.JobEnded(id, work.Completed)
+		is.Equal(h.state(id).State, work.Completed)
+		ended.Store(true)
+		repeats.Wait()
+	}
+}
+
 // Guards against a number of waiting jobs that was true some time ago, given while neither the holder nor the store can be asked.
 func TestPendingThatIsNotKnown(t *testing.T) {
 	is := is.New(t)
--- a/internal/ledger/submission.go
+++ b/internal/ledger/submission.go
@@ -25,8 +25,9 @@
 	known, live := h.jobs.Get(w.ID), h.live[w.ID]
 	switch {
 	case known.Known():
+		state := known.State
 		h.mu.Unlock()
-		reply(relay.StoredReply{Result: relay.StoredDone, State: known.State})
+		reply(relay.StoredReply{Result: relay.StoredDone, State: state})
 		return
 	case live != nil:
 		live.replies = append(live.replies, reply)
