Two tests prepare their stand-ins before they use them

Change: the field is set before the endpoints are polled; the job is submitted again while it is refused and nothing has started. The checks are the same.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -400,6 +400,9 @@
 	answer := make(chan int, 1)
 	go func() {
 		status, _ := a.post(id(1), 1)
+		for (status == 429 || status == 503) && len(d.fleet.Starts()) == 0 { // no endpoint has reported to the dispatcher yet
+			status, _ = a.post(id(1), 1)
+		}
 		answer <- status
 	}()
 	d.eventually("the job runs", func() bool { return d.fleet.Running() == 1 })
--- a/internal/shard/late_test.go
+++ b/internal/shard/late_test.go
@@ -16,8 +16,9 @@
 // expired submission: the caller may have submitted the job again at the same instance, which then places it elsewhere.
 func TestRefusalOfAnExpiredSubmissionTellsOfEarlierRuns(t *testing.T) {
 	is := is.New(t)
-	f, _, s, c := newLeadingDispatcher(t, 1, time.Hour)
+	f, all := newFleet(1, time.Hour)
 	f.LoseAnswer = func(call string) (bool, time.Duration) { return call == "stop", -1 } // stops are not carried out
+	s, c := lead(t, f, all), newClient()
 	submitUntilAccepted(t, s, c, &relay.Submit{Job: patientJob("a", 1), Number: 1})
 	wait.For(t, "the task runs", func() bool { return f.Running() == 1 })
 	s.Cancel(c, &relay.Cancel{Job: "a"})
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -148,11 +148,16 @@
 // newLeadingDispatcher returns a fleet, its registrations, a dispatcher that holds the term for it and a client.
 func newLeadingDispatcher(t *testing.T, n int, run time.Duration) (*fleet.Fleet, []work.Endpoint, *dispatcher, *client) {
 	f, all := newFleet(n, run)
+	return f, all, lead(t, f, all), newClient()
+}
+
+// lead returns a dispatcher that holds the term for the endpoints of a fleet, and polls them at once.
+func lead(t *testing.T, f *fleet.Fleet, all []work.Endpoint) *dispatcher {
 	s := newShard(f, func() {})
 	s.Begin(shard.Term{Fence: 1, Partitions: 1})
 	t.Cleanup(s.End)
 	s.register(all)
-	return f, all, s, newClient()
+	return s
 }
 
 func jobOf(id string, tasks int, estimate time.Duration) work.Job {
