A substitute reaches endpoints without a request

Cause: before a substitute joins a zone's group it has no fence, and asked an endpoint for a report with fence 0 to see whether it can be reached; two instances did. Change: it opens a connection and asks for nothing (EndpointClient.Reach). The check is unchanged. The fleet also tells which ends were noted while the lease had not lapsed, for the soak's checks.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -133,6 +133,14 @@
 	return c.EndpointClient.Stop(ctx, task, run, fence)
 }
 
+// Reach implements work.EndpointClient.
+func (c *crashableClient) Reach(ctx context.Context) error {
+	if c.dialer.crashed.Load() {
+		return work.ErrNoResponse
+	}
+	return c.EndpointClient.Reach(ctx)
+}
+
 // RenewLease implements work.EndpointClient.
 func (c *crashableClient) RenewLease(ctx context.Context, lease work.LeaseRequest) (work.Report, work.Refusal, error) {
 	if c.dialer.crashed.Load() {
--- a/internal/node/substitute.go
+++ b/internal/node/substitute.go
@@ -28,7 +28,7 @@
 	idleSubstitute = 5 * time.Second
 	// substituteLeave is how long an instance tries to leave the group of another zone.
 	substituteLeave = 3 * time.Second
-	// endpointProbes is the number of a zone's endpoints of which one has to answer, and endpointProbeTimeout how long that may take.
+	// endpointProbes is the number of a zone's endpoints of which one has to be reached, and endpointProbeTimeout how long that may take.
 	endpointProbes       = 3
 	endpointProbeTimeout = 400 * time.Millisecond
 )
@@ -93,21 +93,20 @@
 	endpoints := n.directory.Registered(s.zone)
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
 	for _, e := range endpoints[:min(len(endpoints), endpointProbes)] {
-		if n.answers(ctx, e) {
+		if n.reaches(ctx, e) {
 			return true
 		}
 	}
 	return false
 }
 
-// answers reports whether an endpoint answers a request that changes nothing there. A refusal is an answer, too.
-func (n *Node) answers(ctx context.Context, e work.Endpoint) bool {
+// reaches reports whether a connection to an endpoint can be opened. A request would need a fence, which this instance does not have yet.
+func (n *Node) reaches(ctx context.Context, e work.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, endpointProbeTimeout)
 	defer cancel()
 	c := n.opts.Dialer.Dial(e)
 	defer c.Close()
-	_, _, err := c.RenewLease(ctx, work.LeaseRequest{})
-	return err == nil
+	return c.Reach(ctx) == nil
 }
 
 // serve takes part in the zone's group until the zone has members of its own, ctx ends or a planned stop begins.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -27,6 +27,7 @@
 	StartedAt time.Time
 	EndedAt   time.Time // zero while the run is in progress
 	Reason    work.EndReason
+	Noted     bool // a dispatcher has acknowledged the end, and the lease had not lapsed since
 }
 
 // Fleet is a set of endpoints with a common record of all starts. It implements work.Dialer. Its methods may be called
@@ -39,7 +40,7 @@
 	// RunTime returns the run time of a task. It must not be changed after the first start.
 	RunTime func(work.TaskID) time.Duration
 	// LoseAnswer, if not nil, decides whether a call gets no response. A call without a response is carried out after the
-	// delay, or never if the delay is negative. The calls are "start", "stop", "hold" (a lease renewal) and "report" (the
+	// delay, or never if the delay is negative. The calls are "start", "stop", "reach", "hold" (a lease renewal) and "report" (the
 	// second part of a renewal that waits for an ended run).
 	LoseAnswer func(call string) (lost bool, delay time.Duration)
 	// StopTime is how long the stop of a run takes. Until it has ended, reports contain the run.
@@ -81,6 +82,8 @@
 	lastEndedRun   map[work.TaskID]int    // highest number of a run that has ended or was stopped
 	unacknowledged []work.End             // ends in the order of their sequence numbers
 	lastSequence   int64                  // sequence number of the latest end
+	ended          map[int64]*Start       // runs whose ends are not acknowledged, by sequence number
+	lapsedAt       time.Time              // when the lease last lapsed, as noticed by a later request
 	maxRunning     int                    // highest number of runs at the same time
 	silent         bool                   // answers no calls
 	down           bool                   // no process runs
@@ -99,7 +102,7 @@
 func (f *Fleet) newEndpoint(registration work.Endpoint) *endpoint {
 	return &endpoint{
 		fleet: f, registration: registration, startedAt: time.Now(), runs: map[work.TaskID]*Start{}, lastEndedRun: map[work.TaskID]int{},
-		changed: make(chan struct{}),
+		ended: map[int64]*Start{}, changed: make(chan struct{}),
 	}
 }
 
@@ -199,10 +202,22 @@
 	e.lastEndedRun[task] = max(e.lastEndedRun[task], run.Run)
 	e.lastSequence++
 	e.unacknowledged = append(e.unacknowledged, work.End{Sequence: e.lastSequence, Task: task, Run: run.Run, Reason: reason})
+	e.ended[e.lastSequence] = run
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
+// acknowledge forgets ends. It notes those whose lease has not lapsed since.
+func (e *endpoint) acknowledge(upTo int64) {
+	for len(e.unacknowledged) > 0 && e.unacknowledged[0].Sequence <= upTo {
+		sequence := e.unacknowledged[0].Sequence
+		run := e.ended[sequence]
+		run.Noted = e.lapsedAt.Before(run.EndedAt)
+		delete(e.ended, sequence)
+		e.unacknowledged = e.unacknowledged[1:]
+	}
+}
+
 // extendLease extends the lease and schedules the end of all runs at the lease's end. A lease is never shortened.
 func (e *endpoint) extendLease(leaseEnd time.Duration) {
 	if longest := e.fleet.MaxLease; longest > 0 {
@@ -252,6 +267,12 @@
 	changed chan struct{} // closed when the next run ends; nil if the report already lists ended runs
 }
 
+// Reach implements work.EndpointClient.
+func (c *client) Reach(ctx context.Context) error {
+	_, err := send(ctx, c, "reach", func(*endpoint) bool { return true })
+	return err
+}
+
 // RenewLease implements work.EndpointClient.
 func (c *client) RenewLease(ctx context.Context, lease work.LeaseRequest) (work.Report, work.Refusal, error) {
 	first, err := transmit(ctx, c, "hold", requestBytes, func(e *endpoint) renewal { return e.renewLease(lease) })
@@ -273,10 +294,11 @@
 		return renewal{refusal: work.Fenced}
 	}
 	e.fence = lease.Fence
-	e.extendLease(lease.LeaseEnd)
-	for len(e.unacknowledged) > 0 && e.unacknowledged[0].Sequence <= lease.Acknowledged {
-		e.unacknowledged = e.unacknowledged[1:]
+	if e.clock() >= e.leaseEnd {
+		e.lapsedAt = time.Now()
 	}
+	e.acknowledge(lease.Acknowledged)
+	e.extendLease(lease.LeaseEnd)
 	answer := renewal{report: e.report()}
 	if len(e.unacknowledged) == 0 {
 		answer.changed = e.changed
--- a/internal/work/endpoint.go
+++ b/internal/work/endpoint.go
@@ -123,6 +123,8 @@
 	// RenewLease extends the lease of all runs on the endpoint, acknowledges ended runs and returns a report. If there
 	// are no unacknowledged ends, the endpoint waits for one at most lease.Wait before it responds.
 	RenewLease(ctx context.Context, lease LeaseRequest) (Report, Refusal, error)
+	// Reach returns an error if no connection to the endpoint can be opened. The endpoint is asked for nothing.
+	Reach(ctx context.Context) error
 	// Close releases all connections.
 	Close()
 }
