Stored jobs in the fault soak, zones that lose all instances, endpoints that come

Change: a third of the callers store their jobs, follow their states and cancel some; checks for starts after a noted success, after all attempts and after a cancel, for lost jobs and false states, and for jobs that have not ended 14 s after the load; two further faults.

--- a/Makefile
+++ b/Makefile
@@ -40,13 +40,14 @@
 		-chaos.seed=$(SEED) -chaos.runs=$(RUNS) $(if $(PROCESSES),-chaos.processes)
 
 # Real instances on the users' platform with random faults from outside: make soak SEED=1 MINUTES=0.15 INSTANCES=4 RUNS=2. PARALLEL
-# runs at the same time; each instance is a process. DIR keeps the logs and histories of failed runs.
+# runs at the same time; each instance is a process. DIR keeps the logs and histories of failed runs. STORED=false leaves stored jobs out.
 MINUTES ?= 0.15
 INSTANCES ?= 4
 CALLERS ?= 3
+STORED ?= true
 soak:
 	go test ./internal/soak -run '^TestSoak$$' -count=1 -timeout 3h -parallel $(PARALLEL) -v \
-		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.callers=$(CALLERS) -soak.runs=$(RUNS) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
+		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.callers=$(CALLERS) -soak.runs=$(RUNS) -soak.stored=$(STORED) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
 
 # Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
 demo-up: build
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -45,18 +45,21 @@
 	reader *bufio.Reader
 	left   int       // requests until the caller opens another connection
 	only   *instance // the only instance that the caller uses, without faults on the way; nil for any
+	stores bool      // the caller's jobs are stored
 }
 
 func (c *caller) loop(ctx context.Context) {
 	defer c.disconnect()
 	for ctx.Err() == nil {
-		c.submit()
+		if j := c.submit(); j.Stored != nil {
+			c.follow(ctx, j)
+		}
 		time.Sleep(between(c.rand, 0, maxThink))
 	}
 }
 
 // submit submits a job until it gets a final answer or a refusal, at another instance after a broken connection.
-func (c *caller) submit() {
+func (c *caller) submit() *job {
 	j, body := c.newJob()
 	deadline := shortDeadline
 	if c.rand.IntN(longDeadlinePart) == 0 {
@@ -65,12 +68,16 @@
 	c.run.record.addJob(j)
 	for range maxSubmissions {
 		outcome := c.send(j, body, deadline)
+		if outcome.Status == 200 && j.Stored != nil {
+			c.run.record.accepted(j)
+		}
 		if outcome.Status == 200 || !outcome.Broken && outcome.Status != 502 && outcome.Status != 504 {
-			return
+			break
 		}
 		c.disconnect()
 		time.Sleep(c.run.repeat)
 	}
+	return j
 }
 
 func (c *caller) newJob() (*job, []byte) {
@@ -82,6 +89,10 @@
 	for _, tasks := range j.Steps {
 		steps = append(steps, standin.Step{Tasks: tasks, Size: taskSize, Estimate: between(c.rand, 20*time.Millisecond, 600*time.Millisecond)})
 	}
+	if c.stores {
+		j.Stored = &storedState{}
+		return j, standin.StoredJob(steps...)
+	}
 	return j, standin.Job(steps...)
 }
 
@@ -100,7 +111,7 @@
 		wait = between(c.rand, 10*time.Millisecond, 300*time.Millisecond)
 	}
 	c.conn.SetDeadline(time.Now().Add(wait))
-	resp, err := c.exchange(j, body, deadline)
+	resp, err := c.exchange("POST", j, body, deadline)
 	if err != nil {
 		if resets {
 			abort(c.conn)
@@ -127,10 +138,10 @@
 	return outcome
 }
 
-func (c *caller) exchange(j *job, body []byte, deadline time.Duration) (*fasthttp.Response, error) {
+func (c *caller) exchange(method string, j *job, body []byte, deadline time.Duration) (*fasthttp.Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethod("POST")
+	req.Header.SetMethod(method)
 	req.SetRequestURI(jobsPrefix + string(j.ID))
 	req.Header.SetHost(host)
 	req.Header.SetContentType("application/json")
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -44,6 +44,11 @@
 	{"configuration is in force in time", lateConfigs},
 	{"configuration never goes back", revertedConfigs},
 	{"planned stops cut no request", cutRequests},
+	{"no stored task starts after a noted success", startsAfterSuccess},
+	{"no stored task starts after its attempts", startsAfterAttempts},
+	{"stored jobs are not lost", lostJobs},
+	{"stored states are true", falseStates},
+	{"cancelled jobs stop", startsAfterCancel},
 }
 
 // maxSlack is the longest pause of the soak itself that only extends bounds. During a longer one the stand-ins and relays, which
@@ -130,6 +135,8 @@
 	switch {
 	case a.Status == 0, refused(a), a.Status == 502, a.Status == 504:
 		return ""
+	case j.Stored != nil && a.Status == 200 && a.State != work.Completed && a.State != work.Failed:
+		return ""
 	case a.Status == 200 && a.State == work.Completed:
 		for _, task := range j.tasks() {
 			if count(runs[task], work.EndSucceeded, a.Ended) == 0 {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -14,18 +14,21 @@
 )
 
 const (
-	maxFaults     = 4 // at the same time
-	minFault      = 200 * time.Millisecond
-	maxFault      = 5 * time.Second
-	minFaultGap   = 100 * time.Millisecond
-	maxFaultGap   = 900 * time.Millisecond
-	maxSeries     = 4 // repetitions of one fault
-	maxDownTime   = 2 * time.Second
-	maxLinkDelay  = 300 * time.Millisecond
-	maxChoke      = 2 * time.Second // delay of data on choked links
-	chokeRamp     = 2               // time in which the delay of choked links grows, in delays; a faster growth would hold heartbeats back
-	maxStoreDelay = 900 * time.Millisecond
-	maxLateOrder  = 5 * time.Second
+	maxFaults      = 4 // at the same time
+	minFault       = 200 * time.Millisecond
+	maxFault       = 5 * time.Second
+	minFaultGap    = 100 * time.Millisecond
+	maxFaultGap    = 900 * time.Millisecond
+	maxSeries      = 4 // repetitions of one fault
+	maxDownTime    = 2 * time.Second
+	minZoneLoss    = 2 * time.Second
+	maxZoneLoss    = 9 * time.Second
+	endpointsAdded = 5
+	maxLinkDelay   = 300 * time.Millisecond
+	maxChoke       = 2 * time.Second // delay of data on choked links
+	chokeRamp      = 2               // time in which the delay of choked links grows, in delays; a faster growth would hold heartbeats back
+	maxStoreDelay  = 900 * time.Millisecond
+	maxLateOrder   = 5 * time.Second
 )
 
 // fault is a kind of fault. inject blocks until the fault is over.
@@ -59,6 +62,12 @@
 	{"configuration", 3, (*run).changeConfig},
 }
 
+// faultsWithStoredJobs come besides if the run has stored jobs.
+var faultsWithStoredJobs = []fault{
+	{"zone lost", 2, (*run).loseZone},
+	{"endpoints come", 1, (*run).addEndpoints},
+}
+
 // injectFaults injects the random faults of a round until ctx ends, and waits until all are over.
 func (r *run) injectFaults(ctx context.Context, round uint64) {
 	rnd := rand.New(rand.NewPCG(r.seed, round<<32))
@@ -66,7 +75,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := uint64(0); ; n++ {
-		f, length, series := pick(rnd), between(rnd, minFault, maxFault), 1
+		f, length, series := r.pick(rnd), between(rnd, minFault, maxFault), 1
 		if rnd.IntN(4) == 0 {
 			series += rnd.IntN(maxSeries)
 		}
@@ -90,13 +99,17 @@
 	}
 }
 
-func pick(rnd *rand.Rand) fault {
+func (r *run) pick(rnd *rand.Rand) fault {
+	all := faults
+	if r.stores {
+		all = slices.Concat(faults, faultsWithStoredJobs)
+	}
 	sum := 0
-	for _, f := range faults {
+	for _, f := range all {
 		sum += f.weight
 	}
 	n := rnd.IntN(sum)
-	for _, f := range faults {
+	for _, f := range all {
 		if n -= f.weight; n < 0 {
 			return f
 		}
@@ -145,6 +158,40 @@
 	})
 }
 
+// loseZone kills all instances of a zone and starts them again after a time in which those of the other zone take their place.
+func (r *run) loseZone(rnd *rand.Rand, _ time.Duration) {
+	zone := zones[rnd.IntN(len(zones))]
+	var lost []*instance
+	var who []string
+	for _, i := range r.instances {
+		if i.spec.Zone != zone || !i.claim() {
+			continue
+		}
+		defer i.release()
+		lost = append(lost, i)
+		who = append(who, i.spec.Name, callersOf(i.spec.Name))
+	}
+	defer r.begin("zone lost", zone, who...)()
+	for _, i := range lost {
+		i.kill()
+	}
+	time.Sleep(between(rnd, minZoneLoss, maxZoneLoss))
+	for _, i := range lost {
+		r.restart(rnd, i)
+	}
+}
+
+// addEndpoints adds endpoints to a zone, which may be divided further then.
+func (r *run) addEndpoints(rnd *rand.Rand, _ time.Duration) {
+	zone := zones[rnd.IntN(len(zones))]
+	defer r.begin("endpoints come", zone)()
+	for range endpointsAdded {
+		if err := r.addEndpoint(zone); err != nil {
+			r.record.problem("endpoint of %s: %v", zone, err)
+		}
+	}
+}
+
 func (r *run) pauseInstance(rnd *rand.Rand, length time.Duration) {
 	r.withInstance(rnd, "pause", true, func(i *instance) {
 		i.signal(syscall.SIGSTOP)
--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := newRun(outdatedSeed, build(t), dir, outdatedInstances, retransmitTime)
+	r, err := newRun(outdatedSeed, build(t), dir, outdatedInstances, retransmitTime, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -29,6 +29,7 @@
 	ID       work.JobID
 	Steps    []int // number of tasks of each step
 	Attempts []attempt
+	Stored   *storedState // nil for a job whose caller waits
 }
 
 // probe is a request that tells whether an instance knows the route that came with a configuration.
@@ -257,7 +258,7 @@
 		drains: slices.Clone(r.drains), callers: callers,
 	}
 	for _, j := range r.jobs {
-		v.jobs = append(v.jobs, job{j.ID, j.Steps, slices.Clone(j.Attempts)})
+		v.jobs = append(v.jobs, job{j.ID, j.Steps, slices.Clone(j.Attempts), j.Stored.clone()})
 	}
 	for _, s := range r.spans {
 		v.spans = append(v.spans, *s)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -40,6 +40,7 @@
 	seed         uint64
 	dir          string
 	repeat       time.Duration // time after which callers submit a job again
+	stores       bool          // some callers' jobs are stored
 	record       *record
 	network      *network
 	keyed        *keyed.Store
@@ -66,9 +67,9 @@
 }
 
 // newRun starts the stand-ins and the instances.
-func newRun(seed uint64, program, dir string, instances int, repeat time.Duration) (*run, error) {
+func newRun(seed uint64, program, dir string, instances int, repeat time.Duration, stores bool) (*run, error) {
 	r := &run{
-		seed: seed, dir: dir, repeat: repeat, record: newRecord(), network: newNetwork(), keyed: keyed.New(), rand: rand.New(rand.NewPCG(seed, 0)),
+		seed: seed, dir: dir, repeat: repeat, stores: stores, record: newRecord(), network: newNetwork(), keyed: keyed.New(), rand: rand.New(rand.NewPCG(seed, 0)),
 		notReady: map[*instance]bool{}, storeFaults: map[*storeFault]bool{}, orderFaults: map[*orderFault]bool{},
 	}
 	r.record.note("seed %d, %d instances, callers submit again after %v", seed, instances, r.repeat)
@@ -252,7 +253,7 @@
 func (r *run) load(ctx context.Context) {
 	var wg sync.WaitGroup
 	for n := range *soakCallers * len(r.instances) {
-		c := &caller{run: r, rand: rand.New(rand.NewPCG(r.seed, uint64(1000+n)))}
+		c := &caller{run: r, rand: rand.New(rand.NewPCG(r.seed, uint64(1000+n))), stores: r.stores && n%storingPart == 0}
 		wg.Go(func() { c.loop(ctx) })
 	}
 	for _, i := range r.instances {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 	soakInstances = flag.Int("soak.instances", 4, "number of instances of a run")
 	soakCallers   = flag.Int("soak.callers", 3, "number of callers for each instance")
 	soakRuns      = flag.Int("soak.runs", 2, "number of runs; up to -parallel of them at the same time")
+	soakStored    = flag.Bool("soak.stored", true, "some callers' jobs are stored, and zones may lose all instances or get endpoints")
 	soakProgram   = flag.String("soak.program", "", "executable of the instances; it is built if empty")
 	soakDir       = flag.String("soak.dir", "", "directory for the logs and histories of failed runs; a temporary one if empty")
 )
@@ -57,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := newRun(seed, program, dir, *soakInstances, drawRepeat(seed))
+	r, err := newRun(seed, program, dir, *soakInstances, drawRepeat(seed), *soakStored)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,6 +110,7 @@
 	r.killAll()
 	cancel()
 	<-loaded
+	r.awaitStored()
 }
 
 // calm lets all bounds apply that hold only without disturbances, with planned changes only: a configuration, an endpoint that
