The end of another dispatcher's job counts only where the job is stored

Cause: the failed end of a job whose caller waits was passed on while its instance was away, and the holder of the log put it on record once more, without the endpoint; one failed run counted as two. Change: a dispatcher counts ends that are passed on to it only for stored jobs that it holds. Evidence: without the change stored_test.go:232: 1 != 0.

--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -318,7 +318,7 @@
 		return Undecided
 	}
 	r := record()
-	if r == RecordedSoon {
+	if s.stored[end.Task.Job] != nil { // the dispatcher that has reported the end counts those of other jobs
 		s.finish(s.pool.EndElsewhere(end, s.opts.Now()))
 		s.dispatch()
 	}
--- a/internal/shard/stored_test.go
+++ b/internal/shard/stored_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -213,3 +214,27 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a failed run that counts twice, for a job whose caller waits: its end was passed on to the holder of the log, since nobody
+// knew yet that the job is not stored, and the holder's record of it lacked the endpoint.
+func TestEndOfAnotherDispatchersJobIsNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(1, time.Second)
+		history := attempt.NewHistory()
+		s := newShardWith(f, func(o *shard.Options) { o.Ledger, o.History = &jobLedger{}, history })
+		s.Begin(shard.Term{Fence: 1, Partitions: 2})
+		s.register(all)
+		time.Sleep(time.Second)
+		failed := work.End{Sequence: 1, Task: work.TaskID{Job: "a"}, Run: 1, Reason: work.EndFailed}
+		record := func() shard.Recording { return shard.RecordedSoon }
+		is.Equal(s.StoredEnd(1, failed, record), shard.RecordedSoon)
+		is.Equal(history.Count(failed.Task, attempt.Failed), 0)
+		job := jobOf("a", 2, time.Second)
+		is.True(s.ResumeStored(1, func() []shard.ResumedJob { return []shard.ResumedJob{{Job: &job}} }, ownsAll))
+		is.Equal(s.StoredEnd(1, failed, record), shard.RecordedSoon)
+		is.Equal(history.Count(failed.Task, attempt.Failed), 1)
+		s.End()
+		time.Sleep(time.Second)
+	})
+}
