--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -115,13 +115,11 @@
 	opts       Options
 	dispatcher Dispatcher
 
-	mu         sync.Mutex
-	fence      int64
-	partition  int                // of the zone; that of the dispatcher
-	partitions int                // number of partitions of the zone; 0 if none is dispatched
-	ctx        context.Context    // ends with the fence
-	cancel     context.CancelFunc // ends ctx
-	holders    map[int]*holder    // by partition of the log
+	mu      sync.Mutex
+	share   Share
+	ctx     context.Context    // ends with the share
+	cancel  context.CancelFunc // ends ctx
+	holders map[int]*holder    // by partition of the log
 	// ended holds the jobs that have ended while their holder could not record it. Their ends are recorded by its next term.
 	ended map[work.JobID]work.State
 }
@@ -148,11 +146,11 @@
 func (l *Ledger) Sync(s Share) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s.Fence != l.fence || s.Partitions != l.partitions {
+	if s != l.share {
 		l.cancel()
 		l.ctx, l.cancel = context.WithCancel(context.Background())
 	}
-	l.fence, l.partition, l.partitions = s.Fence, s.Partition, s.Partitions
+	l.share = s
 	for p := range l.opts.LogPartitions {
 		wanted := s.Partitions > 0 && DispatcherOf(p, l.opts.LogPartitions, s.Partitions) == s.Partition
 		h := l.holders[p]
--- a/internal/ledger/neighbours.go
+++ b/internal/ledger/neighbours.go
@@ -19,9 +19,8 @@
 // once the zone's other dispatchers have nothing more to report on its jobs.
 
 const (
-	// passOnPause is the pause before an end is passed on again, and neighbourPause that before another dispatcher is asked again.
-	passOnPause    = 40 * time.Millisecond
-	neighbourPause = 40 * time.Millisecond
+	// neighbourPause is the pause before an end is passed on again, or another dispatcher is asked again. Each try may look a dispatcher up.
+	neighbourPause = 100 * time.Millisecond
 	// maxNeighbourWait is how long a holder waits for the zone's other dispatchers. A dispatcher that has not answered for that long does not
 	// extend leases either, if it is dead or cut off, so the ends that its endpoints list come from runs whose lease has lapsed.
 	maxNeighbourWait = 6 * time.Second
@@ -45,7 +44,7 @@
 				recorded()
 				return
 			}
-			pause.For(ctx, passOnPause, nil)
+			pause.For(ctx, neighbourPause, nil)
 		}
 	}()
 }
--- a/internal/node/substitute.go
+++ b/internal/node/substitute.go
@@ -125,14 +125,20 @@
 	relays.Stored = d.ledgers.handle
 	log.WithField("event", "substitute").Info("ready to dispatch in place of the zone's instances")
 	s.active.Store(d)
+	followed := make(chan struct{})
+	go func() {
+		n.followTerms(ctx, d)
+		close(followed)
+	}()
 	go relays.Run(ctx)
-	go n.followTerms(ctx, d)
 	go d.lead.Run(ctx)
 	go d.lead.Follow(ctx, []string{s.zone}, func() bool { return true })
 	s.awaitOwn(ctx, d)
 	leaving, stop := context.WithTimeout(ctx, substituteLeave)
 	defer stop()
 	d.lead.Leave(leaving)
+	cancel()
+	<-followed // no earlier term is applied after this
 	d.shards.setTerm(lead.Term{Generation: d.lead.Term().Generation})
 	s.active.Store(nil)
 	log.WithField("event", "substitute_ended").Info("the zone's instances dispatch themselves")
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -31,17 +33,31 @@
 	return standin.Order{At: at(ms), Caller: caller, Address: "a:1", Endpoint: "e1", Start: true, Task: taskOf(0, 0), Run: 1, Fence: fence}
 }
 
-// soundView returns the view of a run in which all promises hold: a job of two steps, three revisions of the configuration, a
-// planned stop and an endpoint that leaves.
+var storedTask = work.TaskID{Job: "stored"}
+
+// notedRun returns a run of the stored job's task at an endpoint of its own whose end was noted.
+func notedRun(from, to int, reason work.EndReason) fleet.Start {
+	s := ranAt(work.EndpointID(fmt.Sprint("stored", from)), storedTask, from, to, reason)
+	s.Noted = true
+	return s
+}
+
+// soundView returns the view of a run in which all promises hold: a job of two steps, two stored jobs of which one is cancelled, three
+// revisions of the configuration, a planned stop and an endpoint that leaves.
 func soundView() *view {
 	return &view{
 		at: at(60_000),
 		jobs: []job{{ID: "j", Steps: []int{2, 1}, Attempts: []attempt{
 			{Instance: "i1", Sent: at(0), Ended: at(400), Status: 200, State: work.Completed},
-		}}, {ID: "refused", Steps: []int{1}, Attempts: []attempt{{Instance: "i1", Sent: at(0), Ended: at(1), Status: 503}}}},
+		}}, {ID: "refused", Steps: []int{1}, Attempts: []attempt{{Instance: "i1", Sent: at(0), Ended: at(1), Status: 503}}}, {
+			ID: "stored", Steps: []int{1}, Stored: &storedState{Accepted: at(50), Answers: []stateAnswer{
+				{Instance: "i1", Sent: at(500), Ended: at(501), Status: 200, State: work.Completed},
+			}},
+		}, {ID: "cancelled", Steps: []int{1}, Stored: &storedState{Accepted: at(50), Cancel: at(60), Cancelled: at(70)}}},
 		starts: []fleet.Start{
 			ranAt("e1", taskOf(0, 0), 10, 100, work.EndSucceeded), ranAt("e2", taskOf(0, 1), 10, 200, work.EndSucceeded),
 			ranAt("e1", taskOf(1, 0), 210, 300, work.EndSucceeded),
+			notedRun(60, 80, work.EndFailed), notedRun(100, 200, work.EndSucceeded),
 		},
 		orders:    []standin.Order{orderAt(10, "1", 5), orderAt(20_000, "2", 6)},
 		published: []time.Time{at(0), at(1000), at(2000)},
@@ -122,6 +138,29 @@
 	},
 }
 
+// plantedStored holds the changes for the rules on stored jobs.
+var plantedStored = map[string][]func(v *view){
+	"no stored task starts after a noted success": {
+		func(v *view) { v.starts = append(v.starts, notedRun(201, 300, work.EndStopped)) },
+	},
+	"no stored task starts after its attempts": {
+		func(v *view) { v.starts = append(v.starts, notedRun(81, 90, work.EndFailed)) },
+	},
+	"stored jobs are not lost": {
+		func(v *view) { v.jobs[2].Stored.Answers[0] = stateAnswer{Sent: at(3051), Ended: at(3052), Status: 410} },
+		func(v *view) { v.jobs[2].Stored.Answers[0].State = work.Cancelled },
+	},
+	"stored states are true": {
+		func(v *view) { v.jobs[2].Stored.Answers[0].Ended = at(199) },
+		func(v *view) { v.jobs[2].Stored.Answers[0].State = work.Failed },
+	},
+	"cancelled jobs stop": {func(v *view) {
+		late := orderAt(3071, "1", 5)
+		late.Task = work.TaskID{Job: "cancelled"}
+		v.orders = append(v.orders, late)
+	}},
+}
+
 // Guards against a check that does not notice the fault that it is there for, and against one that finds a fault in a sound
 // run.
 func TestPlantedFaultsAreFound(t *testing.T) {
@@ -129,8 +168,9 @@
 		t.Run(rule.name, func(t *testing.T) {
 			is := is.New(t)
 			is.Equal(len(rule.check(soundView())), 0)
-			is.True(len(planted[rule.name]) > 0)
-			for _, plant := range planted[rule.name] {
+			plants := slices.Concat(planted[rule.name], plantedStored[rule.name])
+			is.True(len(plants) > 0)
+			for _, plant := range plants {
 				v := soundView()
 				plant(v)
 				is.True(len(rule.check(v)) > 0)
