--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -59,8 +59,7 @@
 	// EndpointsKnown reports whether this instance knows the zone's endpoints. As long as it does not, the instance leaves
 	// the partitions to the members that hold them. Nil means always.
 	EndpointsKnown func() bool
-	// Substitute marks an instance of another zone. It joins only while the zone's own members, of which it knows none, and other
-	// substitutes lack the capacity that is needed, however strong it is.
+	// Substitute marks an instance of another zone. However strong it is, it joins only while the members lack capacity.
 	Substitute bool
 	// OnChange is called with this instance's new term. Calls are made in order; they must not block or call the controller.
 	OnChange func(term Term)
