--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -154,7 +154,8 @@
 // startIn starts an instance of a zone.
 func (d *deployment) startIn(zone, name string) *instance {
 	d.t.Helper()
-	callers, health, relays, operators := address.Free(), address.Free(), address.Free(), address.Free()
+	callers, health, operators := address.Free(), address.Free(), address.Free()
+	relays := address.FreeRun("127.0.0.1", len(d.zones))
 	log := logrus.New()
 	written := &output{}
 	log.SetOutput(written)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -97,7 +97,7 @@
 func (r *run) newInstance(program string, n int) *instance {
 	name := fmt.Sprint("i", n+1)
 	ip := "127.0.0." + strconv.Itoa(firstInstanceIP+n)
-	_, port, _ := net.SplitHostPort(address.FreeAt(ip))
+	_, port, _ := net.SplitHostPort(address.FreeRun(ip, len(zones)))
 	relayPort, _ := strconv.Atoi(port)
 	return &instance{program: program, dir: r.dir, spec: standin.Instance{
 		Name: name, Zone: zones[n%len(zones)], Zones: zones, IP: ip, Callers: address.FreeAt(ip), Health: address.FreeAt(ip), Store: r.network.Route(ip, r.storeAddress),
