--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -257,6 +257,16 @@
 
 func (unreachable) Send(string, *relay.StoredRequest, func(*relay.StoredReply)) bool { return false }
 
+// newCutOffClient returns a client of a zone with one partition that reaches the store and no holder.
+func newCutOffClient(s *keyed.Store, vacancy func(string) time.Duration) *ledger.Client {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return ledger.NewClient(ledger.ClientOptions{
+		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
+		Announce: func(context.Context) error { return nil }, Vacancy: vacancy, Logger: log,
+	})
+}
+
 // Guards against a job or a cancel that is lost when its instance cannot reach the holder, and against a refusal of a job that the store
 // has.
 func TestAppendInPlaceOfTheHolder(t *testing.T) {
@@ -264,12 +274,7 @@
 	s := keyed.New()
 	h := newHolder(t, s, 32)
 	wait.For(t, "the log is held", h.held)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	c := ledger.NewClient(ledger.ClientOptions{
-		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
-		Announce: func(context.Context) error { return nil }, Logger: log,
-	})
+	c := newCutOffClient(s, nil)
 	s.FailAppends(keyed.LoseAnswer, keyed.Refuse)
 	is.Equal(c.Submit(t.Context(), job("a"), time.Now()).Result, ledger.Done)
 	wait.For(t, "the holder finds the job", func() bool { return h.has(&h.added, "a") })
@@ -316,12 +321,7 @@
 func TestPendingThatIsNotKnown(t *testing.T) {
 	is := is.New(t)
 	s := keyed.New()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	c := ledger.NewClient(ledger.ClientOptions{
-		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
-		Announce: func(context.Context) error { return nil }, Logger: log,
-	})
+	c := newCutOffClient(s, nil)
 	waiting, ok := c.Pending(t.Context(), "q")
 	is.True(ok)
 	is.Equal(waiting, 0)
@@ -341,13 +341,8 @@
 func TestSubmissionToAVacantZone(t *testing.T) {
 	is := is.New(t)
 	s := keyed.New()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	vacancy := 2 * time.Second
-	c := ledger.NewClient(ledger.ClientOptions{
-		Transport: unreachable{}, Log: s, Topic: func(string) string { return topic }, Zones: []string{"north"}, LogPartitions: 1,
-		Announce: func(context.Context) error { return nil }, Logger: log, Vacancy: func(string) time.Duration { return vacancy },
-	})
+	c := newCutOffClient(s, func(string) time.Duration { return vacancy })
 	is.Equal(c.Submit(t.Context(), job("a"), time.Now()).Result, ledger.Done)
 	vacancy = 20 * time.Second
 	is.Equal(c.Submit(t.Context(), job("b"), time.Now()).Result, ledger.NotSaved)
