--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,8 @@
 	outcomeGaveUp  = "gave_up"          // in the log
 	outcomeStopped = "stopped"          // in the log
 	outcomeLost    = "dispatcher_lost"  // in the log
+	// outcomeRepeated is that of an earlier request of a job that another request repeats at this instance, in the log.
+	outcomeRepeated = "repeated"
 	// movedUnreachable and movedUnsent are why a job leaves a target that has not got it, in the log. Other reasons are outcomeLost and
 	// those of refusals.
 	movedUnreachable = "unreachable" // the dispatcher is not known or not connected
@@ -286,6 +288,7 @@
 	before := old.exchange
 	old.exchange, old.deadline = repeated.exchange, repeated.deadline
 	old.exchange.OnDisconnect(func() { g.noteDeparture(old, repeated.exchange) })
+	g.logger(old, outcomeRepeated, 502).WithField("repeat", relay.RequestName(repeated.request)).Info("request")
 	before.Reply(502, g.opts.Codec.EncodeError("the job was submitted again in a later request"), 0)
 }
 
@@ -349,7 +352,7 @@
 // logger returns a logger with the fields of a request.
 func (g *Gateway) logger(p *pending, outcome string, status int) logrus.FieldLogger {
 	return g.opts.Log.WithFields(logrus.Fields{
-		"event": "request", "job": p.job.ID, "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
+		"event": "request", "job": p.job.ID, "request": relay.RequestName(p.request), "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
 		"status": status, "zone": p.target.Zone, "partition": p.target.Partition, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
 	})
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -47,7 +47,7 @@
 		return
 	}
 	g.opts.Log.WithFields(logrus.Fields{
-		"event": "placed", "job": p.job.ID, "why": p.movedBy, "zone": p.target.Zone, "partition": p.target.Partition, "number": p.submission,
+		"event": "placed", "job": p.job.ID, "request": relay.RequestName(p.request), "why": p.movedBy, "zone": p.target.Zone, "partition": p.target.Partition, "number": p.submission,
 		"resumed": p.orphaned, "ms": time.Since(p.arrived).Milliseconds(),
 	}).Info("job placed at another dispatcher")
 	p.movedBy = ""
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -28,6 +28,9 @@
 	return n == other || n == 0 || other == 0
 }
 
+// RequestName returns the name of a caller's request in log lines.
+func RequestName(request uint64) string { return fmt.Sprintf("%016x", request) }
+
 // Submit asks a dispatcher to run a job, or to continue it.
 type Submit struct {
 	Job    work.Job         `msgpack:"j"`
