Soak: a caller's path that hides a reset from the instance

Links can hold the end of a connection back, for a time or for good, and reset the side of their users alone.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -164,8 +164,12 @@
 
 // connect opens a connection to a random instance in rotation, and not to the last one if there is another.
 func (c *caller) connect() bool {
-	address := ""
-	c.at, address = c.choose()
+	return c.dial(c.choose())
+}
+
+// dial opens a connection to an instance at an address.
+func (c *caller) dial(at *instance, address string) bool {
+	c.at = at
 	c.left = 1 + c.rand.IntN(requestsPerConn)
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -85,8 +85,12 @@
 	ramp  time.Duration // time in which the delay grows from 0; without it, its beginning is a gap
 	cut   [2]bool       // by direction; data is held until the cut ends
 	ways  [2]bool       // directions that are delayed; both if none is set
+	// By direction, how much later than data the end of a connection passes. What the other side sends meanwhile is lost.
+	holdEnd [2]time.Duration
 }
 
+const forGood = time.Hour // as holdEnd; the run ends before
+
 // link is a loopback relay.
 type link struct {
 	from, to string
@@ -102,7 +106,8 @@
 	user, target net.Conn
 	silent       atomic.Bool // passes nothing further
 	closed       atomic.Bool
-	ended        atomic.Int32 // directions that have ended
+	held         [2]atomic.Bool // the end of the direction is held back
+	ended        atomic.Int32   // directions that have ended
 }
 
 func (l *link) address() string { return l.listener.Addr().String() }
@@ -126,6 +131,13 @@
 	}
 }
 
+// resetUsers resets the open connections for their users only. The targets learn of it as of any end that comes from the users.
+func (l *link) resetUsers() {
+	for _, p := range l.open() {
+		abort(p.user)
+	}
+}
+
 // silence makes the open connections pass nothing further. New ones work.
 func (l *link) silence() {
 	for _, p := range l.open() {
@@ -186,11 +198,12 @@
 	for c := range chunks {
 		l.hold(p, direction, c.at)
 		if len(c.data) > 0 {
-			if _, err := sink.Write(c.data); err != nil {
+			if _, err := sink.Write(c.data); err != nil && !l.holdsEnd(p, 1-direction) {
 				c.err = err
 			}
 		}
 		if c.err != nil {
+			l.awaitEnd(p, direction, c.at)
 			l.ended(p, sink, c.err)
 			break
 		}
@@ -225,6 +238,30 @@
 	}
 }
 
+// holdsEnd reports whether an end of a direction is or would be held back.
+func (l *link) holdsEnd(p *pipe, direction int) bool {
+	return p.held[direction].Load() || l.endDelay(direction) > 0
+}
+
+// awaitEnd waits until an end that was read at a time may pass.
+func (l *link) awaitEnd(p *pipe, direction int, read time.Time) {
+	delay := l.endDelay(direction)
+	p.held[direction].Store(delay > 0)
+	for !p.closed.Load() && time.Since(read) < delay {
+		time.Sleep(holdInterval)
+	}
+}
+
+// endDelay returns for how long the present faults hold ends of a direction back.
+func (l *link) endDelay(direction int) (delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for f := range l.faults {
+		delay = max(delay, f.holdEnd[direction])
+	}
+	return delay
+}
+
 // effect returns the longest delay of the present faults and whether one of them cuts a direction.
 func (l *link) effect(direction int) (delay time.Duration, held bool) {
 	l.mu.Lock()
--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -29,6 +29,7 @@
 	fillerLead        = 400 * time.Millisecond  // from the start of the filler until the other instances know of it
 	fillerTime        = 1400 * time.Millisecond // ends before the second submission
 	taskTime          = 700 * time.Millisecond
+	longTaskTime      = 3 * time.Second // is not over when the caller submits the job again
 	slowPeriod        = 70 * time.Millisecond
 	slowRunning       = 2 * time.Millisecond
 	slowTime          = 4 * time.Second
@@ -67,8 +68,11 @@
 	})
 	r.fleet.Fails = nil
 	r.fleet.RunTime = func(task work.TaskID) time.Duration {
-		if strings.HasPrefix(string(task.Job), "f") {
+		switch task.Job[0] {
+		case 'f':
 			return fillerTime
+		case 'c':
+			return longTaskTime
 		}
 		return taskTime
 	}
@@ -128,12 +132,22 @@
 
 // submit submits a job of one task at an instance and returns the caller's connection. The answer is awaited in the background.
 func (c *cast) submit(t *testing.T, id work.JobID, at *instance) (net.Conn, chan attempt) {
-	return c.submitBody(t, id, at, standin.Job(standin.Step{Tasks: 1, Size: taskSize, Estimate: 100 * time.Millisecond}))
+	return c.submitBody(t, id, at, smallJob())
+}
+
+// smallJob returns the body of a job of one task.
+func smallJob() []byte {
+	return standin.Job(standin.Step{Tasks: 1, Size: taskSize, Estimate: 100 * time.Millisecond})
 }
 
 func (c *cast) submitBody(t *testing.T, id work.JobID, at *instance, body []byte) (net.Conn, chan attempt) {
+	return c.submitOver(t, id, at, at.spec.Callers, body)
+}
+
+// submitOver submits a job at an instance, which it reaches at an address.
+func (c *cast) submitOver(t *testing.T, id work.JobID, at *instance, address string, body []byte) (net.Conn, chan attempt) {
 	caller := newCaller(c.run, at)
-	if !caller.connect() {
+	if !caller.dial(at, address) {
 		t.Fatalf("no connection to %s", at.spec.Name)
 	}
 	conn, answered := caller.conn, make(chan attempt, 1)
