Soak: copies of a request that arrive late or twice

Three tests with two dispatchers of a zone: a request that arrives at its instance after the caller's repeat, a copy at another instance, and a copy at the same one, which answers the caller with 502.

The platform's protocol names copies of requests only for stored jobs, after the 2xx; these tests ask for more than it says. Long tasks of these tests now take 2.5 s.

--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -29,7 +29,7 @@
 	fillerLead        = 400 * time.Millisecond  // from the start of the filler until the other instances know of it
 	fillerTime        = 1400 * time.Millisecond // ends before the second submission
 	taskTime          = 700 * time.Millisecond
-	longTaskTime      = 3 * time.Second // is not over when the caller submits the job again
+	longTaskTime      = 2500 * time.Millisecond // is not over when the caller submits the job again
 	slowPeriod        = 70 * time.Millisecond
 	slowRunning       = 2 * time.Millisecond
 	slowTime          = 4 * time.Second
@@ -195,12 +195,12 @@
 func (c *cast) logRuns(t *testing.T, v *view) {
 	for _, o := range v.orders {
 		if o.Task.Job == c.job {
-			t.Logf("%v %s start %v run %d by %s fence %d: %s", o.At.Sub(c.run.record.began), o.Endpoint, o.Start, o.Run, v.callers[o.Caller], o.Fence, o.Refusal)
+			t.Logf("%s %s start %v run %d by %s fence %d: %s", c.run.record.sinceBegin(o.At), o.Endpoint, o.Start, o.Run, v.callers[o.Caller], o.Fence, o.Refusal)
 		}
 	}
 	for _, s := range v.starts {
 		if s.Task.Job == c.job {
-			t.Logf("run %d at %s from %v to %v %s", s.Run, s.Endpoint, s.StartedAt.Sub(c.run.record.began), s.EndedAt.Sub(c.run.record.began), s.Reason)
+			t.Logf("run %d at %s from %s to %s %s", s.Run, s.Endpoint, c.run.record.sinceBegin(s.StartedAt), c.run.record.sinceBegin(s.EndedAt), s.Reason)
 		}
 	}
 }
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -271,14 +271,19 @@
 	return v
 }
 
+// sinceBegin returns the seconds from the start of the run, or "open" for a time that has not come.
+func (r *record) sinceBegin(t time.Time) string { return secondsSince(r.began, t) }
+
+func secondsSince(began, t time.Time) string {
+	if t.IsZero() {
+		return "open"
+	}
+	return fmt.Sprintf("%.3f", t.Sub(began).Seconds())
+}
+
 // print writes the history of a run.
 func (r *record) print(w io.Writer, v *view) {
-	at := func(t time.Time) string {
-		if t.IsZero() {
-			return "open"
-		}
-		return fmt.Sprintf("%.3f", t.Sub(r.began).Seconds())
-	}
+	at := r.sinceBegin
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, n := range r.notes {
