--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -29,6 +29,7 @@
 	fillerLead        = 400 * time.Millisecond  // from the start of the filler until the other instances know of it
 	fillerTime        = 1400 * time.Millisecond // ends before the second submission
 	taskTime          = 700 * time.Millisecond
+	longTaskTime      = 2500 * time.Millisecond // is not over when the caller submits the job again
 	slowPeriod        = 70 * time.Millisecond
 	slowRunning       = 2 * time.Millisecond
 	slowTime          = 4 * time.Second
@@ -67,8 +68,11 @@
 	})
 	r.fleet.Fails = nil
 	r.fleet.RunTime = func(task work.TaskID) time.Duration {
-		if strings.HasPrefix(string(task.Job), "f") {
+		switch task.Job[0] {
+		case 'f':
 			return fillerTime
+		case 'c':
+			return longTaskTime
 		}
 		return taskTime
 	}
@@ -128,12 +132,22 @@
 
 // submit submits a job of one task at an instance and returns the caller's connection. The answer is awaited in the background.
 func (c *cast) submit(t *testing.T, id work.JobID, at *instance) (net.Conn, chan attempt) {
-	return c.submitBody(t, id, at, standin.Job(standin.Step{Tasks: 1, Size: taskSize, Estimate: 100 * time.Millisecond}))
+	return c.submitBody(t, id, at, smallJob())
+}
+
+// smallJob returns the body of a job of one task.
+func smallJob() []byte {
+	return standin.Job(standin.Step{Tasks: 1, Size: taskSize, Estimate: 100 * time.Millisecond})
 }
 
 func (c *cast) submitBody(t *testing.T, id work.JobID, at *instance, body []byte) (net.Conn, chan attempt) {
+	return c.submitOver(t, id, at, at.spec.Callers, body)
+}
+
+// submitOver submits a job at an instance, which it reaches at an address.
+func (c *cast) submitOver(t *testing.T, id work.JobID, at *instance, address string, body []byte) (net.Conn, chan attempt) {
 	caller := newCaller(c.run, at)
-	if !caller.connect() {
+	if !caller.dial(at, address) {
 		t.Fatalf("no connection to %s", at.spec.Name)
 	}
 	conn, answered := caller.conn, make(chan attempt, 1)
@@ -181,12 +195,12 @@
 func (c *cast) logRuns(t *testing.T, v *view) {
 	for _, o := range v.orders {
 		if o.Task.Job == c.job {
-			t.Logf("%v %s start %v run %d by %s fence %d: %s", o.At.Sub(c.run.record.began), o.Endpoint, o.Start, o.Run, v.callers[o.Caller], o.Fence, o.Refusal)
+			t.Logf("%s %s start %v run %d by %s fence %d: %s", c.run.record.sinceBegin(o.At), o.Endpoint, o.Start, o.Run, v.callers[o.Caller], o.Fence, o.Refusal)
 		}
 	}
 	for _, s := range v.starts {
 		if s.Task.Job == c.job {
-			t.Logf("run %d at %s from %v to %v %s", s.Run, s.Endpoint, s.StartedAt.Sub(c.run.record.began), s.EndedAt.Sub(c.run.record.began), s.Reason)
+			t.Logf("run %d at %s from %s to %s %s", s.Run, s.Endpoint, c.run.record.sinceBegin(s.StartedAt), c.run.record.sinceBegin(s.EndedAt), s.Reason)
 		}
 	}
 }
