--- /dev/null
+++ b/internal/gateway/claim_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/work"
+)
+
+// homes is a router to two partitions of one zone, the second of which is the home of all jobs.
+type homes struct {
+	router
+	mu        sync.Mutex
+	claims    []relay.Claim
+	addresses map[Target]string
+}
+
+var (
+	away = Target{Zone: "north", Partition: 1}
+	home = Target{Zone: "north", Partition: 2}
+)
+
+func newHomes(targets ...Target) *homes {
+	h := &homes{addresses: map[Target]string{away: "a:1", home: "h:1"}}
+	h.targets, h.down = targets, map[Target]bool{}
+	return h
+}
+
+func (h *homes) Home(work.JobID) Target { return home }
+
+func (h *homes) Address(t Target) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.addresses[t]
+}
+
+// replace makes another instance the dispatcher of a target.
+func (h *homes) replace(t Target, address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addresses[t] = address
+}
+
+func (h *homes) Claim(_ Target, c *relay.Claim) (Route, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.claims = append(h.claims, *c)
+	return h, true
+}
+
+func (h *homes) claimed() []relay.Claim {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]relay.Claim(nil), h.claims...)
+}
+
+// answer returns the answer of the home to the last claim.
+func (h *homes) answer(at *relay.Placement) *relay.Answer {
+	all := h.claimed()
+	last := all[len(all)-1]
+	return &relay.Answer{Job: last.Job, Number: last.Number, Claim: true, Placed: at}
+}
+
+// placedAway returns the refusal of the home of a job that another request has placed.
+func placedAway(h *homes) *relay.Answer {
+	return &relay.Answer{
+		Job: "a", Number: h.sent()[0].s.Number, Refused: pool.ReasonPlacedElsewhere, Placed: &relay.Placement{Zone: "north", Partition: 1, Address: "a:1"},
+	}
+}
+
+// startHomes starts a gateway and submits job "a" to it, which tries the targets in this order.
+func startHomes(t *testing.T, targets ...Target) (*fixture, *homes) {
+	t.Helper()
+	h := newHomes(targets...)
+	f := startWith(t, time.Minute, h)
+	f.router = &h.router
+	f.call(t.Context(), "POST", "/p/a", "job")
+	f.eventually("the job is submitted or its home asked", func() bool { return len(h.sent())+len(h.claimed()) > 0 })
+	return f, h
+}
+
+// Guards against a start of a job at a second dispatcher while another request of its caller, of which this instance knows nothing, has
+// placed it at a first one.
+func TestJobThatAnotherRequestHasPlaced(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, home, away)
+	is.Equal(h.sent()[0].s.Claims, relay.AsksClaim) // the home sees the job in any case
+	f.Answer(f.router, placedAway(h))
+	is.Equal(len(h.sent()), 2)
+	is.Equal(h.sent()[1].to, away)
+	is.Equal(h.sent()[1].s.Resumed, false) // the same dispatcher knows what it has started
+}
+
+// Guards against the same for a job whose first dispatcher is not its home.
+func TestHomeIsAskedBeforeAnotherDispatcher(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, away, home)
+	is.Equal(len(h.sent()), 0)
+	is.Equal(h.claimed()[0].Asks, true)
+	f.Answer(h, h.answer(nil))
+	is.Equal(h.sent()[0].to, away)
+	is.Equal(len(h.claimed()), 1) // the home knows the placement already
+}
+
+// Guards against new runs of a job at the successor of the dispatcher at which another request has placed it, beside those of the dispatcher.
+func TestPlacementAtADispatcherThatWasReplaced(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, home)
+	h.replace(away, "b:1")
+	f.Answer(f.router, placedAway(h))
+	f.Resubmit()
+	is.Equal(h.sent()[1].to, away)
+	is.Equal(h.sent()[1].s.Resumed, true)
+	is.Equal(h.sent()[1].s.GivenBack, false)
+}
+
+// Guards against a job that another request has placed being placed anew because its dispatcher's term has ended meanwhile.
+func TestPlacementAtADispatcherThatLeadsNoMore(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, home)
+	f.Answer(f.router, placedAway(h))
+	f.Answer(f.router, &relay.Answer{Job: "a", Number: h.sent()[1].s.Number, Refused: pool.ReasonNotLeader})
+	f.Resubmit()
+	is.Equal(h.sent()[2].to, away)
+	is.Equal(h.sent()[2].s.Resumed, true)
+}
+
+// Guards against jobs that wait for ever for a home that does not answer.
+func TestHomeThatDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, away)
+	time.Sleep(claimTimeout + time.Millisecond)
+	f.Resubmit()
+	is.Equal(h.sent()[0].to, away)
+}
+
+// Guards against a home that knows the placement at a dispatcher which has refused the job, and against one that took its place and
+// knows none.
+func TestHomeLearnsEachPlacement(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, home, away)
+	f.Answer(f.router, &relay.Answer{Job: "a", Number: h.sent()[0].s.Number, Refused: pool.ReasonNoRoom, RetryAfter: time.Second})
+	is.Equal(h.sent()[1].to, away)
+	is.Equal(h.claimed()[0].At.Address, "a:1")
+	h.replace(home, "h:2")
+	f.Resubmit()
+	is.Equal(len(h.claimed()), 2)
+	f.Answer(f.router, &relay.Answer{Job: "a", Number: h.sent()[1].s.Number, Refused: pool.ReasonNoRoom, RetryAfter: time.Second})
+	is.Equal(h.claimed()[2].Released, true)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,12 @@
 	Submit(to Target, s *relay.Submit) (Route, bool)
 	// ReportNotLeader reports that a dispatcher has refused a job because it no longer dispatches for the target.
 	ReportNotLeader(from Target)
+	// Home returns the home of a job, the dispatcher of the instance's zone that is told where the job is placed.
+	Home(id work.JobID) Target
+	// Claim sends a claim to a dispatcher. It returns false if the dispatcher is unknown, not connected or keeps no placements.
+	Claim(to Target, c *relay.Claim) (Route, bool)
+	// Address returns the address of a dispatcher's instance, or "" if it is not known.
+	Address(t Target) string
 	// ReachesAll reports whether all dispatchers of all zones are known and connected. It opens the connections that are missing.
 	ReachesAll() bool
 }
@@ -99,6 +105,7 @@
 	// those of refusals.
 	movedUnreachable = "unreachable" // the dispatcher is not known or not connected
 	movedUnsent      = "unsent"      // the connection to the dispatcher could not be opened
+	movedFollows     = "follows"     // another request has placed the job at the target
 )
 
 // Options configures a Gateway.
@@ -124,6 +131,9 @@
 	Abandoned  metric.Counter // callers that closed their connection before the response
 	GivenUp    metric.Counter // jobs that their dispatcher, or this instance at its end, gave up although they may have run in part
 	TimedOut   metric.Counter // jobs without a response within the timeout of their caller
+	Claims     metric.Counter // jobs whose home was asked before they were placed
+	Unanswered metric.Counter // jobs that were placed without an answer of their home
+	Followed   metric.Counter // jobs that were submitted to the dispatcher at which another request had placed them
 	ResponseMS *metric.Quantiles
 }
 
@@ -160,6 +170,9 @@
 	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
 	awaitingDispatcher bool                   // no dispatcher could be reached yet
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
+	claim              claim                  // what the job's home knows
+	follows            bool                   // another request has placed the job at the target, whose dispatcher has not refused it yet
+	followed           bool                   // another request has placed the job
 }
 
 // New returns a gateway without jobs.
@@ -279,7 +292,7 @@
 		g.refuseJob(p, 503, reasonStopping, retryStopping)
 		return
 	}
-	g.placeOrRefuse(p)
+	g.placeNew(p)
 }
 
 // replaceExchange makes a repeated submission of a pending job receive the response. The earlier request gets a 502,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -46,8 +46,16 @@
 	return c.timeout, c.timeout > 0
 }
 
+// noHomes is the part of a router for jobs whose homes cannot be asked.
+type noHomes struct{}
+
+func (noHomes) Home(work.JobID) Target                   { return Target{} }
+func (noHomes) Claim(Target, *relay.Claim) (Route, bool) { return nil, false }
+func (noHomes) Address(Target) string                    { return "" }
+
 // router records the jobs that are submitted and cancelled.
 type router struct {
+	noHomes
 	mu               sync.Mutex
 	targets          []Target
 	down             map[Target]bool
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -29,6 +29,7 @@
 	if ok {
 		p.route, p.sent = route, p.submission
 		g.logMove(p)
+		g.tellHome(p)
 	}
 	return ok
 }
@@ -63,6 +64,7 @@
 		return
 	}
 	g.discard(p)
+	g.releaseClaim(p)
 	if p.refusal != nil {
 		g.refuseJob(p, 429, string(p.refusal.Refused), p.refusal.RetryAfter)
 		return
@@ -79,7 +81,8 @@
 		lost = time.Since(p.lostAt)
 	}
 	return &relay.Submit{
-		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Lost: lost, GivenBack: resumed && p.losses == 0,
+		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Lost: lost, GivenBack: resumed && p.losses == 0 && !p.followed,
+		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent,
 		Attempts: g.opts.Attempts(p.job.ID),
@@ -92,12 +95,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.jobs[a.Job]
+	if a.Claim {
+		g.claimAnswered(p, route, a)
+		return
+	}
 	if p == nil || p.route != route || !p.submission.Matches(a.Number) {
 		return
 	}
-	earlierRuns := p.earlierRuns
+	earlierRuns := p.earlierRuns || p.follows
 	p.route, p.earlierRuns = nil, false
 	switch {
+	case a.Placed != nil:
+		g.follow(p, *a.Placed)
 	case a.GaveUp:
 		g.giveUp(p, outcomeGaveUp, "the job was given up after a crash of an endpoint; it may have run")
 	case a.Refused == pool.ReasonNone:
@@ -109,6 +118,7 @@
 	case a.Started && !p.orphaned:
 		p.earlierRuns = true // another dispatcher would start its tasks beside these runs
 	case !p.orphaned:
+		p.follows = false
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
 		}
@@ -163,15 +173,18 @@
 	defer g.mu.Unlock()
 	for _, p := range g.jobs {
 		switch {
+		case p.claim.route == route:
+			g.claimUnanswered(p)
 		case p.route != route:
 		case sent:
 			g.dispatcherLost(p)
-		case p.orphaned:
+		case p.orphaned || p.follows:
 			g.markOrphaned(p)
 		case p.earlierRuns:
 			p.route = nil
 		default:
 			p.leave(movedUnsent)
+			p.claim.home = "" // it may be the target, and has not been told
 			g.placeOrRefuse(p)
 		}
 	}
@@ -186,9 +199,13 @@
 		switch {
 		case p.awaitingDispatcher:
 			p.untried = g.opts.Router.Targets(p.job.ID)
-			g.placeOrRefuse(p)
+			g.placeNew(p)
+		case p.claim.route != nil && time.Since(p.claim.sent) > claimTimeout:
+			g.claimUnanswered(p)
 		case (p.orphaned || p.earlierRuns) && p.route == nil:
 			g.submitTo(p, p.orphaned)
+		case p.route != nil:
+			g.tellHome(p)
 		}
 	}
 }
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -104,6 +104,7 @@
 
 // peers finds the instances by partition. It implements Router.
 type peers struct {
+	noHomes
 	mu      sync.Mutex
 	targets []Target
 	of      map[int]*peer
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -40,6 +40,15 @@
 	r.requests.push(func() { r.shards.Cancel(r, c) })
 }
 
+// claim passes a claim to the shard of its partition. It returns false if too many requests wait.
+func (r *localRoute) claim(c *relay.Claim) bool {
+	if r.requests.length() >= maxLocalRequests {
+		return false
+	}
+	r.requests.push(func() { r.shards.Claim(r, c) })
+	return true
+}
+
 // Answer implements relay.Client.
 func (r *localRoute) Answer(a *relay.Answer) { r.answers.push(a) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,6 +226,9 @@
 		n.gateway.Resubmit()
 		n.router.closeUnused()
 		n.router.connectForOverflow()
+		for _, d := range n.dispatching() {
+			d.shards.placements.Sweep()
+		}
 	})
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -12,6 +12,7 @@
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/traffic"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -152,6 +153,30 @@
 	return route, true
 }
 
+// Home implements gateway.Router.
+func (r *router) Home(id work.JobID) gateway.Target {
+	return gateway.Target{Zone: r.ownZone, Partition: shard.PartitionOf(string(id), r.divisions.Partitions(r.ownZone))}
+}
+
+// Address implements gateway.Router.
+func (r *router) Address(t gateway.Target) string { return r.dispatcher(t.Zone, t.Partition) }
+
+// Claim implements gateway.Router.
+func (r *router) Claim(to gateway.Target, c *relay.Claim) (gateway.Route, bool) {
+	address := r.Address(to)
+	if address == "" {
+		return nil, false
+	}
+	if address == r.address {
+		return r.local, r.shards.leading(to.Partition) && r.local.claim(c)
+	}
+	route := r.routeTo(address, to.Zone)
+	if route == nil {
+		return nil, false
+	}
+	return route, route.uplink.Claim(c)
+}
+
 // routeTo returns the route to an address of a zone and opens a connection if there is none. It returns nil if the last
 // connection to the address ended less than redialDelay ago.
 func (r *router) routeTo(address, zone string) *uplinkRoute {
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -63,6 +63,7 @@
 func (d *loadedDispatcher) Attempts() []attempt.Attempt        { return nil }
 func (d *loadedDispatcher) Submit(relay.Client, *relay.Submit) {}
 func (d *loadedDispatcher) Cancel(relay.Client, *relay.Cancel) {}
+func (d *loadedDispatcher) Claim(relay.Client, *relay.Claim)   {}
 func (d *loadedDispatcher) ClientGone(relay.Client)            {}
 func (d *loadedDispatcher) Cancellations() relay.Cancellations {
 	return gateway.New(gateway.Options{}).Cancellations()
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -8,6 +8,7 @@
 	"github.com/savorypass/savorypass/internal/division"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/placement"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -17,6 +18,7 @@
 // shards manages the dispatchers of the partitions that this instance holds. It implements relay.Dispatcher.
 type shards struct {
 	zone      string
+	address   string // of the relay listener
 	directory *shard.Directory
 	divisions *division.Controller
 	started   time.Time // zero of the clock of shard.Options.Now
@@ -24,6 +26,8 @@
 	gateway   *gateway.Gateway // set before use
 	ledgers   *ledgers         // set before use
 	make      func(partition int) *shard.Shard
+	// placements are those of the jobs whose home is among the shards.
+	placements *placement.Registry
 
 	reconciling sync.Mutex // held while terms begin and end, which waits for the shards
 
@@ -32,8 +36,11 @@
 	all  map[int]*shard.Shard // by partition; a shard stays after its term has ended
 }
 
-func newShards(zone string, d *shard.Directory, started time.Time, h *attempt.History, make func(int) *shard.Shard) *shards {
-	return &shards{zone: zone, directory: d, started: started, history: h, make: make, all: map[int]*shard.Shard{}}
+func newShards(zone, address string, d *shard.Directory, started time.Time, h *attempt.History, make func(int) *shard.Shard) *shards {
+	return &shards{
+		zone: zone, address: address, directory: d, started: started, history: h, make: make, all: map[int]*shard.Shard{},
+		placements: placement.New(func() time.Duration { return time.Since(started) }),
+	}
 }
 
 // setTerm sets the partitions that this instance holds.
@@ -59,6 +66,7 @@
 			if x := s.get(part); x != nil {
 				x.End()
 			}
+			s.placements.Drop(part)
 			s.ledgers.sync(part, shard.Term{})
 			continue
 		}
@@ -172,9 +180,36 @@
 		from.Answer(&relay.Answer{Job: m.Job.ID, Number: m.Number, Refused: pool.ReasonNotLeader})
 		return
 	}
+	if at, known := s.claim(x, m); known {
+		from.Answer(&relay.Answer{Job: m.Job.ID, Number: m.Number, Refused: pool.ReasonPlacedElsewhere, Placed: &at})
+		return
+	}
 	x.Submit(from, m)
 }
 
+// claim applies the claim that a submission is. It returns the placement of the job at another dispatcher by another request.
+func (s *shards) claim(x *shard.Shard, m *relay.Submit) (at relay.Placement, known bool) {
+	if m.Claims == relay.NoClaim || !x.Leading() {
+		return relay.Placement{}, false
+	}
+	c := m.Claim(s.zone, s.address)
+	at, known = s.placements.Apply(c)
+	return at, known && at != c.At
+}
+
+// Claim implements relay.Dispatcher.
+func (s *shards) Claim(from relay.Client, c *relay.Claim) {
+	answer := &relay.Answer{Job: c.Job, Number: c.Number, Claim: true}
+	if x := s.get(c.Partition); x == nil || !x.Leading() {
+		answer.Refused = pool.ReasonNotLeader
+	} else if at, known := s.placements.Apply(c); known {
+		answer.Placed = &at
+	}
+	if c.Asks {
+		from.Answer(answer)
+	}
+}
+
 // Cancel implements relay.Dispatcher.
 func (s *shards) Cancel(from relay.Client, c *relay.Cancel) {
 	if x := s.get(c.Partition); x != nil {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -18,7 +18,9 @@
 	ReasonNotLeader     Reason = "not_leader"  // this instance does not dispatch for the shard
 	ReasonWaitedTooLong Reason = "waited"      // the job was accepted and did not start in time
 	ReasonExpired       Reason = "expired"     // the submission waited for longer than its caller does
-	ReasonSuperseded    Reason = "superseded"  // another instance has submitted the job and attends to its caller; in the log only
+	// ReasonPlacedElsewhere refuses a submission by the home of the job: another request has placed the job at another dispatcher.
+	ReasonPlacedElsewhere Reason = "placed_elsewhere"
+	ReasonSuperseded      Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
 )
 
 // Verdict is the decision on a submission, with the figures that it rests on.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -53,6 +53,8 @@
 	Previous SubmissionNumber `msgpack:"v,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
+	// Claims tells what the submission is as a claim; NoClaim if the dispatcher is not the job's home.
+	Claims ClaimMode `msgpack:"k,omitempty"`
 	// Composed is when the message was composed, on the sender's clock; 0 from an instance of an earlier version.
 	Composed time.Duration `msgpack:"t,omitempty"`
 	// composedAt is the same on this instance's clock, at the earliest; 0 if it is not known.
@@ -97,6 +99,10 @@
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
 	GaveUp bool `msgpack:"g,omitempty"`
+	// Claim means that the answer is one to a claim.
+	Claim bool `msgpack:"c,omitempty"`
+	// Placed is where another request has placed the job. It is set in the answer to a claim, or with pool.ReasonPlacedElsewhere.
+	Placed *Placement `msgpack:"l,omitempty"`
 }
 
 // Load is the load of the dispatcher of one partition.
@@ -115,6 +121,8 @@
 	Unattended time.Duration `msgpack:"u,omitempty"`
 	// Cancelled are the cancellations that the sender passes on.
 	Cancelled []Cancellation `msgpack:"c,omitempty"`
+	// KeepsPlacements means that the sender, a dispatcher, handles claims.
+	KeepsPlacements bool `msgpack:"k,omitempty"`
 	clockReading
 }
 
@@ -127,6 +135,7 @@
 	kindAnswer
 	kindStoredRequest
 	kindStoredReply
+	kindClaim
 )
 
 const (
@@ -167,6 +176,8 @@
 		return kindStoredRequest, true
 	case *StoredReply:
 		return kindStoredReply, true
+	case *Claim:
+		return kindClaim, true
 	}
 	return 0, false
 }
@@ -203,6 +214,8 @@
 		message = &StoredRequest{}
 	case kindStoredReply:
 		message = &StoredReply{}
+	case kindClaim:
+		message = &Claim{}
 	default:
 		return nil, fmt.Errorf("relay: message of unknown kind %d", k)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,7 @@
 type Dispatcher interface {
 	Submit(from Client, s *Submit)
 	Cancel(from Client, c *Cancel)
+	Claim(from Client, c *Claim)
 	// Loads returns the loads of the partitions for which this instance dispatches.
 	Loads() []Load
 	// Attempts returns the unsuccessful runs that this instance has observed lately.
@@ -129,7 +130,8 @@
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	l := newLink(s.meter.Conn(conn, traffic.Downlink), heartbeatInterval, func() heartbeat {
-		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts(), Cancelled: s.dispatcher.Cancellations().Recent()}
+		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts(), Cancelled: s.dispatcher.Cancellations().Recent(),
+			KeepsPlacements: true}
 	})
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
@@ -141,6 +143,8 @@
 			s.dispatcher.Submit(client, m)
 		case *Cancel:
 			s.dispatcher.Cancel(client, m)
+		case *Claim:
+			s.dispatcher.Claim(client, m)
 		case *StoredRequest:
 			s.Stored(m, client.replyStored)
 		case *heartbeat:
@@ -188,6 +192,8 @@
 	ended     bool
 	loads     map[int]int // pressure in percent by partition
 	unsent    []unsent    // messages that wait until the dispatcher has responded
+	// keepsPlacements is set once the dispatcher has said that it handles claims.
+	keepsPlacements bool
 }
 
 // Handler receives what comes over an uplink. Its functions do not block.
@@ -275,6 +281,7 @@
 func (u *Uplink) heard(b *heartbeat) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.keepsPlacements = b.KeepsPlacements
 	u.loads = make(map[int]int, len(b.Loads))
 	for _, l := range b.Loads {
 		u.loads[l.Partition] = l.Pressure
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -72,7 +72,10 @@
 	}
 	from.Answer(&Answer{Job: s.Job.ID, State: work.Completed})
 }
-func (e *echo) Cancel(_ Client, c *Cancel)   { e.cancelled <- c.Job }
+func (e *echo) Cancel(_ Client, c *Cancel) { e.cancelled <- c.Job }
+func (e *echo) Claim(from Client, c *Claim) {
+	from.Answer(&Answer{Job: c.Job, Number: c.Number, Claim: true, Placed: &c.At})
+}
 func (e *echo) ClientGone(from Client)       { e.gone <- from }
 func (e *echo) Loads() []Load                { return []Load{{Partition: 3, Pressure: 77}} }
 func (e *echo) Cancellations() Cancellations { return &e.cancellations }
--- a/internal/shard/backlog_test.go
+++ b/internal/shard/backlog_test.go
@@ -47,6 +47,7 @@
 	return len(d.handled) == 1
 }
 
+func (d *slowServer) Claim(relay.Client, *relay.Claim)          {}
 func (d *slowServer) Cancel(from relay.Client, c *relay.Cancel) { d.dispatcher.Cancel(from, c) }
 func (d *slowServer) Loads() []relay.Load                       { return nil }
 func (d *slowServer) Attempts() []attempt.Attempt               { return nil }
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -39,8 +39,8 @@
 	s.releaseResumed(now)
 	s.refuseLate(now)
 	s.abandonExpired(now)
-	for id, client := range s.clients {
-		s.pool.Hold(id, client.Silence() > abandonTime)
+	for id, clients := range s.clients {
+		s.pool.Hold(id, clients.silence() > abandonTime)
 	}
 	for _, x := range s.sessions {
 		x.updateLease(now)
@@ -73,9 +73,7 @@
 // refuseLate refuses accepted jobs that have not started and whose result would come too late to be of use.
 func (s *Shard) refuseLate(now time.Duration) {
 	for _, id := range s.pool.Overdue(now) {
-		if client := s.clients[id]; client != nil {
-			client.Answer(s.refusal(id, pool.ReasonWaitedTooLong, time.Second))
-		}
+		s.clients[id].answer(s.refusal(id, pool.ReasonWaitedTooLong, time.Second))
 		s.opts.Counts.Refused.Add(1)
 		s.opts.Log.WithFields(logrus.Fields{"event": "refuse_waiting", "job": id}).Info("job refused: it did not start in time")
 		s.abandon(id, stopJobEnded)
@@ -94,9 +92,7 @@
 			continue
 		}
 		s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id}).Info("job cancelled: its caller waits no longer")
-		if client := s.clients[id]; client != nil {
-			client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: true})
-		}
+		s.clients[id].answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: true})
 		s.abandon(id, stopExpired)
 	}
 }
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -48,7 +48,7 @@
 		if s.stored[id] != nil {
 			continue // this dispatcher itself wants the run
 		}
-		if client := s.clients[id]; client == nil || client.Silence() > abandonTime {
+		if clients := s.clients[id]; clients == nil || clients.silence() > abandonTime {
 			return true
 		}
 	}
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -104,11 +104,11 @@
 // holdIfSilent holds the job of a run that is about to be ordered if it is not known that its caller still waits.
 func (x *session) holdIfSilent(r *pool.Run) {
 	s := x.shard
-	client := s.clients[r.Task.Job]
-	if client == nil {
+	clients := s.clients[r.Task.Job]
+	if clients == nil {
 		return
 	}
-	silence := client.Silence()
+	silence := clients.silence()
 	s.opts.Counts.SilenceMS.AddDuration(silence)
 	if silence > abandonTime {
 		s.opts.Counts.HeldStarts.Add(1)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -89,7 +89,7 @@
 	callLostAt      time.Duration
 	pool            *pool.Pool
 	sessions        map[work.EndpointID]*session
-	clients         map[work.JobID]*submitter
+	clients         map[work.JobID]submitters     // not empty
 	stored          map[work.JobID]*work.Job      // stored jobs, for which no client waits
 	unreleased      map[work.JobID]bool           // stored jobs that wait for ReleaseStored
 	released        []func(work.JobID) bool       // what ReleaseStored was called with under the present fence
@@ -105,18 +105,6 @@
 	outrankedFence int64
 }
 
-// submitter is the instance that has submitted a job. All answers to the job name its submission.
-type submitter struct {
-	relay.Client
-	submission relay.SubmissionNumber
-}
-
-// Answer sends the final answer to the submission. It does not block.
-func (c *submitter) Answer(a *relay.Answer) {
-	a.Number = c.submission
-	c.Client.Answer(a)
-}
-
 // New returns a shard without a term.
 func New(o Options) *Shard {
 	s := &Shard{opts: o}
@@ -127,7 +115,7 @@
 func (s *Shard) reset() {
 	s.pool = pool.New(s.opts.History)
 	s.sessions = map[work.EndpointID]*session{}
-	s.clients = map[work.JobID]*submitter{}
+	s.clients = map[work.JobID]submitters{}
 	s.stored = map[work.JobID]*work.Job{}
 	s.unreleased, s.released = map[work.JobID]bool{}, nil
 	s.endsUndecided, s.undecidedSince = false, 0
@@ -241,7 +229,7 @@
 func (s *Shard) Submit(from relay.Client, m *relay.Submit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	client := &submitter{from, m.Number}
+	client := &submitter{from, m.Number, m.Request}
 	if !s.leading {
 		client.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonNotLeader})
 		return
@@ -261,11 +249,8 @@
 // hasNewerSubmitter reports whether another instance attends to the caller of a job while the one that submits it now has been silent: its
 // submission is late, and its connection may end at any time.
 func (s *Shard) hasNewerSubmitter(client *submitter, id work.JobID) bool {
-	present := s.clients[id]
-	if present == nil || present.Client == client.Client {
-		return false
-	}
-	return client.Silence() > abandonTime && present.Silence() <= abandonTime
+	others := s.clients[id].without(func(c *submitter) bool { return c.Client == client.Client })
+	return len(others) > 0 && client.Silence() > abandonTime && others.silence() <= abandonTime
 }
 
 // decide takes or refuses a submitted job.
@@ -284,17 +269,29 @@
 		s.await(job.ID, last)
 	}
 	s.hold(m, last, now)
-	s.clients[job.ID] = client
+	s.clients[job.ID] = s.clients[job.ID].with(client)
 	s.releaseEndsOf(job.ID)
 	s.pool.Hold(job.ID, false)
-	delete(s.expires, job.ID)
-	if m.Remaining > 0 {
-		s.expires[job.ID] = now - m.Age() + m.Remaining + expiryMargin
-	}
+	s.noteExpiry(m, now)
 	s.finish(outcomes)
 	s.dispatch()
 }
 
+// noteExpiry records until when the caller of a submission waits. A job with several submitters expires with the last of their callers.
+func (s *Shard) noteExpiry(m *relay.Submit, now time.Duration) {
+	id := m.Job.ID
+	before, limited := s.expires[id]
+	others := len(s.clients[id]) > 1
+	switch at := now - m.Age() + m.Remaining + expiryMargin; {
+	case m.Remaining <= 0:
+		delete(s.expires, id)
+	case !others:
+		s.expires[id] = at
+	case limited:
+		s.expires[id] = max(at, before)
+	}
+}
+
 // refuse refuses a submitted job.
 func (s *Shard) refuse(client *submitter, m *relay.Submit, v pool.Verdict) {
 	s.logVerdict(client, m, v, s.pool.HasJob(m.Job.ID))
@@ -325,12 +322,11 @@
 func (s *Shard) Cancel(from relay.Client, c *relay.Cancel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	client := s.clients[c.Job]
-	if client == nil || client.Client != from || !client.submission.Matches(c.Number) {
+	left := s.leave(c.Job, stopCancelled, func(o *submitter) bool { return o.Client == from && o.submission.Matches(c.Number) })
+	if !left {
 		return
 	}
-	s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": c.Job}).Info("job cancelled by its caller")
-	s.abandon(c.Job, stopCancelled)
+	s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": c.Job, "others": len(s.clients[c.Job])}).Info("job cancelled by its caller")
 	s.dispatch()
 }
 
@@ -338,13 +334,12 @@
 func (s *Shard) ClientGone(from relay.Client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, client := range s.clients {
-		if client.Client != from {
+	for id := range s.clients {
+		if !s.leave(id, stopClientGone, func(c *submitter) bool { return c.Client == from }) {
 			continue
 		}
-		s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id, "client": from.Name()}).
+		s.opts.Log.WithFields(logrus.Fields{"event": "cancel", "job": id, "client": from.Name(), "others": len(s.clients[id])}).
 			Info("job cancelled: the connection to the instance that submitted it ended")
-		s.abandon(id, stopClientGone)
 	}
 	if s.leading {
 		s.dispatch()
@@ -370,13 +365,11 @@
 		if s.finishStored(o) {
 			continue
 		}
-		client := s.clients[o.Job]
-		if client == nil && !s.pool.HasJob(o.Job) {
+		clients := s.clients[o.Job]
+		if clients == nil && !s.pool.HasJob(o.Job) {
 			continue // the end of another task has ended the job already
 		}
-		if client != nil {
-			client.Answer(answerOf(o))
-		}
+		clients.answer(answerOf(o))
 		s.logEnd(o)
 		s.abandon(o.Job, stopJobEnded)
 	}
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -109,8 +109,8 @@
 	}).Info("dispatching for the partition ended")
 	s.leading = false
 	s.cancel()
-	for id, client := range s.clients {
-		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
+	for id, clients := range s.clients {
+		clients.answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
 	}
 	for _, x := range s.sessions {
 		s.opts.Window.Forget(x.path)
