A failed run that is known in two ways counts once (LOST)

Seen by callers: a job with two attempts was answered as failed after one failed run, although its caller still waited. Cause: attempts were told apart by the equality of all that is known of them. The same run is known with and without the start of its endpoint's process (a registration without it, a dispatcher that no longer knows the endpoint) and, from the store, without its endpoint. Each way counted as an attempt of its own. Output before the change: attempt_test.go:66: run with outcome 1 of processes [{e 0} {e 1}] counts 2 times, want 1; 2 were added, 2 are passed on attempt_test.go:66: run with outcome 1 of processes [{e 0} {e 1} {e 2}] counts 3 times, want 2; 3 were added, 3 are passed on attempt_test.go:128: 1 != 0 (TestWithdrawProcessesOfUnknownStart) pool_test.go:553: 1 != 0 (TestFailureKnownInTwoWaysCountsOnce, all six cases: the job has failed with its first failure) Change: two attempts of one run are the same as far as their processes are known, and the record keeps the better known process. Processes that are known and differ stay apart. As a matching process never replaces one that it contradicts, the count is the same in whatever order the ways become known; the test plays all orders. Withdraw uses the same comparison. The special case of stored jobs in the pool goes: the record does it. Two failed runs of a stored job that have the same number on two known processes count as two now, which they are.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -3,7 +3,8 @@
 // record outlives a dispatcher's term and a job's submission.
 //
 // An attempt is identified by its task, its endpoint's process and the number of its run. Instances that learn of the same
-// attempt in different ways therefore count it once.
+// attempt in different ways therefore count it once. They may know its process differently well: the store keeps neither the endpoint nor
+// the start of its process, and a registration may lack the start. Attempts that differ in nothing else are the same, see Process.matches.
 package attempt
 
 import (
@@ -41,12 +42,28 @@
 	Crashed                    // the endpoint's process ended under the run
 )
 
-// Process identifies a process of an endpoint.
+// Process identifies a process of an endpoint, as far as it is known.
 type Process struct {
-	Endpoint      work.EndpointID `msgpack:"e"`
+	Endpoint      work.EndpointID `msgpack:"e"`           // empty if not known
 	StartedUnixMS int64           `msgpack:"s,omitempty"` // Unix milliseconds; 0 if not known
 }
 
+// matches reports whether two processes are the same as far as both are known. Two processes that match a third one need not match each
+// other.
+func (p Process) matches(q Process) bool {
+	return p.Endpoint == "" || q.Endpoint == "" || p.Endpoint == q.Endpoint && p.startMatches(q)
+}
+
+// startMatches is matches for processes of one endpoint.
+func (p Process) startMatches(q Process) bool {
+	return p.StartedUnixMS == 0 || q.StartedUnixMS == 0 || p.StartedUnixMS == q.StartedUnixMS
+}
+
+// moreKnownThan compares two processes that match.
+func (p Process) moreKnownThan(q Process) bool {
+	return p.Endpoint != "" && (q.Endpoint == "" || p.StartedUnixMS != 0 && q.StartedUnixMS == 0)
+}
+
 // Attempt is an unsuccessful run of a task.
 type Attempt struct {
 	Task    work.TaskID `msgpack:"t"`
@@ -55,6 +72,11 @@
 	Outcome Outcome     `msgpack:"o"`
 }
 
+// same reports whether two attempts are the same one as far as their processes are known.
+func (a Attempt) same(b Attempt) bool {
+	return a.Task == b.Task && a.Run == b.Run && a.Outcome == b.Outcome && a.Process.matches(b.Process)
+}
+
 // History is the record of an instance. It is safe for concurrent use. Times are on the instance's monotonic clock.
 type History struct {
 	mu    sync.Mutex
@@ -101,7 +123,8 @@
 	return added
 }
 
-// insert adds an attempt unless it is on record. h.mu is held.
+// insert adds an attempt unless it is on record. If its process is better known now, that is recorded: it tells the attempt from those of
+// other processes, so that the count does not depend on the order in which they become known. h.mu is held.
 func (h *History) insert(a Attempt, now time.Duration) bool {
 	j := h.jobs[a.Task.Job]
 	if j == nil {
@@ -111,7 +134,10 @@
 	}
 	j.changed = now
 	known := j.tasks[a.Task]
-	if slices.Contains(known, a) {
+	if i := slices.IndexFunc(known, a.same); i >= 0 {
+		if a.Process.moreKnownThan(known[i].Process) {
+			known[i].Process = a.Process
+		}
 		return false
 	}
 	if known == nil {
@@ -143,11 +169,14 @@
 	}
 }
 
-// Withdraw deletes the crashes of a process, which has answered again and therefore has not ended. It returns their tasks.
+// Withdraw deletes the crashes of a process, which has answered again and therefore has not ended. It returns their tasks. A crash of its
+// endpoint counts as one of the process if the start of either is not known.
 func (h *History) Withdraw(p Process) []work.TaskID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	crashOf := func(a Attempt) bool { return a.Outcome == Crashed && a.Process == p }
+	crashOf := func(a Attempt) bool {
+		return a.Outcome == Crashed && a.Process.Endpoint == p.Endpoint && a.Process.startMatches(p)
+	}
 	h.own = slices.DeleteFunc(h.own, func(o observed) bool { return crashOf(o.attempt) })
 	var withdrawn []work.TaskID
 	for _, j := range h.jobs {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +34,102 @@
 	is.Equal(len(h.OfJob("j")), 3)
 }
 
+// Guards against one run that counts twice because instances know its process differently well, whichever they learn of first: the store
+// knows neither the endpoint nor the start of its process, a registration may lack the start. Also against runs of different processes that
+// count as one because of it.
+func TestAttemptsOfLessKnownProcessesCountOnce(t *testing.T) {
+	unknown, startless := Process{}, Process{Endpoint: "e"}
+	first, later, other := Process{Endpoint: "e", StartedUnixMS: 1}, Process{Endpoint: "e", StartedUnixMS: 2}, Process{Endpoint: "f", StartedUnixMS: 1}
+	for _, c := range []struct {
+		name      string
+		processes []Process
+		want      int
+	}{
+		{"start not known", []Process{startless, first}, 1},
+		{"endpoint not known", []Process{unknown, first}, 1},
+		{"neither is certain", []Process{unknown, startless}, 1},
+		{"all of one process", []Process{unknown, startless, first}, 1},
+		{"two processes of an endpoint", []Process{startless, first, later}, 2},
+		{"two endpoints, one without a start", []Process{unknown, startless, other}, 2},
+		{"three processes", []Process{unknown, startless, first, later, other}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for order := range permutations(c.processes) {
+				for _, outcome := range []Outcome{Failed, Crashed} {
+					h := NewHistory()
+					task := work.TaskID{Job: "j"}
+					added := 0
+					for _, p := range order {
+						added += h.Merge([]Attempt{{Task: task, Run: 1, Process: p, Outcome: outcome}}, 0)
+					}
+					if n := h.Count(task, outcome); n != c.want || added != n || len(h.OfJob("j")) != n {
+						t.Fatalf("run with outcome %d of processes %v counts %d times, want %d; %d were added, %d are passed on", outcome, order, n, c.want, added, len(h.OfJob("j")))
+					}
+				}
+			}
+		})
+	}
+}
+
+// permutations yields all orders of a list.
+func permutations[T any](list []T) iter.Seq[[]T] {
+	return func(yield func([]T) bool) {
+		if len(list) == 0 {
+			yield(nil)
+			return
+		}
+		for i, first := range list {
+			rest := slices.Concat(list[:i], list[i+1:])
+			for order := range permutations(rest) {
+				if !yield(append([]T{first}, order...)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Guards against another run of the task, or another outcome, that is taken for the attempt of a process that is not known.
+func TestOtherRunsOfUnknownProcessesCount(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	known := Attempt{Task: work.TaskID{Job: "j"}, Run: 1, Process: Process{Endpoint: "e", StartedUnixMS: 1}, Outcome: Failed}
+	run, index, outcome := known, known, known
+	run.Run, index.Task.Index, outcome.Outcome = 2, 1, Crashed
+	run.Process, index.Process, outcome.Process = Process{}, Process{}, Process{}
+	is.Equal(h.Merge([]Attempt{known, run, index, outcome}, 0), 4)
+	is.Equal(h.Count(known.Task, Failed), 2)
+	is.Equal(h.Count(known.Task, Crashed), 1)
+}
+
+// Guards against the crash of a process that has only been cut off and stays on record because the start of the process was not known
+// when the crash was recorded, or is known from another instance only; and against the crashes of other processes that are deleted with it.
+func TestWithdrawProcessesOfUnknownStart(t *testing.T) {
+	is := is.New(t)
+	startless, first, later := Process{Endpoint: "e"}, Process{Endpoint: "e", StartedUnixMS: 1}, Process{Endpoint: "e", StartedUnixMS: 2}
+	for _, c := range []struct {
+		recorded []Process
+		answers  Process
+		left     int
+	}{
+		{[]Process{startless}, first, 0},
+		{[]Process{startless, first}, startless, 0},
+		{[]Process{first, later}, first, 1},
+		{[]Process{{Endpoint: "f"}}, first, 1},
+		{[]Process{{}}, first, 1}, // of an endpoint that is not known
+	} {
+		h := NewHistory()
+		a := crashOf("j", "")
+		for _, p := range c.recorded {
+			a.Process = p
+			h.Add(a, 0)
+		}
+		h.Withdraw(c.answers)
+		is.Equal(h.Count(a.Task, Crashed), c.left)
+		is.Equal(len(h.Recent(0)), c.left)
+	}
+}
+
 // Guards against crashes that are passed on without end between instances, and against those that are passed on too briefly to survive
 // their instance.
 func TestOnlyOwnAttemptsArePassedOn(t *testing.T) {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -181,7 +181,7 @@
 	switch {
 	case !j.stored && p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes:
 		why = GiveUpCrashes
-	case p.failures(j, task) >= j.Objective.Attempts:
+	case p.history.Count(task, attempt.Failed) >= j.Objective.Attempts:
 		why = GiveUpFailures
 	default:
 		return nil
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -519,3 +519,54 @@
 		t.Fatalf("state remains after the end of all jobs: run numbers %v, runs %v", m.p.numbers, m.p.runs)
 	}
 }
+
+// Guards against a job that is answered as failed after one of its two attempts: the dispatcher has seen the failure, and another instance
+// that knows less of the endpoint's process passes it on, or the other way round.
+func TestFailureKnownInTwoWaysCountsOnce(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		registered int64 // start of the process, 0 if not known
+		learned    attempt.Process
+	}{
+		{"learned without the start", 7, attempt.Process{Endpoint: "a"}},
+		{"seen without the start", 0, attempt.Process{Endpoint: "a", StartedUnixMS: 7}},
+		{"learned without the endpoint", 7, attempt.Process{}},
+	} {
+		for _, learnedFirst := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.name, ", first ", learnedFirst), func(t *testing.T) {
+				is := is.New(t)
+				e := endpointOf("a", 16000)
+				e.StartedUnixMS = c.registered
+				p := poolOf(e)
+				j := jobAllowingLongWait("x", 6000)
+				j.Objective.Attempts = 2
+				mustSubmit(t, p, j, 0)
+				r := p.Next(0)[0]
+				confirm(p, []*Run{r}, 0)
+				learn := func() {
+					p.history.Merge([]attempt.Attempt{{Task: r.Task, Run: r.Number, Process: c.learned, Outcome: attempt.Failed}}, 0)
+				}
+				if learnedFirst {
+					learn()
+				}
+				failed := work.End{Sequence: 1, Task: r.Task, Run: r.Number, Reason: work.EndFailed}
+				is.Equal(len(p.RunEnded("a", failed, 10*ms)), 0)
+				if !learnedFirst {
+					learn()
+				}
+				again := p.Next(20 * ms)
+				is.Equal(len(again), 1) // the second attempt
+				confirm(p, again, 20*ms)
+				is.Equal(len(p.RunLost(again[0], 30*ms)), 0) // a lost run is no attempt
+				_, out := p.Submit(j, 40*ms, 40*ms, 50*ms)   // as after the loss of the dispatcher
+				is.Equal(len(out), 0)
+				last := p.Next(50 * ms)
+				is.Equal(len(last), 1)
+				failed.Sequence, failed.Run = 2, last[0].Number
+				out = p.RunEnded("a", failed, 60*ms)
+				is.Equal(len(out), 1)
+				is.Equal(out[0].State, work.Failed)
+			})
+		}
+	}
+}
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -246,7 +246,7 @@
 func (p *Pool) unknownRunEnded(end work.End, now time.Duration) []Outcome {
 	j := p.jobs[end.Task.Job]
 	if j != nil {
-		p.numbers[end.Task] = max(p.numbers[end.Task], end.Run) // failures are counted by their numbers
+		p.numbers[end.Task] = max(p.numbers[end.Task], end.Run) // the store tells failed runs apart by their numbers
 		j.started = true
 	}
 	if end.Reason == work.EndFailed && j != nil && p.runs[end.Task] == nil {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -115,18 +115,3 @@
 	}
 	return true
 }
-
-// failures returns how many runs of a task have failed. The store knows those of a stored job by their number only, other instances also
-// by their process, so that one failed run may be on record twice.
-func (p *Pool) failures(j *job, task work.TaskID) int {
-	if !j.stored {
-		return p.history.Count(task, attempt.Failed)
-	}
-	runs := map[int]bool{}
-	for _, a := range p.history.OfJob(j.ID) {
-		if a.Task == task && a.Outcome == attempt.Failed {
-			runs[a.Run] = true
-		}
-	}
-	return len(runs)
-}
