--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -70,7 +70,7 @@
 		}
 		r := running[0]
 		running = running[1:]
-		p.RunEnded(r.Endpoint, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now)
+		p.RunEnded(attempt.Process{Endpoint: r.Endpoint}, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now)
 	}
 	is.Fail() // the suspect has not started
 }
--- a/internal/pool/fairness_test.go
+++ b/internal/pool/fairness_test.go
@@ -53,7 +53,7 @@
 	for len(p.ends) > 0 && p.ends.at(0) <= to {
 		p.now = p.ends.at(0)
 		r := heap.Pop(&p.ends).(*Run)
-		p.RunEnded(r.Endpoint, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, p.now)
+		p.RunEnded(attempt.Process{Endpoint: r.Endpoint}, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, p.now)
 		p.start()
 	}
 	p.now = to
--- a/internal/pool/graph_test.go
+++ b/internal/pool/graph_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -71,7 +72,7 @@
 		}
 		n += len(starts)
 		for _, r := range starts {
-			p.RunEnded(r.Endpoint, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now+100*ms)
+			p.RunEnded(attempt.Process{Endpoint: r.Endpoint}, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now+100*ms)
 		}
 	}
 }
@@ -89,7 +90,7 @@
 		starts := p.Next(0)
 		is.Equal(len(starts), 1)
 		is.Equal(starts[0].Task.Step, []int{0, 1, 3}[step])
-		p.RunEnded("a", work.End{Task: starts[0].Task, Run: 1, Reason: work.EndSucceeded}, 100*ms)
+		p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: starts[0].Task, Run: 1, Reason: work.EndSucceeded}, 100*ms)
 	}
 	is.True(!p.HasJob("x"))
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -83,12 +83,12 @@
 func TestSuccessBeforeSubmission(t *testing.T) {
 	is := is.New(t)
 	p := poolOf(endpointOf("a", 16000))
-	p.RunEnded("a", work.End{Task: work.TaskID{Job: "x", Index: 1}, Run: 1, Reason: work.EndSucceeded}, 0)
+	p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: work.TaskID{Job: "x", Index: 1}, Run: 1, Reason: work.EndSucceeded}, 0)
 	mustSubmit(t, p, jobOf("x", 2, 1000, 100*ms), 0)
 	starts := p.Next(0)
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Task.Index, 0)
-	out := p.RunEnded("a", work.End{Task: starts[0].Task, Run: starts[0].Number, Reason: work.EndSucceeded}, 0)
+	out := p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: starts[0].Task, Run: starts[0].Number, Reason: work.EndSucceeded}, 0)
 	is.Equal(out, []Outcome{{Job: "x", State: work.Completed, Task: starts[0].Task}})
 }
 
@@ -111,8 +111,8 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Task.Index, 0) // the task with index 1 runs already
 	p.RunStarted(starts[0])
-	is.Equal(len(p.RunEnded("a", work.End{Task: task, Run: 1, Reason: work.EndSucceeded}, time.Second)), 0)
-	last := p.RunEnded(starts[0].Endpoint, work.End{Task: starts[0].Task, Run: 1, Reason: work.EndSucceeded}, time.Second)
+	is.Equal(len(p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: task, Run: 1, Reason: work.EndSucceeded}, time.Second)), 0)
+	last := p.RunEnded(attempt.Process{Endpoint: starts[0].Endpoint}, work.End{Task: starts[0].Task, Run: 1, Reason: work.EndSucceeded}, time.Second)
 	is.Equal(last, []Outcome{{Job: "x", State: work.Completed, Task: starts[0].Task}})
 }
 
@@ -123,8 +123,8 @@
 	v, _ := p.Submit(jobOf("x", 2, 6000, 100*ms), 0, 0, time.Second)
 	is.True(v.Accepted())
 	done := work.End{Task: work.TaskID{Job: "x"}, Run: 1, Reason: work.EndSucceeded}
-	is.Equal(len(p.RunEnded("a", done, 0)), 0)
-	is.Equal(len(p.RunEnded("a", done, 0)), 0) // reported again
+	is.Equal(len(p.RunEnded(attempt.Process{Endpoint: "a"}, done, 0)), 0)
+	is.Equal(len(p.RunEnded(attempt.Process{Endpoint: "a"}, done, 0)), 0) // reported again
 	p.ReleaseResumed("x")
 	starts := p.Next(time.Second)
 	is.Equal(len(starts), 1)
@@ -176,7 +176,7 @@
 	is.Equal(len(first), 1)
 	mustSubmit(t, p, jobOf("long", 1, 1000, 900*ms), 0)
 	mustSubmit(t, p, jobOf("short", 1, 1000, 50*ms), 60*ms)
-	p.RunEnded("a", work.End{Task: first[0].Task, Run: 1, Reason: work.EndSucceeded}, 100*ms)
+	p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: first[0].Task, Run: 1, Reason: work.EndSucceeded}, 100*ms)
 	next := p.Next(100 * ms)
 	is.Equal(len(next), 1)
 	is.Equal(next[0].Task.Job, work.JobID("short"))
@@ -190,7 +190,7 @@
 	first := p.Next(0)[0]
 	mustSubmit(t, p, jobOf("long", 1, 1000, 500*ms), 0)
 	now := 100 * ms
-	p.RunEnded("a", work.End{Task: first.Task, Run: 1, Reason: work.EndSucceeded}, now)
+	p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: first.Task, Run: 1, Reason: work.EndSucceeded}, now)
 	for i := 0; i < 100; i++ {
 		p.Submit(jobOf(fmt.Sprint("short", i), 1, 1000, 50*ms), now, now, 0)
 		for _, r := range p.Next(now) {
@@ -199,7 +199,7 @@
 				return
 			}
 			now += 50 * ms
-			p.RunEnded("a", work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now)
+			p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}, now)
 		}
 	}
 	t.Fatal("the long job did not start")
@@ -286,7 +286,7 @@
 		p.RunStarted(r)
 	}
 	for _, r := range starts[:3] { // the remaining task ends at 100 ms
-		p.RunEnded("a", work.End{Task: r.Task, Run: 1, Reason: work.EndSucceeded}, 50*ms)
+		p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: r.Task, Run: 1, Reason: work.EndSucceeded}, 50*ms)
 	}
 	v, _ := p.Submit(jobOf("long", 3, 1000, 100*ms), 50*ms, 50*ms, 0) // would end at 150 ms
 	is.Equal(v.Reason, ReasonNoRoom)
@@ -326,7 +326,7 @@
 	for i := 0; i < 2; i++ {
 		mustSubmit(t, p, jobAllowingLongWait(fmt.Sprint("j", i), 1000), now)
 		for _, r := range p.Next(now) {
-			p.RunEnded("bad", work.End{Task: r.Task, Run: r.Number, Reason: work.EndFailed}, now)
+			p.RunEnded(attempt.Process{Endpoint: "bad"}, work.End{Task: r.Task, Run: r.Number, Reason: work.EndFailed}, now)
 			p.Cancel(r.Task.Job)
 		}
 	}
@@ -345,7 +345,7 @@
 		starts := p.Next(0)
 		is.Equal(len(starts), 1)
 		is.Equal(starts[0].Number, i+1)
-		out = p.RunEnded(starts[0].Endpoint, work.End{Task: starts[0].Task, Run: i + 1, Reason: work.EndFailed}, 0)
+		out = p.RunEnded(attempt.Process{Endpoint: starts[0].Endpoint}, work.End{Task: starts[0].Task, Run: i + 1, Reason: work.EndFailed}, 0)
 	}
 	is.Equal(out[0].State, work.Failed)
 }
@@ -360,7 +360,7 @@
 	first := p.Next(0)
 	is.Equal(len(first), 2)
 	for i, r := range first {
-		p.RunEnded("a", work.End{Task: r.Task, Run: 1, Reason: work.EndSucceeded}, 0)
+		p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: r.Task, Run: 1, Reason: work.EndSucceeded}, 0)
 		is.Equal(len(p.Next(0)), i) // only after the second end
 	}
 }
@@ -386,7 +386,7 @@
 	is.Equal(len(p.Cancel("x")), 1)
 	mustSubmit(t, p, jobAllowingLongWait("x", 1000), 0) // the caller submits it again
 	is.Equal(len(p.Next(0)), 0)
-	p.RunEnded("a", work.End{Task: r.Task, Run: r.Number, Reason: work.EndStopped}, 0)
+	p.RunEnded(attempt.Process{Endpoint: "a"}, work.End{Task: r.Task, Run: r.Number, Reason: work.EndStopped}, 0)
 	again := p.Next(0)
 	is.Equal(len(again), 1)
 	is.Equal(again[0].Number, 2)
@@ -471,7 +471,7 @@
 
 func (m *model) end(t *rapid.T, r *Run, reason work.EndReason, now time.Duration) {
 	delete(m.running, r.Task)
-	for _, o := range m.p.RunEnded(r.Endpoint, work.End{Task: r.Task, Run: r.Number, Reason: reason}, now) {
+	for _, o := range m.p.RunEnded(attempt.Process{Endpoint: r.Endpoint}, work.End{Task: r.Task, Run: r.Number, Reason: reason}, now) {
 		if m.ended[o.Job] {
 			t.Fatalf("job %v is answered twice", o.Job)
 		}
@@ -524,9 +524,9 @@
 // that knows less of the endpoint's process passes it on, or the other way round.
 func TestFailureKnownInTwoWaysCountsOnce(t *testing.T) {
 	for _, c := range []struct {
-		name       string
-		registered int64 // start of the process, 0 if not known
-		learned    attempt.Process
+		name    string
+		started int64 // start of the process as seen, 0 if not known
+		learned attempt.Process
 	}{
 		{"learned without the start", 7, attempt.Process{Endpoint: "a"}},
 		{"seen without the start", 0, attempt.Process{Endpoint: "a", StartedUnixMS: 7}},
@@ -535,9 +535,8 @@
 		for _, learnedFirst := range []bool{false, true} {
 			t.Run(fmt.Sprint(c.name, ", first ", learnedFirst), func(t *testing.T) {
 				is := is.New(t)
-				e := endpointOf("a", 16000)
-				e.StartedUnixMS = c.registered
-				p := poolOf(e)
+				p := poolOf(endpointOf("a", 16000))
+				seenAt := attempt.Process{Endpoint: "a", StartedUnixMS: c.started}
 				j := jobAllowingLongWait("x", 6000)
 				j.Objective.Attempts = 2
 				mustSubmit(t, p, j, 0)
@@ -550,7 +549,7 @@
 					learn()
 				}
 				failed := work.End{Sequence: 1, Task: r.Task, Run: r.Number, Reason: work.EndFailed}
-				is.Equal(len(p.RunEnded("a", failed, 10*ms)), 0)
+				is.Equal(len(p.RunEnded(seenAt, failed, 10*ms)), 0)
 				if !learnedFirst {
 					learn()
 				}
@@ -563,7 +562,7 @@
 				last := p.Next(50 * ms)
 				is.Equal(len(last), 1)
 				failed.Sequence, failed.Run = 2, last[0].Number
-				out = p.RunEnded("a", failed, 60*ms)
+				out = p.RunEnded(seenAt, failed, 60*ms)
 				is.Equal(len(out), 1)
 				is.Equal(out[0].State, work.Failed)
 			})
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -204,17 +204,17 @@
 	}
 }
 
-// RunEnded records the end of a run, as reported by an endpoint. It returns the outcome of the job if the end decides it.
-func (p *Pool) RunEnded(id work.EndpointID, end work.End, now time.Duration) []Outcome {
+// RunEnded records the end of a run, as reported by an endpoint's process. It returns the outcome of the job if the end decides it.
+func (p *Pool) RunEnded(by attempt.Process, end work.End, now time.Duration) []Outcome {
 	if end.Reason == work.EndFailed {
-		p.history.Add(attempt.Attempt{Task: end.Task, Run: end.Run, Process: p.process(id), Outcome: attempt.Failed}, now)
+		p.history.Add(attempt.Attempt{Task: end.Task, Run: end.Run, Process: by, Outcome: attempt.Failed}, now)
 	}
 	r := p.runs[end.Task]
-	if r == nil || r.Number != end.Run || r.Endpoint != id {
+	if r == nil || r.Number != end.Run || r.Endpoint != by.Endpoint {
 		return p.unknownRunEnded(end, now)
 	}
 	j := r.job
-	e := p.endpoints[id]
+	e := p.endpoints[by.Endpoint]
 	p.release(r)
 	if j == nil {
 		return p.unknownRunEnded(end, now)
@@ -233,14 +233,6 @@
 	return nil
 }
 
-// process returns the registered process of an endpoint.
-func (p *Pool) process(id work.EndpointID) attempt.Process {
-	if e := p.endpoints[id]; e != nil {
-		return attempt.Process{Endpoint: id, StartedUnixMS: e.StartedUnixMS}
-	}
-	return attempt.Process{Endpoint: id}
-}
-
 // unknownRunEnded records the end of a run that no job waits for. If the run succeeded and
 // its task belongs to a job that was submitted again, the task does not start again; if it failed, the run counts as an attempt of its task.
 func (p *Pool) unknownRunEnded(end work.End, now time.Duration) []Outcome {
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -63,11 +63,11 @@
 	p.SetUsable("e", true)
 	is.Equal(len(p.ResumeStored(storedJob(), nil, nil, 0, 1)), 0)
 	failed := work.End{Sequence: 1, Task: work.TaskID{Job: "a"}, Run: 1, Reason: work.EndFailed}
-	is.Equal(len(p.RunEnded("e", failed, 0)), 0)
+	is.Equal(len(p.RunEnded(attempt.Process{Endpoint: "e"}, failed, 0)), 0)
 	is.True(p.IsKnownToHaveStarted("a"))
 	next := p.Next(time.Second)[0]
 	is.Equal(next.Task, failed.Task)
 	is.Equal(next.Number, 2)
 	failed.Run = next.Number
-	is.Equal(p.RunEnded("e", failed, 0)[0].State, work.Failed)
+	is.Equal(p.RunEnded(attempt.Process{Endpoint: "e"}, failed, 0)[0].State, work.Failed)
 }
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -145,6 +145,39 @@
 	})
 }
 
+// Guards against a failed run that counts twice, and ends a job with two attempts: the endpoint has restarted, and this dispatcher reads the
+// registration of the new process later than the report of a run there, which the earlier dispatcher has seen fail, too. The clock is virtual.
+func TestFailureBeforeTheRegistrationIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const run = 100 * time.Millisecond
+		f, all := newFleet(1, run)
+		fails := true
+		f.Fails = func(work.TaskID) bool { return fails }
+		before := f.Resize(all[0].Address, all[0].Size) // registered with the start of its process
+		time.Sleep(time.Second)
+		f.Restart(before.Address)
+		now := f.Resize(before.Address, before.Size)
+		is.True(now.StartedUnixMS != before.StartedUnixMS)
+		task := work.TaskID{Job: "a"}
+		startElsewhere(t, f, now, 1, task)
+		time.Sleep(2 * run)
+		fails = false
+		s, c := newShard(f, func() {}), newClient()
+		s.Begin(shard.Term{Fence: 2, Partitions: 1})
+		defer endAndSettle(s)
+		s.register([]work.Endpoint{before})
+		time.Sleep(run)
+		is.Equal(s.history.Count(task, attempt.Failed), 1)
+		s.register([]work.Endpoint{now})
+		seen := attempt.Attempt{Task: task, Run: 1, Process: attempt.Process{Endpoint: now.ID, StartedUnixMS: now.StartedUnixMS}, Outcome: attempt.Failed}
+		s.Submit(c, &relay.Submit{Job: patientJob("a", 1), Resumed: true, Attempts: []attempt.Attempt{seen}})
+		time.Sleep(5 * time.Second)
+		is.Equal(s.history.Count(task, attempt.Failed), 1)
+		is.True(completed(c, "a")())
+	})
+}
+
 // Guards against a task that is given up although no process has crashed: an endpoint that a firewall cuts off refuses connections
 // and answers again later. The clock is virtual.
 func TestRefusedConnectionsAreNoCrashOnceTheProcessAnswers(t *testing.T) {
--- a/internal/shard/ends.go
+++ b/internal/shard/ends.go
@@ -137,7 +137,7 @@
 		for _, sequence := range slices.Sorted(maps.Keys(unrecorded)) {
 			end := unrecorded[sequence].end
 			x.recordEnd(end, now)
-			s.finish(s.pool.RunEnded(x.endpoint.ID, end, now))
+			s.finish(s.pool.RunEnded(x.process(), end, now))
 			x.countRecorded(end)
 		}
 		x.wakeIf(len(unrecorded) > 0)
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -133,7 +133,7 @@
 			"event": "run_ended", "task": end.Task.String(), "run": end.Run, "endpoint": x.endpoint.ID, "reason": end.Reason,
 		}).Info("run ended without success")
 	}
-	s.finish(s.pool.RunEnded(x.endpoint.ID, end, now))
+	s.finish(s.pool.RunEnded(x.process(), end, now))
 	x.countRecorded(end)
 }
 
