No term begins unseen with the fence of the term before

Cause: answers to joins of one generation may overtake each other, and the one that arrives last counted. A member that had just got its partitions then ended its dispatchers and began again a moment later, with the same fence. Endpoints that have reported to that fence carry out late start requests of the first term, so a job that was given back ran a second time. Change: package lead ignores the answer to a join that was sent before the one whose answer it has applied. Should a term begin with a used fence all the same, the shard polls its endpoints only when all requests of the earlier term are too late. Tests: TestAnswersToJoinsThatOvertakeEachOther fails without the first change ([0] is followed by an empty term), TestTermWithTheFenceOfTheTermBefore without the second: run 1 on e0 from 1.071 to 1.671 s, run 1 on e1 from 1.251 s. The latter now submits refused jobs again, as gateways do; it fails in this form on the code before, too.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -98,6 +98,8 @@
 	emptyPatience       time.Duration // like patience, for a group without members
 	renewalFailing      bool
 	joinsPending        int                       // number of joins without an answer yet
+	joinsSent           int                       // number of the last join
+	answered            int                       // highest number of a join whose answer was applied
 	deposedAt           map[string]time.Time      // last attempt to remove a member, by member
 	holders             map[string]map[int]string // member that holds a partition, by zone and partition
 	lookUpSoon          map[string]bool           // zones for which Search was called since the last look-up
@@ -118,8 +120,8 @@
 func (c *Controller) Run(ctx context.Context) {
 	c.leave(ctx) // an earlier process of this instance may still be a member; its fence must not be used again
 	for ctx.Err() == nil {
-		if c.beginJoin() {
-			go c.join(ctx)
+		if number, ok := c.beginJoin(); ok {
+			go c.join(ctx, number)
 		}
 		pause.For(ctx, c.joinPause(), c.joinNow)
 	}
@@ -182,15 +184,16 @@
 	return member[strings.LastIndex(member, memberSeparator)+1:]
 }
 
-// beginJoin reports whether a join may be sent now, and counts it as pending if so.
-func (c *Controller) beginJoin() bool {
+// beginJoin returns the number of the join that may be sent now, and counts it as pending. ok is false if none may be sent.
+func (c *Controller) beginJoin() (number int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leaving || c.joinsPending >= maxJoinsInFlight || c.mustWait() {
-		return false
+		return 0, false
 	}
 	c.joinsPending++
-	return true
+	c.joinsSent++
+	return c.joinsSent, true
 }
 
 // mustWait reports whether this instance must not join the group yet, because it does not know the zone's endpoints and
@@ -218,7 +221,7 @@
 	return false
 }
 
-func (c *Controller) join(ctx context.Context) {
+func (c *Controller) join(ctx context.Context, number int) {
 	share, err := c.opts.Store.Join(ctx, c.membership())
 	c.mu.Lock()
 	c.joinsPending--
@@ -230,14 +233,24 @@
 	}
 	c.reportRenewed()
 	slices.Sort(share.Partitions)
-	c.setTerm(Term{share.Generation, share.Partitions})
+	c.applyAnswer(Term{share.Generation, share.Partitions}, number)
 }
 
-// setTerm sets the term. It ignores terms of an older generation, from answers that arrive late, and terms with partitions
-// once this instance is leaving.
-func (c *Controller) setTerm(term Term) {
+// applyAnswer sets the term that the answer to a join gives. Answers may overtake each other, also within a generation: one that arrives
+// behind the answer to a later join would end the dispatchers of partitions for a moment, which would then begin again with the same fence.
+func (c *Controller) applyAnswer(term Term, number int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if term.Generation == c.term.Generation && number < c.answered {
+		return
+	}
+	c.answered = max(c.answered, number)
+	c.setTerm(term)
+}
+
+// setTerm sets the term. It ignores terms of an older generation, from answers that arrive late, and terms with partitions
+// once this instance is leaving. c.mu is held.
+func (c *Controller) setTerm(term Term) {
 	if term.Generation < c.term.Generation || c.leaving && len(term.Partitions) > 0 || c.term.equal(term) {
 		return
 	}
@@ -261,9 +274,9 @@
 		pause.For(ctx, leavePause, nil)
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.hasLeft = true
-	c.mu.Unlock()
-	c.setTerm(Term{Generation: c.Term().Generation})
+	c.setTerm(Term{Generation: c.term.Generation})
 }
 
 // leave requests the end of the membership from the store once and returns whether the store has confirmed it.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -32,10 +32,10 @@
 	return append([]Term(nil), m.past...)
 }
 
-func join(t *testing.T, s *keyed.Store, name string) *member { return joinIfKnown(t, s, name, nil) }
+func join(t *testing.T, s store.Store, name string) *member { return joinIfKnown(t, s, name, nil) }
 
 // joinIfKnown is like join for a member with the given Options.EndpointsKnown.
-func joinIfKnown(t *testing.T, s *keyed.Store, name string, endpointsKnown func() bool) *member {
+func joinIfKnown(t *testing.T, s store.Store, name string, endpointsKnown func() bool) *member {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m := &member{}
@@ -305,3 +305,59 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// overtakingStore answers the first join that gives a member no partition behind the first one that gives it some.
+type overtakingStore struct {
+	*keyed.Store
+	member   string
+	mu       sync.Mutex
+	held     bool
+	overtook chan struct{} // closed when a join has given the member partitions
+	once     sync.Once
+}
+
+func (s *overtakingStore) Join(ctx context.Context, m store.Membership) (store.Assignment, error) {
+	a, err := s.Store.Join(ctx, m)
+	if err != nil || m.Member != s.member {
+		return a, err
+	}
+	if len(a.Partitions) > 0 {
+		s.once.Do(func() { close(s.overtook) })
+		return a, err
+	}
+	s.mu.Lock()
+	first := !s.held
+	s.held = true
+	s.mu.Unlock()
+	if first {
+		<-s.overtook
+		time.Sleep(100 * time.Millisecond)
+	}
+	return a, err
+}
+
+// Guards against a term that ends and begins again with the same fence because the answers to two joins of one generation overtake each
+// other: endpoints do not refuse late requests of the earlier term then. The clock is virtual.
+func TestAnswersToJoinsThatOvertakeEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := keyed.New()
+		slow := &overtakingStore{Store: s, member: "b|0|b:1", overtook: make(chan struct{})}
+		a := join(t, s, "a")
+		wait.For(t, "the first member leads", leading(a))
+		b := join(t, slow, "b")
+		time.Sleep(3 * time.Second)
+		a.stop()
+		b.stop()
+		time.Sleep(time.Second)
+		slow.mu.Lock()
+		is.True(slow.held)
+		slow.mu.Unlock()
+		held := false
+		for _, term := range b.terms() {
+			is.True(!held || len(term.Partitions) > 0)
+			held = len(term.Partitions) > 0
+		}
+		is.True(held)
+	})
+}
--- a/internal/shard/fence_reuse_test.go
+++ b/internal/shard/fence_reuse_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 )
@@ -36,13 +37,16 @@
 		time.Sleep(10 * time.Millisecond)
 		s.End()
 		given := c.answer("a")
+		c.mu.Lock()
+		delete(c.answers, "a")
+		c.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
 		s.Begin(shard.Term{Fence: 1, Partitions: 1})
 		time.Sleep(10 * time.Millisecond)
 		s.follow()
-		s.Submit(c, &relay.Submit{Job: jobOf("filler", 1, run)}) // takes the endpoint that the start request is on its way to
+		s.submitUntilTaken(c, relay.Submit{Job: jobOf("filler", 1, run)}) // takes the endpoint that the start request is on its way to
 		time.Sleep(10 * time.Millisecond)
-		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, run), Resumed: true, GivenBack: true, Lost: 10 * time.Millisecond})
+		s.submitUntilTaken(c, relay.Submit{Job: jobOf("a", 1, run), Resumed: true, GivenBack: true, Lost: 10 * time.Millisecond})
 		time.Sleep(5 * time.Second)
 		s.End()
 		time.Sleep(2 * time.Second)
@@ -51,3 +55,20 @@
 		is.True(completed(c, "a")())
 	})
 }
+
+// submitUntilTaken submits a job again and again, as its instance does if the job is resumed, until it is taken. The registrations are read meanwhile.
+func (d *dispatcher) submitUntilTaken(c *client, m relay.Submit) {
+	const pause = 20 * time.Millisecond
+	for {
+		d.Submit(c, &m)
+		if a := c.answer(m.Job.ID); a == nil || a.Refused == pool.ReasonNone {
+			return
+		}
+		c.mu.Lock()
+		delete(c.answers, m.Job.ID)
+		c.mu.Unlock()
+		time.Sleep(pause)
+		m.Lost += pause
+		d.follow()
+	}
+}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -245,12 +245,12 @@
 // which the endpoint belongs to another partition. The shard's lock is held.
 func (x *session) ended() bool { return x.shard.sessions[x.endpoint.ID] != x }
 
-// prepareReport returns a request for a report that neither waits nor extends the lease. ok is false if the session has ended.
+// prepareReport returns a request for a report that neither waits nor extends the lease. ok is false if the session has ended or does not poll yet.
 func (x *session) prepareReport() (request reportRequest, ok bool) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.ended() {
+	if x.ended() || s.opts.Now() < s.pollsFrom {
 		return reportRequest{}, false
 	}
 	return x.newReportRequest(s.opts.Now()), true
@@ -264,15 +264,15 @@
 const maxExtendingPolls = 2
 
 // preparePoll returns the request of the next poll. The poll does not wait at an endpoint that did not answer
-// the last one. ok is false if the session has ended.
+// the last one. ok is false if the session has ended or does not poll yet.
 func (x *session) preparePoll() (request reportRequest, ok bool) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.ended() {
+	now := s.opts.Now()
+	if x.ended() || now < s.pollsFrom {
 		return reportRequest{}, false
 	}
-	now := s.opts.Now()
 	s.abandonExpired(now) // this process may have been stopped; the lease must not be extended for jobs that expired meanwhile
 	request = x.newReportRequest(now)
 	busy := s.pool.Busy(x.endpoint.ID)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -100,6 +100,10 @@
 	stopRequestedAt map[work.TaskID]time.Duration // time of the last request to stop a run of the task
 	cancel          context.CancelFunc
 	ctx             context.Context
+	// endedFence is the highest fence of a term that has ended, endedAt when the last one did.
+	endedFence int64
+	endedAt    time.Duration
+	pollsFrom  time.Duration // endpoints are not polled before, see Begin
 	// outrankedFence is the fence under which most endpoints refused this dispatcher because they had seen a higher one.
 	// No term begins with this fence or a lower one.
 	outrankedFence int64
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -54,6 +54,11 @@
 	if t.Fence <= s.outrankedFence {
 		return
 	}
+	s.pollsFrom = 0
+	if t.Fence <= s.endedFence {
+		// Endpoints carry out late requests of the earlier term also after a report to this fence. Reports are complete once they are too late.
+		s.pollsFrom = s.endedAt + s.leaseExpiryTime()
+	}
 	s.term = t
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
 	s.checked.Store(int64(s.fenceStart))
@@ -79,7 +84,7 @@
 	if t.Fence <= s.term.Fence {
 		return
 	}
-	s.term, s.settled, s.fenceStart = t, false, s.opts.Now()
+	s.term, s.settled, s.fenceStart, s.pollsFrom = t, false, s.opts.Now(), 0
 	s.holdStored()
 	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions)}).
 		Info("dispatching for the partition continues with a higher fence")
@@ -108,6 +113,7 @@
 		"event": "dispatching_ended", "fence": s.term.Fence, "partitions": s.term.Partitions, "jobs": len(s.clients),
 	}).Info("dispatching for the partition ended")
 	s.leading = false
+	s.endedFence, s.endedAt = max(s.endedFence, s.term.Fence), s.opts.Now()
 	s.cancel()
 	for id, client := range s.clients {
 		client.Answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
