Runs at an endpoint's earlier address count until the lease has expired

Cause: when an endpoint registers another address and the process there cannot be told from the earlier one, a run counted as over when its order lay a lease back, although polls had extended the lease until the move; the confirmation of a stop by the other process ended it, too. Change: until a lease after the move no report from the new address shows that an earlier run is over. Ends that it lists count as before, and a process that is known to be another one still ends the runs at once.

--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -137,8 +137,12 @@
 	x.countRecorded(end)
 }
 
-// mustList reports whether the report of a request lists a run if it still runs.
+// mustList reports whether the report of a request lists a run if it still runs. A run that was ordered at an earlier address may go on there
+// until the lease has expired, whatever the process at this one answers.
 func (x *session) mustList(r *pool.Run, request reportRequest) bool {
+	if x.movedAt > 0 && r.Ordered <= x.movedAt && request.sent <= x.movedAt+x.shard.leaseExpiryTime() {
+		return false
+	}
 	if first, ok := x.visibleFrom[r]; ok {
 		return request.number >= first
 	}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -73,6 +73,7 @@
 	clockAt         time.Duration           // when the endpoint's clock was read, on this instance's clock
 	reportClock     time.Duration           // the endpoint's clock in the newest report
 	leaseExtendedAt time.Duration           // when a request that extends the lease was last sent
+	movedAt         time.Duration           // when the endpoint moved to this address; 0 if it did not
 	granted         time.Duration           // latest end of the lease that was requested, on the endpoint's clock
 	lastAnswerAt    time.Duration           // time of the last answer
 	leaseExpired    bool                    // the endpoint is silent, its lease has expired and the pool has ended its runs
@@ -101,6 +102,7 @@
 	moved := *x
 	moved.endpoint, moved.registered, moved.endpointClient = e, true, x.shard.opts.Dialer.Dial(e)
 	moved.answering, moved.reportedTo, moved.refusedFence = false, 0, 0
+	moved.movedAt = x.shard.opts.Now()
 	moved.visibleFrom, moved.stopConfirmed = map[*pool.Run]requestNumber{}, map[*pool.Run]bool{}
 	return &moved
 }
