Resumed jobs that are older than what is known of registrations wait for the leases

Cause: a successor took all runs of a resumed job for known when the endpoints had reported that are registered or were so within 30 s. A run that is longer goes on at an endpoint whose registration ended before, or before the successor's process began to follow the registrations. Change: reports count only for jobs that arrived at most 22 s ago and 8 s after the registrations were first read (30 s less the 8 s by which a dispatcher may learn late of the end of a registration). Other resumed jobs wait for the leases, at most 1.28 s after the loss.

--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -16,7 +16,7 @@
 	// Endpoints that are alive renew registrations that ended during an outage within about two seconds.
 	reregisterTime = 2500 * time.Millisecond
 	// minFollowTime is how long the registrations must have been followed before they count as complete. An endpoint whose
-	// registration ended earlier has got no runs since, and most of its earlier runs are over.
+	// registration ended earlier has got no runs since.
 	minFollowTime = 8 * time.Second
 )
 
@@ -225,6 +225,14 @@
 	asOf     time.Duration // when the last read began
 }
 
+// covers reports whether every endpoint is among the present and the ended registrations that a dispatcher may have used for a job which
+// arrived at a time. A dispatcher learns up to minFollowTime late that a registration has ended, and longer runs outlast the record of it.
+func (d *Directory) covers(arrived, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.followed && arrived-d.followedFrom >= minFollowTime && now-arrived <= endedRetention-minFollowTime
+}
+
 // view returns what is known of the registrations that a filter accepts.
 func (d *Directory) view(accept func(work.Endpoint) bool, now time.Duration) view {
 	d.mu.Lock()
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -75,24 +75,27 @@
 	return now - m.Lost + abandonTime
 }
 
-// notBefore returns the time until which the tasks of a job wait in any case, which is above 0 for a resumed job and 0 for a new one. last
-// is the time of lastOrder.
-func (s *Shard) notBefore(resumed bool, last, now time.Duration) time.Duration {
+// period is the time in which other dispatchers may have ordered runs of a job: from the arrival of its caller's request to the time of
+// lastOrder.
+type period struct{ arrived, last time.Duration }
+
+// notBefore returns the time until which the tasks of a job wait in any case, which is above 0 for a resumed job and 0 for a new one.
+func (s *Shard) notBefore(resumed bool, orders period, now time.Duration) time.Duration {
 	if !resumed {
 		return 0
 	}
-	if s.knowsRunsUntil(last, now) {
+	if s.knowsRunsUntil(orders.last, now) && s.opts.Directory.covers(orders.arrived, now) {
 		return 1 // above 0 because the job is resumed
 	}
-	return max(last+s.leaseExpiryTime(), 1)
+	return max(orders.last+s.leaseExpiryTime(), 1)
 }
 
-// await makes a resumed job wait until the runs are known that other dispatchers may have ordered until a time.
-func (s *Shard) await(id work.JobID, last time.Duration) {
+// await makes a resumed job wait until the runs are known that other dispatchers may have ordered.
+func (s *Shard) await(id work.JobID, orders period) {
 	if before, ok := s.awaiting[id]; ok {
-		last = max(last, before)
+		orders = period{min(orders.arrived, before.arrived), max(orders.last, before.last)}
 	}
-	s.awaiting[id] = last
+	s.awaiting[id] = orders
 }
 
 // releaseResumed lets the resumed jobs start whose runs are known. If only a read of the registrations is missing for that, it requests
@@ -103,11 +106,12 @@
 	}
 	asOf, known := s.knownAsOf(now)
 	outdated := false
-	for id, last := range s.awaiting {
+	for id, orders := range s.awaiting {
+		last := orders.last
 		switch {
 		case !s.pool.HasJob(id) || now >= last+s.leaseExpiryTime():
 			delete(s.awaiting, id)
-		case s.dividedBefore(last) || !known:
+		case s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
 		case asOf > last:
 			s.pool.ReleaseResumed(id)
 			delete(s.awaiting, id)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -80,8 +80,8 @@
 	settled         bool          // see settle
 	term            Term
 	registrations   knowledge
-	startsWait      bool                         // starts wait for a read of the registrations
-	awaiting        map[work.JobID]time.Duration // resumed jobs whose runs are not known yet, with the time of their lastOrder
+	startsWait      bool                  // starts wait for a read of the registrations
+	awaiting        map[work.JobID]period // resumed jobs whose runs are not known yet, with the time in which these were ordered
 	held            map[work.JobID]holding
 	reports         map[work.EndpointID]newestReport
 	readRequestedAt time.Duration // when a read of the registrations was last requested for them
@@ -137,7 +137,7 @@
 	s.endsUndecided, s.undecidedSince = false, 0
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
-	s.awaiting = map[work.JobID]time.Duration{}
+	s.awaiting = map[work.JobID]period{}
 	s.held = map[work.JobID]holding{}
 	s.reports = map[work.EndpointID]newestReport{}
 }
@@ -278,14 +278,15 @@
 	s.opts.History.Merge(m.Attempts, now)
 	known := s.pool.HasJob(job.ID)
 	last := s.lastOrder(m, now)
-	verdict, outcomes := s.pool.Submit(job, now, now-m.Age()-m.Waited, s.notBefore(m.Resumed, last, now))
+	orders := period{now - m.Age() - m.Waited, last}
+	verdict, outcomes := s.pool.Submit(job, now, orders.arrived, s.notBefore(m.Resumed, orders, now))
 	if !verdict.Accepted() {
 		s.refuse(client, m, verdict)
 		return
 	}
 	s.logVerdict(client, m, verdict, known)
 	if m.Resumed {
-		s.await(job.ID, last)
+		s.await(job.ID, orders)
 	}
 	s.hold(m, last, now)
 	s.clients[job.ID] = client
