--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -73,6 +73,7 @@
 	clockAt         time.Duration           // when the endpoint's clock was read, on this instance's clock
 	reportClock     time.Duration           // the endpoint's clock in the newest report
 	leaseExtendedAt time.Duration           // when a request that extends the lease was last sent
+	movedAt         time.Duration           // when the endpoint moved to this address; 0 if it did not
 	granted         time.Duration           // latest end of the lease that was requested, on the endpoint's clock
 	lastAnswerAt    time.Duration           // time of the last answer
 	leaseExpired    bool                    // the endpoint is silent, its lease has expired and the pool has ended its runs
@@ -101,6 +102,7 @@
 	moved := *x
 	moved.endpoint, moved.registered, moved.endpointClient = e, true, x.shard.opts.Dialer.Dial(e)
 	moved.answering, moved.reportedTo, moved.refusedFence = false, 0, 0
+	moved.movedAt = x.shard.opts.Now()
 	moved.visibleFrom, moved.stopConfirmed = map[*pool.Run]requestNumber{}, map[*pool.Run]bool{}
 	return &moved
 }
@@ -245,12 +247,12 @@
 // which the endpoint belongs to another partition. The shard's lock is held.
 func (x *session) ended() bool { return x.shard.sessions[x.endpoint.ID] != x }
 
-// prepareReport returns a request for a report that neither waits nor extends the lease. ok is false if the session has ended.
+// prepareReport returns a request for a report that neither waits nor extends the lease. ok is false if the session has ended or does not poll yet.
 func (x *session) prepareReport() (request reportRequest, ok bool) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.ended() {
+	if x.ended() || s.opts.Now() < s.pollsFrom {
 		return reportRequest{}, false
 	}
 	return x.newReportRequest(s.opts.Now()), true
@@ -264,15 +266,15 @@
 const maxExtendingPolls = 2
 
 // preparePoll returns the request of the next poll. The poll does not wait at an endpoint that did not answer
-// the last one. ok is false if the session has ended.
+// the last one. ok is false if the session has ended or does not poll yet.
 func (x *session) preparePoll() (request reportRequest, ok bool) {
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.ended() {
+	now := s.opts.Now()
+	if x.ended() || now < s.pollsFrom {
 		return reportRequest{}, false
 	}
-	now := s.opts.Now()
 	s.abandonExpired(now) // this process may have been stopped; the lease must not be extended for jobs that expired meanwhile
 	request = x.newReportRequest(now)
 	busy := s.pool.Busy(x.endpoint.ID)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -80,8 +80,8 @@
 	settled         bool          // see settle
 	term            Term
 	registrations   knowledge
-	startsWait      bool                         // starts wait for a read of the registrations
-	awaiting        map[work.JobID]time.Duration // resumed jobs whose runs are not known yet, with the time of their lastOrder
+	startsWait      bool                  // starts wait for a read of the registrations
+	awaiting        map[work.JobID]period // resumed jobs whose runs are not known yet, with the time in which these were ordered
 	held            map[work.JobID]holding
 	reports         map[work.EndpointID]newestReport
 	readRequestedAt time.Duration // when a read of the registrations was last requested for them
@@ -100,6 +100,10 @@
 	stopRequestedAt map[work.TaskID]time.Duration // time of the last request to stop a run of the task
 	cancel          context.CancelFunc
 	ctx             context.Context
+	// endedFence is the highest fence of a term that has ended, endedAt when the last one did.
+	endedFence int64
+	endedAt    time.Duration
+	pollsFrom  time.Duration // endpoints are not polled before, see Begin
 	// outrankedFence is the fence under which most endpoints refused this dispatcher because they had seen a higher one.
 	// No term begins with this fence or a lower one.
 	outrankedFence int64
@@ -121,7 +125,7 @@
 	s.endsUndecided, s.undecidedSince = false, 0
 	s.expires = map[work.JobID]time.Duration{}
 	s.stopRequestedAt = map[work.TaskID]time.Duration{}
-	s.awaiting = map[work.JobID]time.Duration{}
+	s.awaiting = map[work.JobID]period{}
 	s.held = map[work.JobID]holding{}
 	s.reports = map[work.EndpointID]newestReport{}
 }
@@ -259,14 +263,15 @@
 	s.opts.History.Merge(m.Attempts, now)
 	known := s.pool.HasJob(job.ID)
 	last := s.lastOrder(m, now)
-	verdict, outcomes := s.pool.Submit(job, now, now-m.Age()-m.Waited, s.notBefore(m.Resumed, last, now))
+	orders := period{now - m.Age() - m.Waited, last}
+	verdict, outcomes := s.pool.Submit(job, now, orders.arrived, s.notBefore(m.Resumed, orders, now))
 	if !verdict.Accepted() {
 		s.refuse(client, m, verdict)
 		return
 	}
 	s.logVerdict(client, m, verdict, known)
 	if m.Resumed {
-		s.await(job.ID, last)
+		s.await(job.ID, orders)
 	}
 	s.hold(m, last, now)
 	s.clients[job.ID] = s.clients[job.ID].with(client)
