--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 	losses             int                    // number of dispatchers whose connection ended while they held the job
 	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
 	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
+	knowledge          uint64                 // relay.Answer.Knowledge of that refusal
 	awaitingDispatcher bool                   // no dispatcher could be reached yet
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 	claim              claim                  // what the job's home knows
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -84,7 +84,7 @@
 		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Lost: lost, GivenBack: resumed && p.losses == 0 && !p.followed,
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
-		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent,
+		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
 		Attempts: g.opts.Attempts(p.job.ID),
 	}
 }
@@ -116,9 +116,9 @@
 		g.opts.Router.ReportNotLeader(p.target)
 		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
-		p.earlierRuns = true // another dispatcher would start its tasks beside these runs
+		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
 	case !p.orphaned:
-		p.follows = false
+		p.follows, p.knowledge = false, 0
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
 			p.refusal = a
 		}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -51,6 +51,9 @@
 	Request uint64 `msgpack:"q,omitempty"`
 	// Previous is the number of the submission that was sent last for the request; 0 if there is none, or it is not known.
 	Previous SubmissionNumber `msgpack:"v,omitempty"`
+	// Knowledge is Answer.Knowledge of the dispatcher that has refused the job because of earlier runs; 0 if none has. Another dispatcher, or
+	// a later term, does not know these runs.
+	Knowledge uint64 `msgpack:"e,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
 	// Claims tells what the submission is as a claim; NoClaim if the dispatcher is not the job's home.
@@ -96,6 +99,9 @@
 	// Started is true in a refusal if tasks of the job may have started: this dispatcher has started them and its term has ended, or it
 	// knows of runs of an earlier submission that are not over. It is set with GaveUp, too.
 	Started bool `msgpack:"t,omitempty"`
+	// Knowledge identifies, among all dispatchers and their terms, the one that knows of the runs of an earlier submission. It is set in a
+	// refusal with Started by a dispatcher that goes on.
+	Knowledge uint64 `msgpack:"e,omitempty"`
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
 	GaveUp bool `msgpack:"g,omitempty"`
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -38,10 +38,15 @@
 	return h.request != 0 && h.request == m.Request && h.number != 0 && h.number == m.Previous
 }
 
+// resumes reports whether another dispatcher, or an earlier term of this one, may have started tasks of a submitted job.
+func (s *Shard) resumes(m *relay.Submit) bool {
+	return m.Resumed || m.Knowledge != 0 && m.Knowledge != s.knowledge
+}
+
 // lastOrder returns the time after which other dispatchers order nothing for a submitted job. Without another one, as after a reset of the
 // connection, this dispatcher knows all runs.
 func (s *Shard) lastOrder(m *relay.Submit, now time.Duration) time.Duration {
-	if !m.Resumed {
+	if !s.resumes(m) {
 		return noOrders
 	}
 	if h, ok := s.held[m.Job.ID]; ok && h.precedes(m) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,7 @@
 	leading         bool
 	fenceStart      time.Duration // when this dispatcher began to use the current fence
 	settled         bool          // see settle
+	knowledge       uint64        // see relay.Answer.Knowledge; not 0
 	term            Term
 	registrations   knowledge
 	startsWait      bool                  // starts wait for a read of the registrations
@@ -117,6 +119,7 @@
 }
 
 func (s *Shard) reset() {
+	s.knowledge = rand.Uint64() | 1
 	s.pool = pool.New(s.opts.History)
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]submitters{}
@@ -264,13 +267,13 @@
 	known := s.pool.HasJob(job.ID)
 	last := s.lastOrder(m, now)
 	orders := period{now - m.Age() - m.Waited, last}
-	verdict, outcomes := s.pool.Submit(job, now, orders.arrived, s.notBefore(m.Resumed, orders, now))
+	verdict, outcomes := s.pool.Submit(job, now, orders.arrived, s.notBefore(s.resumes(m), orders, now))
 	if !verdict.Accepted() {
 		s.refuse(client, m, verdict)
 		return
 	}
 	s.logVerdict(client, m, verdict, known)
-	if m.Resumed {
+	if s.resumes(m) {
 		s.await(job.ID, orders)
 	}
 	s.hold(m, last, now)
@@ -306,11 +309,15 @@
 
 // refusal returns the refusal of a job by a dispatcher that leads. It tells whether the dispatcher knows of runs of the job.
 func (s *Shard) refusal(id work.JobID, why pool.Reason, retryAfter time.Duration) *relay.Answer {
-	return &relay.Answer{Job: id, Refused: why, RetryAfter: retryAfter, Started: s.pool.HasStarted(id)}
+	a := &relay.Answer{Job: id, Refused: why, RetryAfter: retryAfter, Started: s.pool.HasStarted(id)}
+	if a.Started {
+		a.Knowledge = s.knowledge
+	}
+	return a
 }
 
 func (s *Shard) logVerdict(from relay.Client, m *relay.Submit, v pool.Verdict, known bool) {
-	job, resumed, waited := &m.Job, m.Resumed, m.Waited
+	job, resumed, waited := &m.Job, s.resumes(m), m.Waited
 	outcome := "taken"
 	if !v.Accepted() {
 		outcome = string(v.Reason)
