--- a/Makefile
+++ b/Makefile
@@ -41,13 +41,17 @@
 
 # Real instances on the users' platform with random faults from outside: make soak SEED=1 MINUTES=0.15 INSTANCES=4 RUNS=2. PARALLEL
 # runs at the same time; each instance is a process. DIR keeps the logs and histories of failed runs. STORED=false leaves stored jobs out.
+# PATHS=true adds faults of the callers' paths, ENDING=10s a phase in which the callers leave.
 MINUTES ?= 0.15
 INSTANCES ?= 4
 CALLERS ?= 3
 STORED ?= true
+PATHS ?= false
+ENDING ?= 0s
 soak:
 	go test ./internal/soak -run '^TestSoak$$' -count=1 -timeout 3h -parallel $(PARALLEL) -v \
-		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.callers=$(CALLERS) -soak.runs=$(RUNS) -soak.stored=$(STORED) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
+		-soak.seed=$(SEED) -soak.minutes=$(MINUTES) -soak.instances=$(INSTANCES) -soak.callers=$(CALLERS) -soak.runs=$(RUNS) -soak.stored=$(STORED) \
+		-soak.paths=$(PATHS) -soak.ending=$(ENDING) $(if $(DIR),-soak.dir=$(abspath $(DIR)))
 
 # Starts a deployment, leaves it running and prints its addresses; see docs/getting-started.md.
 demo-up: build
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -46,16 +46,30 @@
 	left   int       // requests until the caller opens another connection
 	only   *instance // the only instance that the caller uses, without faults on the way; nil for any
 	stores bool      // the caller's jobs are stored
+	copies bool      // the caller stands for a path that delivers requests again
+	last   bool      // the caller leaves its next request before the answer
 }
 
 func (c *caller) loop(ctx context.Context) {
 	defer c.disconnect()
 	for ctx.Err() == nil {
-		if j := c.submit(); j.Stored != nil {
-			c.follow(ctx, j)
-		}
-		time.Sleep(between(c.rand, 0, maxThink))
+		c.work(ctx)
+	}
+	if c.run.ending == 0 {
+		return
 	}
+	for leave := time.Now().Add(between(c.rand, 0, c.run.ending)); time.Now().Before(leave); {
+		c.work(ctx)
+	}
+	c.last = true
+	c.submit()
+}
+
+func (c *caller) work(ctx context.Context) {
+	if j := c.submit(); j.Stored != nil {
+		c.follow(ctx, j)
+	}
+	time.Sleep(between(c.rand, 0, maxThink))
 }
 
 // submit submits a job until it gets a final answer or a refusal, at another instance after a broken connection.
@@ -102,11 +116,10 @@
 		return attempt{Broken: true}
 	}
 	c.left--
-	ended := c.run.record.addAttempt(j, c.at.spec.Name)
+	ended := c.run.record.addAttempt(j, c.at.spec.Name, c.copies)
 	defer func() { ended(outcome) }()
 	wait := deadline + deadlineSlack
-	givesUp := c.only == nil && c.rand.IntN(giveUpPart) == 0
-	resets := c.only == nil && !givesUp && c.rand.IntN(resetPart) == 0
+	givesUp, resets := c.leavesEarly()
 	if givesUp || resets {
 		wait = between(c.rand, 10*time.Millisecond, 300*time.Millisecond)
 	}
@@ -138,6 +151,17 @@
 	return outcome
 }
 
+// leavesEarly draws whether the caller leaves its next request before the answer, and whether it submits the job again then.
+func (c *caller) leavesEarly() (givesUp, resets bool) {
+	if c.only != nil {
+		return false, false
+	}
+	givesUp = c.rand.IntN(giveUpPart) == 0
+	resets = !givesUp && (c.last || c.rand.IntN(resetPart) == 0)
+	c.last = false
+	return givesUp, resets
+}
+
 func (c *caller) exchange(method string, j *job, body []byte, deadline time.Duration) (*fasthttp.Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -89,8 +89,7 @@
 		for i, a := range runs {
 			for _, b := range runs[i+1:] {
 				if a.EndedAt.IsZero() || b.StartedAt.Before(a.EndedAt) {
-					found = append(found, fmt.Sprintf("%s: run %d at %s started %v after run %d at %s, which ended %s %v after its start",
-						task, b.Run, b.Endpoint, b.StartedAt.Sub(a.StartedAt), a.Run, a.Endpoint, a.Reason, a.EndedAt.Sub(a.StartedAt)))
+					found = append(found, fmt.Sprintf("%s: %s, %s%s", task, v.describeRun(a), v.describeRun(b), v.describeSubmissions(task.Job)))
 				}
 			}
 		}
@@ -98,6 +97,30 @@
 	return found
 }
 
+// describeRun returns a run with the instance that has ordered it.
+func (v *view) describeRun(s fleet.Start) string {
+	by := "an order without an answer"
+	for _, o := range v.orders {
+		if o.Start && o.Refusal == work.Done && o.Task == s.Task && o.Run == s.Run && o.Endpoint == s.Endpoint {
+			by = fmt.Sprintf("%s fence %d", v.callers[o.Caller], o.Fence)
+		}
+	}
+	return fmt.Sprintf("run %d at %s by %s from %s to %s %s", s.Run, s.Endpoint, by, v.since(s.StartedAt), v.since(s.EndedAt), s.Reason)
+}
+
+// describeSubmissions returns the submissions of a job, each on a line.
+func (v *view) describeSubmissions(id work.JobID) (text string) {
+	for _, j := range v.jobs {
+		if j.ID != id {
+			continue
+		}
+		for _, a := range j.Attempts {
+			text += "\n  " + a.describe(v.since)
+		}
+	}
+	return text
+}
+
 func refused(a attempt) bool { return a.Status == 429 || a.Status == 503 }
 
 // falseRefusals finds jobs of which a task ran although every submission was refused.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -68,14 +68,26 @@
 	{"endpoints come", 1, (*run).addEndpoints},
 }
 
-// injectFaults injects the random faults of a round until ctx ends, and waits until all are over.
-func (r *run) injectFaults(ctx context.Context, round uint64) {
+// kinds returns the faults of the run.
+func (r *run) kinds() []fault {
+	all := slices.Clone(faults)
+	if r.stores {
+		all = append(all, faultsWithStoredJobs...)
+	}
+	if r.paths {
+		all = append(all, pathFaults...)
+	}
+	return all
+}
+
+// injectFaults injects random faults of a round until ctx ends, and waits until all are over.
+func (r *run) injectFaults(ctx context.Context, round uint64, kinds []fault) {
 	rnd := rand.New(rand.NewPCG(r.seed, round<<32))
 	running := make(chan struct{}, maxFaults)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := uint64(0); ; n++ {
-		f, length, series := r.pick(rnd), between(rnd, minFault, maxFault), 1
+		f, length, series := pick(kinds, rnd), between(rnd, minFault, maxFault), 1
 		if rnd.IntN(4) == 0 {
 			series += rnd.IntN(maxSeries)
 		}
@@ -99,17 +111,13 @@
 	}
 }
 
-func (r *run) pick(rnd *rand.Rand) fault {
-	all := faults
-	if r.stores {
-		all = slices.Concat(faults, faultsWithStoredJobs)
-	}
+func pick(kinds []fault, rnd *rand.Rand) fault {
 	sum := 0
-	for _, f := range all {
+	for _, f := range kinds {
 		sum += f.weight
 	}
 	n := rnd.IntN(sum)
-	for _, f := range all {
+	for _, f := range kinds {
 		if n -= f.weight; n < 0 {
 			return f
 		}
@@ -346,10 +354,14 @@
 	return r.fleet.Registration(address).Zone
 }
 
+func (r *run) linksOfCallers(i *instance) []*link {
+	return r.network.between(func(from, to string) bool { return from == callerIP && to == i.spec.Callers })
+}
+
 // resetCallers resets the connections of the callers of an instance, several times.
 func (r *run) resetCallers(rnd *rand.Rand, length time.Duration) {
 	i := r.instances[rnd.IntN(len(r.instances))]
-	links := r.network.between(func(from, to string) bool { return from == callerIP && to == i.spec.Callers })
+	links := r.linksOfCallers(i)
 	defer r.begin("callers reset", i.spec.Name, i.spec.Name, callersOf(i.spec.Name))()
 	for range maxSeries {
 		for _, l := range links {
@@ -361,7 +373,7 @@
 
 func (r *run) faultLinksOfCallers(rnd *rand.Rand, length time.Duration) {
 	i := r.instances[rnd.IntN(len(r.instances))]
-	links := r.network.between(func(from, to string) bool { return from == callerIP && to == i.spec.Callers })
+	links := r.linksOfCallers(i)
 	defer r.begin("links of callers", i.spec.Name, i.spec.Name, callersOf(i.spec.Name))()
 	faultLinks(links, rnd, length)
 }
@@ -496,15 +508,20 @@
 		r.record.addDrain(e.registration.ID)
 		time.Sleep(drainBound + length)
 		r.end(e)
-		if err := r.addEndpoint(e.registration.Zone); err != nil {
-			r.record.problem("%v", err)
-		}
-		time.Sleep(registrationEnd)
-		r.keyed.Set(standin.EndpointsTopic(), string(e.registration.ID), nil)
+		r.replace(e)
 		return false
 	})
 }
 
+// replace adds an endpoint in place of one that has ended, whose registration the store drops later.
+func (r *run) replace(e *endpoint) {
+	if err := r.addEndpoint(e.registration.Zone); err != nil {
+		r.record.problem("%v", err)
+	}
+	time.Sleep(registrationEnd)
+	r.keyed.Set(standin.EndpointsTopic(), string(e.registration.ID), nil)
+}
+
 // orderFault makes orders to endpoints get no response. They are carried out after a delay, or never.
 type orderFault struct {
 	probability float64
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -87,6 +87,8 @@
 	ways  [2]bool       // directions that are delayed; both if none is set
 	// By direction, how much later than data the end of a connection passes. What the other side sends meanwhile is lost.
 	holdEnd [2]time.Duration
+	// Called with what users send. A request of the soak's callers is one piece of data.
+	onRequest func(request []byte)
 }
 
 const forGood = time.Hour // as holdEnd; the run ends before
@@ -138,6 +140,13 @@
 	}
 }
 
+// resetTargets resets the open connections for their targets only.
+func (l *link) resetTargets() {
+	for _, p := range l.open() {
+		abort(p.target)
+	}
+}
+
 // silence makes the open connections pass nothing further. New ones work.
 func (l *link) silence() {
 	for _, p := range l.open() {
@@ -198,6 +207,7 @@
 	for c := range chunks {
 		l.hold(p, direction, c.at)
 		if len(c.data) > 0 {
+			l.observe(direction, c.data)
 			if _, err := sink.Write(c.data); err != nil && !l.holdsEnd(p, 1-direction) {
 				c.err = err
 			}
@@ -225,7 +235,10 @@
 	}
 }
 
-const holdInterval = 2 * time.Millisecond // interval at which held data checks for the end of its fault
+const (
+	holdInterval = 2 * time.Millisecond  // interval at which held data checks for the end of its fault
+	endInterval  = 10 * time.Millisecond // the same for held ends, of which there may be hundreds
+)
 
 // hold waits until data that was read at a time may pass.
 func (l *link) hold(p *pipe, direction int, read time.Time) {
@@ -238,6 +251,20 @@
 	}
 }
 
+// observe tells the present faults what a user sends.
+func (l *link) observe(direction int, data []byte) {
+	if direction != toTarget {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for f := range l.faults {
+		if f.onRequest != nil {
+			f.onRequest(data)
+		}
+	}
+}
+
 // holdsEnd reports whether an end of a direction is or would be held back.
 func (l *link) holdsEnd(p *pipe, direction int) bool {
 	return p.held[direction].Load() || l.endDelay(direction) > 0
@@ -248,7 +275,7 @@
 	delay := l.endDelay(direction)
 	p.held[direction].Store(delay > 0)
 	for !p.closed.Load() && time.Since(read) < delay {
-		time.Sleep(holdInterval)
+		time.Sleep(endInterval)
 	}
 }
 
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -46,7 +46,7 @@
 // revisions of the configuration, a planned stop and an endpoint that leaves.
 func soundView() *view {
 	return &view{
-		at: at(60_000),
+		began: epoch, at: at(60_000),
 		jobs: []job{{ID: "j", Steps: []int{2, 1}, Attempts: []attempt{
 			{Instance: "i1", Sent: at(0), Ended: at(400), Status: 200, State: work.Completed},
 		}}, {ID: "refused", Steps: []int{1}, Attempts: []attempt{{Instance: "i1", Sent: at(0), Ended: at(1), Status: 503}}}, {
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -21,6 +21,7 @@
 	State    work.State
 	Broken   bool // the connection ended without a complete answer, not at the caller's wish
 	TimedOut bool // the caller closed it after its time limit
+	Copy     bool // the path delivered an earlier request again; no caller waits for the answer
 	Error    string
 }
 
@@ -126,16 +127,28 @@
 	r.jobs = append(r.jobs, j)
 }
 
+// job returns the job with an ID, or nil.
+func (r *record) job(id work.JobID) *job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, j := range r.jobs {
+		if j.ID == id {
+			return j
+		}
+	}
+	return nil
+}
+
 // addAttempt records that a job is being submitted. The returned function records what came of it.
-func (r *record) addAttempt(j *job, instance string) func(outcome attempt) {
+func (r *record) addAttempt(j *job, instance string, isCopy bool) func(outcome attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.Attempts = append(j.Attempts, attempt{Instance: instance, Sent: time.Now()})
+	j.Attempts = append(j.Attempts, attempt{Instance: instance, Sent: time.Now(), Copy: isCopy})
 	at := len(j.Attempts) - 1
 	return func(outcome attempt) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		outcome.Instance, outcome.Sent, outcome.Ended = instance, j.Attempts[at].Sent, time.Now()
+		outcome.Instance, outcome.Sent, outcome.Ended, outcome.Copy = instance, j.Attempts[at].Sent, time.Now(), isCopy
 		j.Attempts[at] = outcome
 	}
 }
@@ -237,7 +250,7 @@
 
 // view is a copy of a record that checks read, with the starts at the endpoints.
 type view struct {
-	at        time.Time
+	began, at time.Time
 	jobs      []job
 	orders    []standin.Order
 	probes    []probe
@@ -254,7 +267,7 @@
 func (r *record) view(starts func() []fleet.Start, callers map[string]string) *view {
 	r.mu.Lock()
 	v := &view{
-		at: time.Now(), orders: slices.Clone(r.orders), probes: slices.Clone(r.probes), published: slices.Clone(r.published), pauses: slices.Clone(r.pauses),
+		began: r.began, at: time.Now(), orders: slices.Clone(r.orders), probes: slices.Clone(r.probes), published: slices.Clone(r.published), pauses: slices.Clone(r.pauses),
 		drains: slices.Clone(r.drains), callers: callers,
 	}
 	for _, j := range r.jobs {
@@ -274,6 +287,8 @@
 // sinceBegin returns the seconds from the start of the run, or "open" for a time that has not come.
 func (r *record) sinceBegin(t time.Time) string { return secondsSince(r.began, t) }
 
+func (v *view) since(t time.Time) string { return secondsSince(v.began, t) }
+
 func secondsSince(began, t time.Time) string {
 	if t.IsZero() {
 		return "open"
@@ -281,6 +296,15 @@
 	return fmt.Sprintf("%.3f", t.Sub(began).Seconds())
 }
 
+// describe returns a submission with its times as at formats them.
+func (a attempt) describe(at func(time.Time) string) string {
+	kind := ""
+	if a.Copy {
+		kind = "copy "
+	}
+	return fmt.Sprintf("%sat %s from %s to %s: status %d %s broken %v %s", kind, a.Instance, at(a.Sent), at(a.Ended), a.Status, a.State, a.Broken, a.Error)
+}
+
 // print writes the history of a run.
 func (r *record) print(w io.Writer, v *view) {
 	at := r.sinceBegin
@@ -292,7 +316,7 @@
 	for _, j := range v.jobs {
 		fmt.Fprintln(w, "job", j.ID, j.Steps)
 		for _, a := range j.Attempts {
-			fmt.Fprintf(w, "  at %s from %s to %s: status %d %s broken %v %s\n", a.Instance, at(a.Sent), at(a.Ended), a.Status, a.State, a.Broken, a.Error)
+			fmt.Fprintln(w, " ", a.describe(at))
 		}
 	}
 	for _, s := range v.starts {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -41,6 +41,8 @@
 	dir          string
 	repeat       time.Duration // time after which callers submit a job again
 	stores       bool          // some callers' jobs are stored
+	paths        bool          // the callers' paths hide ends of connections and deliver requests again
+	ending       time.Duration // of the phase in which the callers leave; 0 for none
 	record       *record
 	network      *network
 	keyed        *keyed.Store
@@ -249,12 +251,12 @@
 	return false
 }
 
-// load runs callers and watchers until ctx ends, and waits for the answers to their requests.
-func (r *run) load(ctx context.Context) {
+// load runs callers until traffic ends and watchers until ctx ends, and waits for the answers to their requests.
+func (r *run) load(ctx, traffic context.Context) {
 	var wg sync.WaitGroup
 	for n := range *soakCallers * len(r.instances) {
 		c := &caller{run: r, rand: rand.New(rand.NewPCG(r.seed, uint64(1000+n))), stores: r.stores && n%storingPart == 0}
-		wg.Go(func() { c.loop(ctx) })
+		wg.Go(func() { c.loop(traffic) })
 	}
 	for _, i := range r.instances {
 		wg.Go(func() { r.watch(ctx, i) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,8 @@
 	soakCallers   = flag.Int("soak.callers", 3, "number of callers for each instance")
 	soakRuns      = flag.Int("soak.runs", 2, "number of runs; up to -parallel of them at the same time")
 	soakStored    = flag.Bool("soak.stored", true, "some callers' jobs are stored, and zones may lose all instances or get endpoints")
+	soakPaths     = flag.Bool("soak.paths", false, "callers' paths hide ends of connections and deliver requests again; also resets of the store, slow zones and lost endpoints")
+	soakEnding    = flag.Duration("soak.ending", 0, "phase after the faults in which the callers leave while instances are stopped, started and changed; 0 for none")
 	soakProgram   = flag.String("soak.program", "", "executable of the instances; it is built if empty")
 	soakDir       = flag.String("soak.dir", "", "directory for the logs and histories of failed runs; a temporary one if empty")
 )
@@ -63,6 +65,7 @@
 		t.Fatal(err)
 	}
 	defer r.close()
+	r.paths, r.ending = *soakPaths, *soakEnding
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.record.measurePauses(stop)
@@ -89,24 +92,37 @@
 	return between(rand.New(rand.NewPCG(seed, 0)), 400*time.Millisecond, 1500*time.Millisecond).Round(time.Millisecond)
 }
 
-const maxRound = 20 * time.Second // of faults between two calm times
+const (
+	maxRound    = 20 * time.Second // of faults between two calm times
+	endingRound = 1 << 20          // number of the round of faults in which the callers leave
+)
 
-// play runs the load with rounds of faults for a time, then kills and restarts all instances.
+// play runs the load with rounds of faults for a time, lets the callers leave if there is a phase for it, then kills and restarts all
+// instances.
 func (r *run) play(length time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
+	traffic, endTraffic := context.WithCancel(ctx)
+	defer endTraffic()
 	go r.checkRepeatedly(ctx)
 	loaded := make(chan struct{})
 	go func() {
-		r.load(ctx)
+		r.load(ctx, traffic)
 		close(loaded)
 	}()
 	for round := uint64(1); length > 0; round++ {
 		faulty, endRound := context.WithTimeout(ctx, min(length, maxRound))
-		r.injectFaults(faulty, round)
+		r.injectFaults(faulty, round, r.kinds())
 		endRound()
 		r.calm(round)
 		length -= maxRound
 	}
+	if r.ending > 0 {
+		r.record.note("the callers leave")
+		endTraffic()
+		leaving, end := context.WithTimeout(ctx, r.ending+r.repeat)
+		r.injectFaults(leaving, endingRound, endingFaults)
+		end()
+	}
 	r.killAll()
 	cancel()
 	<-loaded
