--- a/internal/server/closewatch.go
+++ b/internal/server/closewatch.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// closed ends the watch of a closed connection and calls its function. No look comes in between: it would miss the close while the event
+// loop, which calls closed, waits for the processor.
+func (w *CloseWatch) closed(c *conn) {
+	if w != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.conns, c)
+	}
+	c.disconnected()
+}
+
 // remove ends the watch of a connection, before its socket is closed.
 func (w *CloseWatch) remove(c *conn) {
 	if w == nil {
--- a/internal/server/closewatch_test.go
+++ b/internal/server/closewatch_test.go
@@ -74,3 +74,33 @@
 	time.Sleep(2 * maxLookAge)
 	is.Equal(w.HandledUntil(), last)
 }
+
+// Guards against a close that counts as handled while the event loop, which has noticed it, has not got the processor to tell anybody.
+func TestCloseThatTheEventLoopIsHandling(t *testing.T) {
+	is := is.New(t)
+	w := NewCloseWatch(discardLog())
+	entered, release := make(chan struct{}), make(chan struct{})
+	s, err := Start(Options{Address: "127.0.0.1:0", Loops: 1, Closes: w, Handler: HandlerFunc(func(x *Exchange) {
+		x.OnDisconnect(func() {
+			close(entered)
+			<-release
+		})
+	})})
+	is.NoErr(err)
+	caller := request(t, s, "GET")
+	wait.For(t, "the request is read", func() bool { return s.Active() == 1 })
+	caller.Close()
+	<-entered
+	noticed := pause.Elapsed()
+	handled := make(chan time.Duration, 1)
+	go func() {
+		time.Sleep(2 * maxLookAge)
+		handled <- w.HandledUntil()
+	}()
+	select {
+	case until := <-handled:
+		is.True(until <= noticed)
+	case <-time.After(6 * maxLookAge):
+	}
+	close(release)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -203,8 +203,7 @@
 // closed handles the end of a caller's connection.
 func (s *Server) closed(cn *conn) {
 	cn.closed.Store(true)
-	s.opts.Closes.remove(cn)
-	cn.disconnected()
+	s.opts.Closes.closed(cn)
 	s.mu.Lock()
 	delete(s.conns, cn)
 	s.releaseClaim(cn)
