--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -10,19 +10,35 @@
 	"github.com/savorypass/savorypass/internal/relay"
 )
 
-// A request may be a repetition of one that reached another instance, whose caller has left without that instance's knowledge. A job's home
-// is told where the job is placed, see package placement. A job that another request has placed is submitted to the dispatcher there.
+// A request may be a repetition of one that reached another instance, whose caller has left without that instance's knowledge. A job has a home
+// in each zone, which is told where the job is placed, see package placement: that of the instance's zone at once, the others when the caller
+// may soon submit the job again. A job that another request has placed is submitted to the dispatcher there.
 
 // claimTimeout is how long a job waits for the answer of its home. The home answers without deciding anything, so it takes a round trip.
 const claimTimeout = 100 * time.Millisecond
 
-// claim is what the home of a job has been told of its placement.
+// claim is what the homes of a job have been told of its placement.
 type claim struct {
-	route  Route                  // to the home whose answer the job waits for; nil if it does not wait
+	asking bool                   // the job waits for the answer of its home in the instance's zone
+	since  time.Time              // when the home was first asked
+	route  Route                  // to that home; nil before the next try
 	number relay.SubmissionNumber // of the claim that waits for its answer
-	sent   time.Time              // when that was sent
-	home   string                 // address of the home that was told last; empty if none was
-	at     Target                 // what it was told
+	told   map[string]told        // by zone
+}
+
+// told is what a home knows.
+type told struct {
+	home   string // address of its instance
+	at     Target
+	number relay.SubmissionNumber // of the claim; 0 if a submission has told the home
+}
+
+// note records what the home of a zone knows.
+func (c *claim) note(zone string, t told) {
+	if c.told == nil {
+		c.told = map[string]told{}
+	}
+	c.told[zone] = t
 }
 
 // placeNew places a job of which its instance has not placed anything yet. If the job's first dispatcher is not its home, the home is asked
@@ -35,25 +51,47 @@
 	g.placeOrRefuse(p)
 }
 
-// askHome asks the home of a job whether another request has placed it. It returns false if the job's first dispatcher is its home, which
-// sees it in any case, or if the home cannot be asked.
+// askHome asks the home of a job whether another request has placed it. It returns false if that is not necessary: the home knows of the
+// job, or the job's first dispatcher is its home, which sees it in any case. A home that cannot be reached is asked again, see askAgain.
 func (g *Gateway) askHome(p *pending) bool {
-	home := g.opts.Router.Home(p.job.ID)
-	if len(p.untried) == 0 || p.untried[0] == home {
+	home, ok := g.home(p)
+	if _, known := p.claim.told[home.Zone]; !ok || known || len(p.untried) == 0 || p.untried[0] == home {
 		return false
 	}
+	if !p.claim.asking {
+		g.opts.Metrics.Claims.Add(1)
+		p.claim.asking, p.claim.since = true, time.Now()
+	}
 	c := g.newClaim(p, home, p.untried[0])
 	c.Asks = true
-	route, ok := g.sendClaim(p, home, p.untried[0], c)
-	if !ok {
-		g.opts.Metrics.Unanswered.Add(1)
-		return false
+	if route, ok := g.sendClaim(p, home, p.untried[0], c); ok {
+		p.claim.route, p.claim.number = route, c.Number
 	}
-	g.opts.Metrics.Claims.Add(1)
-	p.claim.route, p.claim.number, p.claim.sent = route, c.Number, time.Now()
 	return true
 }
 
+// askAgain ends the wait of a job for the answer of its home after claimTimeout. Until then it asks a home that could not be reached, or has
+// been replaced.
+func (g *Gateway) askAgain(p *pending) {
+	switch {
+	case time.Since(p.claim.since) > claimTimeout:
+		g.claimUnanswered(p)
+	case p.claim.route == nil:
+		if !g.askHome(p) {
+			g.claimUnanswered(p)
+		}
+	}
+}
+
+// home returns the home of a job in the instance's zone; false if it has none.
+func (g *Gateway) home(p *pending) (Target, bool) {
+	homes := g.opts.Router.Homes(p.job.ID)
+	if len(homes) == 0 {
+		return Target{}, false
+	}
+	return homes[0], true
+}
+
 // newClaim returns a claim that a job is placed at a target.
 func (g *Gateway) newClaim(p *pending, home, at Target) *relay.Claim {
 	g.submissions++
@@ -63,51 +101,67 @@
 	}
 }
 
-// sendClaim sends a claim to a job's home and notes that the home knows of the placement.
+// sendClaim sends a claim to a home and notes that the home knows of the placement.
 func (g *Gateway) sendClaim(p *pending, home, at Target, c *relay.Claim) (Route, bool) {
 	route, ok := g.opts.Router.Claim(home, c)
 	if ok {
-		p.claim.home, p.claim.at = g.opts.Router.Address(home), at
+		p.claim.note(home.Zone, told{g.opts.Router.Address(home), at, c.Number})
 	}
 	return route, ok
 }
 
 // claimMode returns what a submission of a job to its target is as a claim.
 func (g *Gateway) claimMode(p *pending, resumed bool) relay.ClaimMode {
-	home := g.opts.Router.Home(p.job.ID)
+	home, ok := g.home(p)
 	switch {
-	case p.target != home:
+	case !ok || p.target != home:
 		return relay.NoClaim
-	case resumed || p.followed || p.claim.home != "":
+	case resumed || p.followed || p.claim.told[home.Zone].home != "":
 		return relay.TellsClaim
 	}
 	return relay.AsksClaim
 }
 
-// tellHome tells a job's home where the job has been placed, unless it knows. The submission itself has told a home that is the target.
-func (g *Gateway) tellHome(p *pending) {
-	home := g.opts.Router.Home(p.job.ID)
-	address := g.opts.Router.Address(home)
-	if address == "" || p.claim.home == address && p.claim.at == p.target {
-		return
+// tellHomes tells the homes of a job where it has been placed: that of the instance's zone, and the others when half of the retransmit
+// time has passed. Few jobs take that long, and no repetition comes before the whole of it.
+func (g *Gateway) tellHomes(p *pending) {
+	early := time.Since(p.arrived) < g.opts.Retransmit/2
+	for n, home := range g.opts.Router.Homes(p.job.ID) {
+		if n == 0 || !early {
+			g.tellHome(p, home, n == 0)
+		}
 	}
-	if p.target == home {
-		p.claim.home, p.claim.at = address, home
-		return
+}
+
+// tellHome tells a home where a job has been placed, unless it knows. The submission itself has told the home in the instance's own zone if
+// that is the target.
+func (g *Gateway) tellHome(p *pending, home Target, own bool) {
+	address := g.opts.Router.Address(home)
+	known := p.claim.told[home.Zone]
+	switch {
+	case address == "" || known.home == address && known.at == p.target:
+	case own && p.target == home:
+		p.claim.note(home.Zone, told{home: address, at: home})
+	default:
+		g.sendClaim(p, home, p.target, g.newClaim(p, home, p.target))
 	}
-	g.sendClaim(p, home, p.target, g.newClaim(p, home, p.target))
 }
 
-// releaseClaim tells the home that a job was refused. A home that has refused the job itself keeps the placement, which does no harm: it
+// releaseClaim tells the homes that a job was refused. A home that has refused the job itself keeps the placement, which does no harm: it
 // knows its own runs.
 func (g *Gateway) releaseClaim(p *pending) {
-	home := g.opts.Router.Home(p.job.ID)
-	if p.claim.home == "" || p.claim.at == home || p.followed {
+	if p.followed {
 		return
 	}
-	c := g.newClaim(p, home, p.claim.at)
-	c.Released = true
-	g.opts.Router.Claim(home, c)
+	for _, home := range g.opts.Router.Homes(p.job.ID) {
+		known, ok := p.claim.told[home.Zone]
+		if !ok || known.at == home {
+			continue
+		}
+		c := g.newClaim(p, home, known.at)
+		c.Released = true
+		g.opts.Router.Claim(home, c)
+	}
 }
 
 // claimAnswered handles the answer of a job's home. p is nil if the job has been answered. The caller holds g.mu.
@@ -115,19 +169,33 @@
 	if p == nil {
 		return
 	}
-	if p.claim.route != route || p.claim.number != a.Number {
+	waited := p.claim.asking && p.claim.route == route && p.claim.number == a.Number
+	if a.Refused == pool.ReasonNotLeader {
+		g.homeReplaced(p, a.Number)
+		if waited {
+			p.claim.route = nil // it is asked again
+		}
+		return
+	}
+	if !waited {
 		g.noteLateAnswer(p, a)
 		return
 	}
-	p.claim.route = nil
-	switch {
-	case a.Placed != nil:
+	p.claim.asking, p.claim.route = false, nil
+	if a.Placed != nil {
 		g.follow(p, *a.Placed)
-	case a.Refused == pool.ReasonNotLeader:
-		g.opts.Router.ReportNotLeader(g.opts.Router.Home(p.job.ID))
-		g.claimUnanswered(p)
-	default:
-		g.placeOrRefuse(p)
+		return
+	}
+	g.placeOrRefuse(p)
+}
+
+// homeReplaced notes that the home that a claim was sent to knows nothing, because another dispatcher has taken its place.
+func (g *Gateway) homeReplaced(p *pending, number relay.SubmissionNumber) {
+	for _, home := range g.opts.Router.Homes(p.job.ID) {
+		if known, ok := p.claim.told[home.Zone]; ok && known.number == number {
+			delete(p.claim.told, home.Zone)
+			g.opts.Router.ReportNotLeader(home)
+		}
 	}
 }
 
@@ -143,20 +211,36 @@
 
 // claimUnanswered places a job whose home does not answer.
 func (g *Gateway) claimUnanswered(p *pending) {
-	p.claim.route, p.claim.home = nil, ""
-	g.opts.Metrics.Unanswered.Add(1)
+	g.noteUnanswered(p)
+	p.claim = claim{}
 	g.placeOrRefuse(p)
 }
 
-// follow submits a job to the dispatcher at which another request has placed it. If another dispatcher has taken its place, the job is
-// resumed there: the earlier one may have started it.
+// noteUnanswered counts and logs a job that is placed without the answer of its home.
+func (g *Gateway) noteUnanswered(p *pending) {
+	g.opts.Metrics.Unanswered.Add(1)
+	home, _ := g.home(p)
+	g.opts.Log.WithFields(logrus.Fields{
+		"event": "home_unanswered", "job": p.job.ID, "request": relay.RequestName(p.request), "zone": home.Zone, "partition": home.Partition,
+		"reached": p.claim.route != nil,
+	}).Info("job placed without the answer of its home; another request may have placed it elsewhere")
+}
+
+// follow submits a job to the dispatcher at which another request has placed it.
 func (g *Gateway) follow(p *pending, at relay.Placement) {
 	g.opts.Metrics.Followed.Add(1)
 	p.leave(movedFollows)
 	p.target = Target{at.Zone, at.Partition}
 	p.untried = slices.DeleteFunc(p.untried, func(t Target) bool { return t == p.target })
-	p.followed, p.follows = true, true
-	if g.opts.Router.Address(p.target) == at.Address && g.submitTo(p, false) {
+	p.followed, p.follows, p.placedAt = true, true, at.Address
+	g.submitFollowed(p)
+}
+
+// submitFollowed submits a job to the target at which another request has placed it. If another dispatcher has taken the place of that one,
+// the job is resumed there: the earlier one may have started it. A target that cannot be reached yet is tried again.
+func (g *Gateway) submitFollowed(p *pending) {
+	if g.opts.Router.Address(p.target) == p.placedAt {
+		g.submitTo(p, false)
 		return
 	}
 	p.lostAt = time.Now()
--- a/internal/gateway/claim_test.go
+++ b/internal/gateway/claim_test.go
@@ -15,23 +15,28 @@
 // homes is a router to two partitions of one zone, the second of which is the home of all jobs.
 type homes struct {
 	router
-	mu        sync.Mutex
-	claims    []relay.Claim
-	addresses map[Target]string
+	mu         sync.Mutex
+	claims     []relay.Claim
+	toldAbroad int // number of claims to the home in the other zone
+	addresses  map[Target]string
 }
 
 var (
 	away = Target{Zone: "north", Partition: 1}
 	home = Target{Zone: "north", Partition: 2}
+	// abroad is the home in the other zone.
+	abroad = Target{Zone: "south", Partition: 1}
 )
 
+const testRetransmit = 200 * time.Millisecond
+
 func newHomes(targets ...Target) *homes {
-	h := &homes{addresses: map[Target]string{away: "a:1", home: "h:1"}}
+	h := &homes{addresses: map[Target]string{away: "a:1", home: "h:1", abroad: "s:1"}}
 	h.targets, h.down = targets, map[Target]bool{}
 	return h
 }
 
-func (h *homes) Home(work.JobID) Target { return home }
+func (h *homes) Homes(work.JobID) []Target { return []Target{home, abroad} }
 
 func (h *homes) Address(t Target) string {
 	h.mu.Lock()
@@ -46,9 +51,13 @@
 	h.addresses[t] = address
 }
 
-func (h *homes) Claim(_ Target, c *relay.Claim) (Route, bool) {
+func (h *homes) Claim(to Target, c *relay.Claim) (Route, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if to == abroad {
+		h.toldAbroad++
+		return h, true
+	}
 	h.claims = append(h.claims, *c)
 	return h, true
 }
@@ -78,6 +87,7 @@
 	t.Helper()
 	h := newHomes(targets...)
 	f := startWith(t, time.Minute, h)
+	f.opts.Retransmit = testRetransmit
 	f.router = &h.router
 	f.call(t.Context(), "POST", "/p/a", "job")
 	f.eventually("the job is submitted or its home asked", func() bool { return len(h.sent())+len(h.claimed()) > 0 })
@@ -153,3 +163,38 @@
 	f.Answer(f.router, &relay.Answer{Job: "a", Number: h.sent()[1].s.Number, Refused: pool.ReasonNoRoom, RetryAfter: time.Second})
 	is.Equal(h.claimed()[2].Released, true)
 }
+
+// Guards against a second request at an instance of another zone that is not told where the first one has placed the job, and against a
+// message to the other zones for each job.
+func TestHomesOfOtherZonesLearnOfLongJobs(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, home)
+	f.Resubmit()
+	is.Equal(h.toldAbroad, 0)
+	time.Sleep(testRetransmit / 2)
+	f.Resubmit()
+	f.Resubmit()
+	is.Equal(h.toldAbroad, 1)
+}
+
+// Guards against a job that is placed without its home's knowledge because the instance has not heard of the home's successor, and against
+// a placement that only the dispatcher which is the home no more was told of.
+func TestHomeThatWasReplaced(t *testing.T) {
+	is := is.New(t)
+	f, h := startHomes(t, away, home)
+	notLeader := h.answer(nil)
+	notLeader.Refused = pool.ReasonNotLeader
+	f.Answer(h, notLeader)
+	is.Equal(len(h.sent()), 0)
+	f.Resubmit()
+	is.Equal(len(h.claimed()), 2) // asked again
+	f.Answer(h, h.answer(nil))
+	is.Equal(h.sent()[0].to, away)
+	h.replace(home, "h:2")
+	f.Resubmit()
+	notLeader = h.answer(nil)
+	notLeader.Refused = pool.ReasonNotLeader
+	f.Answer(h, notLeader)
+	f.Resubmit()
+	is.Equal(len(h.claimed()), 4) // told again
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,8 +59,9 @@
 	Submit(to Target, s *relay.Submit) (Route, bool)
 	// ReportNotLeader reports that a dispatcher has refused a job because it no longer dispatches for the target.
 	ReportNotLeader(from Target)
-	// Home returns the home of a job, the dispatcher of the instance's zone that is told where the job is placed.
-	Home(id work.JobID) Target
+	// Homes returns the homes of a job, the dispatchers that are told where the job is placed: one in each zone, that of the instance's zone
+	// first; none if the zone keeps no placements.
+	Homes(id work.JobID) []Target
 	// Claim sends a claim to a dispatcher. It returns false if the dispatcher is unknown, not connected or keeps no placements.
 	Claim(to Target, c *relay.Claim) (Route, bool)
 	// Address returns the address of a dispatcher's instance, or "" if it is not known.
@@ -120,6 +121,8 @@
 	Attempts func(work.JobID) []attempt.Attempt
 	// Closes finds the callers of the listener that have left.
 	Closes *server.CloseWatch
+	// Retransmit is the time after which a caller submits a job again; 0 if it is not known.
+	Retransmit time.Duration
 	// Stored keeps stored jobs; nil if none are accepted.
 	Stored StoredJobs
 }
@@ -171,8 +174,9 @@
 	knowledge          uint64                 // relay.Answer.Knowledge of that refusal
 	awaitingDispatcher bool                   // no dispatcher could be reached yet
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
-	claim              claim                  // what the job's home knows
+	claim              claim                  // what the job's homes know
 	follows            bool                   // another request has placed the job at the target, whose dispatcher has not refused it yet
+	placedAt           string                 // address of the dispatcher at which it did
 	followed           bool                   // another request has placed the job
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,7 +49,7 @@
 // noHomes is the part of a router for jobs whose homes cannot be asked.
 type noHomes struct{}
 
-func (noHomes) Home(work.JobID) Target                   { return Target{} }
+func (noHomes) Homes(work.JobID) []Target                { return nil }
 func (noHomes) Claim(Target, *relay.Claim) (Route, bool) { return nil, false }
 func (noHomes) Address(Target) string                    { return "" }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -29,7 +29,7 @@
 	if ok {
 		p.route, p.sent = route, p.submission
 		g.logMove(p)
-		g.tellHome(p)
+		g.tellHomes(p)
 	}
 	return ok
 }
@@ -139,7 +139,10 @@
 		return
 	}
 	p.leave(string(pool.ReasonNotLeader))
-	g.placeOrRefuse(p)
+	if home, ok := g.home(p); ok && p.target == home {
+		delete(p.claim.told, home.Zone) // the submission has told nobody
+	}
+	g.placeNew(p)
 }
 
 // markOrphaned records that the dispatcher that held a job failed or lost its term. Its successor determines which tasks
@@ -174,18 +177,20 @@
 	for _, p := range g.jobs {
 		switch {
 		case p.claim.route == route:
-			g.claimUnanswered(p)
+			p.claim.route = nil // it is asked again
 		case p.route != route:
 		case sent:
 			g.dispatcherLost(p)
-		case p.orphaned || p.follows:
+		case p.orphaned:
 			g.markOrphaned(p)
+		case p.follows:
+			p.route = nil
 		case p.earlierRuns:
 			p.route = nil
 		default:
 			p.leave(movedUnsent)
-			p.claim.home = "" // it may be the target, and has not been told
-			g.placeOrRefuse(p)
+			p.claim.told = nil // the target may be among the homes, and has not been told
+			g.placeNew(p)
 		}
 	}
 }
@@ -200,12 +205,14 @@
 		case p.awaitingDispatcher:
 			p.untried = g.opts.Router.Targets(p.job.ID)
 			g.placeNew(p)
-		case p.claim.route != nil && time.Since(p.claim.sent) > claimTimeout:
-			g.claimUnanswered(p)
+		case p.claim.asking:
+			g.askAgain(p)
 		case (p.orphaned || p.earlierRuns) && p.route == nil:
 			g.submitTo(p, p.orphaned)
+		case p.follows && p.route == nil:
+			g.submitFollowed(p)
 		case p.route != nil:
-			g.tellHome(p)
+			g.tellHomes(p)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
 	n.gateway = gateway.New(gateway.Options{
 		Config: &n.config, Codec: o.Codec, Router: n.router, Log: o.Log, Metrics: &n.metrics, Meter: o.Meter, Attempts: n.history.OfJob,
-		Closes: n.closes,
+		Closes: n.closes, Retransmit: s.Retransmit,
 		Stored: n.stored,
 	})
 	n.endpoints = n.endpointsFollower()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -153,9 +153,17 @@
 	return route, true
 }
 
-// Home implements gateway.Router.
-func (r *router) Home(id work.JobID) gateway.Target {
-	return gateway.Target{Zone: r.ownZone, Partition: shard.PartitionOf(string(id), r.divisions.Partitions(r.ownZone))}
+// Homes implements gateway.Router.
+func (r *router) Homes(id work.JobID) []gateway.Target {
+	homes := []gateway.Target{r.homeIn(r.ownZone, id)}
+	for _, zone := range r.others {
+		homes = append(homes, r.homeIn(zone, id))
+	}
+	return homes
+}
+
+func (r *router) homeIn(zone string, id work.JobID) gateway.Target {
+	return gateway.Target{Zone: zone, Partition: shard.PartitionOf(string(id), r.divisions.Partitions(zone))}
 }
 
 // Address implements gateway.Router.
@@ -168,7 +176,11 @@
 		return nil, false
 	}
 	if address == r.address {
-		return r.local, r.shards.leading(to.Partition) && r.local.claim(c)
+		if !r.shards.leading(to.Partition) {
+			r.lead.Search(to.Zone) // another instance may have taken the partition over
+			return nil, false
+		}
+		return r.local, r.local.claim(c)
 	}
 	route := r.routeTo(address, to.Zone)
 	if route == nil {
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -202,12 +202,17 @@
 	answer := &relay.Answer{Job: c.Job, Number: c.Number, Claim: true}
 	if x := s.get(c.Partition); x == nil || !x.Leading() {
 		answer.Refused = pool.ReasonNotLeader
-	} else if at, known := s.placements.Apply(c); known {
-		answer.Placed = &at
-	}
-	if c.Asks {
 		from.Answer(answer)
+		return
+	}
+	at, known := s.placements.Apply(c)
+	if !c.Asks {
+		return
+	}
+	if known {
+		answer.Placed = &at
 	}
+	from.Answer(answer)
 }
 
 // Cancel implements relay.Dispatcher.
