--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -80,6 +80,14 @@
 	return all
 }
 
+// endingKinds returns the faults of the time in which the callers leave.
+func (r *run) endingKinds() []fault {
+	if r.paths {
+		return slices.Concat(endingFaults, endingPathFaults)
+	}
+	return endingFaults
+}
+
 // injectFaults injects random faults of a round until ctx ends, and waits until all are over.
 func (r *run) injectFaults(ctx context.Context, round uint64, kinds []fault) {
 	rnd := rand.New(rand.NewPCG(r.seed, round<<32))
--- a/internal/soak/pathfaults_test.go
+++ b/internal/soak/pathfaults_test.go
@@ -34,17 +34,20 @@
 	{"endpoint lost and replaced", 3, (*run).replaceEndpoint},
 }
 
-// endingFaults come while the callers leave.
+// endingFaults come while the callers leave, with endingPathFaults besides if the callers' paths have faults of their own.
 var endingFaults = []fault{
 	{"planned stop", 3, (*run).stopInstance},
 	{"kill", 2, (*run).killInstance},
 	{"SIGHUP", 1, (*run).reloadInstance},
 	{"configuration", 2, (*run).changeConfig},
 	{"store rebalances", 2, (*run).rebalance},
+	{"endpoint lost and replaced", 2, (*run).replaceEndpoint},
+}
+
+var endingPathFaults = []fault{
 	{"ends hidden from instances", 6, (*run).hideEndsFromInstances},
 	{"ends hidden from callers", 2, (*run).hideEndsFromCallers},
 	{"requests delivered again", 3, (*run).copyRequests},
-	{"endpoint lost and replaced", 2, (*run).replaceEndpoint},
 }
 
 // drawHeldEnd returns for how long a path holds the ends of connections back.
