--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -166,7 +166,7 @@
 
 // claimAnswered handles the answer of a job's home. p is nil if the job has been answered. The caller holds g.mu.
 func (g *Gateway) claimAnswered(p *pending, route Route, a *relay.Answer) {
-	if p == nil {
+	if p == nil || a.Number == 0 {
 		return
 	}
 	waited := p.claim.asking && p.claim.route == route && p.claim.number == a.Number
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -112,6 +113,7 @@
 	n.router = &router{
 		ownZone: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
 		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
+		request: rand.Uint64() | 1,
 	}
 	n.router.stored, n.stored.router = n.stored, n.router
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
@@ -228,6 +230,7 @@
 		n.router.connectForOverflow()
 		for _, d := range n.dispatching() {
 			d.shards.placements.Sweep()
+			d.shards.eachUnclaimed(n.router.claimUnclaimed)
 		}
 	})
 }
--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/savorypass/savorypass/internal/dump"
 	"github.com/savorypass/savorypass/internal/node"
+	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/work"
 )
@@ -34,6 +35,13 @@
 	return d
 }
 
+// found reports whether an instance dispatches and knows of a run of a job.
+func (i *instance) found(job work.JobID) bool {
+	return slices.ContainsFunc(i.dump().Shards, func(s shard.Dump) bool {
+		return s.Leading && slices.ContainsFunc(s.Pool.Runs, func(r pool.RunDump) bool { return strings.HasPrefix(r.Task, string(job)) })
+	})
+}
+
 // leaderOf returns the instance among all that dispatches for a partition, or nil.
 func leaderOf(all []*instance, partition int) *instance {
 	for _, i := range all {
@@ -144,3 +152,31 @@
 	is.Equal(body, `{"state":"completed"}`)
 	is.Equal(d.fleet.OverlappingRuns(), "")
 }
+
+// Guards against two runs of a task at a time when a dispatcher is killed with the instance of the caller, who submits the job again at once,
+// before the successor has stopped the run that it has found.
+func TestRepeatAtOnceAfterLossOfItsDispatcher(t *testing.T) {
+	is := is.New(t)
+	d := repeatDeployment(t)
+	all := d.twoPartitions()
+	partition := shard.PartitionOf(string(repeatedJob), 2)
+	lost := leaderOf(all, partition)
+	go lost.post(string(repeatedJob), 1)
+	d.eventually("the job runs", func() bool { return d.fleet.Running() == 1 })
+	lost.crash()
+	var successor *instance
+	d.eventually("a successor has found the run", func() bool {
+		for _, i := range without(all, lost) {
+			if i.found(repeatedJob) {
+				successor = i
+			}
+		}
+		return successor != nil
+	})
+	time.Sleep(100 * time.Millisecond) // until the home is told
+	d.fill(successor, partition)
+	status, body := successor.post(string(repeatedJob), 1)
+	is.Equal(status, 200)
+	is.Equal(body, `{"state":"completed"}`)
+	is.Equal(d.fleet.OverlappingRuns(), "")
+}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -37,6 +37,7 @@
 	log       logrus.FieldLogger
 	local     *localRoute
 	stored    *storedJobs // set before use
+	request   uint64      // stands for the unknown requests of jobs whose runs this instance has found; not 0
 
 	mu     sync.Mutex
 	routes map[string]*uplinkRoute // by address
@@ -189,6 +190,18 @@
 	return route, route.uplink.Claim(c)
 }
 
+// claimUnclaimed tells the homes of jobs that a dispatcher of this instance knows of runs which nobody waits for. A caller may submit such a
+// job again before these runs are over.
+func (r *router) claimUnclaimed(zone string, partition int, jobs []work.JobID) {
+	for _, id := range jobs {
+		for _, home := range r.Homes(id) {
+			r.Claim(home, &relay.Claim{
+				Job: id, Partition: home.Partition, Request: r.request, At: relay.Placement{Zone: zone, Partition: partition}, Asks: true,
+			})
+		}
+	}
+}
+
 // routeTo returns the route to an address of a zone and opens a connection if there is none. It returns nil if the last
 // connection to the address ended less than redialDelay ago.
 func (r *router) routeTo(address, zone string) *uplinkRoute {
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -246,6 +246,19 @@
 // Cancellations implements relay.Dispatcher.
 func (s *shards) Cancellations() relay.Cancellations { return s.gateway.Cancellations() }
 
+// eachUnclaimed passes the jobs of runs that nobody waits for to f, for each partition that has any.
+func (s *shards) eachUnclaimed(f func(zone string, partition int, jobs []work.JobID)) {
+	for part := range division.MaxPartitions {
+		x := s.get(part)
+		if x == nil || !x.Leading() {
+			continue
+		}
+		if jobs := x.Unclaimed(); len(jobs) > 0 {
+			f(s.zone, part, jobs)
+		}
+	}
+}
+
 // mergeAttempts records the unsuccessful runs that another instance has observed and returns how many were not on record.
 func (s *shards) mergeAttempts(attempts []attempt.Attempt) int {
 	if len(attempts) == 0 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -155,6 +155,17 @@
 	return false
 }
 
+// Unclaimed returns the jobs of the runs that no job of the pool waits for.
+func (p *Pool) Unclaimed() []work.JobID {
+	jobs := map[work.JobID]bool{}
+	for task, r := range p.runs {
+		if r.job == nil && r.MayHaveStarted() {
+			jobs[task.Job] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(jobs))
+}
+
 // Hold sets whether no task of a job starts, because it is not known whether its caller still waits.
 func (p *Pool) Hold(id work.JobID, held bool) {
 	if j := p.jobs[id]; j != nil {
--- a/internal/relay/claim.go
+++ b/internal/relay/claim.go
@@ -10,7 +10,8 @@
 type Placement struct {
 	Zone      string `msgpack:"z"`
 	Partition int    `msgpack:"p"`
-	// Address is that of the dispatcher's instance, as the instance that placed the job knew it.
+	// Address is that of the dispatcher's instance, as the instance that placed the job knew it. It is empty for a dispatcher that knows of
+	// runs of the job and has no request for it: others of an earlier dispatcher may be unknown to it.
 	Address string `msgpack:"a"`
 }
 
@@ -18,7 +19,7 @@
 // follows from the job's ID, so all instances of a zone tell the same one.
 type Claim struct {
 	Job work.JobID `msgpack:"j"`
-	// Number is that of a submission that is not made, so that the answer can be told from those to submissions.
+	// Number is that of a submission that is not made, so that the answer can be told from those to submissions; 0 if no answer is used.
 	Number SubmissionNumber `msgpack:"n,omitempty"`
 	// Partition is the home's partition of the zone.
 	Partition int `msgpack:"p,omitempty"`
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -446,6 +446,15 @@
 	return now
 }
 
+// Unclaimed returns the jobs of the runs that this dispatcher knows of and nobody waits for. While the shard's lock is taken it returns none.
+func (s *Shard) Unclaimed() []work.JobID {
+	if !s.mu.TryLock() {
+		return nil
+	}
+	defer s.mu.Unlock()
+	return s.pool.Unclaimed()
+}
+
 // Dump is a snapshot of a shard for operators.
 type Dump struct {
 	Partition int       `json:"partition"`
