--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -45,6 +45,7 @@
 	reader *bufio.Reader
 	left   int       // requests until the caller opens another connection
 	only   *instance // the only instance that the caller uses, without faults on the way; nil for any
+	zone   string    // in which the caller looks for an instance first; empty for none
 	stores bool      // the caller's jobs are stored
 	copies bool      // the caller stands for a path that delivers requests again
 	last   bool      // the caller leaves its next request before the answer
@@ -209,6 +210,9 @@
 		return c.only, c.only.spec.Callers
 	}
 	ready := slices.DeleteFunc(c.run.inRotation(), func(i *instance) bool { return i == c.at })
+	if near := slices.DeleteFunc(slices.Clone(ready), func(i *instance) bool { return i.spec.Zone != c.zone }); len(near) > 0 {
+		ready = near
+	}
 	if len(ready) == 0 {
 		ready = c.run.instances
 	}
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -256,6 +256,9 @@
 	var wg sync.WaitGroup
 	for n := range *soakCallers * len(r.instances) {
 		c := &caller{run: r, rand: rand.New(rand.NewPCG(r.seed, uint64(1000+n))), stores: r.stores && n%storingPart == 0}
+		if r.paths && n%2 == 0 {
+			c.zone = zones[n/2%len(zones)]
+		}
 		wg.Go(func() { c.loop(traffic) })
 	}
 	for _, i := range r.instances {
