A ledger is found once it has its dispatcher

Cause: the ledger of a partition could be asked while its shard was being made. The request came from the holder of another partition of the same instance. Change: the ledger is published after SetDispatcher. TestLedgerIsNotFoundBeforeItsDispatcher checks the order (the panic itself needs an interleaving of two goroutines).

--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -55,6 +55,7 @@
 		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
 	})
 	jobs.SetDispatcher(x)
+	d.ledgers.publish(partition, jobs)
 	return x
 }
 
--- a/internal/node/ledgers.go
+++ b/internal/node/ledgers.go
@@ -28,24 +28,27 @@
 	return &ledgers{node: n, zone: zone, byPartition: map[int]*ledger.Ledger{}}
 }
 
-// make returns the ledger of the dispatcher of a partition of the zone.
+// make returns a ledger for the dispatcher of a partition of the zone. It gets requests after publish.
 func (l *ledgers) make(partition int) *ledger.Ledger {
 	o, stored := l.node.opts.Settings, l.node.stored
 	retention := o.StatusTime
 	if retention <= 0 {
 		retention = defaultStatusTime
 	}
-	made := ledger.New(ledger.Options{
+	return ledger.New(ledger.Options{
 		Log: l.node.store, Topic: l.node.opts.Records.JobsTopic(l.zone), LogPartitions: stored.logPartitions, Retention: retention,
 		Usage: stored.usage, Counts: &stored.counts, Now: l.node.now,
 		Ask:     func(ctx context.Context, r relay.StoredRequest) *relay.StoredReply { return stored.Ask(ctx, l.zone, r) },
 		Belongs: func(id work.JobID) bool { return ledger.ZoneOf(id, stored.zones) == l.zone },
 		Logger:  l.node.log.WithFields(logrus.Fields{"zone": l.zone, "partition": partition}),
 	})
+}
+
+// publish makes a ledger that has its dispatcher that of a partition of the zone.
+func (l *ledgers) publish(partition int, made *ledger.Ledger) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.byPartition[partition] = made
-	return made
 }
 
 // of returns the ledger of a partition of the zone; nil if there is none.
