--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,7 @@
 	home   string // address of its instance
 	at     Target
 	number relay.SubmissionNumber // of the claim; 0 if a submission has told the home
+	route  Route                  // over which the claim was sent; nil if a submission has told the home
 }
 
 // note records what the home of a zone knows.
@@ -41,6 +43,11 @@
 	c.told[zone] = t
 }
 
+// forget notes that the claims over a route that has ended may not have arrived.
+func (c *claim) forget(route Route) {
+	maps.DeleteFunc(c.told, func(_ string, t told) bool { return t.route == route })
+}
+
 // placeNew places a job of which its instance has not placed anything yet. If the job's first dispatcher is not its home, the home is asked
 // before. The caller holds g.mu.
 func (g *Gateway) placeNew(p *pending) {
@@ -105,7 +112,7 @@
 func (g *Gateway) sendClaim(p *pending, home, at Target, c *relay.Claim) (Route, bool) {
 	route, ok := g.opts.Router.Claim(home, c)
 	if ok {
-		p.claim.note(home.Zone, told{g.opts.Router.Address(home), at, c.Number})
+		p.claim.note(home.Zone, told{g.opts.Router.Address(home), at, c.Number, route})
 	}
 	return route, ok
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,11 +157,11 @@
 // pending is a job whose caller has not got a response yet.
 type pending struct {
 	job                *work.Job
-	exchange           *server.Exchange
-	request            uint64                 // identifies the caller's request
+	waiting            []waiting              // requests whose callers wait for the answer
+	request            uint64                 // identifies the caller's first request
 	sent               relay.SubmissionNumber // the last submission that was sent to a dispatcher
 	arrived            time.Time
-	deadline           time.Time              // when the caller stops waiting
+	deadline           time.Time              // when the last caller stops waiting
 	target             Target                 // dispatcher to which the job was last submitted
 	route              Route                  // route to the dispatcher that holds the job; nil while none does
 	submission         relay.SubmissionNumber // the last submission of the job
@@ -270,7 +270,7 @@
 		timeout = defaultResponseTimeout
 	}
 	sent := x.Arrived.Add(-x.Unread) // at the earliest
-	p := &pending{job: job, exchange: x, request: rand.Uint64(), arrived: sent, deadline: sent.Add(timeout)}
+	p := &pending{job: job, waiting: []waiting{{x, sent.Add(timeout)}}, request: rand.Uint64(), arrived: sent, deadline: sent.Add(timeout)}
 	if time.Since(sent) > timeout {
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
@@ -287,7 +287,7 @@
 		return
 	}
 	if old := g.jobs[job.ID]; old != nil {
-		g.replaceExchange(old, p)
+		g.join(old, p)
 		return
 	}
 	g.jobs[job.ID] = p
@@ -300,16 +300,6 @@
 	g.placeNew(p)
 }
 
-// replaceExchange makes a repeated submission of a pending job receive the response. The earlier request gets a 502,
-// because its caller has submitted the job again and no longer waits for it.
-func (g *Gateway) replaceExchange(old, repeated *pending) {
-	before := old.exchange
-	old.exchange, old.deadline = repeated.exchange, repeated.deadline
-	old.exchange.OnDisconnect(func() { g.noteDeparture(old, repeated.exchange) })
-	g.logger(old, outcomeRepeated, 502).WithField("repeat", relay.RequestName(repeated.request)).Info("request")
-	before.Reply(502, g.opts.Codec.EncodeError("the job was submitted again in a later request"), 0)
-}
-
 // discard removes a pending job and cancels it at its dispatcher. The caller holds g.mu.
 func (g *Gateway) discard(p *pending) {
 	if g.jobs[p.job.ID] != p {
@@ -331,13 +321,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := d.job
-	if g.jobs[p.job.ID] != p || p.exchange != d.exchange {
+	if g.jobs[p.job.ID] != p || !p.remove(d.exchange) {
 		return
 	}
-	g.discard(p)
+	if len(p.waiting) == 0 {
+		g.discard(p)
+	}
 	g.opts.Metrics.Abandoned.Add(1)
-	g.logger(p, "caller_gone", 0).WithField("closed_ms", d.age().Milliseconds()).Info("request")
-	g.reply(p.exchange, 504, nil, 0) // nobody receives it, but it ends the exchange
+	g.logger(p, "caller_gone", 0).WithFields(logrus.Fields{"closed_ms": d.age().Milliseconds(), "others": len(p.waiting)}).Info("request")
+	g.reply(d.exchange, 504, nil, 0) // nobody receives it, but it ends the exchange
 }
 
 // answerJob responds with the final state of a job. It may be called with or without g.mu.
@@ -346,7 +338,7 @@
 	g.cancelled.noteEnded(p.job.ID)
 	g.opts.Metrics.ResponseMS.AddDuration(time.Since(p.arrived))
 	g.log(p, string(s), status)
-	g.reply(p.exchange, status, g.opts.Codec.EncodeState(s), 0)
+	g.replyAll(p, status, g.opts.Codec.EncodeState(s), 0)
 }
 
 // giveUp discards a job that is not continued although it may have run in part, and responds. The caller holds g.mu.
@@ -354,13 +346,14 @@
 	g.discard(p)
 	g.opts.Metrics.GivenUp.Add(1)
 	g.log(p, outcome, 504)
-	g.reply(p.exchange, 504, g.opts.Codec.EncodeError(message), 0)
+	g.replyAll(p, 504, g.opts.Codec.EncodeError(message), 0)
 }
 
 // refuseJob logs and sends the refusal of a job.
 func (g *Gateway) refuseJob(p *pending, status int, why string, retryAfter time.Duration) {
 	g.log(p, why, status)
-	g.refuse(p.exchange, status, why, retryAfter)
+	g.opts.Metrics.Refused.Add(1)
+	g.replyAll(p, status, g.opts.Codec.EncodeError(why), retryAfter)
 }
 
 func (g *Gateway) log(p *pending, outcome string, status int) {
@@ -384,13 +377,18 @@
 	g.noteFree()
 	now := time.Now()
 	for _, p := range g.jobs {
-		if now.Before(p.deadline) {
+		expired := p.expired(now)
+		if len(expired) == 0 {
 			continue
 		}
-		g.discard(p)
+		if len(p.waiting) == 0 {
+			g.discard(p)
+		}
 		g.opts.Metrics.TimedOut.Add(1)
 		g.log(p, "timed_out", 504)
-		g.reply(p.exchange, 504, g.opts.Codec.EncodeError("the job did not end within the timeout of its caller; it may have run"), 0)
+		for _, x := range expired {
+			g.reply(x, 504, g.opts.Codec.EncodeError("the job did not end within the timeout of its caller; it may have run"), 0)
+		}
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -526,18 +526,30 @@
 	is.Equal(len(f.router.cancelledJobs()), 1)
 }
 
-// Guards against a second run of a job that is submitted again on another connection.
+// Guards against a second run of a job that is submitted again on another connection, and against a caller that waits and gets no answer
+// because its request has arrived twice: it would submit the job once more.
 func TestSubmittedAgain(t *testing.T) {
 	is := is.New(t)
 	f := start(t, time.Minute)
 	first := f.post("a")
 	second := f.call(context.Background(), "POST", "/p/a", "job")
-	is.Equal(f.receive(first).status, 502)
+	f.eventually("the second request waits", func() bool { return f.waitingFor("a") == 2 })
 	f.Answer(f.router, &relay.Answer{Job: "a", State: work.Completed})
+	is.Equal(f.receive(first).status, 200)
 	is.Equal(f.receive(second).status, 200)
 	is.Equal(len(f.router.sent()), 1)
 }
 
+// waitingFor returns the number of requests that wait for a job.
+func (f *fixture) waitingFor(id work.JobID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.jobs[id]; p != nil {
+		return len(p.waiting)
+	}
+	return 0
+}
+
 // Guards against the loss of a job that was submitted again on another connection before the end of the first one was handled, as
 // after a stop of the process.
 func TestSubmittedAgainBeforeItsFirstConnectionEnds(t *testing.T) {
@@ -546,12 +558,14 @@
 	first := f.post("a")
 	f.mu.Lock()
 	p := f.jobs["a"]
-	x := p.exchange
+	x := p.waiting[0].exchange
 	f.mu.Unlock()
 	second := f.call(context.Background(), "POST", "/p/a", "job")
-	is.Equal(f.receive(first).status, 502)
+	f.eventually("the second request waits", func() bool { return f.waitingFor("a") == 2 })
 	f.callerGone(departure{job: p, exchange: x})
+	is.Equal(f.receive(first).status, 504)
 	is.Equal(f.Active(), 1)
+	is.Equal(len(f.router.cancelledJobs()), 0)
 	f.Answer(f.router, &relay.Answer{Job: "a", State: work.Completed})
 	is.Equal(f.receive(second).status, 200)
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -175,6 +175,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.jobs {
+		p.claim.forget(route)
 		switch {
 		case p.claim.route == route:
 			p.claim.route = nil // it is asked again
