--- a/internal/gateway/second_request_test.go
+++ b/internal/gateway/second_request_test.go
@@ -248,7 +248,6 @@
 	is.Equal(first.Active(), 0)
 }
 
-
 // sized decodes all jobs to one task that needs a whole endpoint.
 type sized struct{ codec }
 
