--- a/internal/gateway/second_request_test.go
+++ b/internal/gateway/second_request_test.go
@@ -289,3 +289,16 @@
 	}
 	is.Equal(all.OverlappingRuns(), "")
 }
+
+// Guards against a caller that was refused and comes back, whose job is bound to a dispatcher that does not have it: after the end of that
+// dispatcher's term the job would be resumed at its successor, which takes it however full it is, and nowhere else.
+func TestRefusedRequestsLeaveNoPlacement(t *testing.T) {
+	is := is.New(t)
+	first, second, atFirst, atSecond := twoRequests(t)
+	for f, p := range map[*fixture]*placements{first: atFirst, second: atSecond} {
+		for f.Active() > 0 {
+			f.Answer(p, &relay.Answer{Job: "a", Number: p.last().s.Number, Refused: pool.ReasonNoRoom, RetryAfter: time.Second})
+		}
+	}
+	is.Equal(atFirst.registry.Len(), 0)
+}
