A process of unknown start takes back no crash of a known one

A task crashed a fourth process. Cause: let Withdraw treat an unknown start on either side as a match. The successor of a dispatcher has not heard of the start of a crashed process. When the next process answered, its session took back the crash of the one before. Change: an answering process takes back crashes of its own start, and those of its endpoint whose start was not recorded. The wider match stays for counting, where it cannot lose a crash of another process that is known.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -51,12 +51,8 @@
 // matches reports whether two processes are the same as far as both are known. Two processes that match a third one need not match each
 // other.
 func (p Process) matches(q Process) bool {
-	return p.Endpoint == "" || q.Endpoint == "" || p.Endpoint == q.Endpoint && p.startMatches(q)
-}
-
-// startMatches is matches for processes of one endpoint.
-func (p Process) startMatches(q Process) bool {
-	return p.StartedUnixMS == 0 || q.StartedUnixMS == 0 || p.StartedUnixMS == q.StartedUnixMS
+	sameStart := p.StartedUnixMS == 0 || q.StartedUnixMS == 0 || p.StartedUnixMS == q.StartedUnixMS
+	return p.Endpoint == "" || q.Endpoint == "" || p.Endpoint == q.Endpoint && sameStart
 }
 
 // moreKnownThan compares two processes that match.
@@ -170,12 +166,13 @@
 }
 
 // Withdraw deletes the crashes of a process, which has answered again and therefore has not ended. It returns their tasks. A crash of its
-// endpoint counts as one of the process if the start of either is not known.
+// endpoint counts as one of the process if the start of the crashed process is not known. An answering process whose start is not known may
+// be a later one, so it takes back no crash of a process whose start is known.
 func (h *History) Withdraw(p Process) []work.TaskID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	crashOf := func(a Attempt) bool {
-		return a.Outcome == Crashed && a.Process.Endpoint == p.Endpoint && a.Process.startMatches(p)
+		return a.Outcome == Crashed && a.Process.Endpoint == p.Endpoint && (a.Process.StartedUnixMS == 0 || a.Process.StartedUnixMS == p.StartedUnixMS)
 	}
 	h.own = slices.DeleteFunc(h.own, func(o observed) bool { return crashOf(o.attempt) })
 	var withdrawn []work.TaskID
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -103,7 +103,7 @@
 }
 
 // Guards against the crash of a process that has only been cut off and stays on record because the start of the process was not known
-// when the crash was recorded, or is known from another instance only; and against the crashes of other processes that are deleted with it.
+// when the crash was recorded, and against the crashes of other processes that are deleted with it.
 func TestWithdrawProcessesOfUnknownStart(t *testing.T) {
 	is := is.New(t)
 	startless, first, later := Process{Endpoint: "e"}, Process{Endpoint: "e", StartedUnixMS: 1}, Process{Endpoint: "e", StartedUnixMS: 2}
@@ -113,7 +113,9 @@
 		left     int
 	}{
 		{[]Process{startless}, first, 0},
-		{[]Process{startless, first}, startless, 0},
+		{[]Process{startless}, startless, 0},
+		{[]Process{startless, first}, first, 0},
+		{[]Process{first}, startless, 1}, // a later process may answer
 		{[]Process{first, later}, first, 1},
 		{[]Process{{Endpoint: "f"}}, first, 1},
 		{[]Process{{}}, first, 1}, // of an endpoint that is not known
