A crash is taken back only by the process that answers

A session whose endpoint's lease has expired took the registered process for the one that answers. If the session had not talked to the endpoint before, as after a takeover, and the next process answered before its registration was read, the crash of the process before was taken back, and its task could crash one process more. Output before the change: crash_test.go:228: 0 != 1 (TestNextProcessTakesBackNoCrash/registered_with_its_start) Change: the start that the answer names counts before the registration.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -83,9 +83,14 @@
 	return all
 }
 
-// withdrawCrashes deletes the crashes of a process that answers again: it was cut off and has not ended.
-func (x *session) withdrawCrashes() {
-	for _, task := range x.shard.opts.History.Withdraw(x.process()) {
+// withdrawCrashes deletes the crashes of a process that answers again: it was cut off and has not ended. started is the start that the
+// answer names, or 0. It counts before the registration, which may be that of the process before.
+func (x *session) withdrawCrashes(started int64) {
+	answering := x.process()
+	if started != 0 {
+		answering.StartedUnixMS = started
+	}
+	for _, task := range x.shard.opts.History.Withdraw(answering) {
 		x.shard.opts.Log.WithFields(logrus.Fields{"event": "crash_withdrawn", "task": task.String(), "endpoint": x.endpoint.ID}).
 			Info("the process answers again; it was cut off and has not crashed")
 	}
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -196,6 +196,41 @@
 	})
 }
 
+// Guards against the crash of a process that is taken back when the next one answers: the dispatcher knows of the crash from another
+// instance, and has not talked to the endpoint before. The clock is virtual.
+func TestNextProcessTakesBackNoCrash(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		registered bool // the registration has the start of the crashed process
+	}{{"registered with its start", true}, {"registered without a start", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, all := newFleet(1, time.Second)
+				before := f.Resize(all[0].Address, all[0].Size)
+				crash := attempt.Attempt{
+					Task: work.TaskID{Job: "a"}, Run: 1, Outcome: attempt.Crashed,
+					Process: attempt.Process{Endpoint: before.ID, StartedUnixMS: before.StartedUnixMS},
+				}
+				f.SetRefusing(before.Address, true)
+				s := newShard(f, func() {})
+				s.history.Merge([]attempt.Attempt{crash}, 0)
+				s.Begin(shard.Term{Fence: 1, Partitions: 1})
+				defer endAndSettle(s)
+				if !test.registered {
+					before.StartedUnixMS = 0
+				}
+				s.register([]work.Endpoint{before})
+				time.Sleep(2 * time.Second) // longer than a lease
+				f.Restart(before.Address)
+				f.SetRefusing(before.Address, false)
+				time.Sleep(time.Second)
+				is.Equal(s.history.Count(crash.Task, attempt.Crashed), 1)
+			})
+		})
+	}
+}
+
 // Guards against crashes that are not counted because the endpoint's machine is gone too, so that nothing refuses connections: another
 // process at the address shows later that the first one has ended. The clock is virtual.
 func TestSilentCrashesCount(t *testing.T) {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -21,7 +21,7 @@
 		x.unrecorded = nil
 		x.processEnded(now)
 	} else if x.leaseExpired {
-		x.withdrawCrashes()
+		x.withdrawCrashes(report.StartedUnixMS)
 	}
 	if !x.answering {
 		s.opts.Log.WithFields(logrus.Fields{
