--- a/internal/gateway/claim_test.go
+++ b/internal/gateway/claim_test.go
@@ -86,8 +86,7 @@
 func startHomes(t *testing.T, targets ...Target) (*fixture, *homes) {
 	t.Helper()
 	h := newHomes(targets...)
-	f := startWith(t, time.Minute, h)
-	f.opts.Retransmit = testRetransmit
+	f := startChanged(t, time.Minute, h, func(o *Options) { o.Retransmit = testRetransmit })
 	f.router = &h.router
 	f.call(t.Context(), "POST", "/p/a", "job")
 	f.eventually("the job is submitted or its home asked", func() bool { return len(h.sent())+len(h.claimed()) > 0 })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,11 +146,16 @@
 
 // startWith starts a gateway that finds its dispatchers with a given router and stores no jobs.
 func startWith(t *testing.T, timeout time.Duration, r Router) *fixture {
-	return startStoring(t, timeout, r, nil)
+	return startChanged(t, timeout, r, func(*Options) {})
 }
 
 // startStoring is startWith for a gateway with stored jobs.
 func startStoring(t *testing.T, timeout time.Duration, r Router, stored StoredJobs) *fixture {
+	return startChanged(t, timeout, r, func(o *Options) { o.Stored = stored })
+}
+
+// startChanged is startWith for a gateway with other options.
+func startChanged(t *testing.T, timeout time.Duration, r Router, change func(*Options)) *fixture {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	config := &catalog.Current{}
@@ -158,7 +163,9 @@
 		Name: "q", Host: "h.example", Prefix: "/p/", Service: "survey", Objective: work.Objective{Stretch: 3, Extra: time.Second, Attempts: 2},
 	}}, catalog.Limits{}))
 	closes := server.NewCloseWatch(log)
-	g := New(Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}, Attempts: knownAttempts, Closes: closes, Stored: stored})
+	o := Options{Config: config, Codec: codec{timeout}, Router: r, Log: log, Metrics: &Metrics{ResponseMS: metric.NewMillisecondQuantiles()}, Attempts: knownAttempts, Closes: closes}
+	change(&o)
+	g := New(o)
 	f := &fixture{Gateway: g, lag: server.NewLagMonitor(lagInterval), t: t}
 	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Loops: 1, Handler: g, EncodeRefusal: f.encodeRefusal, Closes: closes, Lag: f.lag})
 	if err != nil {
--- a/internal/gateway/second_request_test.go
+++ b/internal/gateway/second_request_test.go
@@ -36,11 +36,16 @@
 
 // startPlacing starts an instance that tries the targets in this order.
 func startPlacing(t *testing.T, r *placement.Registry, targets ...Target) (*fixture, *placements) {
+	t.Helper()
+	return startPlacingCoded(t, r, codec{time.Minute}, targets...)
+}
+
+// startPlacingCoded is startPlacing with another codec.
+func startPlacingCoded(t *testing.T, r *placement.Registry, c Codec, targets ...Target) (*fixture, *placements) {
 	t.Helper()
 	p := &placements{registry: r}
 	p.targets, p.down = targets, map[Target]bool{}
-	f := startWith(t, time.Minute, p)
-	f.opts.Retransmit = time.Minute
+	f := startChanged(t, time.Minute, p, func(o *Options) { o.Codec, o.Retransmit = c, time.Minute })
 	f.router, p.gateway = &p.router, f.Gateway
 	return f, p
 }
@@ -48,12 +53,25 @@
 func (p *placements) Homes(work.JobID) []Target { return []Target{home} }
 
 func (p *placements) Knowledge(t Target) uint64 {
-	if p.at != nil && p.at.shards[t.Partition] != nil {
-		return p.at.shards[t.Partition].Knowledge()
+	if at := p.dispatchers(); at != nil && at.shards[t.Partition] != nil {
+		return at.shards[t.Partition].Knowledge()
 	}
 	return uint64(t.Partition + 1)
 }
 
+func (p *placements) dispatchers() *peer {
+	p.router.mu.Lock()
+	defer p.router.mu.Unlock()
+	return p.at
+}
+
+// has makes an instance the one that has the dispatchers of all targets.
+func (p *placements) has(at *peer) {
+	p.router.mu.Lock()
+	defer p.router.mu.Unlock()
+	p.at = at
+}
+
 func (p *placements) Claim(_ Target, c *relay.Claim) (Route, bool) {
 	at, known := p.registry.Apply(c)
 	if !c.Asks {
@@ -75,14 +93,15 @@
 			return p, true
 		}
 	}
-	if p.at != nil {
-		p.at.requests <- func() { p.at.shards[to.Partition].Submit(p.at, s) }
+	at := p.dispatchers()
+	if at != nil {
+		at.requests <- func() { at.shards[to.Partition].Submit(at, s) }
 	}
 	if _, ok := p.router.Submit(to, s); !ok {
 		return nil, false
 	}
-	if p.at != nil {
-		return p.at, true
+	if at != nil {
+		return at, true
 	}
 	return p, true
 }
@@ -168,15 +187,16 @@
 	r := newRegistry()
 	first, atFirst := startPlacing(t, r, away)
 	second, atSecond := startPlacing(t, r, away)
-	atFirst.at = newPeer(t, first.Gateway, all, away.Partition)
-	atSecond.at = newPeer(t, second.Gateway, all)
-	atSecond.at.shards = atFirst.at.shards
-	atFirst.at.begin(t, away.Partition, endpoints)
+	atFirst.has(newPeer(t, first.Gateway, all, away.Partition))
+	same := newPeer(t, second.Gateway, all)
+	same.shards = atFirst.dispatchers().shards
+	atSecond.has(same)
+	atFirst.dispatchers().begin(t, away.Partition, endpoints)
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
 	first.call(ctx, "POST", "/p/a", "job")
 	first.eventually("the task runs", func() bool { return all.Running() == 1 })
-	d := atFirst.at.shards[away.Partition]
+	d := atFirst.dispatchers().shards[away.Partition]
 	d.End()
 	var late string // the report of the endpoint with the run comes behind that of the other one
 	for _, e := range endpoints {
@@ -254,21 +274,22 @@
 	endpoints := endpointsOf(all)
 	other := Target{Zone: "north", Partition: 0}
 	r := newRegistry()
-	first, atFirst := startPlacing(t, r, away, other)
-	second, atSecond := startPlacing(t, r, home, away)
-	first.opts.Codec, second.opts.Codec = sized{codec{time.Minute}}, sized{codec{time.Minute}}
-	atFirst.at = newPeer(t, first.Gateway, all, 0, 1, 2)
-	atSecond.at = newPeer(t, second.Gateway, all)
-	atSecond.at.shards = atFirst.at.shards
-	atFirst.at.begin(t, 0, endpoints)
-	atFirst.at.begin(t, 1, endpoints)
+	large := sized{codec{time.Minute}}
+	first, atFirst := startPlacingCoded(t, r, large, away, other)
+	second, atSecond := startPlacingCoded(t, r, large, home, away)
+	atFirst.has(newPeer(t, first.Gateway, all, 0, 1, 2))
+	same := newPeer(t, second.Gateway, all)
+	same.shards = atFirst.dispatchers().shards
+	atSecond.has(same)
+	atFirst.dispatchers().begin(t, 0, endpoints)
+	atFirst.dispatchers().begin(t, 1, endpoints)
 	first.call(t.Context(), "POST", "/p/filler", "job")
 	first.eventually("a task runs", func() bool { return all.Running() == 1 })
 	first.call(t.Context(), "POST", "/p/a", "job")
 	first.eventually("the first request is at the dispatcher", func() bool { return len(atFirst.sent()) == 2 })
 	second.call(t.Context(), "POST", "/p/a", "job")
 	second.eventually("the second request is there, too", func() bool { return len(atSecond.sent()) == 1 })
-	d := atFirst.at.shards[1]
+	d := atFirst.dispatchers().shards[1]
 	is.Equal(all.Running(), 1) // the job waits
 	d.End()
 	first.eventually("the first request is elsewhere", func() bool { return atFirst.last().to == other })
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -178,6 +178,52 @@
 	})
 }
 
+// Guards against a crash that is taken back when the next process answers: the dispatcher that took over learned of the crash from others, has
+// never talked to the crashed process, and its registration of the endpoint names no process or the crashed one. A process that was only
+// cut off takes its crash back all the same. The clock is virtual.
+func TestCrashStaysWhenTheNextProcessAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		registered, ends bool // the registration names the process; the process ends
+		want             int  // crashes on record
+	}{
+		{"next process, registration without a process", false, true, 1},
+		{"next process, registration of the crashed one", true, true, 1},
+		{"same process, registration without a process", false, false, 0},
+		{"same process, registration of it", true, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, all := newCrashingFleet(1)
+				e := all[0]
+				named := f.Resize(e.Address, e.Size) // names the process
+				if c.registered {
+					e = named
+				}
+				if c.ends {
+					startElsewhere(t, f, e, 1, crashingTask)
+					time.Sleep(100 * time.Millisecond)
+					is.Equal(f.Crashes(crashingTask), 1)
+				} else {
+					f.SetRefusing(e.Address, true)
+					time.AfterFunc(f.DownTime, func() { f.SetRefusing(e.Address, false) })
+				}
+				s := newShard(f, func() {})
+				process := attempt.Process{Endpoint: e.ID, StartedUnixMS: named.StartedUnixMS}
+				s.history.Merge([]attempt.Attempt{{Task: crashingTask, Run: 1, Process: process, Outcome: attempt.Crashed}}, 0)
+				s.Begin(shard.Term{Fence: 2, Partitions: 1})
+				defer endAndSettle(s)
+				s.register([]work.Endpoint{e})
+				time.Sleep(f.DownTime - time.Second)
+				is.Equal(s.history.Count(crashingTask, attempt.Crashed), 1) // no process answers yet
+				time.Sleep(2 * time.Second)
+				is.Equal(s.history.Count(crashingTask, attempt.Crashed), c.want)
+			})
+		})
+	}
+}
+
 // Guards against a task that is given up although no process has crashed: an endpoint that a firewall cuts off refuses connections
 // and answers again later. The clock is virtual.
 func TestRefusedConnectionsAreNoCrashOnceTheProcessAnswers(t *testing.T) {
