Soak: the tests of late submissions make the slow dispatcher the home of their jobs

That is what homes are for, but the case that the tests play did not occur any more. Now the first dispatcher, whose link is choked or which gets little of the processor, is the home, and fillers make the second one idle when the job is submitted again. Checks and bounds are unchanged: a job must have met both dispatchers, and no runs may overlap.

--- a/internal/soak/outdated_test.go
+++ b/internal/soak/outdated_test.go
@@ -44,7 +44,8 @@
 	run           *run
 	entry         *instance // takes the first submission; it dispatches for no partition
 	first, second *instance // dispatchers of the partitions that get the first and the second submission
-	part          int       // partition of second, which the job's ID selects
+	part          int       // partition of second
+	number        int       // of the case
 	filler, job   work.JobID
 }
 
@@ -120,11 +121,14 @@
 	return c.entry != nil && c.first != nil && c.second != nil
 }
 
-// jobID returns the n-th of the IDs with a prefix that select the partition of the second dispatcher.
-func (c *cast) jobID(prefix string, n int) work.JobID {
+// jobID returns the n-th of the IDs with a prefix that select the partition of the second dispatcher, which is the job's home.
+func (c *cast) jobID(prefix string, n int) work.JobID { return jobIn(c.part, prefix, n) }
+
+// jobIn returns the n-th of the IDs with a prefix that select a partition.
+func jobIn(part int, prefix string, n int) work.JobID {
 	for m := 100 * n; ; m++ {
 		id := fmt.Sprintf("%s%015x", prefix, m)
-		if shard.PartitionOf(id, partitions) == c.part {
+		if shard.PartitionOf(id, partitions) == part {
 			return work.JobID(id)
 		}
 	}
@@ -166,6 +170,16 @@
 	time.Sleep(fillerLead)
 }
 
+// fillBoth makes both partitions look busy, the second one more so, so that the next job is submitted to the first one. When the job is
+// submitted again the second one is idle, and the first one is still busy. It returns when all tasks run.
+func (c *cast) fillBoth(t *testing.T) {
+	n := c.number
+	c.submit(t, jobIn(1-c.part, "c", n), c.first)
+	c.submit(t, c.filler, c.second)
+	c.submit(t, c.jobID("f", n+maxCases), c.second)
+	time.Sleep(fillerLead / 2)
+}
+
 // startedBy returns the names of the instances that have started the job's task.
 func (c *cast) startedBy(v *view) map[string]bool {
 	by := map[string]bool{}
@@ -222,7 +236,9 @@
 	made := 0
 	for n := 0; made < wantedCases && n < maxCases; n++ {
 		c.awaitDispatchers(t)
-		c.filler, c.job = c.jobID("f", n), c.jobID("a", n)
+		// The first dispatcher is the home of the job: it does not know of the first submission when the second one's instance asks it.
+		c.filler, c.job = c.jobID("f", n), jobIn(1-c.part, "a", n)
+		c.number = n
 		submit(c, t)
 		v := c.run.view()
 		c.logRuns(t, v)
@@ -248,7 +264,8 @@
 		defer l.end(f)
 	}
 	time.Sleep(f.ramp)
-	c.fill(t)
+	c.fillBoth(t)
+	time.Sleep(fillerLead)
 	conn, _ := c.submit(t, c.job, c.entry)
 	time.Sleep(resetAfter)
 	c.resetAndRepeat(t, conn)
@@ -259,7 +276,7 @@
 func (c *cast) submitToSlow(t *testing.T) {
 	var throttled sync.WaitGroup
 	defer throttled.Wait()
-	c.submit(t, c.filler, c.second)
+	c.fillBoth(t)
 	filling := time.Now()
 	throttled.Go(func() { c.first.throttle(slowPeriod, slowRunning, slowTime) })
 	c.submitLarge(t, "b", largeJobs)
