One look-up of another dispatcher's load

router.pressure and router.Knowledge found the route to an address and read its last load in the same way. Both use loadAt now.

--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -91,14 +91,19 @@
 	if address == r.address {
 		return r.shards.lastPressure(t.Partition)
 	}
+	load, ok := r.loadAt(address, t.Partition)
+	return load.Pressure, ok
+}
+
+// loadAt returns the last known load of a partition's dispatcher at the address of another instance. ok is false while none is known.
+func (r *router) loadAt(address string, partition int) (load relay.Load, ok bool) {
 	r.mu.Lock()
 	route := r.routes[address]
 	r.mu.Unlock()
 	if route == nil {
-		return 0, false
+		return relay.Load{}, false
 	}
-	load, ok := route.uplink.Load(t.Partition)
-	return load.Pressure, ok
+	return route.uplink.Load(partition)
 }
 
 // overflowPressure is the mean pressure of the instance's zone, in percent, at which its jobs are likely to need other
@@ -174,13 +179,7 @@
 	if address == r.address {
 		return r.shards.knowledge(t.Partition)
 	}
-	r.mu.Lock()
-	route := r.routes[address]
-	r.mu.Unlock()
-	if route == nil {
-		return 0
-	}
-	load, _ := route.uplink.Load(t.Partition)
+	load, _ := r.loadAt(address, t.Partition)
 	return load.Knowledge
 }
 
