Check of a configuration before it is written to the store

Cause: operators learn of a queue that can never match, of limits that contradict each other and of a version that instances ignore only from callers.

--- a/cmd/savorypass/main.go
+++ b/cmd/savorypass/main.go
@@ -23,6 +23,8 @@
 	Settings      string `long:"settings" description:"path of the settings file; the default is the path that the platform gives"`
 	OperatorsPort int    `long:"operators-port" env:"SAVORY_OPERATORS_PORT" default:"9464" description:"port that serves the metrics and the state dump; 0 for none"`
 	Check         bool   `long:"check" description:"read the settings, print them or every problem, and exit"`
+	CheckConfig   string `long:"check-config" value-name:"FILE" description:"check a configuration of queues before it is written to the store, print what differs from the version in force, and exit"`
+	InForce       string `long:"in-force" value-name:"FILE" description:"the version in force for --check-config; the default is the one in the store that the settings name"`
 }
 
 // Validate implements daemon.Options.
@@ -42,6 +44,9 @@
 	if o.Check {
 		os.Exit(check(o))
 	}
+	if o.CheckConfig != "" {
+		os.Exit(checkConfig(o, os.Stdout, os.Stderr))
+	}
 	out := daemon.NewAsyncWriter(os.Stdout)
 	log := daemon.NewUnredactedLogger(out, o.LogOptions)
 	code := run(o, log)
