Evacuation of zones: nothing starts in a zone while its record is there

Cause: operators may ask that nothing more be sent to the endpoints of a zone (op/evacuate/ZONE); no line of the code knew it.

Change: internal/evacuation holds the state, read with the configuration from the operators' topic. Dispatchers of an evacuated zone refuse new jobs, give back those of which no request was sent, and hand over those in progress once their runs have ended, with the tasks that have succeeded; instances place them in other zones, in proportion to the free capacity there (internal/spread). In deployments with evacuate_ms no run starts before the operators' records have been read, at most for that time.

--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -5,6 +5,7 @@
 package dump
 
 import (
+	"github.com/savorypass/savorypass/internal/evacuation"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -28,6 +29,8 @@
 	Shards        []shard.Dump   `json:"shards"`                // dispatchers on this instance, one per partition
 	Log           []ledger.Dump  `json:"stored_jobs,omitempty"` // partitions of the log of stored jobs that this instance holds
 	Substituted   []Substituted  `json:"substituted,omitempty"` // zones without instances of their own for which this instance dispatches
+	// Evacuations are those that the instance knows.
+	Evacuations evacuation.Status `json:"evacuations"`
 }
 
 // Substituted is what an instance dispatches in place of the instances of another zone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,6 +177,7 @@
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 	claim              claim                  // what the job's homes know
 	shared             *shared                // what is known of another request that has placed the job; nil if none is known
+	moved              *moved                 // what is known of a job that an evacuated zone has given back; nil for others
 }
 
 // New returns a gateway without jobs.
@@ -278,7 +279,7 @@
 		g.submitStored(x, job, sent, timeout)
 		return
 	}
-	p.untried = g.opts.Router.Targets(job.ID)
+	p.untried = g.targets(p)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.cancelled.isCancelled(job.ID) {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -59,17 +59,12 @@
 // dispatcher until the placement timeout. The caller holds g.mu.
 func (g *Gateway) placeOrRefuse(p *pending) {
 	placed := g.place(p)
-	p.awaitingDispatcher = !placed && p.refusal == nil && time.Since(p.arrived) < g.placementTimeout
+	p.awaitingDispatcher = !placed && p.refusal == nil && time.Since(p.placesSince()) < g.placementTimeout && len(g.targets(p)) > 0
 	if placed || p.awaitingDispatcher {
 		return
 	}
-	g.discard(p)
 	g.releaseClaim(p)
-	if p.refusal != nil {
-		g.refuseJob(p, 429, string(p.refusal.Refused), p.refusal.RetryAfter)
-		return
-	}
-	g.refuseJob(p, 503, reasonNoDispatcher, retryNoDispatcher)
+	g.refuseUnplaced(p)
 }
 
 // submission returns the message of a new submission of a job to its target.
@@ -85,7 +80,7 @@
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
-		Attempts: g.opts.Attempts(p.job.ID),
+		Attempts: g.opts.Attempts(p.job.ID), InProgress: p.inProgress(), Succeeded: p.succeeded(),
 	}
 	if p.shared != nil {
 		m.Shared, m.Earlier = !p.shared.found(), p.shared.earlier(p.arrived)
@@ -111,6 +106,8 @@
 	switch {
 	case a.Placed != nil:
 		g.follow(p, *a.Placed)
+	case a.HandedOver:
+		g.leaveZone(p, a)
 	case p.shared != nil && !p.orphaned && a.Refused != pool.ReasonNone && !a.Started && !earlierRuns:
 		g.sharedRefused(p, a)
 	case a.GaveUp:
@@ -123,6 +120,8 @@
 		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
 		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
+	case !p.orphaned && isEvacuation(a):
+		g.leaveZone(p, a)
 	case !p.orphaned:
 		p.knowledge = 0
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
@@ -206,7 +205,7 @@
 	for _, p := range g.jobs {
 		switch {
 		case p.awaitingDispatcher:
-			p.untried = g.opts.Router.Targets(p.job.ID)
+			p.untried = g.targets(p)
 			g.placeNew(p)
 		case p.claim.asking:
 			g.askAgain(p)
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -65,7 +65,7 @@
 	switch {
 	case at == nil:
 		p.shared, p.knowledge = nil, 0
-		p.untried = g.opts.Router.Targets(p.job.ID)
+		p.untried = g.targets(p)
 		g.placeOrRefuse(p)
 	case moved:
 		g.follow(p, *at)
--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/evacuation"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/shard"
 )
@@ -53,6 +54,7 @@
 		Dialer: n.opts.Dialer, Window: n.window, History: n.history,
 		OnFenced: d.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations, Counts: &n.counts,
 		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
+		Evacuation: func() evacuation.State { return n.evacuations.Of(d.zone) },
 	})
 	jobs.SetDispatcher(x)
 	d.ledgers.publish(partition, jobs)
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -51,6 +51,7 @@
 	follow.New(follow.Options{
 		Store: n.store, Topic: topic, Wait: n.opts.Settings.readWait(), Log: n.log,
 		Apply: func(u follow.Update) {
+			n.applyEvacuations(u)
 			for _, r := range u.Records {
 				if r.Key == key && len(r.Value) > 0 {
 					n.applyConfig(r)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -128,6 +128,10 @@
 		{Name: "submission_age_ms", Var: c.AgeMS}, {Name: "caller_silence_ms", Var: c.SilenceMS}, {Name: "starts_held", Var: &c.HeldStarts},
 		{Name: "partitions_held", Var: gauge(func() int64 { return int64(len(n.lead.Term().Partitions)) })},
 		{Name: "zones_substituted", Var: gauge(func() int64 { return int64(len(n.dispatching()) - 1) })},
+		{Name: "zones_evacuated", Var: gauge(func() int64 { return int64(len(n.evacuations.Status().Zones)) })},
+		{Name: "evacuations_begun", Var: &n.evacuationCounts.Begun}, {Name: "evacuations_ended", Var: &n.evacuationCounts.Ended},
+		{Name: "evacuations_foreign", Var: &n.evacuationCounts.Foreign}, {Name: "evacuations_unreadable", Var: &n.evacuationCounts.Unreadable},
+		{Name: "jobs_given_back", Var: &c.GivenBack}, {Name: "jobs_handed_over", Var: &c.HandedOver},
 		{Name: "generation", Var: gauge(func() int64 { return n.lead.Term().Generation })},
 		{Name: "config_version", Var: gauge(n.configVersion)},
 		{Name: "store_calls", Var: &n.store.calls}, {Name: "store_failures", Var: &n.store.failed},
@@ -159,6 +163,7 @@
 		Instance: s.Instance, Zone: s.Zone, UptimeMS: n.now().Milliseconds(), Ready: n.ready(), Draining: n.draining(),
 		ConfigVersion: n.configVersion(), Active: n.gateway.Active(), Partitions: partitions, Missing: n.directory.Missing(),
 		Term: n.lead.Term(), Shards: n.shards.dump(), Log: n.own.ledgers.dump(), Substituted: n.dumpSubstituted(),
+		Evacuations: n.evacuations.Status(),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/congestion"
 	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/evacuation"
 	"github.com/savorypass/savorypass/internal/follow"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
@@ -46,6 +47,10 @@
 	DivisionsTopic() string
 	JobsTopic(zone string) string // log of the zone's stored jobs
 	DecodeConfig(raw []byte) (*catalog.Config, error)
+	// EvacuationZone returns the zone whose evacuation a record of the operators' topic requests; ok is false for other records.
+	EvacuationZone(key string) (zone string, ok bool)
+	// DecodeEvacuation returns an error if the record of a zone's evacuation cannot be read.
+	DecodeEvacuation(zone string, raw []byte) error
 	DecodeEndpoint(key string, raw []byte) (work.Endpoint, error)
 }
 
@@ -89,6 +94,9 @@
 	window    *congestion.Window // for requests to endpoints
 	history   *attempt.History
 	stored    *storedJobs
+	// evacuations are those that the operators have requested.
+	evacuations      *evacuation.Zones
+	evacuationCounts evacuationCounts
 	// substitutes take the place of the instances of other zones; those that do are counted by substituting.
 	substitutes  []*substitute
 	substituting sync.WaitGroup
@@ -102,6 +110,7 @@
 		lag: server.NewLagMonitor(loopProbeInterval), closes: server.NewCloseWatch(o.Log),
 	}
 	s := o.Settings
+	n.evacuations = evacuation.New(evacuation.Options{Zones: s.Zones, FirstReadLimit: s.EvacuationTime, Now: n.now})
 	n.divisions = division.New(division.Options{
 		Store: n.store, Topic: o.Records.DivisionsTopic(), ReadWait: s.readWait(),
 		EndpointsPerPartition: division.EndpointsPerPartition(s.LinkMbps), GroupPartitions: s.GroupPartitions, OnChange: n.reconcile, Log: o.Log,
@@ -113,7 +122,7 @@
 	n.router = &router{
 		ownZone: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
 		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
-		request: rand.Uint64() | 1,
+		request: rand.Uint64() | 1, evacuations: n.evacuations,
 	}
 	n.router.stored, n.stored.router = n.stored, n.router
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
--- a/internal/node/registrations_test.go
+++ b/internal/node/registrations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,6 +22,14 @@
 func (records) JobsTopic(string) string                      { return "" }
 func (records) DivisionsTopic() string                       { return "" }
 func (records) DecodeConfig([]byte) (*catalog.Config, error) { return nil, nil }
+func (records) EvacuationZone(key string) (string, bool)     { return strings.CutPrefix(key, "evacuate/") }
+
+func (records) DecodeEvacuation(_ string, raw []byte) error {
+	if string(raw) == "unreadable" {
+		return errors.New("unreadable")
+	}
+	return nil
+}
 
 func (records) DecodeEndpoint(key string, raw []byte) (work.Endpoint, error) {
 	if string(raw) == "unreadable" {
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/division"
+	"github.com/savorypass/savorypass/internal/evacuation"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/lead"
 	"github.com/savorypass/savorypass/internal/relay"
@@ -37,7 +38,9 @@
 	log       logrus.FieldLogger
 	local     *localRoute
 	stored    *storedJobs // set before use
-	request   uint64      // stands for the unknown requests of jobs whose runs this instance has found; not 0
+	// evacuations are the evacuated zones, in which no job is placed; nil for none.
+	evacuations *evacuation.Zones
+	request     uint64 // stands for the unknown requests of jobs whose runs this instance has found; not 0
 
 	mu     sync.Mutex
 	routes map[string]*uplinkRoute // by address
@@ -59,7 +62,12 @@
 func (r *router) Targets(id work.JobID) []gateway.Target {
 	var others []zoneLoad
 	for _, zone := range r.others {
-		others = append(others, r.load(zone))
+		if !r.evacuations.Evacuated(zone) {
+			others = append(others, r.load(zone))
+		}
+	}
+	if r.evacuations.Evacuated(r.ownZone) {
+		return targetsElsewhere(id, others)
 	}
 	return targetsOf(id, r.load(r.ownZone), others)
 }
@@ -111,7 +119,7 @@
 const overflowPressure = 60
 
 // connectForOverflow connects to the dispatchers of the other zones when the mean pressure of its zone reaches
-// overflowPressure. It does so ahead of need because Submit does not make a job wait for a connection to another zone.
+// overflowPressure, or its zone is evacuated. It does so ahead of need because Submit does not make a job wait for a connection to another zone.
 func (r *router) connectForOverflow() {
 	sum, known := 0, 0
 	for part := range r.divisions.Partitions(r.ownZone) {
@@ -120,10 +128,13 @@
 			known++
 		}
 	}
-	if known == 0 || sum/known < overflowPressure {
+	if !r.evacuations.Evacuated(r.ownZone) && (known == 0 || sum/known < overflowPressure) {
 		return
 	}
 	for _, zone := range r.others {
+		if r.evacuations.Evacuated(zone) {
+			continue
+		}
 		for part := range r.divisions.Partitions(zone) {
 			if address := r.dispatcher(zone, part); address != "" {
 				r.routeTo(address, zone)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -44,6 +44,7 @@
 	Retransmit      time.Duration // time after which a caller without a response submits its job again; 0 if unknown
 	ReadWait        time.Duration // longest wait of a read of the store for a new record; 0 for the default
 	DrainTime       time.Duration // time after which an endpoint that has announced that it leaves gets no new runs; 0 if unknown
+	EvacuationTime  time.Duration // time after which the endpoints of an evacuated zone get no new runs; 0 in deployments without evacuations
 	StoreWrites     float64       // number of writes a second that the store takes from all instances; 0 if unknown
 	StatusTime      time.Duration // for how long the state of an ended stored job is shown; 0 for the default
 	MemberTTL       time.Duration // shortest time to live of a membership in a group of the store
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -19,6 +19,7 @@
 	runs        map[work.TaskID]*Run
 	suspects    map[work.TaskID]bool // tasks under which an endpoint has crashed; they run alone
 	started     bool
+	sent        bool          // a request to start a task of the job was sent, or a run or an end of one is known
 	held        bool          // see Hold
 	stored      bool          // see OfferStored
 	expected    time.Duration // expected run time of the longest chain of steps
@@ -161,7 +162,7 @@
 	if !j.hasTask(task) || !j.removeWaiting(task) {
 		return false
 	}
-	j.started = true
+	j.started, j.sent = true, true
 	j.taskSucceeded(task.Step)
 	return true
 }
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -162,7 +162,12 @@
 }
 
 // RunSent records that the request to start a run is sent now.
-func (p *Pool) RunSent(r *Run, now time.Duration) { r.Ordered, r.ProgressedAt, r.sent = now, now, true }
+func (p *Pool) RunSent(r *Run, now time.Duration) {
+	r.Ordered, r.ProgressedAt, r.sent = now, now, true
+	if r.job != nil {
+		r.job.sent = true
+	}
+}
 
 // Fits reports whether the runs on a run's endpoint, the run included, are within the endpoint's size, which may have shrunk since
 // the run was ordered.
@@ -239,7 +244,7 @@
 	j := p.jobs[end.Task.Job]
 	if j != nil {
 		p.numbers[end.Task] = max(p.numbers[end.Task], end.Run) // the store tells failed runs apart by their numbers
-		j.started = true
+		j.started, j.sent = true, true
 	}
 	if end.Reason == work.EndFailed && j != nil && p.runs[end.Task] == nil {
 		return p.exhausted(j, end.Task)
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -20,7 +20,9 @@
 	ReasonExpired       Reason = "expired"     // the submission waited for longer than its caller does
 	// ReasonPlacedElsewhere refuses a submission by the home of the job: another request has placed the job at another dispatcher.
 	ReasonPlacedElsewhere Reason = "placed_elsewhere"
-	ReasonSuperseded      Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
+	// ReasonEvacuated refuses a job in an evacuated zone: nothing of it has run there, and another zone may take it.
+	ReasonEvacuated  Reason = "evacuated"
+	ReasonSuperseded Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
 )
 
 // Verdict is the decision on a submission, with the figures that it rests on.
@@ -216,6 +218,7 @@
 	}
 	s := &j.Steps[r.Task.Step]
 	p.resize(r, s.Size)
+	j.sent = true
 	r.job, r.Expected = j, p.estimates.of(j.Queue, s.Estimate)
 	j.addRun(r)
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -60,6 +60,10 @@
 	Earlier time.Duration `msgpack:"y,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
+	// InProgress means that tasks of the job have run at a dispatcher that has handed the job over: no run of it goes on, and those in
+	// Succeeded are not to start again.
+	InProgress bool          `msgpack:"f,omitempty"`
+	Succeeded  []work.TaskID `msgpack:"d,omitempty"`
 	// Claims tells what the submission is as a claim; NoClaim if the dispatcher is not the job's home.
 	Claims ClaimMode `msgpack:"k,omitempty"`
 	// Composed is when the message was composed, on the sender's clock; 0 from an instance of an earlier version.
@@ -110,6 +114,11 @@
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
 	GaveUp bool `msgpack:"g,omitempty"`
+	// HandedOver means that the dispatcher, whose zone was evacuated, has given up a job in progress that another zone is to continue: no run
+	// of it goes on, and the tasks in Succeeded have succeeded. Refused is pool.ReasonNotLeader and Started is set then, so that instances of
+	// earlier versions submit the job again where it was.
+	HandedOver bool          `msgpack:"h,omitempty"`
+	Succeeded  []work.TaskID `msgpack:"d,omitempty"`
 	// Claim means that the answer is one to a claim.
 	Claim bool `msgpack:"c,omitempty"`
 	// Placed is where another request has placed the job. It is set in the answer to a claim, or with pool.ReasonPlacedElsewhere.
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -15,6 +15,8 @@
 	StoppedRuns      metric.Counter    // runs whose stop was requested
 	GivenUp          metric.Counter    // jobs that failed because a task is not started again
 	HeldStarts       metric.Counter    // runs not ordered, because nothing was heard lately of the job's caller
+	GivenBack        metric.Counter    // jobs of which nothing had run and that an evacuation has sent to other zones
+	HandedOver       metric.Counter    // jobs in progress that an evacuation has sent to other zones
 	RunMS            *metric.Quantiles // time from the order to the end of a successful run
 	WaitMS           *metric.Quantiles // time from the arrival of a job to the order of a run
 	AgeMS            *metric.Quantiles // age of submissions when they are decided on
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -70,7 +70,7 @@
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r || r.State != pool.Ordered || fence != s.term.Fence {
 		return false
 	}
-	return s.pool.Fits(r) && x.registered && !x.endpoint.Draining && s.registrationsUsable()
+	return s.pool.Fits(r) && x.registered && !x.endpoint.Draining && s.registrationsUsable() && s.mayStartRuns()
 }
 
 // prepareStart returns the start request of a run. It returns false if the run must not start any more: its job has ended,
@@ -86,11 +86,11 @@
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
 		return work.StartRequest{}, false
 	}
-	fits, current := s.pool.Fits(r), s.registrationsUsable()
-	if r.State != pool.Ordered || s.pool.Held(r) || fence != s.term.Fence || !x.usable() || !x.mayStart(now) || !fits || !current {
+	fits, current, open := s.pool.Fits(r), s.registrationsUsable(), s.mayStartRuns()
+	if r.State != pool.Ordered || s.pool.Held(r) || fence != s.term.Fence || !x.usable() || !x.mayStart(now) || !fits || !current || !open {
 		s.opts.Log.WithFields(logrus.Fields{
-			"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fits": fits, "current": current,
-		}).Info("start request not sent: the job has ended, its instance is silent, the endpoint gets no new runs, its capacity has shrunk, or its registration is outdated")
+			"event": "start_withheld", "task": r.Task.String(), "run": r.Number, "endpoint": x.endpoint.ID, "fits": fits, "current": current, "open": open,
+		}).Info("start request not sent: the job has ended, its instance is silent, the endpoint gets no new runs, its capacity has shrunk, its registration is outdated, or its zone is evacuated")
 		s.finish(s.pool.RunLost(r, now))
 		s.dispatch()
 		return work.StartRequest{}, false
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -29,6 +29,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/congestion"
+	"github.com/savorypass/savorypass/internal/evacuation"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
@@ -66,6 +67,8 @@
 	Now        func() time.Duration // monotonic clock
 	// Ledger keeps the stored jobs of the shard; nil for none.
 	Ledger Ledger
+	// Evacuation returns whether runs may start in the zone; nil for a zone that is never evacuated.
+	Evacuation func() evacuation.State
 }
 
 // Shard is the dispatcher of one partition. Its methods may be called concurrently.
@@ -265,11 +268,20 @@
 func (s *Shard) decide(client *submitter, m *relay.Submit) {
 	job, now := &m.Job, s.opts.Now()
 	s.opts.History.Merge(m.Attempts, now)
+	if s.mustGoElsewhere(m) {
+		s.refuse(client, m, pool.Verdict{Reason: pool.ReasonEvacuated, RetryAfter: evacuatedRetryAfter})
+		return
+	}
+	s.pool.NoteSuccesses(m.Succeeded, now)
 	known := s.pool.HasJob(job.ID)
 	last := s.lastOrder(m, now)
 	arrived := now - m.Age() - m.Waited
 	orders := period{arrived - m.Earlier, last, m.Shared}
-	verdict, outcomes := s.pool.Submit(job, now, arrived, s.notBefore(s.resumes(m), orders, now))
+	notBefore := s.notBefore(s.resumes(m), orders, now)
+	if m.InProgress {
+		notBefore = max(notBefore, 1) // as for a resumed job whose runs are known
+	}
+	verdict, outcomes := s.pool.Submit(job, now, arrived, notBefore)
 	if !verdict.Accepted() {
 		s.refuse(client, m, verdict)
 		return
@@ -417,6 +429,10 @@
 
 // dispatch orders the starts that are possible now. s.mu is held.
 func (s *Shard) dispatch() {
+	if !s.mayStartRuns() {
+		s.giveBack(s.opts.Now())
+		return
+	}
 	if !s.checkRegistrations() {
 		return
 	}
@@ -452,6 +468,9 @@
 // updatePressure calculates the pressure. s.mu is held.
 func (s *Shard) updatePressure() int {
 	now := s.pool.Pressure()
+	if s.evacuated() {
+		now = evacuatedPressure
+	}
 	s.pressure.Store(int64(now))
 	return now
 }
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -67,6 +67,10 @@
 	if !s.dispatchesUnder(fence) {
 		return v, false
 	}
+	if s.evacuated() && !s.pool.HasJob(job.ID) {
+		s.opts.Counts.Refused.Add(1)
+		return pool.Verdict{Reason: pool.ReasonEvacuated, RetryAfter: evacuatedRetryAfter}, true
+	}
 	now := s.opts.Now()
 	v = s.pool.OfferStored(job, now, now-waited)
 	if v.Accepted() {
