--- a/internal/ctl/dispatchers.go
+++ b/internal/ctl/dispatchers.go
@@ -125,7 +125,7 @@
 func (t totals) usedPercent() int { return 100 * t.usedMilliCPU / max(t.milliCPU, 1) }
 
 // disagreements returns one line for each contradiction between the instances: several configuration versions in force,
-// and partitions that no instance or more than one dispatches for.
+// evacuated zones, and partitions that no instance or more than one dispatches for.
 func disagreements(all []dump.Instance) []string {
 	var lines []string
 	versions, partitions := map[int64]bool{}, map[string]int{}
@@ -145,6 +145,7 @@
 	if len(versions) > 1 {
 		lines = append(lines, fmt.Sprintf("%d configuration versions are in force", len(versions)))
 	}
+	lines = append(lines, evacuations(all)...)
 	for _, zone := range slices.Sorted(maps.Keys(partitions)) {
 		for partition := range partitions[zone] {
 			switch instances := leaders[zone][partition]; len(instances) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -163,6 +163,7 @@
 		Instance: name, Zone: zone, Zones: d.zones, IP: "127.0.0.1", Callers: callers, Health: health,
 		Store: "127.0.0.1:1", FirstPort: portOf(relays), LastPort: portOf(relays) + len(d.zones) - 1, Grace: 6 * time.Second,
 		Lease: time.Second, Retransmit: d.retransmit, MemberTTL: 400 * time.Millisecond, GroupPartitions: keyed.Partitions, LinkMbps: d.linkMbps,
+		EvacuationTime: 5 * time.Second,
 	}
 	i := &instance{url: "http://" + callers, health: "http://" + health, operators: "http://" + operators, ended: make(chan error, 1)}
 	i.endpoints, i.store = &crashableDialer{Dialer: d.fleet}, &refusingStore{Store: d.store}
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -63,5 +63,6 @@
 			"event": "evacuated_job", "job": m.Job, "in_progress": m.HasRun, "succeeded": len(m.Succeeded),
 		}).Info("the zone is evacuated; the job goes to another zone")
 		s.abandon(m.Job, stopJobEnded)
+		s.pool.NoteSuccesses(m.Succeeded, now) // should the answer be lost, the job comes back as resumed
 	}
 }
--- a/internal/shard/evacuate_test.go
+++ b/internal/shard/evacuate_test.go
@@ -93,7 +93,8 @@
 	})
 }
 
-// Guards against a job in progress that is lost with its zone, or whose tasks run again in the other one. The clock is virtual.
+// Guards against a job in progress that is lost with its zone, or whose tasks run again in the other one, also if the answer that hands it over
+// is lost. The clock is virtual.
 func TestJobInProgressIsHandedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -115,6 +116,14 @@
 		is.True(a.Started)
 		is.Equal(a.Refused, pool.ReasonNotLeader) // what an instance of an earlier version goes by
 		is.Equal(len(a.Succeeded), 2)
+		c.mu.Lock()
+		delete(c.answers, "j") // lost with its connection
+		c.mu.Unlock()
+		s.Submit(c, &relay.Submit{Job: steppedJob("j", 3), Resumed: true})
+		time.Sleep(2 * time.Second)
+		a = c.answer("j")
+		is.True(a.HandedOver)
+		is.Equal(len(a.Succeeded), 2)
 		next.Submit(c, &relay.Submit{Job: steppedJob("j", 3), InProgress: true, Succeeded: a.Succeeded})
 		time.Sleep(2 * time.Second)
 		is.True(completed(c, "j")())
