Soak: zones are evacuated and taken back, with a check of starts in evacuated zones

Cause: the soak has to know the new parts. Change: fault 'zone evacuated', also in the calm after the faults, where its bound applies; rule 'evacuated zones get no new runs' with a planted fault; the settings of the instances have evacuate_ms.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -41,6 +41,7 @@
 	{"fences never fall", fallingFences},
 	{"one holder for each fence", sharedFences},
 	{"leaving endpoints get no new runs", startsWhileDraining},
+	{"evacuated zones get no new runs", startsWhileEvacuated},
 	{"configuration is in force in time", lateConfigs},
 	{"configuration never goes back", revertedConfigs},
 	{"planned stops cut no request", cutRequests},
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -55,6 +55,7 @@
 	{"endpoint leaves", 2, (*run).drainEndpoint},
 	{"orders lost or late", 2, (*run).loseOrders},
 	{"configuration", 3, (*run).changeConfig},
+	{"zone evacuated", 2, (*run).evacuateZone},
 }
 
 // faultsWithStoredJobs come besides if the run has stored jobs.
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -65,9 +65,11 @@
 			{Instance: "i1", Sent: at(5000), Answered: at(5001), Revision: 2, Known: true, Newest: 2},
 			{Instance: "i1", Sent: at(6000), Answered: at(6001), Revision: 1, Known: true, Newest: 2},
 		},
-		stops:   []stop{{Instance: "i1", At: at(300), Ended: at(900)}},
-		drains:  []drain{{"e1", at(10_000)}},
-		callers: map[string]string{"1": "i1", "2": "i2"},
+		stops:       []stop{{Instance: "i1", At: at(300), Ended: at(900)}},
+		drains:      []drain{{"e1", at(10_000)}},
+		evacuations: []zoneEvacuation{{Zone: "north", Acked: at(10_000), Removed: at(20_000)}},
+		zones:       map[work.EndpointID]string{"e1": "north"},
+		callers:     map[string]string{"1": "i1", "2": "i2"},
 	}
 }
 
@@ -112,6 +114,10 @@
 		v.orders = append(v.orders, orderAt(12_001, "1", 7))
 		v.orders[2].Run = 2
 	}},
+	"evacuated zones get no new runs": {func(v *view) {
+		v.orders = append(v.orders, orderAt(13_001, "1", 7))
+		v.orders[2].Run = 2
+	}},
 	"configuration is in force in time": {
 		func(v *view) { v.probes[0].Known = false },
 		func(v *view) { // a route is known that was dropped long ago
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -82,11 +83,16 @@
 	pauses    []span // of the soak itself
 	stops     []*stop
 	drains    []drain
-	faults    map[string]int
-	problems  []string // broken rules that are noticed when they happen
+	// evacuations are those of zones, in the order of their acknowledgement.
+	evacuations []*zoneEvacuation
+	zones       map[work.EndpointID]string // zone of each endpoint
+	faults      map[string]int
+	problems    []string // broken rules that are noticed when they happen
 }
 
-func newRecord() *record { return &record{began: time.Now(), faults: map[string]int{}} }
+func newRecord() *record {
+	return &record{began: time.Now(), faults: map[string]int{}, zones: map[work.EndpointID]string{}}
+}
 
 // note records an event with the time since the start of the run.
 func (r *record) note(format string, args ...any) {
@@ -192,6 +198,12 @@
 	}
 }
 
+func (r *record) addEndpoint(e work.EndpointID, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.zones[e] = zone
+}
+
 func (r *record) addDrain(e work.EndpointID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -259,8 +271,11 @@
 	pauses    []span
 	stops     []stop
 	drains    []drain
-	starts    []fleet.Start
-	callers   map[string]string // name of the instance by IP address
+	// evacuations and zones are those of the record.
+	evacuations []zoneEvacuation
+	zones       map[work.EndpointID]string
+	starts      []fleet.Start
+	callers     map[string]string // name of the instance by IP address
 }
 
 // view returns a copy. The starts are read after everything else, so that they contain those of all answered jobs.
@@ -268,7 +283,7 @@
 	r.mu.Lock()
 	v := &view{
 		began: r.began, at: time.Now(), orders: slices.Clone(r.orders), probes: slices.Clone(r.probes), published: slices.Clone(r.published), pauses: slices.Clone(r.pauses),
-		drains: slices.Clone(r.drains), callers: callers,
+		drains: slices.Clone(r.drains), callers: callers, zones: maps.Clone(r.zones),
 	}
 	for _, j := range r.jobs {
 		v.jobs = append(v.jobs, job{j.ID, j.Steps, slices.Clone(j.Attempts), j.Stored.clone()})
@@ -279,6 +294,9 @@
 	for _, s := range r.stops {
 		v.stops = append(v.stops, *s)
 	}
+	for _, e := range r.evacuations {
+		v.evacuations = append(v.evacuations, *e)
+	}
 	r.mu.Unlock()
 	v.starts = starts()
 	return v
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -60,6 +60,7 @@
 	notReady    map[*instance]bool
 	storeFaults map[*storeFault]bool
 	orderFaults map[*orderFault]bool
+	evacuated   map[string]bool // zones whose evacuation a fault uses
 }
 
 // endpoint is an endpoint of the fleet. At most one fault uses it.
@@ -72,7 +73,7 @@
 func newRun(seed uint64, program, dir string, instances int, repeat time.Duration, stores bool) (*run, error) {
 	r := &run{
 		seed: seed, dir: dir, repeat: repeat, stores: stores, record: newRecord(), network: newNetwork(), keyed: keyed.New(), rand: rand.New(rand.NewPCG(seed, 0)),
-		notReady: map[*instance]bool{}, storeFaults: map[*storeFault]bool{}, orderFaults: map[*orderFault]bool{},
+		notReady: map[*instance]bool{}, storeFaults: map[*storeFault]bool{}, orderFaults: map[*orderFault]bool{}, evacuated: map[string]bool{},
 	}
 	r.record.note("seed %d, %d instances, callers submit again after %v", seed, instances, r.repeat)
 	r.newFleet()
@@ -103,7 +104,7 @@
 	relayPort, _ := strconv.Atoi(port)
 	return &instance{program: program, dir: r.dir, spec: standin.Instance{
 		Name: name, Zone: zones[n%len(zones)], Zones: zones, IP: ip, Callers: address.FreeAt(ip), Health: address.FreeAt(ip), Store: r.network.Route(ip, r.storeAddress),
-		Port: relayPort, GroupPartitions: keyed.Partitions, LinkMbps: linkMbps, Grace: grace, Lease: lease, Repeat: r.repeat,
+		Port: relayPort, GroupPartitions: keyed.Partitions, LinkMbps: linkMbps, Grace: grace, Lease: lease, Repeat: r.repeat, Evacuate: evacuationBound,
 	}}
 }
 
@@ -157,6 +158,7 @@
 		Size: work.Size{MilliCPU: endpointSlots * taskSize.MilliCPU, MemoryMB: 1000},
 	}
 	r.mu.Unlock()
+	r.record.addEndpoint(e.ID, zone)
 	r.fleet.Add(e)
 	added := &endpoint{registration: r.register(e)}
 	go r.orderServer.Serve(l)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -130,7 +130,7 @@
 }
 
 // calm lets all bounds apply that hold only without disturbances, with planned changes only: a configuration, an endpoint that
-// leaves and a planned stop.
+// leaves, a planned stop and the evacuation of a zone.
 func (r *run) calm(round uint64) {
 	r.record.note("no more faults")
 	time.Sleep(contact)
@@ -139,6 +139,7 @@
 		func(rnd *rand.Rand) { r.changeConfig(rnd, 0) },
 		func(rnd *rand.Rand) { r.drainEndpoint(rnd, contact) },
 		func(rnd *rand.Rand) { r.stopInstance(rnd, 0) },
+		func(rnd *rand.Rand) { r.evacuateZone(rnd, evacuationBound+time.Second) },
 	} {
 		// The changes are made at the same time, and a generator must not be shared.
 		rnd := rand.New(rand.NewPCG(r.seed+uint64(n), round))
