Evacuated zones look up the zones that serve them like their own

Change: lead.Options.Hosts; a hand-over carries the unsuccessful runs of the job, which otherwise reach its instance with a later heartbeat only.

Not measured yet.

--- a/internal/gateway/evacuated.go
+++ b/internal/gateway/evacuated.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
@@ -22,6 +23,7 @@
 	refusal    *relay.Answer // the last one
 	inProgress bool          // tasks of the job have run
 	succeeded  []work.TaskID // those that need not run again
+	attempts   []attempt.Attempt
 }
 
 // isEvacuation reports whether a dispatcher gives a job back because its zone is evacuated.
@@ -37,7 +39,7 @@
 	m.at, m.refusal = time.Now(), a
 	m.zones = append(m.zones, p.target.Zone)
 	if a.HandedOver {
-		m.inProgress, m.succeeded = true, a.Succeeded // of all dispatchers so far
+		m.inProgress, m.succeeded, m.attempts = true, a.Succeeded, a.Attempts // of all dispatchers so far
 	}
 	p.orphaned, p.shared, p.knowledge = false, nil, 0
 	p.leave(reasonEvacuated)
@@ -73,6 +75,16 @@
 	return p.moved.succeeded
 }
 
+// attempts returns the known unsuccessful runs of a job's tasks. Those that came with the job may not have reached this instance otherwise yet;
+// its next dispatcher counts one that is listed twice once.
+func (g *Gateway) attempts(p *pending) []attempt.Attempt {
+	known := g.opts.Attempts(p.job.ID)
+	if p.moved == nil {
+		return known
+	}
+	return append(slices.Clone(known), p.moved.attempts...)
+}
+
 // refuseUnplaced responds to a job that no dispatcher takes. The caller holds g.mu.
 func (g *Gateway) refuseUnplaced(p *pending) {
 	if p.inProgress() {
--- a/internal/gateway/evacuated_test.go
+++ b/internal/gateway/evacuated_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
@@ -36,7 +38,10 @@
 	is := is.New(t)
 	f := start(t, time.Minute)
 	done := []work.TaskID{{Job: "a", Index: 1}}
-	handedOver := &relay.Answer{Job: "a", Refused: pool.ReasonNotLeader, Started: true, HandedOver: true, Succeeded: done}
+	failed := attempt.Attempt{Task: work.TaskID{Job: "a"}, Run: 1, Outcome: attempt.Failed}
+	handedOver := &relay.Answer{
+		Job: "a", Refused: pool.ReasonNotLeader, Started: true, HandedOver: true, Succeeded: done, Attempts: []attempt.Attempt{failed},
+	}
 	a := f.post("a")
 	f.Answer(f.router, handedOver)
 	sent := f.router.sent()
@@ -45,6 +50,7 @@
 	is.True(sent[1].s.InProgress)
 	is.True(!sent[1].s.Resumed)
 	is.Equal(sent[1].s.Succeeded, done)
+	is.True(slices.Contains(sent[1].s.Attempts, failed))
 	f.RouteEnded(f.router, true) // that dispatcher is lost; its successor has to know, too
 	f.Resubmit()
 	sent = f.router.sent()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -80,7 +80,7 @@
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
-		Attempts: g.opts.Attempts(p.job.ID), InProgress: p.inProgress(), Succeeded: p.succeeded(),
+		Attempts: g.attempts(p), InProgress: p.inProgress(), Succeeded: p.succeeded(),
 	}
 	if p.shared != nil {
 		m.Shared, m.Earlier = !p.shared.found(), p.shared.earlier(p.arrived)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -59,6 +59,8 @@
 	// EndpointsKnown reports whether this instance knows the zone's endpoints. As long as it does not, the instance leaves
 	// the partitions to the members that hold them. Nil means always.
 	EndpointsKnown func() bool
+	// Hosts reports whether another zone has to serve the callers of this instance's zone at the moment. Nil means that none ever does.
+	Hosts func(zone string) bool
 	// Substitute marks an instance of another zone. However strong it is, it joins only while the members lack capacity.
 	Substitute bool
 	// OnChange is called with this instance's new term. Calls are made in order; they must not block or call the controller.
--- a/internal/lead/lookup.go
+++ b/internal/lead/lookup.go
@@ -57,6 +57,7 @@
 
 // lookUpPause returns the pause between the last look-up of a zone's dispatchers and the next one.
 func (c *Controller) lookUpPause(zone string, unsettled bool) time.Duration {
+	hosts := c.hosts(zone)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch own, lookUpSoon := zone == c.opts.Zone, c.lookUpSoon[zone]; {
@@ -66,6 +67,8 @@
 		return ownSearchInterval
 	case own:
 		return ownLookUpInterval
+	case hosts:
+		return hostLookUpPause(!lookUpSoon && len(c.holders[zone]) > 0)
 	case lookUpSoon, len(c.holders[zone]) == 0, !c.vacancies[zone].since.IsZero(), time.Since(c.lostAt[zone]) < c.lostMemory():
 		return otherSearchInterval
 	}
--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -34,7 +34,7 @@
 	}
 	d.lead = lead.New(lead.Options{
 		Store: n.store, Zone: zone, Topic: n.opts.Records.LeadersTopic, Instance: s.Instance, Address: address, Substitute: substitute,
-		TTL: s.MemberTTL, Capacity: s.Capacity(), CapacityNeeded: needed,
+		TTL: s.MemberTTL, Capacity: s.Capacity(), CapacityNeeded: needed, Hosts: n.hosts,
 		Log: n.log.WithField("zone", zone), OnChange: func(t lead.Term) { d.terms <- t },
 		EndpointsKnown: func() bool { return n.divisions.Known() && n.directory.EndpointsKnown(n.now()) },
 	})
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -61,3 +61,9 @@
 			Error("the record of an evacuation names no zone of this deployment; nothing changes")
 	}
 }
+
+// hosts reports whether another zone has to serve the callers of this instance's zone, because that is evacuated.
+func (n *Node) hosts(zone string) bool {
+	own := n.opts.Settings.Zone
+	return zone != own && n.evacuations.Evacuated(own) && !n.evacuations.Evacuated(zone)
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -115,10 +115,11 @@
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
 	GaveUp bool `msgpack:"g,omitempty"`
 	// HandedOver means that the dispatcher, whose zone was evacuated, has given up a job in progress that another zone is to continue: no run
-	// of it goes on, and the tasks in Succeeded have succeeded. Refused is pool.ReasonNotLeader and Started is set then, so that instances of
+	// of it goes on, the tasks in Succeeded have succeeded, and Attempts are the unsuccessful runs of the others. Refused is pool.ReasonNotLeader and Started is set then, so that instances of
 	// earlier versions submit the job again where it was.
-	HandedOver bool          `msgpack:"h,omitempty"`
-	Succeeded  []work.TaskID `msgpack:"d,omitempty"`
+	HandedOver bool              `msgpack:"h,omitempty"`
+	Succeeded  []work.TaskID     `msgpack:"d,omitempty"`
+	Attempts   []attempt.Attempt `msgpack:"b,omitempty"`
 	// Claim means that the answer is one to a claim.
 	Claim bool `msgpack:"c,omitempty"`
 	// Placed is where another request has placed the job. It is set in the answer to a claim, or with pool.ReasonPlacedElsewhere.
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -56,7 +56,10 @@
 		case len(clients) > 1:
 			continue // only one of the instances may continue the job elsewhere; it waits until the others have left
 		default:
-			clients.answer(&relay.Answer{Job: m.Job, Refused: pool.ReasonNotLeader, Started: true, HandedOver: true, Succeeded: m.Succeeded})
+			clients.answer(&relay.Answer{
+				Job: m.Job, Refused: pool.ReasonNotLeader, Started: true, HandedOver: true, Succeeded: m.Succeeded,
+				Attempts: s.opts.History.OfJob(m.Job),
+			})
 			s.opts.Counts.HandedOver.Add(1)
 		}
 		s.opts.Log.WithFields(logrus.Fields{
