--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,6 +237,7 @@
 		n.gateway.Resubmit()
 		n.router.closeUnused()
 		n.router.connectForOverflow()
+		n.router.checkHosts()
 		for _, d := range n.dispatching() {
 			d.shards.placements.Sweep()
 			d.shards.eachFound(n.router.claimFound)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -40,7 +40,8 @@
 	stored    *storedJobs // set before use
 	// evacuations are the evacuated zones, in which no job is placed; nil for none.
 	evacuations *evacuation.Zones
-	request     uint64 // stands for the unknown requests of jobs whose runs this instance has found; not 0
+	hosts       hostReach // of the zones that serve this one while it is evacuated
+	request     uint64    // stands for the unknown requests of jobs whose runs this instance has found; not 0
 
 	mu     sync.Mutex
 	routes map[string]*uplinkRoute // by address
@@ -66,7 +67,11 @@
 			others = append(others, r.load(zone))
 		}
 	}
-	if r.evacuations.Evacuated(r.ownZone) {
+	switch {
+	case !r.evacuations.Evacuated(r.ownZone):
+	case r.hosts.lost(time.Now()):
+		return nil
+	default:
 		return targetsElsewhere(id, others)
 	}
 	return targetsOf(id, r.load(r.ownZone), others)
