--- a/internal/pool/fairness.go
+++ b/internal/pool/fairness.go
@@ -25,6 +25,7 @@
 	work      float64       // expected work of the jobs, in thousandths of a core times nanoseconds
 	jobs      float64       // number of jobs
 	accepted  float64       // number of accepted jobs
+	priority int
 }
 
 // decay reduces the figures to their values at a time.
@@ -56,6 +57,7 @@
 		p.demand[j.Queue] = d
 	}
 	d.decay(now)
+	d.priority = j.Objective.Priority
 	d.jobs++
 	d.work += j.waitingWork()
 	if accepted {
@@ -85,6 +87,9 @@
 			continue
 		}
 		gap := own.acceptance() - d.acceptance()
+		if xf["XFAIR"] > 0 {
+			gap = (1-d.acceptance())*weightOf(d.priority) - (1-own.acceptance())*weightOf(own.priority)
+		}
 		if name == j.Queue || gap <= toleratedGap {
 			continue
 		}
@@ -104,3 +109,5 @@
 	}
 	return used
 }
+
+func weightOf(priority int) float64 { return math.Pow(max(xf["XFAIR"],1), -float64(priority)) }
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -19,6 +19,7 @@
 type release struct {
 	at       time.Duration
 	milliCPU int
+	endpoint int
 }
 
 // releases is a heap with the earliest release first.
@@ -46,13 +47,16 @@
 	endpoints int           // number of endpoints that the capacity belongs to
 	isolated  int           // number of further endpoints that are kept for suspects
 	releases  releases
+	each      []int // free capacity of each endpoint; the last one stands for capacity that belongs to none
+	kept      int
 }
 
 // forecast returns a simulation that begins with the capacity that tasks of a size can use now on the endpoints of a
 // service.
 func (p *Pool) forecast(service string, task work.Size, now time.Duration) *forecast {
 	f := &forecast{pool: p, at: now}
-	serves := map[work.EndpointID]bool{}
+	serves := map[work.EndpointID]int{}
+	f.each = append(f.each, 0)
 	for _, e := range p.order {
 		if e.Service != service || !e.usable || e.Draining || e.leaseEnds || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
 			continue
@@ -61,14 +65,15 @@
 			f.isolated++
 			continue
 		}
-		serves[e.ID] = true
+		serves[e.ID] = len(f.each)
+		f.each = append(f.each, max(e.Size.MilliCPU-e.used.MilliCPU, 0))
 		freeMilliCPU := max(e.Size.MilliCPU-e.used.MilliCPU, 0) // the endpoint may have shrunk below what its runs use
 		f.free += freeMilliCPU - freeMilliCPU%max(task.MilliCPU, 1)
 	}
 	f.endpoints = len(serves)
 	for _, r := range p.runs {
-		if serves[r.Endpoint] {
-			f.releases = append(f.releases, release{now + r.remaining(now) + r.followingTime(), r.Size.MilliCPU})
+		if at, ok := serves[r.Endpoint]; ok {
+			f.releases = append(f.releases, release{now + r.remaining(now) + r.followingTime(), r.Size.MilliCPU, at})
 		}
 	}
 	heap.Init(&f.releases)
@@ -90,7 +95,7 @@
 			continue
 		}
 		f.free -= later.milliCPU
-		heap.Push(&f.releases, release{later.begin + later.run, later.milliCPU})
+		heap.Push(&f.releases, release{later.begin + later.run, later.milliCPU, 0})
 	}
 }
 
@@ -170,6 +175,10 @@
 // start simulates the starts of tasks of one size, each as soon as there is capacity and no earlier than the tasks added before
 // it. Tasks that start at the same time are handled together.
 func (f *forecast) start(tasks, milliCPU int, run time.Duration) {
+	if xf["XFRAG"] > 0 {
+		f.startEach(tasks, milliCPU, run)
+		return
+	}
 	for tasks > 0 {
 		f.awaitCapacity(milliCPU)
 		together := tasks
@@ -178,7 +187,7 @@
 		}
 		tasks -= together
 		f.free -= together * milliCPU
-		heap.Push(&f.releases, release{f.at + run, together * milliCPU})
+		heap.Push(&f.releases, release{f.at + run, together * milliCPU, 0})
 	}
 }
 
@@ -193,3 +202,28 @@
 		f.at = max(f.at, next.at)
 	}
 }
+
+func (f *forecast) startEach(tasks, milliCPU int, run time.Duration) {
+	for ; tasks > 0; tasks-- {
+		f.free = 1 << 40
+		for {
+			best := -1
+			for i := 1; i < len(f.each); i++ {
+				if f.each[i] >= milliCPU && (best < 0 || f.each[i] < f.each[best]) {
+					best = i
+				}
+			}
+			if best >= 0 {
+				f.each[best] -= milliCPU
+				heap.Push(&f.releases, release{f.at + run, milliCPU, best})
+				break
+			}
+			if len(f.releases) == 0 {
+				return
+			}
+			next := heap.Pop(&f.releases).(release)
+			f.each[next.endpoint] += next.milliCPU
+			f.at = max(f.at, next.at)
+		}
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -23,6 +23,8 @@
 	stored      bool          // see OfferStored
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
+	firstStart  time.Duration // see Timing
+	lastStart   time.Duration
 }
 
 // stepState is the state of one step. A dependency that a step lists twice counts twice, in blockers and in dependents.
@@ -184,6 +186,10 @@
 	r.job = j
 	j.runs[r.Task] = r
 	j.started = true
+	if j.firstStart == 0 {
+		j.firstStart = r.Ordered
+	}
+	j.lastStart = max(j.lastStart, r.Ordered)
 	if on := j.steps[r.Task.Step].runsOn; on != nil {
 		on[r.Endpoint]++
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -297,6 +297,8 @@
 	State work.State // Completed or Failed; empty if the job was given up without a result, see GiveUpTooLate
 	Task  work.TaskID
 	Why   GiveUp // why a failed job was given up; empty if a run of its task has just failed
+	// Timing is set for a completed job.
+	Timing Timing
 }
 
 // Cancel deletes a job and returns its runs, which the caller has to stop.
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"sort"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/attempt"
@@ -13,15 +14,24 @@
 	var starts []*Run
 	full := map[placement]bool{}
 	p.releaseReservations()
-	for i := 0; i < len(p.queue); i++ {
-		j := p.queue[i]
+	order := append([]*job(nil), p.queue...)
+	cls := func(j *job) int {
+		switch {
+		case xf["XSTARTED"] > 0 && j.started && (xf["XSTARTED"] > 1 || j.latestStart >= now):
+			return 0
+		case p.behind(j, now):
+			return 2
+		}
+		return 1
+	}
+	sort.SliceStable(order, func(a, b int) bool { return cls(order[a]) < cls(order[b]) })
+	for _, j := range order {
 		if now < j.notBefore || j.held {
 			continue
 		}
 		starts = p.startJob(starts, j, full, now)
 		if !j.hasWaiting() {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			i--
+			p.dequeue(j)
 		}
 	}
 	return starts
@@ -252,7 +262,7 @@
 		return nil
 	}
 	p.finish(j)
-	return []Outcome{{Job: j.ID, State: work.Completed, Task: end.Task}}
+	return j.completed(Outcome{Job: j.ID, State: work.Completed, Task: end.Task})
 }
 
 // keepSuccess stores the success of a task until its job is submitted.
@@ -322,7 +332,7 @@
 		return nil
 	}
 	p.finish(j)
-	return []Outcome{{Job: j.ID, State: work.Completed, Task: task}}
+	return j.completed(Outcome{Job: j.ID, State: work.Completed, Task: task})
 }
 
 func (p *Pool) failed(j *job, task work.TaskID) []Outcome {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -77,7 +77,7 @@
 	p.adopt(j)
 	if j.remaining == 0 {
 		p.finish(j)
-		return v, []Outcome{{Job: j.ID, State: work.Completed}}
+		return v, j.completed(Outcome{Job: j.ID, State: work.Completed})
 	}
 	if j.hasWaiting() {
 		p.enqueue(j)
@@ -108,7 +108,7 @@
 	f.free -= v.ReservedMilliCPU
 	v.Endpoints, v.Isolated, v.FreeMilliCPU = f.endpoints, f.isolated, f.free
 	for _, q := range p.queue {
-		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) {
+		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) && !(xf["XSKIP"] > 0 && p.behind(q, now) && !p.behind(j, now)) {
 			f.add(q)
 			v.JobsAhead++
 			if waitsTooLong(j, f.at, now) {
@@ -117,7 +117,10 @@
 		}
 	}
 	v.ExpectedWait = f.add(j) - now
-	if waitsTooLong(j, now+v.ExpectedWait, now) || now-j.arrived > maxWait(j) {
+	if xf["XHARM"] > 0 && v.ExpectedWait > 0 && p.harms(j, f, now) {
+		v.Reason = ReasonNoRoom
+	}
+	if v.Reason == ReasonNoRoom || waitsTooLong(j, now+v.ExpectedWait, now) || now-j.arrived > maxWait(j) {
 		v.Reason = ReasonNoRoom
 		v.RetryAfter = max(minRetryAfter, time.Duration(p.queuedWork()/float64(total.MilliCPU)))
 	}
@@ -126,7 +129,14 @@
 
 // waitsTooLong reports whether a job that starts at a time uses more of its slack for its wait than it may.
 func waitsTooLong(j *job, start, now time.Duration) bool {
-	return start > now && float64(start-now) > waitShare*float64(j.latestStart-now)
+	return start > now && float64(start-now) > xshare()*float64(j.latestStart-now)
+}
+
+func xshare() float64 {
+	if xf["XSHARE"] > 0 {
+		return xf["XSHARE"]
+	}
+	return waitShare
 }
 
 // endsBefore reports whether a new job, started with its last slack, is expected to end before a resumed job may start. The resumed job
@@ -280,6 +290,26 @@
 
 // maxWait returns the longest time from a job's arrival to its start with which its result is still of use.
 func maxWait(j *job) time.Duration {
-	objective := j.expected + slack(j.Objective, j.expected)
-	return lateFactor*objective - j.expected
+	return lateFactor*j.objective() - j.expected
+}
+
+func (p *Pool) harms(j *job, f *forecast, now time.Duration) bool {
+	cost, own := 0.0, j.waitingWork()*weightOf(j.Objective.Priority)
+	g := p.forecast(j.Service, j.largest(), now)
+	g.reserve(j.Service, now, now+j.expected)
+	for _, q := range p.queue {
+		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) {
+			g.add(q)
+		}
+	}
+	for _, q := range p.queue {
+		if q.Service != j.Service || !q.hasReady() || before(q, j) || q.latestStart < now {
+			continue
+		}
+		without, with := g.add(q), f.add(q)
+		if with > q.latestStart && without <= q.latestStart {
+			cost += q.waitingWork() * weightOf(q.Objective.Priority)
+		}
+	}
+	return cost > own*xf["XHARM"]
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -404,6 +404,12 @@
 
 func (s *Shard) logEnd(o pool.Outcome) {
 	fields := logrus.Fields{"event": "job_ended", "job": o.Job, "state": o.State}
+	if o.State == work.Completed {
+		t, now := o.Timing, s.opts.Now()
+		fields["priority"], fields["milli_cpu"], fields["punctuality"] = t.Priority, t.MilliCPU, t.Punctuality(now)
+		fields["ms"], fields["objective_ms"] = (now - t.Arrived).Milliseconds(), t.Objective.Milliseconds()
+		fields["first_start_ms"], fields["last_start_ms"] = (t.FirstStart - t.Arrived).Milliseconds(), (t.LastStart - t.Arrived).Milliseconds()
+	}
 	if o.Why == "" {
 		s.opts.Log.WithFields(fields).Info("job ended")
 		return
