--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/savorypass/savorypass/internal/delaycost"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -37,6 +38,8 @@
 	Version int64
 	Limits  Limits
 	byHost  map[string][]Queue // queues by lower-case host, longest prefix first
+	weighed map[string]bool    // see Weighs
+	invalid []Queue            // see InvalidPriorities
 }
 
 // New returns a configuration of the given queues.
@@ -49,9 +52,41 @@
 	for _, hostQueues := range c.byHost {
 		sort.SliceStable(hostQueues, func(i, j int) bool { return len(hostQueues[i].Prefix) > len(hostQueues[j].Prefix) })
 	}
+	c.comparePriorities(queues)
 	return c
 }
 
+// comparePriorities determines the services whose queues have different priorities. A service with a priority that is out of range is not
+// among them, so that it is served as without priorities.
+func (c *Config) comparePriorities(queues []Queue) {
+	first := map[string]int{}
+	invalid := map[string]bool{}
+	c.weighed = map[string]bool{}
+	for _, q := range queues {
+		p := q.Objective.Priority
+		if !delaycost.ValidPriority(p) {
+			invalid[q.Service] = true
+			c.invalid = append(c.invalid, q)
+			continue
+		}
+		known, ok := first[q.Service]
+		if !ok {
+			first[q.Service] = p
+		} else if p != known {
+			c.weighed[q.Service] = true
+		}
+	}
+	for service := range invalid {
+		delete(c.weighed, service)
+	}
+}
+
+// Weighs reports whether the queues of a service have different priorities, so that what delays of their jobs cost callers is weighed.
+func (c *Config) Weighs(service string) bool { return c.weighed[service] }
+
+// InvalidPriorities returns the queues whose priority is out of range.
+func (c *Config) InvalidPriorities() []Queue { return c.invalid }
+
 // Match returns the queue of the host whose prefix is the longest that the path begins with, or nil if there is none.
 // The port of the host and its case are ignored.
 func (c *Config) Match(host, path string) *Queue {
@@ -82,6 +117,12 @@
 // Load returns the configuration in force, or nil if there is none.
 func (c *Current) Load() *Config { return c.config.Load() }
 
+// Weighs is Config.Weighs for the configuration in force; false without one.
+func (c *Current) Weighs(service string) bool {
+	config := c.Load()
+	return config != nil && config.Weighs(service)
+}
+
 // StoreIfNewer puts a configuration in force if its version is higher than that of the current one, or if there is none.
 // Otherwise it returns false.
 func (c *Current) StoreIfNewer(next *Config) bool {
--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -52,7 +52,8 @@
 		Zone: d.zone, Partition: partition, Directory: n.directory, Lease: s.RunLease(), RegistrationAge: s.RegistrationAge(),
 		Dialer: n.opts.Dialer, Window: n.window, History: n.history,
 		OnFenced: d.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations, Counts: &n.counts,
-		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
+		Weighs: n.config.Weighs,
+		Log:    n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
 	})
 	jobs.SetDispatcher(x)
 	d.ledgers.publish(partition, jobs)
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/delaycost"
 	"github.com/savorypass/savorypass/internal/follow"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/store"
@@ -70,4 +71,10 @@
 	n.log.WithFields(logrus.Fields{
 		"event": "config", "version": c.Version, "offset": r.Offset, "queues": c.QueueCount(), "in_force": inForce,
 	}).Info("configuration read")
+	for _, q := range c.InvalidPriorities() {
+		n.log.WithFields(logrus.Fields{
+			"event": "priority_invalid", "version": c.Version, "queue": q.Name, "service": q.Service, "priority": q.Objective.Priority,
+			"max": delaycost.MaxPriority,
+		}).Error("priority of the queue is out of range; its service is served as without priorities")
+	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -124,12 +124,13 @@
 		{Name: "runs_without_success", Var: &c.UnsuccessfulRuns}, {Name: "endpoint_crashes", Var: &c.Crashes},
 		{Name: "runs_crashed", Var: &c.CrashedRuns}, {Name: "jobs_given_up", Var: &c.GivenUp},
 		{Name: "tasks_with_attempts", Var: gauge(func() int64 { return int64(n.history.Tasks()) })},
+		{Name: "jobs_given_back", Var: &c.GivenBack}, {Name: "jobs_completed", Var: &c.Punctuality},
 		{Name: "run_ms", Var: c.RunMS}, {Name: "wait_ms", Var: c.WaitMS},
 		{Name: "submission_age_ms", Var: c.AgeMS}, {Name: "caller_silence_ms", Var: c.SilenceMS}, {Name: "starts_held", Var: &c.HeldStarts},
 		{Name: "partitions_held", Var: gauge(func() int64 { return int64(len(n.lead.Term().Partitions)) })},
 		{Name: "zones_substituted", Var: gauge(func() int64 { return int64(len(n.dispatching()) - 1) })},
 		{Name: "generation", Var: gauge(func() int64 { return n.lead.Term().Generation })},
-		{Name: "config_version", Var: gauge(n.configVersion)},
+		{Name: "config_version", Var: gauge(n.configVersion)}, {Name: "invalid_priorities", Var: gauge(n.invalidPriorities)},
 		{Name: "store_calls", Var: &n.store.calls}, {Name: "store_failures", Var: &n.store.failed},
 		{Name: "traffic", Var: n.opts.Meter},
 		{Name: "stored_accepted", Var: &n.stored.counts.Accepted}, {Name: "stored_refused", Var: &n.stored.counts.Refused},
@@ -141,6 +142,14 @@
 	}
 }
 
+// invalidPriorities returns the number of queues in the configuration in force whose priority is out of range.
+func (n *Node) invalidPriorities() int64 {
+	if c := n.config.Load(); c != nil {
+		return int64(len(c.InvalidPriorities()))
+	}
+	return 0
+}
+
 func (n *Node) configVersion() int64 {
 	if c := n.config.Load(); c != nil {
 		return c.Version
--- a/internal/pool/fairness.go
+++ b/internal/pool/fairness.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/savorypass/savorypass/internal/delaycost"
 )
 
 const (
@@ -25,7 +27,7 @@
 	work      float64       // expected work of the jobs, in thousandths of a core times nanoseconds
 	jobs      float64       // number of jobs
 	accepted  float64       // number of accepted jobs
-	priority int
+	weight    float64       // cost of a unit of the queue's work that is refused, see package delaycost; 1 if costs are not weighed
 }
 
 // decay reduces the figures to their values at a time.
@@ -49,6 +51,9 @@
 	return d.accepted / d.jobs
 }
 
+// loss returns the cost of what is refused of the queue's work.
+func (d *demand) loss() float64 { return delaycost.Loss(d.weight, d.acceptance()) }
+
 // recordDemand adds a new job and the decision on it to the demand of its queue.
 func (p *Pool) recordDemand(j *job, accepted bool, now time.Duration) {
 	d := p.demand[j.Queue]
@@ -57,7 +62,7 @@
 		p.demand[j.Queue] = d
 	}
 	d.decay(now)
-	d.priority = j.Objective.Priority
+	d.weight = j.weight()
 	d.jobs++
 	d.work += j.waitingWork()
 	if accepted {
@@ -86,10 +91,7 @@
 			delete(p.demand, name)
 			continue
 		}
-		gap := own.acceptance() - d.acceptance()
-		if xf["XFAIR"] > 0 {
-			gap = (1-d.acceptance())*weightOf(d.priority) - (1-own.acceptance())*weightOf(own.priority)
-		}
+		gap := d.loss() - own.loss()
 		if name == j.Queue || gap <= toleratedGap {
 			continue
 		}
@@ -109,5 +111,3 @@
 	}
 	return used
 }
-
-func weightOf(priority int) float64 { return math.Pow(max(xf["XFAIR"],1), -float64(priority)) }
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -1,7 +1,7 @@
 package pool
 
 import (
-	"container/heap"
+	"math"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/work"
@@ -19,44 +19,75 @@
 type release struct {
 	at       time.Duration
 	milliCPU int
-	endpoint int
+	endpoint int // index in forecast.each; -1 for capacity that is only reserved
 }
 
-// releases is a heap with the earliest release first.
+// releases is a heap with the earliest release first. It is written out because container/heap takes several times as long, and a
+// submission behind many jobs simulates thousands of releases.
 type releases []release
 
-func (h releases) Len() int           { return len(h) }
-func (h releases) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h releases) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *releases) Push(x any) { *h = append(*h, x.(release)) }
+// add adds a release.
+func (h *releases) add(r release) {
+	all := append(*h, r)
+	i := len(all) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if all[parent].at <= r.at {
+			break
+		}
+		all[i] = all[parent]
+		i = parent
+	}
+	all[i] = r
+	*h = all
+}
 
-// Pop implements heap.Interface.
-func (h *releases) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+// next removes and returns the earliest release of a heap that is not empty.
+func (h *releases) next() release {
+	all := *h
+	first, last := all[0], all[len(all)-1]
+	all = all[:len(all)-1]
+	i := 0
+	for {
+		child := 2*i + 1
+		if child >= len(all) {
+			break
+		}
+		if child+1 < len(all) && all[child+1].at < all[child].at {
+			child++
+		}
+		if last.at <= all[child].at {
+			break
+		}
+		all[i] = all[child]
+		i = child
+	}
+	if len(all) > 0 {
+		all[i] = last
+	}
+	*h = all
+	return first
 }
 
-// forecast simulates the waiting jobs of a service, with all its endpoints taken as one, to predict when tasks start.
+// forecast simulates the waiting jobs of a service to predict when tasks start.
 type forecast struct {
 	pool      *Pool
 	at        time.Duration // start of the last simulated task
-	free      int           // capacity that is free at that time, in thousandths of a core
+	free      int           // capacity that is free at that time and not reserved, in thousandths of a core
+	usable    int           // capacity that is free at the begin, counted on each endpoint in multiples of the task's size
 	endpoints int           // number of endpoints that the capacity belongs to
 	isolated  int           // number of further endpoints that are kept for suspects
 	releases  releases
-	each      []int // free capacity of each endpoint; the last one stands for capacity that belongs to none
-	kept      int
+	each      []int // capacity that is free on each endpoint, or in all if they are taken as one
+	full      int   // each of them has less than this free
 }
 
-// forecast returns a simulation that begins with the capacity that tasks of a size can use now on the endpoints of a
-// service.
+// forecast returns a simulation that begins with the capacity that tasks of a size can use now on the endpoints of a service. If costs
+// of delays are not weighed for the service, all endpoints are taken as one.
 func (p *Pool) forecast(service string, task work.Size, now time.Duration) *forecast {
-	f := &forecast{pool: p, at: now}
-	serves := map[work.EndpointID]int{}
-	f.each = append(f.each, 0)
+	f := &forecast{pool: p, at: now, full: math.MaxInt, each: make([]int, 0, len(p.order)), releases: make(releases, 0, 2*len(p.runs)+64)}
+	serves := make(map[work.EndpointID]int, len(p.order))
+	apart := p.weighs(service)
 	for _, e := range p.order {
 		if e.Service != service || !e.usable || e.Draining || e.leaseEnds || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
 			continue
@@ -65,18 +96,25 @@
 			f.isolated++
 			continue
 		}
-		serves[e.ID] = len(f.each)
-		f.each = append(f.each, max(e.Size.MilliCPU-e.used.MilliCPU, 0))
-		freeMilliCPU := max(e.Size.MilliCPU-e.used.MilliCPU, 0) // the endpoint may have shrunk below what its runs use
-		f.free += freeMilliCPU - freeMilliCPU%max(task.MilliCPU, 1)
+		f.endpoints++
+		free := max(e.Size.MilliCPU-e.used.MilliCPU, 0) // the endpoint may have shrunk below what its runs use
+		usable := free - free%max(task.MilliCPU, 1)
+		f.usable += usable
+		if !apart {
+			free = usable
+		}
+		if apart || len(f.each) == 0 {
+			f.each = append(f.each, 0)
+		}
+		serves[e.ID] = len(f.each) - 1
+		f.each[len(f.each)-1] += free
+		f.free += free
 	}
-	f.endpoints = len(serves)
 	for _, r := range p.runs {
-		if at, ok := serves[r.Endpoint]; ok {
-			f.releases = append(f.releases, release{now + r.remaining(now) + r.followingTime(), r.Size.MilliCPU, at})
+		if i, ok := serves[r.Endpoint]; ok {
+			f.releases.add(release{now + r.remaining(now) + r.followingTime(), r.Size.MilliCPU, i})
 		}
 	}
-	heap.Init(&f.releases)
 	return f
 }
 
@@ -95,7 +133,7 @@
 			continue
 		}
 		f.free -= later.milliCPU
-		heap.Push(&f.releases, release{later.begin + later.run, later.milliCPU, 0})
+		f.releases.add(release{later.begin + later.run, later.milliCPU, -1})
 	}
 }
 
@@ -172,58 +210,82 @@
 	return n
 }
 
-// start simulates the starts of tasks of one size, each as soon as there is capacity and no earlier than the tasks added before
-// it. Tasks that start at the same time are handled together.
+// start simulates the starts of tasks of one size, each as soon as an endpoint has room and no earlier than the tasks added before it.
+//
+// Free capacity of several endpoints does not add up: tasks slightly larger than half an endpoint need one each. Counted together it
+// promises starts that come much later.
 func (f *forecast) start(tasks, milliCPU int, run time.Duration) {
-	if xf["XFRAG"] > 0 {
-		f.startEach(tasks, milliCPU, run)
-		return
-	}
 	for tasks > 0 {
-		f.awaitCapacity(milliCPU)
-		together := tasks
-		if milliCPU > 0 {
-			together = max(min(tasks, f.free/milliCPU), 1)
+		together := 1
+		endpoint := f.awaitRoom(milliCPU)
+		if endpoint >= 0 {
+			if milliCPU > 0 {
+				together = max(min(tasks, min(f.free, f.each[endpoint])/milliCPU), 1)
+			}
+			f.each[endpoint] -= together * milliCPU
+			f.full = max(f.full, f.each[endpoint]+1)
 		}
 		tasks -= together
 		f.free -= together * milliCPU
-		heap.Push(&f.releases, release{f.at + run, together * milliCPU, 0})
+		f.releases.add(release{f.at + run, together * milliCPU, endpoint})
 	}
 }
 
-// awaitCapacity moves the time on until an amount is free, with all that is released by then.
-func (f *forecast) awaitCapacity(milliCPU int) {
-	if f.free >= milliCPU {
-		return
-	}
-	for len(f.releases) > 0 && (f.free < milliCPU || f.releases[0].at <= f.at) {
-		next := heap.Pop(&f.releases).(release)
-		f.free += next.milliCPU
+// awaitRoom moves the time on until an endpoint has room for a task and as much is not reserved. It returns the endpoint, for which full
+// need not hold, or -1 if that is not expected to happen.
+func (f *forecast) awaitRoom(milliCPU int) int {
+	endpoint := f.roomFor(milliCPU)
+	for (endpoint < 0 || f.free < milliCPU) && len(f.releases) > 0 {
+		next := f.releases.next()
 		f.at = max(f.at, next.at)
+		f.free += next.milliCPU
+		if next.endpoint < 0 {
+			continue
+		}
+		free := f.each[next.endpoint] + next.milliCPU
+		f.each[next.endpoint] = free
+		if endpoint < 0 && free >= milliCPU {
+			endpoint = next.endpoint
+		} else {
+			f.full = max(f.full, free+1)
+		}
 	}
+	return endpoint
 }
 
-func (f *forecast) startEach(tasks, milliCPU int, run time.Duration) {
-	for ; tasks > 0; tasks-- {
-		f.free = 1 << 40
-		for {
-			best := -1
-			for i := 1; i < len(f.each); i++ {
-				if f.each[i] >= milliCPU && (best < 0 || f.each[i] < f.each[best]) {
-					best = i
-				}
-			}
-			if best >= 0 {
-				f.each[best] -= milliCPU
-				heap.Push(&f.releases, release{f.at + run, milliCPU, best})
-				break
-			}
-			if len(f.releases) == 0 {
-				return
-			}
-			next := heap.Pop(&f.releases).(release)
-			f.each[next.endpoint] += next.milliCPU
-			f.at = max(f.at, next.at)
+// roomFor returns the first endpoint with enough free capacity for a task, or -1.
+func (f *forecast) roomFor(milliCPU int) int {
+	if milliCPU >= f.full {
+		return -1
+	}
+	for i, free := range f.each {
+		if free >= milliCPU {
+			return i
 		}
 	}
+	f.full = milliCPU
+	return -1
+}
+
+// snapshot is the state of a forecast to which it can be taken back.
+type snapshot struct {
+	at       time.Duration
+	free     int
+	full     int
+	releases releases
+	each     []int
+}
+
+// save copies the state of the forecast into a snapshot, whose memory it reuses.
+func (f *forecast) save(s *snapshot) {
+	s.at, s.free, s.full = f.at, f.free, f.full
+	s.releases = append(s.releases[:0], f.releases...)
+	s.each = append(s.each[:0], f.each...)
+}
+
+// restore takes the forecast back to a snapshot.
+func (f *forecast) restore(s *snapshot) {
+	f.at, f.free, f.full = s.at, s.free, s.full
+	f.releases = append(f.releases[:0], s.releases...)
+	f.each = append(f.each[:0], s.each...)
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -21,6 +21,7 @@
 	started     bool
 	held        bool          // see Hold
 	stored      bool          // see OfferStored
+	weighed     bool          // see WeighBy
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
 	firstStart  time.Duration // see Timing
@@ -41,7 +42,7 @@
 func (p *Pool) newJob(w *work.Job, arrived, notBefore time.Duration) *job {
 	j := &job{
 		Job: w, arrived: arrived, notBefore: notBefore, resumed: notBefore > 0, runs: map[work.TaskID]*Run{},
-		steps: make([]stepState, len(w.Steps)),
+		steps: make([]stepState, len(w.Steps)), weighed: p.weighs(w.Service),
 	}
 	for i := range w.Steps {
 		j.remaining += w.Steps[i].Count
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -77,6 +77,8 @@
 	// unclaimed holds the tasks that succeeded while their job was not here, with the time of the report. They count as done
 	// when the job is submitted again after the loss of its dispatcher.
 	unclaimed map[work.TaskID]time.Duration
+	weighs    func(service string) bool // see WeighBy
+	timings   map[work.JobID]Timing     // of the jobs that have succeeded since ForgetTimings
 }
 
 // New returns an empty pool. The history holds the unsuccessful runs of tasks; it outlives the pool.
@@ -90,6 +92,8 @@
 		estimates: estimates{},
 		demand:    map[string]*demand{},
 		unclaimed: map[work.TaskID]time.Duration{},
+		weighs:    func(string) bool { return false },
+		timings:   map[work.JobID]Timing{},
 	}
 }
 
@@ -297,8 +301,6 @@
 	State work.State // Completed or Failed; empty if the job was given up without a result, see GiveUpTooLate
 	Task  work.TaskID
 	Why   GiveUp // why a failed job was given up; empty if a run of its task has just failed
-	// Timing is set for a completed job.
-	Timing Timing
 }
 
 // Cancel deletes a job and returns its runs, which the caller has to stop.
@@ -314,6 +316,9 @@
 func (p *Pool) finish(j *job) []*Run {
 	delete(p.jobs, j.ID)
 	p.dequeue(j)
+	if j.remaining == 0 {
+		p.timings[j.ID] = j.timing()
+	}
 	var toStop []*Run
 	for _, r := range j.runs {
 		r.job = nil
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -216,7 +216,7 @@
 			p.Cancel(id)
 			r.submit(r.jobs[id])
 		}
-		for _, id := range p.xGiveBack(r.now) {
+		for _, id := range p.GiveBack(r.now) {
 			p.Cancel(id)
 			r.submit(r.jobs[id])
 		}
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -1,37 +1,35 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
-// Next returns the runs to order now and records them as ordered. Jobs are served in the order of their latest start; a
-// task that fits on no endpoint at the moment does not block the tasks behind it.
+// Next returns the runs to order now and records them as ordered. Jobs are served in the order of their latest start, and those that
+// yield after the others; a task that fits on no endpoint at the moment does not block the tasks behind it.
 func (p *Pool) Next(now time.Duration) []*Run {
-	var starts []*Run
 	full := map[placement]bool{}
 	p.releaseReservations()
-	order := append([]*job(nil), p.queue...)
-	cls := func(j *job) int {
-		switch {
-		case xf["XSTARTED"] > 0 && j.started && (xf["XSTARTED"] > 1 || j.latestStart >= now):
-			return 0
-		case p.behind(j, now):
-			return 2
-		}
-		return 1
+	starts := p.startQueued(nil, full, now, false)
+	if len(p.queue) > 0 && p.queue[0].yields(now) {
+		starts = p.startQueued(starts, full, now, true)
 	}
-	sort.SliceStable(order, func(a, b int) bool { return cls(order[a]) < cls(order[b]) })
-	for _, j := range order {
-		if now < j.notBefore || j.held {
+	return starts
+}
+
+// startQueued appends the runs that start now of the queued jobs that yield, or of those that do not.
+func (p *Pool) startQueued(starts []*Run, full map[placement]bool, now time.Duration, yielding bool) []*Run {
+	for i := 0; i < len(p.queue); i++ {
+		j := p.queue[i]
+		if now < j.notBefore || j.held || j.yields(now) != yielding {
 			continue
 		}
 		starts = p.startJob(starts, j, full, now)
 		if !j.hasWaiting() {
-			p.dequeue(j)
+			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			i--
 		}
 	}
 	return starts
@@ -262,7 +260,7 @@
 		return nil
 	}
 	p.finish(j)
-	return j.completed(Outcome{Job: j.ID, State: work.Completed, Task: end.Task})
+	return []Outcome{{Job: j.ID, State: work.Completed, Task: end.Task}}
 }
 
 // keepSuccess stores the success of a task until its job is submitted.
@@ -332,7 +330,7 @@
 		return nil
 	}
 	p.finish(j)
-	return j.completed(Outcome{Job: j.ID, State: work.Completed, Task: task})
+	return []Outcome{{Job: j.ID, State: work.Completed, Task: task}}
 }
 
 func (p *Pool) failed(j *job, task work.TaskID) []Outcome {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -70,7 +70,7 @@
 	}
 	if j.remaining == 0 {
 		p.finish(j)
-		return j.completed(Outcome{Job: j.ID, State: work.Completed})
+		return []Outcome{{Job: j.ID, State: work.Completed}}
 	}
 	if j.hasWaiting() {
 		p.enqueue(j)
@@ -86,7 +86,7 @@
 		return nil
 	}
 	p.finish(j)
-	return j.completed(Outcome{Job: j.ID, State: work.Completed, Task: task})
+	return []Outcome{{Job: j.ID, State: work.Completed, Task: task}}
 }
 
 // EndElsewhere counts the end of a run of a stored job's task on an endpoint that another dispatcher polls.
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -17,7 +17,9 @@
 	ReasonNoEndpoint    Reason = "no_endpoint" // no endpoint of the job's service takes new runs now
 	ReasonNotLeader     Reason = "not_leader"  // this instance does not dispatch for the shard
 	ReasonWaitedTooLong Reason = "waited"      // the job was accepted and did not start in time
-	ReasonExpired       Reason = "expired"     // the submission waited for longer than its caller does
+	// ReasonGivenBack gives back a job that was accepted, has not started, and would miss its objective behind the jobs that start first.
+	ReasonGivenBack Reason = "given_back"
+	ReasonExpired   Reason = "expired" // the submission waited for longer than its caller does
 	// ReasonPlacedElsewhere refuses a submission by the home of the job: another request has placed the job at another dispatcher.
 	ReasonPlacedElsewhere Reason = "placed_elsewhere"
 	ReasonSuperseded      Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
@@ -77,7 +79,7 @@
 	p.adopt(j)
 	if j.remaining == 0 {
 		p.finish(j)
-		return v, j.completed(Outcome{Job: j.ID, State: work.Completed})
+		return v, []Outcome{{Job: j.ID, State: work.Completed}}
 	}
 	if j.hasWaiting() {
 		p.enqueue(j)
@@ -106,9 +108,9 @@
 	f.reserve(j.Service, now, now+j.expected)
 	v.ReservedMilliCPU = p.reservedForOthers(j, total.MilliCPU, now)
 	f.free -= v.ReservedMilliCPU
-	v.Endpoints, v.Isolated, v.FreeMilliCPU = f.endpoints, f.isolated, f.free
+	v.Endpoints, v.Isolated, v.FreeMilliCPU = f.endpoints, f.isolated, f.usable-v.ReservedMilliCPU
 	for _, q := range p.queue {
-		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) && !(xf["XSKIP"] > 0 && p.behind(q, now) && !p.behind(j, now)) {
+		if q.Service == j.Service && q.hasReady() && precedes(q, j, now) && !endsBefore(j, q, now) {
 			f.add(q)
 			v.JobsAhead++
 			if waitsTooLong(j, f.at, now) {
@@ -117,10 +119,7 @@
 		}
 	}
 	v.ExpectedWait = f.add(j) - now
-	if xf["XHARM"] > 0 && v.ExpectedWait > 0 && p.harms(j, f, now) {
-		v.Reason = ReasonNoRoom
-	}
-	if v.Reason == ReasonNoRoom || waitsTooLong(j, now+v.ExpectedWait, now) || now-j.arrived > maxWait(j) {
+	if waitsTooLong(j, now+v.ExpectedWait, now) || now-j.arrived > maxWait(j) {
 		v.Reason = ReasonNoRoom
 		v.RetryAfter = max(minRetryAfter, time.Duration(p.queuedWork()/float64(total.MilliCPU)))
 	}
@@ -129,14 +128,7 @@
 
 // waitsTooLong reports whether a job that starts at a time uses more of its slack for its wait than it may.
 func waitsTooLong(j *job, start, now time.Duration) bool {
-	return start > now && float64(start-now) > xshare()*float64(j.latestStart-now)
-}
-
-func xshare() float64 {
-	if xf["XSHARE"] > 0 {
-		return xf["XSHARE"]
-	}
-	return waitShare
+	return start > now && float64(start-now) > waitShare*float64(j.latestStart-now)
 }
 
 // endsBefore reports whether a new job, started with its last slack, is expected to end before a resumed job may start. The resumed job
@@ -292,24 +284,3 @@
 func maxWait(j *job) time.Duration {
 	return lateFactor*j.objective() - j.expected
 }
-
-func (p *Pool) harms(j *job, f *forecast, now time.Duration) bool {
-	cost, own := 0.0, j.waitingWork()*weightOf(j.Objective.Priority)
-	g := p.forecast(j.Service, j.largest(), now)
-	g.reserve(j.Service, now, now+j.expected)
-	for _, q := range p.queue {
-		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) {
-			g.add(q)
-		}
-	}
-	for _, q := range p.queue {
-		if q.Service != j.Service || !q.hasReady() || before(q, j) || q.latestStart < now {
-			continue
-		}
-		without, with := g.add(q), f.add(q)
-		if with > q.latestStart && without <= q.latestStart {
-			cost += q.waitingWork() * weightOf(q.Objective.Priority)
-		}
-	}
-	return cost > own*xf["XHARM"]
-}
--- a/internal/pool/timing.go
+++ b/internal/pool/timing.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
 
 // Timing holds the times of a job on the clock of the pool's callers, for logs and metrics.
 type Timing struct {
@@ -45,8 +49,8 @@
 // objective returns the job's target response time.
 func (j *job) objective() time.Duration { return j.expected + slack(j.Objective, j.expected) }
 
-// completed returns the success of a job.
-func (j *job) completed(outcome Outcome) []Outcome {
-	outcome.Timing = j.timing()
-	return []Outcome{outcome}
-}
+// Timing returns the times of a job that has succeeded since the last call of ForgetTimings.
+func (p *Pool) Timing(id work.JobID) Timing { return p.timings[id] }
+
+// ForgetTimings deletes the times of the jobs that have succeeded.
+func (p *Pool) ForgetTimings() { clear(p.timings) }
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -38,6 +38,7 @@
 	s.settle(now)
 	s.releaseResumed(now)
 	s.refuseLate(now)
+	s.giveBack(now)
 	s.abandonExpired(now)
 	for id, clients := range s.clients {
 		s.pool.Hold(id, clients.silence() > abandonTime)
@@ -57,6 +58,7 @@
 	if !s.endsUndecided {
 		s.pool.ForgetSuccesses(now - successRetention)
 	}
+	s.pool.ForgetTimings()
 	s.forgetHeld(now - successRetention)
 	s.dispatch()
 	s.checked.Store(int64(s.opts.Now()))
@@ -80,6 +82,20 @@
 	}
 }
 
+// giveBack gives accepted jobs back to their instances that have not started, are expected to miss their objective here and could meet it
+// elsewhere. Each answer is a refusal: the job has not run, and its instance submits it to other dispatchers or refuses the request.
+func (s *Shard) giveBack(now time.Duration) {
+	for _, id := range s.pool.GiveBack(now) {
+		if s.pool.HasStarted(id) || len(s.clients[id]) != 1 {
+			continue // runs of an earlier dispatcher are known, or another instance could submit the job again to this one
+		}
+		s.clients[id].answer(s.refusal(id, pool.ReasonGivenBack, time.Second))
+		s.opts.Counts.GivenBack.Add(1)
+		s.opts.Log.WithFields(logrus.Fields{"event": "give_back", "job": id}).Info("job given back: it has not started and would miss its objective here")
+		s.abandon(id, stopJobEnded)
+	}
+}
+
 // abandonExpired abandons the jobs whose callers wait no longer. Usually their instance has cancelled them before; it cannot if it
 // is stopped or cut off. If the caller has meanwhile submitted the job again there, that instance submits it again, too.
 func (s *Shard) abandonExpired(now time.Duration) {
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -6,6 +6,7 @@
 type Counts struct {
 	Starts           metric.Counter    // runs ordered
 	Refused          metric.Counter    // jobs that were refused
+	GivenBack        metric.Counter    // accepted jobs that were given back before they started
 	UnansweredStarts metric.Counter    // start requests that got no answer
 	Stalled          metric.Counter    // runs stopped for lack of progress
 	UnsuccessfulRuns metric.Counter    // runs that ended without success
@@ -15,6 +16,7 @@
 	StoppedRuns      metric.Counter    // runs whose stop was requested
 	GivenUp          metric.Counter    // jobs that failed because a task is not started again
 	HeldStarts       metric.Counter    // runs not ordered, because nothing was heard lately of the job's caller
+	Punctuality      metric.Counters   // completed jobs by priority and punctuality, see pool.Timing
 	RunMS            *metric.Quantiles // time from the order to the end of a successful run
 	WaitMS           *metric.Quantiles // time from the arrival of a job to the order of a run
 	AgeMS            *metric.Quantiles // age of submissions when they are decided on
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -61,9 +61,11 @@
 	OnOutdated func()
 	// OnReplaced is called when another process answers at an endpoint's address. Its registration is in the store or comes soon.
 	OnReplaced func()
-	Counts     *Counts
-	Log        logrus.FieldLogger
-	Now        func() time.Duration // monotonic clock
+	// Weighs tells whether the dispatcher weighs what delays of a service's jobs cost callers; nil for no service.
+	Weighs func(service string) bool
+	Counts *Counts
+	Log    logrus.FieldLogger
+	Now    func() time.Duration // monotonic clock
 	// Ledger keeps the stored jobs of the shard; nil for none.
 	Ledger Ledger
 }
@@ -122,6 +124,9 @@
 func (s *Shard) reset() {
 	s.knowledge.Store(rand.Uint64() | 1)
 	s.pool = pool.New(s.opts.History)
+	if s.opts.Weighs != nil {
+		s.pool.WeighBy(s.opts.Weighs)
+	}
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]submitters{}
 	s.stored = map[work.JobID]*work.Job{}
@@ -405,10 +410,7 @@
 func (s *Shard) logEnd(o pool.Outcome) {
 	fields := logrus.Fields{"event": "job_ended", "job": o.Job, "state": o.State}
 	if o.State == work.Completed {
-		t, now := o.Timing, s.opts.Now()
-		fields["priority"], fields["milli_cpu"], fields["punctuality"] = t.Priority, t.MilliCPU, t.Punctuality(now)
-		fields["ms"], fields["objective_ms"] = (now - t.Arrived).Milliseconds(), t.Objective.Milliseconds()
-		fields["first_start_ms"], fields["last_start_ms"] = (t.FirstStart - t.Arrived).Milliseconds(), (t.LastStart - t.Arrived).Milliseconds()
+		s.noteTiming(o.Job, fields)
 	}
 	if o.Why == "" {
 		s.opts.Log.WithFields(fields).Info("job ended")
