--- a/internal/delaycost/delaycost.go
+++ b/internal/delaycost/delaycost.go
@@ -1,6 +1,6 @@
 // Package delaycost weighs what it costs callers when some of their jobs are delayed or refused because there is too little room for
-// all. Its functions are pure. What a job costs depends on its queue's priority, on the work that it needs and, through the class of
-// its delay, on its objective.
+// all. Its functions are pure. A unit of work that is not done in time costs the more the higher the priority of its queue; what a job costs
+// grows with the work that it needs. Of what use a late result is depends on the job's objective, see pool.Punctuality.
 package delaycost
 
 import "math"
@@ -21,13 +21,3 @@
 
 // Loss returns the cost of what is refused of a queue's work, for each unit of the work that it asks for.
 func Loss(weight, acceptance float64) float64 { return weight * (1 - acceptance) }
-
-// Class tells of what use the result of a job still can be.
-type Class int
-
-// The classes, the most useful first.
-const (
-	InTime Class = iota // the job can meet its objective
-	Late                // it cannot, but its result will be of some use
-	NoUse               // its result would be of no use
-)
