--- a/internal/gateway/given_back_test.go
+++ b/internal/gateway/given_back_test.go
@@ -19,6 +19,8 @@
 	f.eventually("the other zone is tried", func() bool { return len(f.router.sent()) == 2 })
 	is.Equal(f.router.sent()[1].to, south)
 	is.True(!f.router.sent()[1].s.Resumed)
+	is.True(!f.router.sent()[0].s.Last) // the other zone was left
+	is.True(f.router.sent()[1].s.Last)
 	f.Answer(f.router, &relay.Answer{Job: "a", Refused: pool.ReasonNoRoom, RetryAfter: 2 * time.Second})
 	is.Equal(f.receive(a).status, 429)
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -82,6 +82,7 @@
 	}
 	m := &relay.Submit{
 		Job: *p.job, Number: p.submission, Partition: p.target.Partition, Resumed: resumed, Lost: lost, GivenBack: p.orphaned && p.losses == 0,
+		Last:      !resumed && len(p.untried) == 0,
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
--- a/internal/pool/delay.go
+++ b/internal/pool/delay.go
@@ -14,13 +14,22 @@
 // WeighBy sets what tells whether costs of delays are weighed for a service. Without it they are not.
 func (p *Pool) WeighBy(weighs func(service string) bool) { p.weighs = weighs }
 
-// mayMove reports whether a job can be given back to its instance: it has certainly not started anywhere, and its caller waits.
-func (j *job) mayMove() bool { return !j.started && !j.resumed && !j.stored }
+// waits reports whether a job has certainly not started anywhere, and its caller waits.
+func (j *job) waits() bool { return !j.started && !j.resumed && !j.stored }
 
 // yields reports whether a job lets the jobs start first that can still meet their objective.
 //
 // Without this, when demand stays above capacity, the jobs that have become late start first and make all behind them late.
-func (j *job) yields(now time.Duration) bool { return j.weighed && j.latestStart < now && j.mayMove() }
+func (j *job) yields(now time.Duration) bool {
+	return j.weighed && j.latestStart < now && j.waits()
+}
+
+// KeepHere records that no other dispatcher is left for a job, so that it is not given back.
+func (p *Pool) KeepHere(id work.JobID) {
+	if j := p.jobs[id]; j != nil {
+		j.kept = true
+	}
+}
 
 // precedes reports whether job a starts before job b.
 func precedes(a, b *job, now time.Duration) bool {
@@ -62,7 +71,7 @@
 		if j.Service != service || !j.hasReady() || j.yields(now) || now < j.notBefore || j.held {
 			continue
 		}
-		if !j.weighed || !j.mayMove() {
+		if !j.weighed || j.kept || !j.waits() {
 			f.add(j)
 			continue
 		}
--- a/internal/pool/delay_test.go
+++ b/internal/pool/delay_test.go
@@ -87,8 +87,19 @@
 		p.RunProgressed(r.Task, r.Number, 10, 40*ms) // it takes 400 ms
 	}
 	is.Equal(p.GiveBack(40*ms), []work.JobID{"waits"})
+	p.KeepHere("waits") // no other dispatcher is left
+	is.Equal(len(p.GiveBack(40*ms)), 0)
+}
+
+// Guards against jobs that are given back although costs are not weighed for their service.
+func TestGiveBackWithoutWeights(t *testing.T) {
+	is := is.New(t)
+	p := fullPool(t, 100*ms)
 	p.WeighBy(func(string) bool { return false })
-	p.jobs["waits"].weighed = false
+	mustSubmit(t, p, jobOf("waits", 1, 16000, 100*ms), 10*ms)
+	for _, r := range p.RunsOn("a") {
+		p.RunProgressed(r.Task, r.Number, 10, 40*ms)
+	}
 	is.Equal(len(p.GiveBack(40*ms)), 0)
 }
 
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -22,6 +22,7 @@
 	held        bool          // see Hold
 	stored      bool          // see OfferStored
 	weighed     bool          // see WeighBy
+	kept        bool          // see KeepHere
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
 	firstStart  time.Duration // see Timing
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -187,7 +187,11 @@
 	for len(j.untried) > 0 {
 		at := j.untried[0]
 		j.untried = j.untried[1:]
-		v, _ := r.pools[at].Submit(j.Job, r.now, j.arrived, 0)
+		p := r.pools[at]
+		v, _ := p.Submit(j.Job, r.now, j.arrived, 0)
+		if len(j.untried) == 0 {
+			p.KeepHere(j.ID)
+		}
 		if v.Accepted() {
 			r.start(at)
 			return
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -12,18 +12,22 @@
 func (p *Pool) Next(now time.Duration) []*Run {
 	full := map[placement]bool{}
 	p.releaseReservations()
-	starts := p.startQueued(nil, full, now, false)
-	if len(p.queue) > 0 && p.queue[0].yields(now) {
-		starts = p.startQueued(starts, full, now, true)
+	starts, others := p.startQueued(nil, full, now, false)
+	if others {
+		starts, _ = p.startQueued(starts, full, now, true)
 	}
 	return starts
 }
 
-// startQueued appends the runs that start now of the queued jobs that yield, or of those that do not.
-func (p *Pool) startQueued(starts []*Run, full map[placement]bool, now time.Duration, yielding bool) []*Run {
+// startQueued appends the runs that start now of the queued jobs that yield, or of those that do not, and returns whether there are others.
+func (p *Pool) startQueued(starts []*Run, full map[placement]bool, now time.Duration, yielding bool) (all []*Run, others bool) {
 	for i := 0; i < len(p.queue); i++ {
 		j := p.queue[i]
-		if now < j.notBefore || j.held || j.yields(now) != yielding {
+		if now < j.notBefore || j.held {
+			continue
+		}
+		if j.yields(now) != yielding {
+			others = true
 			continue
 		}
 		starts = p.startJob(starts, j, full, now)
@@ -32,7 +36,7 @@
 			i--
 		}
 	}
-	return starts
+	return starts, others
 }
 
 // placement is what the choice of an endpoint for a task depends on, suspects and steps with MaxPerEndpoint apart.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -43,6 +43,8 @@
 	Lost time.Duration `msgpack:"o,omitempty"`
 	// GivenBack means that no dispatcher of the job was lost with its connection: each has answered that it does not hold the job any more.
 	GivenBack bool `msgpack:"b,omitempty"`
+	// Last means that the sender knows no other dispatcher to which it could submit the job.
+	Last bool `msgpack:"l,omitempty"`
 	// Waited is the time since the caller's request arrived.
 	Waited time.Duration `msgpack:"w,omitempty"`
 	// Remaining is the time after which the job's caller waits no longer; 0 if it is not known.
--- a/internal/shard/give_back_test.go
+++ b/internal/shard/give_back_test.go
@@ -63,6 +63,21 @@
 	})
 }
 
+// Guards against a job that is given back although its instance knows no other dispatcher: it would be refused, and its result could still be
+// of some use. The clock is virtual.
+func TestJobWithoutAnotherDispatcherIsNotGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, c := is.New(t), newClient()
+		_, s, counts := newWeighingShard(t, c)
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, time.Second), Last: true})
+		time.Sleep(2 * time.Second)
+		answer := c.answer("a")
+		endAndSettle(s)
+		is.Equal(answer, nil)
+		is.Equal(counts.GivenBack.Value(), int64(0))
+	})
+}
+
 // Guards against a resumed job that is given back as not run, although its earlier dispatcher may have started it. The clock is virtual.
 func TestResumedJobIsNotGivenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -287,6 +287,9 @@
 	s.clients[job.ID] = s.clients[job.ID].with(client)
 	s.releaseEndsOf(job.ID)
 	s.pool.Hold(job.ID, false)
+	if m.Last {
+		s.pool.KeepHere(job.ID)
+	}
 	s.noteExpiry(m, now)
 	s.finish(outcomes)
 	s.dispatch()
