--- a/internal/catalogcheck/check.go
+++ b/internal/catalogcheck/check.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/savorypass/savorypass/internal/catalog"
+	"github.com/savorypass/savorypass/internal/delaycost"
 )
 
 // Severity tells whether a finding should keep a configuration from being written.
@@ -162,8 +163,8 @@
 	if o.Extra < 0 {
 		c.addf(Error, subject, "the time that is added to the objective is %s, must not be negative", o.Extra)
 	}
-	if o.Priority < 0 {
-		c.addf(Error, subject, "priority is %d, must be at least 0", o.Priority)
+	if !delaycost.ValidPriority(o.Priority) {
+		c.addf(Error, subject, "priority is %d, must be 0 to %d: its service would be served as without priorities", o.Priority, delaycost.MaxPriority)
 	}
 	if o.Attempts < 1 {
 		c.addf(Warning, subject, "attempts is %d and counts as 1", o.Attempts)
--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -55,6 +55,7 @@
 		OnFenced: d.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations, Counts: &n.counts,
 		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
 		Evacuation: func() evacuation.State { return n.evacuations.Of(d.zone) },
+		Weighs:     n.config.Weighs,
 	})
 	jobs.SetDispatcher(x)
 	d.ledgers.publish(partition, jobs)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -22,8 +22,12 @@
 	sent        bool          // a request to start a task of the job was sent, or a run or an end of one is known
 	held        bool          // see Hold
 	stored      bool          // see OfferStored
+	weighed     bool          // see WeighBy
+	kept        bool          // see KeepHere
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
+	firstStart  time.Duration // see Timing
+	lastStart   time.Duration
 }
 
 // stepState is the state of one step. A dependency that a step lists twice counts twice, in blockers and in dependents.
@@ -40,7 +44,7 @@
 func (p *Pool) newJob(w *work.Job, arrived, notBefore time.Duration) *job {
 	j := &job{
 		Job: w, arrived: arrived, notBefore: notBefore, resumed: notBefore > 0, runs: map[work.TaskID]*Run{},
-		steps: make([]stepState, len(w.Steps)),
+		steps: make([]stepState, len(w.Steps)), weighed: p.weighs(w.Service),
 	}
 	for i := range w.Steps {
 		j.remaining += w.Steps[i].Count
@@ -185,6 +189,10 @@
 	r.job = j
 	j.runs[r.Task] = r
 	j.started = true
+	if j.firstStart == 0 {
+		j.firstStart = r.Ordered
+	}
+	j.lastStart = max(j.lastStart, r.Ordered)
 	if on := j.steps[r.Task.Step].runsOn; on != nil {
 		on[r.Endpoint]++
 	}
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -7,24 +7,36 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
-// Next returns the runs to order now and records them as ordered. Jobs are served in the order of their latest start; a
-// task that fits on no endpoint at the moment does not block the tasks behind it.
+// Next returns the runs to order now and records them as ordered. Jobs are served in the order of their latest start, and those that
+// yield after the others; a task that fits on no endpoint at the moment does not block the tasks behind it.
 func (p *Pool) Next(now time.Duration) []*Run {
-	var starts []*Run
 	full := map[placement]bool{}
 	p.releaseReservations()
+	starts, others := p.startQueued(nil, full, now, false)
+	if others {
+		starts, _ = p.startQueued(starts, full, now, true)
+	}
+	return starts
+}
+
+// startQueued appends the runs that start now of the queued jobs that yield, or of those that do not, and returns whether there are others.
+func (p *Pool) startQueued(starts []*Run, full map[placement]bool, now time.Duration, yielding bool) (all []*Run, others bool) {
 	for i := 0; i < len(p.queue); i++ {
 		j := p.queue[i]
 		if now < j.notBefore || j.held {
 			continue
 		}
+		if j.yields(now) != yielding {
+			others = true
+			continue
+		}
 		starts = p.startJob(starts, j, full, now)
 		if !j.hasWaiting() {
 			p.queue = append(p.queue[:i], p.queue[i+1:]...)
 			i--
 		}
 	}
-	return starts
+	return starts, others
 }
 
 // placement is what the choice of an endpoint for a task depends on, suspects and steps with MaxPerEndpoint apart.
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -17,7 +17,9 @@
 	ReasonNoEndpoint    Reason = "no_endpoint" // no endpoint of the job's service takes new runs now
 	ReasonNotLeader     Reason = "not_leader"  // this instance does not dispatch for the shard
 	ReasonWaitedTooLong Reason = "waited"      // the job was accepted and did not start in time
-	ReasonExpired       Reason = "expired"     // the submission waited for longer than its caller does
+	// ReasonGivenBack gives back a job that was accepted, has not started, and would miss its objective behind the jobs that start first.
+	ReasonGivenBack Reason = "given_back"
+	ReasonExpired   Reason = "expired" // the submission waited for longer than its caller does
 	// ReasonPlacedElsewhere refuses a submission by the home of the job: another request has placed the job at another dispatcher.
 	ReasonPlacedElsewhere Reason = "placed_elsewhere"
 	// ReasonEvacuated refuses a job in an evacuated zone: nothing of it has run there, and another zone may take it.
@@ -108,9 +110,9 @@
 	f.reserve(j.Service, now, now+j.expected)
 	v.ReservedMilliCPU = p.reservedForOthers(j, total.MilliCPU, now)
 	f.free -= v.ReservedMilliCPU
-	v.Endpoints, v.Isolated, v.FreeMilliCPU = f.endpoints, f.isolated, f.free
+	v.Endpoints, v.Isolated, v.FreeMilliCPU = f.endpoints, f.isolated, f.usable-v.ReservedMilliCPU
 	for _, q := range p.queue {
-		if q.Service == j.Service && q.hasReady() && before(q, j) && !endsBefore(j, q, now) {
+		if q.Service == j.Service && q.hasReady() && precedes(q, j, now) && !endsBefore(j, q, now) {
 			f.add(q)
 			v.JobsAhead++
 			if waitsTooLong(j, f.at, now) {
@@ -283,6 +285,5 @@
 
 // maxWait returns the longest time from a job's arrival to its start with which its result is still of use.
 func maxWait(j *job) time.Duration {
-	objective := j.expected + slack(j.Objective, j.expected)
-	return lateFactor*objective - j.expected
+	return lateFactor*j.objective() - j.expected
 }
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -40,8 +40,8 @@
 	return s.evacuated() && !s.resumes(m) && !s.pool.HasJob(m.Job.ID)
 }
 
-// giveBack sends the jobs of an evacuated zone that have no run to other zones. s.mu is held.
-func (s *Shard) giveBack(now time.Duration) {
+// moveEvacuated sends the jobs of an evacuated zone that have no run to other zones. s.mu is held.
+func (s *Shard) moveEvacuated(now time.Duration) {
 	if !s.leading || !s.evacuated() {
 		return
 	}
@@ -52,7 +52,7 @@
 			continue
 		case !m.HasRun:
 			clients.answer(&relay.Answer{Job: m.Job, Refused: pool.ReasonEvacuated, RetryAfter: evacuatedRetryAfter})
-			s.opts.Counts.GivenBack.Add(1)
+			s.opts.Counts.Evacuated.Add(1)
 		case len(clients) > 1:
 			continue // only one of the instances may continue the job elsewhere; it waits until the others have left
 		default:
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -62,9 +62,11 @@
 	OnOutdated func()
 	// OnReplaced is called when another process answers at an endpoint's address. Its registration is in the store or comes soon.
 	OnReplaced func()
-	Counts     *Counts
-	Log        logrus.FieldLogger
-	Now        func() time.Duration // monotonic clock
+	// Weighs tells whether the dispatcher weighs what delays of a service's jobs cost callers; nil for no service.
+	Weighs func(service string) bool
+	Counts *Counts
+	Log    logrus.FieldLogger
+	Now    func() time.Duration // monotonic clock
 	// Ledger keeps the stored jobs of the shard; nil for none.
 	Ledger Ledger
 	// Evacuation returns whether runs may start in the zone; nil for a zone that is never evacuated.
@@ -125,6 +127,9 @@
 func (s *Shard) reset() {
 	s.knowledge.Store(rand.Uint64() | 1)
 	s.pool = pool.New(s.opts.History)
+	if s.opts.Weighs != nil {
+		s.pool.WeighBy(s.opts.Weighs)
+	}
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]submitters{}
 	s.stored = map[work.JobID]*work.Job{}
@@ -294,6 +299,9 @@
 	s.clients[job.ID] = s.clients[job.ID].with(client)
 	s.releaseEndsOf(job.ID)
 	s.pool.Hold(job.ID, false)
+	if m.Last {
+		s.pool.KeepHere(job.ID)
+	}
 	s.noteExpiry(m, now)
 	s.finish(outcomes)
 	s.dispatch()
@@ -416,6 +424,9 @@
 
 func (s *Shard) logEnd(o pool.Outcome) {
 	fields := logrus.Fields{"event": "job_ended", "job": o.Job, "state": o.State}
+	if o.State == work.Completed {
+		s.noteTiming(o.Job, fields)
+	}
 	if o.Why == "" {
 		s.opts.Log.WithFields(fields).Info("job ended")
 		return
@@ -430,7 +441,7 @@
 // dispatch orders the starts that are possible now. s.mu is held.
 func (s *Shard) dispatch() {
 	if !s.mayStartRuns() {
-		s.giveBack(s.opts.Now())
+		s.moveEvacuated(s.opts.Now())
 		return
 	}
 	if !s.checkRegistrations() {
