Jobs are offered to partitions that can start them at once before they wait

A job is now offered first to up to three partitions of its zone that seem to have capacity, each of which refuses it unless it starts at once; then it waits where the expected wait is shortest; overflow goes to the other zones in proportion to their free capacity, to the partition with the most room. Loads carry the capacity, what is free of it and the rate of release, and come with each answer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,8 +53,11 @@
 
 // Router finds dispatchers and submits jobs to them.
 type Router interface {
+	// Immediate returns the dispatchers of the instance's zone that can probably start a new job at once, to be tried in this order before
+	// those of Targets; none if there is no choice.
+	Immediate(job *work.Job) []Target
 	// Targets returns the dispatchers to try for a new job, in this order.
-	Targets(id work.JobID) []Target
+	Targets(job *work.Job) []Target
 	// Submit submits a job to a dispatcher. It returns false if the dispatcher is unknown or cannot be reached.
 	Submit(to Target, s *relay.Submit) (Route, bool)
 	// ReportNotLeader reports that a dispatcher has refused a job because it no longer dispatches for the target.
@@ -166,6 +169,7 @@
 	route              Route                  // route to the dispatcher that holds the job; nil while none does
 	submission         relay.SubmissionNumber // the last submission of the job
 	untried            []Target               // dispatchers that have not been tried yet
+	startOnly          bool                   // they are to start the job at once, and those of Router.Targets come after them
 	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
 	lostAt             time.Time              // when the last dispatcher that held the job was lost, or gave the job back
 	losses             int                    // number of dispatchers whose connection ended while they held the job
@@ -278,7 +282,10 @@
 		g.submitStored(x, job, sent, timeout)
 		return
 	}
-	p.untried = g.opts.Router.Targets(job.ID)
+	p.untried = g.opts.Router.Immediate(job)
+	if p.startOnly = len(p.untried) > 0; !p.startOnly {
+		p.untried = g.opts.Router.Targets(job)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.cancelled.isCancelled(job.ID) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,6 +58,7 @@
 	noHomes
 	mu               sync.Mutex
 	targets          []Target
+	immediate        []Target
 	down             map[Target]bool
 	submitted        []submission
 	cancelled        []relay.Cancel
@@ -70,7 +71,9 @@
 	s  *relay.Submit
 }
 
-func (r *router) Targets(work.JobID) []Target { return r.targets }
+func (r *router) Targets(*work.Job) []Target { return r.targets }
+
+func (r *router) Immediate(*work.Job) []Target { return r.immediate }
 
 func (r *router) Submit(to Target, s *relay.Submit) (Route, bool) {
 	r.mu.Lock()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -13,7 +13,7 @@
 // holds g.mu.
 func (g *Gateway) place(p *pending) bool {
 	p.route = nil
-	for len(p.untried) > 0 {
+	for g.hasUntried(p) {
 		p.target, p.untried = p.untried[0], p.untried[1:]
 		if g.submitTo(p, false) {
 			return true
@@ -23,6 +23,19 @@
 	return false
 }
 
+// hasUntried reports whether a dispatcher is left to try. When none has started the job at once, it may wait at those of Router.Targets.
+func (g *Gateway) hasUntried(p *pending) bool {
+	if len(p.untried) == 0 && p.startOnly {
+		g.tryAll(p)
+	}
+	return len(p.untried) > 0
+}
+
+// tryAll lets a job be placed at any dispatcher, anew.
+func (g *Gateway) tryAll(p *pending) {
+	p.startOnly, p.untried = false, g.opts.Router.Targets(p.job)
+}
+
 // submitTo submits a job to its target. It returns false if the target cannot be reached. The caller holds g.mu.
 func (g *Gateway) submitTo(p *pending, resumed bool) bool {
 	route, ok := g.opts.Router.Submit(p.target, g.submission(p, resumed))
@@ -87,6 +100,7 @@
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
 		Attempts: g.opts.Attempts(p.job.ID),
 	}
+	m.StartOnly = p.startOnly && !resumed && p.shared == nil && p.knowledge == 0
 	if p.shared != nil {
 		m.Shared, m.Earlier = !p.shared.found(), p.shared.earlier(p.arrived)
 	}
@@ -123,6 +137,8 @@
 		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
 		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
+	case !p.orphaned && a.Refused == pool.ReasonWouldWait:
+		g.placeOrRefuse(p)
 	case !p.orphaned:
 		p.knowledge = 0
 		if p.refusal == nil || a.RetryAfter < p.refusal.RetryAfter {
@@ -206,7 +222,7 @@
 	for _, p := range g.jobs {
 		switch {
 		case p.awaitingDispatcher:
-			p.untried = g.opts.Router.Targets(p.job.ID)
+			g.tryAll(p)
 			g.placeNew(p)
 		case p.claim.asking:
 			g.askAgain(p)
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -111,7 +111,9 @@
 	sent    []Target
 }
 
-func (r *peers) Targets(work.JobID) []Target {
+func (r *peers) Immediate(*work.Job) []Target { return nil }
+
+func (r *peers) Targets(*work.Job) []Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.targets
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -31,7 +31,7 @@
 	g.opts.Metrics.Followed.Add(1)
 	p.leave(movedFollows)
 	p.shared = &shared{at: at, learned: time.Now()}
-	p.target, p.untried, p.knowledge = Target{at.Zone, at.Partition}, nil, at.Knowledge
+	p.target, p.untried, p.startOnly, p.knowledge = Target{at.Zone, at.Partition}, nil, false, at.Knowledge
 	g.submitShared(p)
 }
 
@@ -65,7 +65,7 @@
 	switch {
 	case at == nil:
 		p.shared, p.knowledge = nil, 0
-		p.untried = g.opts.Router.Targets(p.job.ID)
+		g.tryAll(p)
 		g.placeOrRefuse(p)
 	case moved:
 		g.follow(p, *at)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -118,7 +118,7 @@
 		{Name: "homes_asked", Var: &m.Claims}, {Name: "homes_unanswered", Var: &m.Unanswered}, {Name: "jobs_followed", Var: &m.Followed},
 		{Name: "response_ms", Var: m.ResponseMS},
 		{Name: "requests_active", Var: gauge(func() int64 { return int64(n.gateway.Active()) })},
-		{Name: "runs_ordered", Var: &c.Starts}, {Name: "jobs_refused", Var: &c.Refused},
+		{Name: "runs_ordered", Var: &c.Starts}, {Name: "jobs_refused", Var: &c.Refused}, {Name: "jobs_passed_on", Var: &c.WouldWait},
 		{Name: "starts_unanswered", Var: &c.UnansweredStarts}, {Name: "runs_stalled", Var: &c.Stalled},
 		{Name: "runs_found", Var: &c.FoundRuns}, {Name: "runs_stopped", Var: &c.StoppedRuns},
 		{Name: "runs_without_success", Var: &c.UnsuccessfulRuns}, {Name: "endpoint_crashes", Var: &c.Crashes},
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -55,22 +56,27 @@
 	r.uplink.Cancel(c) // a cancellation can always be encoded
 }
 
+// Immediate implements gateway.Router.
+func (r *router) Immediate(job *work.Job) []gateway.Target {
+	return immediateTargets(demandOf(job), r.load(r.ownZone))
+}
+
 // Targets implements gateway.Router.
-func (r *router) Targets(id work.JobID) []gateway.Target {
+func (r *router) Targets(job *work.Job) []gateway.Target {
 	var others []zoneLoad
 	for _, zone := range r.others {
 		others = append(others, r.load(zone))
 	}
-	return targetsOf(id, r.load(r.ownZone), others)
+	return waitingTargets(demandOf(job), r.load(r.ownZone), others, rand.Float64)
 }
 
-// load returns the load of a zone, with unknownPressure for the partitions whose pressure is not known.
+// load returns the load of a zone, with unknownPressure for the partitions whose load is not known.
 func (r *router) load(zone string) zoneLoad {
-	l := zoneLoad{zone, make([]int, r.divisions.Partitions(zone))}
-	for part := range l.pressure {
-		l.pressure[part] = unknownPressure
-		if pressure, ok := r.pressure(gateway.Target{Zone: zone, Partition: part}); ok {
-			l.pressure[part] = pressure
+	l := zoneLoad{zone, make([]relay.Load, r.divisions.Partitions(zone))}
+	for part := range l.loads {
+		l.loads[part] = relay.Load{Pressure: unknownPressure}
+		if load, ok := r.lastLoad(gateway.Target{Zone: zone, Partition: part}); ok {
+			l.loads[part] = load
 		}
 	}
 	return l
@@ -87,12 +93,17 @@
 
 // pressure returns the last known pressure of a dispatcher in percent. ok is false while none is known.
 func (r *router) pressure(t gateway.Target) (pressure int, ok bool) {
+	load, ok := r.lastLoad(t)
+	return load.Pressure, ok
+}
+
+// lastLoad returns the last known load of a dispatcher. ok is false while none is known.
+func (r *router) lastLoad(t gateway.Target) (load relay.Load, ok bool) {
 	address := r.dispatcher(t.Zone, t.Partition)
 	if address == r.address {
-		return r.shards.lastPressure(t.Partition)
+		return r.shards.lastLoad(t.Partition)
 	}
-	load, ok := r.loadAt(address, t.Partition)
-	return load.Pressure, ok
+	return r.loadAt(address, t.Partition)
 }
 
 // loadAt returns the last known load of a partition's dispatcher at the address of another instance. ok is false while none is known.
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -153,14 +153,14 @@
 	return false
 }
 
-// lastPressure returns the last known pressure of a partition in percent. ok is false if this instance does not dispatch for it. It
-// does not wait for the shard.
-func (s *shards) lastPressure(part int) (pressure int, ok bool) {
+// lastLoad returns the last known load of a partition. ok is false if this instance does not dispatch for it. It does not wait for the
+// shard.
+func (s *shards) lastLoad(part int) (load relay.Load, ok bool) {
 	x := s.get(part)
 	if x == nil || !x.Leading() {
-		return 0, false
+		return relay.Load{}, false
 	}
-	return x.LastPressure(), true
+	return x.LastLoad(), true
 }
 
 // applyRegistrations applies a read of the registrations, after which those in removed have ended, to all shards.
@@ -233,7 +233,7 @@
 	var loads []relay.Load
 	for part := range division.MaxPartitions {
 		if x := s.get(part); x != nil && x.Leading() {
-			loads = append(loads, relay.Load{Partition: part, Pressure: x.Pressure(), Knowledge: x.Knowledge()})
+			loads = append(loads, x.Load())
 		}
 	}
 	return loads
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -105,7 +105,7 @@
 	is.True(local.submit(&relay.Submit{Job: work.Job{ID: "y", Steps: []work.Step{{Count: 1}}}}))
 	local.Cancel(&relay.Cancel{Job: "y"})
 	is.True(n.leading(0))
-	_, known := n.lastPressure(0)
+	_, known := n.lastLoad(0)
 	is.True(known)
 	go n.reconcile() // waits for the shard
 	for range maxLocalRequests + 1 {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -60,6 +60,9 @@
 	Earlier time.Duration `msgpack:"y,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
+	// StartOnly asks to refuse the job with pool.ReasonWouldWait unless all its tasks that are ready can start at once. Instances of earlier
+	// versions do not know it and decide as without it.
+	StartOnly bool `msgpack:"z,omitempty"`
 	// Claims tells what the submission is as a claim; NoClaim if the dispatcher is not the job's home.
 	Claims ClaimMode `msgpack:"k,omitempty"`
 	// Composed is when the message was composed, on the sender's clock; 0 from an instance of an earlier version.
@@ -114,15 +117,8 @@
 	Claim bool `msgpack:"c,omitempty"`
 	// Placed is where another request has placed the job. It is set in the answer to a claim, or with pool.ReasonPlacedElsewhere.
 	Placed *Placement `msgpack:"l,omitempty"`
-}
-
-// Load is the load of the dispatcher of one partition.
-type Load struct {
-	Partition int `msgpack:"p"`
-	// Pressure is the capacity that running and waiting tasks request, in percent of the total capacity.
-	Pressure int `msgpack:"l"`
-	// Knowledge identifies the dispatcher and its term among all.
-	Knowledge uint64 `msgpack:"e,omitempty"`
+	// Load is the load of the dispatcher when it answered; nil from instances of earlier versions.
+	Load *Load `msgpack:"d,omitempty"`
 }
 
 // heartbeat is sent at an interval, so that the peer can detect that the process is alive. A dispatcher's heartbeat
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -255,6 +255,7 @@
 	return l.receive(func(message any) {
 		switch m := message.(type) {
 		case *Answer:
+			u.noteLoad(m.Load)
 			h.Answer(m)
 		case *StoredReply:
 			h.Stored(m)
@@ -270,6 +271,7 @@
 // passed to Handler.End.
 func (u *Uplink) Submit(s *Submit) error {
 	s.Composed = pause.Elapsed()
+	u.noteSent(s)
 	return u.send(s)
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -71,8 +71,8 @@
 // Shard is the dispatcher of one partition. Its methods may be called concurrently.
 type Shard struct {
 	opts     Options
-	leads    atomic.Bool  // mirrors leading
-	pressure atomic.Int64 // as last calculated, in percent
+	leads    atomic.Bool                // mirrors leading
+	lastLoad atomic.Pointer[relay.Load] // as last calculated
 	// knowledge identifies this dispatcher and its term among all: what it knows of runs begins anew with each term. It is not 0.
 	knowledge atomic.Uint64
 	checked   atomic.Int64 // end of the last periodic checks, on the clock of Options.Now in nanoseconds
@@ -249,6 +249,8 @@
 	case s.hasNewerSubmitter(client, m.Job.ID):
 		s.logVerdict(client, m, pool.Verdict{Reason: pool.ReasonSuperseded}, true)
 		client.Answer(&relay.Answer{Job: m.Job.ID, Refused: pool.ReasonNotLeader, Started: true})
+	case m.StartOnly && !s.startsNow(m):
+		s.refuseToQueue(client, m)
 	default:
 		s.decide(client, m)
 	}
@@ -306,7 +308,7 @@
 func (s *Shard) refuse(client *submitter, m *relay.Submit, v pool.Verdict) {
 	s.logVerdict(client, m, v, s.pool.HasJob(m.Job.ID))
 	s.opts.Counts.Refused.Add(1)
-	client.Answer(s.refusal(m.Job.ID, v.Reason, v.RetryAfter))
+	s.answer(client, s.refusal(m.Job.ID, v.Reason, v.RetryAfter))
 }
 
 // refusal returns the refusal of a job by a dispatcher that leads. It tells whether the dispatcher knows of runs of the job.
@@ -388,7 +390,7 @@
 		if clients == nil && !s.pool.HasJob(o.Job) {
 			continue // the end of another task has ended the job already
 		}
-		clients.answer(answerOf(o))
+		clients.answer(s.withLoad(answerOf(o)))
 		s.logEnd(o)
 		s.abandon(o.Job, stopJobEnded)
 	}
@@ -434,28 +436,12 @@
 func (s *Shard) Pressure() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.updatePressure()
+	return s.pool.Pressure()
 }
 
 // Knowledge identifies this dispatcher and its term among all. It does not wait for the shard's lock.
 func (s *Shard) Knowledge() uint64 { return s.knowledge.Load() }
 
-// LastPressure is like Pressure but does not wait for the shard's lock: while it is taken, the pressure is that of the last call.
-func (s *Shard) LastPressure() int {
-	if !s.mu.TryLock() {
-		return int(s.pressure.Load())
-	}
-	defer s.mu.Unlock()
-	return s.updatePressure()
-}
-
-// updatePressure calculates the pressure. s.mu is held.
-func (s *Shard) updatePressure() int {
-	now := s.pool.Pressure()
-	s.pressure.Store(int64(now))
-	return now
-}
-
 // FoundJobs returns the jobs of the runs of earlier dispatchers that this one has found and nobody waits for. While the shard's lock is taken
 // it returns none.
 func (s *Shard) FoundJobs() []work.JobID {
