--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -73,7 +73,11 @@
 
 func (r *router) Targets(*work.Job) []Target { return r.targets }
 
-func (r *router) Immediate(*work.Job) []Target { return r.immediate }
+func (r *router) Immediate(*work.Job) []Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.immediate
+}
 
 func (r *router) Submit(to Target, s *relay.Submit) (Route, bool) {
 	r.mu.Lock()
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -49,8 +49,8 @@
 }
 
 // immediateTargets returns the partitions of the instance's zone that seem to be able to start a job at once: of the two partitions that
-// its ID selects the one with the larger free share first, then the best of the others. It returns none if there is only one, since the
-// job starts there in any case, and those of nearbyTargets if there is none.
+// its ID selects the one with the larger free share first, then the best of the others. It returns none in a zone with one
+// partition, where there is no choice, and those of nearbyTargets if no partition seems to be able to start the job.
 //
 // Some partitions of a zone are full for the length of a few tasks while others have capacity, whatever the zone's demand: at the crests of
 // carrera-andina-grown, two thirds of the jobs that waited at one partition would have started at another one of their zone
@@ -65,10 +65,10 @@
 	}
 	own.sortByFree(extra)
 	parts = slices.DeleteFunc(append(parts, extra...), func(part int) bool { return !startsAtOnce(own.loads[part], d) })
-	switch len(parts) {
-	case 0:
+	switch {
+	case len(parts) == 0:
 		return nearbyTargets(d, own, others, random)
-	case 1:
+	case len(own.loads) == 1:
 		return nil
 	}
 	return own.targets(parts[:min(len(parts), maxImmediate)])
