--- a/internal/node/replay_test.go
+++ b/internal/node/replay_test.go
@@ -247,7 +247,11 @@
 // byOffers is the present choice: offers first, then a place in a queue.
 func byOffers(r *replay, x *replayInstance, job *work.Job) (gateway.Target, bool) {
 	d := demandOf(job)
-	for _, at := range immediateTargets(d, x.zoneLoad(x.zone), r.others(x), r.chance.Float64) {
+	offers := immediateTargets(d, x.zoneLoad(x.zone))
+	if likelyLate(d, x.zoneLoad(x.zone)) {
+		offers = nearbyTargets(d, r.others(x), r.chance.Float64)
+	}
+	for _, at := range offers {
 		if !r.reaches(x.zone, at) {
 			continue
 		}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -58,7 +58,11 @@
 
 // Immediate implements gateway.Router.
 func (r *router) Immediate(job *work.Job) []gateway.Target {
-	return immediateTargets(demandOf(job), r.load(r.ownZone), r.otherLoads(), rand.Float64)
+	d, own := demandOf(job), r.load(r.ownZone)
+	if likelyLate(d, own) {
+		return nearbyTargets(d, r.otherLoads(), rand.Float64)
+	}
+	return immediateTargets(d, own)
 }
 
 // Targets implements gateway.Router.
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -50,12 +50,15 @@
 
 // immediateTargets returns the partitions of the instance's zone that seem to be able to start a job at once: of the two partitions that
 // its ID selects the one with the larger free share first, then the best of the others. It returns none in a zone with one
-// partition, where there is no choice, and those of nearbyTargets if no partition seems to be able to start the job.
+// partition, where there is no choice.
 //
 // Some partitions of a zone are full for the length of a few tasks while others have capacity, whatever the zone's demand: at the crests of
 // carrera-andina-grown, two thirds of the jobs that waited at one partition would have started at another one of their zone
 // (docs/design/zone-overflow.md). Reports are older than a short task is long, so the partition itself decides.
-func immediateTargets(d demand, own zoneLoad, others []zoneLoad, random func() float64) []gateway.Target {
+func immediateTargets(d demand, own zoneLoad) []gateway.Target {
+	if len(own.loads) == 1 {
+		return nil
+	}
 	parts := own.preferred(d.id)
 	var extra []int
 	for part := range own.loads {
@@ -65,23 +68,23 @@
 	}
 	own.sortByFree(extra)
 	parts = slices.DeleteFunc(append(parts, extra...), func(part int) bool { return !startsAtOnce(own.loads[part], d) })
-	switch {
-	case len(parts) == 0:
-		return nearbyTargets(d, own, others, random)
-	case len(own.loads) == 1:
-		return nil
-	}
 	return own.targets(parts[:min(len(parts), maxImmediate)])
 }
 
-// nearbyTargets returns a partition of another zone that seems to be able to start a job at once, if the job's own zone is likely to make it
-// late. At the crests of both deployments 30 % of the short jobs that were to wait for half of their slack and more were late.
-func nearbyTargets(d demand, own zoneLoad, others []zoneLoad, random func() float64) []gateway.Target {
+// likelyLate reports whether a job is likely to be late in its own zone. At the crests of both deployments 30 % of the short jobs that were to
+// wait for half of their slack and more were late.
+func likelyLate(d demand, own zoneLoad) bool {
 	for _, l := range own.loads {
 		if expectedWait(l, d) <= time.Duration(homeShare*float64(d.slack)) {
-			return nil
+			return false
 		}
 	}
+	return true
+}
+
+// nearbyTargets returns a partition of another zone that seems to be able to start a job at once, for a job that is likely to be late in its
+// own zone.
+func nearbyTargets(d demand, others []zoneLoad, random func() float64) []gateway.Target {
 	ready, _ := candidates(d, others)
 	return targetsOf(shuffled(ready, random)[:min(len(ready), 1)])
 }
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -58,7 +58,7 @@
 		own := pressures("north", make([]int, n)...)
 		waiting := waitingTargets(requests(8), own, []zoneLoad{pressures("south", make([]int, n)...)}, rand.Float64)
 		is.Equal(len(waiting), min(n, maxWaitingTries)+1)
-		immediate := immediateTargets(requests(8), own, nil, rand.Float64)
+		immediate := immediateTargets(requests(8), own)
 		if n == 1 {
 			is.Equal(len(immediate), 0) // there is no choice
 		} else {
@@ -82,9 +82,9 @@
 	free := []int{2, 2, 2, 2}
 	other, third := (first+1)%4, (first+3)%4
 	free[other], free[third] = 30, 20
-	is.Equal(immediateTargets(requests(10), headrooms("north", free...), nil, rand.Float64),
+	is.Equal(immediateTargets(requests(10), headrooms("north", free...)),
 		[]gateway.Target{{Zone: "north", Partition: other}, {Zone: "north", Partition: third}})
-	is.Equal(len(immediateTargets(requests(10), headrooms("north", 2, 2, 2, 2), nil, rand.Float64)), 0)
+	is.Equal(len(immediateTargets(requests(10), headrooms("north", 2, 2, 2, 2))), 0)
 }
 
 // Guards against a change of the first choice below the crest: of the two preferred partitions the one with the larger free share.
@@ -93,7 +93,7 @@
 	first := shard.PartitionOf(string(testJob), 4)
 	free := []int{90, 90, 90, 90}
 	free[first], free[(first+2)%4] = 60, 70
-	is.Equal(immediateTargets(requests(10), headrooms("north", free...), nil, rand.Float64)[0], gateway.Target{Zone: "north", Partition: (first + 2) % 4})
+	is.Equal(immediateTargets(requests(10), headrooms("north", free...))[0], gateway.Target{Zone: "north", Partition: (first + 2) % 4})
 }
 
 // Guards against placing a job in the longest queue of its zone, and against trying partitions where it cannot be in time.
@@ -116,7 +116,8 @@
 	is := is.New(t)
 	south := []zoneLoad{headrooms("south", 5, 40)}
 	soon, late := headrooms("north", -90, -30), headrooms("north", -90, -50)
-	is.Equal(len(immediateTargets(requests(10), soon, south, rand.Float64)), 0)
-	is.Equal(immediateTargets(requests(10), late, south, rand.Float64), []gateway.Target{{Zone: "south", Partition: 1}})
-	is.Equal(len(immediateTargets(requests(10), late, []zoneLoad{headrooms("south", 5, 8)}, rand.Float64)), 0)
+	is.True(!likelyLate(requests(10), soon))
+	is.True(likelyLate(requests(10), late))
+	is.Equal(nearbyTargets(requests(10), south, rand.Float64), []gateway.Target{{Zone: "south", Partition: 1}})
+	is.Equal(len(nearbyTargets(requests(10), []zoneLoad{headrooms("south", 5, 8)}, rand.Float64)), 0)
 }
