--- a/internal/gateway/evacuated.go
+++ b/internal/gateway/evacuated.go
@@ -43,13 +43,13 @@
 	}
 	p.orphaned, p.shared, p.knowledge = false, nil, 0
 	p.leave(reasonEvacuated)
-	p.untried = g.targets(p)
+	g.tryAll(p)
 	g.placeOrRefuse(p)
 }
 
 // targets returns the dispatchers to try for a job; none if all zones are evacuated.
 func (g *Gateway) targets(p *pending) []Target {
-	all := g.opts.Router.Targets(p.job.ID)
+	all := g.opts.Router.Targets(p.job)
 	if p.moved == nil {
 		return all
 	}
--- a/internal/node/evacuated_load_test.go
+++ b/internal/node/evacuated_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/gateway"
 	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -25,7 +27,7 @@
 // neighbour is a partition of a zone that takes jobs of an evacuated zone, without a network.
 type neighbour struct {
 	pool     *pool.Pool
-	reported int // pressure in the last report
+	reported relay.Load // last report
 	running  map[*pool.Run]time.Duration
 }
 
@@ -41,11 +43,15 @@
 
 // submit offers a job of two tasks and returns whether it was taken.
 func (n *neighbour) submit(id string, now time.Duration) bool {
-	v, _ := n.pool.Submit(&work.Job{
+	v, _ := n.pool.Submit(neighbourJob(id), now, now, 0)
+	return v.Accepted()
+}
+
+func neighbourJob(id string) *work.Job {
+	return &work.Job{
 		ID: work.JobID(id), Queue: "q", Service: "survey", Objective: work.Objective{Stretch: 1.6, Extra: 60 * time.Millisecond, Attempts: 2},
 		Steps: []work.Step{{Count: 2, Size: work.Size{MilliCPU: 32000, MemoryMB: 1}, Estimate: taskTime}},
-	}, now, now, 0)
-	return v.Accepted()
+	}
 }
 
 // advance ends the runs that are over and starts others.
@@ -84,9 +90,9 @@
 		for part, n := range all[zone] {
 			n.advance(now)
 			if (now+time.Duration(part)*17*time.Millisecond)%reportInterval == 0 {
-				n.reported = n.pool.Pressure()
+				n.reported = relay.NewLoad(part, n.pool.Pressure(), 1, n.pool.Headroom())
 			}
-			l.pressure = append(l.pressure, n.reported)
+			l.loads = append(l.loads, n.reported)
 		}
 		loads = append(loads, l)
 	}
@@ -122,9 +128,9 @@
 	refused   float64 // share of these jobs
 }
 
-// replay lets two zones serve their own callers, who take 57% of them, and from the first second on those of an evacuated zone, who take the
+// replayEvacuation lets two zones serve their own callers, who take 57% of them, and from the first second on those of an evacuated zone, who take the
 // rest. The evacuated zone's jobs are offered in the order that elsewhere gives.
-func replay(elsewhere func(id work.JobID, others []zoneLoad) []gateway.Target) outcome {
+func replayEvacuation(elsewhere func(id work.JobID, others []zoneLoad) []gateway.Target) outcome {
 	const step, evacuatedAt, length = time.Millisecond, time.Second, 5 * time.Second
 	all := newNeighbours()
 	steps, jobs, tries, refused, imbalance := 0, 0, 0, 0, 0
@@ -133,7 +139,7 @@
 		for i, own := range loads {
 			if now%(5*step) < 2*step { // 0.4 jobs each millisecond
 				id := fmt.Sprint(own.zone, now)
-				all.place(id, targetsOf(work.JobID(id), own, loads[1-i:2-i]), now)
+				all.place(id, waitingTargets(demandOf(neighbourJob(id)), own, loads[1-i:2-i], rand.Float64), now)
 			}
 		}
 		if now < evacuatedAt {
@@ -157,8 +163,8 @@
 func leastLoadedFirst(id work.JobID, others []zoneLoad) []gateway.Target {
 	pressure := map[gateway.Target]int{}
 	for _, o := range others {
-		for part, p := range o.pressure {
-			pressure[gateway.Target{Zone: o.zone, Partition: part}] = p
+		for part, l := range o.loads {
+			pressure[gateway.Target{Zone: o.zone, Partition: part}] = l.Pressure
 		}
 	}
 	targets := targetsElsewhere(id, others)
@@ -170,7 +176,7 @@
 // and leaves room unused, and against refusals while the neighbours have room.
 func TestNeighboursShareTheLoadOfAnEvacuatedZone(t *testing.T) {
 	is := is.New(t)
-	spread, herd := replay(targetsElsewhere), replay(leastLoadedFirst)
+	spread, herd := replayEvacuation(targetsElsewhere), replayEvacuation(leastLoadedFirst)
 	t.Logf("spread: %+v, least loaded first: %+v", spread, herd)
 	is.True(spread.imbalance < 0.9*herd.imbalance)
 	is.True(spread.tries < herd.tries)
--- a/internal/node/hosts_test.go
+++ b/internal/node/hosts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/savorypass/savorypass/internal/evacuation"
 	"github.com/savorypass/savorypass/internal/lead"
+	"github.com/savorypass/savorypass/internal/work"
 )
 
 // Guards against callers of an evacuated zone that is cut off, too, who wait for the whole placement timeout before each refusal, and against
@@ -31,13 +32,13 @@
 	r := routerOf(lead.New(lead.Options{Log: silentLog()}))
 	r.evacuations = evacuation.New(evacuation.Options{Zones: []string{"north", "south"}, Now: func() time.Duration { return 0 }})
 	r.hosts.note(false, time.Now().Add(-2*maxHostSearch))
-	is.True(len(r.Targets("j")) > 0)
+	is.True(len(r.Targets(&work.Job{ID: "j"})) > 0)
 	r.checkHosts()
 	r.evacuations.Apply(evacuation.Read{Records: []evacuation.Record{{Zone: "north", Present: true}}})
-	is.True(len(r.Targets("j")) > 0)
+	is.True(len(r.Targets(&work.Job{ID: "j"})) > 0)
 	r.checkHosts()
-	is.True(len(r.Targets("j")) > 0)
+	is.True(len(r.Targets(&work.Job{ID: "j"})) > 0)
 	r.hosts.note(true, time.Now())
 	r.hosts.note(false, time.Now().Add(-2*maxHostSearch))
-	is.Equal(len(r.Targets("j")), 0)
+	is.Equal(len(r.Targets(&work.Job{ID: "j"})), 0)
 }
--- a/internal/node/targets_elsewhere.go
+++ b/internal/node/targets_elsewhere.go
@@ -12,8 +12,8 @@
 	// maxElsewhere is the number of dispatchers of other zones that are tried for a job whose own zone is evacuated, as many as for a job in
 	// three zones otherwise. Each try costs a message to another zone.
 	maxElsewhere = 6
-	// minRoom is the room, in percent, that is assumed for a dispatcher that is full or more: its pressure may have fallen since its report.
-	minRoom = 5
+	// minRoom is the free share that is assumed for a dispatcher that is full or more: its load may have fallen since its report.
+	minRoom = 0.05
 )
 
 // targetsElsewhere returns the dispatchers to try for a new job of an evacuated zone, in order. The jobs are divided among the partitions of
@@ -23,10 +23,10 @@
 	var all []gateway.Target
 	var weighted []spread.Target
 	for _, other := range others {
-		for part, pressure := range other.pressure {
+		for part, load := range other.loads {
 			all = append(all, gateway.Target{Zone: other.zone, Partition: part})
 			weighted = append(weighted, spread.Target{
-				Name: other.zone + "/" + strconv.Itoa(part), Weight: float64(max(fullPressure-pressure, minRoom)),
+				Name: other.zone + "/" + strconv.Itoa(part), Weight: max(freeShare(load), minRoom),
 			})
 		}
 	}
--- a/internal/node/targets_elsewhere_test.go
+++ b/internal/node/targets_elsewhere_test.go
@@ -18,7 +18,7 @@
 // against ones that go to a full neighbour while another has room.
 func TestEvacuatedLoadIsSpread(t *testing.T) {
 	is := is.New(t)
-	others := []zoneLoad{{"south", []int{40, 40}}, {"west", []int{70, 100}}}
+	others := []zoneLoad{pressures("south", 40, 40), pressures("west", 70, 100)}
 	first := map[string]int{}
 	const jobs = 10000
 	for n := range jobs {
@@ -26,16 +26,16 @@
 		is.Equal(len(targets), 4)
 		first[targets[0].Zone]++
 	}
-	room := 60.0 + 60 + 30 + minRoom
-	is.True(math.Abs(float64(first["south"])/jobs-120/room) < 0.02)
-	is.True(math.Abs(float64(first["west"])/jobs-(30+minRoom)/room) < 0.02)
+	room := 0.6 + 0.6 + 0.3 + minRoom
+	is.True(math.Abs(float64(first["south"])/jobs-1.2/room) < 0.02)
+	is.True(math.Abs(float64(first["west"])/jobs-(0.3+minRoom)/room) < 0.02)
 }
 
 // Guards against trying more dispatchers than intended, which costs messages between zones.
 func TestTargetsElsewhereAreBounded(t *testing.T) {
 	is := is.New(t)
-	full := make([]int, division.MaxPartitions)
-	is.Equal(len(targetsElsewhere("j", []zoneLoad{{"south", full}, {"west", full}})), maxElsewhere)
+	idle := make([]int, division.MaxPartitions)
+	is.Equal(len(targetsElsewhere("j", []zoneLoad{pressures("south", idle...), pressures("west", idle...)})), maxElsewhere)
 	is.Equal(len(targetsElsewhere("j", nil)), 0)
 }
 
@@ -47,7 +47,7 @@
 	r.evacuations = evacuation.New(evacuation.Options{Zones: []string{"north", "south", "west"}, Now: func() time.Duration { return 0 }})
 	zones := func() map[string]bool {
 		found := map[string]bool{}
-		for _, target := range r.Targets("j") {
+		for _, target := range r.Targets(&work.Job{ID: "j"}) {
 			found[target.Zone] = true
 		}
 		return found
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -7,6 +7,7 @@
 	Starts           metric.Counter    // runs ordered
 	Refused          metric.Counter    // jobs that were refused
 	GivenBack        metric.Counter    // accepted jobs that were given back before they started
+	WouldWait        metric.Counter    // jobs that could not start at once and were not to wait here
 	UnansweredStarts metric.Counter    // start requests that got no answer
 	Stalled          metric.Counter    // runs stopped for lack of progress
 	UnsuccessfulRuns metric.Counter    // runs that ended without success
