--- a/internal/node/evacuated_load_test.go
+++ b/internal/node/evacuated_load_test.go
@@ -128,6 +128,12 @@
 	refused   float64 // share of these jobs
 }
 
+// ownTargets returns the dispatchers to which an instance of a zone offers the job of its own caller.
+func ownTargets(id string, own zoneLoad, others []zoneLoad) []gateway.Target {
+	d := demandOf(neighbourJob(id))
+	return append(immediateTargets(d, own), waitingTargets(d, own, others, rand.Float64)...)
+}
+
 // replayEvacuation lets two zones serve their own callers, who take 57% of them, and from the first second on those of an evacuated zone, who take the
 // rest. The evacuated zone's jobs are offered in the order that elsewhere gives.
 func replayEvacuation(elsewhere func(id work.JobID, others []zoneLoad) []gateway.Target) outcome {
@@ -139,7 +145,7 @@
 		for i, own := range loads {
 			if now%(5*step) < 2*step { // 0.4 jobs each millisecond
 				id := fmt.Sprint(own.zone, now)
-				all.place(id, waitingTargets(demandOf(neighbourJob(id)), own, loads[1-i:2-i], rand.Float64), now)
+				all.place(id, ownTargets(id, own, loads[1-i:2-i]), now)
 			}
 		}
 		if now < evacuatedAt {
