--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/delaycost"
 	"github.com/savorypass/savorypass/internal/follow"
 	"github.com/savorypass/savorypass/internal/shard"
@@ -71,6 +72,13 @@
 	n.log.WithFields(logrus.Fields{
 		"event": "config", "version": c.Version, "offset": r.Offset, "queues": c.QueueCount(), "in_force": inForce,
 	}).Info("configuration read")
+	if inForce {
+		n.reportInvalidPriorities(c)
+	}
+}
+
+// reportInvalidPriorities logs the queues of a configuration whose priority is out of range.
+func (n *Node) reportInvalidPriorities(c *catalog.Config) {
 	for _, q := range c.InvalidPriorities() {
 		n.log.WithFields(logrus.Fields{
 			"event": "priority_invalid", "version": c.Version, "queue": q.Name, "service": q.Service, "priority": q.Objective.Priority,
