--- a/internal/pool/delay.go
+++ b/internal/pool/delay.go
@@ -11,6 +11,9 @@
 // can no longer meet its objective and has not started yields: it starts after the jobs that still can, and is not counted as work ahead
 // of newcomers. Jobs that are expected to miss their objective here are given back while another dispatcher may still run them in time.
 
+// moveTime is the time that a job has to have left when it is given back: the way to another dispatcher takes a few milliseconds.
+const moveTime = 10 * time.Millisecond
+
 // WeighBy sets what tells whether costs of delays are weighed for a service. Without it they are not.
 func (p *Pool) WeighBy(weighs func(service string) bool) { p.weighs = weighs }
 
@@ -71,7 +74,7 @@
 		if j.Service != service || !j.hasReady() || j.yields(now) || now < j.notBefore || j.held {
 			continue
 		}
-		if !j.weighed || j.kept || !j.waits() {
+		if !j.weighed || j.kept || !j.waits() || j.latestStart < now+moveTime {
 			f.add(j)
 			continue
 		}
