Jobs wait for endpoints that report soon; repeated jobs in vain are refused at the start of a term

Change: an endpoint that was asked for its first report under a fence counts as capacity for admission until it answers or fails; it gets no run before. In the first two retransmit times of a term, jobs whose callers declare a wait that is shorter than usual in their queue by three quarters of the retransmit time, and that would end too late for any use, are refused when half of the partition is in use or waited for.

--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -27,14 +27,16 @@
 func (n *Node) newDispatchers(zone, address string, substitute bool) *dispatchers {
 	s := n.opts.Settings
 	d := &dispatchers{zone: zone, terms: make(chan lead.Term, maxTermsQueued), ledgers: newLedgers(n, zone)}
+	inUse := func() int { return n.divisions.Partitions(zone) }
 	needed := n.capacityNeeded
 	if substitute {
-		needed = func() int { return n.divisions.Partitions(zone) }
+		needed = inUse
 	}
 	d.lead = lead.New(lead.Options{
 		Store: n.store, Zone: zone, Topic: n.opts.Records.LeadersTopic, Instance: s.Instance, Address: address, Substitute: substitute,
-		TTL: s.MemberTTL, Capacity: s.Capacity(), CapacityNeeded: needed,
-		Log: n.log.WithField("zone", zone), OnChange: func(t lead.Term) { d.terms <- t },
+		TTL: s.MemberTTL, Capacity: s.Capacity(), CapacityNeeded: needed, CapacityInUse: inUse,
+		OnCandidate: func() { n.endpoints.Refresh() }, // a member needs the registrations
+		Log:         n.log.WithField("zone", zone), OnChange: func(t lead.Term) { d.terms <- t },
 		EndpointsKnown: func() bool { return n.divisions.Known() && n.directory.EndpointsKnown(n.now()) },
 	})
 	d.shards = newShards(zone, n.directory, n.started, n.history, func(partition int) *shard.Shard { return n.newShard(d, partition) })
@@ -49,7 +51,7 @@
 	readRegistrations := func() { n.endpoints.Refresh() }
 	jobs := d.ledgers.make(partition)
 	x := shard.New(shard.Options{
-		Zone: d.zone, Partition: partition, Directory: n.directory, Lease: s.RunLease(), RegistrationAge: s.RegistrationAge(),
+		Zone: d.zone, Partition: partition, Directory: n.directory, Lease: s.RunLease(), Retransmit: s.Retransmit, RegistrationAge: s.RegistrationAge(),
 		Dialer: n.opts.Dialer, Window: n.window, History: n.history,
 		OnFenced: d.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations, Counts: &n.counts,
 		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
--- a/internal/node/registrations.go
+++ b/internal/node/registrations.go
@@ -21,6 +21,9 @@
 	for _, zone := range n.opts.Settings.Zones {
 		n.divisions.Guess(zone, n.directory.Count(zone))
 	}
+	if u.Snapshot {
+		n.lead.Verify() // an instance that did not know the endpoints may join its group now
+	}
 	n.reportMissing()
 	for _, d := range n.dispatching() {
 		if d.shards.leading(anyPartition) {
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -54,7 +54,7 @@
 	f := &forecast{pool: p, at: now}
 	serves := map[work.EndpointID]bool{}
 	for _, e := range p.order {
-		if e.Service != service || !e.usable || e.Draining || e.leaseEnds || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
+		if e.Service != service || !e.counts() || e.leaseEnds || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
 			continue
 		}
 		if e.isolation.active() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,7 @@
 type endpoint struct {
 	work.Endpoint
 	usable     bool // the endpoint may get new runs: it answers and its runs are known
+	awaited    bool // see SetAwaited
 	used       work.Size
 	runs       map[work.TaskID]*Run // the runs that occupy capacity
 	unsized    int                  // number of runs whose size is not known
@@ -73,6 +74,7 @@
 	numbers   map[work.TaskID]int // highest run number of each unfinished task
 	estimates estimates
 	demand    map[string]*demand // by queue
+	waits     map[string]*waits  // by queue
 	history   *attempt.History
 	// unclaimed holds the tasks that succeeded while their job was not here, with the time of the report. They count as done
 	// when the job is submitted again after the loss of its dispatcher.
@@ -89,6 +91,7 @@
 		numbers:   map[work.TaskID]int{},
 		estimates: estimates{},
 		demand:    map[string]*demand{},
+		waits:     map[string]*waits{},
 		unclaimed: map[work.TaskID]time.Duration{},
 	}
 }
@@ -108,7 +111,7 @@
 // SetUsable sets whether an endpoint may get new runs.
 func (p *Pool) SetUsable(id work.EndpointID, usable bool) {
 	if e, ok := p.endpoints[id]; ok {
-		e.usable = usable
+		e.usable, e.awaited = usable, false
 	}
 }
 
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -20,7 +20,9 @@
 	ReasonExpired       Reason = "expired"     // the submission waited for longer than its caller does
 	// ReasonPlacedElsewhere refuses a submission by the home of the job: another request has placed the job at another dispatcher.
 	ReasonPlacedElsewhere Reason = "placed_elsewhere"
-	ReasonSuperseded      Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
+	// ReasonRepeated refuses a job that its caller has sent before and that would end too late to be of use, see RepeatedInVain.
+	ReasonRepeated   Reason = "repeated"
+	ReasonSuperseded Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
 )
 
 // Verdict is the decision on a submission, with the figures that it rests on.
@@ -143,7 +145,7 @@
 	const noEndpoint = 1000
 	total, wanted := 0, 0
 	for _, e := range p.order {
-		if e.usable && !e.Draining {
+		if e.counts() {
 			total += e.Size.MilliCPU
 			wanted += e.used.MilliCPU
 		}
@@ -166,7 +168,7 @@
 func (p *Pool) capacity(j *job) (Reason, work.Size) {
 	var total work.Size
 	for _, e := range p.order {
-		if e.Service == j.Service && e.usable && !e.Draining {
+		if e.Service == j.Service && e.counts() {
 			total = total.Plus(e.Size)
 		}
 	}
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -6,6 +6,7 @@
 type Counts struct {
 	Starts           metric.Counter    // runs ordered
 	Refused          metric.Counter    // jobs that were refused
+	RepeatedInVain   metric.Counter    // of these, jobs that their callers had sent before, too long ago
 	UnansweredStarts metric.Counter    // start requests that got no answer
 	Stalled          metric.Counter    // runs stopped for lack of progress
 	UnsuccessfulRuns metric.Counter    // runs that ended without success
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -50,7 +50,7 @@
 	}
 	x.reported = true
 	x.updateLease(now)
-	s.pool.SetUsable(x.endpoint.ID, x.usable())
+	x.updateUsable()
 }
 
 // noteFence records a report to a request with a fence.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -52,6 +52,8 @@
 	Dialer          work.Dialer
 	// History holds the unsuccessful runs of tasks. All shards of an instance share it, and it outlives their terms.
 	History *attempt.History
+	// Retransmit is the time after which a caller without an answer sends its job again; 0 if unknown.
+	Retransmit time.Duration
 	// Window limits the start requests in flight. All shards of an instance share it, since they share its link.
 	Window *congestion.Window
 	// OnFenced is called when an endpoint refuses a request because it has seen a higher fence than this instance's.
@@ -80,6 +82,7 @@
 	mu              sync.Mutex
 	leading         bool
 	fenceStart      time.Duration // when this dispatcher began to use the current fence
+	began           time.Duration // when the term began
 	settled         bool          // see settle
 	term            Term
 	registrations   knowledge
@@ -170,10 +173,11 @@
 			s.opts.Log.WithFields(logrus.Fields{"event": "endpoint", "endpoint": e.ID, "draining": e.Draining}).Info("registration changed")
 		}
 		x.endpoint, x.registered = e, true
-		s.pool.SetUsable(e.ID, x.usable())
+		x.updateUsable()
 		return
 	}
 	s.begin(newSession(s, e))
+	s.sessions[e.ID].updateUsable()
 }
 
 // begin makes a session that of its endpoint and begins to poll.
@@ -268,6 +272,11 @@
 	known := s.pool.HasJob(job.ID)
 	last := s.lastOrder(m, now)
 	arrived := now - m.Age() - m.Waited
+	if s.repeatedInVain(m, arrived, now) {
+		s.opts.Counts.RepeatedInVain.Add(1)
+		s.refuse(client, m, pool.Verdict{Reason: pool.ReasonRepeated, RetryAfter: time.Second})
+		return
+	}
 	orders := period{arrived - m.Earlier, last, m.Shared}
 	verdict, outcomes := s.pool.Submit(job, now, arrived, s.notBefore(s.resumes(m), orders, now))
 	if !verdict.Accepted() {
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -61,6 +61,7 @@
 	}
 	s.term = t
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
+	s.began = s.fenceStart
 	s.checked.Store(int64(s.fenceStart))
 	s.startsWait = false
 	s.registrations = s.opts.Directory.knowledge() // before the registrations themselves, which may be newer
@@ -88,8 +89,8 @@
 	s.holdStored()
 	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions)}).
 		Info("dispatching for the partition continues with a higher fence")
-	for id, x := range s.sessions {
-		s.pool.SetUsable(id, x.usable())
+	for _, x := range s.sessions {
+		x.updateUsable()
 		go x.requestReport()
 	}
 }
