Dial again sooner after the start, and at once after a connection was closed as unused

Change: 50 ms in the first half second of the process; a connection that this instance has closed as unused counts as no failure.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 	n.router = &router{
 		ownZone: s.Zone, others: otherZones(s), address: s.RelayAddress(), lead: n.lead, shards: n.shards, divisions: n.divisions,
 		meter: o.Meter, log: o.Log, local: newLocalRoute(n.shards), routes: map[string]*uplinkRoute{}, failed: map[string]time.Time{},
-		request: rand.Uint64() | 1,
+		request: rand.Uint64() | 1, started: n.started,
 	}
 	n.router.stored, n.stored.router = n.stored, n.router
 	n.metrics.ResponseMS = metric.NewMillisecondQuantiles()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -37,6 +37,7 @@
 	log       logrus.FieldLogger
 	local     *localRoute
 	stored    *storedJobs // set before use
+	started   time.Time   // when this process started
 	request   uint64      // stands for the unknown requests of jobs whose runs this instance has found; not 0
 
 	mu     sync.Mutex
@@ -48,6 +49,7 @@
 type uplinkRoute struct {
 	uplink *relay.Uplink
 	zone   string // zone of the dispatcher when the connection was opened
+	unused bool   // this instance has closed the connection; guarded by router.mu
 }
 
 // Cancel implements gateway.Route.
@@ -215,14 +217,14 @@
 }
 
 // routeTo returns the route to an address of a zone and opens a connection if there is none. It returns nil if the last
-// connection to the address ended less than redialDelay ago.
+// connection to the address ended less than redialPause ago.
 func (r *router) routeTo(address, zone string) *uplinkRoute {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if route := r.routes[address]; route != nil {
 		return route
 	}
-	if time.Since(r.failed[address]) < redialDelay {
+	if time.Since(r.failed[address]) < r.redialPause() {
 		return nil
 	}
 	route := &uplinkRoute{zone: zone}
@@ -253,7 +255,9 @@
 	if r.routes[address] == route {
 		delete(r.routes, address)
 	}
-	r.failed[address] = time.Now()
+	if !route.unused {
+		r.failed[address] = time.Now()
+	}
 	r.mu.Unlock()
 	r.log.WithFields(logrus.Fields{"event": "dispatcher_lost", "address": address, "connected": sent}).
 		WithError(err).Warn("connection to a dispatcher ended")
@@ -328,6 +332,7 @@
 	defer r.mu.Unlock()
 	for address, route := range r.routes {
 		if !used[address] {
+			route.unused = true
 			go route.uplink.Close() // when the connection has ended, the jobs that were sent over it are submitted again
 		}
 	}
