--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -139,8 +139,8 @@
 	return max(j.latestStart, now)+j.expected <= resumed.notBefore
 }
 
-// Pressure returns the processors that are in use or waited for, in percent of those of the usable endpoints. Without a
-// usable endpoint it returns 1000.
+// Pressure returns the processors that are in use or waited for, in percent of those of the endpoints that are usable or awaited. Without
+// such an endpoint it returns 1000.
 func (p *Pool) Pressure() int {
 	const noEndpoint = 1000
 	total, wanted := 0, 0
@@ -164,7 +164,7 @@
 }
 
 // capacity checks that each step of a job fits on some endpoint. It returns the reason if not, and the total size of the
-// usable endpoints of the job's service.
+// endpoints of the job's service that are usable or awaited.
 func (p *Pool) capacity(j *job) (Reason, work.Size) {
 	var total work.Size
 	for _, e := range p.order {
