Dispatchers that give a job back name its tasks that are done

Cause: when a partition moves, a job of which a task had ended waits at the successor until all leases have ended (1.28 s in the first 8 s of a process), and that task runs again: its end was acknowledged by the earlier dispatcher.

Change: the answer that ends a term carries the tasks that have succeeded, the next submission passes them on, and the successor counts them. Older versions leave the lists out.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,7 @@
 	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
 	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
 	knowledge          uint64                 // relay.Submit.Knowledge
+	done               []work.TaskID          // relay.Submit.Done
 	awaitingDispatcher bool                   // no dispatcher could be reached yet
 	cancelled          bool                   // the caller has cancelled the job
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -85,7 +85,7 @@
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
-		Attempts: g.opts.Attempts(p.job.ID),
+		Attempts: g.opts.Attempts(p.job.ID), Done: p.done,
 	}
 	if p.shared != nil {
 		m.Shared, m.Earlier = !p.shared.found(), p.shared.earlier(p.arrived)
@@ -120,6 +120,7 @@
 		g.answerJob(p, 200, a.State)
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
+		p.done = append(p.done, a.Done...)
 		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
 		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -60,6 +60,8 @@
 	Earlier time.Duration `msgpack:"y,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
+	// Done are the tasks of the job that have succeeded, as dispatchers have said that gave it back.
+	Done []work.TaskID `msgpack:"d,omitempty"`
 	// Claims tells what the submission is as a claim; NoClaim if the dispatcher is not the job's home.
 	Claims ClaimMode `msgpack:"k,omitempty"`
 	// Composed is when the message was composed, on the sender's clock; 0 from an instance of an earlier version.
@@ -110,6 +112,8 @@
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
 	GaveUp bool `msgpack:"g,omitempty"`
+	// Done are the tasks of the job that have succeeded, from a dispatcher whose term has ended.
+	Done []work.TaskID `msgpack:"d,omitempty"`
 	// Claim means that the answer is one to a claim.
 	Claim bool `msgpack:"c,omitempty"`
 	// Placed is where another request has placed the job. It is set in the answer to a claim, or with pool.ReasonPlacedElsewhere.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -270,6 +270,7 @@
 	job, now := &m.Job, s.opts.Now()
 	s.opts.History.Merge(m.Attempts, now)
 	known := s.pool.HasJob(job.ID)
+	s.noteDone(m, known, now)
 	last := s.lastOrder(m, now)
 	arrived := now - m.Age() - m.Waited
 	if s.repeatedInVain(m, arrived, now) {
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -117,7 +117,7 @@
 	s.endedFence, s.endedAt = max(s.endedFence, s.term.Fence), s.opts.Now()
 	s.cancel()
 	for id, clients := range s.clients {
-		clients.answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id)})
+		clients.answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id), Done: s.pool.DoneTasks(id)})
 	}
 	for _, x := range s.sessions {
 		s.opts.Window.Forget(x.path)
