--- a/internal/gateway/evacuated.go
+++ b/internal/gateway/evacuated.go
@@ -7,7 +7,6 @@
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
-	"github.com/savorypass/savorypass/internal/work"
 )
 
 const (
@@ -22,7 +21,6 @@
 	zones      []string      // that have given it back; this instance may not know yet that they are evacuated
 	refusal    *relay.Answer // the last one
 	inProgress bool          // tasks of the job have run
-	succeeded  []work.TaskID // those that need not run again
 	attempts   []attempt.Attempt
 }
 
@@ -39,7 +37,7 @@
 	m.at, m.refusal = time.Now(), a
 	m.zones = append(m.zones, p.target.Zone)
 	if a.HandedOver {
-		m.inProgress, m.succeeded, m.attempts = true, a.Succeeded, a.Attempts // of all dispatchers so far
+		m.inProgress, m.attempts, p.succeeded = true, a.Attempts, a.Succeeded // of all dispatchers so far
 	}
 	p.orphaned, p.shared, p.knowledge = false, nil, 0
 	p.leave(reasonEvacuated)
@@ -67,14 +65,6 @@
 // inProgress reports whether tasks of a job that no dispatcher holds have run.
 func (p *pending) inProgress() bool { return p.moved != nil && p.moved.inProgress }
 
-// succeeded returns the tasks of a job that need not run again.
-func (p *pending) succeeded() []work.TaskID {
-	if p.moved == nil {
-		return nil
-	}
-	return p.moved.succeeded
-}
-
 // attempts returns the known unsuccessful runs of a job's tasks. Those that came with the job may not have reached this instance otherwise yet;
 // its next dispatcher counts one that is listed twice once.
 func (g *Gateway) attempts(p *pending) []attempt.Attempt {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -94,7 +94,7 @@
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
-		Attempts: g.attempts(p), InProgress: p.inProgress(), Succeeded: p.succeeded(),
+		Attempts: g.attempts(p), InProgress: p.inProgress(), Succeeded: p.succeeded,
 	}
 	m.StartOnly = p.startOnly && !resumed && p.shared == nil && p.knowledge == 0
 	if p.shared != nil {
@@ -132,6 +132,7 @@
 		g.answerJob(p, 200, a.State)
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
+		p.succeeded = append(p.succeeded, a.Succeeded...)
 		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
 		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
--- a/internal/pool/evacuate.go
+++ b/internal/pool/evacuate.go
@@ -45,23 +45,3 @@
 	}
 	return false
 }
-
-// succeededTasks returns the tasks that have succeeded of a job without runs: those that do not wait.
-func (j *job) succeededTasks() []work.TaskID {
-	var tasks []work.TaskID
-	for step := range j.steps {
-		for index := range j.Steps[step].Count {
-			if !slices.Contains(j.steps[step].waiting, index) {
-				tasks = append(tasks, work.TaskID{Job: j.ID, Step: step, Index: index})
-			}
-		}
-	}
-	return tasks
-}
-
-// NoteSuccesses records that tasks of a job that is about to be submitted have succeeded at another dispatcher.
-func (p *Pool) NoteSuccesses(tasks []work.TaskID, now time.Duration) {
-	for _, task := range tasks {
-		p.unclaimed[task] = now
-	}
-}
--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -89,7 +89,7 @@
 	serves := make(map[work.EndpointID]int, len(p.order))
 	apart := p.weighs(service)
 	for _, e := range p.order {
-		if e.Service != service || !e.usable || e.Draining || e.leaseEnds || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
+		if e.Service != service || !e.counts() || e.leaseEnds || e.unsized+e.superseded > 0 || now < e.health.heldOffUntil {
 			continue
 		}
 		if e.isolation.active() {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -23,7 +23,9 @@
 	// ReasonPlacedElsewhere refuses a submission by the home of the job: another request has placed the job at another dispatcher.
 	ReasonPlacedElsewhere Reason = "placed_elsewhere"
 	// ReasonEvacuated refuses a job in an evacuated zone: nothing of it has run there, and another zone may take it.
-	ReasonEvacuated  Reason = "evacuated"
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonRepeated refuses a job that its caller has sent before and that would end too late to be of use, see RepeatedInVain.
+	ReasonRepeated   Reason = "repeated"
 	ReasonSuperseded Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
 )
 
@@ -141,13 +143,13 @@
 	return max(j.latestStart, now)+j.expected <= resumed.notBefore
 }
 
-// Pressure returns the processors that are in use or waited for, in percent of those of the usable endpoints. Without a
-// usable endpoint it returns 1000.
+// Pressure returns the processors that are in use or waited for, in percent of those of the endpoints that are usable or awaited. Without
+// such an endpoint it returns 1000.
 func (p *Pool) Pressure() int {
 	const noEndpoint = 1000
 	total, wanted := 0, 0
 	for _, e := range p.order {
-		if e.usable && !e.Draining {
+		if e.counts() {
 			total += e.Size.MilliCPU
 			wanted += e.used.MilliCPU
 		}
@@ -166,11 +168,11 @@
 }
 
 // capacity checks that each step of a job fits on some endpoint. It returns the reason if not, and the total size of the
-// usable endpoints of the job's service.
+// endpoints of the job's service that are usable or awaited.
 func (p *Pool) capacity(j *job) (Reason, work.Size) {
 	var total work.Size
 	for _, e := range p.order {
-		if e.Service == j.Service && e.usable && !e.Draining {
+		if e.Service == j.Service && e.counts() {
 			total = total.Plus(e.Size)
 		}
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -62,10 +62,10 @@
 	Earlier time.Duration `msgpack:"y,omitempty"`
 	// Attempts are the unsuccessful runs of the job's tasks that the sender knows.
 	Attempts []attempt.Attempt `msgpack:"a,omitempty"`
-	// InProgress means that tasks of the job have run at a dispatcher that has handed the job over: no run of it goes on, and those in
-	// Succeeded are not to start again.
-	InProgress bool          `msgpack:"f,omitempty"`
-	Succeeded  []work.TaskID `msgpack:"d,omitempty"`
+	// InProgress means that tasks of the job have run at a dispatcher that has handed the job over: no run of it goes on.
+	InProgress bool `msgpack:"f,omitempty"`
+	// Succeeded are the tasks of the job that have succeeded, as dispatchers have said that gave it back. They are not to start again.
+	Succeeded []work.TaskID `msgpack:"d,omitempty"`
 	// StartOnly asks to refuse the job with pool.ReasonWouldWait unless all its tasks that are ready can start at once. Instances of earlier
 	// versions do not know it and decide as without it.
 	StartOnly bool `msgpack:"z,omitempty"`
@@ -120,11 +120,13 @@
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
 	GaveUp bool `msgpack:"g,omitempty"`
 	// HandedOver means that the dispatcher, whose zone was evacuated, has given up a job in progress that another zone is to continue: no run
-	// of it goes on, the tasks in Succeeded have succeeded, and Attempts are the unsuccessful runs of the others. Refused is pool.ReasonNotLeader and Started is set then, so that instances of
-	// earlier versions submit the job again where it was.
-	HandedOver bool              `msgpack:"h,omitempty"`
-	Succeeded  []work.TaskID     `msgpack:"d,omitempty"`
-	Attempts   []attempt.Attempt `msgpack:"b,omitempty"`
+	// of it goes on. Refused is pool.ReasonNotLeader and Started is set then, so that instances of earlier versions submit the job again where
+	// it was.
+	HandedOver bool `msgpack:"h,omitempty"`
+	// Succeeded are the tasks of the job that have succeeded, from a dispatcher that hands the job over or whose term has ended. Attempts are
+	// the unsuccessful runs of the others of a job that is handed over.
+	Succeeded []work.TaskID     `msgpack:"d,omitempty"`
+	Attempts  []attempt.Attempt `msgpack:"b,omitempty"`
 	// Claim means that the answer is one to a claim.
 	Claim bool `msgpack:"c,omitempty"`
 	// Placed is where another request has placed the job. It is set in the answer to a claim, or with pool.ReasonPlacedElsewhere.
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -8,6 +8,7 @@
 	Refused          metric.Counter    // jobs that were refused
 	GivenBack        metric.Counter    // accepted jobs that were given back before they started
 	WouldWait        metric.Counter    // jobs that could not start at once and were not to wait here
+	RepeatedInVain   metric.Counter    // of these, jobs that their callers had sent before, too long ago
 	UnansweredStarts metric.Counter    // start requests that got no answer
 	Stalled          metric.Counter    // runs stopped for lack of progress
 	UnsuccessfulRuns metric.Counter    // runs that ended without success
