Speeds of endpoints are learned; tasks wait for a faster one where that saves their objective

Cause: the forecast and the placement knew only endpoints that were slower than normal, in steps of 65 %, and a long task on an endpoint of speed 0.6 missed its objective although faster ones freed up within milliseconds. The far factor of data racks was a constant.

Change: internal/pool/speed.go learns a lasting relative speed of each endpoint, drawn towards normal by the noise of its runs, and sudden slowness from the median of the last runs and the progress of those that go on. Run times of queues are learned as on an endpoint of normal speed. internal/pool/placement.go (moved out of start.go) ranks endpoints by the expected run time, and lets a task wait that would miss its job's objective on the free ones if a faster one frees up in time. bounds.far_factor of the settings replaces the constant; one that cannot be used is ignored, logged and counted. Endpoints with cold_left_ms count as slow until then. What was learned ends with the process.

No existing test was changed.

--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -50,7 +50,8 @@
 	jobs := d.ledgers.make(partition)
 	x := shard.New(shard.Options{
 		Zone: d.zone, Partition: partition, Directory: n.directory, Lease: s.RunLease(), RegistrationAge: s.RegistrationAge(),
-		Dialer: n.opts.Dialer, Window: n.window, History: n.history,
+		FarFactor: s.FarFactor,
+		Dialer:    n.opts.Dialer, Window: n.window, History: n.history,
 		OnFenced: d.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations, Counts: &n.counts,
 		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
 	})
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -120,6 +120,8 @@
 		{Name: "requests_active", Var: gauge(func() int64 { return int64(n.gateway.Active()) })},
 		{Name: "runs_ordered", Var: &c.Starts}, {Name: "jobs_refused", Var: &c.Refused},
 		{Name: "starts_unanswered", Var: &c.UnansweredStarts}, {Name: "runs_stalled", Var: &c.Stalled},
+		{Name: "endpoints_disturbed", Var: &c.Disturbed}, {Name: "jobs_delayed", Var: &c.DelayedJobs},
+		{Name: "settings_ignored", Var: gauge(func() int64 { return int64(len(n.opts.Settings.Ignored)) })},
 		{Name: "runs_found", Var: &c.FoundRuns}, {Name: "runs_stopped", Var: &c.StoppedRuns},
 		{Name: "runs_without_success", Var: &c.UnsuccessfulRuns}, {Name: "endpoint_crashes", Var: &c.Crashes},
 		{Name: "runs_crashed", Var: &c.CrashedRuns}, {Name: "jobs_given_up", Var: &c.GivenUp},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,6 +201,7 @@
 	}
 	defer n.stopServer()
 	n.warnOfShortRetransmit()
+	n.warnOfIgnoredSettings()
 	n.log.WithFields(logrus.Fields{"event": "started", "instance": n.opts.Settings.Instance, "zone": n.opts.Settings.Zone}).Info("started")
 	select {
 	case <-ctx.Done():
@@ -221,6 +222,13 @@
 		Warn("callers submit a job again before its earlier runs are certain to be over; a task may run twice at the same time")
 }
 
+// warnOfIgnoredSettings logs the settings for which the defaults hold since they cannot be used.
+func (n *Node) warnOfIgnoredSettings() {
+	for _, problem := range n.opts.Settings.Ignored {
+		n.log.WithFields(logrus.Fields{"event": "setting_ignored", "problem": problem}).Warn("a setting cannot be used; its default holds")
+	}
+}
+
 // runMaintenance runs the periodic checks of the gateway and of the connections to dispatchers until ctx ends.
 func (n *Node) runMaintenance(ctx context.Context) {
 	pause.Every(ctx, maintenanceInterval, func() {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -46,7 +46,11 @@
 	DrainTime       time.Duration // time after which an endpoint that has announced that it leaves gets no new runs; 0 if unknown
 	StoreWrites     float64       // number of writes a second that the store takes from all instances; 0 if unknown
 	StatusTime      time.Duration // for how long the state of an ended stored job is shown; 0 for the default
-	MemberTTL       time.Duration // shortest time to live of a membership in a group of the store
+	// FarFactor is the factor by which a task takes longer on a rack other than that of its data; 0 if unknown.
+	FarFactor float64
+	// Ignored describes the settings that cannot be used and for which the defaults hold.
+	Ignored   []string
+	MemberTTL time.Duration // shortest time to live of a membership in a group of the store
 }
 
 // Validate returns every problem of the settings in one error.
--- a/internal/pool/dump.go
+++ b/internal/pool/dump.go
@@ -1,5 +1,7 @@
 package pool
 
+import "math"
+
 // Dump is a snapshot of a pool for operators. Times are in milliseconds on the process's monotonic clock.
 type Dump struct {
 	Endpoints []EndpointDump `json:"endpoints"`
@@ -16,7 +18,9 @@
 	UsedMilliCPU   int     `json:"used_milli_cpu"`
 	Runs           int     `json:"runs"`
 	Unsized        int     `json:"unsized"`
-	Slowness       float64 `json:"slowness"`
+	Slowness       float64 `json:"slowness"`   // run time relative to the normal one
+	SpeedRuns      int     `json:"speed_runs"` // number of runs that Slowness rests on
+	Disturbed      bool    `json:"disturbed"`  // the last runs took much longer than Slowness tells
 	HeldOffUntilMS int64   `json:"held_off_until_ms"`
 }
 
@@ -50,7 +54,7 @@
 	for _, e := range p.order {
 		d.Endpoints = append(d.Endpoints, EndpointDump{
 			ID: string(e.ID), Usable: e.usable, Draining: e.Draining, MilliCPU: e.Size.MilliCPU, UsedMilliCPU: e.used.MilliCPU,
-			Runs: len(e.runs), Unsized: e.unsized, Slowness: e.health.slowness(), HeldOffUntilMS: e.health.heldOffUntil.Milliseconds(),
+			Runs: len(e.runs), Unsized: e.unsized, Slowness: math.Exp(e.speed.shrunk), SpeedRuns: int(e.speed.runs), Disturbed: e.speed.reported, HeldOffUntilMS: e.health.heldOffUntil.Milliseconds(),
 		})
 		for _, r := range p.RunsOn(e.ID) {
 			d.Runs = append(d.Runs, dumpRun(r))
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -20,6 +20,7 @@
 	suspects    map[work.TaskID]bool // tasks under which an endpoint has crashed; they run alone
 	started     bool
 	held        bool          // see Hold
+	delayed     bool          // a task has waited for a faster endpoint
 	stored      bool          // see OfferStored
 	expected    time.Duration // expected run time of the longest chain of steps
 	latestStart time.Duration // latest start with which the objective is likely met
@@ -98,6 +99,11 @@
 	return time.Duration(math.Max(o.Stretch-1, 0)*float64(expected)) + o.Extra
 }
 
+// due returns when the tasks of a step have to end for the job to meet its objective.
+func (j *job) due(step int) time.Duration {
+	return j.latestStart + j.expected - j.steps[step].followingTime
+}
+
 // ready reports whether all steps that a step depends on have succeeded.
 func (j *job) ready(step int) bool { return j.steps[step].blockers == 0 }
 
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -55,21 +55,16 @@
 }
 
 const (
-	// healthWeight is the weight of one run in an endpoint's slowness, which covers about the last 8 runs.
-	healthWeight = 0.12
 	// holdOffFailures is the number of consecutive failures, of different jobs, after which an endpoint is held off. A
 	// single failure may be the task's fault.
 	holdOffFailures = 2
 	minHoldOff      = time.Second
 	maxHoldOff      = 8 * time.Second
-	maxRatio        = 8.0 // limits the effect of one run on the slowness
-	slownessStep    = 0.5 // step of the slowness, as a natural logarithm; smaller differences are noise
 )
 
 // health is the state of an endpoint as judged by the results of its runs.
 type health struct {
-	ratio        float64 // geometric mean of run time to expected run time
-	failures     int     // consecutive failures, of different jobs
+	failures     int // consecutive failures, of different jobs
 	lastJob      work.JobID
 	holdOff      time.Duration // length of the last hold-off; 0 after a success
 	heldOffUntil time.Duration // the endpoint gets no new runs before then
@@ -103,16 +98,8 @@
 	h.probing = true
 }
 
-func (h *health) succeeded(ratio float64) {
+func (h *health) succeeded() {
 	h.failures = 0
 	h.probing = false
 	h.holdOff = 0
-	ratio = min(max(ratio, 1/maxRatio), maxRatio)
-	h.ratio = math.Exp(math.Log(h.ratio) + healthWeight*(math.Log(ratio)-math.Log(h.ratio)))
-}
-
-// slowness returns the endpoint's run time relative to the expected one, in coarse steps; 1 for endpoints of normal speed.
-func (h *health) slowness() float64 {
-	bins := math.Round(math.Log(max(h.ratio, 1)) / slownessStep)
-	return math.Exp(bins * slownessStep)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -37,10 +37,12 @@
 	State        RunState
 	Size         work.Size
 	Ordered      time.Duration // when the start was ordered
-	Expected     time.Duration // expected run time on an endpoint of normal speed; 0 if not known
+	Expected     time.Duration // expected run time on its endpoint; 0 if not known
 	Percent      int           // progress as last reported
 	ProgressedAt time.Duration // when the progress last changed
 	Unanswered   bool          // the request to start it got no answer
+	normal       time.Duration // expected run time on an endpoint of normal speed near the task's data; 0 if not known
+	slow         bool          // its progress has shown that it is slow
 	job          *job          // nil if no job waits for the result
 	unsized      bool          // Size is not known
 	started      bool          // the endpoint has confirmed the start or reported the run
@@ -60,6 +62,7 @@
 	superseded int                  // number of superseded runs that the endpoint reports, see SetSupersededRuns; they are being stopped
 	silent     bool                 // the endpoint does not answer, so the progress of its runs is not known
 	health     health
+	speed      speed
 	isolation  isolation
 }
 
@@ -72,6 +75,9 @@
 	runs      map[work.TaskID]*Run
 	numbers   map[work.TaskID]int // highest run number of each unfinished task
 	estimates estimates
+	speeds    speeds
+	farFactor float64            // factor by which a task takes longer on a rack other than that of its data
+	delayed   int                // number of jobs of which a task has waited for a faster endpoint
 	demand    map[string]*demand // by queue
 	history   *attempt.History
 	// unclaimed holds the tasks that succeeded while their job was not here, with the time of the report. They count as done
@@ -88,6 +94,8 @@
 		runs:      map[work.TaskID]*Run{},
 		numbers:   map[work.TaskID]int{},
 		estimates: estimates{},
+		speeds:    speeds{noise: initialNoise},
+		farFactor: DefaultFarFactor,
 		demand:    map[string]*demand{},
 		unclaimed: map[work.TaskID]time.Duration{},
 	}
@@ -96,10 +104,13 @@
 // Update adds an endpoint or replaces its registration.
 func (p *Pool) Update(e work.Endpoint) {
 	if old, ok := p.endpoints[e.ID]; ok {
+		if e.StartedUnixMS > old.speed.process {
+			old.speed.restart(e.StartedUnixMS)
+		}
 		old.Endpoint = e
 		return
 	}
-	added := &endpoint{Endpoint: e, runs: map[work.TaskID]*Run{}, health: health{ratio: 1}}
+	added := &endpoint{Endpoint: e, runs: map[work.TaskID]*Run{}, speed: speed{process: e.StartedUnixMS}}
 	p.endpoints[e.ID] = added
 	p.order = append(p.order, added)
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -47,16 +47,19 @@
 func (p *Pool) startStep(starts []*Run, j *job, step int, full map[placement]bool, now time.Duration) []*Run {
 	s, st := &j.Steps[step], &j.steps[step]
 	place := placement{j.Service, s.Label, s.Size}
-	stepFull := full[place]
+	found := started
+	if full[place] {
+		found = noRoom
+	}
 	stillWaiting := st.waiting[:0]
 	for i, index := range st.waiting {
-		if stepFull && len(j.suspects) == 0 {
+		if found != started && len(j.suspects) == 0 {
 			stillWaiting = append(stillWaiting, st.waiting[i:]...)
 			break
 		}
 		task := work.TaskID{Job: j.ID, Step: step, Index: index}
-		r, placeFull := p.tryStart(j, task, stepFull, now)
-		stepFull = stepFull || placeFull
+		r, result := p.tryStart(j, task, found, now)
+		found = max(found, result)
 		if r == nil {
 			stillWaiting = append(stillWaiting, index)
 			continue
@@ -64,101 +67,53 @@
 		starts = append(starts, r)
 	}
 	st.waiting = stillWaiting
-	full[place] = full[place] || stepFull && s.MaxPerEndpoint == 0
+	full[place] = full[place] || found == noRoom && s.MaxPerEndpoint == 0
 	return starts
 }
 
-// tryStart starts a task unless an earlier run of it may still exist or it fits on no endpoint now. stepFull is true if other tasks
-// of its step have found no endpoint; this does not apply to suspects. placeFull is true if this task has found none.
-func (p *Pool) tryStart(j *job, task work.TaskID, stepFull bool, now time.Duration) (r *Run, placeFull bool) {
+// startResult is what came of the start of a task, with regard to the other tasks of its step.
+type startResult int
+
+const (
+	started startResult = iota // the task has started, or did not for reasons of its own
+	delayed                    // the task waits for a faster endpoint, as the others of its step do
+	noRoom                     // no endpoint has room for the task, nor for any with the same placement
+)
+
+// tryStart starts a task unless an earlier run of it may still exist or no endpoint is to start it now. found is the result of the tasks
+// of its step so far; it does not apply to suspects.
+func (p *Pool) tryStart(j *job, task work.TaskID, found startResult, now time.Duration) (*Run, startResult) {
 	suspect := j.suspects[task]
-	if p.runs[task] != nil || stepFull && !suspect {
-		return nil, false
+	if p.runs[task] != nil || found != started && !suspect {
+		return nil, started
+	}
+	r, result := p.startTask(j, task, now)
+	if suspect {
+		result = started
 	}
-	r = p.startTask(j, task, now)
-	return r, r == nil && !suspect
+	return r, result
 }
 
-// startTask creates a run of a task that has none and returns it, or nil if the task fits on no endpoint now.
-func (p *Pool) startTask(j *job, task work.TaskID, now time.Duration) *Run {
-	s := &j.Steps[task.Step]
-	e := p.pickEndpoint(j, task, now)
+// startTask creates a run of a task that has none and returns it, or nil if no endpoint is to start the task now.
+func (p *Pool) startTask(j *job, task work.TaskID, now time.Duration) (*Run, startResult) {
+	e, result := p.pickEndpoint(j, task, now)
 	if e == nil {
-		return nil
+		return nil, result
 	}
+	size := j.Steps[task.Step].Size
 	p.numbers[task]++
 	r := &Run{
-		Task: task, Number: p.numbers[task], Endpoint: e.ID, State: Ordered, Size: s.Size, Ordered: now, ProgressedAt: now,
-		Expected: p.estimates.of(j.Queue, s.Estimate),
+		Task: task, Number: p.numbers[task], Endpoint: e.ID, State: Ordered, Size: size, Ordered: now, ProgressedAt: now,
 	}
+	p.expect(r, j, e, now)
 	p.runs[task] = r
 	j.addRun(r)
-	e.used = e.used.Plus(s.Size)
+	e.used = e.used.Plus(size)
 	e.runs[task] = r
 	if j.suspects[task] {
 		e.isolation.started(task)
 	}
-	return r
-}
-
-// pickEndpoint returns the endpoint for a task, or nil if none is feasible. Endpoints are ranked by the task's expected run
-// time on them, and then by the capacity that remains free, least first, so that large tasks still find room elsewhere.
-func (p *Pool) pickEndpoint(j *job, task work.TaskID, now time.Duration) *endpoint {
-	if j.suspects[task] {
-		return p.pickIsolated(j, task, now)
-	}
-	step := task.Step
-	s := &j.Steps[step]
-	var best *endpoint
-	var bestRank rank
-	for _, e := range p.order {
-		if !p.feasible(j, step, e, now) {
-			continue
-		}
-		r := rank{e.health.slowness() * distanceFactor(s, e), e.Size.MilliCPU - e.used.MilliCPU - s.Size.MilliCPU}
-		if best == nil || r.less(bestRank) {
-			best, bestRank = e, r
-		}
-	}
-	return best
-}
-
-func (p *Pool) feasible(j *job, step int, e *endpoint, now time.Duration) bool {
-	s := &j.Steps[step]
-	if e.isolation.active() || !e.accepts(j, now) {
-		return false
-	}
-	if !e.HasLabel(s.Label) || !e.used.Plus(s.Size).Fits(e.Size) {
-		return false
-	}
-	return s.MaxPerEndpoint == 0 || j.steps[step].runsOn[e.ID] < s.MaxPerEndpoint
-}
-
-// accepts reports whether an endpoint may get new runs of a job's service now.
-func (e *endpoint) accepts(j *job, now time.Duration) bool {
-	return e.Service == j.Service && e.usable && !e.Draining && !e.leaseEnds && e.unsized+e.superseded == 0 && e.health.available(now, len(e.runs))
-}
-
-type rank struct {
-	slowness     float64
-	freeMilliCPU int // after the start, in thousandths of a core
-}
-
-func (a rank) less(b rank) bool {
-	if a.slowness != b.slowness {
-		return a.slowness < b.slowness
-	}
-	return a.freeMilliCPU < b.freeMilliCPU
-}
-
-// remoteDataFactor is the factor by which a task takes longer on a rack other than its data's.
-const remoteDataFactor = 1.5
-
-func distanceFactor(s *work.Step, e *endpoint) float64 {
-	if s.DataRack == "" || e.HasLabel(s.DataRack) {
-		return 1
-	}
-	return remoteDataFactor
+	return r, started
 }
 
 // RunSent records that the request to start a run is sent now.
@@ -201,6 +156,7 @@
 	p.RunStarted(r)
 	if percent != r.Percent {
 		r.Percent, r.ProgressedAt = percent, now
+		p.learnFromProgress(r, now)
 	}
 }
 
@@ -304,15 +260,6 @@
 	return unwanted
 }
 
-func (p *Pool) learn(j *job, e *endpoint, r *Run, now time.Duration) {
-	took := now - r.Ordered
-	if e == nil || r.Expected == 0 {
-		return
-	}
-	p.estimates.add(j.Queue, j.Steps[r.Task.Step].Estimate, took)
-	e.health.succeeded(float64(took) / float64(r.Expected))
-}
-
 func (p *Pool) succeeded(j *job, task work.TaskID) []Outcome {
 	j.taskSucceeded(task.Step)
 	if j.remaining > 0 {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -216,7 +216,8 @@
 	}
 	s := &j.Steps[r.Task.Step]
 	p.resize(r, s.Size)
-	r.job, r.Expected = j, p.estimates.of(j.Queue, s.Estimate)
+	r.job = j
+	p.expect(r, j, p.endpoints[r.Endpoint], r.Ordered)
 	j.addRun(r)
 }
 
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -52,6 +52,7 @@
 			"unchanged_ms": (now - r.ProgressedAt).Milliseconds(),
 		}).Warn("run makes no progress; stopping it")
 	}
+	s.noteSpeedChanges(now)
 	s.stopAll(s.pool.Unwanted(now-claimTime), stopUnwanted)
 	s.decideEnds()
 	if !s.endsUndecided {
--- a/internal/shard/counts.go
+++ b/internal/shard/counts.go
@@ -14,6 +14,8 @@
 	FoundRuns        metric.Counter    // runs of other dispatchers that endpoints reported
 	StoppedRuns      metric.Counter    // runs whose stop was requested
 	GivenUp          metric.Counter    // jobs that failed because a task is not started again
+	DelayedJobs      metric.Counter    // jobs of which a task has waited for a faster endpoint
+	Disturbed        metric.Counter    // times that an endpoint became much slower than before
 	HeldStarts       metric.Counter    // runs not ordered, because nothing was heard lately of the job's caller
 	RunMS            *metric.Quantiles // time from the order to the end of a successful run
 	WaitMS           *metric.Quantiles // time from the arrival of a job to the order of a run
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -19,6 +19,7 @@
 		}).Warn("endpoint's process was restarted; its runs are lost")
 		x.acknowledged, x.reportClock, x.granted, x.fencedAt = 0, 0, 0, now
 		x.unrecorded = nil
+		s.pool.ForgetSpeed(x.endpoint.ID)
 		x.processEnded(now)
 	} else if x.leaseExpired {
 		x.withdrawCrashes(report.StartedUnixMS)
@@ -32,6 +33,7 @@
 	x.startedUnixMS, x.lastAnswerAt = report.StartedUnixMS, now
 	x.answering, x.leaseExpired, x.connectionRefused, x.failures, x.lost = true, false, false, 0, nil
 	s.pool.SetSilent(x.endpoint.ID, false)
+	s.pool.SetProcess(x.endpoint.ID, report.StartedUnixMS)
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
 		x.noteFence(request.Fence, now)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -49,7 +49,9 @@
 	Lease     time.Duration // lease of runs, at most the longest one that endpoints accept; see LeaseWithin
 	// RegistrationAge is the greatest age of the registrations on which a run is started, see RegistrationAgeWithin; 0 for no limit.
 	RegistrationAge time.Duration
-	Dialer          work.Dialer
+	// FarFactor is the factor by which a task takes longer on a rack other than that of its data; 0 for pool.DefaultFarFactor.
+	FarFactor float64
+	Dialer    work.Dialer
 	// History holds the unsuccessful runs of tasks. All shards of an instance share it, and it outlives their terms.
 	History *attempt.History
 	// Window limits the start requests in flight. All shards of an instance share it, since they share its link.
@@ -122,6 +124,9 @@
 func (s *Shard) reset() {
 	s.knowledge.Store(rand.Uint64() | 1)
 	s.pool = pool.New(s.opts.History)
+	if s.opts.FarFactor > 0 {
+		s.pool.SetFarFactor(s.opts.FarFactor)
+	}
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]submitters{}
 	s.stored = map[work.JobID]*work.Job{}
@@ -155,6 +160,9 @@
 }
 
 func (s *Shard) updateEndpoint(e work.Endpoint) {
+	if e.ColdLeft > 0 {
+		e.ColdUntil = s.opts.Now() + e.ColdLeft
+	}
 	x := s.sessions[e.ID]
 	if x != nil && x.endpoint.Address != e.Address {
 		if !x.endedBefore(e) {
@@ -420,7 +428,10 @@
 	if !s.checkRegistrations() {
 		return
 	}
-	for _, r := range s.pool.Next(s.opts.Now()) {
+	delayed := s.pool.Delayed()
+	starts := s.pool.Next(s.opts.Now())
+	s.opts.Counts.DelayedJobs.Add(int64(s.pool.Delayed() - delayed))
+	for _, r := range starts {
 		x := s.sessions[r.Endpoint]
 		if x == nil {
 			continue // the endpoint was dropped, and its runs with it
--- a/internal/work/endpoint.go
+++ b/internal/work/endpoint.go
@@ -19,6 +19,9 @@
 	Size          Size
 	Labels        []string // include the kind and the rack
 	StartedUnixMS int64    // start of the process, Unix milliseconds
+	// ColdLeft is for how much longer the endpoint is slow after its start, as of the registration. ColdUntil is the end of that time on
+	// the dispatcher's monotonic clock.
+	ColdLeft, ColdUntil time.Duration
 }
 
 // HasLabel reports whether the endpoint has a label. It returns true for the empty label.
