--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// estimateWeight is the weight of one run in a queue's moving averages, which cover about the last 50 runs.
+	// estimateWeight is the weight of one run in a queue's moving averages, which cover about the last 50 runs. The first runs have equal
+	// weights: with this weight from the start, a long first run would distort the estimates of a new dispatcher for long.
 	estimateWeight = 0.04
 	// defaultEstimate is the run time assumed for a task without a caller's estimate in a queue without earlier runs.
 	defaultEstimate = 200 * time.Millisecond
@@ -18,6 +19,7 @@
 type estimates map[string]*estimate
 
 type estimate struct {
+	runs  float64
 	mean  float64 // natural logarithm of the geometric mean of the run times in nanoseconds
 	ratio float64 // natural logarithm of the geometric mean of run time to caller's estimate
 }
@@ -48,9 +50,11 @@
 		e = &estimate{mean: math.Log(float64(took))}
 		s[queue] = e
 	}
-	e.mean += estimateWeight * (math.Log(float64(took)) - e.mean)
+	e.runs++
+	weight := max(estimateWeight, 1/(e.runs+1))
+	e.mean += weight * (math.Log(float64(took)) - e.mean)
 	if declared > 0 {
-		e.ratio += estimateWeight * (math.Log(float64(took)/float64(declared)) - e.ratio)
+		e.ratio += weight * (math.Log(float64(took)/float64(declared)) - e.ratio)
 	}
 }
 
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -19,6 +19,8 @@
 	recentRuns = 5
 	// minRecent is the number of recent runs from which an endpoint can count as disturbed.
 	minRecent = 3
+	// minDisturbedRuns is the number of runs from which the lasting figure is known well enough for that.
+	minDisturbedRuns = 5
 	// maxDeviation limits the effect of one run on the lasting figure.
 	maxDeviation = 1.2
 	// disturbedFrom is the excess of the recent runs' median over the lasting figure from which an endpoint is disturbed, a factor of
@@ -36,7 +38,7 @@
 	// speedRefresh is the number of runs after which the differences between endpoints are calculated anew.
 	speedRefresh = 32
 	// minKnownRuns is the number of runs from which an endpoint counts in the differences between endpoints.
-	minKnownRuns = 3
+	minKnownRuns = 5
 	// minKnown is the number of such endpoints below which all count as equally fast.
 	minKnown = 4
 	// minElapsed is the run time from which progress tells the speed; before, the way of the request counts too much.
@@ -121,7 +123,7 @@
 
 // disturbed reports whether the endpoint has become much slower than it was.
 func (s *speed) disturbed(now time.Duration) bool {
-	return s.excess > disturbedFrom && len(s.recent) >= minRecent && s.excessNow(now) > disturbedFrom
+	return s.excess > disturbedFrom && len(s.recent) >= minRecent && s.runs >= minDisturbedRuns && s.excessNow(now) > disturbedFrom
 }
 
 // figure returns the figure expected of a run that starts now.
