--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -60,3 +60,42 @@
 		}
 	}
 }
+
+// BenchmarkNextDelayed measures a decision in which all waiting jobs have room on slow endpoints and wait for fast ones.
+func BenchmarkNextDelayed(b *testing.B) {
+	const endpoints, waiting = 120, 500
+	p := poolOf()
+	for i := range endpoints {
+		id := work.EndpointID(fmt.Sprintf("e%03d", i))
+		p.Update(endpointOf(string(id), 32000))
+		p.SetUsable(id, true)
+		p.endpoints[id].speed.shrunk = 0.5 * float64(i%2) // every other one is slow
+	}
+	for i := range endpoints {
+		p.SetUsable(work.EndpointID(fmt.Sprintf("e%03d", i)), i%2 == 0)
+		j := jobOf(fmt.Sprintf("a%03d", i), 1, 16000, 100*ms)
+		j.Objective.Extra = time.Hour
+		if v, _ := p.Submit(j, 0, 0, 0); !v.Accepted() {
+			b.Fatal(v)
+		}
+	}
+	for _, r := range p.Next(0) {
+		r.Expected = 20 * ms
+	}
+	for i := range endpoints {
+		p.SetUsable(work.EndpointID(fmt.Sprintf("e%03d", i)), true)
+	}
+	for i := range waiting {
+		j := jobOf(fmt.Sprintf("w%03d", i), 8, 9000+10*i, 100*ms)
+		j.Objective.Stretch, j.Objective.Extra = 1, 100*ms
+		w := p.newJob(j, 0, 0)
+		p.jobs[j.ID] = w
+		p.enqueue(w)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if starts := p.Next(0); len(starts) > 0 {
+			b.Fatalf("%d tasks started", len(starts))
+		}
+	}
+}
--- a/internal/pool/placement.go
+++ b/internal/pool/placement.go
@@ -83,20 +83,24 @@
 		if !(figure < allowed) || !p.suits(j, step, e, now) {
 			continue
 		}
-		if e.nextEnd(now)+time.Duration(run*math.Exp(figure)) <= by {
+		if p.nextEnd(e, now)+time.Duration(run*math.Exp(figure)) <= by {
 			return true
 		}
 	}
 	return false
 }
 
-// nextEnd returns when the first of the endpoint's runs is expected to end.
-func (e *endpoint) nextEnd(now time.Duration) time.Duration {
-	next := time.Duration(math.MaxInt64 / 2)
+// nextEnd returns when the first of an endpoint's runs is expected to end, of those that ran when the present decision began or when it was
+// first asked. It is calculated once in a decision, since many tasks may ask.
+func (p *Pool) nextEnd(e *endpoint, now time.Duration) time.Duration {
+	if e.nextEndOf == p.decisions {
+		return e.nextEnd
+	}
+	e.nextEndOf, e.nextEnd = p.decisions, time.Duration(math.MaxInt64/2)
 	for _, r := range e.runs {
-		next = min(next, now+r.remaining(now))
+		e.nextEnd = min(e.nextEnd, now+r.remaining(now))
 	}
-	return next
+	return e.nextEnd
 }
 
 // feasible reports whether an endpoint may start a task of a step now.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -64,6 +64,8 @@
 	health     health
 	speed      speed
 	isolation  isolation
+	nextEnd    time.Duration // see Pool.nextEnd
+	nextEndOf  int           // the decision for which nextEnd was calculated
 }
 
 // Pool is the scheduling state of a shard. It is not safe for concurrent use.
@@ -77,6 +79,7 @@
 	estimates estimates
 	speeds    speeds
 	farFactor float64            // factor by which a task takes longer on a rack other than that of its data
+	decisions int                // number of calls of Next
 	delayed   int                // number of jobs of which a task has waited for a faster endpoint
 	demand    map[string]*demand // by queue
 	history   *attempt.History
--- a/internal/pool/speed_test.go
+++ b/internal/pool/speed_test.go
@@ -109,7 +109,7 @@
 	p.SetProcess("e1", 2000)
 	is.Equal(slownessOf(p, "e1", now), 1.0)
 
-	now = runOn(t, p, "e1", now, 100*ms)
+	runOn(t, p, "e1", now, 100*ms)
 	stale := endpointOf("e1", 16000, "r1")
 	stale.StartedUnixMS = 1000 // a registration that is older than the report
 	p.Update(stale)
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -12,6 +12,7 @@
 func (p *Pool) Next(now time.Duration) []*Run {
 	var starts []*Run
 	full := map[placement]bool{}
+	p.decisions++
 	p.releaseReservations()
 	for i := 0; i < len(p.queue); i++ {
 		j := p.queue[i]
