--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -21,6 +21,7 @@
 	started     bool
 	sent        bool          // a request to start a task of the job was sent, or a run or an end of one is known
 	held        bool          // see Hold
+	delayed     bool          // a task has waited for a faster endpoint
 	stored      bool          // see OfferStored
 	weighed     bool          // see WeighBy
 	kept        bool          // see KeepHere
@@ -103,6 +104,11 @@
 	return time.Duration(math.Max(o.Stretch-1, 0)*float64(expected)) + o.Extra
 }
 
+// due returns when the tasks of a step have to end for the job to meet its objective.
+func (j *job) due(step int) time.Duration {
+	return j.latestStart + j.expected - j.steps[step].followingTime
+}
+
 // ready reports whether all steps that a step depends on have succeeded.
 func (j *job) ready(step int) bool { return j.steps[step].blockers == 0 }
 
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// estimateWeight is the weight of one run in a queue's moving averages, which cover about the last 50 runs.
+	// estimateWeight is the weight of one run in a queue's moving averages, which cover about the last 50 runs. The first runs have equal
+	// weights: with this weight from the start, a long first run would distort the estimates of a new dispatcher for long.
 	estimateWeight = 0.04
 	// defaultEstimate is the run time assumed for a task without a caller's estimate in a queue without earlier runs.
 	defaultEstimate = 200 * time.Millisecond
@@ -18,6 +19,7 @@
 type estimates map[string]*estimate
 
 type estimate struct {
+	runs  float64
 	mean  float64 // natural logarithm of the geometric mean of the run times in nanoseconds
 	ratio float64 // natural logarithm of the geometric mean of run time to caller's estimate
 }
@@ -48,28 +50,25 @@
 		e = &estimate{mean: math.Log(float64(took))}
 		s[queue] = e
 	}
-	e.mean += estimateWeight * (math.Log(float64(took)) - e.mean)
+	e.runs++
+	weight := max(estimateWeight, 1/(e.runs+1))
+	e.mean += weight * (math.Log(float64(took)) - e.mean)
 	if declared > 0 {
-		e.ratio += estimateWeight * (math.Log(float64(took)/float64(declared)) - e.ratio)
+		e.ratio += weight * (math.Log(float64(took)/float64(declared)) - e.ratio)
 	}
 }
 
 const (
-	// healthWeight is the weight of one run in an endpoint's slowness, which covers about the last 8 runs.
-	healthWeight = 0.12
 	// holdOffFailures is the number of consecutive failures, of different jobs, after which an endpoint is held off. A
 	// single failure may be the task's fault.
 	holdOffFailures = 2
 	minHoldOff      = time.Second
 	maxHoldOff      = 8 * time.Second
-	maxRatio        = 8.0 // limits the effect of one run on the slowness
-	slownessStep    = 0.5 // step of the slowness, as a natural logarithm; smaller differences are noise
 )
 
 // health is the state of an endpoint as judged by the results of its runs.
 type health struct {
-	ratio        float64 // geometric mean of run time to expected run time
-	failures     int     // consecutive failures, of different jobs
+	failures     int // consecutive failures, of different jobs
 	lastJob      work.JobID
 	holdOff      time.Duration // length of the last hold-off; 0 after a success
 	heldOffUntil time.Duration // the endpoint gets no new runs before then
@@ -103,16 +102,8 @@
 	h.probing = true
 }
 
-func (h *health) succeeded(ratio float64) {
+func (h *health) succeeded() {
 	h.failures = 0
 	h.probing = false
 	h.holdOff = 0
-	ratio = min(max(ratio, 1/maxRatio), maxRatio)
-	h.ratio = math.Exp(math.Log(h.ratio) + healthWeight*(math.Log(ratio)-math.Log(h.ratio)))
-}
-
-// slowness returns the endpoint's run time relative to the expected one, in coarse steps; 1 for endpoints of normal speed.
-func (h *health) slowness() float64 {
-	bins := math.Round(math.Log(max(h.ratio, 1)) / slownessStep)
-	return math.Exp(bins * slownessStep)
 }
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -222,8 +222,8 @@
 	}
 	s := &j.Steps[r.Task.Step]
 	p.resize(r, s.Size)
-	j.sent = true
-	r.job, r.Expected = j, p.estimates.of(j.Queue, s.Estimate)
+	r.job, j.sent = j, true
+	p.expect(r, j, p.endpoints[r.Endpoint], r.Ordered)
 	j.addRun(r)
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -50,7 +50,9 @@
 	Lease     time.Duration // lease of runs, at most the longest one that endpoints accept; see LeaseWithin
 	// RegistrationAge is the greatest age of the registrations on which a run is started, see RegistrationAgeWithin; 0 for no limit.
 	RegistrationAge time.Duration
-	Dialer          work.Dialer
+	// FarFactor is the factor by which a task takes longer on a rack other than that of its data; 0 for pool.DefaultFarFactor.
+	FarFactor float64
+	Dialer    work.Dialer
 	// History holds the unsuccessful runs of tasks. All shards of an instance share it, and it outlives their terms.
 	History *attempt.History
 	// Retransmit is the time after which a caller without an answer sends its job again; 0 if unknown.
@@ -133,6 +135,9 @@
 	if s.opts.Weighs != nil {
 		s.pool.WeighBy(s.opts.Weighs)
 	}
+	if s.opts.FarFactor > 0 {
+		s.pool.SetFarFactor(s.opts.FarFactor)
+	}
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]submitters{}
 	s.stored = map[work.JobID]*work.Job{}
@@ -166,6 +171,9 @@
 }
 
 func (s *Shard) updateEndpoint(e work.Endpoint) {
+	if e.ColdLeft > 0 {
+		e.ColdUntil = s.opts.Now() + e.ColdLeft
+	}
 	x := s.sessions[e.ID]
 	if x != nil && x.endpoint.Address != e.Address {
 		if !x.endedBefore(e) {
@@ -458,7 +466,10 @@
 	if !s.checkRegistrations() {
 		return
 	}
-	for _, r := range s.pool.Next(s.opts.Now()) {
+	delayed := s.pool.Delayed()
+	starts := s.pool.Next(s.opts.Now())
+	s.opts.Counts.DelayedJobs.Add(int64(s.pool.Delayed() - delayed))
+	for _, r := range starts {
 		x := s.sessions[r.Endpoint]
 		if x == nil {
 			continue // the endpoint was dropped, and its runs with it
