Tasks wait for awaited endpoints as for busy ones

Cause: a dispatcher accepts jobs while its endpoints are being asked for their first report. Their tasks started at once on whichever endpoint had reported first, also far from their data. Change: the choice whether to wait for a faster endpoint counts awaited endpoints as free.

--- a/internal/pool/awaited_test.go
+++ b/internal/pool/awaited_test.go
@@ -101,3 +101,21 @@
 func endOf(r *Run) work.End {
 	return work.End{Task: r.Task, Run: r.Number, Reason: work.EndSucceeded}
 }
+
+// Guards against a task that starts far from its data because the endpoint near it has not reported yet.
+func TestTaskWaitsForAwaitedEndpointNearItsData(t *testing.T) {
+	is := is.New(t)
+	near, far := endpointOf("near", 2000), endpointOf("far", 2000)
+	near.Labels = []string{"r0"}
+	p := poolOf(near, far)
+	p.SetFarFactor(50)
+	p.SetUsable("near", false)
+	p.SetAwaited("near", true)
+	j := jobOf("x", 1, 1000, 100*ms)
+	j.Steps[0].DataRack = "r0"
+	j.Objective.Extra = 50 * ms
+	mustSubmit(t, p, j, 0)
+	is.Equal(len(p.Next(0)), 0)
+	p.SetUsable("near", true)
+	is.Equal(p.Next(ms)[0].Endpoint, near.ID)
+}
--- a/internal/pool/placement.go
+++ b/internal/pool/placement.go
@@ -93,6 +93,9 @@
 // nextEnd returns when the first of an endpoint's runs is expected to end, of those that ran when the present decision began or when it was
 // first asked. It is calculated once in a decision, since many tasks may ask.
 func (p *Pool) nextEnd(e *endpoint, now time.Duration) time.Duration {
+	if e.awaited {
+		return now // it has room as soon as it has reported
+	}
 	if e.nextEndOf == p.decisions {
 		return e.nextEnd
 	}
@@ -105,21 +108,24 @@
 
 // feasible reports whether an endpoint may start a task of a step now.
 func (p *Pool) feasible(j *job, step int, e *endpoint, now time.Duration) bool {
-	return e.used.Plus(j.Steps[step].Size).Fits(e.Size) && p.suits(j, step, e, now)
+	return e.usable && e.used.Plus(j.Steps[step].Size).Fits(e.Size) && p.suits(j, step, e, now)
 }
 
-// suits reports whether an endpoint may start a task of a step once it has room.
+// suits reports whether an endpoint may start a task of a step once it has room and, if it is awaited, has reported.
 func (p *Pool) suits(j *job, step int, e *endpoint, now time.Duration) bool {
 	s := &j.Steps[step]
-	if e.isolation.active() || !e.accepts(j, now) || !e.HasLabel(s.Label) || !s.Size.Fits(e.Size) {
+	if e.isolation.active() || !e.counts() || !e.takes(j, now) || !e.HasLabel(s.Label) || !s.Size.Fits(e.Size) {
 		return false
 	}
 	return s.MaxPerEndpoint == 0 || j.steps[step].runsOn[e.ID] < s.MaxPerEndpoint
 }
 
 // accepts reports whether an endpoint may get new runs of a job's service now.
-func (e *endpoint) accepts(j *job, now time.Duration) bool {
-	return e.Service == j.Service && e.usable && !e.Draining && !e.leaseEnds && e.unsized+e.superseded == 0 && e.health.available(now, len(e.runs))
+func (e *endpoint) accepts(j *job, now time.Duration) bool { return e.usable && e.takes(j, now) }
+
+// takes reports whether nothing but a report that is missing speaks against new runs of a job's service on an endpoint.
+func (e *endpoint) takes(j *job, now time.Duration) bool {
+	return e.Service == j.Service && !e.Draining && !e.leaseEnds && e.unsized+e.superseded == 0 && e.health.available(now, len(e.runs))
 }
 
 type rank struct {
