Pool model: weighed costs and giving back

Cause: the random test of the pool knew neither priorities nor jobs that are given back. Change: half of its runs weigh costs; jobs have priorities and short objectives; a job that is given back must not have started.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -393,11 +393,13 @@
 }
 
 // Guards against sequences of events that overfill an endpoint, run a task twice at the same time, lose a job or answer it
-// twice. The events are random.
+// twice, and against a job that is given back although a task of it has started. The events are random.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := poolOf(endpointOf("a", 3000), endpointOf("b", 2000), endpointOf("c", 5000))
-		m := model{p: p, running: map[work.TaskID]*Run{}, ended: map[work.JobID]bool{}}
+		weighed := rapid.Bool().Draw(t, "weighed")
+		p.WeighBy(func(string) bool { return weighed })
+		m := model{p: p, running: map[work.TaskID]*Run{}, begun: map[work.JobID]bool{}, ended: map[work.JobID]bool{}}
 		now := time.Duration(0)
 		for i := range rapid.IntRange(1, 80).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * ms
@@ -412,15 +414,17 @@
 	p       *Pool
 	running map[work.TaskID]*Run
 	jobs    []work.JobID
+	begun   map[work.JobID]bool // a task of the job has started
 	ended   map[work.JobID]bool
 }
 
 func (m *model) event(t *rapid.T, i int, now time.Duration) {
-	switch rapid.IntRange(0, 4).Draw(t, "event") {
+	switch rapid.IntRange(0, 5).Draw(t, "event") {
 	case 0:
 		id := work.JobID(fmt.Sprint("j", i))
 		j := jobOf(string(id), rapid.IntRange(1, 5).Draw(t, "tasks"), 100*rapid.IntRange(1, 30).Draw(t, "size"), 100*ms)
-		j.Objective.Extra = time.Hour
+		j.Objective.Extra = rapid.SampledFrom([]time.Duration{time.Hour, 300 * ms}).Draw(t, "extra")
+		j.Objective.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
 		if v, _ := m.p.Submit(j, now, now, 0); v.Accepted() {
 			m.jobs = append(m.jobs, id)
 		}
@@ -438,18 +442,31 @@
 				delete(m.running, task)
 			}
 		}
+	case 3:
+		m.giveBack(t, now)
 	default:
 		m.endOne(t, now)
 	}
 	m.start(t, now)
 }
 
+func (m *model) giveBack(t *rapid.T, now time.Duration) {
+	for _, id := range m.p.GiveBack(now) {
+		if m.begun[id] {
+			t.Fatalf("job %v is given back although it has started", id)
+		}
+		m.p.Cancel(id)
+		m.ended[id] = true
+	}
+}
+
 func (m *model) start(t *rapid.T, now time.Duration) {
 	for _, r := range m.p.Next(now) {
 		if m.running[r.Task] != nil {
 			t.Fatalf("task %v starts while an earlier run of it is still running", r.Task)
 		}
 		m.running[r.Task] = r
+		m.begun[r.Task.Job] = true
 	}
 }
 
