--- a/internal/delaycost/delaycost.go
+++ b/internal/delaycost/delaycost.go
@@ -8,8 +8,8 @@
 const (
 	// MaxPriority is the largest number of a priority. 0 is the highest priority.
 	MaxPriority = 99
-	// priorityFactor is the factor by which a unit of work costs more with the next higher priority. With 2 the replayed loads earn
-	// the same; with an order by priority alone the work of the lowest priority is late.
+	// priorityFactor is the factor by which a unit of work costs more with the next higher priority. It is low enough that work of the lowest
+	// of a few priorities is not given up for the highest one.
 	priorityFactor = 1.5
 )
 
--- a/internal/node/headroom.go
+++ b/internal/node/headroom.go
@@ -39,6 +39,5 @@
 	return time.Duration(float64(d.milliCPU-l.Free) / rate)
 }
 
-// hopeless reports whether a job is expected to be late at a partition. With twice the slack as the bound, each job took 19 % more tries at
-// the crests of a replay of four zones, and 16 % more jobs were late for 8 % fewer refusals.
+// hopeless reports whether a job is expected to be late at a partition, so that asking it would only cost the job time.
 func hopeless(l relay.Load, d demand) bool { return expectedWait(l, d) > d.slack }
--- a/internal/node/overflow.go
+++ b/internal/node/overflow.go
@@ -11,8 +11,8 @@
 // start it at once, each with a probability in proportion to its free capacity; then those where it would wait. Zones where
 // the wait is hopeless are left out: each try costs a job's message between zones and a round trip of its slack.
 //
-// The waves of the zones of carrera-andina-grown peak a second apart. In a fixed order all instances of a full zone would send their overflow to
-// the same neighbour, which is about to be full itself.
+// The crests of zones may follow each other within a second. In a fixed order all instances of a full zone would send their overflow to the
+// same neighbour, which is about to be full itself.
 func overflowTargets(d demand, zones []zoneLoad, random func() float64) []gateway.Target {
 	ready, later := candidates(d, zones)
 	return targetsOf(append(shuffled(ready, random), later...))
--- a/internal/node/replay_test.go
+++ b/internal/node/replay_test.go
@@ -31,7 +31,7 @@
 	replaySwing      = 0.55
 )
 
-// jobKind is a kind of jobs of the replay, as on carrera-andina-grown.
+// jobKind is a kind of jobs of the replay.
 type jobKind struct {
 	queue   string
 	share   float64 // of the jobs
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -52,9 +52,8 @@
 // its ID selects the one with the larger free share first, then the best of the others. It returns none in a zone with one
 // partition, where there is no choice.
 //
-// Some partitions of a zone are full for the length of a few tasks while others have capacity, whatever the zone's demand: at the crests of
-// carrera-andina-grown, two thirds of the jobs that waited at one partition would have started at another one of their zone
-// (docs/design/zone-overflow.md). Reports are older than a short task is long, so the partition itself decides.
+// Some partitions of a zone are full for the length of a few tasks while others have capacity, whatever the zone's demand. Reports are older
+// than a short task is long, so the partition itself decides.
 func immediateTargets(d demand, own zoneLoad) []gateway.Target {
 	if len(own.loads) == 1 {
 		return nil
@@ -71,8 +70,8 @@
 	return own.targets(parts[:min(len(parts), maxImmediate)])
 }
 
-// likelyLate reports whether a job is likely to be late in its own zone. At the crests of both deployments 30 % of the short jobs that were to
-// wait for half of their slack and more were late.
+// likelyLate reports whether a job is likely to be late in its own zone: at each of its partitions it would use so much of its slack for the
+// wait that later, more urgent jobs and errors of the estimates make it late.
 func likelyLate(d demand, own zoneLoad) bool {
 	for _, l := range own.loads {
 		if expectedWait(l, d) <= time.Duration(homeShare*float64(d.slack)) {
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -24,7 +24,7 @@
 	// maxDeviation limits the effect of one run on the lasting figure.
 	maxDeviation = 1.2
 	// disturbedFrom is the excess of the recent runs' median over the lasting figure from which an endpoint is disturbed, a factor of
-	// 2.5. At a factor of two, several endpoints counted as disturbed by chance each second in replays of the load.
+	// 2.5. The run times of tasks differ by a factor of two by themselves.
 	disturbedFrom = 0.9
 	// disturbedRuns is the number of runs after which a disturbance counts as the lasting speed.
 	disturbedRuns = 60
