Forecast: releases of one time are taken together where endpoints count as one

Cause: since endpoints are kept apart, tasks that start at the same time were simulated one by one also where all endpoints count as one.

--- a/internal/pool/forecast.go
+++ b/internal/pool/forecast.go
@@ -235,7 +235,10 @@
 // need not hold, or -1 if that is not expected to happen.
 func (f *forecast) awaitRoom(milliCPU int) int {
 	endpoint := f.roomFor(milliCPU)
-	for (endpoint < 0 || f.free < milliCPU) && len(f.releases) > 0 {
+	if endpoint >= 0 && f.free >= milliCPU {
+		return endpoint
+	}
+	for len(f.releases) > 0 && (endpoint < 0 || f.free < milliCPU || f.releasesTogether()) {
 		next := f.releases.next()
 		f.at = max(f.at, next.at)
 		f.free += next.milliCPU
@@ -253,6 +256,11 @@
 	return endpoint
 }
 
+// releasesTogether reports whether the next release comes at the present time and adds to the room of the same tasks, which then start together.
+func (f *forecast) releasesTogether() bool {
+	return len(f.each) == 1 && f.releases[0].at <= f.at
+}
+
 // roomFor returns the first endpoint with enough free capacity for a task, or -1.
 func (f *forecast) roomFor(milliCPU int) int {
 	if milliCPU >= f.full {
