Pressure uses the sum of waiting processors that the headroom uses

Cause: the same loop over the queue stood in Pressure and in waitingMilliCPU. Change: Pressure calls waitingMilliCPU, after the check for no endpoint, so nothing is summed without one. No change of behaviour. Measured: tests of pool and shard.

--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -154,17 +154,10 @@
 			wanted += e.used.MilliCPU
 		}
 	}
-	for _, j := range p.queue {
-		for i := range j.steps {
-			if j.ready(i) {
-				wanted += len(j.steps[i].waiting) * j.Steps[i].Size.MilliCPU
-			}
-		}
-	}
 	if total == 0 {
 		return noEndpoint
 	}
-	return 100 * wanted / total
+	return 100 * (wanted + p.waitingMilliCPU()) / total
 }
 
 // capacity checks that each step of a job fits on some endpoint. It returns the reason if not, and the total size of the
