Submission falls back to all targets through tryAll

Cause: gateway.submit repeated what tryAll does for a job without offers. Change: it calls tryAll. No change of behaviour: a new job has not been moved by an evacuation. Measured: tests of package gateway.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -286,7 +286,7 @@
 	}
 	p.untried = g.opts.Router.Immediate(job)
 	if p.startOnly = len(p.untried) > 0; !p.startOnly {
-		p.untried = g.opts.Router.Targets(job)
+		g.tryAll(p)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
