--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -57,10 +56,9 @@
 	ended     context.Context
 	end       context.CancelFunc
 
-	mu        sync.Mutex
-	lateUntil time.Time // until then the store carries some writes out late
-	record    *os.File
-	orders    []standin.Order
+	mu     sync.Mutex
+	record *os.File
+	orders []standin.Order
 }
 
 // endpoint is one endpoint with its links from the instances.
@@ -144,7 +142,7 @@
 	w.stores[i.ip] = toStore
 	s := &standin.Store{Context: w.ended, Keyed: w.keyed, Network: w, Fault: func(string) standin.Fault { return standin.Fault{Delay: 3 * time.Millisecond} }}
 	var err error
-	if i.store, err = listen(w.base+"2", toStore, w.late(toStore, s.Handle)); err != nil {
+	if i.store, err = listen(w.base+"2", toStore, s.Handle); err != nil {
 		return err
 	}
 	for _, e := range w.endpoints {
@@ -282,35 +280,3 @@
 	os.RemoveAll(w.dir)
 	w.record.Close()
 }
-
-// lateStore makes the store leave some writes unanswered for a time and carry them out 1 to 6 s later.
-func (w *world) lateStore(length time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lateUntil = time.Now().Add(length)
-}
-
-// lateShare is the share of writes that are carried out late.
-const lateShare = 0.35
-
-// late returns a handler of the store that carries some writes out late.
-func (w *world) late(l *link, h fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		w.mu.Lock()
-		late := time.Now().Before(w.lateUntil)
-		w.mu.Unlock()
-		if !late || !ctx.IsPost() || rand.Float64() >= lateShare {
-			h(ctx)
-			return
-		}
-		var r fasthttp.Request
-		ctx.Request.CopyTo(&r)
-		time.AfterFunc(time.Second+rand.N(5*time.Second), func() {
-			var again fasthttp.RequestCtx
-			again.Init(&r, l.caller, nil)
-			h(&again)
-		})
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(c net.Conn) { io.Copy(io.Discard, c) })
-	}
-}
