--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -62,7 +62,7 @@
 	run: func(w *world, trouble bool) (broken []string, err error) {
 		caller := w.inZone(zones[0])
 		first := newID()
-		if a := w.submitStored(caller[0], first, phase{Count: 1, CPU: 1000, MemMB: 64, EstimateMS: 300}); !a.accepted() {
+		if a := w.submitStored(caller[0], first, phase{Count: 1, CPU: 500, MemMB: 64, EstimateMS: 300}); !a.accepted() {
 			return nil, fmt.Errorf("the first stored job was not accepted: %s", a)
 		}
 		if !w.awaitState(caller[0], first, "completed", 10*time.Second) {
@@ -71,13 +71,15 @@
 		time.Sleep(4 * time.Second)
 		var jobs sync.WaitGroup
 		ids := []string{}
-		for range 12 {
+		for n := range 48 {
 			id := newID()
-			ids = append(ids, id)
+			if n%cancelPart == 0 {
+				ids = append(ids, id)
+			}
 			jobs.Go(func() {
 				w.call(caller[0], "POST", id, jobBody{Spec: "review", BestEffort: true, Phases: []phase{
-					{Count: 1, CPU: 1000, MemMB: 64, EstimateMS: 5000}, {Count: 2, CPU: 1000, MemMB: 64, EstimateMS: 300, Deps: []int{0}},
-					{Count: 2, CPU: 1000, MemMB: 64, EstimateMS: 300, Deps: []int{1}}, {Count: 2, CPU: 1000, MemMB: 64, EstimateMS: 300, Deps: []int{2}},
+					{Count: 1, CPU: 500, MemMB: 64, EstimateMS: 5000}, {Count: 2, CPU: 500, MemMB: 64, EstimateMS: 300, Deps: []int{0}},
+					{Count: 2, CPU: 500, MemMB: 64, EstimateMS: 300, Deps: []int{1}}, {Count: 2, CPU: 500, MemMB: 64, EstimateMS: 300, Deps: []int{2}},
 				}}, 15*time.Second)
 			})
 		}
--- a/review/stand-3/duplicate.go
+++ b/review/stand-3/duplicate.go
@@ -23,13 +23,17 @@
 		var mu sync.Mutex
 		acknowledged := map[string]time.Time{}
 		var jobs sync.WaitGroup
-		for range 8 {
+		for n := range 32 {
 			id := newID()
 			jobs.Go(func() {
 				var first answer
 				var submitted sync.WaitGroup
 				submitted.Go(func() { first = w.call(caller[0], "POST", id, job, 4*time.Second) })
 				time.Sleep(300 * time.Millisecond)
+				if n%cancelPart != 0 {
+					submitted.Wait()
+					return
+				}
 				a := w.call(caller[0], "DELETE", id, nil, 4*time.Second)
 				submitted.Wait()
 				if !a.accepted() || !first.accepted() {
--- a/review/stand-3/roll.go
+++ b/review/stand-3/roll.go
@@ -17,6 +17,9 @@
 	ackTime   = 4 * time.Second
 	// stopGap is the pause between the stops of two instances.
 	stopGap = 1300 * time.Millisecond
+	// One job in cancelPart is cancelled, for cancelSpan from the first stop on.
+	cancelPart = 4
+	cancelSpan = 12 * time.Second
 )
 
 // rollScenario: all instances are stopped and started in turn while callers cancel jobs that end at the same moment.
@@ -31,10 +34,12 @@
 		stopped := map[string]time.Time{}
 		stop := make(chan struct{})
 		var callers sync.WaitGroup
-		for n := range 12 {
+		const lead = 4 * time.Second
+		begun := time.Now()
+		for n := range 36 {
 			zone := w.inZone(zones[n%len(zones)])
 			callers.Go(func() {
-				for {
+				for k := n; ; k++ {
 					select {
 					case <-stop:
 						return
@@ -43,6 +48,9 @@
 					id := newID()
 					w.call(b.choose(zone), "POST", id, jobBody{Spec: "review", BestEffort: true, Phases: []phase{
 						{Count: 1, CPU: 1000, MemMB: 64, EstimateMS: 300}}}, 1500*time.Millisecond)
+					if since := time.Since(begun); k%cancelPart != 0 || since < lead || since > lead+cancelSpan {
+						continue
+					}
 					i := b.choose(zone)
 					sent := time.Now()
 					a := w.call(i, "DELETE", id, nil, ackTime)
@@ -59,7 +67,7 @@
 				}
 			})
 		}
-		time.Sleep(4 * time.Second)
+		time.Sleep(lead)
 		var stops sync.WaitGroup
 		for _, i := range w.instances {
 			if !trouble {
