Log lines of requests name every placement of their job

Change: the line of a request lists its placements as ZONE/PARTITION:KNOWLEDGE+MS with the reason why the job left, and what came of asking its home; the dispatcher's line of a submission names its knowledge and whether its term has settled. No logic is changed.

--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -25,8 +25,20 @@
 	route  Route                  // to that home; nil before the next try
 	number relay.SubmissionNumber // of the claim that waits for its answer
 	told   map[string]told        // by zone
+	// outcome is what came of asking the home, for the log; empty if it was not asked apart from a submission.
+	outcome homeOutcome
 }
 
+// homeOutcome is what came of asking the home of a job, in the log.
+type homeOutcome string
+
+// The outcomes.
+const (
+	homeNotPlaced  homeOutcome = "not_placed" // no other request has placed the job
+	homePlaced     homeOutcome = "placed"     // another request has placed the job
+	homeUnanswered homeOutcome = "unanswered" // the home did not answer in time
+)
+
 // told is what a home has been sent.
 type told struct {
 	home       uint64 // knowledge of the home
@@ -188,7 +200,10 @@
 		g.noteLateAnswer(p, a)
 		return
 	}
-	p.claim.asking, p.claim.route = false, nil
+	p.claim.asking, p.claim.route, p.claim.outcome = false, nil, homeNotPlaced
+	if a.Placed != nil {
+		p.claim.outcome = homePlaced
+	}
 	switch {
 	case p.shared != nil:
 		g.sharedAnswered(p, a.Placed)
@@ -222,7 +237,7 @@
 // claimUnanswered places a job whose home does not answer.
 func (g *Gateway) claimUnanswered(p *pending) {
 	g.noteUnanswered(p)
-	p.claim = claim{}
+	p.claim = claim{outcome: homeUnanswered}
 	if p.shared != nil {
 		g.sharedAnswered(p, &p.shared.at)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,6 +173,7 @@
 	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
 	lostAt             time.Time              // when the last dispatcher that held the job was lost, or gave the job back
 	losses             int                    // number of dispatchers whose connection ended while they held the job
+	trail              trail                  // where the job was submitted, for the log
 	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
 	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
 	knowledge          uint64                 // relay.Submit.Knowledge
@@ -373,6 +374,7 @@
 	return g.opts.Log.WithFields(logrus.Fields{
 		"event": "request", "job": p.job.ID, "request": relay.RequestName(p.request), "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
 		"status": status, "zone": p.target.Zone, "partition": p.target.Partition, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
+		"home": p.claim.outcome, "placements": p.trail.String(),
 	})
 }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -41,6 +41,7 @@
 	route, ok := g.opts.Router.Submit(p.target, g.submission(p, resumed))
 	if ok {
 		p.route, p.sent = route, p.submission
+		p.trail.add(placed{at: p.target, knowledge: g.opts.Router.Knowledge(p.target), after: time.Since(p.arrived), resumed: resumed})
 		g.logMove(p)
 		g.tellHomes(p)
 	}
@@ -50,6 +51,7 @@
 // leave notes why a job leaves its target. If it has left several since it was last placed, the first reason counts: that of a target that
 // may have got the job.
 func (p *pending) leave(why string) {
+	p.trail.leave(why)
 	if p.movedBy == "" {
 		p.movedBy = why
 	}
@@ -135,10 +137,12 @@
 		p.succeeded = append(p.succeeded, a.Succeeded...)
 		g.dispatcherNotLeader(p, a.Started || earlierRuns)
 	case a.Started && !p.orphaned:
+		p.trail.leave(string(a.Refused))
 		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
 	case !p.orphaned && isEvacuation(a):
 		g.leaveZone(p, a)
 	case !p.orphaned && a.Refused == pool.ReasonWouldWait:
+		p.trail.leave(string(a.Refused))
 		g.placeOrRefuse(p)
 	case !p.orphaned:
 		p.knowledge = 0
@@ -157,6 +161,7 @@
 	if started {
 		p.lostAt = time.Now()
 	}
+	p.trail.leave(string(pool.ReasonNotLeader))
 	if started || p.orphaned {
 		g.markOrphaned(p)
 		return
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -366,6 +367,7 @@
 	s.opts.Log.WithFields(logrus.Fields{
 		"event": "submit", "job": job.ID, "request": relay.RequestName(m.Request), "number": m.Number, "queue": job.Queue, "tasks": job.Tasks(), "outcome": outcome, "resumed": resumed,
 		"known": known, "wait_ms": v.ExpectedWait.Milliseconds(), "slack_ms": v.Slack.Milliseconds(), "fence": s.term.Fence,
+		"knowledge": fmt.Sprintf("%016x", s.knowledge.Load()), "settled": s.settled,
 		"endpoints": v.Endpoints, "isolated": v.Isolated, "free_milli_cpu": v.FreeMilliCPU, "ahead": v.JobsAhead, "kept_milli_cpu": v.ReservedMilliCPU,
 		"waited_ms": waited.Milliseconds(), "age_ms": m.Age().Milliseconds(), "silence_ms": from.Silence().Milliseconds(), "from": from.Name(),
 	}).Info("submission decided")
