--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -101,25 +102,33 @@
 	i.kill()
 }
 
-// crashableDialer creates clients of endpoints that send nothing after a crash of their instance.
+// crashableDialer creates clients of endpoints that send nothing after a crash of their instance, nor to an endpoint to which it has no path.
 type crashableDialer struct {
 	work.Dialer
 	crashed atomic.Bool
+	cutOff  sync.Map // the endpoints that cannot be reached, by work.EndpointID
 }
 
 // Dial implements work.Dialer.
 func (d *crashableDialer) Dial(e work.Endpoint) work.EndpointClient {
-	return &crashableClient{d.Dialer.Dial(e), d}
+	return &crashableClient{d.Dialer.Dial(e), d, e.ID}
 }
 
 type crashableClient struct {
 	work.EndpointClient
-	dialer *crashableDialer
+	dialer   *crashableDialer
+	endpoint work.EndpointID
+}
+
+// lost reports whether nothing reaches the endpoint.
+func (c *crashableClient) lost() bool {
+	_, cutOff := c.dialer.cutOff.Load(c.endpoint)
+	return cutOff || c.dialer.crashed.Load()
 }
 
 // Start implements work.EndpointClient.
 func (c *crashableClient) Start(ctx context.Context, s work.StartRequest) (work.Refusal, time.Duration, error) {
-	if c.dialer.crashed.Load() {
+	if c.lost() {
 		return work.Done, 0, work.ErrNoResponse
 	}
 	return c.EndpointClient.Start(ctx, s)
@@ -127,7 +136,7 @@
 
 // Stop implements work.EndpointClient.
 func (c *crashableClient) Stop(ctx context.Context, task work.TaskID, run int, fence int64) (work.Refusal, error) {
-	if c.dialer.crashed.Load() {
+	if c.lost() {
 		return work.Done, work.ErrNoResponse
 	}
 	return c.EndpointClient.Stop(ctx, task, run, fence)
@@ -135,7 +144,7 @@
 
 // Reach implements work.EndpointClient.
 func (c *crashableClient) Reach(ctx context.Context) error {
-	if c.dialer.crashed.Load() {
+	if c.lost() {
 		return work.ErrNoResponse
 	}
 	return c.EndpointClient.Reach(ctx)
@@ -143,7 +152,7 @@
 
 // RenewLease implements work.EndpointClient.
 func (c *crashableClient) RenewLease(ctx context.Context, lease work.LeaseRequest) (work.Report, work.Refusal, error) {
-	if c.dialer.crashed.Load() {
+	if c.lost() {
 		return work.Report{}, work.Done, work.ErrNoResponse
 	}
 	return c.EndpointClient.RenewLease(ctx, lease)
@@ -214,13 +223,19 @@
 	wait.For(d.t, what, ok)
 }
 
-func (i *instance) post(id string, tasks int) (int, string) {
+func (i *instance) post(id string, tasks int) (int, string) { return i.postWithin(id, tasks, 0) }
+
+// postWithin submits a job whose caller says how long it waits, unless that is 0.
+func (i *instance) postWithin(id string, tasks int, wait time.Duration) (int, string) {
 	body := fmt.Sprintf(`{"spec":"x","best_effort":true,"phases":[{"count":%d,"cpu":1000,"mem_mb":10,"estimate_ms":300}]}`, tasks)
 	req, err := http.NewRequest("POST", i.url+"/p/"+id, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, err.Error()
 	}
 	req.Host = "h.example"
+	if wait > 0 {
+		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	}
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return 0, err.Error()
