Repeated requests search for their job before they are placed

Cause: the home of a job is in most cases its dispatcher, too. When the partition changes hands, the knowledge of the placement and that of the runs are lost together; the successor answered "not placed" and started a second request's tasks before the endpoint with the first run had reported to it. The exclusion asked somebody who could not know. Change: a request that seems to repeat an earlier one (its caller declares to wait much less long than usual, package repetition) is placed only after all dispatchers of the zone have said, with knowledge of all runs on their endpoints, that they do not hold its job. One that holds it gets the request; one whose takeover goes on is asked again. After the retransmit time the search ends. New requests are placed as before.

--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -188,6 +188,10 @@
 	if p == nil || a.Number == 0 {
 		return
 	}
+	if q := p.search.find(route, a.Number); q != nil {
+		g.searchAnswered(p, q, a)
+		return
+	}
 	waited := p.claim.asking && p.claim.route == route && p.claim.number == a.Number
 	if a.Refused == pool.ReasonNotLeader {
 		g.homeReplaced(p, a.Number)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,9 @@
 	"github.com/savorypass/savorypass/internal/catalog"
 	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/metric"
+	"github.com/savorypass/savorypass/internal/pause"
 	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/repetition"
 	"github.com/savorypass/savorypass/internal/server"
 	"github.com/savorypass/savorypass/internal/traffic"
 	"github.com/savorypass/savorypass/internal/work"
@@ -65,6 +67,8 @@
 	// Homes returns the homes of a job, the dispatchers that are told where the job is placed: one in each zone, that of the instance's zone
 	// first; none if the zone keeps no placements.
 	Homes(id work.JobID) []Target
+	// Dispatchers returns all dispatchers of the instance's zone, and those of the other zones that are connected.
+	Dispatchers() (own, others []Target)
 	// Claim sends a claim to a dispatcher. It returns false if the dispatcher is unknown, not connected or keeps no placements.
 	Claim(to Target, c *relay.Claim) (Route, bool)
 	// Knowledge returns that of a dispatcher, see relay.Load, or 0 if none is known.
@@ -140,7 +144,10 @@
 	Claims     metric.Counter // jobs whose home was asked before they were placed
 	Unanswered metric.Counter // jobs that were placed without an answer of their home
 	Followed   metric.Counter // jobs that were submitted to the dispatcher at which another request had placed them
-	ResponseMS *metric.Quantiles
+	Searches   metric.Counter // repeated requests for which the dispatchers were asked for the job
+	// SearchesUnanswered counts those of them that were placed although an answer was missing.
+	SearchesUnanswered metric.Counter
+	ResponseMS         *metric.Quantiles
 }
 
 // Gateway accepts jobs from callers and responds to them. Its methods may be called concurrently.
@@ -149,6 +156,8 @@
 	freeAt     atomic.Int64 // when mu was last known to be free; as pause.Elapsed, in ns
 	cancelled  *cancellations
 	departures departures
+	// repetitions tells which requests repeat one that another instance got.
+	repetitions *repetition.Detector
 
 	mu               sync.Mutex
 	jobs             map[work.JobID]*pending
@@ -182,13 +191,15 @@
 	cancelled          bool                   // the caller has cancelled the job
 	refusal            *relay.Answer          // dispatchers' refusal with the shortest retry time so far; nil if none has refused the job
 	claim              claim                  // what the job's homes know
+	repeats            bool                   // the request seems to repeat one that another instance got
+	search             *jobSearch             // for the job of a request that repeats another one; nil if there is none
 	shared             *shared                // what is known of another request that has placed the job; nil if none is known
 	moved              *moved                 // what is known of a job that an evacuated zone has given back; nil for others
 }
 
 // New returns a gateway without jobs.
 func New(o Options) *Gateway {
-	g := &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout}
+	g := &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout, repetitions: newRepetitions()}
 	g.noteFree()
 	g.cancelled = newCancellations(g.cancelPending)
 	g.departures.handle = g.callerGone
@@ -271,8 +282,8 @@
 		return
 	}
 	job.Queue, job.Service, job.Objective = queue.Name, queue.Service, queue.Objective
-	timeout, ok := g.opts.Codec.ResponseTimeout(x.Request.Header.Peek)
-	if !ok {
+	timeout, declared := g.opts.Codec.ResponseTimeout(x.Request.Header.Peek)
+	if !declared {
 		timeout = defaultResponseTimeout
 	}
 	sent := x.Arrived.Add(-x.Unread) // at the earliest
@@ -285,10 +296,8 @@
 		g.submitStored(x, job, sent, timeout)
 		return
 	}
-	p.untried = g.opts.Router.Immediate(job)
-	if p.startOnly = len(p.untried) > 0; !p.startOnly {
-		g.tryAll(p)
-	}
+	p.repeats = declared && g.repetitions.Repeats(queue.Name, timeout, g.opts.Retransmit, pause.Elapsed())
+	g.chooseTargets(p)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.cancelled.isCancelled(job.ID) {
@@ -306,7 +315,7 @@
 		g.refuseJob(p, 503, reasonStopping, retryStopping)
 		return
 	}
-	g.placeNew(p)
+	g.placeFirst(p)
 }
 
 // discard removes a pending job and cancels it at its dispatcher. The caller holds g.mu.
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -31,6 +31,14 @@
 	return len(p.untried) > 0
 }
 
+// chooseTargets sets the dispatchers to which a job is offered first.
+func (g *Gateway) chooseTargets(p *pending) {
+	p.untried = g.opts.Router.Immediate(p.job)
+	if p.startOnly = len(p.untried) > 0; !p.startOnly {
+		g.tryAll(p)
+	}
+}
+
 // tryAll lets a job be placed at any dispatcher, anew.
 func (g *Gateway) tryAll(p *pending) {
 	p.startOnly, p.untried = false, g.targets(p)
@@ -204,6 +212,7 @@
 	defer g.mu.Unlock()
 	for _, p := range g.jobs {
 		p.claim.forget(route)
+		p.search.forget(route)
 		switch {
 		case p.route != route:
 		case sent:
@@ -227,6 +236,8 @@
 	defer g.mu.Unlock()
 	for _, p := range g.jobs {
 		switch {
+		case p.search != nil:
+			g.continueSearch(p)
 		case p.awaitingDispatcher:
 			g.tryAll(p)
 			g.placeNew(p)
--- /dev/null
+++ b/internal/gateway/search.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/relay"
+	"github.com/savorypass/savorypass/internal/repetition"
+)
+
+// The home of a job knows where an earlier request has placed it, unless another dispatcher has just become the home: a partition that
+// changes hands takes the knowledge of placements with it, and often that of the runs, since the home is in most cases also the dispatcher
+// of the job. A request that seems to repeat an earlier one is therefore placed only after every dispatcher of its zone has been asked
+// for the job, and has answered with knowledge of all runs on its endpoints. One that holds the job gets the request, too.
+
+const (
+	// usualWaitMemory is how long the wait that a caller declares counts for what is usual in its queue.
+	usualWaitMemory = time.Minute
+	// minUsualWaits is the number of waits from which they show what is usual. It is small: an unnecessary search takes a round trip.
+	minUsualWaits = 3
+)
+
+func newRepetitions() *repetition.Detector {
+	return repetition.New(repetition.Options{Memory: usualWaitMemory, MinWaits: minUsualWaits})
+}
+
+// jobSearch is a search for a job among the dispatchers, before a repeated request is placed.
+type jobSearch struct {
+	since     time.Time
+	questions []*question
+}
+
+// question is what one dispatcher was asked, and has answered.
+type question struct {
+	to       Target
+	required bool                   // the job is not placed before the answer; otherwise only if the dispatcher cannot be asked
+	number   relay.SubmissionNumber // of the claim that waits for its answer
+	route    Route                  // over which it was sent; nil if the question is to be sent, or sent again
+	answered bool                   // the dispatcher holds nothing of the job
+}
+
+// placeFirst places a job for the first time.
+func (g *Gateway) placeFirst(p *pending) {
+	if p.repeats {
+		g.beginSearch(p)
+		return
+	}
+	g.placeNew(p)
+}
+
+// beginSearch asks the dispatchers of the instance's zone, and the connected ones of other zones, for a job.
+func (g *Gateway) beginSearch(p *pending) {
+	g.opts.Metrics.Searches.Add(1)
+	own, others := g.opts.Router.Dispatchers()
+	p.search = &jobSearch{since: time.Now()}
+	for _, t := range own {
+		p.search.questions = append(p.search.questions, &question{to: t, required: true})
+	}
+	for _, t := range others {
+		p.search.questions = append(p.search.questions, &question{to: t})
+	}
+	g.continueSearch(p)
+}
+
+// continueSearch sends the questions that are open. After the retransmit time, the runs that nobody attends to are over, and the search ends
+// without the answers that are missing.
+func (g *Gateway) continueSearch(p *pending) {
+	if time.Since(p.search.since) > g.opts.Retransmit {
+		g.noteSearchUnanswered(p)
+		g.endSearch(p)
+		return
+	}
+	for _, q := range p.search.questions {
+		if q.route == nil && !q.answered {
+			g.sendQuestion(p, q)
+		}
+	}
+	g.endSearchIfAnswered(p)
+}
+
+func (g *Gateway) sendQuestion(p *pending, q *question) {
+	g.submissions++
+	route, ok := g.opts.Router.Claim(q.to, &relay.Claim{Job: p.job.ID, Number: g.submissions, Partition: q.to.Partition, Searches: true})
+	if ok {
+		q.route, q.number = route, g.submissions
+		return
+	}
+	q.answered = !q.required
+}
+
+// find returns the question that an answer over a route is for; nil if there is none.
+func (s *jobSearch) find(route Route, number relay.SubmissionNumber) *question {
+	if s == nil || number == 0 {
+		return nil
+	}
+	for _, q := range s.questions {
+		if q.route == route && q.number == number {
+			return q
+		}
+	}
+	return nil
+}
+
+// forget makes the questions over a route that has ended be sent again.
+func (s *jobSearch) forget(route Route) {
+	if s == nil {
+		return
+	}
+	for _, q := range s.questions {
+		if q.route == route {
+			q.route = nil
+		}
+	}
+}
+
+// searchAnswered handles the answer of a dispatcher to a question.
+func (g *Gateway) searchAnswered(p *pending, q *question, a *relay.Answer) {
+	q.route = nil
+	switch {
+	case a.Placed != nil:
+		p.search = nil
+		g.follow(p, *a.Placed)
+		return
+	case a.Refused == pool.ReasonNone:
+		q.answered = true
+	case a.Refused == pool.ReasonNotLeader:
+		g.opts.Router.ReportNotLeader(q.to)
+	}
+	g.endSearchIfAnswered(p)
+}
+
+func (g *Gateway) endSearchIfAnswered(p *pending) {
+	for _, q := range p.search.questions {
+		if !q.answered {
+			return
+		}
+	}
+	g.endSearch(p)
+}
+
+// endSearch places a job that no dispatcher holds.
+func (g *Gateway) endSearch(p *pending) {
+	p.search = nil
+	g.chooseTargets(p)
+	g.placeNew(p)
+}
+
+// noteSearchUnanswered counts and logs a repeated request that is placed although a dispatcher has not said that it does not hold the job.
+func (g *Gateway) noteSearchUnanswered(p *pending) {
+	g.opts.Metrics.SearchesUnanswered.Add(1)
+	var missing []Target
+	for _, q := range p.search.questions {
+		if !q.answered {
+			missing = append(missing, q.to)
+		}
+	}
+	g.opts.Log.WithFields(logrus.Fields{
+		"event": "search_unanswered", "job": p.job.ID, "request": relay.RequestName(p.request), "missing": missing,
+	}).Info("repeated request placed although not all dispatchers have said that they do not hold its job")
+}
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -48,6 +48,7 @@
 func (noHomes) Homes(work.JobID) []Target                { return nil }
 func (noHomes) Claim(Target, *relay.Claim) (Route, bool) { return nil, false }
 func (noHomes) Knowledge(Target) uint64                  { return 0 }
+func (noHomes) Dispatchers() (own, others []Target)      { return nil, nil }
 
 // router records the jobs that are submitted and cancelled.
 type router struct {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -116,6 +116,7 @@
 		{Name: "requests_answered", Var: &m.Answered}, {Name: "requests_refused", Var: &m.Refused},
 		{Name: "requests_abandoned", Var: &m.Abandoned}, {Name: "requests_timed_out", Var: &m.TimedOut}, {Name: "requests_given_up", Var: &m.GivenUp},
 		{Name: "homes_asked", Var: &m.Claims}, {Name: "homes_unanswered", Var: &m.Unanswered}, {Name: "jobs_followed", Var: &m.Followed},
+		{Name: "jobs_searched", Var: &m.Searches}, {Name: "searches_unanswered", Var: &m.SearchesUnanswered},
 		{Name: "response_ms", Var: m.ResponseMS},
 		{Name: "requests_active", Var: gauge(func() int64 { return int64(n.gateway.Active()) })},
 		{Name: "runs_ordered", Var: &c.Starts}, {Name: "jobs_refused", Var: &c.Refused}, {Name: "jobs_passed_on", Var: &c.WouldWait},
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -223,6 +223,21 @@
 	return load.Knowledge
 }
 
+// Dispatchers implements gateway.Router.
+func (r *router) Dispatchers() (own, others []gateway.Target) {
+	for part := range r.divisions.Partitions(r.ownZone) {
+		own = append(own, gateway.Target{Zone: r.ownZone, Partition: part})
+	}
+	for _, zone := range r.others {
+		for part := range r.divisions.Partitions(zone) {
+			if t := (gateway.Target{Zone: zone, Partition: part}); r.Knowledge(t) != 0 {
+				others = append(others, t)
+			}
+		}
+	}
+	return own, others
+}
+
 // Claim implements gateway.Router.
 func (r *router) Claim(to gateway.Target, c *relay.Claim) (gateway.Route, bool) {
 	address := r.dispatcher(to.Zone, to.Partition)
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -204,6 +204,11 @@
 		from.Answer(answer)
 		return
 	}
+	if c.Searches {
+		s.search(answer, c)
+		from.Answer(answer)
+		return
+	}
 	at, known := s.placements.Apply(c)
 	if !c.Asks {
 		return
@@ -214,6 +219,17 @@
 	from.Answer(answer)
 }
 
+// search completes the answer to a search for a job.
+func (s *shards) search(answer *relay.Answer, c *relay.Claim) {
+	x := s.get(c.Partition)
+	switch state, knowledge := x.Find(c.Job); state {
+	case shard.Held:
+		answer.Placed = &relay.Placement{Zone: s.zone, Partition: c.Partition, Knowledge: knowledge}
+	case shard.NotKnownYet:
+		answer.Refused = pool.ReasonUnsettled
+	}
+}
+
 // Cancel implements relay.Dispatcher.
 func (s *shards) Cancel(from relay.Client, c *relay.Cancel) {
 	if x := s.get(c.Partition); x != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/savorypass/savorypass/internal/attempt"
+	"github.com/savorypass/savorypass/internal/repetition"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -71,20 +72,20 @@
 
 // Pool is the scheduling state of a shard. It is not safe for concurrent use.
 type Pool struct {
-	endpoints map[work.EndpointID]*endpoint
-	order     []*endpoint // sorted by ID, so that decisions do not depend on map order
-	jobs      map[work.JobID]*job
-	queue     []*job // jobs with tasks to start, by latest start
-	runs      map[work.TaskID]*Run
-	numbers   map[work.TaskID]int // highest run number of each unfinished task
-	estimates estimates
-	speeds    speeds
-	farFactor float64            // factor by which a task takes longer on a rack other than that of its data
-	decisions int                // number of calls of Next
-	delayed   int                // number of jobs of which a task has waited for a faster endpoint
-	demand    map[string]*demand // by queue
-	waits     map[string]*waits  // by queue
-	history   *attempt.History
+	endpoints   map[work.EndpointID]*endpoint
+	order       []*endpoint // sorted by ID, so that decisions do not depend on map order
+	jobs        map[work.JobID]*job
+	queue       []*job // jobs with tasks to start, by latest start
+	runs        map[work.TaskID]*Run
+	numbers     map[work.TaskID]int // highest run number of each unfinished task
+	estimates   estimates
+	speeds      speeds
+	farFactor   float64            // factor by which a task takes longer on a rack other than that of its data
+	decisions   int                // number of calls of Next
+	delayed     int                // number of jobs of which a task has waited for a faster endpoint
+	demand      map[string]*demand // by queue
+	repetitions *repetition.Detector
+	history     *attempt.History
 	// unclaimed holds the tasks that succeeded while their job was not here, with the time of the report. They count as done
 	// when the job is submitted again after the loss of its dispatcher.
 	unclaimed map[work.TaskID]time.Duration
@@ -95,19 +96,19 @@
 // New returns an empty pool. The history holds the unsuccessful runs of tasks; it outlives the pool.
 func New(history *attempt.History) *Pool {
 	return &Pool{
-		history:   history,
-		endpoints: map[work.EndpointID]*endpoint{},
-		jobs:      map[work.JobID]*job{},
-		runs:      map[work.TaskID]*Run{},
-		numbers:   map[work.TaskID]int{},
-		estimates: estimates{},
-		speeds:    speeds{noise: initialNoise},
-		farFactor: DefaultFarFactor,
-		demand:    map[string]*demand{},
-		waits:     map[string]*waits{},
-		unclaimed: map[work.TaskID]time.Duration{},
-		weighs:    func(string) bool { return false },
-		timings:   map[work.JobID]Timing{},
+		history:     history,
+		endpoints:   map[work.EndpointID]*endpoint{},
+		jobs:        map[work.JobID]*job{},
+		runs:        map[work.TaskID]*Run{},
+		numbers:     map[work.TaskID]int{},
+		estimates:   estimates{},
+		speeds:      speeds{noise: initialNoise},
+		farFactor:   DefaultFarFactor,
+		demand:      map[string]*demand{},
+		repetitions: newRepetitions(),
+		unclaimed:   map[work.TaskID]time.Duration{},
+		weighs:      func(string) bool { return false },
+		timings:     map[work.JobID]Timing{},
 	}
 }
 
--- a/internal/pool/repeated_test.go
+++ b/internal/pool/repeated_test.go
@@ -10,67 +10,6 @@
 
 const retransmit = 1300 * ms
 
-// usually makes a number of jobs of a queue declare waits around a mean.
-func usually(p *Pool, queue string, n int, mean, now time.Duration) {
-	for i := range n {
-		p.Repeated(queue, mean+time.Duration(i%5-2)*50*ms, retransmit, now)
-	}
-}
-
-// Guards against jobs taken for repetitions because their callers wait a little less than usual, and against repetitions taken for new jobs.
-func TestRepeatedJobsAreToldByTheirDeclaredWait(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		wait     time.Duration
-		repeated bool
-	}{
-		{"usual", 2000 * ms, false},
-		{"shorter", 1400 * ms, false},
-		{"longer", 9000 * ms, false},
-		{"one retransmit time less", 700 * ms, true},
-		{"three retransmit times less", 0, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			p := poolOf()
-			usually(p, "q", 20, 2000*ms, 0)
-			is.Equal(p.Repeated("q", c.wait, retransmit, 0), c.repeated)
-			is.True(!p.Repeated("other", c.wait, retransmit, 0)) // nothing is known of another queue
-			is.True(!p.Repeated("q", c.wait, 0, 0))              // nor of a deployment without a retransmit time
-		})
-	}
-}
-
-// Guards against a dispatcher that takes the repetitions for the usual jobs because it gets more of them than of new ones.
-func TestRepetitionsAreToldWhenMostJobsAreRepetitions(t *testing.T) {
-	is := is.New(t)
-	p := poolOf()
-	taken := 0
-	for i := range 60 {
-		wait := 2000 * ms
-		if i%5 < 3 {
-			wait -= retransmit
-		}
-		if p.Repeated("q", wait, retransmit, 0) != (i%5 < 3) {
-			taken++
-		}
-	}
-	t.Log(taken, "of 36 repetitions were not told")
-	is.True(taken <= minDeclaredWaits)
-}
-
-// Guards against jobs that are refused for ever after their callers have changed how long they wait.
-func TestShorterWaitsBecomeUsual(t *testing.T) {
-	is := is.New(t)
-	p := poolOf()
-	usually(p, "q", declaredWaits, 3000*ms, 0)
-	is.True(p.Repeated("q", 1000*ms, retransmit, 0))
-	later := declaredWaitMemory + ms
-	is.True(!p.Repeated("q", 1000*ms, retransmit, later))
-	usually(p, "q", declaredWaits, 1000*ms, later)
-	is.True(!p.Repeated("q", 1000*ms, retransmit, later))
-}
-
 // Guards against repetitions that take the capacity of jobs that can be in time, and against refusals of those that are still of use, that
 // have started, or for which there is room.
 func TestRepeatedInVain(t *testing.T) {
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -25,7 +25,9 @@
 	// ReasonEvacuated refuses a job in an evacuated zone: nothing of it has run there, and another zone may take it.
 	ReasonEvacuated Reason = "evacuated"
 	// ReasonRepeated refuses a job that its caller has sent before and that would end too late to be of use, see RepeatedInVain.
-	ReasonRepeated   Reason = "repeated"
+	ReasonRepeated Reason = "repeated"
+	// ReasonUnsettled answers a search for a job by a dispatcher that does not know yet what runs on all its endpoints.
+	ReasonUnsettled  Reason = "unsettled"
 	ReasonSuperseded Reason = "superseded" // another instance has submitted the job and attends to its caller; in the log only
 )
 
--- a/internal/relay/claim.go
+++ b/internal/relay/claim.go
@@ -33,6 +33,9 @@
 	Remaining time.Duration `msgpack:"m,omitempty"`
 	// Asks means that the sender waits for an answer before it places the job. It is told where another request has placed the job.
 	Asks bool `msgpack:"k,omitempty"`
+	// Searches makes the message the question whether the dispatcher of Partition holds the job or knows of runs of it, whichever request they are
+	// of. It is answered with a placement, with pool.ReasonUnsettled, or with neither if there is nothing. Nothing is recorded.
+	Searches bool `msgpack:"s,omitempty"`
 	// Released means that the request was refused and no dispatcher has started the job for it.
 	Released bool `msgpack:"r,omitempty"`
 }
@@ -56,7 +59,7 @@
 	}
 }
 
-// Claim sends a claim. It returns false if the dispatcher has not responded, or is of a version that keeps no placements.
+// Claim sends a claim. It returns false if the dispatcher has not responded, or is of a version that does not handle such claims.
 func (u *Uplink) Claim(c *Claim) bool {
 	frame, err := encode(c)
 	if err != nil {
@@ -64,7 +67,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.ended || !u.keepsPlacements {
+	if u.ended || !u.keepsPlacements || c.Searches && !u.answersSearches {
 		return false
 	}
 	u.link.sendFrame(frame)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -146,6 +146,8 @@
 	Cancelled []Cancellation `msgpack:"c,omitempty"`
 	// KeepsPlacements means that the sender, a dispatcher, handles claims.
 	KeepsPlacements bool `msgpack:"k,omitempty"`
+	// AnswersSearches means that it handles claims that search for a job, too.
+	AnswersSearches bool `msgpack:"q,omitempty"`
 	clockReading
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,7 +131,7 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	l := newLink(s.meter.Conn(conn, traffic.Downlink), heartbeatInterval, func() heartbeat {
 		return heartbeat{Loads: s.dispatcher.Loads(), Attempts: s.dispatcher.Attempts(), Cancelled: s.dispatcher.Cancellations().Recent(),
-			KeepsPlacements: true}
+			KeepsPlacements: true, AnswersSearches: true}
 	})
 	stop := context.AfterFunc(ctx, func() { l.close(ctx.Err()) })
 	defer stop()
@@ -194,6 +194,7 @@
 	unsent    []unsent     // messages that wait until the dispatcher has responded
 	// keepsPlacements is set once the dispatcher has said that it handles claims.
 	keepsPlacements bool
+	answersSearches bool // the same for searches
 }
 
 // Handler receives what comes over an uplink. Its functions do not block.
@@ -283,7 +284,7 @@
 func (u *Uplink) heard(b *heartbeat) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.keepsPlacements = b.KeepsPlacements
+	u.keepsPlacements, u.answersSearches = b.KeepsPlacements, b.AnswersSearches
 	u.loads = make(map[int]Load, len(b.Loads))
 	for _, l := range b.Loads {
 		u.loads[l.Partition] = l
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -140,12 +140,20 @@
 			outdated = true
 		}
 	}
-	if outdated && now-s.readRequestedAt >= readRequestPause {
-		s.readRequestedAt = now
-		s.opts.OnOutdated()
+	if outdated {
+		s.requestRead(now)
 	}
 }
 
+// requestRead requests a read of the registrations, unless that has just been done.
+func (s *Shard) requestRead(now time.Duration) {
+	if now-s.readRequestedAt < readRequestPause {
+		return
+	}
+	s.readRequestedAt = now
+	s.opts.OnOutdated()
+}
+
 // knowsRunsUntil reports whether all runs are known that another dispatcher with an earlier fence may have ordered until a time.
 func (s *Shard) knowsRunsUntil(last, now time.Duration) bool {
 	asOf, known := s.knownAsOf(now)
