Resumed jobs ask the endpoints again where another dispatcher may have held the partition

Cause: a dispatcher that has lost its partition and got it back without noticing resumes a job that another one has started meanwhile, on reports to its own, lower fence from before. Change: for a job that came while this dispatcher held its present fence, the endpoints that answer must have accepted that fence since the end of the other dispatcher's orders; they are asked at once. One that refuses it makes the job wait for the end of leases.

--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -37,7 +37,7 @@
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
 		x.noteFence(request.Fence, now)
-		x.noteReport(report, request.Fence)
+		x.noteReport(report, request)
 		x.applyRuns(report, now)
 	}
 	for _, end := range report.Ended {
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -90,6 +90,9 @@
 	// open means that an earlier dispatcher may extend leases for the job after last, since another instance attends to it there. The end of
 	// all leases is not known then.
 	open bool
+	// recent means that the job came to the other dispatcher while this one held its present fence. The other one may have had a higher fence and
+	// have lost the partition again without this one's notice. The endpoints are asked then whether they still accept the present fence.
+	recent bool
 }
 
 // over reports whether the leases that other dispatchers have extended have expired for certain.
@@ -102,7 +105,7 @@
 	if !resumed {
 		return 0
 	}
-	if s.knowsRunsUntil(orders.last, now) && s.opts.Directory.covers(orders.arrived, now) {
+	if s.knowsRunsOf(orders, now) && s.opts.Directory.covers(orders.arrived, now) {
 		return 1 // above 0 because the job is resumed
 	}
 	if orders.open {
@@ -114,7 +117,9 @@
 // await makes a resumed job wait until the runs are known that other dispatchers may have ordered.
 func (s *Shard) await(id work.JobID, orders period) {
 	if before, ok := s.awaiting[id]; ok {
-		orders = period{min(orders.arrived, before.arrived), max(orders.last, before.last), orders.open || before.open}
+		orders = period{
+			min(orders.arrived, before.arrived), max(orders.last, before.last), orders.open || before.open, orders.recent || before.recent,
+		}
 	}
 	s.awaiting[id] = orders
 }
@@ -133,6 +138,8 @@
 		case !s.pool.HasJob(id) || s.over(orders, now):
 			delete(s.awaiting, id)
 		case s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
+		case asOf > last && !s.confirmed(orders):
+			s.requestReports(last, now)
 		case asOf > last:
 			s.pool.ReleaseResumed(id)
 			delete(s.awaiting, id)
@@ -156,8 +163,40 @@
 
 // knowsRunsUntil reports whether all runs are known that another dispatcher with an earlier fence may have ordered until a time.
 func (s *Shard) knowsRunsUntil(last, now time.Duration) bool {
+	return s.knowsRunsOf(period{last: last}, now)
+}
+
+// knowsRunsOf reports whether all runs are known that another dispatcher may have ordered in a period.
+func (s *Shard) knowsRunsOf(p period, now time.Duration) bool {
 	asOf, known := s.knownAsOf(now)
-	return known && asOf > last && !s.dividedBefore(last)
+	return known && asOf > p.last && !s.dividedBefore(p.last) && s.confirmed(p)
+}
+
+// confirmed reports whether the endpoints have accepted the present fence since the end of a period, if the period is recent. One that does
+// not answer cannot be asked.
+func (s *Shard) confirmed(p period) bool {
+	if !p.recent {
+		return true
+	}
+	for id, x := range s.sessions {
+		if x.refusedFence == s.term.Fence || x.answering && s.reports[id].sent < p.last {
+			return false
+		}
+	}
+	return true
+}
+
+// requestReports requests a report from each endpoint whose last one is from before a time, unless that has just been done.
+func (s *Shard) requestReports(since, now time.Duration) {
+	if now-s.reportsRequestedAt < readRequestPause || now <= since {
+		return
+	}
+	s.reportsRequestedAt = now
+	for id, x := range s.sessions {
+		if x.answering && s.reports[id].sent < since {
+			go x.requestReport()
+		}
+	}
 }
 
 // dividedBefore reports whether the zone's number of partitions changed shortly before a time. A dispatcher that had not read of the change
@@ -187,6 +226,7 @@
 	fence         int64
 	startedUnixMS int64 // start of the process; 0 if not known
 	address       string
+	sent          time.Duration // when the request for the report was sent
 }
 
 // covers reports whether the process of a registration has reported to a fence.
@@ -197,12 +237,12 @@
 	return r.fence == fence && r.startedUnixMS == e.StartedUnixMS
 }
 
-// noteReport records that the endpoint has reported to a fence. The shard's lock is held.
-func (x *session) noteReport(report work.Report, fence int64) {
+// noteReport records that the endpoint has reported to the fence of a request. The shard's lock is held.
+func (x *session) noteReport(report work.Report, request reportRequest) {
 	s := x.shard
-	r := newestReport{fence, report.StartedUnixMS, x.endpoint.Address}
+	r := newestReport{request.Fence, report.StartedUnixMS, x.endpoint.Address, request.sent}
 	if old := s.reports[x.endpoint.ID]; old.startedUnixMS == r.startedUnixMS && old.address == r.address {
-		r.fence = max(r.fence, old.fence)
+		r.fence, r.sent = max(r.fence, old.fence), max(r.sent, old.sent)
 	}
 	s.reports[x.endpoint.ID] = r
 }
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -230,17 +230,23 @@
 		return false
 	}
 	report, refusal, err := x.renewLease(context.Background(), request)
-	if err != nil || refusal != work.Done {
+	if err != nil {
 		return false
 	}
 	s := x.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !x.ended() {
-		x.applyReport(report, request, s.opts.Now())
+	switch {
+	case x.ended():
+	case refusal == work.Done:
+		now := s.opts.Now()
+		x.applyReport(report, request, now)
+		s.releaseResumed(now)
 		s.dispatch()
+	case refusal == work.Fenced:
+		x.refused(refusal, request.Fence)
 	}
-	return true
+	return refusal == work.Done
 }
 
 // ended reports whether the endpoint was dropped or the session's term has ended. The shard's fence may be that of another term then, in
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -87,33 +87,34 @@
 	knowledge atomic.Uint64
 	checked   atomic.Int64 // end of the last periodic checks, on the clock of Options.Now in nanoseconds
 
-	mu              sync.Mutex
-	leading         bool
-	fenceStart      time.Duration // when this dispatcher began to use the current fence
-	began           time.Duration // when the term began
-	settled         bool          // see settle
-	term            Term
-	registrations   knowledge
-	startsWait      bool                  // starts wait for a read of the registrations
-	awaiting        map[work.JobID]period // resumed jobs whose runs are not known yet, with the time in which these were ordered
-	held            map[work.JobID]holding
-	reports         map[work.EndpointID]newestReport
-	readRequestedAt time.Duration // when a read of the registrations was last requested for them
-	callLost        bool          // a call to an endpoint got no answer; the last such call was at callLostAt
-	callLostAt      time.Duration
-	pool            *pool.Pool
-	sessions        map[work.EndpointID]*session
-	clients         map[work.JobID]submitters     // not empty
-	stored          map[work.JobID]*work.Job      // stored jobs, for which no client waits
-	unreleased      map[work.JobID]bool           // stored jobs that wait for ReleaseStored
-	released        []func(work.JobID) bool       // what ReleaseStored was called with under the present fence
-	undecidedSince  time.Duration                 // latest time of the start of a task whose end is undecided
-	endsUndecided   bool                          // the ledger could not tell of an end whether it has to be recorded
-	expires         map[work.JobID]time.Duration  // when a job's caller waits no longer
-	expiryCheckedAt time.Duration                 // time of the last search for expired jobs
-	stopRequestedAt map[work.TaskID]time.Duration // time of the last request to stop a run of the task
-	cancel          context.CancelFunc
-	ctx             context.Context
+	mu                 sync.Mutex
+	leading            bool
+	fenceStart         time.Duration // when this dispatcher began to use the current fence
+	began              time.Duration // when the term began
+	settled            bool          // see settle
+	term               Term
+	registrations      knowledge
+	startsWait         bool                  // starts wait for a read of the registrations
+	awaiting           map[work.JobID]period // resumed jobs whose runs are not known yet, with the time in which these were ordered
+	held               map[work.JobID]holding
+	reports            map[work.EndpointID]newestReport
+	readRequestedAt    time.Duration // when a read of the registrations was last requested for them
+	reportsRequestedAt time.Duration // when reports of endpoints were last requested for them
+	callLost           bool          // a call to an endpoint got no answer; the last such call was at callLostAt
+	callLostAt         time.Duration
+	pool               *pool.Pool
+	sessions           map[work.EndpointID]*session
+	clients            map[work.JobID]submitters     // not empty
+	stored             map[work.JobID]*work.Job      // stored jobs, for which no client waits
+	unreleased         map[work.JobID]bool           // stored jobs that wait for ReleaseStored
+	released           []func(work.JobID) bool       // what ReleaseStored was called with under the present fence
+	undecidedSince     time.Duration                 // latest time of the start of a task whose end is undecided
+	endsUndecided      bool                          // the ledger could not tell of an end whether it has to be recorded
+	expires            map[work.JobID]time.Duration  // when a job's caller waits no longer
+	expiryCheckedAt    time.Duration                 // time of the last search for expired jobs
+	stopRequestedAt    map[work.TaskID]time.Duration // time of the last request to stop a run of the task
+	cancel             context.CancelFunc
+	ctx                context.Context
 	// endedFence is the highest fence of a term that has ended, endedAt when the last one did.
 	endedFence int64
 	endedAt    time.Duration
@@ -301,7 +302,7 @@
 		s.refuse(client, m, pool.Verdict{Reason: pool.ReasonRepeated, RetryAfter: time.Second})
 		return
 	}
-	orders := period{arrived - m.Earlier, last, m.Shared}
+	orders := period{arrived: arrived - m.Earlier, last: last, open: m.Shared, recent: arrived > s.fenceStart}
 	notBefore := s.notBefore(s.resumes(m), orders, now)
 	if m.InProgress {
 		notBefore = max(notBefore, 1) // as for a resumed job whose runs are known
@@ -314,6 +315,7 @@
 	s.logVerdict(client, m, verdict, known)
 	if s.resumes(m) {
 		s.await(job.ID, orders)
+		s.releaseResumed(now)
 	}
 	s.hold(m, last, now)
 	s.clients[job.ID] = s.clients[job.ID].with(client)
