Refusals during a takeover do not deny runs of another dispatcher

Cause: a job whose runs one dispatcher knows is submitted with that dispatcher's knowledge. If its successor refused it before it knew what runs on its endpoints, the refusal said that nothing of the job runs, and the instance placed the job elsewhere beside its runs. Change: such a refusal says that the job may have started and keeps the knowledge. Result: TestRefusalDuringATakeoverDoesNotDenyRuns failed before.

--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -114,7 +114,8 @@
 	// Started is true in a refusal if tasks of the job may have started: this dispatcher has started them and its term has ended, or it
 	// knows of runs of an earlier submission that are not over. It is set with GaveUp, too.
 	Started bool `msgpack:"t,omitempty"`
-	// Knowledge is that of the dispatcher, see Load. It is set in a refusal with Started by a dispatcher that goes on.
+	// Knowledge is set in a refusal with Started by a dispatcher that goes on: its own, see Load, or that of the submission if it does not know
+	// the runs itself.
 	Knowledge uint64 `msgpack:"e,omitempty"`
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -348,7 +348,16 @@
 func (s *Shard) refuse(client *submitter, m *relay.Submit, v pool.Verdict) {
 	s.logVerdict(client, m, v, s.pool.HasJob(m.Job.ID))
 	s.opts.Counts.Refused.Add(1)
-	s.answer(client, s.refusal(m.Job.ID, v.Reason, v.RetryAfter))
+	a := s.refusal(m.Job.ID, v.Reason, v.RetryAfter)
+	if s.mayRunUnknown(m) {
+		a.Started, a.Knowledge = true, m.Knowledge
+	}
+	s.answer(client, a)
+}
+
+// mayRunUnknown reports whether another dispatcher knows of runs of a submitted job that this one may not know yet.
+func (s *Shard) mayRunUnknown(m *relay.Submit) bool {
+	return !s.settled && !m.Shared && m.Knowledge != 0 && m.Knowledge != s.knowledge.Load()
 }
 
 // refusal returns the refusal of a job by a dispatcher that leads. It tells whether the dispatcher knows of runs of the job.
