Searches for jobs of unusually short waits only, for half of the caller's time

Change: a wait counts as that of a repetition if it is a quarter of the retransmit time below the lowest tenth of its queue; a search takes at most half of the time that its caller waits.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -383,7 +383,7 @@
 	return g.opts.Log.WithFields(logrus.Fields{
 		"event": "request", "job": p.job.ID, "request": relay.RequestName(p.request), "queue": p.job.Queue, "tasks": p.job.Tasks(), "outcome": outcome,
 		"status": status, "zone": p.target.Zone, "partition": p.target.Partition, "ms": time.Since(p.arrived).Milliseconds(), "resumed": p.orphaned,
-		"home": p.claim.outcome, "placements": p.trail.String(),
+		"declared_ms": p.deadline.Sub(p.arrived).Milliseconds(), "repeats": p.repeats, "home": p.claim.outcome, "placements": p.trail.String(),
 	})
 }
 
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -18,17 +18,25 @@
 const (
 	// usualWaitMemory is how long the wait that a caller declares counts for what is usual in its queue.
 	usualWaitMemory = time.Minute
-	// minUsualWaits is the number of waits from which they show what is usual. It is small: an unnecessary search takes a round trip.
+	// minUsualWaits is the number of waits from which they show what is usual. It is small, since many instances get few requests of a queue.
 	minUsualWaits = 3
+	// lowWaitQuantile and lowWaitShare tell which waits are unusually short: by a share of the retransmit time below those of almost all new
+	// jobs. The waits of a queue may differ by more than the retransmit time, and an unnecessary search costs time when dispatchers change.
+	lowWaitQuantile = 0.1
+	lowWaitShare    = 0.25
+	// searchShare is the share of the time that a caller still waits which a search may take. Later, an answer would come too late in most cases.
+	searchShare = 0.5
 )
 
 func newRepetitions() *repetition.Detector {
-	return repetition.New(repetition.Options{Memory: usualWaitMemory, MinWaits: minUsualWaits})
+	return repetition.New(repetition.Options{
+		Quantile: lowWaitQuantile, Share: lowWaitShare, Memory: usualWaitMemory, MinWaits: minUsualWaits,
+	})
 }
 
 // jobSearch is a search for a job among the dispatchers, before a repeated request is placed.
 type jobSearch struct {
-	since     time.Time
+	until     time.Time // it ends without the answers that are missing then
 	questions []*question
 }
 
@@ -54,7 +62,8 @@
 func (g *Gateway) beginSearch(p *pending) {
 	g.opts.Metrics.Searches.Add(1)
 	own, others := g.opts.Router.Dispatchers()
-	p.search = &jobSearch{since: time.Now()}
+	most := min(g.opts.Retransmit, time.Duration(searchShare*float64(time.Until(p.deadline))))
+	p.search = &jobSearch{until: time.Now().Add(most)}
 	for _, t := range own {
 		p.search.questions = append(p.search.questions, &question{to: t, required: true})
 	}
@@ -65,9 +74,9 @@
 }
 
 // continueSearch sends the questions that are open. After the retransmit time, the runs that nobody attends to are over, and the search ends
-// without the answers that are missing.
+// without the answers that are missing; for a caller that waits less long it ends sooner.
 func (g *Gateway) continueSearch(p *pending) {
-	if time.Since(p.search.since) > g.opts.Retransmit {
+	if time.Now().After(p.search.until) {
 		g.noteSearchUnanswered(p)
 		g.endSearch(p)
 		return
--- a/internal/pool/repeated.go
+++ b/internal/pool/repeated.go
@@ -15,12 +15,20 @@
 	declaredWaitMemory = 5 * time.Second
 	// minDeclaredWaits is the number of declared waits from which they show what is usual.
 	minDeclaredWaits = 8
+	// usualWaitQuantile is the quantile of the declared waits that is taken as that of a new job. It is above the median, since more than half
+	// of the first jobs after a restart may be repetitions.
+	usualWaitQuantile = 0.75
+	// repeatedShare is the share of the retransmit time by which the wait of a repetition is below the usual one. It is below 1, since the waits
+	// of new jobs differ, too.
+	repeatedShare = 0.75
 	// spareCapacityPressure is the pressure in percent below which there is capacity for repetitions.
 	spareCapacityPressure = 50
 )
 
 func newRepetitions() *repetition.Detector {
-	return repetition.New(repetition.Options{Memory: declaredWaitMemory, MinWaits: minDeclaredWaits})
+	return repetition.New(repetition.Options{
+		Quantile: usualWaitQuantile, Share: repeatedShare, Memory: declaredWaitMemory, MinWaits: minDeclaredWaits,
+	})
 }
 
 // Repeated reports whether a job whose caller has declared a wait has been sent before, a retransmit time or more ago.
--- a/internal/repetition/repetition.go
+++ b/internal/repetition/repetition.go
@@ -11,19 +11,15 @@
 	"time"
 )
 
-const (
-	// declaredWaits is the number of jobs of a queue whose declared waits are compared.
-	declaredWaits = 64
-	// usualWaitQuantile is the quantile of the declared waits that is taken as that of a new job. It is above the median, since more than half
-	// of the first jobs after a restart may be repetitions.
-	usualWaitQuantile = 0.75
-	// repeatedShare is the share of the retransmit time by which a job's declared wait is below the usual one if it is a repetition. It is
-	// below 1, since the waits of new jobs differ, too.
-	repeatedShare = 0.75
-)
+// declaredWaits is the number of jobs of a queue whose declared waits are compared.
+const declaredWaits = 64
 
 // Options configures a Detector.
 type Options struct {
+	// Quantile is the quantile of the declared waits, from 0 to 1, with which a job's wait is compared.
+	Quantile float64
+	// Share is the share of the retransmit time by which the wait of a repetition is below that quantile.
+	Share float64
 	// Memory is how long a declared wait counts. Callers may change their habits.
 	Memory time.Duration
 	// MinWaits is the number of declared waits of a queue from which they show what is usual.
@@ -51,8 +47,8 @@
 		w = &waits{}
 		d.queues[queue] = w
 	}
-	usual, ok := w.usual(now-d.opts.Memory, d.opts.MinWaits)
-	if ok && retransmit > 0 && float64(usual-wait) >= repeatedShare*float64(retransmit) {
+	usual, ok := w.quantile(d.opts.Quantile, now-d.opts.Memory, d.opts.MinWaits)
+	if ok && retransmit > 0 && float64(usual-wait) >= d.opts.Share*float64(retransmit) {
 		return true
 	}
 	w.add(declaredWait{now, wait})
@@ -80,8 +76,8 @@
 	w.next = (w.next + 1) % declaredWaits
 }
 
-// usual returns the wait that new jobs have declared since a time. ok is false if fewer than minWaits are known.
-func (w *waits) usual(since time.Duration, minWaits int) (wait time.Duration, ok bool) {
+// quantile returns a quantile of the waits that new jobs have declared since a time. ok is false if fewer than minWaits are known.
+func (w *waits) quantile(q float64, since time.Duration, minWaits int) (wait time.Duration, ok bool) {
 	var recent []time.Duration
 	for _, d := range w.last {
 		if d.at >= since {
@@ -92,5 +88,5 @@
 		return 0, false
 	}
 	slices.Sort(recent)
-	return recent[int(usualWaitQuantile*float64(len(recent)-1))], true
+	return recent[int(q*float64(len(recent)-1))], true
 }
--- a/internal/repetition/repetition_test.go
+++ b/internal/repetition/repetition_test.go
@@ -12,7 +12,7 @@
 	retransmit = 1300 * ms
 )
 
-var testOptions = Options{Memory: 5 * time.Second, MinWaits: 8}
+var testOptions = Options{Quantile: 0.75, Share: 0.75, Memory: 5 * time.Second, MinWaits: 8}
 
 func detector() *Detector { return New(testOptions) }
 
