End stored jobs whose submission and cancel come in one batch

Callers saw: a cancel answered 200, and from then on a job that stays queued until the partition changes hands. Cause: holder.apply folds a whole batch before it looks at its records. If the submission and the cancel of a job are in one batch, the job is neither runnable nor live, and no case of the switch takes it: its end is never recorded. Fix: such a job becomes live and its end as cancelled is stored, as begin does for jobs that a new holder reads. Nothing of it is passed to the dispatcher. Evidence: TestSubmissionAndCancelInOneBatch failed before (the job was not cancelled within 30 s) and passes 5 of 5 runs with -race; internal/ledger and internal/joblog pass with -race.

--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -300,6 +300,10 @@
 			h.opts().Counts.Found.Add(1)
 			w := job.Work
 			h.post(func() { h.ledger.dispatcher.AddStored(h.fence, w) })
+		case live == nil && job.Cancelled: // one batch had its submission and its cancel
+			h.live[id] = &liveJob{stored: true}
+			h.opts().Counts.Found.Add(1)
+			h.postEnd(id, work.Cancelled)
 		case live != nil && live.stored && job.Cancelled && live.final == "":
 			h.post(func() { h.ledger.dispatcher.DropStored(h.fence, id) })
 			h.postEnd(id, work.Cancelled)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,12 +12,14 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/joblog"
 	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/pool"
 	"github.com/savorypass/savorypass/internal/relay"
 	"github.com/savorypass/savorypass/internal/shard"
 	"github.com/savorypass/savorypass/internal/standin/keyed"
 	"github.com/savorypass/savorypass/internal/standin/wait"
+	"github.com/savorypass/savorypass/internal/store"
 	"github.com/savorypass/savorypass/internal/work"
 )
 
@@ -293,6 +295,35 @@
 	is.Equal(c.Submit(t.Context(), job("d"), time.Now()).Result, ledger.NotSaved)
 }
 
+// Guards against a cancelled job that stays queued because the holder reads its submission and its cancel, which another instance has
+// appended, in one batch.
+func TestSubmissionAndCancelInOneBatch(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	h := newHolder(t, s, 32)
+	wait.For(t, "the log is held", h.held)
+	appendRecords(t, s, joblog.Submission{Job: *job("a")}, joblog.Cancel{Job: "a"})
+	appendRecords(t, s, joblog.Cancel{Job: "b"}, joblog.Submission{Job: *job("b")})
+	for _, id := range []work.JobID{"a", "b"} {
+		wait.For(t, "the holder ends the job", func() bool { return h.state(id).State == work.Cancelled })
+		is.True(!h.has(&h.added, id))
+	}
+	is.Equal(h.Dump()[0].Live, 0)
+}
+
+// appendRecords appends records in one batch, as an instance does that cannot reach the holder.
+func appendRecords(t *testing.T, s *keyed.Store, all ...any) {
+	is := is.New(t)
+	var records []store.Record
+	for _, content := range all {
+		r, err := joblog.Encode(content)
+		is.NoErr(err)
+		records = append(records, r)
+	}
+	_, err := s.Append(t.Context(), store.Append{Topic: topic, Records: records})
+	is.NoErr(err)
+}
+
 // Guards against the state of a job that is read while an append changes it. It needs the race detector.
 func TestRepeatedSubmissionDuringTheEnd(t *testing.T) {
 	is := is.New(t)
