Acknowledge an appended cancel only if the log holds the job

Cause: Client.Cancel appends the cancel itself if the holder does not answer within 350 ms, and took the append, which the store carries out for any name, for the cancel of the job. The gateway looks for a best-effort job only after NoJob. Fix: after the append the client reads the partition. Every accepted job is in the store by then, so the read tells whether the log holds the job: the answer is its final state or cancelled if so, NoJob if not, and NotKnown if the partition cannot be read. Cancels that come at the same time share reads, and the count of waiting jobs uses the same reads. TestAppendInPlaceOfTheHolder expected a cancelled state for a job that nobody had submitted, which is this fault; it now expects NoJob, and still that the record is appended and that the later submission does not start the job.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -25,8 +25,8 @@
 	holderTimeout = 350 * time.Millisecond
 	// appendPause is the pause before an append without an answer is repeated.
 	appendPause = 60 * time.Millisecond
-	// pendingTimeout is how long a count of waiting jobs waits for the holders, and then for the store, and pendingAge the greatest age of
-	// counts that are used again.
+	// pendingTimeout is how long a count of waiting jobs waits for the holders, and pendingAge the greatest age of counts that are used
+	// again.
 	pendingTimeout = 700 * time.Millisecond
 	pendingAge     = 400 * time.Millisecond
 	// maxPendingAge is how old a count may be that is given to callers.
@@ -34,8 +34,6 @@
 	// maxVacancy is how long a zone may have been without a dispatcher when a job of it is stored without a holder. A successor or a
 	// substitute begins within it if there is one.
 	maxVacancy = 8 * time.Second
-	// foldedAge is the greatest age of counts that were read from the store, which costs more.
-	foldedAge = time.Second
 )
 
 // Result is the result of a caller's request.
@@ -86,7 +84,7 @@
 
 	mu      sync.Mutex
 	pending map[string]pendingCount // by queue
-	folded  map[place]foldedCount
+	reads   map[place]*partitionRead
 }
 
 // pendingCount counts the waiting jobs of a queue.
@@ -101,12 +99,6 @@
 	at      time.Time
 }
 
-// foldedCount counts the waiting jobs of a partition whose holder does not answer, as the store has them.
-type foldedCount struct {
-	at      time.Time
-	waiting map[string]int // by queue
-}
-
 // place names a partition of a zone's log.
 type place struct {
 	zone      string
@@ -115,7 +107,7 @@
 
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
-	return &Client{opts: o, pending: map[string]pendingCount{}, folded: map[place]foldedCount{}}
+	return &Client{opts: o, pending: map[string]pendingCount{}, reads: map[place]*partitionRead{}}
 }
 
 func (c *Client) placeOf(id work.JobID) place {
@@ -238,7 +230,8 @@
 	return Answer{Result: NoAnswer}
 }
 
-// Cancel cancels a job. A job that has ended keeps its state.
+// Cancel cancels a job. A job that has ended keeps its state. If the holder cannot be reached, the cancel is appended here and NoJob means
+// that the log does not hold the job; a submission that is stored later does not start it.
 func (c *Client) Cancel(ctx context.Context, id work.JobID) Answer {
 	begun := time.Now()
 	for time.Since(begun) < holderTimeout && ctx.Err() == nil {
@@ -249,11 +242,31 @@
 		}
 		pause.For(ctx, askPause, nil)
 	}
-	a := c.append(ctx, joblog.Cancel{Job: id}, id, false)
-	if a.Result == Done {
-		a.State = work.Cancelled
+	if a := c.append(ctx, joblog.Cancel{Job: id}, id, false); a.Result != Done {
+		return a
 	}
-	return a
+	return c.cancelAppended(ctx, id)
+}
+
+// cancelAppended returns the answer to a cancel that this instance has appended. The store takes the cancel of any name, so whether the log
+// holds the job is known from a read that begins afterwards only.
+func (c *Client) cancelAppended(ctx context.Context, id work.JobID) Answer {
+	jobs, err := c.jobsSince(ctx, c.placeOf(id), time.Now())
+	if err != nil {
+		c.opts.Logger.WithFields(logrus.Fields{"event": "stored_cancel_unknown", "job": id}).WithError(err).
+			Info("the cancel is appended, but whether the log holds the job cannot be read")
+		return Answer{Result: NotKnown}
+	}
+	job := jobs.Get(id)
+	switch {
+	case job.Unreadable():
+		return Answer{Result: NotKnown}
+	case !job.Known():
+		return Answer{Result: NoJob}
+	case job.State != "":
+		return Answer{Result: Done, State: job.State}
+	}
+	return Answer{Result: Done, State: work.Cancelled}
 }
 
 // Pending returns the number of stored jobs of a queue of which no task has started. The jobs of a holder that does not answer are
@@ -308,33 +321,3 @@
 	}
 	return c.foldPending(ctx, at, queue)
 }
-
-// foldPending counts a partition's jobs of a queue without an ended task in the store. Some of them may run, so the number may be too
-// high.
-func (c *Client) foldPending(ctx context.Context, at place, queue string) (int, bool) {
-	c.mu.Lock()
-	known := c.folded[at]
-	c.mu.Unlock()
-	if known.waiting != nil && time.Since(known.at) < foldedAge {
-		return known.waiting[queue], true
-	}
-	partition := joblog.Partition{Topic: c.opts.Topic(at.zone), Number: at.partition}
-	ctx, cancel := context.WithTimeout(ctx, pendingTimeout)
-	defer cancel()
-	jobs, _, err := joblog.Load(ctx, c.opts.Log, partition, 0, c.opts.Logger)
-	if err != nil {
-		c.opts.Logger.WithFields(logrus.Fields{"event": "stored_pending_unknown", "zone": at.zone, "log_partition": at.partition}).WithError(err).
-			Info("waiting jobs cannot be counted")
-		return 0, false
-	}
-	known = foldedCount{time.Now(), map[string]int{}}
-	for _, id := range jobs.Live() {
-		if job := jobs.Get(id); !job.Cancelled && len(job.Ends.Succeeded)+len(job.Ends.Failed) == 0 {
-			known.waiting[job.Work.Queue]++
-		}
-	}
-	c.mu.Lock()
-	c.folded[at] = known
-	c.mu.Unlock()
-	return known.waiting[queue], true
-}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -260,7 +260,7 @@
 func (unreachable) Send(string, *relay.StoredRequest, func(*relay.StoredReply)) bool { return false }
 
 // newCutOffClient returns a client of a zone with one partition that reaches the store and no holder.
-func newCutOffClient(s *keyed.Store, vacancy func(string) time.Duration) *ledger.Client {
+func newCutOffClient(s joblog.Log, vacancy func(string) time.Duration) *ledger.Client {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return ledger.NewClient(ledger.ClientOptions{
@@ -286,7 +286,7 @@
 	is.Equal(c.Cancel(t.Context(), "a").State, work.Cancelled)
 	wait.For(t, "the holder finds the cancel", func() bool { return h.state("a").State == work.Cancelled })
 	is.True(h.has(&h.dropped, "a"))
-	is.Equal(c.Cancel(t.Context(), "b").State, work.Cancelled) // before its submission
+	is.Equal(c.Cancel(t.Context(), "b").Result, ledger.NoJob) // before its submission; the record is appended all the same
 	wait.For(t, "the holder finds the cancel", func() bool { return h.Dump()[0].Known == 2 })
 	is.Equal(h.submit("b"), relay.StoredDone)
 	is.Equal(h.state("b").State, work.Cancelled)
