Look for best-effort jobs when the log cannot take their cancel

Callers saw: where the deployment has stored jobs and neither the holder of a partition nor the store can be reached, the cancel of a best-effort job is answered 503 or 504 again and again, and the job goes on. Cause: gateway.cancelStored looks for a best-effort job on the instances only after NoJob; any other result of the log counted for best-effort jobs, too. Fix: only Done ends the cancel. With any other result all instances are asked; 200 if one has cancelled the job, and the result of the log (410, 503, 504) if none holds it. If the caller's time is over by then, the cancellation is passed on and the response does not wait. The waiting cancels carry the result of the log, so find takes a waitingCancel; cancel_test.go passes one in place of the exchange and is unchanged otherwise. Shown by unit tests only.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -54,7 +54,13 @@
 	newsAt  time.Time // when it was last learned that the cancellation is passed on, or that the job was found; zero if it is not passed on
 	askedAt time.Time // when the last of the waiting cancels came
 	found   bool      // an instance held the job and has cancelled it
-	waiting []*server.Exchange
+	waiting []waitingCancel
+}
+
+// waitingCancel is a caller's cancel that waits for the outcome of the search.
+type waitingCancel struct {
+	exchange *server.Exchange
+	stored   ledger.Answer // what the log of stored jobs tells of the job: the response if no instance holds it
 }
 
 func newCancellations(cancelPending func(work.JobID) bool) *cancellations {
@@ -134,13 +140,13 @@
 	return x
 }
 
-// find passes a cancellation on. The exchange gets its response when the search has ended, see due.
-func (c *cancellations) find(id work.JobID, x *server.Exchange) {
+// find passes a cancellation on. The cancel gets its response when the search has ended, see due.
+func (c *cancellations) find(id work.JobID, w waitingCancel) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	record := c.record(id)
 	record.newsAt, record.askedAt = time.Now(), time.Now()
-	record.waiting = append(record.waiting, x)
+	record.waiting = append(record.waiting, w)
 }
 
 // isCancelled reports whether a job was cancelled.
@@ -176,9 +182,9 @@
 	notAllAsked               // not all instances could be asked
 )
 
-// due returns the exchanges whose search has ended, and passes the other searches on. reachesAll tells whether all dispatchers are
+// due returns the cancels whose search has ended, and passes the other searches on. reachesAll tells whether all dispatchers are
 // connected now.
-func (c *cancellations) due(reachesAll bool) map[searchOutcome][]*server.Exchange {
+func (c *cancellations) due(reachesAll bool) map[searchOutcome][]waitingCancel {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -188,7 +194,7 @@
 	case c.reachableSince.IsZero():
 		c.reachableSince = now
 	}
-	ended := map[searchOutcome][]*server.Exchange{}
+	ended := map[searchOutcome][]waitingCancel{}
 	for _, x := range c.cancelled {
 		if len(x.waiting) == 0 {
 			continue
@@ -260,14 +266,14 @@
 	case g.storedUsage() == ledger.Used:
 		g.cancelStored(x, id)
 	default:
-		g.findToCancel(x, id)
+		g.findToCancel(waitingCancel{x, ledger.Answer{Result: ledger.NoJob}}, id)
 	}
 }
 
 // findToCancel asks all instances for a job to cancel.
-func (g *Gateway) findToCancel(x *server.Exchange, id work.JobID) {
+func (g *Gateway) findToCancel(w waitingCancel, id work.JobID) {
 	g.opts.Log.WithFields(logrus.Fields{"event": "cancel_passed_on", "job": id}).Info("asking all instances for a job to cancel")
-	g.cancelled.find(id, x)
+	g.cancelled.find(id, w)
 }
 
 // cancelPending cancels a job that this instance holds and returns whether it does.
@@ -292,15 +298,24 @@
 		return
 	}
 	ended := g.cancelled.due(g.opts.Router.ReachesAll())
-	for _, x := range ended[jobFound] {
-		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
+	for _, w := range ended[jobFound] {
+		g.reply(w.exchange, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
+	}
+	for _, w := range ended[jobMissing] {
+		g.denyCancel(w)
 	}
-	for _, x := range ended[jobMissing] {
-		g.denyJob(x)
+	for _, w := range ended[notAllAsked] {
+		g.refuse(w.exchange, 503, "not all instances could be asked for the job", retryCancel)
 	}
-	for _, x := range ended[notAllAsked] {
-		g.refuse(x, 503, "not all instances could be asked for the job", retryCancel)
+}
+
+// denyCancel responds to the cancel of a job that no instance holds.
+func (g *Gateway) denyCancel(w waitingCancel) {
+	if w.stored.Result == ledger.NoJob {
+		g.denyJob(w.exchange)
+		return
 	}
+	g.answerStored(w.exchange, w.stored)
 }
 
 // RepeatCancellation passes the cancellation of a job on again if there is one: another instance, which has not learned of it, has submitted
--- a/internal/gateway/cancel_test.go
+++ b/internal/gateway/cancel_test.go
@@ -34,7 +34,7 @@
 			s.holds = false
 			return held
 		})
-		s.searcher.find("x", &server.Exchange{})
+		s.searcher.find("x", waitingCancel{exchange: &server.Exchange{}})
 		test(s)
 	})
 }
--- a/internal/gateway/stored.go
+++ b/internal/gateway/stored.go
@@ -128,17 +128,22 @@
 	}()
 }
 
-// cancelStored cancels a stored job. If there is none of that name, the job may be one whose caller waits at another instance.
+// cancelStored cancels a stored job. If there is none of that name, or if that is not known, the job may be one whose caller waits at
+// another instance.
 func (g *Gateway) cancelStored(x *server.Exchange, id work.JobID) {
 	ctx, cancel := g.storedContext(x)
 	go func() {
 		defer cancel()
 		a := g.opts.Stored.Cancel(ctx, id)
-		if a.Result == ledger.NoJob {
-			g.findToCancel(x, id)
-			return
+		switch {
+		case a.Result == ledger.Done:
+			g.answerStored(x, a)
+		case a.Result != ledger.NoJob && ctx.Err() != nil: // no time is left for a response after a search
+			g.cancelled.spread(id, false)
+			g.answerStored(x, a)
+		default:
+			g.findToCancel(waitingCancel{x, a}, id)
 		}
-		g.answerStored(x, a)
 	}()
 }
 
