Pass on cancels that the instance of the submission has carried out

Callers saw: a job whose cancel was answered with 200 ran all the same when a duplicate of its submission arrived seconds later at another instance. Cause: an instance that held the job recorded its cancel for itself only (cancellations.remember); only cancels that had to look for their job were passed on with the heartbeats. Fix: such a cancel is passed on like one whose job was found, so the other instances answer the duplicate with "cancelled". It also reaches copies of the submission that wait at other instances.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -14,7 +14,8 @@
 
 // A cancel may reach another instance than the submission did: the load balancer chooses among the instances that are ready. That
 // instance passes the cancellation on to all others with its heartbeats, by way of the dispatchers, and the one that holds the job
-// cancels it. Every instance remembers the cancellation, so that a submission which arrives later does not start the job.
+// cancels it. An instance that holds the job itself passes the cancellation on, too. Every instance remembers it, so that a submission
+// which arrives later, at any of them, does not start the job.
 
 const (
 	// spreadTime is how long news of a cancellation is passed on after the last instance has asked for it. It covers several heartbeats on
@@ -51,7 +52,7 @@
 
 type cancellation struct {
 	at      time.Time // when the cancellation was learned
-	newsAt  time.Time // when it was last learned that the cancellation is passed on, or that the job was found; zero if it is not passed on
+	newsAt  time.Time // when it was last learned that the cancellation is passed on, or that the job was found
 	askedAt time.Time // when the last of the waiting cancels came
 	found   bool      // an instance held the job and has cancelled it
 	waiting []waitingCancel
@@ -67,17 +68,22 @@
 	return &cancellations{cancelPending: cancelPending, cancelled: map[work.JobID]*cancellation{}, ended: map[work.JobID]time.Time{}}
 }
 
-// Recent implements relay.Cancellations.
+// Recent implements relay.Cancellations. Those for which a caller waits come first.
 func (c *cancellations) Recent() []relay.Cancellation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var recent []relay.Cancellation
+	var sought, others []relay.Cancellation
 	for id, x := range c.cancelled {
-		if time.Since(x.newsAt) < spreadTime && len(recent) < maxSpread {
-			recent = append(recent, relay.Cancellation{Job: id, Found: x.found, Sought: len(x.waiting) > 0 && !x.found})
+		switch {
+		case time.Since(x.newsAt) >= spreadTime:
+		case len(x.waiting) > 0 && !x.found:
+			sought = append(sought, relay.Cancellation{Job: id, Sought: true})
+		default:
+			others = append(others, relay.Cancellation{Job: id, Found: x.found})
 		}
 	}
-	return recent
+	recent := append(sought, others...)
+	return recent[:min(len(recent), maxSpread)]
 }
 
 // Merge implements relay.Cancellations. A cancellation is recorded before the job is looked for, so that a submission at the same moment
@@ -123,13 +129,6 @@
 	}
 }
 
-// remember records that a job which this instance held was cancelled.
-func (c *cancellations) remember(id work.JobID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.record(id).found = true
-}
-
 // record returns the record of a cancellation. c.mu is held.
 func (c *cancellations) record(id work.JobID) *cancellation {
 	x := c.cancelled[id]
@@ -259,7 +258,7 @@
 func (g *Gateway) cancel(x *server.Exchange, id work.JobID) {
 	switch {
 	case g.cancelPending(id):
-		g.cancelled.remember(id)
+		g.cancelled.spread(id, true)
 		g.reply(x, 200, g.opts.Codec.EncodeState(work.Cancelled), 0)
 	case g.cancelled.hasEnded(id):
 		g.reply(x, 410, g.opts.Codec.EncodeError("no such job"), 0)
--- a/internal/gateway/cancel_elsewhere_test.go
+++ b/internal/gateway/cancel_elsewhere_test.go
@@ -58,6 +58,19 @@
 	is.Equal(len(b.router.sent()), 0)
 }
 
+// Guards against a cancelled job that starts again because a duplicate of its submission arrives at another instance than the one that
+// held the job and has cancelled it.
+func TestDuplicateOfAJobThatItsInstanceHasCancelled(t *testing.T) {
+	is := is.New(t)
+	a, b := start(t, time.Minute), start(t, time.Minute)
+	job := a.post("x")
+	is.Equal(a.receive(a.call(context.Background(), "DELETE", "/p/x", "")).body, "cancelled")
+	is.Equal(a.receive(job).body, "cancelled")
+	passOn(a, b)
+	is.Equal(b.receive(b.call(context.Background(), "POST", "/p/x", "job")).body, "cancelled")
+	is.Equal(len(b.router.sent()), 0)
+}
+
 // Guards against "no such job" for a job that runs at an instance which could not be asked, and against cancels of ended jobs that are
 // passed on to all instances.
 func TestCancelOfAnUnknownJob(t *testing.T) {
--- a/internal/gateway/cancel_test.go
+++ b/internal/gateway/cancel_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,3 +94,15 @@
 		}
 	})
 }
+
+// Guards against cancels that wait for their job while the heartbeats of a wave are full of cancels that have been carried out.
+func TestSearchesComeFirstInHeartbeats(t *testing.T) {
+	search(t, func(s *searchTest) {
+		for n := range 2 * maxSpread {
+			s.searcher.spread(work.JobID(strconv.Itoa(n)), true)
+		}
+		recent := s.searcher.Recent()
+		s.Equal(len(recent), maxSpread)
+		s.Equal(recent[0], relay.Cancellation{Job: "x", Sought: true})
+	})
+}
--- a/internal/relay/cancellation.go
+++ b/internal/relay/cancellation.go
@@ -2,8 +2,8 @@
 
 import "github.com/savorypass/savorypass/internal/work"
 
-// Cancellation is the cancelling of a job that has reached an instance which does not hold the job. Heartbeats carry it to all
-// instances, since the job may be held by any of them.
+// Cancellation is the cancelling of a job. Heartbeats carry it to all instances, since the job may be held by any of them or be submitted
+// again at any of them.
 type Cancellation struct {
 	Job work.JobID `msgpack:"j"`
 	// Found is true if an instance held the job and has cancelled it.
