Dispatchers do not take jobs that their instances know to be cancelled

Callers saw: a cancel of a best-effort job was answered with 410 while the job's instance stood still; when that instance went on, 4 s later, it submitted the job again and its tasks started. They were stopped within 0.2 s, when the cancel had come back to the instance. Cause: a dispatcher passed the cancellation on again when such a submission came (RepeatCancellation), and took the job all the same. Evidence: TestDispatcherDoesNotTakeACancelledJob failed before. The 410 stays, since only dispatchers are asked.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -120,13 +120,16 @@
 	x.found = x.found || found
 }
 
-// repeat passes the cancellation of a job on again if there is one.
-func (c *cancellations) repeat(id work.JobID) {
+// repeat passes the cancellation of a job on again if there is one, and returns whether there is.
+func (c *cancellations) repeat(id work.JobID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if x := c.cancelled[id]; x != nil {
-		x.newsAt = time.Now()
+	x := c.cancelled[id]
+	if x == nil {
+		return false
 	}
+	x.newsAt = time.Now()
+	return true
 }
 
 // record returns the record of a cancellation. c.mu is held.
@@ -317,9 +320,9 @@
 	g.answerStored(w.exchange, w.stored)
 }
 
-// RepeatCancellation passes the cancellation of a job on again if there is one: another instance, which has not learned of it, has submitted
-// the job.
-func (g *Gateway) RepeatCancellation(id work.JobID) { g.cancelled.repeat(id) }
+// RepeatCancellation passes the cancellation of a job on again if there is one, and returns whether there is: another instance, which has not
+// learned of it, has submitted the job.
+func (g *Gateway) RepeatCancellation(id work.JobID) bool { return g.cancelled.repeat(id) }
 
 // Cancellations returns what the instance's heartbeats carry of cancelled jobs.
 func (g *Gateway) Cancellations() relay.Cancellations { return g.cancelled }
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -173,7 +173,10 @@
 
 // Submit implements relay.Dispatcher.
 func (s *shards) Submit(from relay.Client, m *relay.Submit) {
-	s.gateway.RepeatCancellation(m.Job.ID)
+	if s.gateway.RepeatCancellation(m.Job.ID) {
+		from.Answer(&relay.Answer{Job: m.Job.ID, Number: m.Number, State: work.Cancelled})
+		return
+	}
 	x := s.get(m.Partition)
 	if x == nil {
 		from.Answer(&relay.Answer{Job: m.Job.ID, Number: m.Number, Refused: pool.ReasonNotLeader})
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -78,6 +78,24 @@
 	})
 }
 
+// Guards against a job that starts after its cancel was answered: its instance stood still while the cancellation was passed on, and submits
+// the job again when it goes on.
+func TestDispatcherDoesNotTakeACancelledJob(t *testing.T) {
+	is := is.New(t)
+	n := newTestShards(keyed.New())
+	n.setTerm(lead.Term{Generation: 3, Partitions: []int{0, 1, 2}})
+	go n.divisions.Run(t.Context())
+	t.Cleanup(func() { n.setTerm(lead.Term{Generation: 4}) })
+	wait.For(t, "the partition is dispatched", func() bool { return n.leading(0) })
+	n.Cancellations().Merge([]relay.Cancellation{{Job: "x"}})
+	c := &answeredClient{}
+	n.Submit(c, &relay.Submit{Job: work.Job{ID: "x", Service: "none", Steps: []work.Step{{Count: 1}}}, Number: 7})
+	is.Equal(c.answer, &relay.Answer{Job: "x", Number: 7, State: work.Cancelled})
+	is.Equal(len(n.dump()[0].Pool.Jobs), 0)
+	n.Submit(c, &relay.Submit{Job: work.Job{ID: "y", Service: "none", Steps: []work.Step{{Count: 1}}}, Number: 8})
+	is.Equal(c.answer.State, work.State("")) // other jobs are decided on as before
+}
+
 // stuckClient keeps each shard that answers it from going on until it is released, as a call would that does not end.
 type stuckClient struct{ released chan struct{} }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -106,7 +106,7 @@
 	Job work.JobID `msgpack:"j"`
 	// Number is that of the submission.
 	Number SubmissionNumber `msgpack:"n,omitempty"`
-	// State is Completed or Failed; empty for a refusal.
+	// State is Completed, Failed or Cancelled; empty for a refusal.
 	State work.State `msgpack:"s,omitempty"`
 	// Refused is the reason for a refusal. This dispatcher knows of no run of the job that may go on, unless Started is set.
 	Refused    pool.Reason   `msgpack:"r,omitempty"`
