A stopping instance answers cancels and requests for stored jobs

Callers saw: connections that ended without an answer, up to 3.5 s after a cancel had been sent to an instance in its planned stop. Cause: at the end of the drain node.stop answered the pending jobs only. Cancels that waited for the search among all instances, and requests that waited for the holder of a stored job, were cut off when the process ended. Fix: Gateway.EndPending ends the searches, which are answered with 503 and a time after which to ask another instance, and the context of all requests for stored jobs, whose answers say what is known (503, or 504 if they may have been carried out). From then on new requests of these kinds are answered at once in the same way.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -48,6 +48,7 @@
 	sweptAt   time.Time
 	// reachableSince is since when all dispatchers have been connected; zero while they are not, or while no cancel waits.
 	reachableSince time.Time
+	closed         bool // no search begins any more
 }
 
 type cancellation struct {
@@ -142,13 +143,30 @@
 	return x
 }
 
-// find passes a cancellation on. The cancel gets its response when the search has ended, see due.
-func (c *cancellations) find(id work.JobID, w waitingCancel) {
+// find passes a cancellation on. The cancel gets its response when the search has ended, see due and close. It returns false after close.
+func (c *cancellations) find(id work.JobID, w waitingCancel) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
 	record := c.record(id)
 	record.newsAt, record.askedAt = time.Now(), time.Now()
 	record.waiting = append(record.waiting, w)
+	return true
+}
+
+// close ends all searches and returns the cancels that wait for them.
+func (c *cancellations) close() []waitingCancel {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	var waiting []waitingCancel
+	for _, x := range c.cancelled {
+		waiting = append(waiting, x.waiting...)
+		x.waiting = nil
+	}
+	return waiting
 }
 
 // isCancelled reports whether a job was cancelled.
@@ -274,8 +292,11 @@
 
 // findToCancel asks all instances for a job to cancel.
 func (g *Gateway) findToCancel(w waitingCancel, id work.JobID) {
+	if !g.cancelled.find(id, w) {
+		g.refuseStoppedSearch(w.exchange)
+		return
+	}
 	g.opts.Log.WithFields(logrus.Fields{"event": "cancel_passed_on", "job": id}).Info("asking all instances for a job to cancel")
-	g.cancelled.find(id, w)
 }
 
 // cancelPending cancels a job that this instance holds and returns whether it does.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -158,6 +159,8 @@
 	departures departures
 	// repetitions tells which requests repeat one that another instance got.
 	repetitions *repetition.Detector
+	ending      context.Context // of requests for stored jobs; it ends with end, before the process does
+	end         context.CancelFunc
 
 	mu               sync.Mutex
 	jobs             map[work.JobID]*pending
@@ -201,6 +204,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{opts: o, jobs: map[work.JobID]*pending{}, placementTimeout: defaultPlacementTimeout, repetitions: newRepetitions()}
 	g.noteFree()
+	g.ending, g.end = context.WithCancel(context.Background())
 	g.cancelled = newCancellations(g.cancelPending)
 	g.departures.handle = g.callerGone
 	return g
@@ -411,22 +415,6 @@
 	}
 }
 
-// Close makes the gateway refuse all new jobs. Pending jobs are still answered.
-func (g *Gateway) Close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.closed = true
-}
-
-// EndPending cancels all jobs that have not been answered and responds to them with 504. The process is about to end.
-func (g *Gateway) EndPending() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, p := range g.jobs {
-		g.giveUp(p, outcomeStopped, "the instance stops before the job has ended; it may have run")
-	}
-}
-
 // Active returns the number of jobs that have not been answered yet.
 func (g *Gateway) Active() int {
 	g.mu.Lock()
--- a/internal/gateway/stored.go
+++ b/internal/gateway/stored.go
@@ -59,11 +59,13 @@
 	if !ok {
 		timeout = defaultResponseTimeout
 	}
-	return storedContextWithin(x.Arrived.Add(-x.Unread), timeout)
+	return g.storedContextWithin(x.Arrived.Add(-x.Unread), timeout)
 }
 
-func storedContextWithin(sent time.Time, timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), max(time.Until(sent.Add(timeout-responseMargin)), minStoredTimeout))
+// storedContextWithin returns the context of a request for a stored job. It ends in time for the response within a timeout, and in time for
+// the end of the process.
+func (g *Gateway) storedContextWithin(sent time.Time, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(g.ending, max(time.Until(sent.Add(timeout-responseMargin)), minStoredTimeout))
 }
 
 // submitStored stores a job and responds when that is certain.
@@ -79,7 +81,7 @@
 		g.refuse(x, 503, reasonStopping, retryStopping)
 		return
 	}
-	ctx, cancel := storedContextWithin(sent, time.Duration(submitShare*float64(timeout)))
+	ctx, cancel := g.storedContextWithin(sent, time.Duration(submitShare*float64(timeout)))
 	go func() {
 		defer cancel()
 		a := g.opts.Stored.Submit(ctx, job, sent)
