Callers' connections are not silent while a process ends

Callers saw: a request on a connection that was opened at the very end of a planned stop got no answer, and its connection stayed open for 0.6 s. Cause: gnet accepts a connection and hands it to an event loop that has just ended, so nobody reads it. Engine.Stop looks for the end of the loops each half second only, and the listeners for health checks and operators, which wait up to 0.1 s each for their clients, were closed after that of the callers. Fix: Server.Stop returns when gnet.Run does, and the callers' listener is closed last.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,6 +189,7 @@
 	go n.lead.Follow(ctx, append([]string{n.opts.Settings.Zone}, n.router.others...), n.router.ownZoneConnected)
 	go n.runMaintenance(ctx)
 	go n.reportTraffic(ctx)
+	defer n.stopServer() // after the other listeners, so that callers are answered until the process ends
 	health, err := n.serveHealth()
 	if err != nil {
 		return err
@@ -208,7 +209,6 @@
 	if err != nil {
 		return err
 	}
-	defer n.stopServer()
 	n.warnOfShortRetransmit()
 	n.warnOfIgnoredSettings()
 	n.log.WithFields(logrus.Fields{"event": "started", "instance": n.opts.Settings.Instance, "zone": n.opts.Settings.Zone}).Info("started")
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -17,8 +17,7 @@
 	minDrainTime = 2500 * time.Millisecond
 	// exitReserve is the part of Settings.Grace that is reserved for the exit of the process after the drain.
 	exitReserve = time.Second
-	// serverStopTimeout is how long to wait for the event loops of the callers' listener to end. They check twice a second
-	// whether they must end.
+	// serverStopTimeout is how long to wait for the event loop of the callers' listener to end. It ends at once unless it is busy.
 	serverStopTimeout = 600 * time.Millisecond
 	// responseTimeout is how long to wait at the end of the drain for responses to be written.
 	responseTimeout = 100 * time.Millisecond
@@ -36,8 +35,11 @@
 	}
 }
 
-// stopServer closes the callers' listener. The process exits afterwards even if the event loops have not stopped.
+// stopServer closes the callers' listener if it was opened. The process exits afterwards even if the event loops have not stopped.
 func (n *Node) stopServer() {
+	if n.server == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), serverStopTimeout)
 	defer cancel()
 	if err := n.server.Stop(ctx); err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,7 +67,8 @@
 	engine   gnet.Engine
 	address  string
 	booted   chan struct{}
-	stopped  chan error
+	stopped  chan struct{} // closed when the event loops have ended
+	runErr   error         // why they have ended; set before
 	draining atomic.Bool
 	active   atomic.Int64 // requests that the handler has not answered yet
 	activity activity
@@ -84,7 +85,7 @@
 // Start listens on Options.Address and serves until Stop is called. It returns when the listener is open or has failed.
 func Start(opts Options) (*Server, error) {
 	s := &Server{
-		opts: opts, booted: make(chan struct{}), stopped: make(chan error, 1), conns: map[*conn]struct{}{}, users: map[string]int{},
+		opts: opts, booted: make(chan struct{}), stopped: make(chan struct{}), conns: map[*conn]struct{}{}, users: map[string]int{},
 		activity: activity{gaps: pause.NewGaps(pause.Suspended)},
 	}
 	if s.opts.Limits == nil {
@@ -96,7 +97,8 @@
 		s.opts.Log = discard
 	}
 	go func() {
-		s.stopped <- gnet.Run(s, "tcp://"+opts.Address,
+		defer close(s.stopped)
+		s.runErr = gnet.Run(s, "tcp://"+opts.Address,
 			gnet.WithMulticore(opts.Loops == 0), gnet.WithNumEventLoop(opts.Loops), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			gnet.WithTicker(true), gnet.WithReuseAddr(true),
 			// Without a logger gnet would write to the standard output.
@@ -105,8 +107,8 @@
 	select {
 	case <-s.booted:
 		return s, nil
-	case err := <-s.stopped:
-		return nil, merry.Prependf(err, "listen for callers on %s", opts.Address)
+	case <-s.stopped:
+		return nil, merry.Prependf(s.runErr, "listen for callers on %s", opts.Address)
 	}
 }
 
@@ -139,7 +141,13 @@
 
 // Stop closes the listener and all connections. It returns an error if that has not completed when ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
-	return s.engine.Stop(ctx)
+	go s.engine.Stop(ctx) // returns up to half a second after the event loops have ended
+	select {
+	case <-s.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // OnBoot implements gnet.EventHandler.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -273,3 +273,17 @@
 	is.True(<-unread >= stall-20*time.Millisecond) // the kernel counts in steps of up to 10 ms
 	is.True(<-unread >= stall-20*time.Millisecond)
 }
+
+// Guards against connections that stay open without an answer while the listener ends: those that callers open at that moment are never
+// read, and their callers wait until the process has ended.
+func TestStopEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	quickest := time.Hour // one of several, since the processor may be busy
+	for range 5 {
+		s := startServer(t, HandlerFunc(echo))
+		begun := time.Now()
+		is.NoErr(s.Stop(t.Context()))
+		quickest = min(quickest, time.Since(begun))
+	}
+	is.True(quickest < 250*time.Millisecond)
+}
