Dispatchers remember the cancels of their jobs

Callers saw: a job whose cancel was answered with 200 ran all the same when its instance was killed right after the answer and a duplicate of the submission arrived seconds later at another instance. Cause: a cancel that the instance of the submission carries out is passed on with its next heartbeat only. The dispatcher got the cancel at once, but ended its runs and kept no record for its instance. Fix: the dispatcher's instance records a cancel of the whole job (relay.Cancel.Whole) and passes it on, as if it had found the job. Callers that have only left a request change nothing. Evidence: TestDispatcherRemembersCancels failed before. Where the dispatcher itself is killed the cancel can still be lost (docs/platform.md, "Open").

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -345,5 +345,9 @@
 // learned of it, has submitted the job.
 func (g *Gateway) RepeatCancellation(id work.JobID) bool { return g.cancelled.repeat(id) }
 
+// NoteCancelled records and passes on that another instance has cancelled a job. That instance may end before it passes the cancellation on
+// itself.
+func (g *Gateway) NoteCancelled(id work.JobID) { g.cancelled.spread(id, true) }
+
 // Cancellations returns what the instance's heartbeats carry of cancelled jobs.
 func (g *Gateway) Cancellations() relay.Cancellations { return g.cancelled }
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -235,6 +235,9 @@
 
 // Cancel implements relay.Dispatcher.
 func (s *shards) Cancel(from relay.Client, c *relay.Cancel) {
+	if c.Whole {
+		s.gateway.NoteCancelled(c.Job)
+	}
 	if x := s.get(c.Partition); x != nil {
 		x.Cancel(from, c)
 	}
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -96,6 +96,16 @@
 	is.Equal(c.answer.State, work.State("")) // other jobs are decided on as before
 }
 
+// Guards against a cancelled job that a duplicate submission starts at another instance because the instance that has answered the cancel
+// ended before its next heartbeat. A caller that has only left one request has cancelled nothing.
+func TestDispatcherRemembersCancels(t *testing.T) {
+	is := is.New(t)
+	n := newTestShards(keyed.New())
+	n.Cancel(ignoringClient{}, &relay.Cancel{Job: "left"})
+	n.Cancel(ignoringClient{}, &relay.Cancel{Job: "cancelled", Whole: true})
+	is.Equal(n.Cancellations().Recent(), []relay.Cancellation{{Job: "cancelled", Found: true}})
+}
+
 // stuckClient keeps each shard that answers it from going on until it is released, as a call would that does not end.
 type stuckClient struct{ released chan struct{} }
 
