--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -9,8 +9,8 @@
 	g.closed = true
 }
 
-// EndPending responds to all requests that have not been answered, and from then on to each new one without waiting for other instances or
-// the store: the process is about to end. Jobs that have not ended are cancelled.
+// EndPending cancels all jobs that have not been answered and responds to all requests that wait: the process is about to end. From then on
+// cancels, and requests for stored jobs, are answered without waiting for other instances or the store; Close makes jobs be refused.
 func (g *Gateway) EndPending() {
 	g.endJobs()
 	for _, w := range g.cancelled.close() {
