Stored tasks start again only when an earlier holder extends no lease

The holder of a zone is cut off from the store, and half of the zone's endpoints have no path to its successor. 4 to 16 stored tasks run on two endpoints for 0.9 to 1.3 s.

Cause: shard.storedNotBefore let tasks of resumed stored jobs start a lease and noticeTime (0.35 s) after the begin of a fence, that is, it took for granted that an earlier dispatcher notices the end of its term. One that no more than half of its endpoints refuse does not, and session.unattended extended the leases of stored runs without any condition.

Now a dispatcher starts and keeps stored runs only if no endpoint has refused its fence and the store has confirmed its term in an answer to a join that was sent within 1.25 s, or within 6 s if more than half of the endpoints that it knows have accepted its fence within 1.25 s. Otherwise it stops these runs, so that the leases of other runs on their endpoints can be extended, until the store confirms the term again. A successor waits for 6.12 s and a lease (7.4 s), or for 1.28 s and a lease (2.6 s) once endpoints that have not reported to it cannot be more than half of those that the earlier one knows. The store's answers are linearizable, so the last confirmation of the earlier term was sent before the successor's began; two sets of more than half of the endpoints have one in common, and it refuses the lower fence. The time counts from the first of consecutive generations in which the partition was held, so changes of the group that leave it in place do not begin it anew.

The tests of shard, ledger, node, pool, lead and division pass with -race.

--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -170,6 +170,13 @@
 	return c.changedAt[zone]
 }
 
+// ReadAsOf returns a time such that all numbers which the store held then are known; the zero time before the first read.
+func (c *Controller) ReadAsOf() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAsOf
+}
+
 func (c *Controller) apply(u follow.Update) {
 	if !c.record(u) {
 		return
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -86,12 +87,20 @@
 	return t.Generation == o.Generation && slices.Equal(t.Partitions, o.Partitions)
 }
 
+// Confirmation is a term that the store has confirmed by an answer to a join that was sent at a time: when the store gave the answer,
+// no other member held the term's partitions under the same or a later generation.
+type Confirmation struct {
+	Term Term
+	At   time.Time
+}
+
 // Controller holds the membership of one instance.
 type Controller struct {
 	opts      Options
 	joinNow   chan struct{} // triggers a join
 	lookUpNow chan struct{} // triggers the look-up of a zone in lookUpSoon
 	started   time.Time     // when the controller was made; constant
+	confirmed atomic.Pointer[Confirmation]
 
 	mu                  sync.Mutex
 	term                Term
@@ -173,6 +182,14 @@
 	return c.term
 }
 
+// Confirmed returns the last confirmation of a term. It does not wait.
+func (c *Controller) Confirmed() Confirmation {
+	if last := c.confirmed.Load(); last != nil {
+		return *last
+	}
+	return Confirmation{}
+}
+
 func (c *Controller) membership() store.Membership {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -233,6 +250,7 @@
 }
 
 func (c *Controller) join(ctx context.Context, number int) {
+	sent := time.Now()
 	share, err := c.opts.Store.Join(ctx, c.membership())
 	c.mu.Lock()
 	c.joinsPending--
@@ -244,19 +262,23 @@
 	}
 	c.reportRenewed()
 	slices.Sort(share.Partitions)
-	c.applyAnswer(Term{share.Generation, share.Partitions}, number)
+	c.applyAnswer(Confirmation{Term{share.Generation, share.Partitions}, sent}, number)
 }
 
 // applyAnswer sets the term that the answer to a join gives. Answers may overtake each other, also within a generation: one that arrives
 // behind the answer to a later join would end the dispatchers of partitions for a moment, which would then begin again with the same fence.
-func (c *Controller) applyAnswer(term Term, number int) {
+func (c *Controller) applyAnswer(answer Confirmation, number int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	term := answer.Term
 	if term.Generation == c.term.Generation && number < c.answered {
 		return
 	}
 	c.answered = max(c.answered, number)
 	c.setTerm(term)
+	if c.term.equal(term) {
+		c.confirmed.Store(&answer)
+	}
 }
 
 // setTerm sets the term. It ignores terms of an older generation, from answers that arrive late, and terms with partitions
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -368,3 +368,21 @@
 		is.True(held)
 	})
 }
+
+// Guards against a confirmation that is newer than the last answer of the store, or that stays behind while the store answers.
+func TestConfirmed(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	a := join(t, s, "a")
+	wait.For(t, "the member leads", leading(a))
+	first := a.Confirmed()
+	is.True(first.Term.equal(a.Term()))
+	wait.For(t, "a later join confirms the term", func() bool { return a.Confirmed().At.After(first.At) })
+	s.SetDown(true)
+	time.Sleep(20 * time.Millisecond) // for the answer to a join on its way
+	last := a.Confirmed()
+	time.Sleep(2 * joinInterval)
+	is.Equal(a.Confirmed().At, last.At)
+	s.SetDown(false)
+	wait.For(t, "a join after the outage confirms the term", func() bool { return a.Confirmed().At.After(last.At) })
+}
--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -57,6 +57,9 @@
 		Dialer:    n.opts.Dialer, Window: n.window, History: n.history,
 		OnFenced: d.lead.Verify, OnOutdated: readRegistrations, OnReplaced: readRegistrations, Counts: &n.counts,
 		Log: n.log.WithFields(logrus.Fields{"zone": d.zone, "partition": partition}), Now: n.now, Ledger: jobs,
+		TermConfirmed: func(fence int64) (shard.Confirmation, bool) {
+			return d.shards.confirmation(partition, fence, d.lead.Confirmed())
+		},
 		Evacuation: func() evacuation.State { return n.evacuations.Of(d.zone) },
 		Weighs:     n.config.Weighs,
 	})
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -30,9 +30,10 @@
 
 	reconciling sync.Mutex // held while terms begin and end, which waits for the shards
 
-	mu   sync.Mutex // held for moments only, since callers' requests wait for it
-	term lead.Term
-	all  map[int]*shard.Shard // by partition; a shard stays after its term has ended
+	mu     sync.Mutex // held for moments only, since callers' requests wait for it
+	term   lead.Term
+	before lead.Term            // the term before the present one
+	all    map[int]*shard.Shard // by partition; a shard stays after its term has ended
 }
 
 func newShards(zone string, d *shard.Directory, started time.Time, h *attempt.History, make func(int) *shard.Shard) *shards {
@@ -45,7 +46,7 @@
 // setTerm sets the partitions that this instance holds.
 func (s *shards) setTerm(t lead.Term) {
 	s.mu.Lock()
-	s.term = t
+	s.before, s.term = s.term, t
 	s.mu.Unlock()
 	s.reconcile()
 }
@@ -71,6 +72,7 @@
 		}
 		x := s.getOrMake(part)
 		s.ledgers.sync(part, t)
+		t.Uninterrupted = s.uninterrupted(part)
 		x.Begin(t)
 	}
 	s.ledgers.reportUsage()
@@ -92,6 +94,24 @@
 	return t
 }
 
+// uninterrupted reports whether no other instance can have held a partition between the term before and the present one, which includes
+// it: no generation lies between those of the two, and the term before includes it, too.
+func (s *shards) uninterrupted(part int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.before.Holds(s.divisions.GroupPartition(s.zone, part)) && s.term.Generation <= s.before.Generation+1
+}
+
+// confirmation returns what the store has confirmed of the dispatcher of a partition with a fence. ok is false if the last confirmation is
+// that of another fence.
+func (s *shards) confirmation(part int, fence int64, last lead.Confirmation) (c shard.Confirmation, ok bool) {
+	held := last.Term.Holds(s.divisions.GroupPartition(s.zone, part))
+	if !held || fenceOf(last.Term.Generation, s.divisions.Partitions(s.zone)) != fence {
+		return c, false
+	}
+	return shard.Confirmation{Held: last.At.Sub(s.started), Divided: s.divisions.ReadAsOf().Sub(s.started)}, true
+}
+
 // fenceOf returns the fence that dispatchers of a generation use. Within a generation it rises with the number of
 // partitions, so that an instance that still works with a lower number is fenced off.
 func fenceOf(generation int64, partitions int) int64 {
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -162,3 +162,33 @@
 	is.Equal(c.answer.Refused, pool.ReasonNotLeader)
 	is.Equal(c.answer.Number, relay.SubmissionNumber(5))
 }
+
+// Guards against stored jobs that wait anew, or do not wait, after a change of the group: only if a generation in between, or the term before,
+// leaves the partition to others can another instance have held it. It also guards against a confirmation that is taken for another fence.
+func TestUninterruptedTermsAndConfirmations(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	s.Set("divisions", "north/4", []byte{1})
+	n := newTestShards(s)
+	go n.divisions.Run(t.Context())
+	wait.For(t, "the division is known", n.divisions.Known)
+	t.Cleanup(func() { n.setTerm(lead.Term{Generation: 9}) })
+	const heldThrough = 8 // the group partition of 2
+	n.setTerm(lead.Term{Generation: 3, Partitions: []int{heldThrough}})
+	is.True(!n.uninterrupted(2))
+	n.setTerm(lead.Term{Generation: 4, Partitions: []int{heldThrough}})
+	is.True(n.uninterrupted(2))
+	n.setTerm(lead.Term{Generation: 6, Partitions: []int{heldThrough}})
+	is.True(!n.uninterrupted(2)) // generation 5 may have given it to another instance
+	is.True(!n.uninterrupted(0)) // not held before
+
+	last := lead.Confirmation{Term: lead.Term{Generation: 6, Partitions: []int{heldThrough}}, At: n.started.Add(time.Minute)}
+	c, ok := n.confirmation(2, fenceOf(6, 4), last)
+	is.True(ok)
+	is.Equal(c.Held, time.Minute)
+	is.True(c.Divided > 0)
+	_, ok = n.confirmation(2, fenceOf(5, 4), last)
+	is.True(!ok)
+	_, ok = n.confirmation(0, fenceOf(6, 4), last)
+	is.True(!ok)
+}
--- a/internal/pool/delay.go
+++ b/internal/pool/delay.go
@@ -71,7 +71,7 @@
 	f := p.forecast(service, work.Size{}, now)
 	f.reserve(service, now, now+p.longestExpected(service))
 	for _, j := range p.queue {
-		if j.Service != service || !j.hasReady() || j.yields(now) || now < j.notBefore || j.held {
+		if j.Service != service || !j.hasReady() || j.yields(now) || now < j.notBefore || p.holds(j) {
 			continue
 		}
 		if !j.weighed || j.kept || !j.waits() || j.latestStart < now+moveTime {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -91,6 +91,8 @@
 	unclaimed map[work.TaskID]time.Duration
 	weighs    func(service string) bool // see WeighBy
 	timings   map[work.JobID]Timing     // of the jobs that have succeeded since ForgetTimings
+
+	storedPaused bool // see PauseStored
 }
 
 // New returns an empty pool. The history holds the unsuccessful runs of tasks; it outlives the pool.
@@ -196,7 +198,10 @@
 }
 
 // Held reports whether the job of a run is held.
-func (p *Pool) Held(r *Run) bool { return r.job != nil && r.job.held }
+func (p *Pool) Held(r *Run) bool { return r.job != nil && p.holds(r.job) }
+
+// holds reports whether no task of a job starts, see Hold and PauseStored.
+func (p *Pool) holds(j *job) bool { return j.held || j.stored && p.storedPaused }
 
 // JobsOn returns the jobs that wait for runs that an endpoint may have started; a job with several runs there comes several times.
 func (p *Pool) JobsOn(id work.EndpointID) []work.JobID {
--- a/internal/pool/start.go
+++ b/internal/pool/start.go
@@ -24,7 +24,7 @@
 func (p *Pool) startQueued(starts []*Run, full map[placement]bool, now time.Duration, yielding bool) (all []*Run, others bool) {
 	for i := 0; i < len(p.queue); i++ {
 		j := p.queue[i]
-		if now < j.notBefore || j.held {
+		if now < j.notBefore || p.holds(j) {
 			continue
 		}
 		if j.yields(now) != yielding {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -115,3 +115,28 @@
 	}
 	return true
 }
+
+// StartStoredFrom lets a stored job that waits start from a time on, if that is earlier than before.
+func (p *Pool) StartStoredFrom(id work.JobID, notBefore time.Duration) {
+	if j := p.jobs[id]; j != nil && j.stored {
+		j.notBefore = min(j.notBefore, notBefore)
+	}
+}
+
+// PauseStored sets whether no task of a stored job starts. If so, it marks the runs of stored jobs as Stopping and returns them; the caller
+// has to stop them.
+func (p *Pool) PauseStored(paused bool) []*Run {
+	p.storedPaused = paused
+	if !paused {
+		return nil
+	}
+	var stopping []*Run
+	for _, r := range p.runs {
+		if r.job != nil && r.job.stored && r.MayHaveStarted() {
+			r.State = Stopping
+			stopping = append(stopping, r)
+		}
+	}
+	sortByTask(stopping)
+	return stopping
+}
--- a/internal/shard/check.go
+++ b/internal/shard/check.go
@@ -36,6 +36,8 @@
 	}
 	now := s.opts.Now()
 	s.settle(now)
+	s.noteOutnumbered(now)
+	s.checkStored(now)
 	s.releaseResumed(now)
 	s.refuseLate(now)
 	s.giveBack(now)
--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -50,10 +50,19 @@
 type registration struct {
 	endpoint work.Endpoint
 	present  bool
-	missing  bool // the registration has ended, but counts as present because the endpoint may register again after an outage
+	missing  bool          // the registration has ended, but counts as present because the endpoint may register again after an outage
+	since    time.Duration // the endpoint's process has been registered in all reads since then
 	lastSeen time.Duration
 }
 
+// sinceWith returns since when an endpoint has been registered if it is registered now. r is its registration as known before.
+func (r registration) sinceWith(e work.Endpoint, now time.Duration) time.Duration {
+	if !r.present || r.missing || r.endpoint.StartedUnixMS != e.StartedUnixMS || r.endpoint.Address != e.Address {
+		return now
+	}
+	return r.since
+}
+
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{registrations: map[work.EndpointID]registration{}}
@@ -72,7 +81,7 @@
 	present := map[work.EndpointID]bool{}
 	for _, e := range r.Changed {
 		present[e.ID] = true
-		d.registrations[e.ID] = registration{endpoint: e, present: true, lastSeen: now}
+		d.registrations[e.ID] = registration{endpoint: e, present: true, since: d.registrations[e.ID].sinceWith(e, now), lastSeen: now}
 	}
 	removed := d.markEnded(d.endedIDs(r, present, now), now)
 	d.forget(now)
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -38,7 +38,7 @@
 }
 
 // unattended reports whether the endpoint may have runs for which nobody waits: no job does, or the instance that holds the job's caller
-// has been silent for longer than abandonTime. The lease must not be extended for them.
+// has been silent for longer than abandonTime, or another dispatcher may have the stored job. The lease must not be extended for them.
 func (x *session) unattended() bool {
 	s := x.shard
 	if s.pool.HasRunsWithoutJob(x.endpoint.ID) {
@@ -46,6 +46,9 @@
 	}
 	for _, id := range s.pool.JobsOn(x.endpoint.ID) {
 		if s.stored[id] != nil {
+			if !s.mayRunStored(s.opts.Now()) {
+				return true
+			}
 			continue // this dispatcher itself wants the run
 		}
 		if clients := s.clients[id]; clients == nil || clients.silence() > abandonTime {
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -37,7 +37,8 @@
 	if !overtaken {
 		x.clock, x.clockAt, x.reportClock = report.Clock, now, report.Clock
 		x.noteFence(request.Fence, now)
-		x.noteReport(report, request)
+		x.acceptedAt = max(x.acceptedAt, request.sent)
+		x.noteReport(report, request.Fence, now)
 		x.applyRuns(report, now)
 	}
 	for _, end := range report.Ended {
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -82,6 +82,7 @@
 	defer s.mu.Unlock()
 	now := s.opts.Now()
 	s.abandonExpired(now) // as in preparePoll
+	s.checkStored(now)
 	x.holdIfSilent(r)
 	if s.sessions[x.endpoint.ID] != x || s.pool.Run(r.Task) != r {
 		return work.StartRequest{}, false
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -138,7 +138,7 @@
 		case !s.pool.HasJob(id) || s.over(orders, now):
 			delete(s.awaiting, id)
 		case s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
-		case asOf > last && !s.confirmed(orders):
+		case asOf > last && !s.stillAccepted(orders):
 			s.requestReports(last, now)
 		case asOf > last:
 			s.pool.ReleaseResumed(id)
@@ -169,17 +169,17 @@
 // knowsRunsOf reports whether all runs are known that another dispatcher may have ordered in a period.
 func (s *Shard) knowsRunsOf(p period, now time.Duration) bool {
 	asOf, known := s.knownAsOf(now)
-	return known && asOf > p.last && !s.dividedBefore(p.last) && s.confirmed(p)
+	return known && asOf > p.last && !s.dividedBefore(p.last) && s.stillAccepted(p)
 }
 
-// confirmed reports whether the endpoints have accepted the present fence since the end of a period, if the period is recent. One that does
+// stillAccepted reports whether the endpoints have accepted the present fence since the end of a period, if the period is recent. One that does
 // not answer cannot be asked.
-func (s *Shard) confirmed(p period) bool {
+func (s *Shard) stillAccepted(p period) bool {
 	if !p.recent {
 		return true
 	}
-	for id, x := range s.sessions {
-		if x.refusedFence == s.term.Fence || x.answering && s.reports[id].sent < p.last {
+	for _, x := range s.sessions {
+		if x.refusedFence == s.term.Fence || x.answering && x.acceptedAt < p.last {
 			return false
 		}
 	}
@@ -192,8 +192,8 @@
 		return
 	}
 	s.reportsRequestedAt = now
-	for id, x := range s.sessions {
-		if x.answering && s.reports[id].sent < since {
+	for _, x := range s.sessions {
+		if x.answering && x.acceptedAt < since {
 			go x.requestReport()
 		}
 	}
@@ -224,9 +224,9 @@
 // newestReport is what the report of an endpoint to its highest fence tells of the process that has sent it.
 type newestReport struct {
 	fence         int64
-	startedUnixMS int64 // start of the process; 0 if not known
+	at            time.Duration // when the first report to the fence came
+	startedUnixMS int64         // start of the process; 0 if not known
 	address       string
-	sent          time.Duration // when the request for the report was sent
 }
 
 // covers reports whether the process of a registration has reported to a fence.
@@ -237,12 +237,12 @@
 	return r.fence == fence && r.startedUnixMS == e.StartedUnixMS
 }
 
-// noteReport records that the endpoint has reported to the fence of a request. The shard's lock is held.
-func (x *session) noteReport(report work.Report, request reportRequest) {
+// noteReport records that the endpoint has reported to a fence. The shard's lock is held.
+func (x *session) noteReport(report work.Report, fence int64, now time.Duration) {
 	s := x.shard
-	r := newestReport{request.Fence, report.StartedUnixMS, x.endpoint.Address, request.sent}
-	if old := s.reports[x.endpoint.ID]; old.startedUnixMS == r.startedUnixMS && old.address == r.address {
-		r.fence, r.sent = max(r.fence, old.fence), max(r.sent, old.sent)
+	r := newestReport{fence, now, report.StartedUnixMS, x.endpoint.Address}
+	if old := s.reports[x.endpoint.ID]; old.startedUnixMS == r.startedUnixMS && old.address == r.address && old.fence >= fence {
+		return
 	}
 	s.reports[x.endpoint.ID] = r
 }
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -62,6 +62,7 @@
 	reported        bool                    // the endpoint has reported during the term
 	reportedTo      int64                   // highest fence of a poll that was answered with a report
 	fencedAt        time.Duration           // when that report came; since then no other dispatcher has started a task there
+	acceptedAt      time.Duration           // when the last poll was sent that was answered with a report
 	refusedFence    int64                   // this dispatcher's fence when the endpoint last refused it because it had seen a higher one
 	answering       bool                    // the endpoint answers; false also from a refusal that bars new runs until the next report
 	failures        int                     // consecutive polls without an answer
@@ -282,6 +283,7 @@
 		return reportRequest{}, false
 	}
 	s.abandonExpired(now) // this process may have been stopped; the lease must not be extended for jobs that expired meanwhile
+	s.checkStored(now)
 	request = x.newReportRequest(now)
 	busy := s.pool.Busy(x.endpoint.ID)
 	if x.reportedTo == s.term.Fence && busy && x.failures < maxExtendingPolls && !x.unattended() {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -74,6 +74,9 @@
 	Now    func() time.Duration // monotonic clock
 	// Ledger keeps the stored jobs of the shard; nil for none.
 	Ledger Ledger
+	// TermConfirmed returns what the store has confirmed of the term with a fence. ok is false if the fence is not that of the instance's
+	// present term. Nil means that the store confirms the term at all times. It must not block or call the shard.
+	TermConfirmed func(fence int64) (c Confirmation, ok bool)
 	// Evacuation returns whether runs may start in the zone; nil for a zone that is never evacuated.
 	Evacuation func() evacuation.State
 }
@@ -87,11 +90,16 @@
 	knowledge atomic.Uint64
 	checked   atomic.Int64 // end of the last periodic checks, on the clock of Options.Now in nanoseconds
 
-	mu                 sync.Mutex
-	leading            bool
-	fenceStart         time.Duration // when this dispatcher began to use the current fence
-	began              time.Duration // when the term began
-	settled            bool          // see settle
+	mu         sync.Mutex
+	leading    bool
+	fenceStart time.Duration // when this dispatcher began to use the current fence
+	began      time.Duration // when the term began
+	settled    bool          // see settle
+	// heldSince is when this dispatcher began to use the first fence since which no other one can have held the partition.
+	heldSince          time.Duration
+	outnumberedAt      time.Duration // see outnumbers; 0 if that is not known
+	confirmed          Confirmation  // what the store last confirmed of the term
+	storedPaused       bool          // see checkStored
 	term               Term
 	registrations      knowledge
 	startsWait         bool                  // starts wait for a read of the registrations
@@ -142,7 +150,7 @@
 	}
 	s.sessions = map[work.EndpointID]*session{}
 	s.clients = map[work.JobID]submitters{}
-	s.stored = map[work.JobID]*work.Job{}
+	s.stored, s.storedPaused = map[work.JobID]*work.Job{}, false
 	s.unreleased, s.released = map[work.JobID]bool{}, nil
 	s.endsUndecided, s.undecidedSince = false, 0
 	s.expires = map[work.JobID]time.Duration{}
--- a/internal/shard/stop.go
+++ b/internal/shard/stop.go
@@ -18,12 +18,13 @@
 
 // The reasons.
 const (
-	stopCancelled  stopReason = "cancelled"   // nobody waits for the job any more
-	stopClientGone stopReason = "client_gone" // the connection to the instance that submitted the job has ended
-	stopExpired    stopReason = "expired"     // the caller's timeout has passed
-	stopJobEnded   stopReason = "job_ended"   // the job has ended or was refused
-	stopUnanswered stopReason = "unanswered"  // the request to start the run got no answer
-	stopUnwanted   stopReason = "unwanted"    // no job has claimed the run, it makes no progress, or an earlier stop is not confirmed
+	stopCancelled   stopReason = "cancelled"   // nobody waits for the job any more
+	stopClientGone  stopReason = "client_gone" // the connection to the instance that submitted the job has ended
+	stopExpired     stopReason = "expired"     // the caller's timeout has passed
+	stopJobEnded    stopReason = "job_ended"   // the job has ended or was refused
+	stopUnanswered  stopReason = "unanswered"  // the request to start the run got no answer
+	stopUnconfirmed stopReason = "unconfirmed" // another dispatcher may have the stored job
+	stopUnwanted    stopReason = "unwanted"    // no job has claimed the run, it makes no progress, or an earlier stop is not confirmed
 )
 
 // stopAll requests the stop of runs, for each at most once per stopRetryPause, until the endpoint has confirmed it.
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -110,7 +110,7 @@
 }
 
 // ResumeStored continues the stored jobs of a part of the ledger, which owns selects, and deletes those that the ledger does not name
-// any more. Tasks that an earlier dispatcher may have started wait until the fence is settled and, in a zone with several dispatchers, until
+// any more. Tasks that an earlier dispatcher may have started wait until storedNotBefore and, in a zone with several dispatchers, until
 // ReleaseStored is called. load returns the jobs; it is called with the shard's lock held, so that no end comes between it and their
 // continuation. ResumeStored returns false if the shard does not dispatch under the fence.
 func (s *Shard) ResumeStored(fence int64, load func() []ResumedJob, owns func(work.JobID) bool) bool {
@@ -193,7 +193,7 @@
 }
 
 // StoredSettled reports whether the shard has nothing to report on the jobs that owns selects, which another dispatcher of the zone with a
-// number of partitions holds: its endpoints have reported to its fence or their leases are over, they run no task of these jobs, and all
+// number of partitions holds: the leases that earlier dispatchers may have extended for stored jobs are over, its endpoints run no task of these jobs, and all
 // ends that they have listed are recorded.
 func (s *Shard) StoredSettled(partitions int, owns func(work.JobID) bool) bool {
 	s.mu.Lock()
@@ -211,10 +211,6 @@
 	return true
 }
 
-// storedNotBefore returns the time until which tasks of a stored job wait that an earlier dispatcher may have started. It is above 0. Reports of
-// all endpoints do not shorten it: that dispatcher may use an endpoint that has registered since the last read here.
-func (s *Shard) storedNotBefore() time.Duration { return s.fenceStart + s.takeoverTime() }
-
 // AddStored adds a job that another instance has stored. An earlier dispatcher may have read it and started tasks of it.
 func (s *Shard) AddStored(fence int64, job *work.Job) {
 	s.mu.Lock()
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -14,7 +14,7 @@
 const (
 	// maxClockRatio is the factor by which an endpoint's clock may run slower than this instance's.
 	maxClockRatio = 1.02
-	// noticeTime is how long a dispatcher usually takes to detect that its term has ended. No decision rests on it.
+	// noticeTime is how long a dispatcher usually takes to detect that its term has ended. No decision rests on it, see settle.
 	noticeTime = 350 * time.Millisecond
 	// divisionMemory is how long before the loss of a job's dispatcher a change of the zone's number of partitions is still taken
 	// into account. A process that started less than this before has not followed the registrations long enough to
@@ -37,6 +37,8 @@
 	// DividedAt is when the zone's number of partitions last changed, on the clock of Options.Now; 0 if it has not changed
 	// since this process started.
 	DividedAt time.Duration
+	// Uninterrupted means that no other instance can have held the partition between the term before and this one.
+	Uninterrupted bool
 }
 
 // Begin starts a term, or continues the current one with a higher fence. If the number of partitions has changed, it ends
@@ -62,6 +64,7 @@
 	s.term = t
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
 	s.began = s.fenceStart
+	s.heldSince, s.outnumberedAt, s.confirmed = s.fenceStart, 0, Confirmation{}
 	s.checked.Store(int64(s.fenceStart))
 	s.startsWait = false
 	s.registrations = s.opts.Directory.knowledge() // before the registrations themselves, which may be newer
@@ -86,6 +89,9 @@
 		return
 	}
 	s.term, s.settled, s.fenceStart, s.pollsFrom = t, false, s.opts.Now(), 0
+	if !t.Uninterrupted {
+		s.heldSince, s.outnumberedAt = s.fenceStart, 0
+	}
 	s.holdStored()
 	s.opts.Log.WithFields(logrus.Fields{"event": "fence_raised", "fence": t.Fence, "partitions": t.Partitions, "endpoints": len(s.sessions)}).
 		Info("dispatching for the partition continues with a higher fence")
@@ -130,12 +136,7 @@
 // endIfOutranked ends the term when most endpoints have seen a higher fence: another instance holds the partition, even if
 // this one has not yet read of the change in the store. The jobs then move to that instance instead of waiting here.
 func (s *Shard) endIfOutranked() {
-	n := 0
-	for _, x := range s.sessions {
-		if x.refusedFence == s.term.Fence {
-			n++
-		}
-	}
+	n := s.refused()
 	if 2*n <= len(s.sessions) {
 		return
 	}
