Searches count requests more than runs, and outlive changes of dispatchers

Runs that are being stopped are waited for in place of being followed, and an answer says when the first request arrived.

--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,13 +41,30 @@
 	questions []*question
 }
 
+// asks reports whether a dispatcher is among those that are asked.
+func (s *jobSearch) asks(t Target) bool {
+	return slices.ContainsFunc(s.questions, func(q *question) bool { return q.to == t })
+}
+
+// found returns where runs of the job are for which no request is known; nil if there are none.
+func (s *jobSearch) found() *relay.Placement {
+	for _, q := range s.questions {
+		if q.found != nil {
+			return q.found
+		}
+	}
+	return nil
+}
+
 // question is what one dispatcher was asked, and has answered.
 type question struct {
-	to       Target
-	required bool                   // the job is not placed before the answer; otherwise only if the dispatcher cannot be asked
-	number   relay.SubmissionNumber // of the claim that waits for its answer
-	route    Route                  // over which it was sent; nil if the question is to be sent, or sent again
-	answered bool                   // the dispatcher holds nothing of the job
+	to        Target
+	required  bool                   // the job is not placed without the answer; otherwise it is if the dispatcher cannot be asked
+	number    relay.SubmissionNumber // of the claim that waits for its answer
+	route     Route                  // over which it was sent; nil if the question is to be sent, or sent again
+	knowledge uint64                 // of the dispatcher that was asked; its successor has to be asked, too
+	answered  bool                   // the dispatcher knows of no request for the job
+	found     *relay.Placement       // runs of the job that it has found; nil for none
 }
 
 // placeFirst places a job for the first time.
@@ -61,16 +79,24 @@
 // beginSearch asks the dispatchers of the instance's zone, and the connected ones of other zones, for a job.
 func (g *Gateway) beginSearch(p *pending) {
 	g.opts.Metrics.Searches.Add(1)
-	own, others := g.opts.Router.Dispatchers()
 	most := min(g.opts.Retransmit, time.Duration(searchShare*float64(time.Until(p.deadline))))
 	p.search = &jobSearch{until: time.Now().Add(most)}
-	for _, t := range own {
-		p.search.questions = append(p.search.questions, &question{to: t, required: true})
+	g.continueSearch(p)
+}
+
+// renewQuestions adds the dispatchers that are not asked yet, and opens the questions whose dispatcher has been replaced since.
+func (g *Gateway) renewQuestions(s *jobSearch) {
+	own, others := g.opts.Router.Dispatchers()
+	for n, t := range append(slices.Clone(own), others...) {
+		if !s.asks(t) {
+			s.questions = append(s.questions, &question{to: t, required: n < len(own)})
+		}
 	}
-	for _, t := range others {
-		p.search.questions = append(p.search.questions, &question{to: t})
+	for _, q := range s.questions {
+		if q.answered && q.knowledge != g.opts.Router.Knowledge(q.to) {
+			q.answered, q.found = false, nil
+		}
 	}
-	g.continueSearch(p)
 }
 
 // continueSearch sends the questions that are open. After the retransmit time, the runs that nobody attends to are over, and the search ends
@@ -81,6 +107,7 @@
 		g.endSearch(p)
 		return
 	}
+	g.renewQuestions(p.search)
 	for _, q := range p.search.questions {
 		if q.route == nil && !q.answered {
 			g.sendQuestion(p, q)
@@ -90,6 +117,7 @@
 }
 
 func (g *Gateway) sendQuestion(p *pending, q *question) {
+	q.knowledge = g.opts.Router.Knowledge(q.to)
 	g.submissions++
 	route, ok := g.opts.Router.Claim(q.to, &relay.Claim{Job: p.job.ID, Number: g.submissions, Partition: q.to.Partition, Searches: true})
 	if ok {
@@ -128,12 +156,12 @@
 func (g *Gateway) searchAnswered(p *pending, q *question, a *relay.Answer) {
 	q.route = nil
 	switch {
-	case a.Placed != nil:
+	case a.Placed != nil && a.Placed.Knowledge != 0:
 		p.search = nil
 		g.follow(p, *a.Placed)
 		return
 	case a.Refused == pool.ReasonNone:
-		q.answered = true
+		q.answered, q.found = true, a.Placed // another dispatcher may have a request for the job, which counts more than runs
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(q.to)
 	}
@@ -141,6 +169,7 @@
 }
 
 func (g *Gateway) endSearchIfAnswered(p *pending) {
+	g.renewQuestions(p.search)
 	for _, q := range p.search.questions {
 		if !q.answered {
 			return
@@ -149,9 +178,14 @@
 	g.endSearch(p)
 }
 
-// endSearch places a job that no dispatcher holds.
+// endSearch places a job for which no dispatcher has a request.
 func (g *Gateway) endSearch(p *pending) {
+	found := p.search.found()
 	p.search = nil
+	if found != nil {
+		g.follow(p, *found)
+		return
+	}
 	g.chooseTargets(p)
 	g.placeNew(p)
 }
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -63,6 +63,9 @@
 	refusal, before := p.shared.refusal, p.shared.at
 	moved := at == nil || at.Zone != before.Zone || at.Partition != before.Partition || at.Knowledge != before.Knowledge
 	switch {
+	case at == nil && g.opts.Retransmit > 0:
+		p.shared, p.knowledge = nil, 0
+		g.beginSearch(p) // the home may have been replaced with the dispatcher that held the job
 	case at == nil:
 		p.shared, p.knowledge = nil, 0
 		g.tryAll(p)
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -245,9 +245,9 @@
 // search completes the answer to a search for a job.
 func (s *shards) search(answer *relay.Answer, c *relay.Claim) {
 	x := s.get(c.Partition)
-	switch state, knowledge := x.Find(c.Job); state {
+	switch f := x.Find(c.Job); f.Result {
 	case shard.Held:
-		answer.Placed = &relay.Placement{Zone: s.zone, Partition: c.Partition, Knowledge: knowledge}
+		answer.Placed = &relay.Placement{Zone: s.zone, Partition: c.Partition, Knowledge: f.Knowledge, Waited: f.Waited}
 	case shard.NotKnownYet:
 		answer.Refused = pool.ReasonUnsettled
 	}
--- a/internal/node/takeover_repeat_test.go
+++ b/internal/node/takeover_repeat_test.go
@@ -44,6 +44,18 @@
 // Guards against two runs of a task at a time when the partition of a running job is taken over and a second request for the job reaches the
 // successor before the endpoint of the run has reported to it. The instance of the first request still attends to its caller.
 func TestSecondRequestAtTheSuccessor(t *testing.T) {
+	secondRequestAtTheSuccessor(t, func(d *deployment) time.Duration { return callerWait - d.retransmit })
+}
+
+// Guards against the same if the caller declares its whole wait again, as callers do whose waits differ by more than the retransmit time.
+func TestSecondRequestOfAUsualWait(t *testing.T) {
+	secondRequestAtTheSuccessor(t, func(*deployment) time.Duration { return callerWait })
+}
+
+// secondRequestAtTheSuccessor takes the partition of a running job over, cuts its successor from the endpoint of the run and submits the job
+// again there, for a caller that waits for some time.
+func secondRequestAtTheSuccessor(t *testing.T, wait func(*deployment) time.Duration) {
+	t.Helper()
 	is := is.New(t)
 	d := repeatDeployment(t)
 	all := d.twoPartitions()
@@ -72,7 +84,7 @@
 		}
 		return successor != nil
 	})
-	status, body := successor.postWithin(string(repeatedJob), 1, callerWait-d.retransmit)
+	status, body := successor.postWithin(string(repeatedJob), 1, wait(d))
 	is.Equal(status, 200)
 	is.Equal(body, `{"state":"completed"}`)
 	is.Equal(d.fleet.OverlappingRuns(), "")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -190,6 +190,24 @@
 	return slices.Sorted(maps.Keys(jobs))
 }
 
+// HasFoundRun reports whether another dispatcher has ordered a run of a job that no job of the pool waits for, and that is not being stopped.
+func (p *Pool) HasFoundRun(id work.JobID) bool {
+	for task, r := range p.runs {
+		if task.Job == id && r.job == nil && r.unsized && r.State != Stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// Arrived returns when the request for a job of the pool arrived; the zero time for another job.
+func (p *Pool) Arrived(id work.JobID) time.Duration {
+	if j := p.jobs[id]; j != nil {
+		return j.arrived
+	}
+	return 0
+}
+
 // Hold sets whether no task of a job starts, because it is not known whether its caller still waits.
 func (p *Pool) Hold(id work.JobID, held bool) {
 	if j := p.jobs[id]; j != nil {
--- a/internal/shard/find.go
+++ b/internal/shard/find.go
@@ -1,6 +1,10 @@
 package shard
 
-import "github.com/savorypass/savorypass/internal/work"
+import (
+	"time"
+
+	"github.com/savorypass/savorypass/internal/work"
+)
 
 // FindResult is what a dispatcher knows of a job that another request may have placed.
 type FindResult int
@@ -9,23 +13,32 @@
 const (
 	NotHeld     FindResult = iota // neither the job nor a run of it is at this dispatcher
 	Held                          // the job or a run of it is here
-	NotKnownYet                   // endpoints of the partition may have runs that this dispatcher does not know
+	NotKnownYet                   // a run of the job is being stopped, or endpoints may have runs that this dispatcher does not know
 )
 
-// Find reports what this dispatcher knows of a job. For a job that is held it also returns the dispatcher's knowledge, or 0 if only runs are
-// known and no request: runs of an earlier dispatcher may be unknown. While the takeover of the partition goes on, nothing is certain of a job
-// that is not found, and a read of the registrations is requested, since a takeover ends with a later read.
-func (s *Shard) Find(id work.JobID) (result FindResult, knowledge uint64) {
+// Finding is the answer to a search for a job.
+type Finding struct {
+	Result FindResult
+	// Knowledge is that of the dispatcher if it has a request for the job that it holds; 0 if it knows of runs only, since runs of an earlier
+	// dispatcher may be unknown.
+	Knowledge uint64
+	Waited    time.Duration // since the first request for the job arrived; 0 if that is not known
+}
+
+// Find reports what this dispatcher knows of a job. Until its takeover of the partition is over, or its usual time has passed, nothing is
+// certain of a job that is not found. A read of the registrations is requested then, since a takeover ends with a later read.
+func (s *Shard) Find(id work.JobID) Finding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.opts.Now()
 	switch {
 	case len(s.clients[id]) > 0:
-		return Held, s.knowledge.Load()
-	case s.pool.HasStarted(id):
-		return Held, 0
-	case s.leading && s.settled:
-		return NotHeld, 0
+		return Finding{Held, s.knowledge.Load(), now - s.pool.Arrived(id)}
+	case s.pool.HasFoundRun(id):
+		return Finding{Result: Held}
+	case s.leading && s.settled && !s.pool.HasStarted(id):
+		return Finding{Result: NotHeld}
 	}
-	s.requestRead(s.opts.Now())
-	return NotKnownYet, 0
+	s.requestRead(now)
+	return Finding{Result: NotKnownYet}
 }
--- a/internal/shard/find_test.go
+++ b/internal/shard/find_test.go
@@ -14,8 +14,7 @@
 
 // found returns what a dispatcher says of a job.
 func (d *dispatcher) found(id work.JobID) shard.FindResult {
-	result, _ := d.Find(id)
-	return result
+	return d.Find(id).Result
 }
 
 // Guards against a successor that says it does not hold a job before the endpoint with the job's run has reported to it, and against one that
@@ -29,9 +28,10 @@
 	before.register(all)
 	submitUntilAccepted(t, before, c, &relay.Submit{Job: jobOf("a", 1, run)})
 	wait.For(t, "the task runs", func() bool { return f.Running() == 1 })
-	result, knowledge := before.Find("a")
-	is.Equal(result, shard.Held)
-	is.Equal(knowledge, before.Knowledge())
+	known := before.Find("a")
+	is.Equal(known.Result, shard.Held)
+	is.Equal(known.Knowledge, before.Knowledge())
+	is.True(known.Waited > 0)
 	running := f.Starts()[0].Endpoint
 	for _, e := range all {
 		f.SetSilent(e.Address, e.ID == running)
@@ -45,8 +45,7 @@
 		f.SetSilent(e.Address, false)
 	}
 	wait.For(t, "the run is found", func() bool { return after.found("a") == shard.Held })
-	_, knowledge = after.Find("a")
-	is.Equal(knowledge, uint64(0)) // no request for the job is known
+	is.Equal(after.Find("a").Knowledge, uint64(0)) // no request for the job is known
 	wait.For(t, "the takeover ends", func() bool { return after.found("other") == shard.NotHeld })
 	before.End()
 	is.Equal(before.found("a"), shard.NotKnownYet) // it does not dispatch any more
