Move stored jobs that their zone cannot run to another zone

Cause: a stored job runs only on endpoints of the zone that its name gives, and nothing moved it when no endpoint of that zone fitted it any more.

The holder now takes such a job from its dispatcher once no run of it can go on, records the move and all ends under its epoch, and only then appends the job with its ends to the log of another zone. A holder of the first zone that reads the record starts nothing of the job, and an older holder cannot append it, so one zone at a time may start its tasks. The first zone stays the address for states and cancels, and records the end. The other zone keeps its end until the first one has it, so a repeated hand-over starts nothing.

--- a/internal/joblog/jobs.go
+++ b/internal/joblog/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/store"
@@ -13,7 +14,8 @@
 // is final. Times are on the holder's monotonic clock. It is not safe for concurrent use.
 type Jobs struct {
 	byID   map[work.JobID]*Job
-	expiry []learned // jobs that leave when their time has come, in the order in which that was learned
+	expiry []learned    // jobs that leave when their time has come, in the order in which that was learned
+	guests []work.JobID // jobs from other zones that have ended and leave after Release
 }
 
 // Job is the state of one job.
@@ -22,11 +24,15 @@
 	Cancelled bool      // the caller has cancelled the job; it may have ended otherwise before
 	Ends      Ends      // ends of tasks; empty after the job's end
 	State     work.State
+	// MovedTo is the zone in which the job goes on; empty if that is the zone of the log. Passed lists the zones that the job has moved from.
+	MovedTo string
+	Passed  []string
 
 	keys       keySet // keys of the job that exist in the store
 	unreadable keySet // keys whose newest record cannot be read
 	// expiresFrom is when it was last learned that the job leaves after its retention; doneExpiring after its deletion was returned.
 	expiresFrom time.Duration
+	released    bool // see Release
 }
 
 // doneExpiring is before all times.
@@ -66,9 +72,15 @@
 // Runnable reports whether tasks of the job may start. A job of which a record cannot be read is not started: its tasks or the
 // job itself may have ended.
 func (j *Job) Runnable() bool {
-	return j != nil && j.Work != nil && j.State == "" && !j.Cancelled && j.unreadable == 0
+	return j != nil && j.Work != nil && j.State == "" && !j.Cancelled && !j.Moved() && j.unreadable == 0
 }
 
+// Moved reports whether the job goes on in another zone.
+func (j *Job) Moved() bool { return j != nil && j.MovedTo != "" }
+
+// Ended reports whether the job's end is in the log.
+func (j *Job) Ended() bool { return j != nil && j.State != "" }
+
 // Unreadable reports whether a record of the job cannot be read, so that its state is not known.
 func (j *Job) Unreadable() bool { return j != nil && j.State == "" && j.unreadable != 0 }
 
@@ -116,6 +128,9 @@
 
 // apply folds a record that could be read.
 func (j *Job) apply(record any) {
+	if h, ok := record.(Handover); ok {
+		j.Passed = h.Passed // also after the end, see Release
+	}
 	if j.State != "" {
 		return
 	}
@@ -128,6 +143,10 @@
 		j.Cancelled = true
 	case Progress:
 		j.Ends.Merge(r.Ends)
+	case Move:
+		j.MovedTo = r.To
+	case Handover:
+		j.Ends.Merge(r.Ends)
 	case End:
 		j.State = r.State
 		j.Work, j.Ends = nil, Ends{}
@@ -157,7 +176,8 @@
 	}
 }
 
-// EndRecords returns the records that end a job: its final state, and the deletion of its other keys.
+// EndRecords returns the records that end a job: its final state, and the deletion of its other keys. That of the Handover stays as long as the
+// final state, see Release.
 func (j *Jobs) EndRecords(id work.JobID, s work.State) ([]store.Record, error) {
 	if err := validateFinal(s); err != nil {
 		return nil, err
@@ -173,7 +193,7 @@
 	if job.State != "" {
 		return nil, errEnded
 	}
-	return append([]store.Record{r}, job.drops(id, job.keys&^bit(end))...), nil
+	return append([]store.Record{r}, job.drops(id, job.keys&^(bit(end)|bit(handover)))...), nil
 }
 
 var (
@@ -192,6 +212,25 @@
 	return records
 }
 
+// Guests returns the jobs from other zones that have ended and could leave, but for Release.
+func (j *Jobs) Guests() []work.JobID { return slices.Clone(j.guests) }
+
+func (j *Jobs) addGuest(id work.JobID) {
+	if !slices.Contains(j.guests, id) {
+		j.guests = append(j.guests, id)
+	}
+}
+
+// Release lets a job from another zone leave after its retention. It is called once that zone's log has the job's end, or nothing of the job any
+// more: until then that zone may write the job's submission again, which must not start the job anew.
+func (j *Jobs) Release(id work.JobID, now time.Duration) {
+	j.guests = slices.DeleteFunc(j.guests, func(other work.JobID) bool { return other == id })
+	if job := j.byID[id]; job != nil {
+		job.released = true
+		j.expire(id, job, now)
+	}
+}
+
 // Expired returns the records that delete all keys of the jobs whose end was learned at least retention ago, at most limit
 // jobs. It returns a job once; the caller keeps the records until they are stored.
 func (j *Jobs) Expired(now, retention time.Duration, limit int) []store.Record {
@@ -203,6 +242,10 @@
 		if job == nil || job.State == "" && job.Known() || job.expiresFrom != at {
 			continue // it has left, it was accepted meanwhile, or it has ended later
 		}
+		if len(job.Passed) > 0 && !job.released {
+			j.addGuest(id)
+			continue
+		}
 		job.expiresFrom = doneExpiring
 		records = append(records, job.drops(id, job.keys)...)
 		n++
--- a/internal/joblog/jobs_test.go
+++ b/internal/joblog/jobs_test.go
@@ -54,6 +54,7 @@
 	done.Fail(work.TaskID{Index: 3}, 2)
 	for _, want := range []any{
 		Submission{testJob(testID)}, Cancel{testID}, Progress{testID, done}, End{testID, work.Failed},
+		Move{testID, "south"}, Handover{testID, []string{"north", "west"}, done},
 	} {
 		got, err := Decode(record(t, want))
 		is.NoErr(err)
@@ -112,7 +113,8 @@
 func FuzzDecode(f *testing.F) {
 	done := ends(1, 17)
 	done.Fail(work.TaskID{Index: 3}, 2)
-	for _, r := range []any{Submission{testJob(testID)}, Cancel{testID}, Progress{testID, done}, End{testID, work.Failed}} {
+	for _, r := range []any{Submission{testJob(testID)}, Cancel{testID}, Progress{testID, done}, End{testID, work.Failed},
+		Move{testID, "south"}, Handover{testID, []string{"north"}, done}} {
 		encoded := record(f, r)
 		f.Add(encoded.Key, encoded.Value)
 	}
@@ -155,6 +157,12 @@
 		if rapid.Bool().Draw(t, "cancelled") {
 			log = append(log, record(t, Cancel{id}))
 		}
+		if rapid.Bool().Draw(t, "came from another zone") {
+			log = append(log, record(t, Handover{id, []string{"west"}, ends(3, 4)}))
+		}
+		if rapid.Bool().Draw(t, "moved") {
+			log = append(log, record(t, Move{id, "south"}))
+		}
 		if rapid.Bool().Draw(t, "ended") {
 			log = append(log, record(t, End{id, work.Completed}))
 		}
@@ -187,10 +195,11 @@
 			if job.State != "" {
 				is.Equal(g.State, job.State)
 				is.True(g.Work == nil && !g.Runnable())
+				is.Equal(g.Passed, job.Passed)
 				continue
 			}
 			is.Equal(g, *job)
-			is.Equal(g.Runnable(), !job.Cancelled)
+			is.Equal(g.Runnable(), !job.Cancelled && !job.Moved())
 		}
 	})
 }
@@ -297,3 +306,28 @@
 	is.Equal(len(jobs.Expired(ended+retention, retention, 10)), 3)
 	is.Equal(len(jobs.Expired(ended+2*retention, retention, 10)), 0)
 }
+
+// Guards against a job from another zone that leaves before that zone has its end, so that a repeated hand-over starts it anew, and against one
+// that never leaves or leaves keys behind.
+func TestJobFromAnotherZoneLeavesAfterRelease(t *testing.T) {
+	is := is.New(t)
+	handedOver := []store.Record{record(t, Handover{testID, []string{"north"}, ends(0, 1)}), record(t, Submission{testJob(testID)})}
+	jobs := fold(t, handedOver)
+	is.True(jobs.Get(testID).Runnable())
+	is.True(jobs.Get(testID).Ends.HasSucceeded(work.TaskID{Job: testID, Index: 1}))
+	records, err := jobs.EndRecords(testID, work.Completed)
+	is.NoErr(err)
+	for _, r := range records {
+		is.NoErr(jobs.Apply(r, 0))
+	}
+	is.Equal(jobs.Expired(retention, retention, 10), nil)
+	is.Equal(jobs.Guests(), []work.JobID{testID})
+	for _, r := range handedOver { // once more, by a holder that does not know of the end
+		is.NoErr(jobs.Apply(r, retention))
+	}
+	is.True(!jobs.Get(testID).Runnable())
+	jobs.Release(testID, retention)
+	is.Equal(len(jobs.Guests()), 0)
+	expired := jobs.Expired(2*retention, retention, 10)
+	is.Equal(expired, []store.Record{submission.drop(testID), handover.drop(testID), end.drop(testID)})
+}
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -48,6 +48,22 @@
 	State work.State // Completed, Failed or Cancelled
 }
 
+// Move is the record that a job goes on in another zone: from then on no holder of this log starts tasks of it. Only the holder writes it.
+type Move struct {
+	Job work.JobID
+	To  string // the zone
+}
+
+// Handover is the record of a job in the log of the zone that it has moved to, written together with its submission. Any instance may write
+// it, also again, once the job's Move is stored.
+type Handover struct {
+	Job work.JobID
+	// Passed lists the zones that the job has moved from, the last one last.
+	Passed []string
+	// Ends holds the ends of the job's tasks until the last move.
+	Ends Ends
+}
+
 // kind is the first byte of a record's key.
 type kind byte
 
@@ -55,11 +71,13 @@
 	submission kind = 's'
 	cancel     kind = 'c'
 	progress   kind = 'p'
+	move       kind = 'm'
+	handover   kind = 'h'
 	end        kind = 'e'
 )
 
 // kinds lists all kinds. The end is last: where several keys of a job are deleted, the job stays ended until all are.
-var kinds = []kind{submission, cancel, progress, end}
+var kinds = []kind{submission, cancel, progress, move, handover, end}
 
 func (k kind) key(id work.JobID) string { return string(k) + "/" + string(id) }
 
@@ -69,6 +87,7 @@
 var (
 	errKey       = errors.New("joblog: the key names no kind of record and job")
 	errJobID     = fmt.Errorf("joblog: the job's name must have 1 to %d bytes", maxJobIDBytes)
+	errNoZone    = errors.New("joblog: the record of a move names no zone")
 	errOversized = fmt.Errorf("joblog: the record is larger than %d bytes", maxRecordBytes)
 )
 
@@ -80,7 +99,7 @@
 	return kind(letter[0]), work.JobID(id), nil
 }
 
-// Encode returns the record of a Submission, Cancel, Progress or End.
+// Encode returns the record of a Submission, Cancel, Progress, Move, Handover or End.
 func Encode(r any) (store.Record, error) {
 	switch r := r.(type) {
 	case Submission:
@@ -91,6 +110,12 @@
 		return assemble(cancel, r.Job, nil)
 	case Progress:
 		return encode(progress, r.Job, &r.Ends)
+	case Move:
+		return assemble(move, r.Job, []byte(r.To))
+	case Handover:
+		id := r.Job
+		r.Job = "" // the key has it
+		return encode(handover, id, &r)
 	case End:
 		return assemble(end, r.Job, []byte(r.State))
 	}
@@ -116,7 +141,7 @@
 	return store.Record{Key: k.key(id), Value: value}, nil
 }
 
-// Decode returns the Submission, Cancel, Progress or End of a record with a value.
+// Decode returns the Submission, Cancel, Progress, Move, Handover or End of a record with a value.
 func Decode(r store.Record) (any, error) {
 	k, id, err := parseKey(r.Key)
 	if err != nil {
@@ -146,6 +171,10 @@
 			return nil, fmt.Errorf("joblog: %w", err)
 		}
 		return p, p.Ends.validate()
+	case move:
+		return decodeMove(id, payload)
+	case handover:
+		return decodeHandover(id, payload)
 	case end:
 		e := End{Job: id, State: work.State(payload)}
 		return e, validateFinal(e.State)
@@ -153,6 +182,25 @@
 	return Cancel{Job: id}, nil
 }
 
+func decodeMove(id work.JobID, payload []byte) (any, error) {
+	if len(payload) == 0 {
+		return nil, errNoZone
+	}
+	return Move{Job: id, To: string(payload)}, nil
+}
+
+func decodeHandover(id work.JobID, payload []byte) (any, error) {
+	h := Handover{}
+	if err := wire.Unmarshal(payload, &h); err != nil {
+		return nil, fmt.Errorf("joblog: %w", err)
+	}
+	if len(h.Passed) == 0 {
+		return nil, errNoZone
+	}
+	h.Job = id
+	return h, h.Ends.validate()
+}
+
 func validateFinal(s work.State) error {
 	switch s {
 	case work.Completed, work.Failed, work.Cancelled:
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -53,6 +53,7 @@
 	Resumed  metric.Counter // jobs that were continued after a change of the holder
 	Ended    metric.Counter // jobs whose end is stored
 	Loads    metric.Counter // partitions that were read
+	Moved    metric.Counter // jobs that were moved to another zone
 }
 
 // holder holds one partition of the log under one fence.
@@ -94,6 +95,7 @@
 	unsent  bool        // the writer had no room for the job's last record
 	waiting []func()    // called when the job's next record of ends, or its end, is stored
 	replies []func(relay.StoredReply)
+	moving  movingState
 }
 
 type replyFunc = func(relay.StoredReply)
@@ -153,8 +155,14 @@
 		h.ledger.dispatcher.ReleaseStored(h.fence, h.owns)
 	}()
 	go h.follow(ctx)
+	moving := make(chan struct{})
+	go func() {
+		defer close(moving)
+		h.moveJobs(ctx)
+	}()
 	h.runEvents(ctx)
 	h.end()
+	<-moving // a decision on a move must not outlast the epoch: the next one continues the job
 	return <-ended
 }
 
@@ -187,12 +195,13 @@
 	var all []shard.ResumedJob
 	for _, id := range h.jobs.Live() {
 		job := h.jobs.Get(id)
-		if !job.Runnable() && !job.Cancelled {
+		if !job.Runnable() && !job.Cancelled && !job.Moved() {
 			h.log().WithFields(logrus.Fields{"event": "stored_job_held", "job": id}).Error("a record of the job cannot be read; the job is not continued")
 			continue
 		}
 		h.live[id] = &liveJob{stored: true, ends: job.Ends.Clone()}
 		switch final := h.ledger.takeEnded(id); {
+		case job.Moved(): // see moveJobs
 		case job.Cancelled:
 			h.postEnd(id, work.Cancelled)
 		case final != "":
@@ -294,14 +303,14 @@
 		}
 		job, live := h.jobs.Get(id), h.live[id]
 		switch {
-		case job == nil || job.Work == nil || job.State != "":
+		case job == nil || job.Work == nil || job.State != "" || job.Moved():
 		case live == nil && job.Runnable():
-			h.live[id] = &liveJob{stored: true}
+			h.live[id] = &liveJob{stored: true, ends: job.Ends.Clone()}
 			h.opts().Counts.Found.Add(1)
-			w := job.Work
-			h.post(func() { h.ledger.dispatcher.AddStored(h.fence, w) })
+			r := resumed(job)
+			h.post(func() { h.ledger.dispatcher.AddStored(h.fence, r) })
 		case live == nil && job.Cancelled: // one batch had its submission and its cancel
-			h.live[id] = &liveJob{stored: true}
+			h.live[id] = &liveJob{stored: true, ends: job.Ends.Clone()}
 			h.opts().Counts.Found.Add(1)
 			h.postEnd(id, work.Cancelled)
 		case live != nil && live.stored && job.Cancelled && live.final == "":
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -73,8 +73,10 @@
 type Dispatcher interface {
 	OfferStored(fence int64, job *work.Job, waited time.Duration) (pool.Verdict, bool)
 	StartStored(fence int64, id work.JobID)
-	AddStored(fence int64, job *work.Job)
+	AddStored(fence int64, r shard.ResumedJob)
 	DropStored(fence int64, id work.JobID)
+	StoredToMove(fence int64, owns func(work.JobID) bool) []work.JobID
+	TakeStored(fence int64, wanted func(work.JobID) bool) []work.JobID
 	ResumeStored(fence int64, load func() []shard.ResumedJob, owns func(work.JobID) bool) bool
 	ReleaseStored(fence int64, owns func(work.JobID) bool)
 	StoredEnd(fence int64, end work.End, record func() shard.Recording) shard.Recording
@@ -96,15 +98,18 @@
 // Options configures a Ledger.
 type Options struct {
 	Log           joblog.Log
+	Zone          string
 	Topic         string // of the zone's log
 	LogPartitions int
 	Retention     time.Duration                // for how long ended jobs are kept
 	Usage         func(at time.Duration) Usage // at a time on the clock of Now
-	// Belongs reports whether a job belongs to the zone if it is stored; see ZoneOf.
+	// Belongs reports whether a job belongs to the zone if it is stored and has not moved; see ZoneOf.
 	Belongs func(id work.JobID) bool
 	// Ask sends a request about a partition of the zone's log to its holder, or to another dispatcher of the zone, and waits for the reply;
 	// nil if there is none.
-	Ask    func(ctx context.Context, r relay.StoredRequest) *relay.StoredReply
+	Ask func(ctx context.Context, r relay.StoredRequest) *relay.StoredReply
+	// Others are the deployment's other zones; nil if jobs do not move.
+	Others OtherZones
 	Counts *Counts
 	Now    func() time.Duration // monotonic clock
 	Logger logrus.FieldLogger
@@ -189,10 +194,10 @@
 // RecordEnd implements shard.Ledger. A stored job is announced, and its submission appended, before its first task starts. Whether a task
 // belongs to a stored job is therefore known from reads that began after the task was started. since is a time after that.
 func (l *Ledger) RecordEnd(end work.End, since time.Duration, recorded func()) shard.Recording {
-	if !l.opts.Belongs(end.Task.Job) {
+	if l.opts.Others == nil && !l.opts.Belongs(end.Task.Job) {
 		return shard.NotStored
 	}
-	switch l.opts.Usage(since) {
+	switch l.opts.Usage(l.usedBefore(end.Task.Job, since)) {
 	case Unused:
 		return shard.NotStored
 	case UsageUnknown:
@@ -205,6 +210,15 @@
 	return shard.RecordedSoon
 }
 
+// usedBefore returns the time before which the deployment must have had stored jobs if a task that started until since is of one. A job of another
+// zone has been stored for moveDelay before it can have moved here.
+func (l *Ledger) usedBefore(id work.JobID, since time.Duration) time.Duration {
+	if l.opts.Belongs(id) {
+		return since
+	}
+	return since - moveDelay
+}
+
 // NoneStored implements shard.Ledger.
 func (l *Ledger) NoneStored(at time.Duration) bool { return l.opts.Usage(at) == Unused }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -38,6 +38,11 @@
 	// settled is what StoredSettled returns, and released counts the calls of ReleaseStored.
 	settled  bool
 	released int
+	// stuck is what StoredToMove returns, and found what AddStored has got.
+	stuck []work.JobID
+	found []shard.ResumedJob
+	// taking, if it is not nil, is closed when TakeStored may return.
+	taking chan struct{}
 }
 
 func (d *dispatcher) OfferStored(_ int64, job *work.Job, _ time.Duration) (pool.Verdict, bool) {
@@ -63,11 +68,43 @@
 }
 
 func (d *dispatcher) StartStored(_ int64, id work.JobID)                             { d.note(&d.started, id) }
-func (d *dispatcher) AddStored(_ int64, job *work.Job)                               { d.note(&d.added, job.ID) }
+func (d *dispatcher) AddStored(_ int64, r shard.ResumedJob)                          { d.noteAdded(r) }
 func (d *dispatcher) DropStored(_ int64, id work.JobID)                              { d.note(&d.dropped, id) }
 func (d *dispatcher) StoredStarted(work.JobID) bool                                  { return false }
 func (d *dispatcher) StoredWaiting(int64, string, func(work.JobID) bool) (int, bool) { return 0, true }
 
+func (d *dispatcher) noteAdded(r shard.ResumedJob) {
+	d.note(&d.added, r.Job.ID)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.found = append(d.found, r)
+}
+
+// StoredToMove returns the stuck jobs until TakeStored takes them.
+func (d *dispatcher) StoredToMove(int64, func(work.JobID) bool) []work.JobID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.stuck)
+}
+
+func (d *dispatcher) TakeStored(_ int64, wanted func(work.JobID) bool) (taken []work.JobID) {
+	d.mu.Lock()
+	taking := d.taking
+	d.mu.Unlock()
+	if taking != nil {
+		<-taking
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range d.stuck {
+		if wanted(id) {
+			taken = append(taken, id)
+		}
+	}
+	d.stuck = slices.DeleteFunc(d.stuck, wanted)
+	return taken
+}
+
 func (d *dispatcher) ReleaseStored(int64, func(work.JobID) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/ledger/neighbours.go
+++ b/internal/ledger/neighbours.go
@@ -67,9 +67,7 @@
 
 // settled returns whether this dispatcher has nothing to report on the jobs of a partition of the log that another one holds.
 func (l *Ledger) settled(r *relay.StoredRequest) relay.StoredResult {
-	owns := func(id work.JobID) bool {
-		return l.opts.Belongs(id) && PartitionOf(id, l.opts.LogPartitions) == r.Partition
-	}
+	owns := func(id work.JobID) bool { return PartitionOf(id, l.opts.LogPartitions) == r.Partition }
 	if l.holder(r.Partition) != nil || !l.dispatcher.StoredSettled(r.Dispatchers, owns) {
 		return relay.StoredNoHolder
 	}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -33,6 +33,11 @@
 		live.replies = append(live.replies, reply)
 		h.mu.Unlock()
 		return
+	case known.Moved():
+		zone := known.MovedTo
+		h.mu.Unlock()
+		go h.stateElsewhere(id, zone, reply)
+		return
 	}
 	h.mu.Unlock()
 	if live == nil || !h.ledger.dispatcher.StoredStarted(id) {
@@ -76,6 +81,11 @@
 		h.mu.Unlock()
 		reply(relay.StoredReply{Result: relay.StoredDone, State: state})
 		return
+	case known.Moved():
+		zone := known.MovedTo
+		h.mu.Unlock()
+		go h.cancelElsewhere(id, zone, reply)
+		return
 	}
 	if live != nil {
 		live.replies = append(live.replies, reply)
@@ -89,12 +99,12 @@
 // pending replies with the number of jobs of a queue of which no task has started.
 func (h *holder) pending(queue string, reply replyFunc) {
 	h.mu.Lock()
-	ready := h.ready
+	ready, moved := h.ready, h.movedWaiting(queue)
 	h.mu.Unlock()
 	waiting, ok := h.ledger.dispatcher.StoredWaiting(h.fence, queue, h.owns)
 	if !ready || !ok {
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 		return
 	}
-	reply(relay.StoredReply{Result: relay.StoredDone, Pending: waiting})
+	reply(relay.StoredReply{Result: relay.StoredDone, Pending: waiting + moved})
 }
--- a/internal/node/ledgers.go
+++ b/internal/node/ledgers.go
@@ -36,7 +36,7 @@
 		retention = defaultStatusTime
 	}
 	return ledger.New(ledger.Options{
-		Log: l.node.store, Topic: l.node.opts.Records.JobsTopic(l.zone), LogPartitions: stored.logPartitions, Retention: retention,
+		Log: l.node.store, Zone: l.zone, Others: stored.otherZones(), Topic: l.node.opts.Records.JobsTopic(l.zone), LogPartitions: stored.logPartitions, Retention: retention,
 		Usage: stored.usage, Counts: &stored.counts, Now: l.node.now,
 		Ask:     func(ctx context.Context, r relay.StoredRequest) *relay.StoredReply { return stored.Ask(ctx, l.zone, r) },
 		Belongs: func(id work.JobID) bool { return ledger.ZoneOf(id, stored.zones) == l.zone },
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -144,7 +144,7 @@
 		{Name: "stored_accepted", Var: &n.stored.counts.Accepted}, {Name: "stored_refused", Var: &n.stored.counts.Refused},
 		{Name: "stored_not_saved", Var: &n.stored.counts.NotSaved}, {Name: "stored_not_known", Var: &n.stored.counts.NotKnown},
 		{Name: "stored_found", Var: &n.stored.counts.Found}, {Name: "stored_resumed", Var: &n.stored.counts.Resumed},
-		{Name: "stored_ended", Var: &n.stored.counts.Ended}, {Name: "stored_loads", Var: &n.stored.counts.Loads},
+		{Name: "stored_moved", Var: &n.stored.counts.Moved}, {Name: "stored_ended", Var: &n.stored.counts.Ended}, {Name: "stored_loads", Var: &n.stored.counts.Loads},
 		{Name: "endpoint_requests", Var: expvar.Func(func() any { return n.window.Status() })},
 		{Name: "ready", Var: expvar.Func(func() any { return n.ready() })},
 	}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/attempt"
@@ -140,3 +141,40 @@
 	sortByTask(stopping)
 	return stopping
 }
+
+// StoredToMove returns the stored jobs that have a task to start and no run, and whose tasks to start fit on no endpoint that counts selects. Jobs
+// that are held, and those of which an earlier run may go on, are left out.
+func (p *Pool) StoredToMove(counts func(work.EndpointID) bool, now time.Duration) []work.JobID {
+	superseded := slices.ContainsFunc(p.order, func(e *endpoint) bool { return e.superseded > 0 })
+	if superseded {
+		return nil // one of these runs may be of any job
+	}
+	runs := map[work.JobID]bool{}
+	for task := range p.runs {
+		runs[task.Job] = true
+	}
+	var all []work.JobID
+	for _, j := range p.queue {
+		if !j.stored || j.held || now < j.notBefore || runs[j.ID] || !j.hasReady() {
+			continue
+		}
+		if !p.fitsNextTask(j, counts) {
+			all = append(all, j.ID)
+		}
+	}
+	return all
+}
+
+// fitsNextTask reports whether one of a job's tasks to start fits on an endpoint that counts selects and that is not draining.
+func (p *Pool) fitsNextTask(j *job, counts func(work.EndpointID) bool) bool {
+	for i := range j.steps {
+		s := &j.Steps[i]
+		if !j.ready(i) || len(j.steps[i].waiting) == 0 {
+			continue
+		}
+		if slices.ContainsFunc(p.order, func(e *endpoint) bool { return !e.Draining && e.Fits(j.Service, s) && counts(e.ID) }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -184,7 +184,7 @@
 
 func (p *Pool) fitsSomeEndpoint(j *job, s *work.Step) bool {
 	for _, e := range p.order {
-		if e.Service == j.Service && s.Size.Fits(e.Size) && e.HasLabel(s.Label) {
+		if e.Fits(j.Service, s) {
 			return true
 		}
 	}
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -109,6 +109,15 @@
 	Failed    []attempt.Attempt
 }
 
+// failedRuns returns the highest number of a failed run of each task.
+func (r *ResumedJob) failedRuns() map[work.TaskID]int {
+	failed := map[work.TaskID]int{}
+	for _, a := range r.Failed {
+		failed[a.Task] = max(failed[a.Task], a.Run)
+	}
+	return failed
+}
+
 // ResumeStored continues the stored jobs of a part of the ledger, which owns selects, and deletes those that the ledger does not name
 // any more. Tasks that an earlier dispatcher may have started wait until storedNotBefore and, in a zone with several dispatchers, until
 // ReleaseStored is called. load returns the jobs; it is called with the shard's lock held, so that no end comes between it and their
@@ -139,12 +148,8 @@
 func (s *Shard) resume(r ResumedJob) {
 	now := s.opts.Now()
 	s.opts.History.Merge(r.Failed, now)
-	failed := map[work.TaskID]int{}
-	for _, a := range r.Failed {
-		failed[a.Task] = max(failed[a.Task], a.Run)
-	}
 	s.stored[r.Job.ID] = r.Job
-	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, failed, now, s.storedNotBefore())
+	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, r.failedRuns(), now, s.storedNotBefore())
 	s.awaitNeighbours(r.Job.ID)
 	s.finish(outcomes)
 }
@@ -212,7 +217,8 @@
 }
 
 // AddStored adds a job that another instance has stored. An earlier dispatcher may have read it and started tasks of it.
-func (s *Shard) AddStored(fence int64, job *work.Job) {
+func (s *Shard) AddStored(fence int64, r ResumedJob) {
+	job := r.Job
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.dispatchesUnder(fence) || s.stored[job.ID] != nil {
@@ -223,12 +229,52 @@
 	if notBefore <= now {
 		notBefore = 0
 	}
-	outcomes := s.pool.ResumeStored(job, nil, nil, now, notBefore)
+	s.opts.History.Merge(r.Failed, now)
+	outcomes := s.pool.ResumeStored(job, r.Succeeded, r.failedRuns(), now, notBefore)
 	s.awaitNeighbours(job.ID)
 	s.finish(outcomes)
 	s.dispatch()
 }
 
+// StoredToMove returns the stored jobs, among those that owns selects, that cannot go on in the zone: their next tasks fit on no registered
+// endpoint of the dispatcher, or the zone is evacuated. No run of them can go on.
+func (s *Shard) StoredToMove(fence int64, owns func(work.JobID) bool) []work.JobID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storedToMove(fence, owns)
+}
+
+// storedToMove is StoredToMove for callers that hold the shard's lock.
+func (s *Shard) storedToMove(fence int64, owns func(work.JobID) bool) []work.JobID {
+	if !s.dispatchesUnder(fence) || len(s.stored) == 0 {
+		return nil
+	}
+	var all []work.JobID
+	for _, id := range s.pool.StoredToMove(s.mayTakeRuns, s.opts.Now()) {
+		if s.stored[id] != nil && owns(id) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// mayTakeRuns reports whether an endpoint may get runs, now or once it answers again.
+func (s *Shard) mayTakeRuns(id work.EndpointID) bool {
+	x := s.sessions[id]
+	return x != nil && x.registered && !s.evacuated()
+}
+
+// TakeStored deletes and returns those stored jobs that wanted selects and StoredToMove still returns. No task of them starts here any more.
+func (s *Shard) TakeStored(fence int64, wanted func(work.JobID) bool) []work.JobID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.storedToMove(fence, wanted)
+	for _, id := range taken {
+		s.abandon(id, stopJobEnded)
+	}
+	return taken
+}
+
 // StoredStarted reports whether a task of a stored job is known to have started.
 func (s *Shard) StoredStarted(id work.JobID) bool {
 	s.mu.Lock()
--- a/internal/work/endpoint.go
+++ b/internal/work/endpoint.go
@@ -37,6 +37,11 @@
 	return false
 }
 
+// Fits reports whether the endpoint, when it is idle, can run a task of a step of a service's job.
+func (e *Endpoint) Fits(service string, s *Step) bool {
+	return e.Service == service && s.Size.Fits(e.Size) && e.HasLabel(s.Label)
+}
+
 // EndReason is the reason why a run of a task ended.
 type EndReason string
 
