--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -14,7 +14,7 @@
 const (
 	// maxClockRatio is the factor by which an endpoint's clock may run slower than this instance's.
 	maxClockRatio = 1.02
-	// noticeTime is how long a dispatcher usually takes to detect that its term has ended. No decision rests on it, see settle.
+	// noticeTime is how long a dispatcher usually takes to detect that its term has ended. Only settle rests on it.
 	noticeTime = 350 * time.Millisecond
 	// divisionMemory is how long before the loss of a job's dispatcher a change of the zone's number of partitions is still taken
 	// into account. A process that started less than this before has not followed the registrations long enough to
@@ -173,7 +173,8 @@
 	return t
 }
 
-// settle shows for operators that a takeover is over. Resumed jobs do not depend on it, see notBefore.
+// settle notes that a takeover is over, or that its usual time has passed: for operators, and for the answers to searches for jobs
+// (Find). Resumed jobs do not depend on it, see notBefore.
 func (s *Shard) settle(now time.Duration) {
 	if s.settled {
 		return
