--- a/internal/joblog/jobs.go
+++ b/internal/joblog/jobs.go
@@ -15,7 +15,7 @@
 type Jobs struct {
 	byID   map[work.JobID]*Job
 	expiry []learned    // jobs that leave when their time has come, in the order in which that was learned
-	guests []work.JobID // jobs from other zones that have ended and leave after Release
+	received []work.JobID // jobs from other zones that have ended and leave after Release
 }
 
 // Job is the state of one job.
@@ -212,19 +212,19 @@
 	return records
 }
 
-// Guests returns the jobs from other zones that have ended and could leave, but for Release.
-func (j *Jobs) Guests() []work.JobID { return slices.Clone(j.guests) }
+// Received returns the jobs from other zones that have ended and could leave, but for Release.
+func (j *Jobs) Received() []work.JobID { return slices.Clone(j.received) }
 
-func (j *Jobs) addGuest(id work.JobID) {
-	if !slices.Contains(j.guests, id) {
-		j.guests = append(j.guests, id)
+func (j *Jobs) addReceived(id work.JobID) {
+	if !slices.Contains(j.received, id) {
+		j.received = append(j.received, id)
 	}
 }
 
 // Release lets a job from another zone leave after its retention. It is called once that zone's log has the job's end, or nothing of the job any
 // more: until then that zone may write the job's submission again, which must not start the job anew.
 func (j *Jobs) Release(id work.JobID, now time.Duration) {
-	j.guests = slices.DeleteFunc(j.guests, func(other work.JobID) bool { return other == id })
+	j.received = slices.DeleteFunc(j.received, func(other work.JobID) bool { return other == id })
 	if job := j.byID[id]; job != nil {
 		job.released = true
 		j.expire(id, job, now)
@@ -243,7 +243,7 @@
 			continue // it has left, it was accepted meanwhile, or it has ended later
 		}
 		if len(job.Passed) > 0 && !job.released {
-			j.addGuest(id)
+			j.addReceived(id)
 			continue
 		}
 		job.expiresFrom = doneExpiring
--- a/internal/joblog/jobs_test.go
+++ b/internal/joblog/jobs_test.go
@@ -321,13 +321,13 @@
 		is.NoErr(jobs.Apply(r, 0))
 	}
 	is.Equal(jobs.Expired(retention, retention, 10), nil)
-	is.Equal(jobs.Guests(), []work.JobID{testID})
+	is.Equal(jobs.Received(), []work.JobID{testID})
 	for _, r := range handedOver { // once more, by a holder that does not know of the end
 		is.NoErr(jobs.Apply(r, retention))
 	}
 	is.True(!jobs.Get(testID).Runnable())
 	jobs.Release(testID, retention)
-	is.Equal(len(jobs.Guests()), 0)
+	is.Equal(len(jobs.Received()), 0)
 	expired := jobs.Expired(2*retention, retention, 10)
 	is.Equal(expired, []store.Record{submission.drop(testID), handover.drop(testID), end.drop(testID)})
 }
--- a/internal/ledger/move.go
+++ b/internal/ledger/move.go
@@ -66,7 +66,7 @@
 		h.sendMoves()
 		h.placeMoved(ctx)
 		h.followMoved(ctx)
-		h.releaseGuests(ctx)
+		h.releaseReceived(ctx)
 		pause.For(ctx, moveInterval, nil)
 	}
 }
@@ -374,11 +374,11 @@
 	return n
 }
 
-// releaseGuests lets ended jobs from other zones leave once the zone that they came from has their end, or nothing of them any more.
-func (h *holder) releaseGuests(ctx context.Context) {
+// releaseReceived lets ended jobs from other zones leave once the zone that they came from has their end, or nothing of them any more.
+func (h *holder) releaseReceived(ctx context.Context) {
 	var all []inquiry
 	h.mu.Lock()
-	for _, id := range h.jobs.Guests() {
+	for _, id := range h.jobs.Received() {
 		if job := h.jobs.Get(id); job != nil {
 			all = append(all, inquiry{id, job.Passed[len(job.Passed)-1], relay.StoredState})
 		}
