--- a/internal/joblog/jobs.go
+++ b/internal/joblog/jobs.go
@@ -13,8 +13,8 @@
 // Jobs is the state that the records of one partition fold to. Records may come repeatedly and in any order of kinds; an end
 // is final. Times are on the holder's monotonic clock. It is not safe for concurrent use.
 type Jobs struct {
-	byID   map[work.JobID]*Job
-	expiry []learned    // jobs that leave when their time has come, in the order in which that was learned
+	byID     map[work.JobID]*Job
+	expiry   []learned    // jobs that leave when their time has come, in the order in which that was learned
 	received []work.JobID // jobs from other zones that have ended and leave after Release
 }
 
