--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -165,11 +165,11 @@
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(q.to)
 	}
+	g.renewQuestions(p.search)
 	g.endSearchIfAnswered(p)
 }
 
 func (g *Gateway) endSearchIfAnswered(p *pending) {
-	g.renewQuestions(p.search)
 	for _, q := range p.search.questions {
 		if !q.answered {
 			return
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -202,8 +202,7 @@
 }
 
 func validateFinal(s work.State) error {
-	switch s {
-	case work.Completed, work.Failed, work.Cancelled:
+	if s.Final() {
 		return nil
 	}
 	return fmt.Errorf("joblog: %q is not a final state", s)
--- a/internal/ledger/move.go
+++ b/internal/ledger/move.go
@@ -313,7 +313,7 @@
 		return recorded
 	}
 	live.moving.arrived = true
-	final := h.ready && isFinal(reply.State)
+	final := h.ready && reply.State.Final()
 	if final {
 		live.replies = append(live.replies, ended)
 	}
@@ -324,10 +324,6 @@
 	return final
 }
 
-func isFinal(s work.State) bool {
-	return s == work.Completed || s == work.Failed || s == work.Cancelled
-}
-
 // stateElsewhere replies with the state of a job that has moved.
 func (h *holder) stateElsewhere(id work.JobID, zone string, reply replyFunc) {
 	found := h.askElsewhere(inquiry{id, zone, relay.StoredState})
@@ -335,7 +331,7 @@
 	case found == nil, found.Result != relay.StoredDone && found.Result != relay.StoredNoJob:
 		reply(relay.StoredReply{Result: relay.StoredNoHolder})
 	case h.noteElsewhere(id, found, reply):
-	case found.Result == relay.StoredNoJob || isFinal(found.State): // not yet in the other zone's log, or not recorded here in time
+	case found.Result == relay.StoredNoJob || found.State.Final(): // not yet in the other zone's log, or not recorded here in time
 		reply(relay.StoredReply{Result: relay.StoredDone, State: work.Queued})
 	default:
 		reply(relay.StoredReply{Result: relay.StoredDone, State: found.State})
@@ -385,7 +381,7 @@
 	}
 	h.mu.Unlock()
 	h.inquire(ctx, all, func(q inquiry, reply *relay.StoredReply) {
-		if reply.Result != relay.StoredNoJob && (reply.Result != relay.StoredDone || !isFinal(reply.State)) {
+		if reply.Result != relay.StoredNoJob && (reply.Result != relay.StoredDone || !reply.State.Final()) {
 			return
 		}
 		h.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -179,11 +179,14 @@
 	return false
 }
 
+// isUnclaimed reports whether another dispatcher has ordered the run and no job of the pool waits for it.
+func (r *Run) isUnclaimed() bool { return r.job == nil && r.unsized }
+
 // FoundJobs returns the jobs of the runs that another dispatcher has ordered and no job of the pool waits for.
 func (p *Pool) FoundJobs() []work.JobID {
 	jobs := map[work.JobID]bool{}
 	for task, r := range p.runs {
-		if r.job == nil && r.unsized {
+		if r.isUnclaimed() {
 			jobs[task.Job] = true
 		}
 	}
@@ -193,7 +196,7 @@
 // HasFoundRun reports whether another dispatcher has ordered a run of a job that no job of the pool waits for, and that is not being stopped.
 func (p *Pool) HasFoundRun(id work.JobID) bool {
 	for task, r := range p.runs {
-		if task.Job == id && r.job == nil && r.unsized && r.State != Stopping {
+		if task.Job == id && r.isUnclaimed() && r.State != Stopping {
 			return true
 		}
 	}
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -179,13 +179,18 @@
 		return true
 	}
 	for _, x := range s.sessions {
-		if x.refusedFence == s.term.Fence || x.answering && x.acceptedAt < p.last {
+		if x.refusedFence == s.term.Fence || x.mustAcceptAgain(p.last) {
 			return false
 		}
 	}
 	return true
 }
 
+// mustAcceptAgain reports whether the endpoint answers and has not accepted a request that was sent since a time.
+func (x *session) mustAcceptAgain(since time.Duration) bool {
+	return x.answering && x.acceptedAt < since
+}
+
 // requestReports requests a report from each endpoint whose last one is from before a time, unless that has just been done.
 func (s *Shard) requestReports(since, now time.Duration) {
 	if now-s.reportsRequestedAt < readRequestPause || now <= since {
@@ -193,7 +198,7 @@
 	}
 	s.reportsRequestedAt = now
 	for _, x := range s.sessions {
-		if x.answering && x.acceptedAt < since {
+		if x.mustAcceptAgain(since) {
 			go x.requestReport()
 		}
 	}
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -132,7 +132,7 @@
 	named := map[work.JobID]bool{}
 	for _, r := range all {
 		named[r.Job.ID] = true
-		s.resume(r)
+		s.resume(r, s.storedNotBefore())
 	}
 	for id := range s.stored {
 		if owns(id) && !named[id] {
@@ -145,11 +145,12 @@
 	return true
 }
 
-func (s *Shard) resume(r ResumedJob) {
+// resume continues a stored job whose tasks do not start before a time. The shard's lock is held.
+func (s *Shard) resume(r ResumedJob, notBefore time.Duration) {
 	now := s.opts.Now()
 	s.opts.History.Merge(r.Failed, now)
 	s.stored[r.Job.ID] = r.Job
-	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, r.failedRuns(), now, s.storedNotBefore())
+	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, r.failedRuns(), now, notBefore)
 	s.awaitNeighbours(r.Job.ID)
 	s.finish(outcomes)
 }
@@ -218,21 +219,16 @@
 
 // AddStored adds a job that another instance has stored. An earlier dispatcher may have read it and started tasks of it.
 func (s *Shard) AddStored(fence int64, r ResumedJob) {
-	job := r.Job
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.dispatchesUnder(fence) || s.stored[job.ID] != nil {
+	if !s.dispatchesUnder(fence) || s.stored[r.Job.ID] != nil {
 		return
 	}
-	s.stored[job.ID] = job
-	now, notBefore := s.opts.Now(), s.storedNotBefore()
-	if notBefore <= now {
+	notBefore := s.storedNotBefore()
+	if notBefore <= s.opts.Now() {
 		notBefore = 0
 	}
-	s.opts.History.Merge(r.Failed, now)
-	outcomes := s.pool.ResumeStored(job, r.Succeeded, r.failedRuns(), now, notBefore)
-	s.awaitNeighbours(job.ID)
-	s.finish(outcomes)
+	s.resume(r, notBefore)
 	s.dispatch()
 }
 
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -121,3 +121,6 @@
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
 )
+
+// Final reports whether a job in the state has ended.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
