Stored jobs that no earlier dispatcher can have started start at once

Cause: storedNotBefore, the longest time for which an earlier dispatcher may extend leases, applied to all jobs that a holder reads from the log, whether an earlier dispatcher can have read them or not. Beside that a holder whose epoch was over still started jobs that it read: the store refuses its appends and not its reads.

Change: a holder appends a record o/holding under its epoch before it lets jobs start that it has read first, and again before those that it reads later. The store accepts it only if no later holder has begun. A job that is missing from a holder's first read is therefore started by no earlier holder, and neither is one of the first read if that has no o/holding and the store accepted an epoch below all others just before (holders of earlier versions append none).

--- a/internal/joblog/jobs.go
+++ b/internal/joblog/jobs.go
@@ -16,6 +16,7 @@
 	byID     map[work.JobID]*Job
 	expiry   []learned    // jobs that leave when their time has come, in the order in which that was learned
 	received []work.JobID // jobs from other zones that have ended and leave after Release
+	held     bool         // see WasHeld
 }
 
 // Job is the state of one job.
@@ -61,6 +62,9 @@
 // Len returns the number of jobs, ended ones included.
 func (j *Jobs) Len() int { return len(j.byID) }
 
+// WasHeld reports whether the partition has been held: a holder may have let tasks start of the jobs that are known.
+func (j *Jobs) WasHeld() bool { return j.held }
+
 // Get returns the state of a job; nil if no such job is known. The caller must not change it.
 func (j *Jobs) Get(id work.JobID) *Job { return j.byID[id] }
 
@@ -97,6 +101,10 @@
 
 // Apply folds one record. The error reports a record that cannot be read; the other records of the job still count.
 func (j *Jobs) Apply(r store.Record, now time.Duration) error {
+	if r.Key == holdingKey {
+		j.held = true
+		return nil
+	}
 	k, id, err := parseKey(r.Key)
 	if err != nil {
 		return err
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -65,6 +66,12 @@
 }
 
 // kind is the first byte of a record's key.
+// Holding is the record that a partition has been held. A holder appends it before it lets tasks start of jobs that it has read from the log, and
+// again after it has read further ones. Only the holder writes it.
+type Holding struct {
+	Epoch int64
+}
+
 type kind byte
 
 const (
@@ -76,7 +83,10 @@
 	end        kind = 'e'
 )
 
-// kinds lists all kinds. The end is last: where several keys of a job are deleted, the job stays ended until all are.
+// holdingKey is the key of the Holding. It belongs to no job.
+const holdingKey = "o/holding"
+
+// kinds lists all kinds of a job's records. The end is last: where several keys of a job are deleted, the job stays ended until all are.
 var kinds = []kind{submission, cancel, progress, move, handover, end}
 
 func (k kind) key(id work.JobID) string { return string(k) + "/" + string(id) }
@@ -99,7 +109,7 @@
 	return kind(letter[0]), work.JobID(id), nil
 }
 
-// Encode returns the record of a Submission, Cancel, Progress, Move, Handover or End.
+// Encode returns the record of a Submission, Cancel, Progress, Move, Handover, End or Holding.
 func Encode(r any) (store.Record, error) {
 	switch r := r.(type) {
 	case Submission:
@@ -118,6 +128,9 @@
 		return encode(handover, id, &r)
 	case End:
 		return assemble(end, r.Job, []byte(r.State))
+	case Holding:
+		value := strconv.AppendInt([]byte{codecVersion}, r.Epoch, 10)
+		return store.Record{Key: holdingKey, Value: value}, nil
 	}
 	return store.Record{}, fmt.Errorf("joblog: record of unknown type %T", r)
 }
--- a/internal/joblog/writer.go
+++ b/internal/joblog/writer.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// unheldEpoch is lower than the epochs of all holders.
+const unheldEpoch = 1
+
+// ProveUnheld reports whether it is certain that no holder of any version had set an epoch of the partition: the store has accepted a lower one.
+// Without an answer it is not certain.
+func ProveUnheld(ctx context.Context, l Log, p Partition) bool {
+	_, err := l.Append(ctx, store.Append{
+		Topic: p.Topic, Partition: p.Number, Producer: &store.Producer{Name: producerName, Epoch: unheldEpoch, Sequence: rand.Int64N(maxFirstSequence)},
+	})
+	return err == nil
+}
+
 func (w *Writer) request(records []store.Record, sequence int64) store.Append {
 	return store.Append{
 		Topic: w.opts.Partition.Topic, Partition: w.opts.Partition.Number, Records: records,
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -85,6 +85,8 @@
 	expired    []store.Record // deletions of ended jobs that the writer has not taken yet
 	proofs     []proof
 	events     []func()
+	heldBefore bool     // an earlier holder may have let tasks of the jobs start that were read first
+	unproven   []func() // see afterProofOfHolding
 }
 
 // liveJob is a job that is being stored, or that was stored and whose end is not.
@@ -131,10 +133,11 @@
 	w := joblog.NewWriter(joblog.Options{
 		Log: h.opts().Log, Partition: h.partition, Epoch: epoch, Appended: h.appended, Logger: h.opts().Logger,
 	})
+	unheld := joblog.ProveUnheld(ctx, h.opts().Log, h.partition)
 	if err := w.Open(ctx); err != nil {
 		return err
 	}
-	if err := h.load(ctx, w, epoch); err != nil {
+	if err := h.load(ctx, w, epoch, unheld); err != nil {
 		return err
 	}
 	ended := make(chan error, 1)
@@ -142,6 +145,9 @@
 		ended <- w.Run(ctx)
 		cancel()
 	}()
+	if err := h.recordHolding(ctx, w); err != nil {
+		return err
+	}
 	for !h.ledger.dispatcher.ResumeStored(h.fence, h.begin, h.owns) {
 		pause.For(ctx, resumeRetryPause, nil)
 		if ctx.Err() != nil {
@@ -166,8 +172,8 @@
 	return <-ended
 }
 
-// load reads the partition.
-func (h *holder) load(ctx context.Context, w *joblog.Writer, epoch int64) error {
+// load reads the partition. unheld means that no holder had begun shortly before this one.
+func (h *holder) load(ctx context.Context, w *joblog.Writer, epoch int64, unheld bool) error {
 	for {
 		begun := h.opts().Now()
 		jobs, next, err := joblog.Load(ctx, h.opts().Log, h.partition, h.opts().Now(), h.opts().Logger)
@@ -175,7 +181,8 @@
 			h.opts().Counts.Loads.Add(1)
 			h.mu.Lock()
 			h.jobs, h.next, h.writer, h.epoch, h.unread = jobs, next, w, epoch, false
-			h.live, h.confirmed, h.proofs = map[work.JobID]*liveJob{}, begun, nil
+			h.live, h.confirmed, h.proofs, h.unproven = map[work.JobID]*liveJob{}, begun, nil, nil
+			h.heldBefore = !unheld || jobs.WasHeld()
 			h.mu.Unlock()
 			return nil
 		}
@@ -207,7 +214,9 @@
 		case final != "":
 			h.postEnd(id, final)
 		default:
-			all = append(all, resumed(job))
+			r := resumed(job)
+			r.New = !h.heldBefore
+			all = append(all, r)
 		}
 	}
 	h.ledger.forgetEnded(h.owns)
@@ -307,8 +316,7 @@
 		case live == nil && job.Runnable():
 			h.live[id] = &liveJob{stored: true, ends: job.Ends.Clone()}
 			h.opts().Counts.Found.Add(1)
-			r := resumed(job)
-			h.post(func() { h.ledger.dispatcher.AddStored(h.fence, r) })
+			h.afterProofOfHolding(func() { h.addFound(id) })
 		case live == nil && job.Cancelled: // one batch had its submission and its cancel
 			h.live[id] = &liveJob{stored: true, ends: job.Ends.Clone()}
 			h.opts().Counts.Found.Add(1)
@@ -320,6 +328,20 @@
 	}
 }
 
+// addFound lets a job start that another instance has stored, unless it was cancelled meanwhile.
+func (h *holder) addFound(id work.JobID) {
+	h.mu.Lock()
+	job, live := h.jobs.Get(id), h.live[id]
+	if !h.ready || live == nil || live.final != "" || !job.Runnable() {
+		h.mu.Unlock()
+		return
+	}
+	r := resumed(job)
+	h.mu.Unlock()
+	r.New = true
+	h.ledger.dispatcher.AddStored(h.fence, r)
+}
+
 // postEnd makes the end of a job be stored. h.mu is held.
 func (h *holder) postEnd(id work.JobID, s work.State) {
 	h.post(func() { h.jobEnded(id, s) })
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -160,7 +160,7 @@
 }
 
 // newLedger returns a ledger that holds nothing yet. ask sends requests to others.
-func newLedger(t *testing.T, s *keyed.Store, logPartitions int, ask func(relay.StoredRequest) *relay.StoredReply) *holder {
+func newLedger(t *testing.T, s joblog.Log, logPartitions int, ask func(relay.StoredRequest) *relay.StoredReply) *holder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	begun := time.Now()
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -15,6 +15,7 @@
 	for ctx.Err() == nil {
 		h.readForeign(ctx)
 		h.sendUnsent()
+		h.proveHolding()
 		h.expire()
 		h.trim(ctx)
 		pause.For(ctx, readPause, nil)
--- a/internal/ledger/move_test.go
+++ b/internal/ledger/move_test.go
@@ -132,7 +132,7 @@
 	}
 	var keys []string
 	for _, r := range b.Records {
-		if len(r.Value) > 0 {
+		if len(r.Value) > 0 && r.Key != "o/holding" {
 			keys = append(keys, r.Key)
 		}
 	}
--- a/internal/ledger/submission.go
+++ b/internal/ledger/submission.go
@@ -87,7 +87,7 @@
 		h.jobEnded(w.ID, work.Cancelled) // answers
 	case stored:
 		h.opts().Counts.Accepted.Add(1)
-		h.ledger.dispatcher.StartStored(h.fence, w.ID)
+		h.startStored(w.ID, outcome)
 		h.takeReplies(job, relay.StoredReply{Result: relay.StoredDone, State: work.Queued})
 	case outcome == joblog.NeverStored && errors.Is(err, joblog.ErrClosed):
 		h.ledger.dispatcher.DropStored(h.fence, w.ID)
@@ -103,6 +103,18 @@
 	}
 }
 
+// startStored lets a job start that is stored. outcome is that of its append by this holder; another instance may have stored the job.
+func (h *holder) startStored(id work.JobID, outcome joblog.Outcome) {
+	start := func() { h.ledger.dispatcher.StartStored(h.fence, id) }
+	if outcome == joblog.Stored {
+		start()
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.afterProofOfHolding(start)
+}
+
 func (h *holder) currentWriter() *joblog.Writer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -107,6 +107,7 @@
 	Job       *work.Job
 	Succeeded []work.TaskID
 	Failed    []attempt.Attempt
+	New       bool // it is certain that no earlier dispatcher of the zone starts tasks of the job
 }
 
 // failedRuns returns the highest number of a failed run of each task.
@@ -119,7 +120,7 @@
 }
 
 // ResumeStored continues the stored jobs of a part of the ledger, which owns selects, and deletes those that the ledger does not name
-// any more. Tasks that an earlier dispatcher may have started wait until storedNotBefore and, in a zone with several dispatchers, until
+// any more. Tasks that an earlier dispatcher may start wait until storedNotBefore and, in a zone with several dispatchers, until
 // ReleaseStored is called. load returns the jobs; it is called with the shard's lock held, so that no end comes between it and their
 // continuation. ResumeStored returns false if the shard does not dispatch under the fence.
 func (s *Shard) ResumeStored(fence int64, load func() []ResumedJob, owns func(work.JobID) bool) bool {
@@ -132,7 +133,7 @@
 	named := map[work.JobID]bool{}
 	for _, r := range all {
 		named[r.Job.ID] = true
-		s.resume(r, s.storedNotBefore())
+		s.resume(r)
 	}
 	for id := range s.stored {
 		if owns(id) && !named[id] {
@@ -145,13 +146,18 @@
 	return true
 }
 
-// resume continues a stored job whose tasks do not start before a time. The shard's lock is held.
-func (s *Shard) resume(r ResumedJob, notBefore time.Duration) {
-	now := s.opts.Now()
+// resume continues a stored job. The shard's lock is held.
+func (s *Shard) resume(r ResumedJob) {
+	now, notBefore := s.opts.Now(), time.Duration(0)
+	if !r.New {
+		notBefore = s.storedNotBefore()
+	}
 	s.opts.History.Merge(r.Failed, now)
 	s.stored[r.Job.ID] = r.Job
 	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, r.failedRuns(), now, notBefore)
-	s.awaitNeighbours(r.Job.ID)
+	if !r.New {
+		s.awaitNeighbours(r.Job.ID)
+	}
 	s.finish(outcomes)
 }
 
@@ -217,18 +223,14 @@
 	return true
 }
 
-// AddStored adds a job that another instance has stored. An earlier dispatcher may have read it and started tasks of it.
+// AddStored adds a job that another instance has stored.
 func (s *Shard) AddStored(fence int64, r ResumedJob) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.dispatchesUnder(fence) || s.stored[r.Job.ID] != nil {
 		return
 	}
-	notBefore := s.storedNotBefore()
-	if notBefore <= s.opts.Now() {
-		notBefore = 0
-	}
-	s.resume(r, notBefore)
+	s.resume(r)
 	s.dispatch()
 }
 
--- a/internal/shard/successor_test.go
+++ b/internal/shard/successor_test.go
@@ -323,6 +323,25 @@
 	}
 }
 
+// Guards against stored jobs that wait for the leases of earlier dispatchers although it is certain that none starts them: those of a log that
+// nobody has held, and those that another instance stores later.
+func TestNewStoredJobsDoNotWait(t *testing.T) {
+	onVirtualClock(t, func(t *testing.T) {
+		is := is.New(t)
+		f, all := newFleet(4, 20*time.Second)
+		h := newHolder(t, f, all, false)
+		h.lead(t, 2)
+		time.Sleep(500 * time.Millisecond)
+		first, second := jobOf("a", 2, time.Second), jobOf("b", 1, time.Second)
+		is.True(h.ResumeStored(2, func() []shard.ResumedJob { return []shard.ResumedJob{{Job: &first, New: true}} }, ownsAll))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(f.Starts()), 2)
+		h.AddStored(2, shard.ResumedJob{Job: &second, New: true})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(f.Starts()), 3)
+	})
+}
+
 // Guards against stored jobs that wait anew with each change of their zone's group, although no other instance can have held the partition,
 // and against jobs that do not wait although one can.
 func TestStoredJobsWaitOncePerHolding(t *testing.T) {
