Jobs resumed from a dispatcher that divided the zone otherwise wait for all leases

Cause: an instance that started while the store was away dispatched for the whole zone on a guess of one partition in the moment in which the store was back, before it had read that there are four: the 2 s before a guess is used counted from the start of the process. The dispatcher at which the job was resumed knows its own partition's endpoints only, and had read of no change.

Change: the 2 s count from the store's first answer that gives the instance partitions. Dispatchers tell with how many partitions they reckon, with loads, placements and the answer that ends a term. A submission names the number that all dispatchers have in common which may have started the job; a dispatcher with another number, or if it is not known, waits for the end of all leases.

TestGuessWhileUnknown now asks that a guess is not used before the store has answered, which failed before; TestResumedJobsNameTheDivisionOfTheirDispatchers and TestDivisionThatIsToldAfterTheSubmission are new. Tests of resumed jobs name the number of their earlier dispatcher, as instances do now; what they check is unchanged, the answer in TestRefusalsTellOfEarlierRuns is compared with the number, too.

--- a/internal/division/division.go
+++ b/internal/division/division.go
@@ -29,8 +29,8 @@
 	// endpointsPerMbps is the number of endpoints whose requests 1 Mbit/s of a dispatcher's link carries at the crest, with
 	// jobs of short tasks and long specifications.
 	endpointsPerMbps = 8
-	// guessDelay is how long an instance that cannot read the numbers lets other instances dispatch for its zone before it
-	// uses a number guessed from the registrations that it has read.
+	// guessDelay is how long an instance that cannot read the numbers, although the store has answered another call, lets other instances dispatch
+	// for its zone before it uses a number guessed from the registrations that it has read.
 	guessDelay = 2 * time.Second
 	// raisePause is the minimum time between two attempts to raise a number.
 	raisePause = 500 * time.Millisecond
@@ -83,8 +83,8 @@
 	known        bool
 	readAsOf     time.Time // the records that the store held at this time have been read
 	parts        map[string]int
-	guessed      map[string]int // by zone; used while the numbers are not known
-	startedAt    time.Time
+	guessed      map[string]int       // by zone; used while the numbers are not known
+	answeredAt   time.Time            // when the store first answered another call, see NoteAnswer; zero before
 	changedAt    map[string]time.Time // by zone, when its number last changed since this process started
 	raiseTriedAt time.Time            // time of the last attempt to raise a number
 
@@ -97,7 +97,7 @@
 		o.GroupPartitions = MaxPartitions
 	}
 	c := &Controller{
-		opts: o, parts: map[string]int{}, guessed: map[string]int{}, changedAt: map[string]time.Time{}, startedAt: time.Now(),
+		opts: o, parts: map[string]int{}, guessed: map[string]int{}, changedAt: map[string]time.Time{},
 	}
 	c.follow = follow.New(follow.Options{Store: o.Store, Topic: o.Topic, Wait: o.ReadWait, Apply: c.apply, Log: o.Log})
 	return c
@@ -113,11 +113,21 @@
 	return c.known
 }
 
-// Usable reports whether the results of Partitions may be used: the numbers are known, or could not be read for guessDelay.
+// NoteAnswer notes that the store has answered another call: from now on the numbers can probably be read. An instance that starts while the store
+// is away gets its partitions with the store's first answers, and would else use a guess in the moment before it has read the numbers.
+func (c *Controller) NoteAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredAt.IsZero() {
+		c.answeredAt = time.Now()
+	}
+}
+
+// Usable reports whether the results of Partitions may be used: the numbers are known, or could not be read for guessDelay after NoteAnswer.
 func (c *Controller) Usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known || time.Since(c.startedAt) >= guessDelay
+	return c.known || !c.answeredAt.IsZero() && time.Since(c.answeredAt) >= guessDelay
 }
 
 // Partitions returns the number of partitions of a zone, 1 if the store has no record of it. While the numbers are not known
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -173,7 +173,7 @@
 }
 
 // Guards against a zone without a dispatcher because the instances started while the numbers of partitions could not be
-// read, and against a guess that stays in force once they can be read.
+// read, against a guess that is used in the moment in which they can be read again, and against one that stays in force afterwards.
 func TestGuessWhileUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -187,7 +187,11 @@
 		c.Guess("south", 60)
 		c.Guess("north", 10) // fewer, since registrations end during the outage
 		is.Equal(c.Partitions("north"), 2)
+		time.Sleep(2 * guessDelay)
+		is.True(!c.Usable()) // the store has answered nothing yet
+		c.NoteAnswer()
 		time.Sleep(guessDelay - time.Millisecond)
+		c.NoteAnswer()
 		is.True(!c.Usable())
 		time.Sleep(time.Millisecond)
 		is.True(c.Usable())
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -119,7 +119,9 @@
 	g.submissions++
 	return &relay.Claim{
 		Job: p.job.ID, Number: g.submissions, Partition: home.Partition, Request: p.request, Remaining: max(time.Until(p.deadline), 0),
-		At: relay.Placement{Zone: at.Zone, Partition: at.Partition, Knowledge: g.opts.Router.Knowledge(at), Waited: time.Since(p.arrived)},
+		At: relay.Placement{
+			Zone: at.Zone, Partition: at.Partition, Knowledge: g.opts.Router.Knowledge(at), Partitions: g.opts.Router.Partitions(at), Waited: time.Since(p.arrived),
+		},
 	}
 }
 
--- a/internal/gateway/lost_dispatcher_test.go
+++ b/internal/gateway/lost_dispatcher_test.go
@@ -225,3 +225,41 @@
 	is.True(all[0].s.Request != 0)
 	is.True(all[3].s.Request != all[0].s.Request)
 }
+
+// Guards against a job whose dispatcher's successor takes it for granted that the two divided the zone alike: it would start tasks again that run
+// on endpoints of another partition.
+func TestResumedJobsNameTheDivisionOfTheirDispatchers(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	partitions := func() int {
+		all := f.router.sent()
+		return all[len(all)-1].s.Partitions
+	}
+	f.router.partitions.Store(4)
+	f.post("lost")
+	f.RouteEnded(f.router, true)
+	f.router.partitions.Store(2)
+	f.Resubmit()
+	is.Equal(partitions(), 4)
+	f.RouteEnded(f.router, true) // the successor divided the zone in another way
+	f.Resubmit()
+	is.Equal(partitions(), 0)
+
+	f.post("given back")
+	f.router.partitions.Store(4)
+	f.Answer(f.router, &relay.Answer{Job: "given back", Refused: pool.ReasonNotLeader, Started: true, Partitions: 1})
+	f.Resubmit()
+	is.Equal(partitions(), 1)
+}
+
+// Guards against a number of partitions that a dispatcher told before it took a job and that is never known because its first heartbeat came later.
+func TestDivisionThatIsToldAfterTheSubmission(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	f.post("a")
+	f.router.partitions.Store(4)
+	f.Resubmit()
+	f.RouteEnded(f.router, true)
+	f.Resubmit()
+	is.Equal(f.router.sent()[1].s.Partitions, 4)
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -48,7 +49,8 @@
 func (g *Gateway) submitTo(p *pending, resumed bool) bool {
 	route, ok := g.opts.Router.Submit(p.target, g.submission(p, resumed))
 	if ok {
-		p.route, p.sent = route, p.submission
+		p.route, p.sent, p.partitions = route, p.submission, 0
+		p.notePartitions()
 		p.trail.add(placed{at: p.target, knowledge: g.opts.Router.Knowledge(p.target), after: time.Since(p.arrived), resumed: resumed})
 		g.logMove(p)
 		g.tellHomes(p)
@@ -104,7 +106,8 @@
 		Claims:    g.claimMode(p, resumed),
 		Waited:    time.Since(p.arrived),
 		Remaining: max(time.Until(p.deadline), time.Millisecond), Request: p.request, Previous: p.sent, Knowledge: p.knowledge,
-		Attempts: g.attempts(p), InProgress: p.inProgress(), Succeeded: p.succeeded,
+		Partitions: p.earlierPartitions(),
+		Attempts:   g.attempts(p), InProgress: p.inProgress(), Succeeded: p.succeeded,
 	}
 	m.StartOnly = p.startOnly && !resumed && p.shared == nil && p.knowledge == 0
 	if p.shared != nil {
@@ -143,7 +146,7 @@
 	case a.Refused == pool.ReasonNotLeader:
 		g.opts.Router.ReportNotLeader(p.target)
 		p.succeeded = append(p.succeeded, a.Succeeded...)
-		g.dispatcherNotLeader(p, a.Started || earlierRuns)
+		g.dispatcherNotLeader(p, a.Started || earlierRuns, a.Partitions)
 	case a.Started && !p.orphaned:
 		p.trail.leave(string(a.Refused))
 		p.earlierRuns, p.knowledge = true, a.Knowledge // another dispatcher would start its tasks beside these runs
@@ -164,10 +167,11 @@
 }
 
 // dispatcherNotLeader handles a job that was refused because its dispatcher's term has ended. If no task of it can have
-// started, the job is placed like a new one.
-func (g *Gateway) dispatcherNotLeader(p *pending, started bool) {
+// started, the job is placed like a new one. partitions is the number with which the dispatcher reckoned; 0 if that is not known.
+func (g *Gateway) dispatcherNotLeader(p *pending, started bool, partitions int) {
 	if started {
 		p.lostAt = time.Now()
+		p.reckoned.add(cmp.Or(partitions, p.partitions))
 	}
 	p.trail.leave(string(pool.ReasonNotLeader))
 	if started || p.orphaned {
@@ -195,6 +199,7 @@
 // dispatcherLost handles the loss of the dispatcher that held a job. The caller holds g.mu.
 func (g *Gateway) dispatcherLost(p *pending) {
 	p.losses++
+	p.reckoned.add(p.partitions)
 	p.leave(outcomeLost)
 	p.lostAt = time.Now()
 	if p.losses < maxLosses {
@@ -248,6 +253,7 @@
 		case p.shared != nil && p.route == nil:
 			g.resubmitShared(p)
 		case p.route != nil:
+			p.notePartitions()
 			g.tellHomes(p)
 		}
 	}
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -89,6 +89,9 @@
 // Silence implements relay.Client.
 func (p *peer) Silence() time.Duration { return 0 }
 
+// Load implements Route.
+func (p *peer) Load(part int) (relay.Load, bool) { return p.shards[part].LastLoad(), true }
+
 // Cancel implements Route.
 func (p *peer) Cancel(c *relay.Cancel) {
 	p.requests <- func() { p.shards[c.Partition].Cancel(p, c) }
--- a/internal/gateway/second_request_test.go
+++ b/internal/gateway/second_request_test.go
@@ -87,7 +87,7 @@
 
 func (p *placements) Submit(to Target, s *relay.Submit) (Route, bool) {
 	if s.Claims != relay.NoClaim {
-		c := s.Claim("north", p.Knowledge(home))
+		c := s.Claim("north", p.Knowledge(home), 1)
 		if at, known := p.registry.Apply(c); known && at.Partition != c.At.Partition {
 			go p.gateway.Answer(p, &relay.Answer{Job: s.Job.ID, Number: s.Number, Refused: pool.ReasonPlacedElsewhere, Placed: &at})
 			return p, true
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -48,6 +48,7 @@
 func (noHomes) Homes(work.JobID) []Target                { return nil }
 func (noHomes) Claim(Target, *relay.Claim) (Route, bool) { return nil, false }
 func (noHomes) Knowledge(Target) uint64                  { return 0 }
+func (noHomes) Partitions(Target) int                    { return 1 }
 func (noHomes) Dispatchers() (own, others []Target)      { return nil, nil }
 
 // router records the jobs that are submitted and cancelled.
@@ -60,7 +61,8 @@
 	submitted        []submission
 	cancelled        []relay.Cancel
 	notLeaderReports int
-	cutOff           atomic.Bool // not all dispatchers can be reached
+	cutOff           atomic.Bool  // not all dispatchers can be reached
+	partitions       atomic.Int64 // with which the dispatchers reckon
 }
 
 type submission struct {
@@ -86,6 +88,10 @@
 	return r, true
 }
 
+func (r *router) Load(partition int) (relay.Load, bool) {
+	return relay.Load{Partition: partition, Partitions: int(r.partitions.Load())}, true
+}
+
 func (r *router) Cancel(c *relay.Cancel) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -57,6 +57,9 @@
 	unused bool   // this instance has closed the connection; guarded by router.mu
 }
 
+// Load implements gateway.Route.
+func (r *uplinkRoute) Load(partition int) (relay.Load, bool) { return r.uplink.Load(partition) }
+
 // Cancel implements gateway.Route.
 func (r *uplinkRoute) Cancel(c *relay.Cancel) {
 	r.uplink.Cancel(c) // a cancellation can always be encoded
@@ -223,6 +226,17 @@
 	return load.Knowledge
 }
 
+// Partitions implements gateway.Router.
+func (r *router) Partitions(t gateway.Target) int {
+	address := r.dispatcher(t.Zone, t.Partition)
+	if address == r.address {
+		load, _ := r.shards.lastLoad(t.Partition)
+		return load.Partitions
+	}
+	load, _ := r.loadAt(address, t.Partition)
+	return load.Partitions
+}
+
 // Dispatchers implements gateway.Router.
 func (r *router) Dispatchers() (own, others []gateway.Target) {
 	for part := range r.divisions.Partitions(r.ownZone) {
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -45,6 +45,7 @@
 
 // setTerm sets the partitions that this instance holds.
 func (s *shards) setTerm(t lead.Term) {
+	s.divisions.NoteAnswer()
 	s.mu.Lock()
 	s.before, s.term = s.term, t
 	s.mu.Unlock()
@@ -214,7 +215,7 @@
 	if m.Claims == relay.NoClaim || !x.Leading() {
 		return relay.Placement{}, false
 	}
-	c := m.Claim(s.zone, x.Knowledge())
+	c := m.Claim(s.zone, x.Knowledge(), s.divisions.Partitions(s.zone))
 	at, known = s.placements.Apply(c)
 	return at, known && (at.Zone != c.At.Zone || at.Partition != c.At.Partition || at.Knowledge != c.At.Knowledge)
 }
@@ -247,7 +248,7 @@
 	x := s.get(c.Partition)
 	switch f := x.Find(c.Job); f.Result {
 	case shard.Held:
-		answer.Placed = &relay.Placement{Zone: s.zone, Partition: c.Partition, Knowledge: f.Knowledge, Waited: f.Waited}
+		answer.Placed = &relay.Placement{Zone: s.zone, Partition: c.Partition, Knowledge: f.Knowledge, Partitions: f.Partitions, Waited: f.Waited}
 	case shard.NotKnownYet:
 		answer.Refused = pool.ReasonUnsettled
 	}
--- a/internal/relay/claim.go
+++ b/internal/relay/claim.go
@@ -13,6 +13,8 @@
 	// Knowledge is that of the dispatcher, see Load, as the instance that placed the job knew it. It is 0 if that is not known, and for a
 	// dispatcher that has found runs of the job and has no request for it: others of an earlier dispatcher may be unknown to it.
 	Knowledge uint64 `msgpack:"e,omitempty"`
+	// Partitions is the number of partitions of the zone with which the dispatcher reckons; 0 if it is not known.
+	Partitions int `msgpack:"n,omitempty"`
 	// Waited is the time since the request arrived, or may have.
 	Waited time.Duration `msgpack:"w,omitempty"`
 }
@@ -50,11 +52,11 @@
 	TellsClaim                  // taken in any case
 )
 
-// Claim returns the claim that a submission to the home of its job is.
-func (s *Submit) Claim(zone string, knowledge uint64) *Claim {
+// Claim returns the claim that a submission to the home of its job is. knowledge and partitions are those of the home.
+func (s *Submit) Claim(zone string, knowledge uint64, partitions int) *Claim {
 	return &Claim{
 		Job: s.Job.ID, Partition: s.Partition, Request: s.Request,
-		At:        Placement{Zone: zone, Partition: s.Partition, Knowledge: knowledge, Waited: s.Waited + s.Age()},
+		At:        Placement{Zone: zone, Partition: s.Partition, Knowledge: knowledge, Partitions: partitions, Waited: s.Waited + s.Age()},
 		Remaining: s.Remaining - s.Age(), Asks: s.Claims == AsksClaim,
 	}
 }
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -171,7 +171,7 @@
 		is.Equal(s.history.Count(task, attempt.Failed), 1)
 		s.register([]work.Endpoint{now})
 		seen := attempt.Attempt{Task: task, Run: 1, Process: attempt.Process{Endpoint: now.ID, StartedUnixMS: now.StartedUnixMS}, Outcome: attempt.Failed}
-		s.Submit(c, &relay.Submit{Job: patientJob("a", 1), Resumed: true, Attempts: []attempt.Attempt{seen}})
+		s.Submit(c, &relay.Submit{Job: patientJob("a", 1), Resumed: true, Partitions: 1, Attempts: []attempt.Attempt{seen}})
 		time.Sleep(5 * time.Second)
 		is.Equal(s.history.Count(task, attempt.Failed), 1)
 		is.True(completed(c, "a")())
--- a/internal/shard/earlier_holder_test.go
+++ b/internal/shard/earlier_holder_test.go
@@ -39,7 +39,7 @@
 	wait.For(t, "the task runs", func() bool { return f.Running() == 1 })
 	b.End() // its partition goes back
 	c := newClient()
-	submitUntilAccepted(t, a, c, &relay.Submit{Job: jobOf("j", 1, run), Resumed: true, GivenBack: true, Waited: time.Since(arrived)})
+	submitUntilAccepted(t, a, c, &relay.Submit{Job: jobOf("j", 1, run), Resumed: true, Partitions: 1, GivenBack: true, Waited: time.Since(arrived)})
 	time.Sleep(10 * time.Millisecond)
 	r := shard.Registrations{Snapshot: true, Changed: all, AsOf: a.now()}
 	a.UpdateEndpoints(r, a.directory.Apply(r, time.Second))
--- a/internal/shard/evacuate_test.go
+++ b/internal/shard/evacuate_test.go
@@ -119,7 +119,7 @@
 		c.mu.Lock()
 		delete(c.answers, "j") // lost with its connection
 		c.mu.Unlock()
-		s.Submit(c, &relay.Submit{Job: steppedJob("j", 3), Resumed: true})
+		s.Submit(c, &relay.Submit{Job: steppedJob("j", 3), Resumed: true, Partitions: 1})
 		time.Sleep(2 * time.Second)
 		a = c.answer("j")
 		is.True(a.HandedOver)
@@ -230,7 +230,7 @@
 		s.followed(all)
 		s.Begin(shard.Term{Fence: 2, Partitions: 1})
 		time.Sleep(100 * time.Millisecond) // the endpoints report
-		s.Submit(after, &relay.Submit{Job: steppedJob("j", 2), Resumed: true})
+		s.Submit(after, &relay.Submit{Job: steppedJob("j", 2), Resumed: true, Partitions: 1})
 		time.Sleep(3 * time.Second)
 		is.True(after.answer("j").HandedOver)
 		is.Equal(len(after.answer("j").Succeeded), 2)
--- a/internal/shard/fence_reuse_test.go
+++ b/internal/shard/fence_reuse_test.go
@@ -46,7 +46,7 @@
 		s.follow()
 		s.submitUntilTaken(c, relay.Submit{Job: jobOf("filler", 1, run)}) // takes the endpoint that the start request is on its way to
 		time.Sleep(10 * time.Millisecond)
-		s.submitUntilTaken(c, relay.Submit{Job: jobOf("a", 1, run), Resumed: true, GivenBack: true, Lost: 10 * time.Millisecond})
+		s.submitUntilTaken(c, relay.Submit{Job: jobOf("a", 1, run), Resumed: true, Partitions: 1, GivenBack: true, Lost: 10 * time.Millisecond})
 		time.Sleep(5 * time.Second)
 		s.End()
 		time.Sleep(2 * time.Second)
--- a/internal/shard/fence_test.go
+++ b/internal/shard/fence_test.go
@@ -152,7 +152,7 @@
 	is.Equal(refusal, work.Done)
 	f.SetSilent(all[0].Address, true) // so that it does not report
 	s.Begin(shard.Term{Fence: 4, Partitions: 1})
-	submitUntilAccepted(t, s, c, &relay.Submit{Job: jobOf("a", 1, 300*time.Millisecond), Resumed: true})
+	submitUntilAccepted(t, s, c, &relay.Submit{Job: jobOf("a", 1, 300*time.Millisecond), Resumed: true, Partitions: 1})
 	time.Sleep(100 * time.Millisecond)
 	f.SetSilent(all[0].Address, false)
 	wait.For(t, "the job completes", completed(c, "a"))
@@ -185,7 +185,7 @@
 	// The other dispatcher reads the division later, before the leases have expired.
 	time.AfterFunc(600*time.Millisecond, func() { divided(1) })
 	resumed := newClient()
-	submitUntilAccepted(t, first, resumed, &relay.Submit{Job: m.Job, Resumed: true})
+	submitUntilAccepted(t, first, resumed, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 2})
 	wait.For(t, "the job completes", completed(resumed, "a"))
 	is.Equal(f.OverlappingRuns(), "")
 }
--- a/internal/shard/find.go
+++ b/internal/shard/find.go
@@ -21,8 +21,9 @@
 	Result FindResult
 	// Knowledge is that of the dispatcher if it has a request for the job that it holds; 0 if it knows of runs only, since runs of an earlier
 	// dispatcher may be unknown.
-	Knowledge uint64
-	Waited    time.Duration // since the first request for the job arrived; 0 if that is not known
+	Knowledge  uint64
+	Partitions int           // number of partitions of the zone with which the dispatcher reckons
+	Waited     time.Duration // since the first request for the job arrived; 0 if that is not known
 }
 
 // Find reports what this dispatcher knows of a job. Until its takeover of the partition is over, or its usual time has passed, nothing is
@@ -33,9 +34,9 @@
 	now := s.opts.Now()
 	switch {
 	case len(s.clients[id]) > 0:
-		return Finding{Held, s.knowledge.Load(), now - s.pool.Arrived(id)}
+		return Finding{Held, s.knowledge.Load(), s.term.Partitions, now - s.pool.Arrived(id)}
 	case s.pool.HasFoundRun(id):
-		return Finding{Result: Held}
+		return Finding{Result: Held, Partitions: s.term.Partitions}
 	case s.leading && s.settled && !s.pool.HasStarted(id):
 		return Finding{Result: NotHeld}
 	}
--- a/internal/shard/forgotten_test.go
+++ b/internal/shard/forgotten_test.go
@@ -67,7 +67,7 @@
 				time.Sleep(10 * time.Millisecond)
 				after.follow()
 				after.Submit(c, &relay.Submit{
-					Job: jobOf("a", 1, run), Resumed: true, GivenBack: true, Lost: 10 * time.Millisecond, Waited: time.Since(began),
+					Job: jobOf("a", 1, run), Resumed: true, Partitions: 1, GivenBack: true, Lost: 10 * time.Millisecond, Waited: time.Since(began),
 				})
 				time.Sleep(10 * time.Second)
 				after.End()
--- a/internal/shard/give_back_test.go
+++ b/internal/shard/give_back_test.go
@@ -83,7 +83,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is, c := is.New(t), newClient()
 		_, s, counts := newWeighingShard(t, c)
-		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, time.Second), Resumed: true})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, time.Second), Resumed: true, Partitions: 1})
 		time.Sleep(5 * time.Second)
 		answer := c.answer("a")
 		endAndSettle(s)
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -84,7 +84,7 @@
 		s.register(all)
 		time.Sleep(time.Second)
 		s.Submit(before, &relay.Submit{Job: jobOf("a", 1, run), Remaining: 200 * time.Millisecond})
-		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, run), Resumed: true})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, run), Resumed: true, Partitions: 1})
 		time.Sleep(2 * time.Second)
 		s.End()
 		time.Sleep(time.Second)
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -30,6 +30,7 @@
 	if !s.evacuated() {
 		l = relay.NewLoad(s.opts.Partition, s.pool.Pressure(), s.knowledge.Load(), s.pool.Headroom())
 	}
+	l.Partitions = s.term.Partitions
 	s.lastLoad.Store(&l)
 	return l
 }
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -93,6 +93,17 @@
 	// recent means that the job came to the other dispatcher while this one held its present fence. The other one may have had a higher fence and
 	// have lost the partition again without this one's notice. The endpoints are asked then whether they still accept the present fence.
 	recent bool
+	// elsewhere means that runs may be on endpoints of other partitions, see usedOtherEndpoints.
+	elsewhere bool
+}
+
+// usedOtherEndpoints reports whether the earlier dispatchers of a submitted job may have started it on endpoints that belong to another partition:
+// they divided the zone in another way, or it is not known how. An instance that has just started, for example, may have used a guess.
+func (s *Shard) usedOtherEndpoints(m *relay.Submit) bool {
+	if m.Shared && m.Partitions == 0 {
+		return false // from an instance of an earlier version; the end of all leases is not known
+	}
+	return m.Partitions != s.term.Partitions
 }
 
 // over reports whether the leases that other dispatchers have extended have expired for certain.
@@ -119,6 +130,7 @@
 	if before, ok := s.awaiting[id]; ok {
 		orders = period{
 			min(orders.arrived, before.arrived), max(orders.last, before.last), orders.open || before.open, orders.recent || before.recent,
+			orders.elsewhere || before.elsewhere,
 		}
 	}
 	s.awaiting[id] = orders
@@ -137,7 +149,7 @@
 		switch {
 		case !s.pool.HasJob(id) || s.over(orders, now):
 			delete(s.awaiting, id)
-		case s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
+		case orders.elsewhere || s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
 		case asOf > last && !s.stillAccepted(orders):
 			s.requestReports(last, now)
 		case asOf > last:
@@ -169,7 +181,7 @@
 // knowsRunsOf reports whether all runs are known that another dispatcher may have ordered in a period.
 func (s *Shard) knowsRunsOf(p period, now time.Duration) bool {
 	asOf, known := s.knownAsOf(now)
-	return known && asOf > p.last && !s.dividedBefore(p.last) && s.stillAccepted(p)
+	return known && asOf > p.last && !p.elsewhere && !s.dividedBefore(p.last) && s.stillAccepted(p)
 }
 
 // stillAccepted reports whether the endpoints have accepted the present fence since the end of a period, if the period is recent. One that does
--- a/internal/shard/resumed_test.go
+++ b/internal/shard/resumed_test.go
@@ -70,7 +70,7 @@
 		first := f.Starts()
 		c1.fallSilent()
 		time.Sleep(50 * time.Millisecond)
-		after.Submit(c2, &relay.Submit{Job: m.Job, Resumed: true, Lost: 50 * time.Millisecond})
+		after.Submit(c2, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 1, Lost: 50 * time.Millisecond})
 		time.Sleep(300 * time.Millisecond)
 		after.follow(all...)
 		time.Sleep(time.Second)
@@ -123,7 +123,7 @@
 		const lost = 300 * time.Millisecond
 		time.Sleep(lost)
 		after.follow(all...)
-		after.Submit(c2, &relay.Submit{Job: m.Job, Resumed: true, Lost: lost})
+		after.Submit(c2, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 1, Lost: lost})
 		time.Sleep(2 * time.Second)
 		second := f.Running()
 		after.End()
@@ -169,7 +169,7 @@
 		const lost = 300 * time.Millisecond
 		time.Sleep(lost)
 		after.follow(all...)
-		after.Submit(c2, &relay.Submit{Job: m.Job, Resumed: true, Lost: lost})
+		after.Submit(c2, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 2, Lost: lost})
 		time.Sleep(2 * time.Second)
 		second := f.Running()
 		after.End()
@@ -230,7 +230,7 @@
 				time.Sleep(test.read)
 				began := time.Now()
 				for _, id := range []string{"a", "b", "c"} {
-					s.Submit(c, &relay.Submit{Job: jobOf(id, 1, 10*time.Millisecond), Resumed: true, Lost: test.lost, GivenBack: test.givenBack})
+					s.Submit(c, &relay.Submit{Job: jobOf(id, 1, 10*time.Millisecond), Resumed: true, Partitions: 1, Lost: test.lost, GivenBack: test.givenBack})
 				}
 				time.Sleep(3 * time.Second)
 				s.End()
@@ -259,7 +259,7 @@
 		s.follow()
 		const lost = 300 * time.Millisecond
 		began := time.Now()
-		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 10*time.Millisecond), Resumed: true, Lost: lost})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 10*time.Millisecond), Resumed: true, Partitions: 1, Lost: lost})
 		time.Sleep(3 * time.Second)
 		s.End()
 		time.Sleep(time.Second)
@@ -293,7 +293,7 @@
 		s.takeOver(shard.Term{Fence: 3, Partitions: 1})
 		time.Sleep(200 * time.Millisecond)
 		s.follow()
-		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 900*time.Millisecond), Resumed: true, Lost: 200 * time.Millisecond})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, 900*time.Millisecond), Resumed: true, Partitions: 1, Lost: 200 * time.Millisecond})
 		time.Sleep(4 * time.Second)
 		s.End()
 		time.Sleep(2 * time.Second)
@@ -335,7 +335,7 @@
 		startElsewhere(t, f, all[1], 1, work.TaskID{Job: "a"})
 		time.Sleep(50 * time.Millisecond)
 		s.follow(all[1])
-		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, run), Resumed: true, Lost: 220 * time.Millisecond})
+		s.Submit(c, &relay.Submit{Job: jobOf("a", 1, run), Resumed: true, Partitions: 1, Lost: 220 * time.Millisecond})
 		time.Sleep(3 * time.Second)
 		s.End()
 		time.Sleep(2 * time.Second)
@@ -359,7 +359,7 @@
 			time.Sleep(5 * time.Second)
 			s.follow()
 			began := time.Now()
-			s.Submit(c, &relay.Submit{Job: jobOf(began.String(), 1, 10*time.Millisecond), Resumed: true, Lost: 300 * time.Millisecond})
+			s.Submit(c, &relay.Submit{Job: jobOf(began.String(), 1, 10*time.Millisecond), Resumed: true, Partitions: 1, Lost: 300 * time.Millisecond})
 			time.Sleep(100 * time.Millisecond)
 			starts := f.Starts()
 			is.Equal(starts[len(starts)-1].StartedAt, began)
@@ -382,22 +382,22 @@
 		starts   time.Duration // after the second submission
 		starting time.Duration // tolerance
 	}{
-		{"the same", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 7, Number: 2, Previous: 1, Resumed: true, Lost: at}, 0, 50 * time.Millisecond},
+		{"the same", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 7, Number: 2, Previous: 1, Resumed: true, Partitions: 1, Lost: at}, 0, 50 * time.Millisecond},
 		{
-			"another one between", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 7, Number: 3, Previous: 2, Resumed: true, Lost: at},
+			"another one between", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 7, Number: 3, Previous: 2, Resumed: true, Partitions: 1, Lost: at},
 			1280*time.Millisecond - at, 50 * time.Millisecond,
 		},
 		{
-			"another request", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 8, Number: 2, Previous: 1, Resumed: true, Lost: at},
+			"another request", relay.Submit{Request: 7, Number: 1}, relay.Submit{Request: 8, Number: 2, Previous: 1, Resumed: true, Partitions: 1, Lost: at},
 			1280*time.Millisecond - at, 50 * time.Millisecond,
 		},
 		{
-			"an instance without numbers", relay.Submit{}, relay.Submit{Resumed: true, Lost: at},
+			"an instance without numbers", relay.Submit{}, relay.Submit{Resumed: true, Partitions: 1, Lost: at},
 			1280*time.Millisecond - at, 50 * time.Millisecond,
 		},
 		{
 			// The job was lost by a third dispatcher just before the first submission, and still waits for that one's leases.
-			"the same, which has waited itself", relay.Submit{Request: 7, Number: 2, Resumed: true}, relay.Submit{Request: 7, Number: 3, Previous: 2, Resumed: true, Lost: at},
+			"the same, which has waited itself", relay.Submit{Request: 7, Number: 2, Resumed: true, Partitions: 1}, relay.Submit{Request: 7, Number: 3, Previous: 2, Resumed: true, Partitions: 1, Lost: at},
 			1280*time.Millisecond - at - 100*time.Millisecond, 50 * time.Millisecond,
 		},
 	} {
--- a/internal/shard/started_test.go
+++ b/internal/shard/started_test.go
@@ -42,7 +42,7 @@
 		time.Sleep(50 * time.Millisecond)
 		after.Submit(second, &relay.Submit{Job: patientJob("a", 1)})
 		before.End()
-		after.Submit(first, &relay.Submit{Job: patientJob("a", 1), Resumed: true})
+		after.Submit(first, &relay.Submit{Job: patientJob("a", 1), Resumed: true, Partitions: 1})
 		time.Sleep(5 * time.Second)
 		is.Equal(f.OverlappingRuns(), "")
 		is.True(completed(first, "a")())
@@ -69,5 +69,5 @@
 	is.True(!c.answer("b").Started)
 	s.Submit(c, &relay.Submit{Job: patientJob("a", 1), Number: 4})
 	s.End()
-	is.Equal(c.answer("a"), &relay.Answer{Job: "a", Number: 4, Refused: pool.ReasonNotLeader, Started: true})
+	is.Equal(c.answer("a"), &relay.Answer{Job: "a", Number: 4, Refused: pool.ReasonNotLeader, Started: true, Partitions: 1})
 }
--- a/internal/shard/submissions.go
+++ b/internal/shard/submissions.go
@@ -61,7 +61,9 @@
 		s.refuse(client, m, pool.Verdict{Reason: pool.ReasonRepeated, RetryAfter: time.Second})
 		return
 	}
-	orders := period{arrived: arrived - m.Earlier, last: last, open: m.Shared, recent: arrived > s.fenceStart}
+	orders := period{
+		arrived: arrived - m.Earlier, last: last, open: m.Shared, recent: arrived > s.fenceStart, elsewhere: last != noOrders && s.usedOtherEndpoints(m),
+	}
 	notBefore := s.notBefore(s.resumes(m), orders, now)
 	if m.InProgress {
 		notBefore = max(notBefore, 1) // as for a resumed job whose runs are known
--- a/internal/shard/succeeded_test.go
+++ b/internal/shard/succeeded_test.go
@@ -31,7 +31,7 @@
 		is.True(c.answer("a").Started)
 		after.Begin(shard.Term{Fence: 2, Partitions: 1})
 		after.register(all)
-		after.Submit(c, &relay.Submit{Job: jobOf("a", 4, 100*time.Millisecond), Resumed: true, GivenBack: true, Succeeded: c.answer("a").Succeeded})
+		after.Submit(c, &relay.Submit{Job: jobOf("a", 4, 100*time.Millisecond), Resumed: true, Partitions: 1, GivenBack: true, Succeeded: c.answer("a").Succeeded})
 		time.Sleep(200 * time.Millisecond)
 		is.True(completed(c, "a")())
 		is.Equal(f.OverlappingRuns(), "")
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -26,7 +26,7 @@
 	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	defer after.End()
 	after.register(all)
-	submitUntilAccepted(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
+	submitUntilAccepted(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 1})
 	wait.For(t, "the job completes at the new dispatcher", completed(c2, "a"))
 	is.Equal(len(f.Starts()), 8) // nothing was started again
 	is.Equal(f.OverlappingRuns(), "")
@@ -48,7 +48,7 @@
 	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	defer after.End()
 	after.register(all[:1]) // the second endpoint is not registered
-	submitUntilAccepted(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
+	submitUntilAccepted(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 1})
 	wait.For(t, "the job completes", completed(c2, "a"))
 	is.Equal(f.OverlappingRuns(), "")
 }
@@ -70,7 +70,7 @@
 	before.End()
 	after.Begin(shard.Term{Fence: 2, Partitions: 1})
 	t.Cleanup(after.End)
-	submitUntilAccepted(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true})
+	submitUntilAccepted(t, after, c2, &relay.Submit{Job: m.Job, Resumed: true, Partitions: 1})
 	wait.For(t, "the job completes", completed(c2, "a"))
 	is.Equal(f.OverlappingRuns(), "")
 }
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -123,7 +123,9 @@
 	s.endedFence, s.endedAt = max(s.endedFence, s.term.Fence), s.opts.Now()
 	s.cancel()
 	for id, clients := range s.clients {
-		clients.answer(&relay.Answer{Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id), Succeeded: s.pool.SucceededTasks(id)})
+		clients.answer(&relay.Answer{
+			Job: id, Refused: pool.ReasonNotLeader, Started: s.pool.HasStarted(id), Succeeded: s.pool.SucceededTasks(id), Partitions: s.term.Partitions,
+		})
 	}
 	for _, x := range s.sessions {
 		s.opts.Window.Forget(x.path)
