Catch signals before anything else is done

Cause: the process's signals were caught when the instance had been built, in a goroutine of its own. Until then a SIGHUP ends a process.

Change: savorypass and savoryd catch their signals as the first thing in main. What remains is the time until the runtime has begun main.

Result: TestSignalBeforeItIsHandled; the code before has no way to catch signals before Signals.Run, so that the test's process ends.

--- a/cmd/savorypass/main.go
+++ b/cmd/savorypass/main.go
@@ -36,6 +36,7 @@
 }
 
 func main() {
+	incoming := daemon.CatchSignals()
 	var o options
 	daemon.MustLoad("savorypass", &o)
 	if o.Settings == "" {
@@ -49,7 +50,7 @@
 	}
 	out := daemon.NewAsyncWriter(os.Stdout)
 	log := daemon.NewUnredactedLogger(out, o.LogOptions)
-	code := run(o, log)
+	code := run(o, incoming, log)
 	out.Flush()
 	os.Exit(code)
 }
@@ -66,7 +67,7 @@
 }
 
 // run runs the instance until it has stopped and returns the exit code.
-func run(o options, log *logrus.Logger) int {
+func run(o options, incoming <-chan os.Signal, log *logrus.Logger) int {
 	settings, err := platform.ReadSettings(o.Settings)
 	if err != nil {
 		log.WithField("event", "start_failed").WithError(err).Error("the settings are invalid or cannot be read")
@@ -79,7 +80,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := daemon.Signals{Log: log, Drain: n.Drain, Kill: cancel, Reload: reload(o, log), Dump: dump{n}}
+	signals := daemon.Signals{Incoming: incoming, Log: log, Drain: n.Drain, Kill: cancel, Reload: reload(o, log), Dump: dump{n}}
 	go signals.Run(ctx)
 	if err := n.Run(ctx); err != nil {
 		log.WithField("event", "failed").WithError(err).Error("the instance failed")
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -82,7 +82,10 @@
 	var calls []string
 	var out, log bytes.Buffer
 	ctx, cancel := context.WithCancel(context.Background())
+	incoming := make(chan os.Signal)
 	s := Signals{
+		Incoming: incoming,
+
 		Log:    NewLogger(&log, LogOptions{}),
 		Drain:  func() { calls = append(calls, "drain") },
 		Kill:   func() { calls = append(calls, "kill"); cancel() },
@@ -90,14 +93,27 @@
 		Dump:   dump("state"),
 		Output: &out,
 	}
-	incoming := make(chan os.Signal)
 	go func() {
 		for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
 			incoming <- sig
 		}
 	}()
-	s.handle(ctx, incoming)
+	s.Run(ctx)
 	is.Equal(calls, []string{"reload", "drain", "reload", "kill"})
 	is.Equal(out.String(), "state")
 	is.True(strings.Contains(log.String(), "event=reload_failed"))
 }
+
+// Guards against a process that a SIGHUP ends because it comes before the process handles its signals (soak seed 9820).
+func TestSignalBeforeItIsHandled(t *testing.T) {
+	is := is.New(t)
+	incoming := CatchSignals()
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reloads := 0
+	s := Signals{Incoming: incoming, Log: NewLogger(io.Discard, LogOptions{}), Reload: func() error { reloads++; cancel(); return nil }}
+	s.Run(ctx)
+	is.Equal(reloads, 1)
+}
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -10,9 +10,21 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Signals holds what a program does on each signal. Log is required. A signal whose field is nil is ignored.
+// maxWaitingSignals bounds the signals that wait to be handled. A dump can take several seconds; further signals are dropped.
+const maxWaitingSignals = 8
+
+// CatchSignals returns the process's signals from now on. A program calls it first: until then a SIGHUP, for example, ends the process, and
+// the platform may send one at any time.
+func CatchSignals() <-chan os.Signal {
+	incoming := make(chan os.Signal, maxWaitingSignals)
+	signal.Notify(incoming, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	return incoming
+}
+
+// Signals holds what a program does on each signal. Incoming and Log are required. A signal whose field is nil is ignored.
 type Signals struct {
-	Log *logrus.Logger
+	Incoming <-chan os.Signal // see CatchSignals
+	Log      *logrus.Logger
 	// Drain starts the planned stop, on the first SIGTERM or SIGINT: the program refuses new work, finishes its current work
 	// and ends. It must not block.
 	Drain func()
@@ -28,20 +40,12 @@
 
 // Run handles the process's signals until ctx ends.
 func (s *Signals) Run(ctx context.Context) {
-	// Room for 8 signals: a dump can take several seconds, and signals for which the channel has no room are dropped.
-	incoming := make(chan os.Signal, 8)
-	signal.Notify(incoming, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	defer signal.Stop(incoming)
-	s.handle(ctx, incoming)
-}
-
-func (s *Signals) handle(ctx context.Context, incoming <-chan os.Signal) {
 	stopping := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case sig := <-incoming:
+		case sig := <-s.Incoming:
 			s.Log.WithFields(logrus.Fields{"event": "signal", "signal": sig.String()}).Info("signal received")
 			stopping = s.act(sig, stopping)
 		}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -9,6 +9,7 @@
 
 // Main runs the program savoryd and returns its exit code.
 func Main() int {
+	incoming := daemon.CatchSignals()
 	var opts Options
 	daemon.MustLoad("savoryd", &opts)
 	log := daemon.NewLogger(os.Stderr, opts.LogOptions)
@@ -19,7 +20,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := daemon.Signals{Log: log, Drain: e.Drain, Kill: cancel, Reload: e.Reload, Dump: e.Dumps(), Output: os.Stderr}
+	signals := daemon.Signals{Incoming: incoming, Log: log, Drain: e.Drain, Kill: cancel, Reload: e.Reload, Dump: e.Dumps(), Output: os.Stderr}
 	go signals.Run(ctx)
 	if err := e.Run(ctx); err != nil {
 		log.WithField("event", "failed").WithError(err).Error("entry instance failed")
