A stored job fails when three processes have crashed under one of its tasks

Cause: a stored job was given up for failed runs only. Tasks that crash each endpoint held up the other suspects, of which one starts for eight endpoints at a time. Crash counts were passed on with heartbeats of one second and lost with the dispatcher.

Change: attempt.MaxCrashesStored (3) for stored jobs; the record of a job's ends also holds the runs under which a process has crashed, so that they count at the next holder and run numbers go on behind them.

TestStoredJobIsGivenUpAfterThreeCrashes, TestStoredTaskThatCrashesItsEndpoints and TestCrashesOutliveTheHolder are new. Tests of joblog, ledger, pool, shard and attempt pass with -race.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -33,6 +33,10 @@
 // on the same endpoint; a task that has crashed one is started alone afterwards.
 const MaxCrashes = 2
 
+// MaxCrashesStored is MaxCrashes for tasks of stored jobs. It is higher, since a job that was accepted must not fail for a crash that another
+// task has caused.
+const MaxCrashesStored = 3
+
 // Outcome is how a run ended without success.
 type Outcome int
 
--- a/internal/joblog/ends.go
+++ b/internal/joblog/ends.go
@@ -11,22 +11,24 @@
 // maxTasks bounds the number of a step's tasks and of a job's steps, so that a malformed record cannot use up the memory.
 const maxTasks = 100_000
 
-// Ends are the ends of a job's tasks: which tasks have succeeded and which runs have failed.
+// Ends are the ends of a job's tasks: which tasks have succeeded, which runs have failed, and under which an endpoint's process has crashed.
 type Ends struct {
 	// Succeeded has a bit for each task of a step, by step; the lowest bit of a step's first byte is the task with index 0.
 	Succeeded [][]byte `msgpack:"s,omitempty"`
 	// Failed lists the failed runs, each once, in order of step, index and run.
-	Failed []FailedRun `msgpack:"f,omitempty"`
+	Failed []TaskRun `msgpack:"f,omitempty"`
+	// Crashed lists the runs under which an endpoint's process has crashed, like Failed.
+	Crashed []TaskRun `msgpack:"c,omitempty"`
 }
 
-// FailedRun is a run of a task that has failed.
-type FailedRun struct {
+// TaskRun is a run of a task.
+type TaskRun struct {
 	Step  int `msgpack:"s,omitempty"`
 	Index int `msgpack:"i,omitempty"`
 	Run   int `msgpack:"r,omitempty"`
 }
 
-func compareRuns(a, b FailedRun) int {
+func compareRuns(a, b TaskRun) int {
 	return cmp.Or(cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run))
 }
 
@@ -63,13 +65,22 @@
 	if !valid(task) {
 		return false
 	}
-	return e.fail(FailedRun{task.Step, task.Index, run})
+	return insertRun(&e.Failed, TaskRun{task.Step, task.Index, run})
 }
 
-func (e *Ends) fail(r FailedRun) bool {
-	at, found := slices.BinarySearchFunc(e.Failed, r, compareRuns)
+// Crash notes that an endpoint's process has crashed under a run of a task. It returns false if that was noted, or if the ends cannot hold the task.
+func (e *Ends) Crash(task work.TaskID, run int) bool {
+	if !valid(task) {
+		return false
+	}
+	return insertRun(&e.Crashed, TaskRun{task.Step, task.Index, run})
+}
+
+// insertRun adds a run to an ordered list. It returns false if the list has it.
+func insertRun(list *[]TaskRun, r TaskRun) bool {
+	at, found := slices.BinarySearchFunc(*list, r, compareRuns)
 	if !found {
-		e.Failed = slices.Insert(e.Failed, at, r)
+		*list = slices.Insert(*list, at, r)
 	}
 	return !found
 }
@@ -85,6 +96,9 @@
 	return n
 }
 
+// Any reports whether a run of a task has ended.
+func (e *Ends) Any() bool { return len(e.Succeeded)+len(e.Failed)+len(e.Crashed) > 0 }
+
 // Merge adds the ends of o, which it does not change.
 func (e *Ends) Merge(o Ends) {
 	for step, bits := range o.Succeeded {
@@ -101,7 +115,10 @@
 		e.Succeeded[step] = own
 	}
 	for _, r := range o.Failed {
-		e.fail(r)
+		insertRun(&e.Failed, r)
+	}
+	for _, r := range o.Crashed {
+		insertRun(&e.Crashed, r)
 	}
 }
 
@@ -123,9 +140,9 @@
 	if len(e.Succeeded) > maxTasks {
 		return fmt.Errorf("joblog: progress of %d steps", len(e.Succeeded))
 	}
-	for _, r := range e.Failed {
+	for _, r := range slices.Concat(e.Failed, e.Crashed) {
 		if !inRange(r.Step, r.Index) {
-			return fmt.Errorf("joblog: failed run of task %d of step %d", r.Index, r.Step)
+			return fmt.Errorf("joblog: unsuccessful run of task %d of step %d", r.Index, r.Step)
 		}
 	}
 	return nil
--- a/internal/joblog/jobs.go
+++ b/internal/joblog/jobs.go
@@ -102,8 +102,9 @@
 // Apply folds one record. The error reports a record that cannot be read; the other records of the job still count.
 func (j *Jobs) Apply(r store.Record, now time.Duration) error {
 	if r.Key == holdingKey {
-		j.held = true
-		return nil
+		j.held = true // also if its value cannot be read
+		_, err := Decode(r)
+		return err
 	}
 	k, id, err := parseKey(r.Key)
 	if err != nil {
--- a/internal/joblog/jobs_test.go
+++ b/internal/joblog/jobs_test.go
@@ -52,6 +52,7 @@
 	is := is.New(t)
 	done := ends(1, 17)
 	done.Fail(work.TaskID{Index: 3}, 2)
+	done.Crash(work.TaskID{Index: 4}, 1)
 	for _, want := range []any{
 		Submission{testJob(testID)}, Cancel{testID}, Progress{testID, done}, End{testID, work.Failed},
 		Move{testID, "south"}, Handover{testID, []string{"north", "west"}, done},
@@ -104,6 +105,9 @@
 	is.True(!e.HasSucceeded(work.TaskID{Index: 17}))
 	is.True(e.Fail(task, 2) && e.Fail(task, 1) && !e.Fail(task, 2))
 	is.Equal(e.Failures(task), 2)
+	is.True(e.Crash(task, 3) && !e.Crash(task, 3))
+	is.Equal(e.Failures(task), 2)
+	is.Equal(e.Clone().Crashed, []TaskRun{{1, 17, 3}})
 	for _, bad := range []work.TaskID{{Occurrence: 1}, {Step: -1}, {Index: maxTasks}} {
 		is.True(!e.Succeed(bad) && !e.HasSucceeded(bad) && !e.Fail(bad, 1)) // bad
 	}
@@ -114,7 +118,7 @@
 	done := ends(1, 17)
 	done.Fail(work.TaskID{Index: 3}, 2)
 	for _, r := range []any{Submission{testJob(testID)}, Cancel{testID}, Progress{testID, done}, End{testID, work.Failed},
-		Move{testID, "south"}, Handover{testID, []string{"north"}, done}} {
+		Move{testID, "south"}, Handover{testID, []string{"north"}, done}, Holding{33 * 256}} {
 		encoded := record(f, r)
 		f.Add(encoded.Key, encoded.Value)
 	}
--- a/internal/joblog/record.go
+++ b/internal/joblog/record.go
@@ -154,8 +154,11 @@
 	return store.Record{Key: k.key(id), Value: value}, nil
 }
 
-// Decode returns the Submission, Cancel, Progress, Move, Handover or End of a record with a value.
+// Decode returns the Submission, Cancel, Progress, Move, Handover, End or Holding of a record with a value.
 func Decode(r store.Record) (any, error) {
+	if r.Key == holdingKey {
+		return decodeHolding(r.Value)
+	}
 	k, id, err := parseKey(r.Key)
 	if err != nil {
 		return nil, err
@@ -195,6 +198,17 @@
 	return Cancel{Job: id}, nil
 }
 
+func decodeHolding(value []byte) (any, error) {
+	if len(value) == 0 || value[0] != codecVersion {
+		return nil, fmt.Errorf("joblog: record %q has an unknown version", holdingKey)
+	}
+	epoch, err := strconv.ParseInt(string(value[1:]), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("joblog: record %q: %w", holdingKey, err)
+	}
+	return Holding{epoch}, nil
+}
+
 func decodeMove(id work.JobID, payload []byte) (any, error) {
 	if len(payload) == 0 {
 		return nil, errNoZone
--- a/internal/ledger/ends.go
+++ b/internal/ledger/ends.go
@@ -38,6 +38,18 @@
 	return shard.RecordedSoon
 }
 
+// recordCrash records that an endpoint's process has crashed under a run of a task. The dispatcher's lock is held. Nothing is repeated if the record
+// is lost with the holder: the count is then one lower.
+func (h *holder) recordCrash(task work.TaskID, run int) {
+	h.mu.Lock()
+	job := h.live[task.Job]
+	wanted := h.ready && job != nil && job.stored && job.final == "" && job.ends.Crash(task, run)
+	h.mu.Unlock()
+	if wanted {
+		h.sendProgress(task.Job, job)
+	}
+}
+
 // note notes an end of the job and returns whether the job's own end is decided. h.mu is held.
 func (job *liveJob) note(end work.End, recorded func()) (decided bool) {
 	if end.Reason == work.EndSucceeded {
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -233,13 +233,19 @@
 			}
 		}
 	}
-	for _, f := range job.Ends.Failed {
-		task := work.TaskID{Job: job.Work.ID, Step: f.Step, Index: f.Index}
-		r.Failed = append(r.Failed, attempt.Attempt{Task: task, Run: f.Run, Outcome: attempt.Failed})
-	}
+	r.Unsuccessful = append(attempts(job.Work.ID, job.Ends.Failed, attempt.Failed), attempts(job.Work.ID, job.Ends.Crashed, attempt.Crashed)...)
 	return r
 }
 
+// attempts returns recorded runs of a job as attempts with an outcome.
+func attempts(id work.JobID, runs []joblog.TaskRun, o attempt.Outcome) []attempt.Attempt {
+	var all []attempt.Attempt
+	for _, r := range runs {
+		all = append(all, attempt.Attempt{Task: work.TaskID{Job: id, Step: r.Step, Index: r.Index}, Run: r.Run, Outcome: o})
+	}
+	return all
+}
+
 // end stops recording. What waits for the store is not known any more to be stored.
 func (h *holder) end() {
 	h.mu.Lock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -210,6 +210,13 @@
 	return shard.RecordedSoon
 }
 
+// RecordCrash implements shard.Ledger.
+func (l *Ledger) RecordCrash(task work.TaskID, run int) {
+	if h := l.holderOf(task.Job); h != nil {
+		h.recordCrash(task, run)
+	}
+}
+
 // usedBefore returns the time before which the deployment must have had stored jobs if a task that started until since is of one. A job of another
 // zone has been stored for moveDelay before it can have moved here.
 func (l *Ledger) usedBefore(id work.JobID, since time.Duration) time.Duration {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/joblog"
 	"github.com/savorypass/savorypass/internal/ledger"
 	"github.com/savorypass/savorypass/internal/pool"
@@ -291,6 +292,28 @@
 	is.Equal(last.state("a").State, work.Completed)
 }
 
+// Guards against crashes under a stored task that are forgotten with the dispatcher that has seen them: the task crashes further endpoints at each
+// successor.
+func TestCrashesOutliveTheHolder(t *testing.T) {
+	is := is.New(t)
+	s := keyed.New()
+	h := newHolder(t, s, 32)
+	wait.For(t, "the log is held", h.held)
+	is.Equal(h.submit("a"), relay.StoredDone)
+	task := work.TaskID{Job: "a", Index: 1}
+	h.RecordCrash(task, 1)
+	h.RecordCrash(task, 2)
+	h.RecordCrash(work.TaskID{Job: "unknown"}, 1)
+	recorded := make(chan bool, 1)
+	h.RecordEnd(success("a", 0), 0, func() { recorded <- true })
+	<-recorded
+	next := newHolder(t, s, 64)
+	wait.For(t, "the successor holds the log", next.held)
+	is.Equal(next.resumed[0].Unsuccessful, []attempt.Attempt{
+		{Task: task, Run: 1, Outcome: attempt.Crashed}, {Task: task, Run: 2, Outcome: attempt.Crashed},
+	})
+}
+
 // unreachable is a transport that reaches no holder.
 type unreachable struct{}
 
--- a/internal/ledger/move.go
+++ b/internal/ledger/move.go
@@ -363,7 +363,7 @@
 			continue
 		}
 		moves := job.Moved() || live.moving.to != ""
-		if moves && !live.moving.arrived && len(job.Ends.Succeeded)+len(job.Ends.Failed) == 0 {
+		if moves && !live.moving.arrived && !job.Ends.Any() {
 			n++
 		}
 	}
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -98,7 +98,7 @@
 	}
 	for _, id := range jobs.Live() {
 		job := jobs.Get(id)
-		if job.Work.Queue == queue && !job.Cancelled && len(job.Ends.Succeeded)+len(job.Ends.Failed) == 0 {
+		if job.Work.Queue == queue && !job.Cancelled && !job.Ends.Any() {
 			waiting++
 		}
 	}
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -17,7 +17,7 @@
 
 // The reasons.
 const (
-	GiveUpCrashes  GiveUp = "crashes"  // attempt.MaxCrashes processes have crashed under the task
+	GiveUpCrashes  GiveUp = "crashes"  // attempt.MaxCrashes or MaxCrashesStored processes have crashed under the task
 	GiveUpFailures GiveUp = "failures" // the task has failed as often as its queue allows
 	// GiveUpTooLate means that a process has crashed under the task and that its result would be of no use any more. The job has not
 	// failed; it ends without a result.
@@ -30,6 +30,7 @@
 	Run     int
 	Crashes int    // processes that have crashed under the task
 	Wanted  bool   // a job waited for the run
+	Counted bool   // the crash counts against the task
 	GivenUp GiveUp // empty if the task starts again, or if no job waited for the run
 }
 
@@ -123,7 +124,9 @@
 		if r.HasStarted() {
 			p.history.Add(attempt.Attempt{Task: r.Task, Run: r.Number, Process: process, Outcome: attempt.Crashed}, now)
 		}
-		c := CrashedRun{Task: r.Task, Run: r.Number, Crashes: p.history.Count(r.Task, attempt.Crashed), Wanted: j != nil}
+		c := CrashedRun{
+			Task: r.Task, Run: r.Number, Crashes: p.history.Count(r.Task, attempt.Crashed), Wanted: j != nil, Counted: r.HasStarted(),
+		}
 		p.release(r)
 		if j != nil {
 			c.GivenUp = p.afterCrash(j, r.Task, now)
@@ -144,9 +147,9 @@
 func (r *Run) HasStarted() bool { return r.started }
 
 // afterCrash decides what becomes of a task under which a process has crashed: it starts again as a suspect, or the reason to give
-// it up is returned. Tasks of stored jobs always start again: only failed runs count as their attempts.
+// it up is returned. A stored job is given up for crashes and failures only, however late it is.
 func (p *Pool) afterCrash(j *job, task work.TaskID, now time.Duration) GiveUp {
-	if !j.stored && p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes {
+	if p.history.Count(task, attempt.Crashed) >= j.maxCrashes() {
 		return GiveUpCrashes
 	}
 	if !j.stored && now-j.arrived > maxWait(j) {
@@ -157,6 +160,14 @@
 	return ""
 }
 
+// maxCrashes returns the number of crashed processes after which a task of the job is given up.
+func (j *job) maxCrashes() int {
+	if j.stored {
+		return attempt.MaxCrashesStored
+	}
+	return attempt.MaxCrashes
+}
+
 // Suspect records that a process has crashed under an earlier run of a task. If the task starts again, it starts alone. It returns the
 // failure of the job if the task has to be given up.
 func (p *Pool) Suspect(task work.TaskID) []Outcome {
@@ -179,7 +190,7 @@
 func (p *Pool) exhausted(j *job, task work.TaskID) []Outcome {
 	why := GiveUp("")
 	switch {
-	case !j.stored && p.history.Count(task, attempt.Crashed) >= attempt.MaxCrashes:
+	case p.history.Count(task, attempt.Crashed) >= j.maxCrashes():
 		why = GiveUpCrashes
 	case p.history.Count(task, attempt.Failed) >= j.Objective.Attempts:
 		why = GiveUpFailures
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -50,9 +50,9 @@
 }
 
 // ResumeStored adds a stored job, or continues it if the pool holds it: the tasks in succeeded are not started any more, and those that
-// wait do not start before notBefore. failed holds the highest number of a failed run of each task.
-func (p *Pool) ResumeStored(w *work.Job, succeeded []work.TaskID, failed map[work.TaskID]int, now, notBefore time.Duration) []Outcome {
-	for task, run := range failed {
+// wait do not start before notBefore. runs holds the highest number of an unsuccessful run of each task.
+func (p *Pool) ResumeStored(w *work.Job, succeeded []work.TaskID, runs map[work.TaskID]int, now, notBefore time.Duration) []Outcome {
+	for task, run := range runs {
 		p.numbers[task] = max(p.numbers[task], run)
 	}
 	j := p.jobs[w.ID]
@@ -65,7 +65,7 @@
 		p.adopt(j)
 	}
 	j.notBefore, j.held = notBefore, false
-	j.started = j.started || len(failed) > 0
+	j.started = j.started || len(runs) > 0
 	for _, task := range succeeded {
 		p.countStored(j, task)
 	}
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -71,3 +71,19 @@
 	failed.Run = next.Number
 	is.Equal(p.RunEnded(attempt.Process{Endpoint: "e"}, failed, 0)[0].State, work.Failed)
 }
+
+// Guards against a stored task that crashes one endpoint after the other without end, and against a stored job that fails for crashes that another
+// task may have caused.
+func TestStoredJobIsGivenUpAfterThreeCrashes(t *testing.T) {
+	is := is.New(t)
+	p := New(attempt.NewHistory())
+	task := work.TaskID{Job: "a"}
+	for run := 1; run < attempt.MaxCrashesStored; run++ {
+		p.history.Merge([]attempt.Attempt{{Task: task, Run: run, Outcome: attempt.Crashed}}, 0)
+		is.Equal(len(p.ResumeStored(storedJob(), nil, nil, 0, 1)), 0)
+	}
+	p.history.Merge([]attempt.Attempt{{Task: task, Run: attempt.MaxCrashesStored, Outcome: attempt.Crashed}}, 0)
+	is.Equal(p.Suspect(task), []Outcome{{Job: "a", State: work.Failed, Task: task, Why: GiveUpCrashes}})
+	q := New(p.history)
+	is.Equal(q.ResumeStored(storedJob(), nil, nil, 0, 1)[0].State, work.Failed) // at the next dispatcher
+}
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/savorypass/savorypass/internal/attempt"
 	"github.com/savorypass/savorypass/internal/pool"
+	"github.com/savorypass/savorypass/internal/work"
 )
 
 // process identifies the process that the session has talked to.
@@ -30,10 +31,20 @@
 	}
 	for _, r := range runs {
 		x.logCrash(r, crashOutcome(r))
+		if r.Counted {
+			s.recordCrash(r.Task, r.Run)
+		}
 	}
 	s.finish(outcomes)
 }
 
+// recordCrash records a crash under a task of a stored job. The shard's lock is held.
+func (s *Shard) recordCrash(task work.TaskID, run int) {
+	if s.stored[task.Job] != nil {
+		s.opts.Ledger.RecordCrash(task, run)
+	}
+}
+
 // crashOutcome names for the log what becomes of the task of a run under which a process has crashed.
 func crashOutcome(r pool.CrashedRun) string {
 	switch {
@@ -66,6 +77,7 @@
 		s.opts.History.Add(a, now)
 		crashes := s.opts.History.Count(a.Task, attempt.Crashed)
 		x.logCrash(pool.CrashedRun{Task: a.Task, Run: a.Run, Crashes: crashes}, "counted_late")
+		s.recordCrash(a.Task, a.Run)
 		s.finish(s.pool.Suspect(a.Task))
 	}
 	x.lost = nil
--- a/internal/shard/stored.go
+++ b/internal/shard/stored.go
@@ -19,6 +19,8 @@
 	// RecordEnd takes a task's end of success or failure. since is a time after the task was started. If it returns RecordedSoon, it calls
 	// recorded once the store has the end, or when it is certain that the task belongs to no stored job.
 	RecordEnd(end work.End, since time.Duration, recorded func()) Recording
+	// RecordCrash takes a run of a stored job's task under which an endpoint's process has crashed.
+	RecordCrash(task work.TaskID, run int)
 	// NoneStored reports whether it is certain that there were no stored jobs at a time.
 	NoneStored(at time.Duration) bool
 	// JobEnded takes the final state of a stored job.
@@ -104,19 +106,19 @@
 
 // ResumedJob is a stored job that a ledger has read from the store.
 type ResumedJob struct {
-	Job       *work.Job
-	Succeeded []work.TaskID
-	Failed    []attempt.Attempt
-	New       bool // it is certain that no earlier dispatcher of the zone starts tasks of the job
+	Job          *work.Job
+	Succeeded    []work.TaskID
+	Unsuccessful []attempt.Attempt // recorded ones
+	New          bool              // it is certain that no earlier dispatcher of the zone starts tasks of the job
 }
 
-// failedRuns returns the highest number of a failed run of each task.
-func (r *ResumedJob) failedRuns() map[work.TaskID]int {
-	failed := map[work.TaskID]int{}
-	for _, a := range r.Failed {
-		failed[a.Task] = max(failed[a.Task], a.Run)
+// lastRuns returns the highest number of an unsuccessful run of each task.
+func (r *ResumedJob) lastRuns() map[work.TaskID]int {
+	last := map[work.TaskID]int{}
+	for _, a := range r.Unsuccessful {
+		last[a.Task] = max(last[a.Task], a.Run)
 	}
-	return failed
+	return last
 }
 
 // ResumeStored continues the stored jobs of a part of the ledger, which owns selects, and deletes those that the ledger does not name
@@ -152,9 +154,9 @@
 	if !r.New {
 		notBefore = s.storedNotBefore()
 	}
-	s.opts.History.Merge(r.Failed, now)
+	s.opts.History.Merge(r.Unsuccessful, now)
 	s.stored[r.Job.ID] = r.Job
-	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, r.failedRuns(), now, notBefore)
+	outcomes := s.pool.ResumeStored(r.Job, r.Succeeded, r.lastRuns(), now, notBefore)
 	if !r.New {
 		s.awaitNeighbours(r.Job.ID)
 	}
--- a/internal/shard/stored_test.go
+++ b/internal/shard/stored_test.go
@@ -24,6 +24,7 @@
 	recorded []func()
 	ends     int
 	ended    map[work.JobID]work.State
+	crashes  []work.TaskID
 	// noneStored is what NoneStored returns.
 	noneStored atomic.Bool
 }
@@ -36,6 +37,12 @@
 	return l.answer
 }
 
+func (l *jobLedger) RecordCrash(task work.TaskID, _ int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, task)
+}
+
 func (l *jobLedger) NoneStored(time.Duration) bool { return l.noneStored.Load() }
 
 func (l *jobLedger) JobEnded(id work.JobID, s work.State) {
@@ -238,3 +245,22 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a stored task that is started without end although it crashes each endpoint that runs it, and against crashes that a successor does
+// not learn of. The clock is virtual.
+func TestStoredTaskThatCrashesItsEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s, l := newStoredShard(8, 100*time.Millisecond)
+		f.DownTime = 3 * time.Second
+		f.CrashTime = func(work.TaskID) time.Duration { return 50 * time.Millisecond }
+		v, ok := s.offer(1, "a", 1)
+		is.True(ok && v.Accepted())
+		s.StartStored(1, "a")
+		time.Sleep(time.Minute)
+		is.Equal(len(f.Starts()), 3)
+		is.Equal(l.takeEnded("a"), work.Failed)
+		is.Equal(l.crashes, []work.TaskID{{Job: "a"}, {Job: "a"}, {Job: "a"}})
+		endAndSettle(s)
+	})
+}
