Resumed submissions do not look at all registrations and all waiting jobs

Cause: the dispatcher of a resumed job went through the registrations of all zones twice for each submission, and through all resumed jobs that wait: N jobs of a lost dispatcher cost N squared looks, and each report one more.

Change: whether all endpoints of the partition have reported is kept until the directory or the reports change (reportedState), and a submission releases its own job only. The periodic checks and reports release the others as before.

--- a/internal/shard/directory.go
+++ b/internal/shard/directory.go
@@ -35,6 +35,7 @@
 // term begins with all endpoints that an earlier dispatcher may have used. It is safe for concurrent use.
 type Directory struct {
 	mu               sync.Mutex
+	version          uint64 // number of reads that were applied
 	registrations    map[work.EndpointID]registration
 	followed         bool // all registrations were read at followedFrom, and all changes have been followed since
 	followedFrom     time.Duration
@@ -74,6 +75,7 @@
 func (d *Directory) Apply(r Registrations, now time.Duration) []work.EndpointID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.version++
 	d.lastReadBegan, d.unreadable = r.AsOf, false
 	if r.Recovered {
 		d.recovered, d.recoveredAt = true, now
@@ -232,6 +234,7 @@
 	// have used until asOf.
 	complete bool
 	asOf     time.Duration // when the last read began
+	version  uint64        // of the directory
 }
 
 // covers reports whether every endpoint is among the present and the ended registrations that a dispatcher may have used for a job which
@@ -246,7 +249,19 @@
 func (d *Directory) view(accept func(work.Endpoint) bool, now time.Duration) view {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return view{
-		registrations: d.accepted(accept), complete: d.followed && now-d.followedFrom >= minFollowTime, asOf: d.lastReadBegan,
-	}
+	v := d.summary(now)
+	v.registrations = d.accepted(accept)
+	return v
+}
+
+// summarize returns a view without registrations. It does not look at each of them.
+func (d *Directory) summarize(now time.Duration) view {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.summary(now)
+}
+
+// summary is summarize for callers that hold d.mu.
+func (d *Directory) summary(now time.Duration) view {
+	return view{complete: d.followed && now-d.followedFrom >= minFollowTime, asOf: d.lastReadBegan, version: d.version}
 }
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/savorypass/savorypass/internal/relay"
@@ -145,25 +146,40 @@
 	asOf, known := s.knownAsOf(now)
 	outdated := false
 	for id, orders := range s.awaiting {
-		last := orders.last
-		switch {
-		case !s.pool.HasJob(id) || s.over(orders, now):
-			delete(s.awaiting, id)
-		case orders.elsewhere || s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
-		case asOf > last && !s.stillAccepted(orders):
-			s.requestReports(last, now)
-		case asOf > last:
-			s.pool.ReleaseResumed(id)
-			delete(s.awaiting, id)
-		case now > last && s.readRequestedAt <= last:
-			outdated = true
-		}
+		outdated = s.releaseIfKnown(id, orders, asOf, known, now) || outdated
 	}
 	if outdated {
 		s.requestRead(now)
 	}
 }
 
+// releaseResumedJob is releaseResumed for one job.
+func (s *Shard) releaseResumedJob(id work.JobID, now time.Duration) {
+	asOf, known := s.knownAsOf(now)
+	if s.releaseIfKnown(id, s.awaiting[id], asOf, known, now) {
+		s.requestRead(now)
+	}
+}
+
+// releaseIfKnown lets a resumed job start if its runs are known. asOf and known are those of knownAsOf. It returns whether only a read of the
+// registrations is missing.
+func (s *Shard) releaseIfKnown(id work.JobID, orders period, asOf time.Duration, known bool, now time.Duration) (outdated bool) {
+	last := orders.last
+	switch {
+	case !s.pool.HasJob(id) || s.over(orders, now):
+		delete(s.awaiting, id)
+	case orders.elsewhere || s.dividedBefore(last) || !known || !s.opts.Directory.covers(orders.arrived, now):
+	case asOf > last && !s.stillAccepted(orders):
+		s.requestReports(last, now)
+	case asOf > last:
+		s.pool.ReleaseResumed(id)
+		delete(s.awaiting, id)
+	case now > last && s.readRequestedAt <= last:
+		return true
+	}
+	return false
+}
+
 // requestRead requests a read of the registrations, unless that has just been done.
 func (s *Shard) requestRead(now time.Duration) {
 	if now-s.readRequestedAt < readRequestPause {
@@ -226,18 +242,36 @@
 // been shortly before, have reported to the present fence. An endpoint that has reported to a fence accepts no requests with an earlier
 // one. ok is false if an endpoint has not reported, or if the registrations have not been followed for long enough.
 func (s *Shard) knownAsOf(now time.Duration) (asOf time.Duration, ok bool) {
-	v := s.opts.Directory.view(s.owns, now)
-	if !v.complete || len(v.registrations) == 0 {
+	v := s.opts.Directory.summarize(now)
+	if !v.complete || !s.allReported(v.version, now) {
 		return 0, false
 	}
-	for _, e := range v.registrations {
-		if !s.hasReported(e.endpoint) {
-			return 0, false
-		}
-	}
 	return v.asOf, true
 }
 
+// reportedState is whether all endpoints of the partition have reported to a fence. It holds as long as the directory's version and the reports
+// do not change.
+type reportedState struct {
+	fence   int64
+	version uint64 // of the directory
+	reports uint64 // Shard.reportsVersion
+	all     bool
+}
+
+// allReported reports whether there are endpoints in the partition and all have reported to the present fence. version is that of the
+// directory. Many resumed jobs come between two changes of the answer, and the directory holds the endpoints of all zones.
+func (s *Shard) allReported(version uint64, now time.Duration) bool {
+	state := reportedState{fence: s.term.Fence, version: version, reports: s.reportsVersion}
+	state.all = s.reported.all
+	if s.reported == state {
+		return state.all
+	}
+	v := s.opts.Directory.view(s.owns, now)
+	state.all = len(v.registrations) > 0 && !slices.ContainsFunc(v.registrations, func(r registration) bool { return !s.hasReported(r.endpoint) })
+	s.reported = state
+	return state.all
+}
+
 // newestReport is what the report of an endpoint to its highest fence tells of the process that has sent it.
 type newestReport struct {
 	fence         int64
@@ -262,6 +296,7 @@
 		return
 	}
 	s.reports[x.endpoint.ID] = r
+	s.reportsVersion++
 }
 
 // hasReported reports whether the registered process of an endpoint has reported to the present fence. It remembers a report when the
@@ -277,6 +312,7 @@
 	for id := range s.reports {
 		if s.sessions[id] == nil && !retained[id] {
 			delete(s.reports, id)
+			s.reportsVersion++
 		}
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -105,6 +105,8 @@
 	awaiting           map[work.JobID]period // resumed jobs whose runs are not known yet, with the time in which these were ordered
 	held               map[work.JobID]holding
 	reports            map[work.EndpointID]newestReport
+	reportsVersion     uint64 // number of changes of reports
+	reported           reportedState
 	readRequestedAt    time.Duration // when a read of the registrations was last requested for them
 	reportsRequestedAt time.Duration // when reports of endpoints were last requested for them
 	callLost           bool          // a call to an endpoint got no answer; the last such call was at callLostAt
@@ -157,6 +159,7 @@
 	s.awaiting = map[work.JobID]period{}
 	s.held = map[work.JobID]holding{}
 	s.reports = map[work.EndpointID]newestReport{}
+	s.reportsVersion++
 }
 
 // dispatch orders the starts that are possible now. s.mu is held.
--- a/internal/shard/submissions.go
+++ b/internal/shard/submissions.go
@@ -76,7 +76,7 @@
 	s.logVerdict(client, m, verdict, known)
 	if s.resumes(m) {
 		s.await(job.ID, orders)
-		s.releaseResumed(now)
+		s.releaseResumedJob(job.ID, now)
 	}
 	s.hold(m, last, now)
 	s.clients[job.ID] = s.clients[job.ID].with(client)
