The wait for a dispatcher counts from the first look for one

Cause: the 300 ms for which a job waits for a dispatcher, in which a partition changes hands, counted from the arrival of the request. They were over before the instance had handled it.

Change: they count from when the instance first looks for a dispatcher. How long the caller waits still counts from the arrival.

Result: TestRequestThatWaitedUnreadWaitsForADispatcher failed before (the job was refused) and passes; the tests of gateway pass with -race.

--- a/internal/gateway/evacuated.go
+++ b/internal/gateway/evacuated.go
@@ -59,7 +59,7 @@
 	if p.moved != nil {
 		return p.moved.at
 	}
-	return p.arrived
+	return p.placedFrom
 }
 
 // inProgress reports whether tasks of a job that no dispatcher holds have run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,7 @@
 	request            uint64                 // identifies the caller's first request
 	sent               relay.SubmissionNumber // the last submission that was sent to a dispatcher
 	arrived            time.Time
+	placedFrom         time.Time              // when this instance first looked for a dispatcher, which may be long after the arrival
 	deadline           time.Time              // when the last caller stops waiting
 	target             Target                 // dispatcher to which the job was last submitted
 	route              Route                  // route to the dispatcher that holds the job; nil while none does
@@ -297,7 +298,7 @@
 		timeout = defaultResponseTimeout
 	}
 	sent := x.Arrived.Add(-x.Unread) // at the earliest
-	p := &pending{job: job, waiting: []waiting{{x, sent.Add(timeout)}}, request: rand.Uint64(), arrived: sent, deadline: sent.Add(timeout)}
+	p := &pending{job: job, waiting: []waiting{{x, sent.Add(timeout)}}, request: rand.Uint64(), arrived: sent, placedFrom: time.Now(), deadline: sent.Add(timeout)}
 	if time.Since(sent) > timeout {
 		g.refuseJob(p, 503, reasonUnread, retryStopping) // its caller may have left and submitted the job elsewhere
 		return
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -108,6 +108,34 @@
 	is.Equal(f.receive(second).status, 200)
 }
 
+// Guards against a job that is refused because its request waited unread, although a dispatcher can be reached a moment later: the time for which a
+// job waits for a dispatcher counted from the arrival of the request (TestStoreDown beside load).
+func TestRequestThatWaitedUnreadWaitsForADispatcher(t *testing.T) {
+	is := is.New(t)
+	f := start(t, time.Minute)
+	f.setPlacementTimeout(time.Second)
+	s, err := server.Start(server.Options{
+		Address: "127.0.0.1:0", Loops: 1, EncodeRefusal: func(result.Code, string) []byte { return nil },
+		Handler: server.HandlerFunc(func(x *server.Exchange) {
+			x.Unread = 2 * time.Second
+			f.Serve(x)
+		}),
+	})
+	is.NoErr(err)
+	t.Cleanup(func() { s.Stop(context.Background()) })
+	f.url = "http://" + s.Address()
+	for _, target := range []Target{north, south} {
+		f.router.setDown(target, true)
+	}
+	done := f.call(context.Background(), "POST", "/p/a", "job")
+	f.eventually("the job waits", func() bool { return f.Active() == 1 })
+	f.router.setDown(north, false)
+	f.Resubmit()
+	is.Equal(len(f.router.sent()), 1)
+	f.Answer(f.router, &relay.Answer{Job: "a", State: work.Completed})
+	is.Equal(f.receive(done).status, 200)
+}
+
 // Guards against callers whose connection is closed without an answer because their job has not ended when the instance does, and
 // against its runs going on.
 func TestEndPending(t *testing.T) {
