One dialer with paths that can be cut for the tests of node and shard

Change: fleet.Paths serves both. A lost call now wraps ErrNoResponse and ErrTimeout in both, as a real one does, and Reach is lost, too (it was in node's only).

Result: no change of the product but for the log field.

--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -154,7 +154,9 @@
 			return ctx.Err()
 		}
 	}
-	h.log().WithFields(logrus.Fields{"event": "job_log_held", "epoch": epoch, "ms": (h.opts().Now() - begun).Milliseconds()}).
+	h.log().WithFields(logrus.Fields{
+		"event": "job_log_held", "epoch": epoch, "held_before": h.heldBefore, "ms": (h.opts().Now() - begun).Milliseconds(),
+	}).
 		Info("a partition of the job log is held")
 	go func() {
 		h.awaitNeighbours(ctx)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -77,7 +77,7 @@
 	health    string
 	operators string
 	kill      context.CancelFunc
-	endpoints *crashableDialer
+	endpoints *fleet.Paths
 	store     *refusingStore
 	ended     chan error
 }
@@ -98,66 +98,10 @@
 
 // crash ends the instance like a crash of its process: nothing that it does in reaction reaches an endpoint.
 func (i *instance) crash() {
-	i.endpoints.crashed.Store(true)
+	i.endpoints.SetAllCut(true)
 	i.kill()
 }
 
-// crashableDialer creates clients of endpoints that send nothing after a crash of their instance, nor to an endpoint to which it has no path.
-type crashableDialer struct {
-	work.Dialer
-	crashed atomic.Bool
-	cutOff  sync.Map // the endpoints that cannot be reached, by work.EndpointID
-}
-
-// Dial implements work.Dialer.
-func (d *crashableDialer) Dial(e work.Endpoint) work.EndpointClient {
-	return &crashableClient{d.Dialer.Dial(e), d, e.ID}
-}
-
-type crashableClient struct {
-	work.EndpointClient
-	dialer   *crashableDialer
-	endpoint work.EndpointID
-}
-
-// lost reports whether nothing reaches the endpoint.
-func (c *crashableClient) lost() bool {
-	_, cutOff := c.dialer.cutOff.Load(c.endpoint)
-	return cutOff || c.dialer.crashed.Load()
-}
-
-// Start implements work.EndpointClient.
-func (c *crashableClient) Start(ctx context.Context, s work.StartRequest) (work.Refusal, time.Duration, error) {
-	if c.lost() {
-		return work.Done, 0, work.ErrNoResponse
-	}
-	return c.EndpointClient.Start(ctx, s)
-}
-
-// Stop implements work.EndpointClient.
-func (c *crashableClient) Stop(ctx context.Context, task work.TaskID, run int, fence int64) (work.Refusal, error) {
-	if c.lost() {
-		return work.Done, work.ErrNoResponse
-	}
-	return c.EndpointClient.Stop(ctx, task, run, fence)
-}
-
-// Reach implements work.EndpointClient.
-func (c *crashableClient) Reach(ctx context.Context) error {
-	if c.lost() {
-		return work.ErrNoResponse
-	}
-	return c.EndpointClient.Reach(ctx)
-}
-
-// RenewLease implements work.EndpointClient.
-func (c *crashableClient) RenewLease(ctx context.Context, lease work.LeaseRequest) (work.Report, work.Refusal, error) {
-	if c.lost() {
-		return work.Report{}, work.Done, work.ErrNoResponse
-	}
-	return c.EndpointClient.RenewLease(ctx, lease)
-}
-
 func (d *deployment) start(name string) *instance { return d.startIn(d.zones[0], name) }
 
 // startIn starts an instance of a zone.
@@ -175,7 +119,7 @@
 		EvacuationTime: 5 * time.Second,
 	}
 	i := &instance{url: "http://" + callers, health: "http://" + health, operators: "http://" + operators, ended: make(chan error, 1)}
-	i.endpoints, i.store = &crashableDialer{Dialer: d.fleet}, &refusingStore{Store: d.store}
+	i.endpoints, i.store = &fleet.Paths{Dialer: d.fleet}, &refusingStore{Store: d.store}
 	i.Node = node.New(node.Options{
 		Settings: s, Store: i.store, Records: platform.Records{}, Codec: platform.Callers{}, Dialer: i.endpoints, Log: log, OperatorsAddress: operators,
 	})
--- a/internal/node/substitute_test.go
+++ b/internal/node/substitute_test.go
@@ -102,10 +102,10 @@
 	})
 	time.Sleep(4 * time.Second)
 	is.True(!a.substitutes())
-	a.endpoints.crashed.Store(true)
+	a.endpoints.SetAllCut(true)
 	b.crash()
 	time.Sleep(3 * time.Second)
 	is.True(!a.substitutes())
-	a.endpoints.crashed.Store(false)
+	a.endpoints.SetAllCut(false)
 	d.eventually("the first instance dispatches for both zones", a.substitutes)
 }
--- a/internal/node/takeover_repeat_test.go
+++ b/internal/node/takeover_repeat_test.go
@@ -26,7 +26,7 @@
 // cutOff cuts the paths from instances to an endpoint.
 func cutOff(all []*instance, e work.EndpointID) {
 	for _, i := range all {
-		i.endpoints.cutOff.Store(e, true)
+		i.endpoints.SetCut(true, e)
 	}
 }
 
--- a/internal/shard/earlier_holder_test.go
+++ b/internal/shard/earlier_holder_test.go
@@ -22,7 +22,7 @@
 	for _, e := range all {
 		f.Add(e)
 	}
-	later := newCutDialer(f)
+	later := newPaths(f)
 	a := newShard(f, func() {})
 	a.register(all)
 	a.skip(time.Minute) // so that it has followed the registrations for long enough
@@ -30,7 +30,7 @@
 	t.Cleanup(a.End)
 	wait.For(t, "the earlier holder knows all runs", func() bool { return a.found("j") == shard.NotHeld })
 	b := newShardWith(f, func(o *shard.Options) { o.Dialer = later })
-	later.setCut(all[1:], true)
+	later.SetCut(true, idsOf(all[1:])...)
 	b.Begin(shard.Term{Fence: 2, Partitions: 1})
 	t.Cleanup(b.End)
 	b.register(all)
--- a/internal/shard/resumed_bench_test.go
+++ b/internal/shard/resumed_bench_test.go
@@ -24,7 +24,7 @@
 		}
 		all = append(all, e)
 	}
-	d := newShardWith(f, func(o *shard.Options) { o.Dialer = newCutDialer(f) })
+	d := newShardWith(f, func(o *shard.Options) { o.Dialer = newPaths(f) })
 	d.directory.Apply(shard.Registrations{Snapshot: true, Changed: all}, 0)
 	d.skip(time.Minute)
 	d.Begin(shard.Term{Fence: 1, Partitions: 64})
--- a/internal/shard/successor_test.go
+++ b/internal/shard/successor_test.go
@@ -1,7 +1,6 @@
 package shard_test
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"testing"
@@ -16,78 +15,24 @@
 	"github.com/savorypass/savorypass/internal/work"
 )
 
-// cutDialer creates clients of a fleet's endpoints whose calls get no answer while the path to their endpoint is cut.
-type cutDialer struct {
-	*fleet.Fleet
-	mu  sync.Mutex
-	cut map[string]bool // by address
+// newPaths returns the paths from a dispatcher to a fleet. A lost call takes as long as one that times out.
+func newPaths(f *fleet.Fleet) *fleet.Paths {
+	return &fleet.Paths{Dialer: f, Wait: 60 * time.Millisecond}
 }
 
-func newCutDialer(f *fleet.Fleet) *cutDialer { return &cutDialer{Fleet: f, cut: map[string]bool{}} }
-
-// setCut sets whether the paths to endpoints are cut.
-func (d *cutDialer) setCut(all []work.Endpoint, cut bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// idsOf returns the IDs of endpoints.
+func idsOf(all []work.Endpoint) []work.EndpointID {
+	var ids []work.EndpointID
 	for _, e := range all {
-		d.cut[e.Address] = cut
-	}
-}
-
-func (d *cutDialer) isCut(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.cut[address]
-}
-
-// Dial implements work.Dialer.
-func (d *cutDialer) Dial(e work.Endpoint) work.EndpointClient {
-	return &cutClient{d.Fleet.Dial(e), d, e.Address}
-}
-
-type cutClient struct {
-	work.EndpointClient
-	dialer  *cutDialer
-	address string
-}
-
-// lost waits as long as a call without an answer takes. It returns false if the path is not cut.
-func (c *cutClient) lost() bool {
-	if !c.dialer.isCut(c.address) {
-		return false
-	}
-	time.Sleep(60 * time.Millisecond)
-	return true
-}
-
-// Start implements work.EndpointClient.
-func (c *cutClient) Start(ctx context.Context, s work.StartRequest) (work.Refusal, time.Duration, error) {
-	if c.lost() {
-		return work.Done, 0, work.ErrTimeout
-	}
-	return c.EndpointClient.Start(ctx, s)
-}
-
-// Stop implements work.EndpointClient.
-func (c *cutClient) Stop(ctx context.Context, task work.TaskID, run int, fence int64) (work.Refusal, error) {
-	if c.lost() {
-		return work.Done, work.ErrTimeout
-	}
-	return c.EndpointClient.Stop(ctx, task, run, fence)
-}
-
-// RenewLease implements work.EndpointClient.
-func (c *cutClient) RenewLease(ctx context.Context, l work.LeaseRequest) (work.Report, work.Refusal, error) {
-	if c.lost() {
-		return work.Report{}, work.Done, work.ErrTimeout
+		ids = append(ids, e.ID)
 	}
-	return c.EndpointClient.RenewLease(ctx, l)
+	return ids
 }
 
 // holder is a dispatcher with stored jobs that reads the registrations and confirms its term at the store as long as it reaches it.
 type holder struct {
 	*dispatcher
-	paths *cutDialer
+	paths *fleet.Paths
 	all   []work.Endpoint
 	read  bool // it has read all registrations
 
@@ -98,7 +43,7 @@
 
 // newHolder returns a holder that has followed the registrations for long if followed is true.
 func newHolder(t *testing.T, f *fleet.Fleet, all []work.Endpoint, followed bool) *holder {
-	h := &holder{paths: newCutDialer(f), all: all}
+	h := &holder{paths: newPaths(f), all: all}
 	l := &jobLedger{answer: shard.RecordedSoon, ended: map[work.JobID]work.State{}}
 	h.dispatcher = newShardWith(f, func(o *shard.Options) {
 		o.Dialer, o.Ledger = h.paths, l
@@ -205,7 +150,7 @@
 		time.Sleep(time.Second)
 		is.Equal(f.Running(), 4)
 		before.setCutOff(true)
-		after.paths.setCut(busiest(f, all, 2), true)
+		after.paths.SetCut(true, idsOf(busiest(f, all, 2))...)
 		time.Sleep(300 * time.Millisecond)
 		after.lead(t, 2)
 		time.Sleep(100 * time.Millisecond)
@@ -262,7 +207,7 @@
 		time.Sleep(time.Second)
 		is.Equal(f.Running(), 6)
 		left := all[2]
-		h.paths.setCut(all[:2], true)
+		h.paths.SetCut(true, idsOf(all[:2])...)
 		h.setCutOff(true)
 		time.Sleep(4 * time.Second)
 		kept := 0
@@ -295,7 +240,7 @@
 		is := is.New(t)
 		f, all := newFleet(4, 20*time.Second)
 		after := newHolder(t, f, all, true)
-		after.paths.setCut(all[:1], true)
+		after.paths.SetCut(true, idsOf(all[:1])...)
 		waited := resumeBeside(t, f, after, 2)
 		is.True(waited > 2300*time.Millisecond)
 		is.True(waited < 2700*time.Millisecond)
@@ -314,7 +259,7 @@
 				is := is.New(t)
 				f, all := newFleet(4, 20*time.Second)
 				after := newHolder(t, f, all, followed)
-				after.paths.setCut(all[:lost], true)
+				after.paths.SetCut(true, idsOf(all[:lost])...)
 				waited := resumeBeside(t, f, after, 2)
 				is.True(waited > 7*time.Second)
 				is.True(waited < 7500*time.Millisecond)
