gateway: a plain name for the numbers of partitions of earlier dispatchers

Cause: the type reckoned and its comments used a word that needs explaining.

No change of behaviour.

Result: the tests of gateway and relay pass.

--- a/internal/gateway/evacuated.go
+++ b/internal/gateway/evacuated.go
@@ -39,7 +39,7 @@
 	if a.HandedOver {
 		m.inProgress, m.attempts, p.succeeded = true, a.Attempts, a.Succeeded // of all dispatchers so far
 	}
-	p.orphaned, p.shared, p.knowledge, p.reckoned = false, nil, 0, reckoned{}
+	p.orphaned, p.shared, p.knowledge, p.earlier = false, nil, 0, divisions{}
 	p.leave(reasonEvacuated)
 	g.tryAll(p)
 	g.placeOrRefuse(p)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,7 @@
 	Claim(to Target, c *relay.Claim) (Route, bool)
 	// Knowledge returns that of a dispatcher, see relay.Load, or 0 if none is known.
 	Knowledge(t Target) uint64
-	// Partitions returns the number of partitions of the zone with which a dispatcher reckons, see relay.Load, or 0 if it is not known.
+	// Partitions returns the number of partitions of the zone that a dispatcher uses, see relay.Load, or 0 if it is not known.
 	Partitions(t Target) int
 	// ReachesAll reports whether all dispatchers of all zones are known and connected. It opens the connections that are missing.
 	ReachesAll() bool
@@ -190,8 +190,8 @@
 	orphaned           bool                   // the dispatcher failed or lost its term; only its successor may continue the job
 	lostAt             time.Time              // when the last dispatcher that held the job was lost, or gave the job back
 	losses             int                    // number of dispatchers whose connection ended while they held the job
-	partitions         int                    // with which the dispatcher reckons that holds the job, or held it last; 0 if that is not known
-	reckoned           reckoned               // with which the dispatchers reckoned that may have started the job and hold it no longer
+	partitions         int                    // number that the dispatcher uses which holds the job, or held it last; 0 if it is not known
+	earlier            divisions              // of the dispatchers that may have started the job and hold it no longer
 	trail              trail                  // where the job was submitted, for the log
 	movedBy            string                 // why the job leaves its last target, for the log; empty if it does not
 	earlierRuns        bool                   // the target has refused the job but knows of runs of an earlier submission; it is asked again
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -167,11 +167,11 @@
 }
 
 // dispatcherNotLeader handles a job that was refused because its dispatcher's term has ended. If no task of it can have
-// started, the job is placed like a new one. partitions is the number with which the dispatcher reckoned; 0 if that is not known.
+// started, the job is placed like a new one. partitions is the number of partitions that the dispatcher used; 0 if it is not known.
 func (g *Gateway) dispatcherNotLeader(p *pending, started bool, partitions int) {
 	if started {
 		p.lostAt = time.Now()
-		p.reckoned.add(cmp.Or(partitions, p.partitions))
+		p.earlier.add(cmp.Or(partitions, p.partitions))
 	}
 	p.trail.leave(string(pool.ReasonNotLeader))
 	if started || p.orphaned {
@@ -199,7 +199,7 @@
 // dispatcherLost handles the loss of the dispatcher that held a job. The caller holds g.mu.
 func (g *Gateway) dispatcherLost(p *pending) {
 	p.losses++
-	p.reckoned.add(p.partitions)
+	p.earlier.add(p.partitions)
 	p.leave(outcomeLost)
 	p.lostAt = time.Now()
 	if p.losses < maxLosses {
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -62,7 +62,7 @@
 	cancelled        []relay.Cancel
 	notLeaderReports int
 	cutOff           atomic.Bool  // not all dispatchers can be reached
-	partitions       atomic.Int64 // with which the dispatchers reckon
+	partitions       atomic.Int64 // that the dispatchers use
 }
 
 type submission struct {
--- a/internal/relay/claim.go
+++ b/internal/relay/claim.go
@@ -13,7 +13,7 @@
 	// Knowledge is that of the dispatcher, see Load, as the instance that placed the job knew it. It is 0 if that is not known, and for a
 	// dispatcher that has found runs of the job and has no request for it: others of an earlier dispatcher may be unknown to it.
 	Knowledge uint64 `msgpack:"e,omitempty"`
-	// Partitions is the number of partitions of the zone with which the dispatcher reckons; 0 if it is not known.
+	// Partitions is the number of partitions of the zone that the dispatcher uses; 0 if it is not known.
 	Partitions int `msgpack:"n,omitempty"`
 	// Waited is the time since the request arrived, or may have.
 	Waited time.Duration `msgpack:"w,omitempty"`
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -9,7 +9,7 @@
 	Pressure int `msgpack:"l"`
 	// Knowledge identifies the dispatcher and its term among all.
 	Knowledge uint64 `msgpack:"e,omitempty"`
-	// Partitions is the number of partitions of the zone with which the dispatcher reckons; 0 from an instance of an earlier version.
+	// Partitions is the number of partitions of the zone that the dispatcher uses; 0 from an instance of an earlier version.
 	Partitions int `msgpack:"n,omitempty"`
 	// Total, Free and Rate are those of pool.Headroom.
 	Total int `msgpack:"t,omitempty"`
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -56,7 +56,7 @@
 	// Knowledge is that of the dispatcher which knows of earlier runs of the job, or has it from another request; 0 if there is none. Another
 	// dispatcher, or a later term, does not know these runs.
 	Knowledge uint64 `msgpack:"e,omitempty"`
-	// Partitions is the number of partitions of the zone with which all dispatchers reckoned that may have started the job. It is 0 if they differ
+	// Partitions is the number of partitions of the zone that all dispatchers used which may have started the job. It is 0 if they differ
 	// or it is not known, as to instances of earlier versions.
 	Partitions int `msgpack:"g,omitempty"`
 	// Shared means that another instance may have a request for the job, and may go on attending to it at an earlier dispatcher. That request
@@ -120,8 +120,7 @@
 	// Knowledge is set in a refusal with Started by a dispatcher that goes on: its own, see Load, or that of the submission if it does not know
 	// the runs itself.
 	Knowledge uint64 `msgpack:"e,omitempty"`
-	// Partitions is the number of partitions of the zone with which a dispatcher reckoned whose term has ended after it had started the job; 0 if it
-	// is not known.
+	// Partitions is the number of partitions of the zone that the dispatcher used, in the answer that ends its term; 0 if it is not known.
 	Partitions int `msgpack:"p,omitempty"`
 	// GaveUp ends a job that may have run in part: an endpoint has crashed under one of its tasks, which is not started again.
 	// Refused is pool.ReasonNotLeader then, so that instances of earlier versions submit the job again instead of refusing it.
--- a/internal/shard/find.go
+++ b/internal/shard/find.go
@@ -22,7 +22,7 @@
 	// Knowledge is that of the dispatcher if it has a request for the job that it holds; 0 if it knows of runs only, since runs of an earlier
 	// dispatcher may be unknown.
 	Knowledge  uint64
-	Partitions int           // number of partitions of the zone with which the dispatcher reckons
+	Partitions int           // number of partitions of the zone that the dispatcher uses
 	Waited     time.Duration // since the first request for the job arrived; 0 if that is not known
 }
 
--- a/internal/shard/resumed.go
+++ b/internal/shard/resumed.go
@@ -98,7 +98,7 @@
 }
 
 // usedOtherEndpoints reports whether the earlier dispatchers of a submitted job may have started it on endpoints that belong to another partition:
-// they divided the zone in another way, or it is not known how. An instance that has just started, for example, may have used a guess.
+// they used another number of partitions, or it is not known which. An instance that has just started, for example, may have used a guess.
 func (s *Shard) usedOtherEndpoints(m *relay.Submit) bool {
 	if m.Shared && m.Partitions == 0 {
 		return false // from an instance of an earlier version; the end of all leases is not known
