node tests: a partition counts as loaded by the runs of the job that loads it

Seen: TestRepeatAfterLossOfItsDispatcher and TestRepeatAtOnceAfterLossOfItsDispatcher red in 1 run of the package at load 30 to 44: "the partition is loaded" was not met, although the log has all 20 tasks of the job started.

Cause: deployment.fill waited until 20 more runs were in progress than before. The run of the job under test was among those before, and had ended when the others started half a second late (waited_ms=516 and 1364).

Change: it waits for the 20 runs of its own job.

--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -96,9 +96,19 @@
 	for shard.PartitionOf(id(n), 2) != partition {
 		n++
 	}
-	before := d.fleet.Running()
 	go at.post(id(n), 20)
-	d.eventually("the partition is loaded", func() bool { return d.fleet.Running() >= before+20 })
+	d.eventually("the partition is loaded", func() bool { return d.runningOf(work.JobID(id(n))) == 20 })
+}
+
+// runningOf returns the number of runs of a job's tasks. Runs of other jobs may end meanwhile.
+func (d *deployment) runningOf(job work.JobID) int {
+	running := 0
+	for _, s := range d.fleet.Starts() {
+		if s.Task.Job == job && s.EndedAt.IsZero() {
+			running++
+		}
+	}
+	return running
 }
 
 // Guards against two runs of a task at a time when the instance that holds the caller's connection dispatches the job
