Submissions read a dispatcher's number of partitions without its load

Cause: each job that an instance submits to a dispatcher of its own asked for that dispatcher's load to learn its number of partitions, which walks the endpoints and the queue, and again each 50 ms while the number was not known.

Change: the shard mirrors the number (Shard.Partitions), and gateway.Route and the router ask for it alone.

Tests of gateway and shard pass with -race.

--- a/internal/gateway/divisions.go
+++ b/internal/gateway/divisions.go
@@ -30,8 +30,7 @@
 	if p.partitions > 0 {
 		return
 	}
-	load, _ := p.route.Load(p.target.Partition)
-	p.partitions = load.Partitions
+	p.partitions = p.route.ZonePartitions(p.target.Partition)
 }
 
 // earlierPartitions returns relay.Submit.Partitions.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,8 +84,8 @@
 type Route interface {
 	// Cancel informs a dispatcher that no caller waits for a job any more.
 	Cancel(c *relay.Cancel)
-	// Load returns the load that the dispatcher of a partition last told over the route. ok is false if it has told none.
-	Load(partition int) (load relay.Load, ok bool)
+	// ZonePartitions returns the number of partitions of the zone that the dispatcher of a partition has told over the route; 0 if it has told none.
+	ZonePartitions(partition int) int
 }
 
 const (
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -89,8 +89,8 @@
 // Silence implements relay.Client.
 func (p *peer) Silence() time.Duration { return 0 }
 
-// Load implements Route.
-func (p *peer) Load(part int) (relay.Load, bool) { return p.shards[part].LastLoad(), true }
+// ZonePartitions implements Route.
+func (p *peer) ZonePartitions(part int) int { return p.shards[part].Partitions() }
 
 // Cancel implements Route.
 func (p *peer) Cancel(c *relay.Cancel) {
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -88,9 +88,7 @@
 	return r, true
 }
 
-func (r *router) Load(partition int) (relay.Load, bool) {
-	return relay.Load{Partition: partition, Partitions: int(r.partitions.Load())}, true
-}
+func (r *router) ZonePartitions(int) int { return int(r.partitions.Load()) }
 
 func (r *router) Cancel(c *relay.Cancel) {
 	r.mu.Lock()
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -25,8 +25,8 @@
 	return &localRoute{shards: s, requests: newQueue[func()](), answers: newQueue[*relay.Answer]()}
 }
 
-// Load implements gateway.Route.
-func (r *localRoute) Load(partition int) (relay.Load, bool) { return r.shards.lastLoad(partition) }
+// ZonePartitions implements gateway.Route.
+func (r *localRoute) ZonePartitions(partition int) int { return r.shards.partitions(partition) }
 
 // submit passes a job to the shard of its partition. It returns false if too many requests wait.
 func (r *localRoute) submit(s *relay.Submit) bool {
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -57,8 +57,11 @@
 	unused bool   // this instance has closed the connection; guarded by router.mu
 }
 
-// Load implements gateway.Route.
-func (r *uplinkRoute) Load(partition int) (relay.Load, bool) { return r.uplink.Load(partition) }
+// ZonePartitions implements gateway.Route.
+func (r *uplinkRoute) ZonePartitions(partition int) int {
+	load, _ := r.uplink.Load(partition)
+	return load.Partitions
+}
 
 // Cancel implements gateway.Route.
 func (r *uplinkRoute) Cancel(c *relay.Cancel) {
@@ -230,8 +233,7 @@
 func (r *router) Partitions(t gateway.Target) int {
 	address := r.dispatcher(t.Zone, t.Partition)
 	if address == r.address {
-		load, _ := r.shards.lastLoad(t.Partition)
-		return load.Partitions
+		return r.shards.partitions(t.Partition)
 	}
 	load, _ := r.loadAt(address, t.Partition)
 	return load.Partitions
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -297,6 +297,15 @@
 	return x.Knowledge()
 }
 
+// partitions returns the number of partitions of the zone that the dispatcher of a partition uses; 0 if this instance does not dispatch for it.
+func (s *shards) partitions(part int) int {
+	x := s.get(part)
+	if x == nil || !x.Leading() {
+		return 0
+	}
+	return x.Partitions()
+}
+
 // eachFound passes the jobs of found runs that nobody waits for to f, for each partition that has any.
 func (s *shards) eachFound(f func(zone string, partition int, jobs []work.JobID)) {
 	for part := range division.MaxPartitions {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -87,6 +87,7 @@
 	lastLoad atomic.Pointer[relay.Load] // as last calculated
 	// knowledge identifies this dispatcher and its term among all: what it knows of runs begins anew with each term. It is not 0.
 	knowledge atomic.Uint64
+	divided   atomic.Int64 // mirrors Term.Partitions of the last term
 	checked   atomic.Int64 // end of the last periodic checks, on the clock of Options.Now in nanoseconds
 
 	mu         sync.Mutex
@@ -190,6 +191,9 @@
 // Knowledge identifies this dispatcher and its term among all. It does not wait for the shard's lock.
 func (s *Shard) Knowledge() uint64 { return s.knowledge.Load() }
 
+// Partitions returns the number of partitions of the zone in this dispatcher's term. It does not wait for the shard's lock.
+func (s *Shard) Partitions() int { return int(s.divided.Load()) }
+
 // FoundJobs returns the jobs of the runs of earlier dispatchers that this one has found and nobody waits for. While the shard's lock is taken
 // it returns none.
 func (s *Shard) FoundJobs() []work.JobID {
--- a/internal/shard/term.go
+++ b/internal/shard/term.go
@@ -62,6 +62,7 @@
 		s.pollsFrom = s.endedAt + s.leaseExpiryTime()
 	}
 	s.term = t
+	s.divided.Store(int64(t.Partitions))
 	s.leading, s.settled, s.fenceStart = true, false, s.opts.Now()
 	s.began = s.fenceStart
 	s.heldSince, s.outnumberedAt, s.confirmed = s.fenceStart, 0, Confirmation{}
